--- /dev/null
+++ b/packages/utils/src/index.ts
@@ -0,0 +1,11 @@
+export { assert } from './lib/assert.js';
+export type { Clock, Milliseconds, Timer } from './lib/Clock.js';
+export { ManualClock } from './lib/ManualClock.js';
+export { SystemClock } from './lib/SystemClock.js';
+export { StepError } from './lib/StepError.js';
+export { exhaustiveSwitchError } from './lib/exhaustiveSwitchError.js';
+export { getHash, getHashHex, getRendezvousOrder, getRendezvousScore } from './lib/hash.js';
+export { createRandom } from './lib/random.js';
+export type { Random } from './lib/random.js';
+export { failure, success } from './lib/Result.js';
+export type { Result } from './lib/Result.js';
--- /dev/null
+++ b/packages/utils/src/lib/Result.ts
@@ -0,0 +1,32 @@
+/**
+ * The answer of an operation whose failure is an ordinary outcome, not an exception.
+ *
+ * @public
+ */
+export type Result<Value, Failure> = { ok: true; value: Value } | { ok: false; error: Failure };
+
+/**
+ * Wraps a value as a success.
+ *
+ * @example
+ * ```ts
+ * return success(register);
+ * ```
+ * @public
+ */
+export function success<Value>(value: Value): { ok: true; value: Value } {
+  return { ok: true, value };
+}
+
+/**
+ * Wraps an error as a failure.
+ *
+ * @example
+ * ```ts
+ * return failure(diagnostics);
+ * ```
+ * @public
+ */
+export function failure<Failure>(error: Failure): { ok: false; error: Failure } {
+  return { ok: false, error };
+}
