Add a first thin scheduler

Change: submit, queue in a p-queue, choose the least running replica, dispatch, follow, retry what may be repeated, finish. Also say in the messages that progress counts further tokens, not a total. Ruled out: letting p-queue start work when a promise settles; it would decide in a microtask, outside of any message. The queue is paused except while a message is handled.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,3 +5,7 @@
   SchedulerEffect,
   SchedulerMessage,
 } from './lib/messages.js';
+export { defaultPolicyOptions } from './lib/policyOptions.js';
+export type { PolicyOptions } from './lib/policyOptions.js';
+export { Scheduler } from './lib/Scheduler/Scheduler.js';
+export type { SchedulerParts } from './lib/Scheduler/Scheduler.js';
--- a/packages/policy/src/lib/messages.ts
+++ b/packages/policy/src/lib/messages.ts
@@ -73,7 +73,10 @@
 export type SchedulerMessage =
   | { kind: 'submit'; request: ScheduledRequest }
   | { kind: 'caller-left'; id: string }
-  /** Tokens (or, for a plain answer, its head) were handed to the caller by this attempt. */
+  /**
+   * This many further tokens (or, for a plain answer, its head as one) were handed to the caller by
+   * this attempt since its last such message.
+   */
   | { kind: 'progress'; id: string; attempt: number; tokens: number }
   | {
       kind: 'attempt-ended';
