--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,11 @@
+export { ClassMatcher, getClass } from './lib/ClassMatcher/ClassMatcher.js';
+export type { ClassCondition, RequestFacts, RuleTrial } from './lib/ClassMatcher/ClassMatcher.js';
+export { getNormalPath } from './lib/ClassMatcher/getNormalPath.js';
+export { formatDiagnostic } from './lib/Diagnostic.js';
+export type { Diagnostic } from './lib/Diagnostic.js';
+export { parseConfiguration, parseRegister, parseRules } from './lib/parseConfiguration.js';
+export type { ConfigurationText } from './lib/parseConfiguration.js';
+export { parseSettings } from './lib/parseSettings.js';
 export { ServiceKind } from './lib/Register.js';
 export type {
   ClassRule,
@@ -10,3 +18,5 @@
   ServiceClass,
   Workspace,
 } from './lib/Register.js';
+export type { CallerLimits, Seed, Settings, TlsFiles } from './lib/Settings.js';
+export { WorkspaceDirectory, getApiKeyHash } from './lib/WorkspaceDirectory/WorkspaceDirectory.js';
