Add the stand-ins for the platform, a model engine and a plain service

Cause: the daemon and the tests need something to talk to in the place of the platform and the backend servers, in process and as processes of its own. Change: three small binaries and the classes behind them. The engine models a batch that runs in steps (slots, priorities, prefill by uncached prompt, a prefix cache of limited size) and answers by a pure function of the request, getExpectedAnswer, which is the oracle of tests. Versions, conditional writes, watches, lag and the platform's faults stand once, in packages/platform, for the stand-in and the in-process fake alike. Ruled out: a timer for each token; a step gives every running request its token, so an idle engine costs nothing and a busy one a timer a step. A finish reason on the last token: a stream resumed after it would never end.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,12 @@
+export type { CallCounters } from './lib/CallCounters.js';
+export { InstanceDirectory } from './lib/InstanceDirectory/InstanceDirectory.js';
 export { InstanceRole, InstanceState } from './lib/InstanceList.js';
 export type { Instance, InstanceList } from './lib/InstanceList.js';
+export { LaggedValue } from './lib/LaggedValue/LaggedValue.js';
+export type { Reading } from './lib/LaggedValue/LaggedValue.js';
+export { ObjectStore } from './lib/ObjectStore/ObjectStore.js';
 export { StoreUnavailableError } from './lib/PlatformStore.js';
 export type { PlatformStore, PutOutcome, StoreChange, StoredObject } from './lib/PlatformStore.js';
+export { StoreFaultSwitch } from './lib/StoreFaultSwitch/StoreFaultSwitch.js';
+export type { StoreFault, WriteFate } from './lib/StoreFaultSwitch/StoreFaultSwitch.js';
+export { MAX_VALUE_BYTES, ValueTooLargeError } from './lib/ValueTooLargeError.js';
--- /dev/null
+++ b/packages/standins/src/lib/engine/WeightStore.ts
@@ -0,0 +1,34 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+
+/**
+ * The store engines fetch weights from, which hands out a limited number of loads in a span of
+ * time. Engines in one process may share one.
+ *
+ * @example
+ * ```ts
+ * const weights = new WeightStore(clock, { loads: 2, per: 60_000 });
+ * weights.tryFetch(); // 0: go ahead; above 0: wait that many milliseconds
+ * ```
+ * @public
+ */
+export class WeightStore {
+  private fetches: Milliseconds[] = [];
+
+  /** @param limit - how many loads may begin within `per` milliseconds */
+  constructor(
+    private readonly clock: Clock,
+    private readonly limit: { loads: number; per: Milliseconds },
+  ) {}
+
+  /** @returns 0 when the fetch may begin now and is counted, else the milliseconds to wait */
+  tryFetch(): Milliseconds {
+    const now = this.clock.now();
+    const { loads, per } = this.limit;
+    this.fetches = this.fetches.filter((time) => time > now - per);
+    if (this.fetches.length < loads) {
+      this.fetches.push(now);
+      return 0;
+    }
+    return this.fetches[0]! + per - now;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/lib/engine/getPromptBlocks.ts
@@ -0,0 +1,39 @@
+import { getHash } from '@apricotrill/utils';
+import type { ChatMessage } from './getExpectedAnswer.js';
+
+/**
+ * A prompt as a prefix cache sees it.
+ *
+ * @public
+ */
+export interface PromptBlocks {
+  /** Tokens of the whole prompt; a word counts as one. */
+  promptTokens: number;
+  /** Each full block, named by a hash of itself and all before it. */
+  blocks: number[];
+}
+
+/**
+ * Cuts a prompt into the blocks of a prefix cache.
+ *
+ * @param blockTokens - tokens in a block; a last block that is not full is not cached
+ * @example
+ * ```ts
+ * const { blocks, promptTokens } = getPromptBlocks(messages, 16);
+ * ```
+ * @public
+ */
+export function getPromptBlocks(
+  messages: readonly ChatMessage[],
+  blockTokens: number,
+): PromptBlocks {
+  const text = messages.map(({ role, content }) => `${role} ${content}`).join(' ');
+  const tokens = text.split(/\s+/).filter((token) => token !== '');
+  const blocks: number[] = [];
+  let previous = 0;
+  for (let end = blockTokens; end <= tokens.length; end += blockTokens) {
+    previous = getHash(tokens.slice(end - blockTokens, end).join(' '), previous);
+    blocks.push(previous);
+  }
+  return { promptTokens: tokens.length, blocks };
+}
--- /dev/null
+++ b/packages/standins/src/lib/http/sendJson.ts
@@ -0,0 +1,27 @@
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
+
+/** Sends a JSON answer and ends it. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: OutgoingHttpHeaders = {},
+): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  response.end(text);
+}
+
+/** Sends an answer without a body. */
+export function sendEmpty(
+  response: ServerResponse,
+  status: number,
+  headers: OutgoingHttpHeaders = {},
+): void {
+  response.writeHead(status, headers);
+  response.end();
+}
