Serve the thin whole path: caller, daemon, backend server and back

Cause: nothing ran from end to end. Change: the router daemon with the filters receive, identify, claim, schedule, relay and settle; chat answers are always streamed upstream, each token checked against its attempt and its index; process-level harness. Not yet: claims, membership and configuration by the platform.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -31,6 +31,9 @@
       // The compiler resolves imports, with the file endings that ES modules need.
       'import-x/extensions': 'off',
       'import-x/no-unresolved': 'off',
+      // Node runs iterators natively, and streams have no other form; the guide's reason against
+      // `for ... of` is the weight of a transpiled one.
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       // The house style names files after their one main export and uses no default exports.
       'import-x/prefer-default-export': 'off',
     },
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export { RouterDaemon } from './lib/daemon/RouterDaemon.js';
+export type { DaemonPorts, RouterDaemonParts } from './lib/daemon/RouterDaemon.js';
+export type { SharedState, SharedStateListener } from './lib/daemon/SharedState.js';
+export { createDecisionLog } from './lib/observe/DecisionLog.js';
+export { routerOptions } from './lib/options.js';
--- /dev/null
+++ b/packages/router/src/lib/RunCommand.ts
@@ -0,0 +1,96 @@
+import { parseSettings } from '@apricotrill/model';
+import type { Settings } from '@apricotrill/model';
+import { SystemClock, createRandom, getHash } from '@apricotrill/utils';
+import { Command, Option } from 'clipanion';
+import { readFile } from 'node:fs/promises';
+import { RouterDaemon } from './daemon/RouterDaemon.js';
+import { SharedFiles } from './daemon/SharedFiles.js';
+import { createDecisionLog } from './observe/DecisionLog.js';
+
+const EXIT_WRONG_SETTINGS = 2;
+const EXIT_FORCED = 130;
+
+/**
+ * Runs the daemon until it is told to stop.
+ *
+ * @internal
+ */
+export class RunCommand extends Command {
+  static override paths = [Command.Default, ['run']];
+
+  static override usage = Command.Usage({
+    description: 'runs a router daemon',
+    details: `
+      Serves callers until SIGTERM or SIGINT. Then the readiness answer turns, every request in
+      flight is finished, and the process ends; a second signal ends it at once.
+
+      Decisions are logged on standard error, one JSON line each, by step: DEBUG=apricotrill:*
+    `,
+    examples: [['Run with settings', 'apricotrill-router --settings router.jsonc']],
+  });
+
+  settings = Option.String('--settings', {
+    required: true,
+    description: 'the settings of this daemon, JSON with comments',
+  });
+
+  register = Option.String('--register', {
+    description: 'run alone on this register instead of the platform',
+  });
+
+  rules = Option.String('--rules', { description: 'run alone on these rules' });
+
+  override async execute(): Promise<number> {
+    const settings = await this.readSettings();
+    if (settings === undefined) {
+      return EXIT_WRONG_SETTINGS;
+    }
+    const daemon = this.createDaemon(settings);
+    const ended = this.waitForSignals(daemon);
+    const ports = await daemon.start();
+    this.context.stdout.write(
+      `${JSON.stringify({ listening: { host: settings.host, ...ports } })}\n`,
+    );
+    return ended;
+  }
+
+  private async readSettings(): Promise<Settings | undefined> {
+    const result = parseSettings(await readFile(this.settings, 'utf8'), this.settings);
+    if (result.ok) {
+      return result.value;
+    }
+    result.error.forEach(({ file, line, column, reason, expected }) => {
+      this.context.stderr.write(`${file}:${line}:${column}: ${reason}; ${expected}\n`);
+    });
+    return undefined;
+  }
+
+  private createDaemon(settings: Settings): RouterDaemon {
+    const clock = new SystemClock();
+    const random = createRandom(getHash(`${settings.id} ${clock.now()}`));
+    const shared = new SharedFiles(settings.id, this.register ?? '', this.rules ?? '');
+    const log = createDecisionLog(settings.id);
+    return new RouterDaemon({ settings, clock, random, shared, log });
+  }
+
+  private waitForSignals(daemon: RouterDaemon): Promise<number> {
+    return new Promise((resolve) => {
+      let signals = 0;
+      const onSignal = () => {
+        signals += 1;
+        if (signals > 1) {
+          process.exit(EXIT_FORCED);
+        }
+        daemon.stop().then(
+          () => resolve(0),
+          (error: unknown) => {
+            this.context.stderr.write(`${String(error)}\n`);
+            resolve(1);
+          },
+        );
+      };
+      process.on('SIGTERM', onSignal);
+      process.on('SIGINT', onSignal);
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/daemon/SharedFiles.ts
@@ -0,0 +1,70 @@
+import { parseConfiguration } from '@apricotrill/model';
+import { StepError } from '@apricotrill/utils';
+import { readFile } from 'node:fs/promises';
+import type { ClaimPort } from '../pipeline/ClaimPort.js';
+import type { SharedState, SharedStateListener } from './SharedState.js';
+
+/** Claims can't be kept without the platform: what may not be repeated is refused. */
+const NO_CLAIMS: ClaimPort = {
+  claim: () => Promise.resolve({ kind: 'unavailable', retryAfter: 60_000 }),
+};
+
+/**
+ * The shared state of a daemon that runs alone on two files, for a first look without a platform.
+ *
+ * @internal
+ */
+export class SharedFiles implements SharedState {
+  readonly claims = NO_CLAIMS;
+
+  private readonly daemon: string;
+
+  private readonly registerFile: string;
+
+  private readonly rulesFile: string;
+
+  constructor(daemon: string, registerFile: string, rulesFile: string) {
+    this.daemon = daemon;
+    this.registerFile = registerFile;
+    this.rulesFile = rulesFile;
+  }
+
+  async start(listener: SharedStateListener): Promise<void> {
+    const { registerFile, rulesFile } = this;
+    const result = parseConfiguration({
+      registerText: await readFile(registerFile, 'utf8'),
+      registerFile,
+      rulesText: await readFile(rulesFile, 'utf8'),
+      rulesFile,
+    });
+    if (!result.ok) {
+      const [first] = result.error;
+      const text = `line ${first?.line}: ${first?.reason}; ${first?.expected}`;
+      throw new StepError(text, { step: 'configuration', peer: first?.file ?? registerFile });
+    }
+    listener.onDaemons(this.daemon, [this.daemon]);
+    listener.onConfiguration(result.value, this.getGeneration());
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  tellReplicaLeaving(): void {}
+
+  getMembers(): unknown {
+    return { self: this.daemon, generation: this.getGeneration(), members: [] };
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  getGeneration(): number {
+    return 1;
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  announceLeaving(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  dispose(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/observe/RouterMetrics.ts
@@ -0,0 +1,122 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import { routerOptions } from '../options.js';
+
+/** Buckets in seconds around the targets of both users, from a gate check to a long draft. */
+const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10, 30, 60];
+
+/** The label of all workspaces beyond the first ones. */
+const OTHER_WORKSPACE = 'other';
+
+/**
+ * What the users measure: attainment, goodput and wasted work by class and workspace, and spend
+ * per useful answer.
+ *
+ * @internal
+ */
+export class RouterMetrics {
+  readonly registry = new Registry();
+
+  private readonly workspaces = new Set<string>();
+
+  private readonly answers = new Counter({
+    name: 'apricotrill_requests_total',
+    help: 'Requests that ended, by how they ended for the caller.',
+    labelNames: ['class', 'workspace', 'outcome'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly onTarget = new Counter({
+    name: 'apricotrill_on_target_total',
+    help: 'Whole answers whose first token came within the target of the class.',
+    labelNames: ['class', 'workspace'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly firstToken = new Histogram({
+    name: 'apricotrill_first_token_seconds',
+    help: 'Time from arrival to the first token, or to the whole answer of a plain call.',
+    labelNames: ['class'] as const,
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  private readonly usefulTokens = new Counter({
+    name: 'apricotrill_useful_tokens_total',
+    help: 'Tokens of whole answers: the goodput.',
+    labelNames: ['class', 'workspace'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly wastedTokens = new Counter({
+    name: 'apricotrill_wasted_tokens_total',
+    help: 'Tokens that were computed and never used by a caller.',
+    labelNames: ['class', 'reason'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly spend = new Counter({
+    name: 'apricotrill_spend_total',
+    help: "Spend in the operators' currency, on useful answers and on wasted work.",
+    labelNames: ['class', 'use'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly generation = new Gauge({
+    name: 'apricotrill_configuration_generation',
+    help: 'The generation of the configuration in force.',
+    registers: [this.registry],
+  });
+
+  constructor() {
+    collectDefaultMetrics({ register: this.registry, prefix: 'apricotrill_' });
+  }
+
+  /** Counts a request that ended. */
+  countEnd(className: string, workspace: string, outcome: string): void {
+    this.answers.inc({ class: className, workspace: this.getLabel(workspace), outcome });
+  }
+
+  /** Counts a whole answer: its tokens, its spend, and whether it came in time. */
+  countAnswer(
+    className: string,
+    workspace: string,
+    answer: { tokens: number; spend: number; onTarget: boolean },
+  ): void {
+    const label = this.getLabel(workspace);
+    this.usefulTokens.inc({ class: className, workspace: label }, answer.tokens);
+    this.spend.inc({ class: className, use: 'useful' }, answer.spend);
+    if (answer.onTarget) {
+      this.onTarget.inc({ class: className, workspace: label });
+    }
+  }
+
+  /** Observes the time to the first token, in seconds. */
+  observeFirstToken(className: string, seconds: number): void {
+    this.firstToken.observe({ class: className }, seconds);
+  }
+
+  /** Counts tokens nobody will use. */
+  countWaste(className: string, reason: string, waste: { tokens: number; spend: number }): void {
+    this.wastedTokens.inc({ class: className, reason }, waste.tokens);
+    this.spend.inc({ class: className, use: 'wasted' }, waste.spend);
+  }
+
+  setGeneration(generation: number): void {
+    this.generation.set(generation);
+  }
+
+  /**
+   * 3,500 workspaces times classes and outcomes would be a hundred thousand series in each daemon,
+   * past its memory; the first ones seen get a label, the rest share one.
+   */
+  private getLabel(workspace: string): string {
+    if (this.workspaces.has(workspace)) {
+      return workspace;
+    }
+    if (this.workspaces.size < routerOptions.maxWorkspaceLabels) {
+      this.workspaces.add(workspace);
+      return workspace;
+    }
+    return OTHER_WORKSPACE;
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/options.ts
@@ -0,0 +1,26 @@
+/**
+ * The router's tunables, times in milliseconds. What differs from deployment to deployment is in
+ * the settings; these are the same everywhere.
+ */
+export const routerOptions = {
+  /** How long a connection to a replica may take to open. */
+  connectTimeout: 500,
+  /** How long an idle connection to a replica is kept. */
+  upstreamIdle: 10_000,
+  /** The longest plain answer that is relayed, in bytes. */
+  maxPlainAnswer: 8 * 1024 * 1024,
+  /** How often a replica's load is asked for when no answer brought it. */
+  loadInterval: 1000,
+  /** How long a load question may take. */
+  loadTimeout: 800,
+  /** Prompt characters that count for prefix affinity. */
+  prefixLength: 1024,
+  /** Characters of the answer body kept with a claim, for a repeat of the key. */
+  maxKeptAnswer: 4096,
+  /** How long the readiness answer says no before the daemon stops accepting connections. */
+  drainNotice: 2000,
+  /** Workspaces with a metrics label of their own; the rest share the label `other`. */
+  maxWorkspaceLabels: 100,
+  /** How long a request may wait for another one with its Idempotency-Key. */
+  inProgressRetryAfter: 1000,
+} as const;
--- /dev/null
+++ b/packages/router/src/lib/pipeline/ClaimPort.ts
@@ -0,0 +1,50 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { PlainAnswer } from '../upstream/runPlainAttempt.js';
+
+/**
+ * A request that may not be repeated, as it is claimed.
+ *
+ * @internal
+ */
+export interface ClaimRequest {
+  workspace: string;
+  key: string;
+  /** Tells the same request from another one under the same key. */
+  fingerprint: string;
+  requestId: string;
+}
+
+/**
+ * How a granted claim ends.
+ *
+ * @internal
+ */
+export type ClaimEnd =
+  /** The request ran; a repeat of the key gets this answer. */
+  | { kind: 'answered'; answer: PlainAnswer }
+  /** It is proved that the request did not run; the key may be claimed again. */
+  | { kind: 'released' }
+  /** Nobody can tell whether it ran; a repeat of the key is told so. */
+  | { kind: 'unknown' };
+
+/**
+ * What the claim of a key came to.
+ *
+ * @internal
+ */
+export type ClaimVerdict =
+  | { kind: 'granted'; end: (end: ClaimEnd) => void }
+  | { kind: 'answered'; answer: PlainAnswer }
+  | { kind: 'in-progress' }
+  | { kind: 'mismatch' }
+  | { kind: 'unknown' }
+  | { kind: 'unavailable'; retryAfter: Milliseconds };
+
+/**
+ * Where claims are kept.
+ *
+ * @internal
+ */
+export interface ClaimPort {
+  claim(request: ClaimRequest): Promise<ClaimVerdict>;
+}
--- /dev/null
+++ b/packages/router/src/lib/pipeline/claim.ts
@@ -0,0 +1,127 @@
+import { Outcome } from '@apricotrill/policy';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import { createHash } from 'node:crypto';
+import { routerOptions } from '../options.js';
+import type { PlainAnswer } from '../upstream/runPlainAttempt.js';
+import type { ClaimEnd, ClaimPort, ClaimRequest, ClaimVerdict } from './ClaimPort.js';
+import { ProblemError, ProblemReason } from './Problem.js';
+import type { Problem } from './Problem.js';
+
+/** The longest key that is taken, in characters. */
+const MAX_KEY_LENGTH = 255;
+
+/**
+ * What the claim filter lets through: the right to run, or the answer of the run before.
+ *
+ * @internal
+ */
+export type ClaimPass =
+  { kind: 'run'; end: (end: ClaimEnd) => void } | { kind: 'answered'; answer: PlainAnswer };
+
+const TITLE = 'The request may not be repeated';
+
+function createClaimError(problem: Omit<Problem, 'title'>): ProblemError {
+  return new ProblemError({ ...problem, title: TITLE }, { step: 'claim', peer: 'claims' });
+}
+
+/**
+ * Reads the key of a request that may not be repeated.
+ *
+ * @param header - the `Idempotency-Key` header
+ * @throws ProblemError 400 without a usable key: a repeat could not be told from a new request
+ * @example
+ * ```ts
+ * const key = readIdempotencyKey(request.headers['idempotency-key']);
+ * ```
+ * @internal
+ */
+export function readIdempotencyKey(header: string | string[] | undefined): string {
+  if (typeof header === 'string' && header.length > 0 && header.length <= MAX_KEY_LENGTH) {
+    return header;
+  }
+  throw createClaimError({
+    reason: ProblemReason.KeyMissing,
+    status: 400,
+    detail: `send an \`Idempotency-Key\` of 1 to ${MAX_KEY_LENGTH} characters, the same for each repeat`,
+    outcome: Outcome.NotRun,
+  });
+}
+
+/**
+ * What tells one request from another under the same key.
+ *
+ * @example
+ * ```ts
+ * const fingerprint = getFingerprint('POST', '/holds', body);
+ * ```
+ * @internal
+ */
+export function getFingerprint(method: string, path: string, body: Buffer): string {
+  return createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex');
+}
+
+function getRefusal(verdict: Exclude<ClaimVerdict, { kind: 'granted' | 'answered' }>): Problem {
+  switch (verdict.kind) {
+    case 'in-progress':
+      return {
+        reason: ProblemReason.KeyInProgress,
+        status: 409,
+        title: TITLE,
+        detail: 'a request with this key is running; ask again for its answer',
+        outcome: Outcome.Unknown,
+        retryAfter: routerOptions.inProgressRetryAfter,
+      };
+    case 'mismatch':
+      return {
+        reason: ProblemReason.KeyReused,
+        status: 422,
+        title: TITLE,
+        detail: 'this key was used for another request; take a new key for a new request',
+        outcome: Outcome.NotRun,
+      };
+    case 'unknown':
+      return {
+        reason: ProblemReason.NoClaim,
+        status: 409,
+        title: TITLE,
+        detail: 'a request with this key may have run; check before you ask with a new key',
+        outcome: Outcome.Unknown,
+      };
+    case 'unavailable':
+      return {
+        reason: ProblemReason.NoClaim,
+        status: 503,
+        title: TITLE,
+        detail: 'the key can not be claimed at the moment',
+        outcome: Outcome.NotRun,
+        retryAfter: verdict.retryAfter,
+      };
+    default:
+      throw exhaustiveSwitchError(verdict);
+  }
+}
+
+/**
+ * The filter that lets a request which may not be repeated run at most once, whichever daemon its
+ * caller asks again.
+ *
+ * @param claims - where claims are kept
+ * @param request - the key and what it is for
+ * @throws ProblemError when it may not run
+ * @example
+ * ```ts
+ * const pass = await claim(claims, { workspace, key, fingerprint, requestId });
+ * ```
+ * @internal
+ */
+export async function claim(claims: ClaimPort, request: ClaimRequest): Promise<ClaimPass> {
+  const verdict = await claims.claim(request);
+  switch (verdict.kind) {
+    case 'granted':
+      return { kind: 'run', end: verdict.end };
+    case 'answered':
+      return verdict;
+    default:
+      throw new ProblemError(getRefusal(verdict), { step: 'claim', peer: request.key });
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/pipeline/identify.ts
@@ -0,0 +1,98 @@
+import { Outcome } from '@apricotrill/policy';
+import type { RequestFacts, Service, ServiceClass, Workspace } from '@apricotrill/model';
+import { ProblemError, ProblemReason } from './Problem.js';
+import type { RoutingTable } from './RoutingTable.js';
+
+const BEARER = /^Bearer\s+(\S+)$/i;
+
+/** The header by which a caller may wish for a class; rules decide whether the wish counts. */
+export const CLASS_HEADER = 'x-apricotrill-class';
+
+function createRefusal(reason: ProblemReason, status: number, title: string, detail: string) {
+  return new ProblemError(
+    { reason, status, title, detail, outcome: Outcome.NotRun },
+    { step: 'identify', peer: 'caller' },
+  );
+}
+
+/**
+ * Whose request it is.
+ *
+ * @param table - the configuration in force
+ * @param authorization - the caller's `Authorization` header
+ * @throws ProblemError 401
+ * @example
+ * ```ts
+ * const workspace = identifyWorkspace(table, request.headers.authorization);
+ * ```
+ * @internal
+ */
+export function identifyWorkspace(
+  table: RoutingTable,
+  authorization: string | undefined,
+): Workspace {
+  const key = BEARER.exec(authorization ?? '')?.[1];
+  const workspace = key === undefined ? undefined : table.workspaces.getWorkspace(key);
+  if (workspace === undefined) {
+    const detail = 'send a valid key of your workspace as `Authorization: Bearer <key>`';
+    throw createRefusal(ProblemReason.WrongKey, 401, 'The API key is missing or wrong', detail);
+  }
+  return workspace;
+}
+
+/**
+ * The service that serves a model.
+ *
+ * @throws ProblemError 404
+ * @example
+ * ```ts
+ * const service = identifyModelService(table, chat.model);
+ * ```
+ * @internal
+ */
+export function identifyModelService(table: RoutingTable, model: string): Service {
+  const service = table.getServiceOfModel(model);
+  if (service === undefined) {
+    const detail = `no service serves the model \`${model}\`; GET /v1/models lists them`;
+    throw createRefusal(ProblemReason.UnknownModel, 404, 'Unknown model', detail);
+  }
+  return service;
+}
+
+/**
+ * The plain service of a name.
+ *
+ * @throws ProblemError 404
+ * @example
+ * ```ts
+ * const service = identifyPlainService(table, 'jasenportaali');
+ * ```
+ * @internal
+ */
+export function identifyPlainService(table: RoutingTable, name: string): Service {
+  const service = table.getPlainService(name);
+  if (service === undefined) {
+    const detail = `there is no plain service \`${name}\``;
+    throw createRefusal(ProblemReason.UnknownService, 404, 'Unknown service', detail);
+  }
+  return service;
+}
+
+/**
+ * The class of a request, by the operators' rules.
+ *
+ * @throws ProblemError 403 when no rule matches
+ * @example
+ * ```ts
+ * const serviceClass = identifyClass(table, { service, method, path, workspace });
+ * ```
+ * @internal
+ */
+export function identifyClass(table: RoutingTable, facts: RequestFacts): ServiceClass {
+  const serviceClass = table.classes.getClass(facts);
+  if (serviceClass === undefined) {
+    const detail = `no rule gives ${facts.method ?? 'a chat request'} ${facts.path ?? ''} at ${facts.service} a class`;
+    throw createRefusal(ProblemReason.NoClass, 403, 'The rules do not allow this call', detail);
+  }
+  return serviceClass;
+}
--- /dev/null
+++ b/packages/router/src/lib/request/ChatRequest.ts
@@ -0,0 +1,53 @@
+/**
+ * A chat request as callers send it, as far as the router reads it. Everything else in the body is
+ * handed to the engine unread.
+ *
+ * @internal
+ */
+export interface ChatRequest {
+  model: string;
+  messages: { role: string; content: unknown }[];
+  stream?: boolean;
+  max_tokens?: number;
+  max_completion_tokens?: number;
+}
+
+function isMessage(value: unknown): boolean {
+  return (
+    typeof value === 'object' &&
+    value !== null &&
+    typeof (value as { role?: unknown }).role === 'string' &&
+    'content' in value
+  );
+}
+
+/**
+ * Checks the shape of a chat request.
+ *
+ * @param value - the parsed body
+ * @returns what is wrong, with what would be right; undefined when it is fine
+ * @example
+ * ```ts
+ * const fault = getChatRequestFault(JSON.parse(text));
+ * ```
+ * @internal
+ */
+export function getChatRequestFault(value: unknown): string | undefined {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    return 'the body must be a JSON object';
+  }
+  const { model, messages, stream, max_tokens: maxTokens } = value as Record<string, unknown>;
+  if (typeof model !== 'string' || model === '') {
+    return '`model` must be the name of a model';
+  }
+  if (!Array.isArray(messages) || messages.length === 0 || !messages.every(isMessage)) {
+    return '`messages` must be a list of objects with `role` and `content`, not empty';
+  }
+  if (stream !== undefined && typeof stream !== 'boolean') {
+    return '`stream` must be true or false';
+  }
+  if (maxTokens !== undefined && !(Number.isInteger(maxTokens) && (maxTokens as number) > 0)) {
+    return '`max_tokens` must be a whole number above 0';
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/router/src/lib/request/ChatWholeSink.ts
@@ -0,0 +1,66 @@
+import type { ServerResponse } from 'node:http';
+import { writeProblem } from '../pipeline/writeProblem.js';
+import type { Problem } from '../pipeline/Problem.js';
+import type { ChatChunk } from '../upstream/ChatChunk.js';
+import { getAnswerId, getUsage } from './chatAnswer.js';
+import type { ChatSink } from './ChatSink.js';
+
+/**
+ * Collects the tokens and answers with one `chat.completion`.
+ *
+ * @internal
+ */
+export class ChatWholeSink implements ChatSink {
+  private readonly response: ServerResponse;
+
+  private readonly requestId: string;
+
+  private readonly texts: string[] = [];
+
+  private model: string | undefined;
+
+  private created: number | undefined;
+
+  constructor(response: ServerResponse, requestId: string) {
+    this.response = response;
+    this.requestId = requestId;
+  }
+
+  // The status stays open until the answer is whole.
+  // eslint-disable-next-line class-methods-use-this
+  start(): void {}
+
+  writeToken(chunk: ChatChunk): void {
+    this.model ??= chunk.model;
+    this.created ??= chunk.created;
+    this.texts.push(chunk.choices?.[0]?.delta.content ?? '');
+  }
+
+  end(finish: ChatChunk | undefined, tokens: number): void {
+    const { response, requestId } = this;
+    const body = JSON.stringify({
+      id: getAnswerId(requestId),
+      object: 'chat.completion',
+      created: this.created ?? finish?.created,
+      model: this.model ?? finish?.model,
+      choices: [
+        {
+          index: 0,
+          message: { role: 'assistant', content: this.texts.join('') },
+          finish_reason: finish?.choices?.[0]?.finish_reason ?? 'stop',
+        },
+      ],
+      usage: getUsage(finish, tokens),
+    });
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      'x-request-id': requestId,
+    });
+    response.end(body);
+  }
+
+  fail(problem: Problem): void {
+    writeProblem(this.response, problem, this.requestId);
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/request/RequestTask.ts
@@ -0,0 +1,204 @@
+import { GiveUpReason } from '@apricotrill/policy';
+import type {
+  Outcome,
+  ScheduledRequest,
+  SchedulerEffect,
+  SchedulerMessage,
+} from '@apricotrill/policy';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { DecisionLog } from '../observe/DecisionLog.js';
+import { ProblemReason } from '../pipeline/Problem.js';
+import type { Problem } from '../pipeline/Problem.js';
+import type { AttemptResult, LoadListener } from '../upstream/Attempt.js';
+import type { RequestWork } from './RequestWork.js';
+
+type Dispatch = Extract<SchedulerEffect, { kind: 'dispatch' }>;
+type GiveUp = Extract<SchedulerEffect, { kind: 'give-up' }>;
+
+/**
+ * How a request ended for its caller.
+ *
+ * @internal
+ */
+export type Settlement =
+  | { kind: 'answered' }
+  | { kind: 'given-up'; outcome: Outcome; problem: Problem }
+  | { kind: 'caller-left' };
+
+/**
+ * What a request task needs of its surroundings.
+ *
+ * @internal
+ */
+export interface RequestTaskParts {
+  request: ScheduledRequest;
+  work: RequestWork;
+  tell: (message: SchedulerMessage) => void;
+  onLoad: LoadListener;
+  /** A connection went silent: replace the replica's pool. */
+  onSilent: (attempt: Dispatch) => void;
+  onLeaving: (replica: string) => void;
+  onSettled: (settlement: Settlement) => void;
+  onFirstProgress: () => void;
+  log: DecisionLog;
+}
+
+const STATUS_BY_REASON: Record<GiveUpReason, number> = {
+  [GiveUpReason.Deadline]: 503,
+  [GiveUpReason.Overload]: 429,
+  [GiveUpReason.NoReplica]: 503,
+  [GiveUpReason.RetriesSpent]: 503,
+  [GiveUpReason.MayHaveRun]: 502,
+  [GiveUpReason.ReplicaFailed]: 502,
+  [GiveUpReason.Draining]: 503,
+};
+
+const DETAIL_BY_REASON: Record<GiveUpReason, string> = {
+  [GiveUpReason.Deadline]: 'the request can no longer start its answer in time',
+  [GiveUpReason.Overload]: 'too many requests of this class are waiting',
+  [GiveUpReason.NoReplica]: 'no replica of the service takes work at the moment',
+  [GiveUpReason.RetriesSpent]: 'every attempt failed and no more are allowed',
+  [GiveUpReason.MayHaveRun]:
+    'the backend server may have run the request, and it may not be repeated',
+  [GiveUpReason.ReplicaFailed]: 'the backend server ran the request and failed',
+  [GiveUpReason.Draining]: 'this daemon is shutting down',
+};
+
+function getGiveUpProblem({ reason, outcome, retryAfter }: GiveUp): Problem {
+  return {
+    reason: ProblemReason.GivenUp,
+    status: STATUS_BY_REASON[reason],
+    title: 'The request was given up',
+    detail: DETAIL_BY_REASON[reason],
+    outcome,
+    retryAfter,
+  };
+}
+
+/**
+ * One request between its caller and its attempts. It owns the running attempt and does what the
+ * scheduler orders; everything it learns goes back to the scheduler as a message.
+ *
+ * @internal
+ */
+export class RequestTask {
+  private readonly parts: RequestTaskParts;
+
+  private running: { number: number; controller: AbortController } | undefined;
+
+  private settled = false;
+
+  private progressed = false;
+
+  constructor(parts: RequestTaskParts) {
+    this.parts = parts;
+  }
+
+  /** Does what the scheduler wants. */
+  handle(effect: SchedulerEffect): void {
+    switch (effect.kind) {
+      case 'dispatch':
+        this.start(effect);
+        return;
+      case 'cancel':
+        this.cancel(effect.attempt);
+        return;
+      case 'give-up':
+        this.giveUp(effect);
+        return;
+      case 'done':
+        this.complete();
+        return;
+      default:
+        throw exhaustiveSwitchError(effect);
+    }
+  }
+
+  /** The caller has gone: stop the work upstream at once, it would be wasted. */
+  callerLeft(): void {
+    if (this.settled) {
+      return;
+    }
+    this.settle({ kind: 'caller-left' });
+    this.parts.tell({ kind: 'caller-left', id: this.parts.request.id });
+    this.running?.controller.abort();
+  }
+
+  private start(effect: Dispatch): void {
+    const controller = new AbortController();
+    this.running = { number: effect.attempt, controller };
+    const ordered = {
+      number: effect.attempt,
+      replica: effect.replica,
+      resumeAt: effect.resumeAt,
+      firstTokenTimeout: effect.firstTokenTimeout,
+      tokenGapTimeout: effect.tokenGapTimeout,
+      signal: controller.signal,
+      onProgress: (tokens: number) => this.progress(effect.attempt, tokens),
+      onLoad: this.parts.onLoad,
+    };
+    this.parts.work.run(ordered).then((result) => this.ended(effect, result));
+  }
+
+  private progress(attempt: number, tokens: number): void {
+    if (!this.progressed) {
+      this.progressed = true;
+      this.parts.onFirstProgress();
+    }
+    this.parts.tell({ kind: 'progress', id: this.parts.request.id, attempt, tokens });
+  }
+
+  private cancel(attempt: number): void {
+    if (this.running?.number === attempt) {
+      this.running.controller.abort();
+    }
+  }
+
+  private ended(effect: Dispatch, result: AttemptResult): void {
+    const { request, log, tell } = this.parts;
+    if (this.running?.number === effect.attempt) {
+      this.running = undefined;
+    }
+    log('relay', {
+      request: request.id,
+      attempt: effect.attempt,
+      replica: effect.replica.id,
+      end: result.end,
+      delivered: this.parts.work.getDelivered(),
+      detail: result.detail,
+    });
+    if (result.silent === true) {
+      this.parts.onSilent(effect);
+    }
+    if (result.leaving === true) {
+      this.parts.onLeaving(effect.replica.id);
+    }
+    tell({
+      kind: 'attempt-ended',
+      id: request.id,
+      attempt: effect.attempt,
+      end: result.end,
+      retryAfter: result.retryAfter,
+    });
+  }
+
+  private complete(): void {
+    if (!this.settled) {
+      this.parts.work.complete();
+      this.settle({ kind: 'answered' });
+    }
+  }
+
+  private giveUp(effect: GiveUp): void {
+    if (!this.settled) {
+      const problem = getGiveUpProblem(effect);
+      this.parts.work.fail(problem);
+      this.settle({ kind: 'given-up', outcome: effect.outcome, problem });
+    }
+  }
+
+  private settle(settlement: Settlement): void {
+    this.settled = true;
+    this.parts.onSettled(settlement);
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/upstream/ChatChunk.ts
@@ -0,0 +1,28 @@
+/**
+ * One `chat.completion.chunk` of a streamed answer, as far as the router reads it.
+ *
+ * @internal
+ */
+export interface ChatChunk {
+  id: string;
+  model?: string;
+  created?: number;
+  choices?: { index: number; delta: { content?: string }; finish_reason?: string | null }[];
+  usage?: { prompt_tokens: number; completion_tokens: number; total_tokens: number };
+}
+
+/**
+ * What a chat attempt hands to the request that owns it.
+ *
+ * @internal
+ */
+export interface ChatListener {
+  /** The next token of the answer, in order, none twice. */
+  onToken(chunk: ChatChunk, index: number): void;
+  /** The closing chunk: why the answer ended, and what it used. */
+  onFinish(chunk: ChatChunk): void;
+  /** Something came that belongs to another attempt, or repeats a token; it was dropped. */
+  onStray(what: string): void;
+  /** Waits until the caller can take more. */
+  waitForCaller(): Promise<void> | undefined;
+}
