--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,6 +1,7 @@
 /** Tests run from the TypeScript sources; process-level tests start the built binaries. */
 export default {
   testEnvironment: 'node',
+  reporters: ['default', '<rootDir>/tools/summaryReporter.mjs'],
   roots: ['<rootDir>/packages'],
   testMatch: ['**/src/**/*.test.ts'],
   extensionsToTreatAsEsm: ['.ts'],
