Add the HTTP clients of the platform and its fakes in memory

Cause: daemons reach the object store and the instance list over HTTP; tests of decisions need the same interfaces on a clock. Change: HttpPlatformStore and HttpInstanceList on undici pools, every call ended by its own timer, every lost answer a StoreUnavailableError; watches on a pool of their own; a pool whose call got no answer is replaced, since its other connections may have gone silent too. MemoryPlatformStore and MemoryInstanceList on a clock, with the stand-in's faults. A value over a megabyte is refused before it is sent. Ruled out: asking again inside the client, since a write whose answer was lost may have taken effect; undici's own timers, which tick by the second.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -10,3 +10,19 @@
 export { StoreFaultSwitch } from './lib/StoreFaultSwitch/StoreFaultSwitch.js';
 export type { StoreFault, WriteFate } from './lib/StoreFaultSwitch/StoreFaultSwitch.js';
 export { MAX_VALUE_BYTES, ValueTooLargeError } from './lib/ValueTooLargeError.js';
+export { HttpInstanceList } from './lib/HttpInstanceList/HttpInstanceList.js';
+export { defaultHttpPlatformOptions } from './lib/HttpPlatformStore/HttpPlatformOptions.js';
+export type {
+  HttpPlatformOptions,
+  HttpPlatformSetup,
+} from './lib/HttpPlatformStore/HttpPlatformOptions.js';
+export { HttpPlatformStore } from './lib/HttpPlatformStore/HttpPlatformStore.js';
+export { MemoryInstanceList } from './lib/MemoryInstanceList.js';
+export {
+  defaultMemoryPlatformOptions,
+  MemoryPlatformStore,
+} from './lib/MemoryPlatformStore/MemoryPlatformStore.js';
+export type {
+  MemoryPlatformOptions,
+  MemoryPlatformSetup,
+} from './lib/MemoryPlatformStore/MemoryPlatformStore.js';
--- a/packages/platform/src/lib/StoreFaultSwitch/StoreFaultSwitch.ts
+++ b/packages/platform/src/lib/StoreFaultSwitch/StoreFaultSwitch.ts
@@ -19,6 +19,8 @@
   | { kind: 'late-writes'; count: number; delayMs: Milliseconds; keyPrefix?: string }
   /** Watches are taken and never answered. */
   | { kind: 'silent-watches' }
+  /** Connections open now go silent for good; new ones work. Over HTTP only. */
+  | { kind: 'silence-connections' }
   /** How long the list of instances stays behind the truth. */
   | { kind: 'list-lag'; lagMs: Milliseconds };
 
@@ -71,7 +73,9 @@
       case 'silent-watches':
         this.silentWatches = true;
         break;
+      case 'silence-connections':
       case 'list-lag':
+        // Carried out by whoever holds the connections, or the list.
         break;
       default:
         throw exhaustiveSwitchError(fault);
--- a/packages/standins/src/lib/platform/PlatformStandin.ts
+++ b/packages/standins/src/lib/platform/PlatformStandin.ts
@@ -82,6 +82,8 @@
       this.directory.setLag(fault.lagMs);
     } else if (fault.kind === 'down') {
       this.server.breakConnections();
+    } else if (fault.kind === 'silence-connections') {
+      this.server.silenceConnections();
     }
   }
 
