Add the policy experiment: engine model, workload, scenarios, report

Cause: the policy has to be compared with its baselines on both deployments' sizes, under bursts and faults, by the code the daemon runs.

Change: a simulated clock carries 8 or 9 daemons, each with its own scheduler, before a modelled batching engine (priorities, prefix cache, chunked prefill, lagging load reports) and a plain service. Calls are an open loop, the same for each policy and seed, heavy tailed, with a few large workspaces; callers retry refusals at most three times. `npm run experiment` prints tables by class and the aims, and writes JSON, Markdown and an SVG plot to out/.

Ruled out: echarts and vega for the plot, tens of megabytes for one picture; simple-statistics and markdown-table carry the rest. A burst of urgent calls beyond what their service carries is shown and not judged: no router can meet a target there.

Tests: the same seed gives the same run; a crash wastes work and breaks answers; silent connections deliver nothing; the drought measure; the engine's order, resume and prefix cache.

--- /dev/null
+++ b/packages/experiment/src/bin/apricotrill-experiment.ts
@@ -0,0 +1,13 @@
+#!/usr/bin/env node
+import { Builtins, Cli } from 'clipanion';
+import { PolicyCommand } from './PolicyCommand.js';
+
+const cli = new Cli({
+  binaryLabel: 'Experiments, benchmarks and the capacity table of apricotrill',
+  binaryName: 'apricotrill-experiment',
+  binaryVersion: '0.1.0',
+});
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+cli.register(PolicyCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/experiment/src/lib/policies/policies.ts
@@ -0,0 +1,14 @@
+import { Scheduler } from '@apricotrill/policy';
+import type { PolicyFactory } from './Policy.js';
+
+/** The policy under trial; the others are its baselines. */
+export const POLICY = 'apricotrill';
+
+/**
+ * The schedulers that the experiment compares, by name.
+ *
+ * @public
+ */
+export const policies: Record<string, PolicyFactory> = {
+  [POLICY]: (context) => new Scheduler(context),
+};
--- /dev/null
+++ b/packages/experiment/src/lib/simulation/Callers.ts
@@ -0,0 +1,202 @@
+import { Outcome } from '@apricotrill/policy';
+import type { SchedulerEffect } from '@apricotrill/policy';
+import type { ServiceClass } from '@apricotrill/model';
+import { assert } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import type { Call } from '../workload/Call.js';
+import { CallEnd, createCallRecord } from './CallRecord.js';
+import type { CallRecord } from './CallRecord.js';
+import type { DaemonModel, SubmissionListener } from './DaemonModel.js';
+
+/** How often a caller asks again after a refusal. */
+const MAX_RETRIES = 3;
+
+/** Callers wait this many deadlines for the first token, then hang up. */
+const PATIENCE_IN_DEADLINES = 1.5;
+
+const MIN_RETRY_DELAY: Milliseconds = 100;
+
+/** What a run did that no run may do. */
+export interface Violations {
+  /** An attempt went on at a token that was not the next one. */
+  wrongResume: number;
+  /** A request was called done before the caller had its whole answer. */
+  cutAnswers: number;
+  /** A call that may not be repeated ran more than once. */
+  doubledRuns: number;
+  /** A call was refused as not run, and it had run. */
+  falseNotRun: number;
+}
+
+type GiveUp = Extract<SchedulerEffect, { kind: 'give-up' }>;
+
+interface OpenSubmission {
+  record: CallRecord;
+  daemon: DaemonModel;
+}
+
+/**
+ * All callers of a run: they submit through the balancer, retry after refusals a bounded number
+ * of times, lose patience, and note what they got.
+ *
+ * @internal
+ */
+export class Callers implements SubmissionListener {
+  readonly records = new Map<string, CallRecord>();
+
+  readonly violations: Violations = {
+    wrongResume: 0,
+    cutAnswers: 0,
+    doubledRuns: 0,
+    falseNotRun: 0,
+  };
+
+  /** Calls that are not settled yet. */
+  open = 0;
+
+  private readonly submissions = new Map<string, OpenSubmission>();
+
+  private daemons: DaemonModel[] = [];
+
+  constructor(
+    private readonly context: {
+      clock: Clock;
+      random: Random;
+      classes: ServiceClass[];
+      callerDelay: Milliseconds;
+    },
+  ) {}
+
+  /** Sets the timers of all calls. */
+  start(calls: Call[], daemons: DaemonModel[]): void {
+    this.daemons = daemons;
+    this.open = calls.length;
+    calls.forEach((call) => {
+      const serviceClass = this.context.classes.find(({ name }) => name === call.className);
+      assert(serviceClass !== undefined, `class ${call.className} is in the rules`);
+      const record = createCallRecord(call, serviceClass);
+      this.records.set(call.id, record);
+      this.context.clock.setTimer(call.arrived + this.context.callerDelay, () =>
+        this.submit(record),
+      );
+    });
+  }
+
+  onTokens(id: string, units: number): void {
+    const record = this.submissions.get(id)?.record;
+    if (record === undefined) {
+      return;
+    }
+    const now = this.context.clock.now() + this.context.callerDelay;
+    record.firstTokenAt ??= now;
+    record.lastTokenAt = now;
+    record.delivered += units;
+    if (record.call.leavesAfter !== undefined && record.delivered >= record.call.leavesAfter) {
+      this.leave(id, CallEnd.Left);
+    }
+  }
+
+  onDispatch(id: string, resumeAt: number): void {
+    const record = this.submissions.get(id)?.record;
+    if (record !== undefined && record.delivered !== resumeAt) {
+      this.violations.wrongResume += 1;
+    }
+  }
+
+  onDone(id: string): void {
+    const record = this.submissions.get(id)?.record;
+    if (record === undefined) {
+      return;
+    }
+    const { work } = record.call;
+    if (record.delivered !== (work.kind === 'chat' ? work.answerTokens : 1)) {
+      this.violations.cutAnswers += 1;
+    }
+    this.settle(id, record, CallEnd.Completed);
+  }
+
+  onGiveUp(effect: GiveUp): void {
+    const record = this.submissions.get(effect.id)?.record;
+    if (record === undefined) {
+      return;
+    }
+    record.refusals += 1;
+    if (effect.outcome === Outcome.NotRun && record.runs > 0) {
+      this.violations.falseNotRun += 1;
+    }
+    const mayRepeat = record.serviceClass.repeatable || effect.outcome === Outcome.NotRun;
+    const delay = Math.max(MIN_RETRY_DELAY, effect.retryAfter) * (1 + this.context.random.next());
+    const inTime =
+      this.context.clock.now() + delay - record.call.arrived < this.getPatience(record);
+    if (!mayRepeat || !inTime || record.submissions > MAX_RETRIES) {
+      this.settle(effect.id, record, CallEnd.GivenUp);
+      return;
+    }
+    this.submissions.delete(effect.id);
+    this.context.clock.setTimer(delay, () => this.submit(record));
+  }
+
+  /** Counts what a backend server computed, delivered or not. */
+  addComputed(key: string, units: number, finished: boolean): void {
+    const record = this.records.get(key.slice(0, key.indexOf('/')));
+    if (record === undefined) {
+      return;
+    }
+    record.computed += units;
+    if (finished && record.call.work.kind === 'plain') {
+      record.runs += 1;
+      if (record.runs > 1 && !record.serviceClass.repeatable) {
+        this.violations.doubledRuns += 1;
+      }
+    }
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private getPatience({ serviceClass }: CallRecord): Milliseconds {
+    return serviceClass.deadline * PATIENCE_IN_DEADLINES;
+  }
+
+  private submit(record: CallRecord): void {
+    const { clock } = this.context;
+    const { call, serviceClass } = record;
+    const submissions = record.submissions + 1;
+    Object.assign(record, { submissions, delivered: 0, firstTokenAt: undefined });
+    const id = `${call.id}/${submissions}`;
+    const daemon = this.daemons[(call.route + submissions) % this.daemons.length]!;
+    this.submissions.set(id, { record, daemon });
+    const patience = call.arrived + this.getPatience(record) - clock.now();
+    clock.setTimer(patience, () => {
+      if (record.firstTokenAt === undefined) {
+        this.leave(id, CallEnd.Impatient);
+      }
+    });
+    daemon.submit(
+      {
+        id,
+        service: call.service,
+        model: call.model,
+        workspace: call.workspace,
+        workspaceWeight: 1,
+        serviceClass,
+        prefixHash: call.work.kind === 'chat' ? call.work.prefixHash : undefined,
+        resumable: call.work.kind === 'chat',
+        arrived: clock.now(),
+      },
+      call.work,
+    );
+  }
+
+  private leave(id: string, end: CallEnd): void {
+    const submission = this.submissions.get(id);
+    if (submission !== undefined) {
+      this.settle(id, submission.record, end);
+      submission.daemon.leave(id);
+    }
+  }
+
+  private settle(id: string, record: CallRecord, end: CallEnd): void {
+    this.submissions.delete(id);
+    Object.assign(record, { end, settledAt: this.context.clock.now() });
+    this.open -= 1;
+  }
+}
--- /dev/null
+++ b/packages/experiment/src/lib/simulation/DaemonModel.ts
@@ -0,0 +1,227 @@
+import { AttemptEnd, CancelReason } from '@apricotrill/policy';
+import type { ScheduledRequest, SchedulerEffect } from '@apricotrill/policy';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import type { Policy, PolicyFactory } from '../policies/Policy.js';
+import type { JobOutput, Work } from '../replicas/ReplicaModel.js';
+import { Admission } from './Fleet.js';
+import type { AttemptOwner, Fleet } from './Fleet.js';
+
+/** When a replica that refuses asks to be tried again. */
+const REFUSAL_RETRY_AFTER: Milliseconds = 500;
+
+/** How often a daemon asks each replica for its load. */
+const REPORT_INTERVAL: Milliseconds = 1000;
+
+type Dispatch = Extract<SchedulerEffect, { kind: 'dispatch' }>;
+type GiveUp = Extract<SchedulerEffect, { kind: 'give-up' }>;
+
+/** What the caller's side of a daemon hears. */
+export interface SubmissionListener {
+  onTokens(id: string, units: number): void;
+  /** @param resumeAt - how many tokens the new attempt takes as delivered */
+  onDispatch(id: string, resumeAt: number): void;
+  onDone(id: string): void;
+  onGiveUp(effect: GiveUp): void;
+}
+
+interface Attempt {
+  id: string;
+  number: number;
+  replica: string;
+  /** Set when the connection it runs on delivers nothing any more. */
+  silent: boolean;
+  answered: boolean;
+}
+
+interface Submission {
+  request: ScheduledRequest;
+  work: Work;
+  /** The attempt whose output is relayed; output of earlier ones is dropped. */
+  current?: string;
+}
+
+/**
+ * A router daemon without sockets: its scheduler, and the tasks that would hold the connections.
+ *
+ * @example
+ * ```ts
+ * const daemon = new DaemonModel({ clock, random, fleet, networkDelay, factory, listener });
+ * daemon.submit(request, work);
+ * ```
+ * @internal
+ */
+export class DaemonModel implements AttemptOwner {
+  readonly policy: Policy;
+
+  private readonly submissions = new Map<string, Submission>();
+
+  private readonly attempts = new Map<string, Attempt>();
+
+  /** Replicas whose pooled connections went silent; a new connection would work. */
+  private readonly silentPaths = new Set<string>();
+
+  constructor(
+    private readonly context: {
+      clock: Clock;
+      random: Random;
+      fleet: Fleet;
+      networkDelay: Milliseconds;
+      factory: PolicyFactory;
+      listener: SubmissionListener;
+    },
+  ) {
+    const { clock, random, factory } = context;
+    this.policy = factory({ clock, random, emit: (effect) => this.handleEffect(effect) });
+    clock.setTimer(random.next() * REPORT_INTERVAL, () => this.pollReports());
+  }
+
+  submit(request: ScheduledRequest, work: Work): void {
+    this.submissions.set(request.id, { request, work });
+    this.policy.handle({ kind: 'submit', request });
+  }
+
+  leave(id: string): void {
+    this.submissions.delete(id);
+    this.policy.handle({ kind: 'caller-left', id });
+  }
+
+  /** From now on nothing passes on the connections that exist; attempts on them stay unaware. */
+  silencePath(replica: string): void {
+    this.silentPaths.add(replica);
+    this.attempts.forEach((attempt) => {
+      if (attempt.replica === replica) {
+        Object.assign(attempt, { silent: true });
+      }
+    });
+  }
+
+  onOutputs(outputs: JobOutput[]): void {
+    outputs.forEach((output) => {
+      const attempt = this.attempts.get(output.key);
+      if (attempt !== undefined && !attempt.silent) {
+        this.relay(attempt, output);
+      }
+    });
+  }
+
+  onBroken(key: string): void {
+    if (this.attempts.get(key)?.silent === false) {
+      this.endAttempt(key, AttemptEnd.Broken);
+    }
+  }
+
+  private relay(attempt: Attempt, output: JobOutput): void {
+    const { id, number } = attempt;
+    if (!attempt.answered) {
+      Object.assign(attempt, { answered: true });
+      this.reportLoad(attempt.replica);
+    }
+    if (this.submissions.get(id)?.current === output.key) {
+      this.context.listener.onTokens(id, output.units);
+    }
+    this.policy.handle({ kind: 'progress', id, attempt: number, tokens: output.units });
+    if (output.finished) {
+      this.endAttempt(output.key, AttemptEnd.Completed);
+    }
+  }
+
+  private handleEffect(effect: SchedulerEffect): void {
+    switch (effect.kind) {
+      case 'dispatch':
+        this.dispatch(effect);
+        return;
+      case 'cancel':
+        this.cancel(effect);
+        return;
+      case 'give-up':
+        this.submissions.delete(effect.id);
+        this.context.listener.onGiveUp(effect);
+        return;
+      case 'done':
+        this.submissions.delete(effect.id);
+        this.context.listener.onDone(effect.id);
+        return;
+      default:
+        throw exhaustiveSwitchError(effect);
+    }
+  }
+
+  private dispatch({ id, attempt: number, replica, resumeAt }: Dispatch): void {
+    const submission = this.submissions.get(id);
+    if (submission === undefined) {
+      return;
+    }
+    const key = `${id}/${number}`;
+    const silent = this.silentPaths.has(replica.id);
+    submission.current = key;
+    this.attempts.set(key, { id, number, replica: replica.id, silent, answered: false });
+    this.context.listener.onDispatch(id, resumeAt);
+    if (!silent) {
+      this.context.clock.setTimer(this.context.networkDelay, () =>
+        this.send(key, submission, resumeAt),
+      );
+    }
+  }
+
+  private send(key: string, { request, work }: Submission, resumeAt: number): void {
+    const attempt = this.attempts.get(key);
+    if (attempt === undefined) {
+      return;
+    }
+    const admission = this.context.fleet.submit(
+      attempt.replica,
+      {
+        key,
+        priority: request.serviceClass.tier,
+        work: work.kind === 'chat' ? { ...work, resumeAt } : work,
+      },
+      this,
+    );
+    if (admission === Admission.Accepted) {
+      return;
+    }
+    const end = admission === Admission.Refused ? AttemptEnd.Refused : AttemptEnd.NotSent;
+    this.context.clock.setTimer(this.context.networkDelay, () => this.endAttempt(key, end));
+  }
+
+  private cancel(effect: Extract<SchedulerEffect, { kind: 'cancel' }>): void {
+    const key = `${effect.id}/${effect.attempt}`;
+    const attempt = this.attempts.get(key);
+    this.attempts.delete(key);
+    if (effect.reason === CancelReason.Silent && this.silentPaths.delete(effect.replica)) {
+      this.context.clock.setTimer(0, () =>
+        this.policy.handle({ kind: 'path-silent', replica: effect.replica }),
+      );
+    }
+    if (attempt?.silent === false) {
+      this.context.clock.setTimer(this.context.networkDelay, () =>
+        this.context.fleet.cancel(effect.replica, key),
+      );
+    }
+  }
+
+  private endAttempt(key: string, end: AttemptEnd): void {
+    const attempt = this.attempts.get(key);
+    if (attempt === undefined) {
+      return;
+    }
+    this.attempts.delete(key);
+    const retryAfter = end === AttemptEnd.Refused ? REFUSAL_RETRY_AFTER : undefined;
+    const { id, number } = attempt;
+    this.policy.handle({ kind: 'attempt-ended', id, attempt: number, end, retryAfter });
+  }
+
+  private pollReports(): void {
+    const { clock, fleet } = this.context;
+    fleet.getReplicas().forEach(({ id }) => this.reportLoad(id));
+    clock.setTimer(REPORT_INTERVAL, () => this.pollReports());
+  }
+
+  private reportLoad(replica: string): void {
+    const report = this.context.fleet.getReport(replica);
+    if (report !== undefined && !this.silentPaths.has(replica)) {
+      this.policy.handle({ kind: 'load-report', report });
+    }
+  }
+}
--- /dev/null
+++ b/packages/experiment/src/lib/workload/createCalls.test.ts
@@ -0,0 +1,32 @@
+import { createDeployments } from '../deployments/deployments.js';
+import { createCalls } from './createCalls.js';
+import { getSlotTime } from './getCapacity.js';
+
+const SPAN = 200_000;
+
+describe('createCalls', () => {
+  const { liitto } = createDeployments();
+  const run = { seed: 3, span: SPAN, curve: () => 0.5 };
+
+  it('gives the same calls for the same seed and others for another', () => {
+    const calls = createCalls(liitto!, run);
+    expect(createCalls(liitto!, run)).toEqual(calls);
+    expect(createCalls(liitto!, { ...run, seed: 4 })).not.toEqual(calls);
+  });
+
+  it('asks for the load that the curve names', () => {
+    const calls = createCalls(liitto!, run);
+    const slots = 4 * 4;
+    const profile = liitto!.traffic[0]!;
+    const own = calls.filter(({ service }) => service === 'jasenportaali');
+    const load = (own.length * getSlotTime(liitto!, profile)) / (slots * SPAN);
+    expect(load).toBeCloseTo(0.5, 1);
+  });
+
+  it('has a few workspaces send most calls', () => {
+    const calls = createCalls(liitto!, run);
+    const largest = liitto!.configuration.register.workspaces.slice(0, 3).map(({ name }) => name);
+    const theirs = calls.filter(({ workspace }) => largest.includes(workspace));
+    expect(theirs.length / calls.length).toBeGreaterThan(0.5);
+  });
+});
--- /dev/null
+++ b/packages/experiment/src/lib/workload/createCalls.ts
@@ -0,0 +1,108 @@
+import { createRandom, getHash } from '@apricotrill/utils';
+import type { Milliseconds, Random } from '@apricotrill/utils';
+import type { CallShape, Deployment, TrafficProfile } from '../deployments/Deployment.js';
+import type { Work } from '../replicas/ReplicaModel.js';
+import type { Call } from './Call.js';
+import { getCallRate } from './getCapacity.js';
+import { sampleHeavyTail } from './sampleHeavyTail.js';
+
+/** A few workspaces send most calls. */
+const ZIPF_EXPONENT = 1.1;
+
+/** Callers who hang up in the middle of an answer, whatever the router does. */
+const LEAVING_PART = 0.003;
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Load as a part of capacity, at each moment and for each class. */
+export type LoadCurve = (profile: TrafficProfile, at: Milliseconds) => number;
+
+/** Draws an index by Zipf's law. */
+function sampleZipf(random: Random, count: number): number {
+  const weights = Array.from({ length: count }, (_, index) => (index + 1) ** -ZIPF_EXPONENT);
+  let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
+  const index = weights.findIndex((weight) => {
+    left -= weight;
+    return left < 0;
+  });
+  return index < 0 ? count - 1 : index;
+}
+
+function createWork(random: Random, shape: CallShape, workspace: string): Work {
+  if (shape.kind === 'plain') {
+    return { kind: 'plain', serviceTime: sampleHeavyTail(random, shape.serviceTime) };
+  }
+  const prefix = random.integer(shape.prefixesPerWorkspace);
+  return {
+    kind: 'chat',
+    promptTokens: shape.prefixTokens + Math.ceil(sampleHeavyTail(random, shape.prompt)),
+    prefixHash: getHash(`${workspace}/${shape.prefixTokens}/${prefix}`),
+    prefixTokens: shape.prefixTokens,
+    answerTokens: Math.max(1, Math.ceil(sampleHeavyTail(random, shape.answer))),
+    resumeAt: 0,
+  };
+}
+
+function getLeavingPoint(random: Random, work: Work): number | undefined {
+  const leaves = random.next() < LEAVING_PART;
+  const point = random.next();
+  if (!leaves || work.kind === 'plain') {
+    return undefined;
+  }
+  return Math.max(1, Math.floor(point * work.answerTokens));
+}
+
+function createClassCalls(
+  deployment: Deployment,
+  profile: TrafficProfile,
+  { seed, span, curve }: { seed: number; span: Milliseconds; curve: LoadCurve },
+): Call[] {
+  const random = createRandom(getHash(profile.className, seed));
+  const { workspaces, services } = deployment.configuration.register;
+  const model = services.find(({ name }) => name === profile.service)?.models[0];
+  const rate = getCallRate(deployment, profile) / MILLISECONDS_PER_SECOND;
+  const calls: Call[] = [];
+  let at = 0;
+  for (;;) {
+    const load = curve(profile, at);
+    at += -Math.log(1 - random.next()) / (rate * load);
+    if (at >= span) {
+      return calls;
+    }
+    const workspace = workspaces[sampleZipf(random, workspaces.length)]!.name;
+    const work = createWork(random, profile.shape, workspace);
+    calls.push({
+      id: `${profile.className}-${calls.length}`,
+      className: profile.className,
+      service: profile.service,
+      model,
+      workspace,
+      arrived: at,
+      work,
+      leavesAfter: getLeavingPoint(random, work),
+      route: random.integer(deployment.daemons),
+    });
+  }
+}
+
+/**
+ * All calls of a run, the same for each policy: an open loop, so that callers don't slow down
+ * because the router does.
+ *
+ * @param deployment - who calls what
+ * @param run - the seed, how long callers call, and the load over time
+ * @returns the calls in order of arrival
+ * @example
+ * ```ts
+ * const calls = createCalls(liitto, { seed: 1, span: 60_000, curve: () => 0.6 });
+ * ```
+ * @public
+ */
+export function createCalls(
+  deployment: Deployment,
+  run: { seed: number; span: Milliseconds; curve: LoadCurve },
+): Call[] {
+  return deployment.traffic
+    .flatMap((profile) => createClassCalls(deployment, profile, run))
+    .sort((left, right) => left.arrived - right.arrived);
+}
