Collect a streamed answer in a class of its own in the e2e tests

The reader of a test's answer changed its argument, which the linter refuses. The answer's events now go to a small collector that owns its tokens.

--- a/packages/e2e/src/test/chat.ts
+++ b/packages/e2e/src/test/chat.ts
@@ -27,20 +27,37 @@
   return [{ role: 'user', content: prompt }];
 }
 
-function readEvent(answer: ChatAnswer, data: string, onToken?: (count: number) => void): void {
-  if (data === '[DONE]') {
-    answer.whole = true;
-    return;
+interface ChatEvent {
+  error?: { outcome: string; type: string };
+  choices?: { delta: { content?: string } }[];
+}
+
+/** Collects the events of one answer. */
+class AnswerReader {
+  readonly tokens: string[] = [];
+
+  whole = false;
+
+  problem: ChatAnswer['problem'];
+
+  private readonly onToken: ChatOrder['onToken'];
+
+  constructor(onToken: ChatOrder['onToken']) {
+    this.onToken = onToken;
   }
-  const value = JSON.parse(data) as {
-    error?: { outcome: string; type: string };
-    choices?: { delta: { content?: string } }[];
-  };
-  answer.problem = value.error ?? answer.problem;
-  const text = value.choices?.[0]?.delta.content;
-  if (text !== undefined && text !== '') {
-    answer.tokens.push(text);
-    onToken?.(answer.tokens.length);
+
+  take(data: string): void {
+    if (data === '[DONE]') {
+      this.whole = true;
+      return;
+    }
+    const event = JSON.parse(data) as ChatEvent;
+    this.problem = event.error ?? this.problem;
+    const text = event.choices?.[0]?.delta.content;
+    if (text !== undefined && text !== '') {
+      this.tokens.push(text);
+      this.onToken?.(this.tokens.length);
+    }
   }
 }
 
@@ -63,16 +80,18 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
-  const answer: ChatAnswer = { status: response.statusCode, tokens: [], whole: false };
-  answer.retryAfter = response.headers['retry-after'] as string | undefined;
-  if (response.statusCode !== 200) {
-    answer.problem = (await response.body.json()) as { outcome: string; type: string };
-    return answer;
+  const status = response.statusCode;
+  const retryAfter = response.headers['retry-after'] as string | undefined;
+  if (status !== 200) {
+    const problem = (await response.body.json()) as ChatAnswer['problem'];
+    return { status, tokens: [], whole: false, problem, retryAfter };
   }
-  const parser = createParser({ onEvent: ({ data }) => readEvent(answer, data, order.onToken) });
+  const reader = new AnswerReader(order.onToken);
+  const parser = createParser({ onEvent: ({ data }) => reader.take(data) });
   const decoder = new TextDecoder();
   for await (const bytes of response.body) {
     parser.feed(decoder.decode(bytes as Uint8Array, { stream: true }));
   }
-  return answer;
+  const { tokens, whole, problem } = reader;
+  return { status, tokens, whole, problem, retryAfter };
 }
