Run the experiment on the stand-ins' batching engine

Cause: the experiment had an engine model of its own beside the one that the stand-in engine runs, the same logic twice.

Draws by Zipf's law use sums worked out once.

--- a/packages/experiment/src/lib/deployments/Deployment.ts
+++ b/packages/experiment/src/lib/deployments/Deployment.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from '@apricotrill/model';
+import type { EngineBatchOptions } from '@apricotrill/standins';
 import type { Milliseconds } from '@apricotrill/utils';
-import type { EngineOptions } from '../replicas/EngineModel/EngineOptions.js';
 
 /** Lengths that differ widely: log-normal, cut off at a limit. */
 export interface HeavyTail {
@@ -51,7 +51,7 @@
   networkDelay: Milliseconds;
   /** One way between a caller and a daemon. */
   callerDelay: Milliseconds;
-  engine: EngineOptions;
+  engine: EngineBatchOptions;
   traffic: TrafficProfile[];
   /** The class whose calls multiply in a burst, by service. */
   burstClass: Record<string, string>;
--- a/packages/experiment/src/lib/deployments/createDeployment.ts
+++ b/packages/experiment/src/lib/deployments/createDeployment.ts
@@ -1,6 +1,6 @@
 import { ServiceKind } from '@apricotrill/model';
 import type { Configuration } from '@apricotrill/model';
-import { DEFAULT_ENGINE_OPTIONS } from '../replicas/EngineModel/EngineOptions.js';
+import { defaultEngineBatchOptions } from '@apricotrill/standins';
 import type { Deployment } from './Deployment.js';
 import { readExample } from './readExample.js';
 
@@ -10,6 +10,9 @@
  */
 const PLAIN_SLOTS = 4;
 
+/** Coarse blocks keep runs fast; 60,000 tokens in all, as in the stand-in engine's default. */
+const PREFIX_CACHE = { blockTokens: 100, cacheBlocks: 600 };
+
 function scalePlainReplicas(configuration: Configuration): Configuration {
   const { register } = configuration;
   const plain = register.services.filter(({ kind }) => kind === ServiceKind.Plain);
@@ -32,6 +35,6 @@
   return {
     ...traffic,
     configuration: scalePlainReplicas(readExample(traffic.name)),
-    engine: DEFAULT_ENGINE_OPTIONS,
+    engine: { ...defaultEngineBatchOptions, ...PREFIX_CACHE },
   };
 }
--- a/packages/experiment/src/lib/workload/createCalls.ts
+++ b/packages/experiment/src/lib/workload/createCalls.ts
@@ -17,15 +17,21 @@
 /** Load as a part of capacity, at each moment and for each class. */
 export type LoadCurve = (profile: TrafficProfile, at: Milliseconds) => number;
 
-/** Draws an index by Zipf's law. */
-function sampleZipf(random: Random, count: number): number {
+/** Weights by Zipf's law, as running sums that end at 1. */
+function getZipfSums(count: number): number[] {
   const weights = Array.from({ length: count }, (_, index) => (index + 1) ** -ZIPF_EXPONENT);
-  let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
-  const index = weights.findIndex((weight) => {
-    left -= weight;
-    return left < 0;
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  let sum = 0;
+  return weights.map((weight) => {
+    sum += weight / total;
+    return sum;
   });
-  return index < 0 ? count - 1 : index;
+}
+
+function sampleIndex(random: Random, sums: number[]): number {
+  const point = random.next();
+  const index = sums.findIndex((sum) => point < sum);
+  return index < 0 ? sums.length - 1 : index;
 }
 
 function createWork(random: Random, shape: CallShape, workspace: string): Work {
@@ -61,6 +67,7 @@
   const { workspaces, services } = deployment.configuration.register;
   const model = services.find(({ name }) => name === profile.service)?.models[0];
   const rate = getCallRate(deployment, profile) / MILLISECONDS_PER_SECOND;
+  const sums = getZipfSums(workspaces.length);
   const calls: Call[] = [];
   let at = 0;
   for (;;) {
@@ -69,7 +76,7 @@
     if (at >= span) {
       return calls;
     }
-    const workspace = workspaces[sampleZipf(random, workspaces.length)]!.name;
+    const workspace = workspaces[sampleIndex(random, sums)]!.name;
     const work = createWork(random, profile.shape, workspace);
     calls.push({
       id: `${profile.className}-${calls.length}`,
--- a/packages/experiment/src/lib/workload/getCapacity.ts
+++ b/packages/experiment/src/lib/workload/getCapacity.ts
@@ -17,12 +17,12 @@
   if (shape.kind === 'plain') {
     return getHeavyTailMean(shape.serviceTime);
   }
-  const { slots, iterationBase, iterationPerSequence, prefillPerToken } = deployment.engine;
-  const iteration = iterationBase + iterationPerSequence * slots;
+  const { slots, stepBase, stepPerRequest, prefillPerToken } = deployment.engine;
+  const step = stepBase + stepPerRequest * slots;
   const computedPrefix = shape.prefixTokens * (1 - ASSUMED_PREFIX_HITS);
   const prefill = (getHeavyTailMean(shape.prompt) + computedPrefix) * prefillPerToken;
   // While a prompt is computed every other slot of the engine stands still.
-  return getHeavyTailMean(shape.answer) * iteration + prefill * slots;
+  return getHeavyTailMean(shape.answer) * step + prefill * slots;
 }
 
 /**
