Cut the configuration into parts and hold what is in force

Cause: daemons need a configuration that comes from anybody and never goes back, and the register of the two-year size (6,900 replicas, 3,500 workspaces) does not fit one value of the store.

Change: `getConfigurationParts` cuts by content (buckets by the leading bits of a name's hash, runs that end by an entry's own hash), `assembleConfiguration` holds each text against its hash, `InForceConfiguration` takes only a higher generation and checks only the parts it did not have.

Conclusion: the router can use InForceConfiguration; p-queue and zod are new dependencies.

--- /dev/null
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationReader.ts
@@ -0,0 +1,112 @@
+import type { PlatformStore } from '@apricotrill/platform';
+import PQueue from 'p-queue';
+import { ConfigurationError } from '../ConfigurationError.js';
+import type { ConfigurationInForce } from '../InForceConfiguration/InForceConfiguration.js';
+import { ARCHIVE_PREFIX, MANIFEST_KEY, PART_PREFIX, parseManifest } from '../Manifest.js';
+import type { Manifest } from '../Manifest.js';
+import type { ConfigurationOptions } from '../options.js';
+import { assembleConfiguration, getMissingHashes } from '../parts/assembleConfiguration.js';
+
+/** A manifest with the text and the store's version it was read at. */
+export interface StoredManifest {
+  manifest: Manifest;
+  text: string;
+  version: number;
+}
+
+const PEER = 'platform store';
+
+/** Reads manifests, parts and whole configurations from the store. */
+export class ConfigurationReader {
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly options: ConfigurationOptions,
+  ) {}
+
+  readManifest(): Promise<StoredManifest | undefined> {
+    return this.readManifestAt(MANIFEST_KEY);
+  }
+
+  readArchivedManifest(generation: number): Promise<StoredManifest | undefined> {
+    return this.readManifestAt(ARCHIVE_PREFIX + generation);
+  }
+
+  async readParts(hashes: readonly string[]): Promise<Map<string, string>> {
+    if (hashes.length > this.options.mostSingleReads) {
+      return this.listParts(new Set(hashes));
+    }
+    const queue = new PQueue({ concurrency: this.options.concurrentCalls });
+    const objects = await queue.addAll(
+      hashes.map((hash) => () => this.store.get(PART_PREFIX + hash)),
+    );
+    const found = objects.filter((object) => object !== undefined);
+    return new Map(found.map(({ key, value }) => [key.slice(PART_PREFIX.length), value]));
+  }
+
+  /**
+   * The accepted configuration. While parts are read, changes may be accepted and the old parts
+   * deleted; then the read starts over from the newer manifest.
+   */
+  async read(
+    known: ReadonlyMap<string, string> = new Map(),
+  ): Promise<ConfigurationInForce | undefined> {
+    let fault = '';
+    for (let attempt = 0; attempt < this.options.readAttempts; attempt += 1) {
+      // eslint-disable-next-line no-await-in-loop -- each attempt starts from a newer manifest
+      const stored = await this.readManifest();
+      // eslint-disable-next-line no-await-in-loop
+      const whole = stored === undefined ? undefined : await this.assemble(stored, known);
+      if (typeof whole !== 'string') {
+        return whole;
+      }
+      fault = whole;
+    }
+    throw new ConfigurationError(fault, { step: 'read configuration', peer: PEER });
+  }
+
+  /** An earlier configuration, or undefined when it or one of its parts is no longer kept. */
+  async readArchived(generation: number): Promise<ConfigurationInForce | undefined> {
+    const stored = await this.readArchivedManifest(generation);
+    const whole = stored === undefined ? undefined : await this.assemble(stored, new Map());
+    return typeof whole === 'string' ? undefined : whole;
+  }
+
+  private async readManifestAt(key: string): Promise<StoredManifest | undefined> {
+    const object = await this.store.get(key);
+    if (object === undefined) {
+      return undefined;
+    }
+    const manifest = parseManifest(object.value);
+    if (!manifest.ok) {
+      const reason = `${key} does not hold a manifest: ${manifest.error}`;
+      throw new ConfigurationError(reason, { step: 'read manifest', peer: PEER });
+    }
+    return { manifest: manifest.value, text: object.value, version: object.version };
+  }
+
+  private async listParts(wanted: ReadonlySet<string>): Promise<Map<string, string>> {
+    const objects = await this.store.list(PART_PREFIX);
+    return new Map(
+      objects
+        .map(({ key, value }) => [key.slice(PART_PREFIX.length), value] as const)
+        .filter(([hash]) => wanted.has(hash)),
+    );
+  }
+
+  /** The whole configuration, or why it cannot be put together. */
+  private async assemble(
+    { manifest }: StoredManifest,
+    known: ReadonlyMap<string, string>,
+  ): Promise<ConfigurationInForce | string> {
+    const read = await this.readParts(getMissingHashes(manifest, known));
+    const texts = new Map([...known, ...read]);
+    const assembled = assembleConfiguration(manifest, texts);
+    if (assembled.ok) {
+      const parts = new Map(manifest.parts.map(({ hash }) => [hash, texts.get(hash)!]));
+      return { manifest, parts, configuration: assembled.value };
+    }
+    return assembled.error.kind === 'missing-parts'
+      ? `generation ${manifest.generation}: parts ${assembled.error.hashes.join(', ')} are missing`
+      : `generation ${manifest.generation}: ${assembled.error.name}: ${assembled.error.reason}`;
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/lib/ConfigurationStore/getConflict.ts
@@ -0,0 +1,33 @@
+import type { Configuration } from '@apricotrill/model';
+import { EMPTY_CONFIGURATION, getConfigurationDiff } from '../diff/getConfigurationDiff.js';
+import type { AcceptedChange } from '../Manifest.js';
+import type { ConfigurationReader } from './ConfigurationReader.js';
+import type { ApplyOutcome, ConfigurationChange } from './ConfigurationStore.js';
+
+async function readBase(
+  reader: ConfigurationReader,
+  generation: number,
+): Promise<Configuration | undefined> {
+  return generation === 0
+    ? EMPTY_CONFIGURATION
+    : (await reader.readArchived(generation))?.configuration;
+}
+
+/**
+ * Shows both sides of an edit race: what the changes that won did to the common base, and what this
+ * one would have done.
+ */
+export async function getConflict(
+  reader: ConfigurationReader,
+  change: ConfigurationChange,
+  accepted: AcceptedChange,
+): Promise<ApplyOutcome> {
+  const current = (await reader.read())?.configuration ?? EMPTY_CONFIGURATION;
+  const base = await readBase(reader, change.baseGeneration);
+  return {
+    kind: 'conflict',
+    accepted,
+    theirs: base && getConfigurationDiff(base, current),
+    mine: getConfigurationDiff(base ?? current, change.configuration),
+  };
+}
