--- a/tools/summaryReporter.mjs
+++ b/tools/summaryReporter.mjs
@@ -1,3 +1,5 @@
+import process from 'node:process';
+
 /** Ends a test run with one plain line that scripts can read. */
 export default class SummaryReporter {
   // eslint-disable-next-line class-methods-use-this
