Add the benchmark of the daemon as a process

Cause: the daemon's cost has to be read from a running process, against going direct in the same run.

--- a/packages/experiment/src/bin/apricotrill-experiment.ts
+++ b/packages/experiment/src/bin/apricotrill-experiment.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import { Builtins, Cli } from 'clipanion';
+import { BenchCommand } from './BenchCommand.js';
 import { PolicyCommand } from './PolicyCommand.js';
 
 const cli = new Cli({
@@ -10,4 +11,5 @@
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
 cli.register(PolicyCommand);
+cli.register(BenchCommand);
 await cli.runExit(process.argv.slice(2));
