Place models on engines under a lease for each service

Cause: orders to engines need one giver at a time, through paused holders, lost answers and outages of the store, and some engines don't check fencing numbers.

Change: a lease as a state machine without I/O, judged only by how long the object's version has not moved on the watcher's own clock; the fencing number is the store's version of the write that granted the lease, so numbers only grow, also across leases. One duty and one lease a service; a pure planner from the configuration in force and the observed engines to convergent orders; the lease, the configuration and the copy that an unload relies on are checked right before each send.

Ruled out: taking an absent lease object for an expired one. The fuzz found two holders that way: an object created, held and deleted between two looks leaves no trace. A vacancy is written first, which has a version that can be watched.

--- /dev/null
+++ b/packages/placement/src/lib/ServicePlacement/ServiceSettings.ts
@@ -0,0 +1,22 @@
+import type { Configuration } from '@apricotrill/model';
+import type { Clock } from '@apricotrill/utils';
+import type { EngineOrders } from '../EngineOrders/EngineOrders.js';
+import type { LeaseManager } from '../LeaseManager/LeaseManager.js';
+import type { PlacementListener } from '../PlacementDecision.js';
+import type { PlacementOptions } from '../placementOptions.js';
+import type { TokenBucket } from '../TokenBucket/TokenBucket.js';
+
+/** What one service's duty needs around it. */
+export interface ServiceSettings {
+  service: string;
+  clock: Clock;
+  lease: LeaseManager;
+  engines: EngineOrders;
+  getConfiguration: () => Configuration | undefined;
+  options: PlacementOptions;
+  /** Looks at engines, shared by all duties of the daemon. */
+  looks: TokenBucket;
+  /** Loads, this service's share of the weight store's rate. */
+  loads: TokenBucket;
+  onDecision: PlacementListener;
+}
--- /dev/null
+++ b/packages/placement/src/test/Daemon.ts
@@ -0,0 +1,80 @@
+import type { Configuration } from '@apricotrill/model';
+import type { ManualClock, Milliseconds, Random } from '@apricotrill/utils';
+import { PlacementManager } from '../lib/PlacementManager/PlacementManager.js';
+import { defaultPlacementOptions } from '../lib/placementOptions.js';
+import { Link } from './Link.js';
+import { PausableClock } from './PausableClock.js';
+import type { EngineOrders } from '../lib/EngineOrders/EngineOrders.js';
+import type { PlacementDecision } from '../lib/PlacementDecision.js';
+import type { FakeEngine } from './FakeEngine.js';
+import type { FakeStore } from './FakeStore.js';
+
+export const worldOptions = { ...defaultPlacementOptions, observeConverged: 10_000 };
+
+/** What a daemon shares with the others. */
+export interface DaemonSurroundings {
+  clock: ManualClock;
+  store: FakeStore;
+  engines: Map<string, FakeEngine>;
+  decisions: (PlacementDecision & { daemon: string })[];
+  random: Random;
+  getDelay: () => Milliseconds;
+  configuration: Configuration;
+}
+
+/** One daemon with its own view of the configuration. */
+export class Daemon {
+  readonly clock: PausableClock;
+
+  manager: PlacementManager;
+
+  configuration: Configuration;
+
+  private readonly link: Link;
+
+  constructor(
+    readonly id: string,
+    private readonly world: DaemonSurroundings,
+  ) {
+    this.clock = new PausableClock(world.clock);
+    this.link = new Link(world.clock, this.clock, () => world.getDelay());
+    this.configuration = world.configuration;
+    this.manager = this.start();
+  }
+
+  restart(): void {
+    this.manager.dispose();
+    this.clock.resume();
+    this.manager = this.start();
+  }
+
+  learn(configuration: Configuration): void {
+    this.configuration = configuration;
+    this.manager.handleConfigurationChange();
+  }
+
+  private start(): PlacementManager {
+    const { world } = this;
+    return new PlacementManager({
+      self: this.id,
+      clock: this.clock,
+      random: world.random,
+      store: world.store.connect(this.link),
+      engines: this.createEngines(),
+      getConfiguration: () => this.configuration,
+      getMembers: () => ['daemon-1', 'daemon-2', 'daemon-3'],
+      options: worldOptions,
+      onDecision: (decision) => world.decisions.push({ ...decision, daemon: this.id }),
+    });
+  }
+
+  private createEngines(): EngineOrders {
+    const { engines } = this.world;
+    const { observeTimeout, orderTimeout } = worldOptions;
+    return {
+      observe: ({ id }) => this.link.call(observeTimeout, () => engines.get(id)!.getState()),
+      order: ({ id }, order) =>
+        this.link.call(orderTimeout, () => engines.get(id)!.order(order, this.id)),
+    };
+  }
+}
--- /dev/null
+++ b/packages/placement/src/test/PlacementWorld.ts
@@ -0,0 +1,112 @@
+import { ServiceKind } from '@apricotrill/model';
+import { createRandom, ManualClock } from '@apricotrill/utils';
+import type { Configuration, Replica } from '@apricotrill/model';
+import type { Milliseconds, Random } from '@apricotrill/utils';
+import { Daemon } from './Daemon.js';
+import { advance } from './Link.js';
+import { FakeEngine } from './FakeEngine.js';
+import { FakeStore } from './FakeStore.js';
+import type { PlacementDecision } from '../lib/PlacementDecision.js';
+
+/** What the replicas of a service should carry, by replica id. */
+export type Placements = Record<string, string[]>;
+
+/** A service is what the replica's id starts with; replicas with an odd number check fencing. */
+function createReplica([id, placement]: [string, string[]]): Replica {
+  const [service, number] = id.split('-');
+  const checksFencing = Number(number) % 2 === 1;
+  const address = { availabilityZone: 'espoo', host: '127.0.0.1', port: 1, slots: 1 };
+  return { id, service: service!, checksFencing, placement, ...address };
+}
+
+export function createConfiguration(placements: Placements): Configuration {
+  const replicas = Object.entries(placements).map(createReplica);
+  const names = [...new Set(replicas.map(({ service }) => service))];
+  const costs = { costPerThousandTokens: 1, costPerRequest: 1 };
+  const common = { kind: ServiceKind.Model, region: 'etela-suomi', models: [], ...costs };
+  const services = names.map((name) => ({ name, ...common }));
+  return {
+    register: { services, replicas, workspaces: [] },
+    rules: { classes: [], classRules: [] },
+  };
+}
+
+/** Three daemons, a store, some engines and a clock that all of them share. */
+export class PlacementWorld {
+  readonly clock = new ManualClock(1_000_000);
+
+  readonly store = new FakeStore();
+
+  readonly weights = { refusesUntil: 0 };
+
+  readonly decisions: (PlacementDecision & { daemon: string })[] = [];
+
+  readonly engines = new Map<string, FakeEngine>();
+
+  readonly random: Random;
+
+  readonly daemons: Daemon[];
+
+  configuration: Configuration;
+
+  constructor(
+    placements: Placements,
+    readonly getDelay: () => Milliseconds = () => 5,
+    loaded: Placements = {},
+  ) {
+    this.random = createRandom(7);
+    this.configuration = createConfiguration(placements);
+    this.configuration.register.replicas.forEach((replica) => {
+      const engine = new FakeEngine(replica, this.clock, this.weights, loaded[replica.id]);
+      this.engines.set(replica.id, engine);
+    });
+    this.daemons = ['daemon-1', 'daemon-2', 'daemon-3'].map((id) => new Daemon(id, this));
+  }
+
+  /** Accepts an edit; each daemon learns of it some time later, never after a newer one. */
+  edit(placements: Placements, getLag: () => Milliseconds = () => 0): void {
+    const configuration = createConfiguration(placements);
+    this.configuration = configuration;
+    this.daemons.forEach((daemon) => {
+      this.clock.setTimer(getLag(), () =>
+        daemon.clock.run(() => this.configuration === configuration && daemon.learn(configuration)),
+      );
+    });
+  }
+
+  async advance(span: Milliseconds): Promise<void> {
+    await advance(this.clock, span, () => this.checkHolders());
+  }
+
+  /** Moves time on until something is the case; fails after ten minutes of that time. */
+  async until(isDone: () => boolean): Promise<void> {
+    const limit = this.clock.now() + 600_000;
+    while (!isDone()) {
+      if (this.clock.now() > limit) {
+        throw new Error('it never came');
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await this.advance(10);
+    }
+  }
+
+  getHolder(service: string): Daemon | undefined {
+    return this.daemons.find(({ manager }) => manager.getFencingNumber(service) !== undefined);
+  }
+
+  getLoaded(): Placements {
+    return Object.fromEntries([...this.engines].map(([id, e]) => [id, e.getState().loaded]));
+  }
+
+  /** At no moment two daemons believe to hold one lease. */
+  private checkHolders(): void {
+    this.configuration.register.services.forEach(({ name }) => {
+      const holders = this.daemons.filter(
+        ({ manager }) => manager.getFencingNumber(name) !== undefined,
+      );
+      if (holders.length > 1) {
+        throw new Error(`two holders of ${name} at ${this.clock.now()}`);
+      }
+    });
+  }
+}
