Put the class-fair queue, shares, choice and retries into the scheduler

Change: a class-fair queue in p-queue (tiers, floors by deficit, start-time fair queueing among workspaces), slots divided among daemons by rendezvous order, loans from lagging reports, two random choices on corrected load, prefix affinity, straggler conviction with probes, retry budgets, preemption with resume, drain-rate refusals, avoidance of failing and silent replicas. All of it behind the agreed messages. Ruled out: resuming a preempted request at once; the owner may still hand over what the old attempt had received, so its end is awaited, with a short grace.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -8,4 +8,5 @@
 export { defaultPolicyOptions } from './lib/policyOptions.js';
 export type { PolicyOptions } from './lib/policyOptions.js';
 export { Scheduler } from './lib/Scheduler/Scheduler.js';
-export type { SchedulerParts } from './lib/Scheduler/Scheduler.js';
+export type { SchedulerParts, SchedulerSnapshot } from './lib/Scheduler/Scheduler.js';
+export type { ReplicaSnapshot, ServiceSnapshot } from './lib/Scheduler/getServiceSnapshot.js';
--- /dev/null
+++ b/packages/policy/src/lib/ReplicaChooser/LatencyWindow.ts
@@ -0,0 +1,47 @@
+/** The median of some numbers; zero when there are none. */
+export function getMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+/**
+ * The last few measurements of something, and their median: one odd value can't move it.
+ *
+ * @internal
+ */
+export class LatencyWindow {
+  private readonly capacity: number;
+
+  private values: number[] = [];
+
+  private next = 0;
+
+  private cached: number | undefined;
+
+  /** @param capacity - how many values are kept */
+  constructor(capacity: number) {
+    this.capacity = capacity;
+  }
+
+  get size(): number {
+    return this.values.length;
+  }
+
+  add(value: number): void {
+    this.values[this.next] = value;
+    this.next = (this.next + 1) % this.capacity;
+    this.cached = undefined;
+  }
+
+  clear(): void {
+    this.values = [];
+    this.next = 0;
+    this.cached = undefined;
+  }
+
+  /** The median; zero when there is nothing. */
+  getMedian(): number {
+    this.cached ??= getMedian(this.values);
+    return this.cached;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
@@ -0,0 +1,208 @@
+import type { Replica } from '@apricotrill/model';
+import { getHash } from '@apricotrill/utils';
+import type { Milliseconds, Random } from '@apricotrill/utils';
+import type { LoadReport } from '../messages.js';
+import type { PolicyOptions } from '../policyOptions.js';
+import type { Share } from '../SharedLimit/SharedLimit.js';
+import { CorrectedLoad } from './CorrectedLoad.js';
+import { LatencyWindow } from './LatencyWindow.js';
+
+/** Measurements kept of a replica: the median moves once eight of them agree. */
+const WINDOW = 15;
+
+const NO_SHARE: Share = { isIn: false, slots: 0, contenders: 1 };
+
+/**
+ * What this daemon knows of one replica.
+ *
+ * @internal
+ */
+export class ReplicaState {
+  readonly load = new CorrectedLoad();
+
+  /** Delays of first tokens and between tokens, as multiples of what is usual for their class. */
+  readonly firstTokens = new LatencyWindow(WINDOW);
+
+  readonly tokenGaps = new LatencyWindow(WINDOW);
+
+  readonly hash: number;
+
+  /** Much slower than its peers: gets a probe now and then, nothing else. */
+  convicted = false;
+
+  /** When a convicted replica may be probed again. */
+  probeAt: Milliseconds = 0;
+
+  /** When it was last compared with its peers. */
+  judgedAt: Milliseconds = 0;
+
+  private readonly options: PolicyOptions;
+
+  private listed = true;
+
+  private leaving = false;
+
+  private description: Replica;
+
+  private part: Share = NO_SHARE;
+
+  private models: ReadonlySet<string> | undefined;
+
+  /** Slots of other daemons that the last report shows unused, as far as they are lent to us. */
+  private borrowed = 0;
+
+  private avoidUntil: Milliseconds = 0;
+
+  private failures = 0;
+
+  constructor(description: Replica, options: PolicyOptions) {
+    this.description = description;
+    this.options = options;
+    this.hash = getHash(description.id);
+  }
+
+  get id(): string {
+    return this.description.id;
+  }
+
+  get replica(): Replica {
+    return this.description;
+  }
+
+  /** Whether it stands in the list of replicas. */
+  get isListed(): boolean {
+    return this.listed;
+  }
+
+  get isLeaving(): boolean {
+    return this.leaving;
+  }
+
+  get share(): Share {
+    return this.part;
+  }
+
+  /** Takes the newest entry of the register. */
+  describe(description: Replica): void {
+    this.description = description;
+    this.models = undefined;
+    this.listed = true;
+  }
+
+  /** The list no longer has it. */
+  unlist(): void {
+    this.listed = false;
+  }
+
+  /** Somebody said that it is leaving, or that it takes work again. */
+  setLeaving(leaving: boolean): void {
+    this.leaving = leaving;
+  }
+
+  setShare(share: Share): void {
+    this.part = share;
+  }
+
+  /** The models that placement keeps here; none when it was told nothing. */
+  getModels(): ReadonlySet<string> {
+    this.models ??= new Set(this.description.placement.map((entry) => entry.split('@')[0]!));
+    return this.models;
+  }
+
+  /** Whether it may be sent anything at all. */
+  isUsable(): boolean {
+    return this.listed && !this.leaving && this.part.isIn;
+  }
+
+  isAvoided(now: Milliseconds): boolean {
+    return now < this.avoidUntil;
+  }
+
+  /** How many requests this daemon may have running here. */
+  getLimit(): number {
+    return this.part.slots + this.borrowed;
+  }
+
+  /** The same for urgent tiers, which may go above the share: the engine runs them first. */
+  getUrgentLimit(): number {
+    return this.getLimit() + Math.max(1, Math.ceil(this.replica.slots * this.options.urgentExcess));
+  }
+
+  /** The load by slots as it would be with one more request. */
+  getPressure(now: Milliseconds): number {
+    const { stampedeDamping, maxReportAge } = this.options;
+    const others = (this.part.contenders - 1) * stampedeDamping;
+    return (this.load.get(now, others, maxReportAge) + 1) / Math.max(1, this.replica.slots);
+  }
+
+  /**
+   * Takes a load report and with it the loan: slots that nobody uses are lent to the daemons that
+   * divide them, each its part, rounded at random so that the parts add up on average.
+   */
+  report(report: LoadReport, now: Milliseconds, random: Random): void {
+    if (!this.load.apply(report, now)) {
+      return;
+    }
+    const { slots } = this.replica;
+    const load = this.load.get(now, 0, this.options.maxReportAge);
+    const ownUnused = Math.max(0, this.part.slots - this.load.own);
+    const unused = Math.max(0, slots - load - ownUnused);
+    this.borrowed = Math.floor(unused / this.part.contenders + random.next());
+  }
+
+  /**
+   * Notes that an attempt went well; the replica is no longer avoided.
+   *
+   * @returns whether it was
+   */
+  succeed(): boolean {
+    const wasAvoided = this.avoidUntil > 0;
+    this.failures = 0;
+    this.avoidUntil = 0;
+    return wasAvoided;
+  }
+
+  /**
+   * Notes that an attempt failed.
+   *
+   * @param isCertain - it could not be reached at all, so it is avoided at once
+   * @returns until when it is avoided, or undefined when it is not
+   */
+  fail(now: Milliseconds, isCertain: boolean): Milliseconds | undefined {
+    const { failuresToAvoid, avoidance, maxAvoidance } = this.options;
+    this.failures += 1;
+    const excess = this.failures - (isCertain ? 1 : failuresToAvoid);
+    if (excess < 0) {
+      return undefined;
+    }
+    return this.avoid(now + Math.min(maxAvoidance, avoidance * 2 ** excess));
+  }
+
+  /** Sends nothing here until then, if there is anywhere else to send it. */
+  avoid(until: Milliseconds): Milliseconds {
+    this.avoidUntil = Math.max(this.avoidUntil, until);
+    return this.avoidUntil;
+  }
+
+  /** Convicts it of being slow; what it is judged by next is its probes alone. */
+  convict(now: Milliseconds): void {
+    this.convicted = true;
+    this.probeAt = now + this.options.probeInterval;
+    this.clearSamples();
+  }
+
+  /** A probe was sent. */
+  postponeProbe(now: Milliseconds): void {
+    this.probeAt = now + this.options.probeInterval;
+  }
+
+  acquit(): void {
+    this.convicted = false;
+    this.clearSamples();
+  }
+
+  private clearSamples(): void {
+    this.firstTokens.clear();
+    this.tokenGaps.clear();
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/Scheduler/AttemptRunner.ts
@@ -0,0 +1,135 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import { CancelReason } from '../messages.js';
+import type { SchedulerEffect } from '../messages.js';
+import type { PolicyOptions } from '../policyOptions.js';
+import type { ReplicaTable } from '../ReplicaChooser/ReplicaTable.js';
+import { Attempt } from './Attempt.js';
+import { getTimeouts } from './getTimeouts.js';
+import { Phase } from './RequestRecord.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { RunningRequests } from './RunningRequests.js';
+import type { Slot } from './SlotFinder.js';
+
+/**
+ * What the runner is made of.
+ *
+ * @internal
+ */
+export interface AttemptRunnerParts {
+  clock: Clock;
+  options: PolicyOptions;
+  table: ReplicaTable;
+  running: RunningRequests;
+  emit: (effect: SchedulerEffect) => void;
+  /** A cancelled attempt did not report its end in time. */
+  onCancelled: (record: RequestRecord) => void;
+  /** An attempt has been silent for longer than its owner should have allowed. */
+  onSilent: (record: RequestRecord) => void;
+}
+
+/**
+ * Starts and stops attempts, and keeps count of the slots they take.
+ *
+ * @internal
+ */
+export class AttemptRunner {
+  private readonly parts: AttemptRunnerParts;
+
+  constructor(parts: AttemptRunnerParts) {
+    this.parts = parts;
+  }
+
+  /**
+   * Sends a request to a replica.
+   *
+   * @param freeSlot - tells the queue that the attempt no longer takes a slot
+   */
+  dispatch(record: RequestRecord, { state, reason }: Slot, freeSlot: () => void): void {
+    const { clock, options, emit, running } = this.parts;
+    const now = clock.now();
+    const timeouts = getTimeouts(record, options, now);
+    const number = record.nextAttempt;
+    const attempt = new Attempt({ number, state, startedAt: now, ...timeouts });
+    record.begin(attempt, freeSlot);
+    record.enter(Phase.Running);
+    this.watch(record, attempt);
+    running.add(record, state);
+    this.count(record, attempt, 1, now);
+    emit({
+      kind: 'dispatch',
+      id: record.id,
+      attempt: number,
+      replica: state.replica,
+      resumeAt: record.request.resumable ? record.delivered : 0,
+      ...timeouts,
+      reason,
+    });
+  }
+
+  /**
+   * Stops an attempt. Its slot is free at once, but the request goes on only when the end is
+   * reported or overdue: until then the owner may still hand over what it had received, and an
+   * attempt begun in the meantime would hand it over again.
+   */
+  cancel(record: RequestRecord, reason: CancelReason): void {
+    const { clock, options, onCancelled } = this.parts;
+    this.emitCancel(record, reason);
+    this.release(record);
+    record.enter(
+      Phase.Cancelling,
+      clock.setTimer(options.cancelGrace, () => onCancelled(record)),
+    );
+  }
+
+  /** Stops an attempt whose caller has left. */
+  abandon(record: RequestRecord): void {
+    this.emitCancel(record, CancelReason.CallerLeft);
+    this.release(record);
+  }
+
+  /** Frees the slot of the present attempt. */
+  release(record: RequestRecord): void {
+    const attempt = record.attempt!;
+    record.release();
+    this.parts.running.remove(record, attempt.state);
+    this.count(record, attempt, -1, this.parts.clock.now());
+  }
+
+  private count(
+    record: RequestRecord,
+    { state }: Attempt,
+    change: 1 | -1,
+    now: Milliseconds,
+  ): void {
+    state.load.note(now, change);
+    record.pool.note(change, now);
+    this.parts.table.refresh(state);
+  }
+
+  /** Ends an attempt whose owner lost track of it; usually the owner is quicker. */
+  private watch(record: RequestRecord, attempt: Attempt): void {
+    const { clock, options, onSilent } = this.parts;
+    const left = attempt.silentAt + options.silenceMargin - clock.now();
+    const timer = clock.setTimer(left, () => {
+      if (clock.now() < attempt.silentAt + options.silenceMargin) {
+        this.watch(record, attempt);
+      } else {
+        onSilent(record);
+      }
+    });
+    record.watch(timer);
+  }
+
+  private emitCancel(record: RequestRecord, reason: CancelReason): void {
+    const attempt = record.attempt!;
+    attempt.cancel(reason);
+    const { number, state } = attempt;
+    this.parts.emit({
+      kind: 'cancel',
+      id: record.id,
+      attempt: number,
+      replica: state.id,
+      reason,
+    });
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/Scheduler/ReplicaReview.ts
@@ -0,0 +1,96 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import { AttemptEnd } from '../messages.js';
+import type { PolicyOptions } from '../policyOptions.js';
+import type { ReplicaPool } from '../ReplicaChooser/ReplicaPool.js';
+import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
+import type { ReplicaTable } from '../ReplicaChooser/ReplicaTable.js';
+import { StragglerDetector, Verdict } from '../ReplicaChooser/StragglerDetector.js';
+import type { Measurement } from './Attempt.js';
+import type { RequestRecord } from './RequestRecord.js';
+
+/**
+ * What the review is made of.
+ *
+ * @internal
+ */
+export interface ReplicaReviewParts {
+  clock: Clock;
+  options: PolicyOptions;
+  table: ReplicaTable;
+}
+
+/**
+ * Draws conclusions about replicas from what happens to attempts at them.
+ *
+ * @internal
+ */
+export class ReplicaReview {
+  private readonly parts: ReplicaReviewParts;
+
+  private readonly detectors = new Map<ReplicaPool, StragglerDetector>();
+
+  constructor(parts: ReplicaReviewParts) {
+    this.parts = parts;
+  }
+
+  /** Notes that an attempt went well so far. */
+  noteSuccess(state: ReplicaState): void {
+    if (state.succeed()) {
+      this.parts.table.refresh(state);
+    }
+  }
+
+  /** Notes that an attempt failed, and avoids its replica if that is likely to happen again. */
+  noteFailure(state: ReplicaState, end: AttemptEnd, retryAfter: Milliseconds | undefined): void {
+    const { clock, options, table } = this.parts;
+    const now = clock.now();
+    const until =
+      end === AttemptEnd.Refused
+        ? now + Math.min(options.maxAvoidance, retryAfter ?? options.avoidance)
+        : state.fail(now, end === AttemptEnd.NotSent);
+    if (until !== undefined) {
+      table.avoid(state, until);
+    }
+  }
+
+  /** Notes that a path to the replica went silent: it condemns the path, the replica may be well. */
+  noteSilence(state: ReplicaState): void {
+    const { clock, options, table } = this.parts;
+    table.avoid(state, clock.now() + options.silenceAvoidance);
+  }
+
+  /**
+   * Compares a replica with its peers.
+   *
+   * @returns whether it was convicted or acquitted
+   */
+  noteMeasurement(
+    record: RequestRecord,
+    state: ReplicaState,
+    { delay, value }: Measurement,
+  ): boolean {
+    const now = this.parts.clock.now();
+    const { name } = record.request.serviceClass;
+    const verdict = this.getDetector(record.pool).observe(state, delay, name, value, now);
+    if (verdict === Verdict.Unchanged) {
+      return false;
+    }
+    if (verdict === Verdict.Convicted) {
+      state.convict(now);
+    } else {
+      state.acquit();
+    }
+    this.parts.table.refresh(state);
+    return true;
+  }
+
+  private getDetector(pool: ReplicaPool): StragglerDetector {
+    const known = this.detectors.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const detector = new StragglerDetector(pool, this.parts.options);
+    this.detectors.set(pool, detector);
+    return detector;
+  }
+}
--- a/packages/policy/src/lib/Scheduler/Scheduler.ts
+++ b/packages/policy/src/lib/Scheduler/Scheduler.ts
@@ -1,19 +1,16 @@
 import type { Replica } from '@apricotrill/model';
-import type { Clock, Random } from '@apricotrill/utils';
-import PQueue from 'p-queue';
-import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import { GiveUpReason, Outcome } from '../messages.js';
 import type { ScheduledRequest, SchedulerEffect, SchedulerMessage } from '../messages.js';
 import { defaultPolicyOptions } from '../policyOptions.js';
 import type { PolicyOptions } from '../policyOptions.js';
-
-interface Entry {
-  request: ScheduledRequest;
-  attempt: number;
-  replica: Replica | undefined;
-  delivered: number;
-  mayHaveRun: boolean;
-  waiting: boolean;
-}
+import { SharedLimit } from '../SharedLimit/SharedLimit.js';
+import type { ServiceSnapshot } from './getServiceSnapshot.js';
+import { Phase } from './RequestRecord.js';
+import type { RequestRecord } from './RequestRecord.js';
+import { ServiceScheduler } from './ServiceScheduler.js';
+import { TaskQueue } from './TaskQueue.js';
 
 /**
  * What a scheduler is made of.
@@ -23,216 +20,220 @@
 export interface SchedulerParts {
   clock: Clock;
   random: Random;
+  /** What differs from the defaults. */
   options?: Partial<PolicyOptions>;
+  /** Does what the scheduler wants; it may call `handle` again. */
   emit: (effect: SchedulerEffect) => void;
 }
 
 /**
- * Decides which request runs where and when.
+ * The state of a scheduler.
  *
  * @public
  */
-export class Scheduler {
-  private readonly parts: SchedulerParts;
+export interface SchedulerSnapshot {
+  /** Requests that have not been sent, or wait to go on. */
+  waiting: number;
+  /** Requests that run at replicas. */
+  running: number;
+  draining: boolean;
+  services: ServiceSnapshot[];
+}
 
+/**
+ * Decides which request runs where and when. It does no I/O: messages say what happened, effects
+ * say what to do, and time comes from the clock. Each submitted request ends with one `done` or
+ * one `give-up`, unless its caller left.
+ *
+ * The owner reports an `attempt-ended` for each dispatch, also for one that it was told to cancel
+ * (except for a caller that left); it hands nothing over after a cancel.
+ *
+ * @example
+ * ```ts
+ * const scheduler = new Scheduler({ clock, random, emit: (effect) => sockets.handle(effect) });
+ * scheduler.handle({ kind: 'replicas', replicas });
+ * scheduler.handle({ kind: 'submit', request });
+ * ```
+ * @public
+ */
+export class Scheduler {
   private readonly options: PolicyOptions;
 
-  private readonly entries = new Map<string, Entry>();
+  private readonly random: Random;
+
+  private readonly clock: Clock;
 
-  private readonly queues = new Map<string, PQueue>();
+  private readonly tasks: TaskQueue;
 
-  private readonly leaving = new Set<string>();
+  private readonly limit: SharedLimit;
 
-  private readonly running = new Map<string, number>();
+  private readonly records = new Map<string, RequestRecord>();
 
-  private replicas: Replica[] = [];
+  private readonly services = new Map<string, ServiceScheduler>();
 
-  private draining = false;
+  private readonly serviceOf = new Map<string, string>();
 
-  constructor(parts: SchedulerParts) {
-    this.parts = parts;
-    this.options = { ...defaultPolicyOptions, ...parts.options };
+  /** Replicas that are leaving, and when each was last in the list. */
+  private readonly leaving = new Map<string, Milliseconds>();
+
+  private isDraining = false;
+
+  constructor({ clock, random, options, emit }: SchedulerParts) {
+    this.options = { ...defaultPolicyOptions, ...options };
+    this.random = random;
+    this.tasks = new TaskQueue(clock, emit);
+    this.clock = this.tasks.clock;
+    this.limit = new SharedLimit(this.options.subsetSize);
   }
 
+  /** Takes a message; the effects are emitted before it returns, unless it was called by one. */
   handle(message: SchedulerMessage): void {
+    this.tasks.run(() => this.apply(message));
+  }
+
+  /** The state as it is now, for metrics and for people. */
+  getSnapshot(): SchedulerSnapshot {
+    const phases = [...this.records.values()].map(({ phase }) => phase);
+    const running = phases.filter((phase) => phase === Phase.Running).length;
+    return {
+      waiting: phases.length - running,
+      running,
+      draining: this.isDraining,
+      services: [...this.services.values()].map((service) => service.getSnapshot()),
+    };
+  }
+
+  /** Stops all timers; the scheduler must not be used any more. */
+  dispose(): void {
+    this.records.forEach((record) => record.enter(Phase.Over));
+    this.records.clear();
+    this.services.forEach((service) => service.dispose());
+  }
+
+  private apply(message: SchedulerMessage): void {
     switch (message.kind) {
       case 'submit':
         this.submit(message.request);
-        break;
+        return;
       case 'caller-left':
-        this.callerLeft(message.id);
-        break;
-      case 'progress': {
-        const entry = this.entries.get(message.id);
-        if (entry?.attempt === message.attempt) {
-          entry.delivered += message.tokens;
-        }
-        break;
-      }
+        this.withRecord(message.id, (record, service) => service.callerLeft(record));
+        return;
+      case 'progress':
+        this.withAttempt(message, (record, service) => service.progress(record, message.tokens));
+        return;
       case 'attempt-ended':
-        this.attemptEnded(message);
-        break;
+        this.withAttempt(message, (record, service) =>
+          service.attemptEnded(record, message.end, message.retryAfter),
+        );
+        return;
+      case 'load-report':
+        this.getServiceOf(message.report.replica)?.report(message.report);
+        return;
       case 'replicas':
-        this.replicas = message.replicas;
-        break;
+        this.setReplicas(message.replicas);
+        return;
       case 'replica-leaving':
-        this.leaving.add(message.replica);
-        break;
+        this.leaving.set(message.replica, this.clock.now());
+        this.getServiceOf(message.replica)?.setLeaving(message.replica, true);
+        return;
       case 'replica-returned':
         this.leaving.delete(message.replica);
-        break;
+        this.getServiceOf(message.replica)?.setLeaving(message.replica, false);
+        return;
+      case 'path-silent':
+        this.getServiceOf(message.replica)?.pathSilent(message.replica);
+        return;
+      case 'daemons':
+        this.limit.setDaemons(message.self, message.daemons);
+        this.services.forEach((service) => service.updateShares());
+        return;
       case 'drain':
-        this.draining = true;
-        break;
+        this.isDraining = true;
+        return;
       default:
-        break;
+        throw exhaustiveSwitchError(message);
     }
-    this.pump();
-  }
-
-  getSnapshot(): { waiting: number; running: number } {
-    const entries = [...this.entries.values()];
-    const waiting = entries.filter((entry) => entry.waiting).length;
-    return { waiting, running: entries.length - waiting };
-  }
-
-  dispose(): void {
-    this.queues.forEach((queue) => queue.clear());
-    this.entries.clear();
   }
 
   private submit(request: ScheduledRequest): void {
-    if (this.draining || this.getLive(request.service).length === 0) {
-      const reason = this.draining ? GiveUpReason.Draining : GiveUpReason.NoReplica;
-      this.giveUp(request.id, Outcome.NotRun, reason);
+    const service = this.services.get(request.service);
+    if (this.records.has(request.id)) {
       return;
     }
-    const entry = {
-      request,
-      attempt: 0,
-      replica: undefined,
-      delivered: 0,
-      mayHaveRun: false,
-      waiting: false,
-    };
-    this.entries.set(request.id, entry);
-    this.enqueue(entry);
-  }
-
-  private enqueue(entry: Entry): void {
-    const { service, serviceClass } = entry.request;
-    const queue = this.queues.get(service) ?? new PQueue({ autoStart: false });
-    this.queues.set(service, queue);
-    Object.assign(entry, { waiting: true });
-    queue.add(async () => this.dispatch(entry), { priority: -serviceClass.tier });
-  }
-
-  private dispatch(entry: Entry): void {
-    const { request } = entry;
-    if (this.entries.get(request.id) !== entry) {
+    if (!this.isDraining && service !== undefined) {
+      service.submit(request);
       return;
     }
-    const live = this.getOpen(request.service);
-    const replica = live.reduce((best, next) =>
-      this.getRunning(next) / next.slots < this.getRunning(best) / best.slots ? next : best,
-    );
-    const attempt = entry.attempt + 1;
-    Object.assign(entry, { waiting: false, replica, attempt });
-    this.running.set(replica.id, this.getRunning(replica) + 1);
-    const { target, deadline } = request.serviceClass;
-    this.parts.emit({
-      kind: 'dispatch',
+    this.tasks.emit({
+      kind: 'give-up',
       id: request.id,
-      attempt,
-      replica,
-      resumeAt: request.resumable ? entry.delivered : 0,
-      firstTokenTimeout: deadline,
-      tokenGapTimeout: Math.max(2000, 40 * target.tokenGap),
-      reason: 'least-running',
+      outcome: Outcome.NotRun,
+      reason: this.isDraining ? GiveUpReason.Draining : GiveUpReason.NoReplica,
+      retryAfter: this.options.minRetryAfter,
     });
   }
 
-  private attemptEnded(message: Extract<SchedulerMessage, { kind: 'attempt-ended' }>): void {
-    const entry = this.entries.get(message.id);
-    if (entry?.replica === undefined || entry.attempt !== message.attempt) {
-      return;
-    }
-    this.release(entry);
-    if (message.end === AttemptEnd.Completed) {
-      this.entries.delete(message.id);
-      this.parts.emit({ kind: 'done', id: message.id });
-      return;
-    }
-    if (message.end !== AttemptEnd.NotSent && message.end !== AttemptEnd.Refused) {
-      entry.mayHaveRun = true;
-    }
-    this.retry(entry, message.end);
-  }
-
-  private retry(entry: Entry, end: AttemptEnd): void {
-    const { repeatable } = entry.request.serviceClass;
-    const { id, resumable } = entry.request;
-    if (end === AttemptEnd.Errored) {
-      this.giveUp(id, Outcome.Failed, GiveUpReason.ReplicaFailed);
-    } else if (entry.mayHaveRun && !repeatable) {
-      this.giveUp(id, Outcome.Unknown, GiveUpReason.MayHaveRun);
-    } else if (entry.attempt >= this.options.maxAttempts || (entry.delivered > 0 && !resumable)) {
-      const outcome = entry.mayHaveRun ? Outcome.Failed : Outcome.NotRun;
-      this.giveUp(id, outcome, GiveUpReason.RetriesSpent);
-    } else {
-      this.enqueue(entry);
-    }
+  private setReplicas(replicas: readonly Replica[]): void {
+    const now = this.clock.now();
+    const byService = new Map<string, Replica[]>();
+    this.serviceOf.clear();
+    replicas.forEach((replica) => {
+      this.serviceOf.set(replica.id, replica.service);
+      byService.set(replica.service, [...(byService.get(replica.service) ?? []), replica]);
+      if (this.leaving.has(replica.id)) {
+        this.leaving.set(replica.id, now);
+      }
+    });
+    this.leaving.forEach((lastListed, replica) => {
+      if (now - lastListed > this.options.leavingMemory) {
+        this.leaving.delete(replica);
+      }
+    });
+    byService.forEach((_, name) => this.addService(name));
+    this.services.forEach((service, name) => service.setReplicas(byService.get(name) ?? []));
   }
 
-  private callerLeft(id: string): void {
-    const entry = this.entries.get(id);
-    if (entry === undefined) {
+  private addService(name: string): void {
+    if (this.services.has(name)) {
       return;
     }
-    this.entries.delete(id);
-    if (entry.replica !== undefined) {
-      const { replica, attempt } = entry;
-      this.release(entry);
-      const reason = CancelReason.CallerLeft;
-      this.parts.emit({ kind: 'cancel', id, attempt, replica: replica.id, reason });
-    }
-  }
-
-  private giveUp(id: string, outcome: Outcome, reason: GiveUpReason): void {
-    this.entries.delete(id);
-    const retryAfter = this.options.minRetryAfter;
-    this.parts.emit({ kind: 'give-up', id, outcome, reason, retryAfter });
-  }
-
-  private release(entry: Entry): void {
-    this.running.set(entry.replica!.id, this.getRunning(entry.replica!) - 1);
-    Object.assign(entry, { replica: undefined });
+    const service = new ServiceScheduler({
+      service: name,
+      clock: this.clock,
+      random: this.random,
+      options: this.options,
+      limit: this.limit,
+      records: this.records,
+      isLeaving: (replica) => this.leaving.has(replica),
+      emit: (effect) => this.tasks.emit(effect),
+    });
+    this.services.set(name, service);
   }
 
-  private pump(): void {
-    [...this.queues.keys()].forEach((service) => this.pumpService(service));
+  private getServiceOf(replica: string): ServiceScheduler | undefined {
+    const name = this.serviceOf.get(replica);
+    return name === undefined ? undefined : this.services.get(name);
   }
 
-  private pumpService(service: string): void {
-    const queue = this.queues.get(service)!;
-    while (queue.size > 0 && this.getOpen(service).length > 0) {
-      queue.concurrency = queue.pending + 1;
-      queue.start();
-      queue.pause();
+  private withRecord(
+    id: string,
+    act: (record: RequestRecord, service: ServiceScheduler) => void,
+  ): void {
+    const record = this.records.get(id);
+    if (record !== undefined) {
+      act(record, this.services.get(record.request.service)!);
     }
   }
 
-  private getRunning({ id }: Replica): number {
-    return this.running.get(id) ?? 0;
-  }
-
-  private getLive(service: string): Replica[] {
-    return this.replicas.filter(
-      (replica) => replica.service === service && !this.leaving.has(replica.id),
-    );
-  }
-
-  private getOpen(service: string): Replica[] {
-    return this.getLive(service).filter((replica) => this.getRunning(replica) < replica.slots);
+  /** Acts only on the attempt that is under way: word of an earlier one says nothing any more. */
+  private withAttempt(
+    { id, attempt }: { id: string; attempt: number },
+    act: (record: RequestRecord, service: ServiceScheduler) => void,
+  ): void {
+    this.withRecord(id, (record, service) => {
+      if (record.attempt?.number === attempt) {
+        act(record, service);
+      }
+    });
   }
 }
--- /dev/null
+++ b/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
@@ -0,0 +1,294 @@
+import type { Replica } from '@apricotrill/model';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import { AttemptEnd, CancelReason, GiveUpReason } from '../messages.js';
+import type { LoadReport, Outcome, ScheduledRequest, SchedulerEffect } from '../messages.js';
+import type { PolicyOptions } from '../policyOptions.js';
+import { ReplicaChooser } from '../ReplicaChooser/ReplicaChooser.js';
+import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
+import { ReplicaTable } from '../ReplicaChooser/ReplicaTable.js';
+import { RetryBudget } from '../RetryBudget/RetryBudget.js';
+import type { SharedLimit } from '../SharedLimit/SharedLimit.js';
+import { WaitingRoom } from '../WaitingRoom/WaitingRoom.js';
+import { AttemptRunner } from './AttemptRunner.js';
+import { getNextStep } from './getNextStep.js';
+import { getServiceSnapshot } from './getServiceSnapshot.js';
+import type { ServiceSnapshot } from './getServiceSnapshot.js';
+import { ReplicaReview } from './ReplicaReview.js';
+import { Phase, RequestRecord } from './RequestRecord.js';
+import { RunningRequests } from './RunningRequests.js';
+import { SlotFinder } from './SlotFinder.js';
+
+/**
+ * What the scheduler of one service is made of.
+ *
+ * @internal
+ */
+export interface ServiceSchedulerParts {
+  service: string;
+  clock: Clock;
+  random: Random;
+  options: PolicyOptions;
+  limit: SharedLimit;
+  /** All requests that are not over, of every service. */
+  records: Map<string, RequestRecord>;
+  isLeaving: (replica: string) => boolean;
+  emit: (effect: SchedulerEffect) => void;
+}
+
+interface GivingUp {
+  reason: GiveUpReason;
+  /** What the caller is told if it is not what the attempts say. */
+  outcome?: Outcome;
+  retryAfter?: Milliseconds;
+}
+
+/**
+ * Decides for the requests of one service.
+ *
+ * @internal
+ */
+export class ServiceScheduler {
+  private readonly parts: ServiceSchedulerParts;
+
+  private readonly table: ReplicaTable;
+
+  private readonly room: WaitingRoom;
+
+  private readonly running: RunningRequests;
+
+  private readonly attempts: AttemptRunner;
+
+  private readonly slots: SlotFinder;
+
+  private readonly budget: RetryBudget;
+
+  private readonly review: ReplicaReview;
+
+  /** Whether the request that is being started owes its turn to its class's floor. */
+  private isCredited = false;
+
+  constructor(parts: ServiceSchedulerParts) {
+    const { clock, random, options } = parts;
+    this.parts = parts;
+    this.table = new ReplicaTable({ ...parts, onOpened: () => this.pump() });
+    this.running = new RunningRequests(options.maxPreemptions);
+    this.attempts = new AttemptRunner({
+      ...parts,
+      table: this.table,
+      running: this.running,
+      onCancelled: (record) => this.attemptEnded(record, AttemptEnd.Cancelled),
+      onSilent: (record) => {
+        this.pathSilent(record.attempt!.state.id);
+        this.attempts.cancel(record, CancelReason.Silent);
+        this.pump();
+      },
+    });
+    this.slots = new SlotFinder(new ReplicaChooser(random, options), this.running);
+    this.budget = new RetryBudget(options, clock.now());
+    this.room = new WaitingRoom({
+      clock,
+      options,
+      random,
+      start: (record) => this.start(record),
+      onExpired: (record) => this.expire(record),
+      onReturned: () => this.pump(),
+    });
+    this.review = new ReplicaReview({ clock, options, table: this.table });
+  }
+
+  submit(request: ScheduledRequest): void {
+    const { options, records } = this.parts;
+    const isUrgent = request.serviceClass.tier <= options.urgentTier;
+    const record = new RequestRecord(request, this.table.getPool(request.model), isUrgent);
+    records.set(record.id, record);
+    if (record.pool.usable.size === 0) {
+      this.giveUp(record, { reason: GiveUpReason.NoReplica });
+      return;
+    }
+    const refusal = this.room.getEarlyRefusal(record);
+    if (refusal !== undefined) {
+      this.giveUp(record, refusal);
+      return;
+    }
+    const loser = this.room.makeRoom(record);
+    if (loser !== undefined) {
+      this.giveUp(records.get(loser)!, { reason: GiveUpReason.Overload });
+    }
+    if (loser !== record.id) {
+      this.room.add(record);
+      this.pump();
+    }
+  }
+
+  callerLeft(record: RequestRecord): void {
+    if (record.phase === Phase.Waiting) {
+      this.room.remove(record);
+    }
+    if (record.phase === Phase.Running) {
+      this.attempts.abandon(record);
+    }
+    this.forget(record);
+    this.pump();
+  }
+
+  progress(record: RequestRecord, tokens: number): void {
+    const { state } = record.attempt!;
+    this.review.noteSuccess(state);
+    const measurement = record.progress(tokens, this.parts.clock.now());
+    if (measurement !== undefined && this.review.noteMeasurement(record, state, measurement)) {
+      this.moveAway(state);
+      this.pump();
+    }
+  }
+
+  attemptEnded(record: RequestRecord, end: AttemptEnd, retryAfter?: Milliseconds): void {
+    const attempt = record.attempt!;
+    if (record.phase === Phase.Running) {
+      this.attempts.release(record);
+    }
+    record.end(end);
+    const isOwnCancel =
+      attempt.cancelReason === CancelReason.Preempted ||
+      attempt.cancelReason === CancelReason.Straggling;
+    if (end === AttemptEnd.Completed) {
+      this.budget.earn();
+      this.review.noteSuccess(attempt.state);
+    } else if (!isOwnCancel) {
+      record.fail(attempt.state.id);
+      this.review.noteFailure(attempt.state, end, retryAfter);
+    }
+    this.goOn(record, end, isOwnCancel);
+    this.pump();
+  }
+
+  report(report: LoadReport): void {
+    const state = this.table.get(report.replica);
+    if (state !== undefined) {
+      state.report(report, this.parts.clock.now(), this.parts.random);
+      this.table.refresh(state);
+      this.pump();
+    }
+  }
+
+  setReplicas(replicas: readonly Replica[]): void {
+    this.table.setReplicas(replicas);
+    this.pump();
+  }
+
+  updateShares(): void {
+    this.table.updateShares();
+    this.pump();
+  }
+
+  setLeaving(replica: string, leaving: boolean): void {
+    this.table.setLeaving(replica, leaving);
+    this.pump();
+  }
+
+  pathSilent(replica: string): void {
+    const state = this.table.get(replica);
+    if (state !== undefined) {
+      this.review.noteSilence(state);
+    }
+  }
+
+  getSnapshot(): ServiceSnapshot {
+    const { service, clock } = this.parts;
+    const { room, running, budget, table } = this;
+    return getServiceSnapshot({ service, room, running, budget, table, now: clock.now() });
+  }
+
+  dispose(): void {
+    this.table.dispose();
+  }
+
+  /** Starts whatever can run now. */
+  private pump(): void {
+    const { options } = this.parts;
+    while (
+      this.room.size > 0 &&
+      this.room.startNext(({ className, tier, pool }, isCredited) => {
+        this.isCredited = isCredited;
+        const isUrgent = tier <= options.urgentTier;
+        const members = this.table.getPool(pool === '' ? undefined : pool);
+        return this.slots.canStart(members, { tier, className, isUrgent, isCredited });
+      })
+    );
+  }
+
+  private start(record: RequestRecord): Promise<void> {
+    const { tier, isUrgent } = record;
+    const now = this.parts.clock.now();
+    const className = record.request.serviceClass.name;
+    const entitlement = { tier, isUrgent, className, isCredited: this.isCredited };
+    const slot = this.slots.find(record, entitlement, now);
+    if (slot === undefined) {
+      this.room.park(record);
+      return Promise.resolve();
+    }
+    if (slot.victim !== undefined) {
+      slot.victim.preempt();
+      this.attempts.cancel(slot.victim, CancelReason.Preempted);
+    }
+    this.room.noteDispatch(className);
+    return new Promise((resolve) => {
+      this.attempts.dispatch(record, slot, resolve);
+    });
+  }
+
+  private goOn(record: RequestRecord, end: AttemptEnd, isOwnCancel: boolean): void {
+    const { clock, options, emit } = this.parts;
+    const now = clock.now();
+    const takeRetry = () => this.budget.take(now, record.isUrgent);
+    const { maxFailures } = options;
+    const step = getNextStep(record, { end, isOwnCancel, now, maxFailures, takeRetry });
+    switch (step.kind) {
+      case 'done':
+        this.forget(record);
+        emit({ kind: 'done', id: record.id });
+        return;
+      case 'give-up':
+        this.giveUp(record, step);
+        return;
+      case 'retry':
+        this.room.add(record);
+        return;
+      default:
+        throw exhaustiveSwitchError(step);
+    }
+  }
+
+  private expire(record: RequestRecord): void {
+    const isOrphan = record.pool.usable.size === 0;
+    this.giveUp(record, { reason: isOrphan ? GiveUpReason.NoReplica : GiveUpReason.Deadline });
+  }
+
+  /** Gives the requests that run at a convicted replica to its peers, within the retry budget. */
+  private moveAway(state: ReplicaState): void {
+    const now = this.parts.clock.now();
+    const movable = this.running
+      .getAt(state)
+      .filter((record) => record.canGoOn && !record.hasMoved);
+    movable.forEach((record) => {
+      if (state.convicted && record.pool.open.size > 0 && this.budget.take(now, record.isUrgent)) {
+        record.move(state.id);
+        this.attempts.cancel(record, CancelReason.Straggling);
+      }
+    });
+  }
+
+  private giveUp(
+    record: RequestRecord,
+    { reason, outcome = record.outcome, retryAfter }: GivingUp,
+  ): void {
+    const wait = retryAfter ?? this.room.getRetryAfter(record);
+    this.forget(record);
+    this.parts.emit({ kind: 'give-up', id: record.id, outcome, reason, retryAfter: wait });
+  }
+
+  private forget(record: RequestRecord): void {
+    record.enter(Phase.Over);
+    this.parts.records.delete(record.id);
+  }
+}
