Let each attempt know for sure whether a byte of it can have left

Cause: an attempt's end was read off the error code the HTTP client threw. A connection still being opened when the silence limit passed counted as broken, so a hold that never left was answered `unknown`; a refusal whose body hung was lost although its head had proved it; a slow caller counted as a silent engine, because the silence limit ran on while the daemon waited for the caller; and the client may start a request again on its own when a connection fails under it.

Change: an attempt is a handler of the client's dispatch interface. The client calls it right before it writes, so everything that ends before is `not-sent`, whatever the error, and a second start is refused. The silence limit pauses while the caller is waited for; a caller that takes nothing for 30 s counts as gone. A refusal is believed from its head. Tokens are told by their event id, not by their text: an empty token no longer looks like a gap, which no replica could ever have filled. An end mark before the closing chunk is another answer's. A silent connection condemns the pool it was in and not the one that has replaced it. What an engine finds wrong with a request (400, 413, 415, 422) reaches the caller as such, where it was a 502 that invites a retry.

Tokens of one read leave in one write, and a chunk that begins with the attempt's name is passed on as text with the caller's name in its place, without writing JSON anew.

Ruled out: counting the closing chunk's usage against the tokens seen. Engines may count an end token that is never streamed, and every answer would fail.

Each of 14 guards was taken out on its own and a test failed each time: chunk name, repeat, gap, end mark, empty token, token after the end, split characters, not-sent proof, nothing sent after the end, no second start, refusal by its head, error kept when its connection breaks, cancel breaks the connection, silence.

--- a/packages/router/src/lib/options.ts
+++ b/packages/router/src/lib/options.ts
@@ -7,6 +7,10 @@
   connectTimeout: 500,
   /** How long an idle connection to a replica is kept. */
   upstreamIdle: 10_000,
+  /** How long the last bytes of an answer that needs no more reading may take. */
+  answerTail: 1000,
+  /** How long a caller may take nothing of its answer before it counts as gone. */
+  callerStall: 30_000,
   /** The longest plain answer that is relayed, in bytes. */
   maxPlainAnswer: 8 * 1024 * 1024,
   /** How often a replica's load is asked for when no answer brought it. */
--- a/packages/router/src/lib/request/ChatSink.ts
+++ b/packages/router/src/lib/request/ChatSink.ts
@@ -1,5 +1,5 @@
 import type { Problem } from '../pipeline/Problem.js';
-import type { ChatChunk } from '../upstream/ChatChunk.js';
+import type { ChatChunk, ChatToken } from '../upstream/ChatChunk.js';
 
 /**
  * Where the tokens of a chat answer go.
@@ -9,7 +9,9 @@
 export interface ChatSink {
   /** An engine has taken the request. */
   start(): void;
-  writeToken(chunk: ChatChunk): void;
+  writeToken(token: ChatToken): void;
+  /** The tokens so far may not wait for further ones. */
+  flush(): void;
   end(finish: ChatChunk | undefined, tokens: number): void;
   fail(problem: Problem): void;
 }
--- a/packages/router/src/lib/request/ChatStreamSink.ts
+++ b/packages/router/src/lib/request/ChatStreamSink.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { getProblemBody, writeProblem } from '../pipeline/writeProblem.js';
 import type { Problem } from '../pipeline/Problem.js';
-import type { ChatChunk } from '../upstream/ChatChunk.js';
+import type { ChatChunk, ChatToken } from '../upstream/ChatChunk.js';
 import { getAnswerId, getUsage } from './chatAnswer.js';
 import type { ChatSink } from './ChatSink.js';
 
@@ -15,9 +15,23 @@
 
   private readonly requestId: string;
 
+  private readonly answerId: string;
+
+  /** How a chunk begins towards the caller. */
+  private readonly namedHead: string;
+
+  private attemptName: string | undefined;
+
+  /** How a chunk of the running attempt begins. */
+  private head = '';
+
+  private unsent = '';
+
   constructor(response: ServerResponse, requestId: string) {
     this.response = response;
     this.requestId = requestId;
+    this.answerId = getAnswerId(requestId);
+    this.namedHead = `{"id":${JSON.stringify(this.answerId)},`;
   }
 
   start(): void {
@@ -33,16 +47,36 @@
     response.flushHeaders();
   }
 
-  writeToken(chunk: ChatChunk): void {
-    this.write(chunk);
+  /**
+   * An engine writes the attempt's name first in each chunk; only that name differs in what the
+   * caller gets, so the rest of the text is passed on as it came.
+   */
+  writeToken({ chunk, text }: ChatToken): void {
+    if (chunk.id !== this.attemptName) {
+      this.attemptName = chunk.id;
+      this.head = `{"id":${JSON.stringify(chunk.id)},`;
+    }
+    if (text.startsWith(this.head) && !text.includes('\n')) {
+      this.unsent += `data: ${this.namedHead}${text.slice(this.head.length)}\n\n`;
+    } else {
+      this.addChunk(chunk);
+    }
+  }
+
+  /** Tokens that came in one read leave in one write. */
+  flush(): void {
+    if (this.unsent !== '') {
+      this.response.write(this.unsent);
+      this.unsent = '';
+    }
   }
 
   end(finish: ChatChunk | undefined, tokens: number): void {
     if (finish !== undefined) {
       const choices = finish.choices?.map((choice) => ({ ...choice, delta: {} }));
-      this.write({ ...finish, choices, usage: getUsage(finish, tokens) });
+      this.addChunk({ ...finish, choices, usage: getUsage(finish, tokens) });
     }
-    this.response.end('data: [DONE]\n\n');
+    this.response.end(`${this.unsent}data: [DONE]\n\n`);
   }
 
   /**
@@ -60,8 +94,8 @@
     );
   }
 
-  private write(chunk: ChatChunk): void {
-    const named = { ...chunk, id: getAnswerId(this.requestId) };
-    this.response.write(`data: ${JSON.stringify(named)}\n\n`);
+  private addChunk(chunk: ChatChunk): void {
+    const named = { ...chunk, id: this.answerId };
+    this.unsent += `data: ${JSON.stringify(named)}\n\n`;
   }
 }
--- a/packages/router/src/lib/request/ChatWholeSink.ts
+++ b/packages/router/src/lib/request/ChatWholeSink.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { writeProblem } from '../pipeline/writeProblem.js';
 import type { Problem } from '../pipeline/Problem.js';
-import type { ChatChunk } from '../upstream/ChatChunk.js';
+import type { ChatChunk, ChatToken } from '../upstream/ChatChunk.js';
 import { getAnswerId, getUsage } from './chatAnswer.js';
 import type { ChatSink } from './ChatSink.js';
 
@@ -30,12 +30,15 @@
   // eslint-disable-next-line class-methods-use-this
   start(): void {}
 
-  writeToken(chunk: ChatChunk): void {
+  writeToken({ chunk }: ChatToken): void {
     this.model ??= chunk.model;
     this.created ??= chunk.created;
     this.texts.push(chunk.choices?.[0]?.delta.content ?? '');
   }
 
+  // eslint-disable-next-line class-methods-use-this
+  flush(): void {}
+
   end(finish: ChatChunk | undefined, tokens: number): void {
     const { response, requestId } = this;
     const body = JSON.stringify({
--- a/packages/router/src/lib/request/ChatWork.ts
+++ b/packages/router/src/lib/request/ChatWork.ts
@@ -1,8 +1,10 @@
 import type { Clock } from '@apricotrill/utils';
 import type { ServerResponse } from 'node:http';
+import { routerOptions } from '../options.js';
 import type { Problem } from '../pipeline/Problem.js';
 import type { AttemptResult } from '../upstream/Attempt.js';
-import type { ChatChunk } from '../upstream/ChatChunk.js';
+import type { ChatAnswerListener } from '../upstream/ChatAnswerReader.js';
+import type { ChatChunk, ChatToken } from '../upstream/ChatChunk.js';
 import type { ReplicaConnections } from '../upstream/ReplicaConnections.js';
 import { runChatAttempt } from '../upstream/runChatAttempt.js';
 import type { ChatRequest } from './ChatRequest.js';
@@ -39,6 +41,9 @@
 
   private delivered = 0;
 
+  /** The attempt whose tokens count. */
+  private current = 0;
+
   private finish: ChatChunk | undefined;
 
   constructor(parts: ChatWorkParts) {
@@ -49,12 +54,12 @@
   run(ordered: OrderedAttempt): Promise<AttemptResult> {
     const { clock, connections, requestId } = this.parts;
     const dispatcher = connections.getShared(ordered.replica);
+    this.current = ordered.number;
     const attempt = {
       ...ordered,
       requestId,
       body: this.body,
       resumeAt: this.delivered,
-      onHead: () => this.parts.sink.start(),
       listener: this.createListener(ordered),
     };
     return runChatAttempt(dispatcher, attempt, clock);
@@ -76,32 +81,52 @@
    * A cancelled or broken attempt may still have bytes on the way when its successor starts; its
    * listener is shut by then, so that nothing it says reaches the caller.
    */
-  private createListener(ordered: OrderedAttempt) {
-    const { response, sink, onStray } = this.parts;
-    const isCurrent = () => !ordered.signal.aborted;
+  private createListener(ordered: OrderedAttempt): ChatAnswerListener {
+    const { sink, onStray } = this.parts;
+    let unreported = 0;
+    const isCurrent = () => !ordered.signal.aborted && this.current === ordered.number;
     return {
-      onToken: (chunk: ChatChunk) => {
+      onStart: () => sink.start(),
+      onToken: (token: ChatToken) => {
         if (!isCurrent()) {
-          onStray('token of a cancelled attempt');
+          onStray('token of an attempt that is over');
           return;
         }
         this.delivered += 1;
-        sink.writeToken(chunk);
-        ordered.onProgress(1);
+        unreported += 1;
+        sink.writeToken(token);
       },
       onFinish: (chunk: ChatChunk) => {
         if (isCurrent()) {
           this.finish = chunk;
         }
       },
+      onRead: () => {
+        sink.flush();
+        ordered.onProgress(unreported);
+        unreported = 0;
+      },
       onStray,
-      waitForCaller: () =>
-        response.writableNeedDrain
-          ? new Promise<void>((resolve) => {
-              response.once('drain', resolve);
-              response.once('close', resolve);
-            })
-          : undefined,
+      waitForCaller: () => this.waitForCaller(),
     };
   }
+
+  /** A caller that takes nothing for a long time holds a slot of the engine: it counts as gone. */
+  private waitForCaller(): Promise<void> | undefined {
+    const { response, clock } = this.parts;
+    if (!response.writableNeedDrain) {
+      return undefined;
+    }
+    return new Promise((resolve) => {
+      const timer = clock.setTimer(routerOptions.callerStall, () => response.destroy());
+      const go = () => {
+        timer.cancel();
+        response.off('drain', go);
+        response.off('close', go);
+        resolve();
+      };
+      response.once('drain', go);
+      response.once('close', go);
+    });
+  }
 }
--- a/packages/router/src/lib/request/RequestRunner.ts
+++ b/packages/router/src/lib/request/RequestRunner.ts
@@ -86,8 +86,8 @@
       work: order.work,
       tell: (message) => scheduling.tell(message),
       onLoad: this.parts.onLoad,
-      onSilent: ({ replica }) => {
-        this.parts.connections.condemn(replica);
+      onSilent: (replica, path) => {
+        this.parts.connections.condemn(replica, path);
         scheduling.tell({ kind: 'path-silent', replica: replica.id });
       },
       onLeaving: this.parts.onReplicaLeaving,
--- a/packages/router/src/lib/request/RequestTask.ts
+++ b/packages/router/src/lib/request/RequestTask.ts
@@ -1,4 +1,5 @@
-import { GiveUpReason } from '@apricotrill/policy';
+import type { Replica } from '@apricotrill/model';
+import { AttemptEnd } from '@apricotrill/policy';
 import type {
   Outcome,
   ScheduledRequest,
@@ -6,10 +7,11 @@
   SchedulerMessage,
 } from '@apricotrill/policy';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { Dispatcher } from 'undici';
 import type { DecisionLog } from '../observe/DecisionLog.js';
-import { ProblemReason } from '../pipeline/Problem.js';
 import type { Problem } from '../pipeline/Problem.js';
 import type { AttemptResult, LoadListener } from '../upstream/Attempt.js';
+import { getGiveUpProblem } from './getGiveUpProblem.js';
 import type { RequestWork } from './RequestWork.js';
 
 type Dispatch = Extract<SchedulerEffect, { kind: 'dispatch' }>;
@@ -35,46 +37,14 @@
   work: RequestWork;
   tell: (message: SchedulerMessage) => void;
   onLoad: LoadListener;
-  /** A connection went silent: replace the replica's pool. */
-  onSilent: (attempt: Dispatch) => void;
+  /** A connection to the replica went silent. */
+  onSilent: (replica: Replica, path: Dispatcher) => void;
   onLeaving: (replica: string) => void;
   onSettled: (settlement: Settlement) => void;
   onFirstProgress: () => void;
   log: DecisionLog;
 }
 
-const STATUS_BY_REASON: Record<GiveUpReason, number> = {
-  [GiveUpReason.Deadline]: 503,
-  [GiveUpReason.Overload]: 429,
-  [GiveUpReason.NoReplica]: 503,
-  [GiveUpReason.RetriesSpent]: 503,
-  [GiveUpReason.MayHaveRun]: 502,
-  [GiveUpReason.ReplicaFailed]: 502,
-  [GiveUpReason.Draining]: 503,
-};
-
-const DETAIL_BY_REASON: Record<GiveUpReason, string> = {
-  [GiveUpReason.Deadline]: 'the request can no longer start its answer in time',
-  [GiveUpReason.Overload]: 'too many requests of this class are waiting',
-  [GiveUpReason.NoReplica]: 'no replica of the service takes work at the moment',
-  [GiveUpReason.RetriesSpent]: 'every attempt failed and no more are allowed',
-  [GiveUpReason.MayHaveRun]:
-    'the backend server may have run the request, and it may not be repeated',
-  [GiveUpReason.ReplicaFailed]: 'the backend server ran the request and failed',
-  [GiveUpReason.Draining]: 'this daemon is shutting down',
-};
-
-function getGiveUpProblem({ reason, outcome, retryAfter }: GiveUp): Problem {
-  return {
-    reason: ProblemReason.GivenUp,
-    status: STATUS_BY_REASON[reason],
-    title: 'The request was given up',
-    detail: DETAIL_BY_REASON[reason],
-    outcome,
-    retryAfter,
-  };
-}
-
 /**
  * One request between its caller and its attempts. It owns the running attempt and does what the
  * scheduler orders; everything it learns goes back to the scheduler as a message.
@@ -86,6 +56,8 @@
 
   private running: { number: number; controller: AbortController } | undefined;
 
+  private last: AttemptResult | undefined;
+
   private settled = false;
 
   private progressed = false;
@@ -137,7 +109,10 @@
       onProgress: (tokens: number) => this.progress(effect.attempt, tokens),
       onLoad: this.parts.onLoad,
     };
-    this.parts.work.run(ordered).then((result) => this.ended(effect, result));
+    this.parts.work
+      .run(ordered)
+      .catch((error: unknown) => ({ end: AttemptEnd.Broken, detail: String(error) }))
+      .then((result) => this.ended(effect, result));
   }
 
   private progress(attempt: number, tokens: number): void {
@@ -159,6 +134,7 @@
     if (this.running?.number === effect.attempt) {
       this.running = undefined;
     }
+    this.last = result;
     log('relay', {
       request: request.id,
       attempt: effect.attempt,
@@ -167,8 +143,8 @@
       delivered: this.parts.work.getDelivered(),
       detail: result.detail,
     });
-    if (result.silent === true) {
-      this.parts.onSilent(effect);
+    if (result.silent !== undefined) {
+      this.parts.onSilent(effect.replica, result.silent);
     }
     if (result.leaving === true) {
       this.parts.onLeaving(effect.replica.id);
@@ -191,9 +167,11 @@
 
   private giveUp(effect: GiveUp): void {
     if (!this.settled) {
-      const problem = getGiveUpProblem(effect);
+      const problem = getGiveUpProblem(effect, this.last);
       this.parts.work.fail(problem);
       this.settle({ kind: 'given-up', outcome: effect.outcome, problem });
+      // An attempt that still runs would compute for nobody.
+      this.running?.controller.abort();
     }
   }
 
--- a/packages/router/src/lib/upstream/Attempt.ts
+++ b/packages/router/src/lib/upstream/Attempt.ts
@@ -1,6 +1,7 @@
 import type { AttemptEnd, LoadReport } from '@apricotrill/policy';
 import type { Replica } from '@apricotrill/model';
 import type { Milliseconds } from '@apricotrill/utils';
+import type { Dispatcher } from 'undici';
 
 /**
  * One try of a request at one replica.
@@ -16,6 +17,7 @@
   /** Silence allowed between tokens. */
   tokenGapTimeout: Milliseconds;
   signal: AbortSignal;
+  onLoad: LoadListener;
 }
 
 /**
@@ -30,8 +32,8 @@
   retryAfter?: Milliseconds;
   /** The replica says that it is leaving. */
   leaving?: boolean;
-  /** Nothing came within the timeout: the path is suspect. */
-  silent?: boolean;
+  /** These connections carried the request and then nothing came in time: they are suspect. */
+  silent?: Dispatcher;
   detail: string;
 }
 
--- a/packages/router/src/lib/upstream/ChatChunk.ts
+++ b/packages/router/src/lib/upstream/ChatChunk.ts
@@ -11,6 +11,17 @@
   usage?: { prompt_tokens: number; completion_tokens: number; total_tokens: number };
 }
 
+/**
+ * A token as it came.
+ *
+ * @internal
+ */
+export interface ChatToken {
+  chunk: ChatChunk;
+  /** The text of the chunk, so that passing it on needs no writing of JSON. */
+  text: string;
+}
+
 /**
  * What a chat attempt hands to the request that owns it.
  *
@@ -18,11 +29,9 @@
  */
 export interface ChatListener {
   /** The next token of the answer, in order, none twice. */
-  onToken(chunk: ChatChunk, index: number): void;
+  onToken(token: ChatToken): void;
   /** The closing chunk: why the answer ended, and what it used. */
   onFinish(chunk: ChatChunk): void;
   /** Something came that belongs to another attempt, or repeats a token; it was dropped. */
   onStray(what: string): void;
-  /** Waits until the caller can take more. */
-  waitForCaller(): Promise<void> | undefined;
 }
--- a/packages/router/src/lib/upstream/ChatStreamReader.ts
+++ b/packages/router/src/lib/upstream/ChatStreamReader/ChatStreamReader.ts
@@ -1,6 +1,6 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
-import type { ChatChunk, ChatListener } from './ChatChunk.js';
+import type { ChatChunk, ChatListener } from '../ChatChunk.js';
 
 const END_OF_STREAM = '[DONE]';
 
@@ -26,9 +26,9 @@
 
   private finished = false;
 
-  private done = false;
+  private whole = false;
 
-  private gap: string | undefined;
+  private fault: string | undefined;
 
   /**
    * @param attemptName - what every chunk of this attempt is called
@@ -48,30 +48,31 @@
 
   /** Whether the answer is whole: its closing chunk and the end mark have come, no token missing. */
   isWhole(): boolean {
-    return this.done && this.finished && this.gap === undefined;
+    return this.whole;
   }
 
   /** What is wrong with the stream, if it must be given up before its end. */
   getFault(): string | undefined {
-    return this.gap;
+    return this.fault;
   }
 
-  private handleEvent(event: EventSourceMessage): void {
-    if (event.data === END_OF_STREAM) {
-      this.done = true;
+  /** The index of the token that comes next. */
+  getNextIndex(): number {
+    return this.nextIndex;
+  }
+
+  private handleEvent({ data, id }: EventSourceMessage): void {
+    if (this.whole || this.fault !== undefined) {
       return;
     }
-    const chunk = this.parse(event.data);
-    if (chunk === undefined || this.gap !== undefined) {
+    if (data === END_OF_STREAM) {
+      // The end mark has no name: before the closing chunk it is another answer's.
+      this.whole = this.finished;
       return;
     }
-    const [choice] = chunk.choices ?? [];
-    if (typeof choice?.delta?.content === 'string' && choice.delta.content !== '') {
-      this.handleToken(chunk, event.id);
-    }
-    if (typeof choice?.finish_reason === 'string') {
-      this.finished = true;
-      this.listener.onFinish(chunk);
+    const chunk = this.parse(data);
+    if (chunk !== undefined) {
+      this.handleChunk(chunk, data, id);
     }
   }
 
@@ -83,22 +84,41 @@
       }
       this.listener.onStray(`chunk of ${chunk.id}`);
     } catch {
-      this.gap = 'a chunk is not JSON';
+      this.fault = 'a chunk is not JSON';
     }
     return undefined;
   }
 
-  private handleToken(chunk: ChatChunk, eventId: string | undefined): void {
+  /**
+   * An event with an id is a token, whatever its text: an engine gives a token without text when
+   * a character is not complete yet. One without an id and without text only opens the answer.
+   */
+  private handleChunk(chunk: ChatChunk, text: string, eventId: string | undefined): void {
+    const choice = chunk.choices?.[0];
+    if (eventId !== undefined || choice?.delta?.content) {
+      this.handleToken(chunk, text, eventId);
+    }
+    if (typeof choice?.finish_reason === 'string' && this.fault === undefined) {
+      this.finished = true;
+      this.listener.onFinish(chunk);
+    }
+  }
+
+  private handleToken(chunk: ChatChunk, text: string, eventId: string | undefined): void {
     const index = eventId === undefined ? this.nextIndex : Number(eventId);
     if (index < this.nextIndex) {
       this.listener.onStray(`token ${index} again`);
       return;
     }
     if (index !== this.nextIndex) {
-      this.gap = `token ${this.nextIndex} is missing before token ${eventId}`;
+      this.fault = `token ${this.nextIndex} is missing before token ${eventId}`;
+      return;
+    }
+    if (this.finished) {
+      this.fault = `token ${index} after the closing chunk`;
       return;
     }
     this.nextIndex += 1;
-    this.listener.onToken(chunk, index);
+    this.listener.onToken({ chunk, text });
   }
 }
--- a/packages/router/src/lib/upstream/ReplicaConnections.ts
+++ b/packages/router/src/lib/upstream/ReplicaConnections.ts
@@ -29,7 +29,7 @@
 export class ReplicaConnections {
   private readonly pools = new Map<string, Pool>();
 
-  private readonly retired = new Set<Pool>();
+  private readonly retired = new Set<Dispatcher>();
 
   /** The shared connections to a replica, for what may be repeated. */
   getShared(replica: Replica): Dispatcher {
@@ -52,19 +52,22 @@
     return new Client(getOrigin(replica), CLIENT_OPTIONS);
   }
 
-  /** Replaces the pool of a replica; answers still running on the old connections go on. */
-  condemn(replica: Replica): void {
+  /**
+   * Replaces the pool of a replica on which a connection went silent; answers still running on the
+   * old connections go on. Several connections go silent at once when a path is lost: what was on
+   * the old pool says nothing against the one that has already replaced it.
+   *
+   * @param replica - whose path is suspect
+   * @param suspect - what the attempt ran on
+   */
+  condemn(replica: Replica, suspect: Dispatcher): void {
     const origin = getOrigin(replica);
     const pool = this.pools.get(origin);
-    if (pool === undefined) {
+    if (pool === undefined || this.retired.has(suspect)) {
       return;
     }
     this.pools.delete(origin);
-    this.retired.add(pool);
-    pool.close().then(
-      () => this.retired.delete(pool),
-      () => this.retired.delete(pool),
-    );
+    this.retire(pool);
   }
 
   /** Closes the pools of replicas that are no longer in the register, once they are idle. */
@@ -73,7 +76,7 @@
     [...this.pools].forEach(([origin, pool]) => {
       if (!origins.has(origin)) {
         this.pools.delete(origin);
-        pool.close().catch(() => undefined);
+        this.retire(pool);
       }
     });
   }
@@ -84,4 +87,11 @@
     this.retired.clear();
     await Promise.allSettled(pools.map((pool) => pool.destroy()));
   }
+
+  /** Lets what runs on a pool come to its end. */
+  private retire(pool: Pool): void {
+    this.retired.add(pool);
+    const forget = () => this.retired.delete(pool);
+    pool.close().then(forget, forget);
+  }
 }
--- a/packages/router/src/lib/upstream/SilenceGuard.ts
+++ b/packages/router/src/lib/upstream/SilenceGuard/SilenceGuard.ts
@@ -41,11 +41,21 @@
     this.allowed = timeout;
   }
 
-  dispose(): void {
+  /** Nothing is expected for now, because we are not reading; {@link resume} ends that. */
+  pause(): void {
     this.timer?.cancel();
     this.timer = undefined;
   }
 
+  resume(): void {
+    this.last = this.clock.now();
+    this.arm(this.allowed);
+  }
+
+  dispose(): void {
+    this.pause();
+  }
+
   private arm(delay: Milliseconds): void {
     this.timer = this.clock.setTimer(delay, () => this.check());
   }
--- a/packages/router/src/lib/upstream/runChatAttempt.ts
+++ b/packages/router/src/lib/upstream/runChatAttempt.ts
@@ -1,14 +1,10 @@
-import { AttemptEnd } from '@apricotrill/policy';
 import type { Clock } from '@apricotrill/utils';
 import type { Dispatcher } from 'undici';
 import { getAttemptName } from './Attempt.js';
-import type { Attempt, AttemptResult, LoadListener } from './Attempt.js';
-import type { ChatListener } from './ChatChunk.js';
-import { ChatStreamReader } from './ChatStreamReader.js';
-import { parseLoad } from './parseLoad.js';
-import { readRefusal } from './readRefusal.js';
-import { runGuarded } from './runGuarded.js';
-import type { SilenceGuard } from './SilenceGuard.js';
+import type { Attempt, AttemptResult } from './Attempt.js';
+import { AttemptExchange } from './AttemptExchange/AttemptExchange.js';
+import { ChatAnswerReader } from './ChatAnswerReader.js';
+import type { ChatAnswerListener } from './ChatAnswerReader.js';
 
 /**
  * What a chat attempt needs.
@@ -20,10 +16,7 @@
   body: string;
   /** Tokens the caller already has. */
   resumeAt: number;
-  /** The engine has answered: the attempt is running. */
-  onHead: () => void;
-  listener: ChatListener;
-  onLoad: LoadListener;
+  listener: ChatAnswerListener;
 }
 
 function getHeaders(attempt: ChatAttempt): Record<string, string> {
@@ -38,51 +31,6 @@
   return headers;
 }
 
-async function relay(
-  attempt: ChatAttempt,
-  response: Dispatcher.ResponseData,
-  guard: SilenceGuard,
-): Promise<AttemptResult> {
-  const { listener, resumeAt } = attempt;
-  const reader = new ChatStreamReader(getAttemptName(attempt), resumeAt, listener);
-  for await (const bytes of response.body) {
-    guard.touch(attempt.tokenGapTimeout);
-    reader.feed(bytes as Uint8Array);
-    if (reader.getFault() !== undefined) {
-      break;
-    }
-    await listener.waitForCaller();
-    guard.touch(attempt.tokenGapTimeout);
-  }
-  return reader.isWhole()
-    ? { end: AttemptEnd.Completed, status: response.statusCode, detail: 'whole' }
-    : { end: AttemptEnd.Broken, detail: reader.getFault() ?? 'the stream ended early' };
-}
-
-async function exchange(
-  dispatcher: Dispatcher,
-  attempt: ChatAttempt,
-  guard: SilenceGuard,
-  signal: AbortSignal,
-): Promise<AttemptResult> {
-  const response = await dispatcher.request({
-    method: 'POST',
-    path: '/v1/chat/completions',
-    headers: getHeaders(attempt),
-    body: attempt.body,
-    signal,
-  });
-  const load = parseLoad(attempt.replica.id, response.headers['x-load']);
-  if (load !== undefined) {
-    attempt.onLoad(load);
-  }
-  if (response.statusCode !== 200) {
-    return readRefusal(response);
-  }
-  attempt.onHead();
-  return relay(attempt, response, guard);
-}
-
 /**
  * Runs one attempt of a chat request and tells its listener the tokens.
  *
@@ -101,7 +49,16 @@
   attempt: ChatAttempt,
   clock: Clock,
 ): Promise<AttemptResult> {
-  return runGuarded(attempt, clock, (guard, signal) =>
-    exchange(dispatcher, attempt, guard, signal),
-  );
+  const { resumeAt, listener } = attempt;
+  const exchange = new AttemptExchange({
+    attempt,
+    clock,
+    createReader: (flow) => new ChatAnswerReader(getAttemptName(attempt), resumeAt, listener, flow),
+  });
+  return exchange.run(dispatcher, {
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: getHeaders(attempt),
+    body: attempt.body,
+  });
 }
