--- /dev/null
+++ b/packages/policy/src/test/Harness.ts
@@ -0,0 +1,90 @@
+import { createRandom, ManualClock } from '@apricotrill/utils';
+import type { Milliseconds } from '@apricotrill/utils';
+import type {
+  AttemptEnd,
+  ScheduledRequest,
+  SchedulerEffect,
+  SchedulerMessage,
+} from '../lib/messages.js';
+import type { PolicyOptions } from '../lib/policyOptions.js';
+import { Scheduler } from '../lib/Scheduler/Scheduler.js';
+import { createReplica } from './fixtures.js';
+
+type Effect<Kind extends SchedulerEffect['kind']> = Extract<SchedulerEffect, { kind: Kind }>;
+
+/** What a test hands over beside the message itself. */
+export interface HarnessParts {
+  options?: Partial<PolicyOptions>;
+  /** How many replicas there are from the start; default one. */
+  replicas?: number;
+  slots?: number;
+}
+
+/** A scheduler on a manual clock that notes its effects. */
+export class Harness {
+  readonly clock = new ManualClock(1_000_000);
+
+  readonly effects: SchedulerEffect[] = [];
+
+  readonly scheduler: Scheduler;
+
+  constructor({ options, replicas = 1, slots = 2 }: HarnessParts = {}) {
+    this.scheduler = new Scheduler({
+      clock: this.clock,
+      random: createRandom(7),
+      options,
+      emit: (effect) => this.effects.push(effect),
+    });
+    const list = Array.from({ length: replicas }, (_, index) =>
+      createReplica(`replica-${index + 1}`, { slots }),
+    );
+    this.tell({ kind: 'replicas', replicas: list });
+  }
+
+  /** Sends a message and returns the effects that came of it. */
+  tell(message: SchedulerMessage): SchedulerEffect[] {
+    const before = this.effects.length;
+    this.scheduler.handle(message);
+    return this.effects.slice(before);
+  }
+
+  /** Moves time and returns the effects that came of it. */
+  advance(span: Milliseconds): SchedulerEffect[] {
+    const before = this.effects.length;
+    this.clock.advance(span);
+    return this.effects.slice(before);
+  }
+
+  /** Submits a request that arrives now. */
+  submit(request: ScheduledRequest): SchedulerEffect[] {
+    return this.tell({ kind: 'submit', request: { ...request, arrived: this.clock.now() } });
+  }
+
+  progress(id: string, tokens = 1): SchedulerEffect[] {
+    return this.tell({ kind: 'progress', id, attempt: this.getDispatch(id).attempt, tokens });
+  }
+
+  end(id: string, end: AttemptEnd, retryAfter?: Milliseconds): SchedulerEffect[] {
+    const { attempt } = this.getDispatch(id);
+    return this.tell({ kind: 'attempt-ended', id, attempt, end, retryAfter });
+  }
+
+  /** The last dispatch of a request. */
+  getDispatch(id: string): Effect<'dispatch'> {
+    const dispatch = this.getAll('dispatch').findLast((effect) => effect.id === id);
+    if (dispatch === undefined) {
+      throw new Error(`${id} was not dispatched`);
+    }
+    return dispatch;
+  }
+
+  /** All effects of a kind so far. */
+  getAll<Kind extends SchedulerEffect['kind']>(kind: Kind): Effect<Kind>[] {
+    return this.effects.filter((effect): effect is Effect<Kind> => effect.kind === kind);
+  }
+}
+
+/** Effects in short, as `dispatch gate-1`. */
+export function getBrief(effects: readonly SchedulerEffect[]): string[] {
+  return effects.map(({ kind, id }) => `${kind} ${id}`);
+}
--- /dev/null
+++ b/packages/policy/src/test/fixtures.ts
@@ -0,0 +1,59 @@
+import type { Replica, ServiceClass } from '@apricotrill/model';
+import type { ScheduledRequest } from '../lib/messages.js';
+
+/** The service that most tests send to. */
+export const SERVICE = 'kielimalli';
+
+function createClass(
+  name: string,
+  tier: number,
+  rules: Pick<ServiceClass, 'floor' | 'preemptible' | 'repeatable'>,
+): ServiceClass {
+  const target = { firstToken: 500, tokenGap: 50 };
+  return { name, tier, target, deadline: 10_000, ...rules };
+}
+
+/** One class of each kind that the rules tell apart. */
+export const classes = {
+  gate: createClass('gate', 0, { floor: 0, preemptible: false, repeatable: true }),
+  hold: createClass('hold', 1, { floor: 0, preemptible: false, repeatable: false }),
+  chat: createClass('chat', 2, { floor: 0.1, preemptible: true, repeatable: true }),
+  report: createClass('report', 3, { floor: 0.1, preemptible: true, repeatable: true }),
+  draft: createClass('draft', 5, { floor: 0.05, preemptible: true, repeatable: true }),
+};
+
+/** The classes whose answers are streamed and can be resumed. */
+const RESUMABLE = new Set(['chat', 'draft']);
+
+/** A replica of the tests' service. */
+export function createReplica(id: string, rules: Partial<Replica> = {}): Replica {
+  return {
+    id,
+    service: SERVICE,
+    availabilityZone: 'espoo',
+    host: '127.0.0.1',
+    port: 9000,
+    slots: 2,
+    checksFencing: true,
+    placement: [],
+    ...rules,
+  };
+}
+
+/** A request of a class. */
+export function createRequest(
+  id: string,
+  serviceClass: ServiceClass,
+  rules: Partial<ScheduledRequest> = {},
+): ScheduledRequest {
+  return {
+    id,
+    service: SERVICE,
+    workspace: 'painotalo',
+    workspaceWeight: 1,
+    serviceClass,
+    resumable: RESUMABLE.has(serviceClass.name),
+    arrived: 0,
+    ...rules,
+  };
+}
