Add the baselines that the experiment compares with

Change: first-in-first-out with the replicas in turn, least outstanding, strict priority, on the scheduler's own messages. A dispatch may state the priority given to the engine, so that the first two can be told apart from strict priority where engines honour priorities. Ruled out: baselines that break whole answers or run twice what may not be repeated; beating those would show nothing.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,9 @@
+export type { Baseline } from './lib/baselines/Baseline.js';
+export {
+  createFirstInFirstOut,
+  createLeastOutstanding,
+  createStrictPriority,
+} from './lib/baselines/createBaselines.js';
 export { AttemptEnd, CancelReason, GiveUpReason, Outcome } from './lib/messages.js';
 export type {
   LoadReport,
--- /dev/null
+++ b/packages/policy/src/lib/baselines/Baseline.test.ts
@@ -0,0 +1,74 @@
+import { createRandom, ManualClock } from '@apricotrill/utils';
+import { classes, createReplica, createRequest } from '../../test/fixtures.js';
+import { AttemptEnd, Outcome } from '../messages.js';
+import type { SchedulerEffect } from '../messages.js';
+import type { SchedulerParts } from '../Scheduler/Scheduler.js';
+import type { Baseline } from './Baseline.js';
+import {
+  createFirstInFirstOut,
+  createLeastOutstanding,
+  createStrictPriority,
+} from './createBaselines.js';
+
+type Dispatch = Extract<SchedulerEffect, { kind: 'dispatch' }>;
+
+const REPLICAS = [createReplica('replica-1'), createReplica('replica-2', { slots: 1 })];
+
+function start(create: (parts: SchedulerParts) => Baseline) {
+  const effects: SchedulerEffect[] = [];
+  const baseline = create({
+    clock: new ManualClock(),
+    random: createRandom(1),
+    emit: (effect) => effects.push(effect),
+  });
+  baseline.handle({ kind: 'replicas', replicas: REPLICAS });
+  const submit = (id: string, name: keyof typeof classes) =>
+    baseline.handle({ kind: 'submit', request: createRequest(id, classes[name]) });
+  const end = (id: string, attempt: number, how: AttemptEnd) =>
+    baseline.handle({ kind: 'attempt-ended', id, attempt, end: how });
+  const getDispatches = () =>
+    effects.filter((effect): effect is Dispatch => effect.kind === 'dispatch');
+  return { baseline, effects, submit, end, getDispatches };
+}
+
+describe('baselines', () => {
+  it('serve in order of arrival with the replicas in turn', () => {
+    const { submit, end, getDispatches } = start(createFirstInFirstOut);
+    ['a', 'b', 'c', 'd'].forEach((id) => submit(id, 'draft'));
+    submit('e', 'gate');
+    end('a', 1, AttemptEnd.Completed);
+    end('b', 1, AttemptEnd.Completed);
+    const dispatches = getDispatches();
+    expect(dispatches.map(({ id }) => id)).toEqual(['a', 'b', 'c', 'd', 'e']);
+    expect(dispatches.slice(0, 2).map(({ replica }) => replica.id)).toEqual([
+      'replica-2',
+      'replica-1',
+    ]);
+    expect(new Set(dispatches.map(({ priority }) => priority)).size).toBe(1);
+  });
+
+  it('send to the least outstanding replica', () => {
+    const { submit, getDispatches } = start(createLeastOutstanding);
+    ['a', 'b'].forEach((id) => submit(id, 'draft'));
+    expect(new Set(getDispatches().map(({ replica }) => replica.id)).size).toBe(2);
+  });
+
+  it('serve the most urgent tier first', () => {
+    const { submit, end, getDispatches } = start(createStrictPriority);
+    ['a', 'b', 'c', 'd'].forEach((id) => submit(id, 'draft'));
+    submit('e', 'gate');
+    end('a', 1, AttemptEnd.Completed);
+    expect(getDispatches().at(-1)).toMatchObject({ id: 'e', priority: 0 });
+  });
+
+  it('go on at the delivered token, and never run twice what may not be repeated', () => {
+    const { baseline, effects, submit, end, getDispatches } = start(createLeastOutstanding);
+    submit('a', 'chat');
+    baseline.handle({ kind: 'progress', id: 'a', attempt: 1, tokens: 5 });
+    end('a', 1, AttemptEnd.Broken);
+    expect(getDispatches().at(-1)).toMatchObject({ id: 'a', resumeAt: 5 });
+    submit('b', 'hold');
+    end('b', 1, AttemptEnd.Broken);
+    expect(effects.at(-1)).toMatchObject({ kind: 'give-up', outcome: Outcome.Unknown });
+  });
+});
--- a/packages/policy/src/lib/messages.ts
+++ b/packages/policy/src/lib/messages.ts
@@ -114,6 +114,8 @@
       /** Silence allowed until the first token, and between tokens. */
       firstTokenTimeout: Milliseconds;
       tokenGapTimeout: Milliseconds;
+      /** The priority given to the engine; the tier of the request's class when absent. */
+      priority?: number;
       reason: string;
     }
   | { kind: 'cancel'; id: string; attempt: number; replica: string; reason: CancelReason }
