--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/ClaimManager.ts
@@ -0,0 +1,269 @@
+import { exhaustiveSwitchError, StepError } from '@apricotrill/utils';
+import type { Milliseconds, Timer } from '@apricotrill/utils';
+import { createClaimCounters } from '../ClaimCounters.js';
+import type { ClaimCounters } from '../ClaimCounters.js';
+import type { ClaimDecision } from '../ClaimDecision.js';
+import { createClaimOptions } from '../ClaimOptions.js';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import { RefusalReason } from '../claimTypes.js';
+import type {
+  ClaimAnswer,
+  ClaimHandle,
+  ClaimMember,
+  ClaimOutcome,
+  ClaimQuery,
+} from '../claimTypes.js';
+import { ClaimWitness } from '../ClaimWitness/ClaimWitness.js';
+import type { ClaimMessage, ClaimReply } from '../messages.js';
+import { SealRole } from '../messages.js';
+import { isSameProcess } from '../placement.js';
+import { ClaimSeeker } from './ClaimSeeker.js';
+import type { ClaimSettings, HandOverResult } from './ClaimSettings.js';
+import { getKeptOutcome } from './getKeptOutcome.js';
+import { LayoutGuard } from './LayoutGuard.js';
+import { OutcomeReporter } from './OutcomeReporter.js';
+import { OwnerRoute } from './OwnerRoute.js';
+import { ShardRunner } from './ShardRunner.js';
+import { StoreGateway } from './StoreGateway.js';
+import { withTimeout } from './timing.js';
+
+type SealMessage = Extract<ClaimMessage, { kind: 'seal' }>;
+
+/**
+ * One daemon's part in claims: entry, owner and witness at once.
+ *
+ * @example
+ * ```ts
+ * const claims = new ClaimManager({ self, clock, store, transport, getMembers });
+ * const answer = await claims.claim({ workspace, key, fingerprint, requestId });
+ * if (answer.kind === 'granted') {
+ *   const outcome = await run(request);
+ *   claims.settle(answer.handle, outcome);
+ * }
+ * ```
+ * @public
+ */
+export class ClaimManager {
+  private readonly options: ClaimOptions;
+
+  private readonly counters = createClaimCounters();
+
+  private readonly runners: ShardRunner[];
+
+  private readonly witness: ClaimWitness;
+
+  private readonly layout: LayoutGuard;
+
+  private readonly reporter: OutcomeReporter;
+
+  private readonly seeker: ClaimSeeker;
+
+  private readonly onDecision: (decision: ClaimDecision) => void;
+
+  private moveTimer: Timer | undefined;
+
+  private upkeepTimer: Timer | undefined;
+
+  private isDisposed = false;
+
+  constructor(private readonly settings: ClaimSettings) {
+    const { self, clock } = settings;
+    const options = createClaimOptions(settings.options);
+    this.options = options;
+    this.onDecision = settings.onDecision ?? (() => {});
+    const store = new StoreGateway(settings.store, clock, options, this.counters);
+    this.layout = new LayoutGuard(store, options.shards, (found) => this.onMismatch(found));
+    this.witness = new ClaimWitness(self.incarnation, options);
+    let lastId = 0;
+    const createId = () => {
+      lastId += 1;
+      return lastId;
+    };
+    const { counters, layout, onDecision } = this;
+    const callPeer = (peer: ClaimMember, message: ClaimMessage, timeout = options.callTimeout) =>
+      this.callPeer(peer, message, timeout);
+    const route = new OwnerRoute(clock, options, () => this.getMembers(), callPeer);
+    this.reporter = new OutcomeReporter(clock, options, route);
+    const { reporter } = this;
+    const around = { self, clock, options, createId, onDecision };
+    this.seeker = new ClaimSeeker({ ...around, route, reporter });
+    const runnerAround = { ...around, store, layout, counters, callPeer };
+    const members = this.getMembers();
+    this.runners = Array.from(
+      { length: options.shards },
+      (_, shard) => new ShardRunner(shard, runnerAround, members),
+    );
+    this.onMembersChanged();
+    this.startUpkeep();
+  }
+
+  /** What claims have cost since the start. */
+  getCounters(): ClaimCounters {
+    return { ...this.counters };
+  }
+
+  /** The shards this daemon owns now. */
+  getOwnedShards(): number[] {
+    return this.runners.flatMap((runner, shard) => (runner.isOwned ? [shard] : []));
+  }
+
+  /**
+   * Asks for the right to run a request. Ends within the claim timeout; dispatch only on `granted`,
+   * and only before the handle's deadline.
+   *
+   * @example
+   * ```ts
+   * const answer = await claims.claim({ workspace, key, fingerprint, requestId });
+   * ```
+   */
+  async claim(query: ClaimQuery): Promise<ClaimAnswer> {
+    if (this.isDisposed || this.layout.isMismatch) {
+      const reason = this.isDisposed ? RefusalReason.Leaving : RefusalReason.LayoutMismatch;
+      return { kind: 'unavailable', retryAfter: this.options.retryDelayLimit, reason };
+    }
+    return this.seeker.seek(query);
+  }
+
+  /**
+   * Reports how a granted request ended. Nobody needs to wait for the promise: it resolves once
+   * the store has the outcome. `not-run` needs proof, since it frees the key at once.
+   *
+   * @example
+   * ```ts
+   * claims.settle(handle, { kind: 'answered', answer });
+   * ```
+   */
+  settle(handle: ClaimHandle, outcome: ClaimOutcome): Promise<void> {
+    return this.reporter.report(handle, getKeptOutcome(outcome, this.options.answerLimit));
+  }
+
+  /**
+   * Takes a message that a peer sent through its transport.
+   *
+   * @param from - the peer's id
+   * @throws StepError when this daemon has been disposed of: the peer asks elsewhere
+   * @example
+   * ```ts
+   * mesh.handle('claims', (from, message: ClaimMessage) => claims.handle(from, message));
+   * ```
+   */
+  async handle(from: string, message: ClaimMessage): Promise<ClaimReply> {
+    const runner = this.runners[message.shard];
+    if (this.isDisposed || runner === undefined) {
+      throw new StepError('no such shard here', { step: 'claims', peer: from });
+    }
+    switch (message.kind) {
+      case 'claim':
+      case 'settle':
+        return runner.ask(message);
+      case 'remember':
+        return this.witness.handle(message, this.settings.clock.now());
+      case 'seal':
+        return this.onSeal(from, message, runner);
+      case 'take':
+        runner.tell({ kind: 'take' });
+        return { kind: 'noted' };
+      default:
+        throw exhaustiveSwitchError(message);
+    }
+  }
+
+  /** Call it whenever `getMembers` would answer something new. */
+  onMembersChanged(): void {
+    const members = this.getMembers();
+    this.runners.forEach((runner) => runner.tell({ kind: 'members', members }));
+    // Shards move only after a rest, and not again with each further change: a flapping member
+    // would otherwise drag them back and forth.
+    this.moveTimer ??= this.settings.clock.setTimer(this.options.moveDelay, () => {
+      this.moveTimer = undefined;
+      this.rebalance();
+    });
+  }
+
+  /**
+   * Hands all shards over to their next owners and waits until the outcomes reported so far are at
+   * the store. Call it on a graceful shutdown, after the last request ended; claims of this daemon
+   * go on working.
+   *
+   * @param timeout - how long to wait, in milliseconds; what is not done by then is left to the
+   * others, who take over as after a crash
+   * @example
+   * ```ts
+   * await claims.handOver(5000);
+   * claims.dispose();
+   * ```
+   */
+  async handOver(timeout: Milliseconds): Promise<HandOverResult> {
+    this.runners.forEach((runner) => runner.tell({ kind: 'leave' }));
+    const shards = Promise.all(this.runners.map((runner) => runner.whenFree()));
+    const done = Promise.all([shards, this.reporter.flush()]);
+    await withTimeout(this.settings.clock, timeout, done, undefined);
+    const ownedShards = this.getOwnedShards().length;
+    return { ownedShards, unreportedOutcomes: this.reporter.size };
+  }
+
+  /** Stops everything at once; what peers wait for here ends without an answer. */
+  dispose(): void {
+    this.isDisposed = true;
+    this.moveTimer?.cancel();
+    this.upkeepTimer?.cancel();
+    this.reporter.dispose();
+    this.runners.forEach((runner) => runner.dispose());
+  }
+
+  private getMembers(): readonly ClaimMember[] {
+    const { self, getMembers } = this.settings;
+    const others = getMembers().filter(({ id }) => id !== self.id);
+    return [self, ...others];
+  }
+
+  private rebalance(): void {
+    this.runners.forEach((runner) => runner.tell({ kind: 'rebalance' }));
+  }
+
+  /** Looks again at what a lost message or an outage may have left undone. */
+  private startUpkeep(): void {
+    const { clock } = this.settings;
+    this.upkeepTimer = clock.setTimer(this.options.verifyInterval, () => {
+      this.witness.expire(clock.now());
+      this.rebalance();
+      this.startUpkeep();
+    });
+  }
+
+  private onSeal(from: string, message: SealMessage, runner: ShardRunner): Promise<ClaimReply> {
+    const { shard, epoch, role, incarnation } = message;
+    if (role === SealRole.Owner) {
+      const isUs = incarnation === this.settings.self.incarnation;
+      return isUs ? runner.ask({ kind: 'challenge', epoch }) : Promise.resolve({ kind: 'gone' });
+    }
+    this.onDecision({ kind: 'epoch-sealed', shard, epoch, by: from });
+    return Promise.resolve(this.witness.handle(message, this.settings.clock.now()));
+  }
+
+  private onMismatch(found: number): void {
+    this.onDecision({ kind: 'layout-mismatch', expected: this.options.shards, found });
+  }
+
+  private async callPeer(
+    peer: ClaimMember,
+    message: ClaimMessage,
+    timeout: Milliseconds,
+  ): Promise<ClaimReply | undefined> {
+    const { self, clock, transport } = this.settings;
+    if (this.isDisposed) {
+      return undefined;
+    }
+    if (isSameProcess(peer, self)) {
+      // Not within the caller's own turn: a shard must not be entered while it emits effects.
+      return withTimeout(
+        clock,
+        timeout,
+        Promise.resolve().then(() => this.handle(self.id, message)),
+        undefined,
+      );
+    }
+    this.counters.peerCalls += 1;
+    return withTimeout(clock, timeout, transport.call(peer, message), undefined);
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/ClaimSeeker.ts
@@ -0,0 +1,105 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { ClaimDecision } from '../ClaimDecision.js';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import { RefusalReason } from '../claimTypes.js';
+import type { ClaimAnswer, ClaimHandle, ClaimMember, ClaimQuery } from '../claimTypes.js';
+import { getClaimName, getClaimShard } from '../placement.js';
+import type { OutcomeReporter } from './OutcomeReporter.js';
+import type { OwnerRoute } from './OwnerRoute.js';
+import type { OwnerReply, OwnerSearch } from './OwnerSearch.js';
+
+/** What a seeker needs of the daemon around it. */
+export interface SeekerSurroundings {
+  self: ClaimMember;
+  clock: Clock;
+  options: ClaimOptions;
+  route: OwnerRoute;
+  reporter: OutcomeReporter;
+  createId: () => number;
+  onDecision: (decision: ClaimDecision) => void;
+}
+
+/** The entry daemon's side of a claim: asks the owner, and gives up cleanly. */
+export class ClaimSeeker {
+  constructor(private readonly around: SeekerSurroundings) {}
+
+  async seek(query: ClaimQuery): Promise<ClaimAnswer> {
+    const { clock, options, route, self } = this.around;
+    const startedAt = clock.now();
+    const handle = this.createHandle(query, startedAt);
+    const { name, claim, shard } = handle;
+    const { fingerprint, requestId } = query;
+    const holder = { id: self.id, incarnation: self.incarnation };
+    const request = { name, fingerprint, requestId, claim, holder };
+    const until = startedAt + options.claimTimeout;
+    const message = { kind: 'claim' as const, shard, request };
+    const search = await route.ask(shard, message, until, options.callTimeout);
+    const answer = this.getAnswer(search, handle, startedAt);
+    this.report(answer, handle, search.calls, startedAt);
+    return answer;
+  }
+
+  private createHandle(query: ClaimQuery, startedAt: Milliseconds): ClaimHandle {
+    const { self, options, createId } = this.around;
+    const name = getClaimName(query.workspace, query.key);
+    return {
+      shard: getClaimShard(name, options.shards),
+      name,
+      claim: `${self.id}.${self.incarnation}.${createId()}`,
+      requestId: query.requestId,
+      deadline: startedAt + options.retention,
+    };
+  }
+
+  private getAnswer(
+    search: OwnerSearch,
+    handle: ClaimHandle,
+    startedAt: Milliseconds,
+  ): ClaimAnswer {
+    const { clock, options, reporter } = this.around;
+    // A frozen process reads a grant long after it was sent, when the key may have expired and been
+    // granted again. So a grant counts only within the time that owners and witnesses allow for.
+    const isLate = clock.now() - startedAt > options.claimTimeout;
+    const { reply } = search;
+    if (reply?.kind === 'answer' && reply.answer.kind !== 'granted') {
+      return reply.answer;
+    }
+    if (reply?.kind === 'answer' && !isLate) {
+      return { kind: 'granted', handle };
+    }
+    if (search.isUncertain || isLate || (reply?.kind === 'refused' && reply.held)) {
+      // The claim may be remembered although this daemon never uses it: give the key back.
+      reporter.report(handle, { kind: 'not-run' });
+    }
+    return this.getRefusal(reply, search.calls > 0 && search.isUncertain);
+  }
+
+  private getRefusal(reply: OwnerReply | undefined, isUncertain: boolean): ClaimAnswer {
+    const { retryDelayLimit } = this.around.options;
+    if (reply?.kind === 'refused') {
+      return { kind: 'unavailable', retryAfter: reply.retryAfter, reason: reply.reason };
+    }
+    const reason = isUncertain ? RefusalReason.Timeout : RefusalReason.NoOwner;
+    return { kind: 'unavailable', retryAfter: retryDelayLimit, reason };
+  }
+
+  private report(
+    answer: ClaimAnswer,
+    { shard, requestId }: ClaimHandle,
+    calls: number,
+    startedAt: Milliseconds,
+  ): void {
+    const { clock, onDecision } = this.around;
+    const reason = answer.kind === 'unavailable' ? answer.reason : undefined;
+    const spent = clock.now() - startedAt;
+    onDecision({
+      kind: 'claim-ended',
+      shard,
+      requestId,
+      answer: answer.kind,
+      reason,
+      calls,
+      spent,
+    });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/ClaimSettings.ts
@@ -0,0 +1,47 @@
+import type { PlatformStore } from '@apricotrill/platform';
+import type { Clock } from '@apricotrill/utils';
+import type { ClaimDecision } from '../ClaimDecision.js';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import type { ClaimMember } from '../claimTypes.js';
+import type { ClaimMessage, ClaimReply } from '../messages.js';
+
+/**
+ * How daemons reach one another.
+ *
+ * @public
+ */
+export interface ClaimTransport {
+  /**
+   * Delivers a message to a peer's {@link ClaimManager.handle} and brings back its reply. Rejects,
+   * or never ends, when there is none: whether the message arrived is then unknown.
+   */
+  call(peer: ClaimMember, message: ClaimMessage): Promise<ClaimReply>;
+}
+
+/**
+ * What a manager is given.
+ *
+ * @public
+ */
+export interface ClaimSettings {
+  self: ClaimMember;
+  clock: Clock;
+  /** Values that differ from the defaults. */
+  options?: Partial<ClaimOptions>;
+  store: PlatformStore;
+  transport: ClaimTransport;
+  /** The live members by this daemon's view. */
+  getMembers: () => readonly ClaimMember[];
+  /** Called with every decision, for the log. */
+  onDecision?: (decision: ClaimDecision) => void;
+}
+
+/**
+ * What a hand-over could not finish in time; zeros mean a clean end.
+ *
+ * @public
+ */
+export interface HandOverResult {
+  ownedShards: number;
+  unreportedOutcomes: number;
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/OutcomeReporter.ts
@@ -0,0 +1,83 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import type { ClaimHandle, ClaimOutcome } from '../claimTypes.js';
+import type { OwnerRoute } from './OwnerRoute.js';
+import { delay } from './timing.js';
+
+/** An entry outlives its request by at most this many retentions. */
+const REPORT_RETENTIONS = 2;
+
+/** Longest wait between reports of an outcome that the owner holds but the store does not. */
+const HELD_DELAY_LIMIT = 60_000;
+
+/**
+ * Reports outcomes to owners until the store has them: an owner that crashes before its commit
+ * forgets the outcome, and repeats would be told `in-progress` or `unknown` for a request whose
+ * answer is known.
+ */
+export class OutcomeReporter {
+  private readonly running = new Map<string, Promise<void>>();
+
+  private isDisposed = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: ClaimOptions,
+    private readonly route: OwnerRoute,
+  ) {}
+
+  /** How many outcomes the store does not have yet. */
+  get size(): number {
+    return this.running.size;
+  }
+
+  /** @returns a promise that resolves once the store has the outcome, or the claim has expired */
+  report(handle: ClaimHandle, outcome: ClaimOutcome): Promise<void> {
+    const { claim } = handle;
+    const running = this.run(handle, outcome).finally(() => this.running.delete(claim));
+    this.running.set(claim, running);
+    return running;
+  }
+
+  /** Resolves once the outcomes reported so far are through. */
+  async flush(): Promise<void> {
+    await Promise.all(this.running.values());
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+  }
+
+  private async run(handle: ClaimHandle, outcome: ClaimOutcome): Promise<void> {
+    const until = this.clock.now() + REPORT_RETENTIONS * this.options.retention;
+    let wait = this.options.retryDelay;
+    while (!this.isDisposed && this.clock.now() < until) {
+      // One try after the other, until one is confirmed.
+      // eslint-disable-next-line no-await-in-loop
+      const state = await this.tryOnce(handle, outcome);
+      if (state === 'durable') {
+        return;
+      }
+      const limit = state === 'held' ? HELD_DELAY_LIMIT : this.options.retryDelayLimit;
+      wait = Math.min(wait * 2, limit);
+      // eslint-disable-next-line no-await-in-loop
+      await delay(this.clock, wait);
+    }
+  }
+
+  private async tryOnce(
+    handle: ClaimHandle,
+    outcome: ClaimOutcome,
+  ): Promise<'durable' | 'held' | 'failed'> {
+    const { shard, name, claim } = handle;
+    const { claimTimeout, callTimeout } = this.options;
+    // The owner replies once its commit is confirmed, within the claim timeout.
+    const timeout: Milliseconds = claimTimeout + callTimeout;
+    const message = { kind: 'settle' as const, shard, name, claim, outcome };
+    const { reply } = await this.route.ask(shard, message, this.clock.now() + timeout, timeout);
+    if (reply?.kind !== 'settled') {
+      return 'failed';
+    }
+    return reply.durable ? 'durable' : 'held';
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/OwnerRoute.ts
@@ -0,0 +1,62 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import type { ClaimMember } from '../claimTypes.js';
+import type { ClaimMessage, ClaimReply } from '../messages.js';
+import { getOwnerOrder } from '../placement.js';
+import { OwnerSearch } from './OwnerSearch.js';
+
+type PeerCall = (
+  peer: ClaimMember,
+  message: ClaimMessage,
+  timeout: Milliseconds,
+) => Promise<ClaimReply | undefined>;
+
+/** Where this daemon found each shard's owner last. */
+export class OwnerRoute {
+  private readonly hints = new Map<number, ClaimMember>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: ClaimOptions,
+    private readonly getMembers: () => readonly ClaimMember[],
+    private readonly callPeer: PeerCall,
+  ) {}
+
+  /**
+   * Sends a message to a shard's owner, whoever that is.
+   *
+   * @param until - when to stop looking
+   * @param callTimeout - how long one daemon may take
+   */
+  async ask(
+    shard: number,
+    message: ClaimMessage,
+    until: Milliseconds,
+    callTimeout: Milliseconds,
+  ): Promise<OwnerSearch> {
+    const search = new OwnerSearch({
+      clock: this.clock,
+      until,
+      callTimeout,
+      retryDelay: this.options.retryDelay,
+      getTargets: () => this.getTargets(shard),
+      call: (peer, timeout) => this.callPeer(peer, message, timeout),
+      onMiss: (peer) => this.forget(shard, peer),
+      onFound: (peer) => this.hints.set(shard, peer),
+    });
+    await search.run();
+    return search;
+  }
+
+  private getTargets(shard: number): ClaimMember[] {
+    const hint = this.hints.get(shard);
+    const order = getOwnerOrder(shard, this.getMembers()).slice(0, this.options.candidates);
+    return hint === undefined ? order : [hint, ...order];
+  }
+
+  private forget(shard: number, peer: ClaimMember): void {
+    if (this.hints.get(shard)?.id === peer.id) {
+      this.hints.delete(shard);
+    }
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/ShardRunner.ts
@@ -0,0 +1,180 @@
+import { exhaustiveSwitchError, StepError } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { ClaimCounters } from '../ClaimCounters.js';
+import type { ClaimDecision } from '../ClaimDecision.js';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import type { ClaimMember } from '../claimTypes.js';
+import { ClaimShard } from '../ClaimShard/ClaimShard.js';
+import { NO_ANSWER } from '../ClaimShard/shardMessages.js';
+import type { ShardEffect, ShardInput } from '../ClaimShard/shardMessages.js';
+import type { ClaimMessage, ClaimReply } from '../messages.js';
+import { getHeadKey, getSegmentPrefix } from '../ShardHead.js';
+import type { LayoutGuard } from './LayoutGuard.js';
+import type { StoreGateway } from './StoreGateway.js';
+
+/** What the runners of a daemon share. */
+export interface RunnerSurroundings {
+  self: ClaimMember;
+  clock: Clock;
+  options: ClaimOptions;
+  store: StoreGateway;
+  layout: LayoutGuard;
+  counters: ClaimCounters;
+  createId: () => number;
+  onDecision: (decision: ClaimDecision) => void;
+  /** @returns undefined when the peer gave no answer in time */
+  callPeer: (peer: ClaimMember, message: ClaimMessage) => Promise<ClaimReply | undefined>;
+}
+
+type WithoutCall<Input> = Input extends { call: number } ? Omit<Input, 'call'> : never;
+
+/** An input that is answered. */
+type Question = WithoutCall<ShardInput>;
+
+interface PendingCall {
+  resolve: (reply: ClaimReply) => void;
+  reject: (error: Error) => void;
+}
+
+/** The task around one shard: feeds it inputs with the time and does what it wants done. */
+export class ShardRunner {
+  private readonly shard: ClaimShard;
+
+  private readonly calls = new Map<number, PendingCall>();
+
+  private timer: Timer | undefined;
+
+  private timerAt: Milliseconds = Number.POSITIVE_INFINITY;
+
+  private freed: (() => void)[] = [];
+
+  private isDisposed = false;
+
+  constructor(
+    private readonly index: number,
+    private readonly around: RunnerSurroundings,
+    members: readonly ClaimMember[],
+  ) {
+    const { self, options, createId } = around;
+    const emit = (effect: ShardEffect) => this.run(effect);
+    this.shard = new ClaimShard({ shard: index, self, options, emit, members, createId });
+  }
+
+  get isOwned(): boolean {
+    return this.shard.isOwned;
+  }
+
+  /** Hands a claim, an outcome or a challenge to the shard and waits for its reply. */
+  ask(input: Question): Promise<ClaimReply> {
+    return new Promise((resolve, reject) => {
+      const call = this.around.createId();
+      this.calls.set(call, { resolve, reject });
+      this.tell({ ...input, call });
+    });
+  }
+
+  tell(input: ShardInput): void {
+    if (this.isDisposed) {
+      return;
+    }
+    this.shard.handle(input, this.around.clock.now());
+    if (!this.shard.isOwned) {
+      this.freed.forEach((resolve) => resolve());
+      this.freed = [];
+    }
+  }
+
+  /** Resolves once this daemon does not own the shard. */
+  whenFree(): Promise<void> {
+    return this.shard.isOwned
+      ? new Promise((resolve) => {
+          this.freed.push(resolve);
+        })
+      : Promise.resolve();
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.timer?.cancel();
+    const peer = this.around.self.id;
+    const error = new StepError('disposed of', { step: 'claims', peer });
+    this.calls.forEach(({ reject }) => reject(error));
+    this.calls.clear();
+  }
+
+  private run(effect: ShardEffect): void {
+    const { around } = this;
+    switch (effect.kind) {
+      case 'reply':
+        this.calls.get(effect.call)?.resolve(effect.reply);
+        this.calls.delete(effect.call);
+        break;
+      case 'read-head':
+        this.readHead(effect.id);
+        break;
+      case 'read-segments':
+        this.readSegments(effect.id);
+        break;
+      case 'write':
+        this.write(effect);
+        break;
+      case 'delete':
+        // A segment left behind costs space, nothing else.
+        around.store.delete(effect.key, effect.expectedVersion);
+        break;
+      case 'call-peer':
+        this.callPeer(effect);
+        break;
+      case 'wake':
+        this.setTimer(effect.at);
+        break;
+      case 'committed':
+        around.counters.commits += 1;
+        around.counters.committedClaims += effect.claims;
+        break;
+      case 'decision':
+        around.onDecision(effect.decision);
+        break;
+      default:
+        throw exhaustiveSwitchError(effect);
+    }
+  }
+
+  private async readHead(id: number): Promise<void> {
+    const { layout, store } = this.around;
+    const isOurs = await layout.check();
+    const result = isOurs ? await store.get(getHeadKey(this.index)) : NO_ANSWER;
+    this.tell({ kind: 'head-read', id, result });
+  }
+
+  private async readSegments(id: number): Promise<void> {
+    const result = await this.around.store.list(getSegmentPrefix(this.index));
+    this.tell({ kind: 'segments-read', id, result });
+  }
+
+  private async write(effect: Extract<ShardEffect, { kind: 'write' }>): Promise<void> {
+    const { id, key, value, expectedVersion } = effect;
+    const result = await this.around.store.put(key, value, expectedVersion);
+    this.tell({ kind: 'written', id, result });
+  }
+
+  private async callPeer(effect: Extract<ShardEffect, { kind: 'call-peer' }>): Promise<void> {
+    const { id, peer, message } = effect;
+    this.around.counters.witnessCalls += message.kind === 'remember' ? 1 : 0;
+    const reply = await this.around.callPeer(peer, message);
+    this.tell({ kind: 'peer-replied', id, reply });
+  }
+
+  private setTimer(at: Milliseconds): void {
+    if (at >= this.timerAt) {
+      return;
+    }
+    this.timer?.cancel();
+    this.timerAt = at;
+    const { clock } = this.around;
+    this.timer = clock.setTimer(at - clock.now(), () => {
+      this.timerAt = Number.POSITIVE_INFINITY;
+      this.tell({ kind: 'wake' });
+    });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/StoreGateway.ts
@@ -0,0 +1,54 @@
+import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import type { Clock } from '@apricotrill/utils';
+import type { ClaimCounters } from '../ClaimCounters.js';
+import type { ClaimOptions } from '../ClaimOptions.js';
+import { NO_ANSWER } from '../ClaimShard/shardMessages.js';
+import type { HeadRead, SegmentsRead, WriteResult } from '../ClaimShard/shardMessages.js';
+import { withTimeout } from './timing.js';
+
+/**
+ * The store as shards see it: each call ends within the store timeout, and every failure is the
+ * same "no answer", after which a write may or may not have taken effect.
+ */
+export class StoreGateway {
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly clock: Clock,
+    private readonly options: ClaimOptions,
+    private readonly counters: ClaimCounters,
+  ) {}
+
+  async get(key: string): Promise<HeadRead> {
+    this.counters.storeReads += 1;
+    const read = async () => ({ object: await this.store.get(key) });
+    return this.bound(read());
+  }
+
+  async list(prefix: string): Promise<SegmentsRead> {
+    this.counters.storeLists += 1;
+    return this.bound<StoredObject[]>(this.store.list(prefix));
+  }
+
+  async put(key: string, value: string, expectedVersion: number): Promise<WriteResult> {
+    this.counters.storeWrites += 1;
+    this.counters.storeWrittenSize += value.length;
+    return this.bound(this.store.put(key, value, expectedVersion));
+  }
+
+  async delete(key: string, expectedVersion: number): Promise<WriteResult> {
+    this.counters.storeDeletes += 1;
+    return this.bound(this.store.delete(key, expectedVersion));
+  }
+
+  private async bound<Value>(call: Promise<Value>): Promise<Value | typeof NO_ANSWER> {
+    const { storeTimeout } = this.options;
+    const result = await withTimeout<Value, typeof NO_ANSWER>(
+      this.clock,
+      storeTimeout,
+      call,
+      NO_ANSWER,
+    );
+    this.counters.storeFailures += result === NO_ANSWER ? 1 : 0;
+    return result;
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimShard/CallProcessor.ts
@@ -0,0 +1,132 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import { AnswerSource } from '../ClaimDecision.js';
+import type { ClaimOutcome } from '../claimTypes.js';
+import { RefusalReason, UnknownCause } from '../claimTypes.js';
+import type { ClaimEntry, OwnerAnswer } from '../messages.js';
+import { EntryState } from '../messages.js';
+import { applyOutcome, createEntry, getAnswerForRepeat } from './entries.js';
+import type { ShardCall, ShardContext } from './shardMessages.js';
+import type { ShardTable } from './ShardTable.js';
+import type { WaitingCalls } from './WaitingCalls.js';
+
+type ClaimCall = Extract<ShardCall, { kind: 'claim' }>;
+
+type SettleCall = Extract<ShardCall, { kind: 'settle' }>;
+
+/** What the processor needs of the ownership around it. */
+export interface ProcessorSource {
+  getEpoch(): number;
+  /** Whether keys may have been granted that the table does not hold. */
+  isQuarantined(): boolean;
+  getSequence(): number;
+  /** Whether the store or the witness can make a new grant safe, as far as we know. */
+  canGrant(now: Milliseconds): boolean;
+  /** Notes a change of the table; `due` is when a commit must start at the latest. */
+  mutate(name: string, claim: string, entry: ClaimEntry | undefined, due: Milliseconds): void;
+}
+
+/** Answers claims and takes outcomes while the shard is owned. */
+export class CallProcessor {
+  /** Claims given up by their entry daemon, with the time until which a late copy is refused. */
+  private readonly abandoned = new Map<string, Milliseconds>();
+
+  constructor(
+    private readonly context: ShardContext,
+    private readonly table: ShardTable,
+    private readonly waiting: WaitingCalls,
+    private readonly source: ProcessorSource,
+  ) {}
+
+  claim(input: ClaimCall, now: Milliseconds): void {
+    const { request } = input;
+    const entry = this.table.get(request.name, now);
+    if (entry?.claim === request.claim && entry.state === EntryState.Running) {
+      // The same try again, after its first reply was lost: it waits for the same mutation.
+      this.waiting.add({ input, sequence: entry.sequence, since: now });
+    } else if (entry !== undefined) {
+      this.answer(input, getAnswerForRepeat(entry, request, this.context, now));
+    } else if (this.isAbandoned(request.claim, now)) {
+      this.refuse(input, RefusalReason.Timeout);
+    } else if (this.source.isQuarantined()) {
+      this.answer(input, { kind: 'unknown', cause: UnknownCause.Quarantine });
+    } else {
+      this.claimNew(input, now);
+    }
+  }
+
+  settle(input: SettleCall, now: Milliseconds): void {
+    const entry = this.table.get(input.name, now);
+    const isOurs = entry?.claim === input.claim;
+    if (isOurs && entry.state !== EntryState.Settled) {
+      const { options } = this.context;
+      const outcome = this.getKeptOutcome(input.outcome);
+      const changed = applyOutcome(entry, outcome, options, now);
+      this.source.mutate(entry.name, entry.claim, changed, now + options.settleDelay);
+    }
+    if (input.outcome.kind === 'not-run') {
+      this.abandon(input.claim, now);
+    }
+    const isKept = isOurs && entry.state === EntryState.Settled;
+    const sequence = isKept ? entry.sequence : this.source.getSequence();
+    this.waiting.add({ input, sequence, since: now });
+  }
+
+  /** During a long outage nothing leaves the head: keep it under the store's limit. */
+  private getKeptOutcome(outcome: ClaimOutcome): ClaimOutcome {
+    if (outcome.kind !== 'answered' || this.table.size < this.context.options.headLimit / 2) {
+      return outcome;
+    }
+    return { kind: 'answered', answer: { kind: 'status-only', status: outcome.answer.status } };
+  }
+
+  private claimNew(input: ClaimCall, now: Milliseconds): void {
+    const { options } = this.context;
+    const { request } = input;
+    if (!this.source.canGrant(now)) {
+      this.refuse(input, RefusalReason.StoreUnavailable);
+    } else if (this.table.count >= options.entryLimit || this.table.size >= options.headLimit) {
+      this.refuse(input, RefusalReason.Overload);
+    } else {
+      const entry = createEntry(request, options, this.source.getSequence() + 1, now);
+      this.source.mutate(entry.name, entry.claim, entry, now);
+      this.waiting.add({ input, sequence: entry.sequence, since: now });
+    }
+  }
+
+  /**
+   * Remembers a claim as given up. Without it, a copy of the claim that the network delivers after
+   * the release would take the key for a request that no longer exists, and every repeat would be
+   * told `in-progress` until it expires.
+   */
+  private abandon(claim: string, now: Milliseconds): void {
+    this.abandoned.set(claim, now + this.context.options.retention);
+    for (const [old, until] of this.abandoned) {
+      if (until > now) {
+        break;
+      }
+      this.abandoned.delete(old);
+    }
+  }
+
+  private isAbandoned(claim: string, now: Milliseconds): boolean {
+    return (this.abandoned.get(claim) ?? now) > now;
+  }
+
+  private answer(input: ClaimCall, answer: OwnerAnswer): void {
+    const { shard, emit } = this.context;
+    emit({ kind: 'reply', call: input.call, reply: { kind: 'answer', answer } });
+    const { requestId, holder } = input.request;
+    const source = AnswerSource.Memory;
+    const facts = { shard, epoch: this.source.getEpoch(), requestId, holder: holder.id, source };
+    emit({ kind: 'decision', decision: { kind: 'claim-answered', answer: answer.kind, ...facts } });
+  }
+
+  private refuse(input: ClaimCall, reason: RefusalReason): void {
+    const { shard, emit, options } = this.context;
+    const retryAfter = options.retryDelayLimit;
+    const reply = { kind: 'refused' as const, reason, retryAfter, held: false };
+    emit({ kind: 'reply', call: input.call, reply });
+    const { requestId } = input.request;
+    emit({ kind: 'decision', decision: { kind: 'claim-refused', shard, requestId, reason } });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/ClaimShard/WaitingCalls.ts
@@ -0,0 +1,97 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import { AnswerSource } from '../ClaimDecision.js';
+import { RefusalReason } from '../claimTypes.js';
+import type { ShardCall, ShardContext } from './shardMessages.js';
+
+/** A call that is answered once a mutation is safe. */
+export interface WaitingCall {
+  input: ShardCall;
+  /** The mutation it waits for. */
+  sequence: number;
+  since: Milliseconds;
+}
+
+/** The calls whose reply waits for the store or the witness. */
+export class WaitingCalls {
+  private calls: WaitingCall[] = [];
+
+  constructor(private readonly context: ShardContext) {}
+
+  /** Since when the claim waits that has waited longest. */
+  getOldestClaim(): Milliseconds {
+    const claims = this.calls.filter(({ input }) => input.kind === 'claim');
+    return Math.min(...claims.map(({ since }) => since));
+  }
+
+  getNextExpiry(): Milliseconds {
+    const first = this.calls[0];
+    return first === undefined
+      ? Number.POSITIVE_INFINITY
+      : first.since + this.context.options.claimTimeout;
+  }
+
+  add(call: WaitingCall): void {
+    this.calls.push(call);
+  }
+
+  drain(): ShardCall[] {
+    const drained = this.calls.map(({ input }) => input);
+    this.calls = [];
+    return drained;
+  }
+
+  /**
+   * Answers what has become safe: a claim once the store or the witness has it, an outcome only
+   * once the store has it, so that its daemon goes on reporting it until then.
+   */
+  release(committed: number, witnessed: number, epoch: number): void {
+    const safe = Math.max(committed, witnessed);
+    const rest: WaitingCall[] = [];
+    for (const call of this.calls) {
+      const { input, sequence } = call;
+      if (input.kind === 'claim' && sequence <= safe) {
+        const source = sequence <= committed ? AnswerSource.Store : AnswerSource.Witness;
+        this.grant(input, source, epoch);
+      } else if (input.kind === 'settle' && sequence <= committed) {
+        const reply = { kind: 'settled' as const, durable: true };
+        this.context.emit({ kind: 'reply', call: input.call, reply });
+      } else {
+        rest.push(call);
+      }
+    }
+    this.calls = rest;
+  }
+
+  /** Gives up on calls that waited too long; what they asked for may still become safe. */
+  expire(now: Milliseconds): void {
+    while (this.getNextExpiry() <= now) {
+      const { input } = this.calls.shift()!;
+      this.context.emit({
+        kind: 'reply',
+        call: input.call,
+        reply:
+          input.kind === 'claim'
+            ? {
+                kind: 'refused',
+                reason: RefusalReason.Timeout,
+                retryAfter: this.context.options.retryDelayLimit,
+                held: true,
+              }
+            : { kind: 'settled', durable: false },
+      });
+    }
+  }
+
+  private grant(
+    input: Extract<ShardCall, { kind: 'claim' }>,
+    source: AnswerSource,
+    epoch: number,
+  ): void {
+    const { shard, emit } = this.context;
+    const { requestId, holder } = input.request;
+    const answer = { kind: 'granted' as const };
+    emit({ kind: 'reply', call: input.call, reply: { kind: 'answer', answer } });
+    const facts = { shard, epoch, requestId, holder: holder.id, answer: answer.kind, source };
+    emit({ kind: 'decision', decision: { kind: 'claim-answered', ...facts } });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/lib/claimTypes.ts
@@ -0,0 +1,127 @@
+import type { Milliseconds } from '@apricotrill/utils';
+
+/**
+ * A live daemon that takes part in claims.
+ *
+ * @public
+ */
+export interface ClaimMember {
+  id: string;
+  /** Grows with each start of the process: an older incarnation of the same id has ended. */
+  incarnation: number;
+  availabilityZone: string;
+  /** Where its peers reach it, as `host:port`. */
+  address: string;
+}
+
+/**
+ * The process that runs a claimed request.
+ *
+ * @public
+ */
+export interface ClaimHolder {
+  id: string;
+  incarnation: number;
+}
+
+/**
+ * What a daemon asks before it dispatches a request that may not be repeated.
+ *
+ * @public
+ */
+export interface ClaimQuery {
+  workspace: string;
+  /** The caller's Idempotency-Key. */
+  key: string;
+  /** Hash over method, path and body: the same key with another one is a mistake of the caller. */
+  fingerprint: string;
+  requestId: string;
+}
+
+/**
+ * The right to run a request once.
+ *
+ * @public
+ */
+export interface ClaimHandle {
+  shard: number;
+  name: string;
+  /** Identity of this grant, unique over all daemons and time. */
+  claim: string;
+  requestId: string;
+  /**
+   * By the entry daemon's clock: dispatch only before it, and end the request by then. A run that
+   * outlives it is no longer protected against a second one.
+   */
+  deadline: Milliseconds;
+}
+
+/**
+ * The whole answer of a request that ran.
+ *
+ * @public
+ */
+export interface WholeAnswer {
+  kind: 'whole';
+  status: number;
+  headers: Record<string, string>;
+  body: string;
+}
+
+/**
+ * What is kept of an answer for repeats: all of it, or its status when the body was too long.
+ *
+ * @public
+ */
+export type StoredAnswer = WholeAnswer | { kind: 'status-only'; status: number };
+
+/**
+ * How a granted request ended. `not-run` needs proof (no byte left the daemon, or a documented
+ * refusal) and frees the key; `unknown` is everything that broke after it may have run.
+ *
+ * @public
+ */
+export type ClaimOutcome =
+  { kind: 'answered'; answer: StoredAnswer } | { kind: 'not-run' } | { kind: 'unknown' };
+
+/** Why nobody can tell whether a key's request ran. */
+export enum UnknownCause {
+  /** The daemon that ran it is gone and left no outcome. */
+  HolderGone = 'holder-gone',
+  /** Its connection broke after it may have run. */
+  Broken = 'broken',
+  /** It has been running for longer than the retention. */
+  Overdue = 'overdue',
+  /** The shard's last owner and its witness were both lost: grants may be unknown here. */
+  Quarantine = 'quarantine',
+}
+
+/** Why a claim was refused without running. */
+export enum RefusalReason {
+  /** The store gives no answer, and the witness cannot stand in. */
+  StoreUnavailable = 'store-unavailable',
+  /** No reachable daemon owns the shard. */
+  NoOwner = 'no-owner',
+  /** No answer in time. */
+  Timeout = 'timeout',
+  /** The shard remembers as much as it may. */
+  Overload = 'overload',
+  /** This daemon is shutting down. */
+  Leaving = 'leaving',
+  /** Daemons disagree on the number of shards. */
+  LayoutMismatch = 'layout-mismatch',
+}
+
+/**
+ * The answer to a claim. Only `granted` allows a dispatch; `unavailable` proves that this request
+ * did not run.
+ *
+ * @public
+ */
+export type ClaimAnswer =
+  | { kind: 'granted'; handle: ClaimHandle }
+  | { kind: 'in-progress'; requestId: string }
+  | { kind: 'settled'; requestId: string; answer: StoredAnswer }
+  | { kind: 'mismatch'; requestId: string }
+  | { kind: 'unknown'; cause: UnknownCause }
+  | { kind: 'unavailable'; retryAfter: Milliseconds; reason: RefusalReason };
--- /dev/null
+++ b/packages/claims/src/lib/placement.ts
@@ -0,0 +1,77 @@
+import { getHash, getRendezvousOrder } from '@apricotrill/utils';
+import type { ClaimHolder, ClaimMember } from './claimTypes.js';
+
+/**
+ * The name a key is remembered by. Encoded, so that a slash in a workspace's name cannot make two
+ * workspaces share a key.
+ *
+ * @example
+ * ```ts
+ * getClaimName('painotuote', 'order-17'); // 'painotuote/order-17'
+ * ```
+ * @public
+ */
+export function getClaimName(workspace: string, key: string): string {
+  return `${encodeURIComponent(workspace)}/${key}`;
+}
+
+/**
+ * The shard a name belongs to.
+ *
+ * @example
+ * ```ts
+ * const shard = getClaimShard(getClaimName(workspace, key), options.shards);
+ * ```
+ * @public
+ */
+export function getClaimShard(name: string, shards: number): number {
+  return getHash(name) % shards;
+}
+
+/**
+ * The members in the order in which they should own a shard.
+ *
+ * @example
+ * ```ts
+ * const [preferred] = getOwnerOrder(shard, members);
+ * ```
+ * @public
+ */
+export function getOwnerOrder(shard: number, members: readonly ClaimMember[]): ClaimMember[] {
+  const byId = new Map(members.map((member) => [member.id, member]));
+  return getRendezvousOrder(`claims/${shard}`, [...byId.keys()]).map((id) => byId.get(id)!);
+}
+
+/**
+ * The witness an owner should name: the most preferred other member, if possible in another
+ * availability zone, so that one power cut does not take both.
+ *
+ * @returns undefined when the owner is alone
+ * @example
+ * ```ts
+ * const witness = getPreferredWitness(shard, self, members);
+ * ```
+ * @public
+ */
+export function getPreferredWitness(
+  shard: number,
+  owner: ClaimMember,
+  members: readonly ClaimMember[],
+): ClaimMember | undefined {
+  const others = getOwnerOrder(shard, members).filter(({ id }) => id !== owner.id);
+  const apart = others.find(({ availabilityZone }) => availabilityZone !== owner.availabilityZone);
+  return apart ?? others[0];
+}
+
+/**
+ * Whether two records speak of the same process.
+ *
+ * @example
+ * ```ts
+ * if (isSameProcess(head.owner, self)) { … }
+ * ```
+ * @public
+ */
+export function isSameProcess(left: ClaimHolder, right: ClaimHolder): boolean {
+  return left.id === right.id && left.incarnation === right.incarnation;
+}
--- /dev/null
+++ b/packages/claims/src/test/ClaimHistory.ts
@@ -0,0 +1,92 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { ClaimAnswer, ClaimHandle, ClaimOutcome } from '../lib/claimTypes.js';
+import type { TestDaemon } from './TestDaemon.js';
+
+/** A claim a caller made, and what it was told. */
+interface Invocation {
+  key: string;
+  fingerprint: string;
+  answer?: ClaimAnswer;
+}
+
+/** A grant: the request runs from here on, as far as anyone can tell. */
+export interface Grant {
+  key: string;
+  fingerprint: string;
+  daemon: TestDaemon;
+  handle: ClaimHandle;
+  at: Milliseconds;
+  outcome?: ClaimOutcome;
+}
+
+/** The oracle: what callers saw, checked as it happens. */
+export class ClaimHistory {
+  readonly grants: Grant[] = [];
+
+  private readonly invocations: Invocation[] = [];
+
+  constructor(private readonly retention: Milliseconds) {}
+
+  invoke(key: string, fingerprint: string): Invocation {
+    const invocation = { key, fingerprint };
+    this.invocations.push(invocation);
+    return invocation;
+  }
+
+  /** Checks an answer, and notes a grant. @throws Error naming the promise that is broken */
+  answer(invocation: Invocation, answer: ClaimAnswer, daemon: TestDaemon, now: Milliseconds): void {
+    Object.assign(invocation, { answer });
+    switch (answer.kind) {
+      case 'granted':
+        this.grant(invocation, answer.handle, daemon, now);
+        break;
+      case 'settled':
+        this.checkSettled(invocation, answer);
+        break;
+      case 'mismatch':
+        this.checkMismatch(invocation);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private grant(
+    { key, fingerprint }: Invocation,
+    handle: ClaimHandle,
+    daemon: TestDaemon,
+    at: Milliseconds,
+  ): void {
+    const other = this.grants.find(
+      (grant) =>
+        grant.key === key && grant.outcome?.kind !== 'not-run' && at - grant.at < this.retention,
+    );
+    if (other !== undefined) {
+      const spans = `${other.handle.claim} at ${other.at}, ${handle.claim} at ${at}`;
+      throw new Error(`at most once: ${key} granted twice: ${spans}`);
+    }
+    this.grants.push({ key, fingerprint, daemon, handle, at });
+  }
+
+  private checkSettled(
+    { key, fingerprint }: Invocation,
+    { requestId, answer }: Extract<ClaimAnswer, { kind: 'settled' }>,
+  ): void {
+    const grant = this.grants.find(({ handle }) => handle.requestId === requestId);
+    const { outcome } = grant ?? {};
+    const ran = outcome?.kind === 'answered' ? JSON.stringify(outcome.answer) : undefined;
+    const isOfKey = grant?.key === key && grant.fingerprint === fingerprint;
+    if (!isOfKey || ran !== JSON.stringify(answer)) {
+      throw new Error(`whole answers: ${key} was answered with the outcome of ${requestId}`);
+    }
+  }
+
+  private checkMismatch({ key, fingerprint }: Invocation): void {
+    const hasOther = this.invocations.some(
+      (other) => other.key === key && other.fingerprint !== fingerprint,
+    );
+    if (!hasOther) {
+      throw new Error(`${key} never had another fingerprint`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/claims/src/test/ClaimWorld.ts
@@ -0,0 +1,128 @@
+import type fc from 'fast-check';
+import type { Milliseconds } from '@apricotrill/utils';
+import type { ClaimOutcome } from '../lib/claimTypes.js';
+import type { ShardHead } from '../lib/ShardHead.js';
+import { ClaimHistory } from './ClaimHistory.js';
+import { drain, TEST_OPTIONS, TestCluster } from './TestCluster.js';
+import type { TestDaemon } from './TestDaemon.js';
+
+/** A daemon by what it does for the shard, or by its place. */
+export type Role = 'owner' | 'witness' | number;
+
+const ADVANCE_STEPS = 5;
+
+/** The system under test with its oracle. */
+export class ClaimWorld {
+  readonly cluster: TestCluster;
+
+  readonly history = new ClaimHistory(TEST_OPTIONS.retention!);
+
+  failure: Error | undefined;
+
+  private isCalm = true;
+
+  constructor(private readonly scheduler: fc.Scheduler) {
+    const deliver = async (label: string) => {
+      if (!this.isCalm) {
+        await this.scheduler.schedule(Promise.resolve(), label);
+      }
+    };
+    this.cluster = new TestCluster(4, TEST_OPTIONS, deliver);
+  }
+
+  /** The daemon in a role, by what the store says now. */
+  pick(role: Role): TestDaemon {
+    const { daemons, store } = this.cluster;
+    if (typeof role === 'number') {
+      return daemons[role]!;
+    }
+    const object = store.read('claims/0');
+    const head = object === undefined ? undefined : (JSON.parse(object.value) as ShardHead);
+    return daemons.find(({ member }) => member.id === head?.[role]?.id) ?? daemons[0]!;
+  }
+
+  /** Lets the shard find its first owner before anything goes wrong. */
+  async start(): Promise<void> {
+    await this.cluster.run(1000);
+    this.isCalm = false;
+  }
+
+  claim(daemon: TestDaemon, key: string, fingerprint: string): void {
+    const invocation = this.history.invoke(key, fingerprint);
+    const now = () => this.cluster.base.now();
+    this.cluster
+      .claim(daemon, key, fingerprint)
+      .then(async (answer) => {
+        if (!daemon.isCrashed) {
+          this.history.answer(invocation, answer, daemon, now());
+        }
+      })
+      .catch((error: Error) => {
+        this.failure ??= error;
+      });
+  }
+
+  settle(pick: number, kind: ClaimOutcome['kind']): void {
+    const open = this.history.grants.filter(
+      ({ outcome, daemon }) => outcome === undefined && !daemon.isCrashed,
+    );
+    const grant = open[pick % open.length];
+    if (grant === undefined) {
+      return;
+    }
+    const body = `${grant.handle.claim} ran`;
+    const answer = { kind: 'whole' as const, status: 200, headers: {}, body };
+    const outcome: ClaimOutcome = kind === 'answered' ? { kind, answer } : { kind };
+    grant.outcome = outcome;
+    grant.daemon.claims.settle(grant.handle, outcome);
+  }
+
+  /** Delivers some of the messages under way, as the scheduler picks them. */
+  async deliver(count: number): Promise<void> {
+    for (let left = count; left > 0 && this.scheduler.count() > 0; left -= 1) {
+      // One after the other: each may send new ones.
+      // eslint-disable-next-line no-await-in-loop
+      await this.scheduler.waitOne();
+      // eslint-disable-next-line no-await-in-loop
+      await drain();
+    }
+  }
+
+  /** Moves time in steps; `flow` says how many messages get through after each. */
+  async advance(span: Milliseconds, flow: number): Promise<void> {
+    for (let step = 0; step < ADVANCE_STEPS; step += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await this.deliver(flow);
+      // eslint-disable-next-line no-await-in-loop
+      await this.cluster.run(span / ADVANCE_STEPS);
+    }
+  }
+
+  check(): void {
+    if (this.failure !== undefined) {
+      throw this.failure;
+    }
+  }
+
+  /** Ends all faults but wrong views. */
+  mend(): void {
+    const { cluster } = this;
+    cluster.store.fault('up');
+    cluster.store.cut.clear();
+    cluster.cuts.clear();
+    cluster.daemons.forEach((daemon) => daemon.resume());
+    cluster.daemons.filter(({ isCrashed }) => isCrashed).forEach((old) => cluster.restart(old));
+  }
+
+  /** Ends all faults and lets everything come to rest. */
+  async calm(): Promise<void> {
+    this.isCalm = true;
+    this.mend();
+    this.cluster.store.losses = 0;
+    this.cluster.lostReplies = 0;
+    this.cluster.lookAll();
+    await this.deliver(Number.POSITIVE_INFINITY);
+    const { witnessSpan, retention, claimTimeout } = TEST_OPTIONS;
+    await this.cluster.run(witnessSpan! + 3 * retention! + claimTimeout!);
+  }
+}
--- /dev/null
+++ b/packages/claims/src/test/TestCluster.ts
@@ -0,0 +1,188 @@
+import { ManualClock } from '@apricotrill/utils';
+import type { Milliseconds } from '@apricotrill/utils';
+import type { ClaimDecision } from '../lib/ClaimDecision.js';
+import type { ClaimOptions } from '../lib/ClaimOptions.js';
+import type { ClaimAnswer, ClaimMember } from '../lib/claimTypes.js';
+import type { ClaimMessage, ClaimReply } from '../lib/messages.js';
+import { getOwnerOrder } from '../lib/placement.js';
+import { TestDaemon } from './TestDaemon.js';
+import { TestStore } from './TestStore.js';
+import type { Deliver } from './TestStore.js';
+
+const ZONES = ['helsinki-a', 'helsinki-b', 'espoo', 'vantaa'];
+
+/** Spans in proportion to the defaults, short enough to run through in a test. */
+export const TEST_OPTIONS: Partial<ClaimOptions> = {
+  shards: 1,
+  retention: 10_000,
+  commitInterval: 20,
+  settleDelay: 100,
+  claimTimeout: 1000,
+  callTimeout: 300,
+  storeTimeout: 200,
+  witnessDelay: 50,
+  witnessSpan: 20_000,
+  verifyInterval: 3000,
+  moveDelay: 500,
+  minimumTenure: 1000,
+  takeBackDelay: 500,
+  retryDelay: 20,
+  retryDelayLimit: 400,
+};
+
+function createMember(index: number, incarnation: number): ClaimMember {
+  const id = String.fromCharCode('a'.charCodeAt(0) + index);
+  const availabilityZone = ZONES[index % ZONES.length]!;
+  return { id, incarnation, availabilityZone, address: id };
+}
+
+/** Lets everything run that waits for nothing but its turn. */
+export function drain(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+/** Several daemons, a store and a network in one process, on one clock. */
+export class TestCluster {
+  readonly base = new ManualClock(1);
+
+  readonly store: TestStore;
+
+  /** Pairs of ids that cannot reach one another, as `a-b`. */
+  readonly cuts = new Set<string>();
+
+  /** Replies (not requests) to lose between daemons. */
+  lostReplies = 0;
+
+  readonly daemons: TestDaemon[] = [];
+
+  private requests = 0;
+
+  constructor(
+    count: number,
+    private readonly options: Partial<ClaimOptions> = TEST_OPTIONS,
+    private readonly deliver: Deliver = () => Promise.resolve(),
+  ) {
+    this.store = new TestStore(deliver);
+    const members = Array.from({ length: count }, (_, index) => createMember(index, 1));
+    members.forEach((member) => this.daemons.push(this.start(member, members)));
+  }
+
+  /** The daemons in the order in which they should own a shard. */
+  getOrder(shard = 0): TestDaemon[] {
+    const order = getOwnerOrder(
+      shard,
+      this.daemons.map(({ member }) => member),
+    );
+    return order.map((member) => this.daemons.find((daemon) => daemon.member === member)!);
+  }
+
+  getLive(): ClaimMember[] {
+    return this.daemons.filter(({ isCrashed }) => !isCrashed).map(({ member }) => member);
+  }
+
+  /** Everyone that runs sees who lives. */
+  lookAll(): void {
+    const live = this.getLive();
+    this.daemons.filter(({ isCrashed }) => !isCrashed).forEach((daemon) => daemon.look(live));
+  }
+
+  /** Starts a process anew on the same instance; only itself knows of it at first. */
+  restart(old: TestDaemon): TestDaemon {
+    old.crash();
+    const index = this.daemons.indexOf(old);
+    const member = createMember(index, old.member.incarnation + 1);
+    const others = this.getLive().filter(({ id }) => id !== member.id);
+    this.daemons[index] = this.start(member, [...others, member]);
+    return this.daemons[index];
+  }
+
+  claim(daemon: TestDaemon, key: string, fingerprint = 'print'): Promise<ClaimAnswer> {
+    this.requests += 1;
+    const requestId = `${daemon.member.id}-r${this.requests}`;
+    return daemon.claims.claim({ workspace: 'painotuote', key, fingerprint, requestId });
+  }
+
+  /** Claims and moves time until the answer is there. */
+  async ask(daemon: TestDaemon, key: string, fingerprint?: string): Promise<ClaimAnswer> {
+    return this.complete(this.claim(daemon, key, fingerprint));
+  }
+
+  /** Moves time until a promise is fulfilled. */
+  async complete<Value>(promise: Promise<Value>): Promise<Value> {
+    let isDone = false;
+    const done = promise.finally(() => {
+      isDone = true;
+    });
+    while (!isDone) {
+      this.base.runNext();
+      // One turn after the other, until the promise is fulfilled.
+      // eslint-disable-next-line no-await-in-loop
+      await drain();
+    }
+    return done;
+  }
+
+  async run(span: Milliseconds): Promise<void> {
+    const end = this.base.now() + span;
+    await drain();
+    while (this.base.runNext(end)) {
+      // One timer after the other, each with all that follows from it.
+      // eslint-disable-next-line no-await-in-loop
+      await drain();
+    }
+    this.base.advance(end - this.base.now());
+    await drain();
+  }
+
+  getDecisions<Kind extends ClaimDecision['kind']>(
+    kind: Kind,
+  ): Extract<ClaimDecision, { kind: Kind }>[] {
+    type Wanted = Extract<ClaimDecision, { kind: Kind }>;
+    const isWanted = (decision: ClaimDecision): decision is Wanted => decision.kind === kind;
+    return this.daemons.flatMap(({ decisions }) => decisions.filter(isWanted));
+  }
+
+  loseReply(): void {
+    this.lostReplies += 1;
+  }
+
+  cut(left: TestDaemon, right: TestDaemon): void {
+    this.cuts.add(`${left.member.id}-${right.member.id}`);
+    this.cuts.add(`${right.member.id}-${left.member.id}`);
+  }
+
+  private start(member: ClaimMember, members: readonly ClaimMember[]): TestDaemon {
+    const { base, options, store } = this;
+    const transport = (daemon: TestDaemon) => ({
+      call: (peer: ClaimMember, message: ClaimMessage) => this.carry(daemon, peer, message),
+    });
+    return new TestDaemon({ member, base, options, store, transport, members });
+  }
+
+  private async carry(
+    from: TestDaemon,
+    peer: ClaimMember,
+    message: ClaimMessage,
+  ): Promise<ClaimReply> {
+    const { id } = from.member;
+    await this.deliver(`${id} to ${peer.id}: ${message.kind}`);
+    // Whoever listens at the address, as with a real connection.
+    const target = this.daemons.find(({ member }) => member.address === peer.address)!;
+    if (this.cuts.has(`${id}-${peer.id}`) || target.isCrashed) {
+      await from.pass();
+      throw new Error('unreachable');
+    }
+    await target.pass();
+    const reply = await target.claims.handle(id, message);
+    await target.pass();
+    await this.deliver(`${peer.id} to ${id}: ${reply.kind}`);
+    await from.pass();
+    if (this.cuts.has(`${id}-${peer.id}`) || this.lostReplies > 0) {
+      this.lostReplies = Math.max(0, this.lostReplies - 1);
+      throw new Error('reply lost');
+    }
+    return reply;
+  }
+}
--- /dev/null
+++ b/packages/claims/src/test/TestDaemon.ts
@@ -0,0 +1,109 @@
+import type { Clock, ManualClock, Milliseconds, Timer } from '@apricotrill/utils';
+import { ClaimManager } from '../lib/ClaimManager/ClaimManager.js';
+import type { ClaimTransport } from '../lib/ClaimManager/ClaimSettings.js';
+import type { ClaimDecision } from '../lib/ClaimDecision.js';
+import type { ClaimOptions } from '../lib/ClaimOptions.js';
+import type { ClaimMember } from '../lib/claimTypes.js';
+import type { TestStore } from './TestStore.js';
+
+/** What a daemon under test is started with. */
+export interface TestDaemonSettings {
+  member: ClaimMember;
+  base: ManualClock;
+  options: Partial<ClaimOptions>;
+  store: TestStore;
+  transport: (daemon: TestDaemon) => ClaimTransport;
+  members: readonly ClaimMember[];
+}
+
+/** Each process has a clock of its own: nothing may depend on two of them agreeing. */
+const OFFSET_PER_INCARNATION = 1_000_003;
+
+/** One process: it can be paused, which holds its messages and timers, and it can crash. */
+export class TestDaemon implements Clock {
+  readonly decisions: ClaimDecision[] = [];
+
+  readonly claims: ClaimManager;
+
+  /** Its view of the members. */
+  members: readonly ClaimMember[];
+
+  isCrashed = false;
+
+  private held: (() => void)[] = [];
+
+  private isPaused = false;
+
+  private readonly offset: Milliseconds;
+
+  constructor(readonly settings: TestDaemonSettings) {
+    const { member, store, transport, options } = settings;
+    this.members = settings.members;
+    this.offset = member.incarnation * OFFSET_PER_INCARNATION + member.id.charCodeAt(0);
+    this.claims = new ClaimManager({
+      self: member,
+      clock: this,
+      options,
+      store: store.connect(member.id, () => this.pass()),
+      transport: transport(this),
+      getMembers: () => this.members,
+      onDecision: (decision) => this.decisions.push(decision),
+    });
+  }
+
+  get member(): ClaimMember {
+    return this.settings.member;
+  }
+
+  now(): Milliseconds {
+    return this.settings.base.now() + this.offset;
+  }
+
+  setTimer(delay: Milliseconds, callback: () => void): Timer {
+    let isCancelled = false;
+    const run = () => {
+      if (!isCancelled) {
+        callback();
+      }
+    };
+    this.settings.base.setTimer(delay, () => {
+      this.pass().then(run);
+    });
+    return {
+      cancel: () => {
+        isCancelled = true;
+      },
+    };
+  }
+
+  /** Goes through at once, after the pause, or never after a crash. */
+  pass(): Promise<void> {
+    if (this.isCrashed || this.isPaused) {
+      return new Promise((resolve) => {
+        this.held.push(resolve);
+      });
+    }
+    return Promise.resolve();
+  }
+
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    const { held } = this;
+    this.held = [];
+    held.forEach((resolve) => resolve());
+  }
+
+  crash(): void {
+    this.isCrashed = true;
+    this.held = [];
+  }
+
+  look(members: readonly ClaimMember[]): void {
+    this.members = members;
+    this.claims.onMembersChanged();
+  }
+}
--- /dev/null
+++ b/packages/claims/src/test/TestStore.ts
@@ -0,0 +1,89 @@
+import type { PlatformStore, PutOutcome, StoreChange, StoredObject } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/platform';
+
+/** Decides when a message arrives; a fuzz run puts its scheduler here. */
+export type Deliver = (label: string) => Promise<void>;
+
+function createError(): StoreUnavailableError {
+  return new StoreUnavailableError('no answer', { step: 'store', peer: 'test' });
+}
+
+/** The store in memory, with outages and lost confirmations. */
+export class TestStore {
+  isDown = false;
+
+  /** How many confirmations of writes to lose. */
+  losses = 0;
+
+  /** Daemons that cannot reach it. */
+  readonly cut = new Set<string>();
+
+  private readonly objects = new Map<string, StoredObject>();
+
+  private version = 0;
+
+  constructor(private readonly deliver: Deliver) {}
+
+  fault(kind: 'down' | 'up' | 'lose'): void {
+    this.isDown = kind === 'down';
+    this.losses += kind === 'lose' ? 1 : 0;
+  }
+
+  read(key: string): StoredObject | undefined {
+    return this.objects.get(key);
+  }
+
+  /** The store as one daemon reaches it. `pass` holds its messages while it is paused. */
+  connect(daemon: string, pass: () => Promise<void>): PlatformStore {
+    const call = <Value>(label: string, act: () => Value) => this.call(daemon, pass, label, act);
+    return {
+      get: (key) => call(`get ${key}`, () => this.objects.get(key)),
+      list: (prefix) =>
+        call(`list ${prefix}`, () =>
+          [...this.objects.values()].filter(({ key }) => key.startsWith(prefix)),
+        ),
+      put: (key, value, expected) => call(`put ${key}`, () => this.put(key, value, expected)),
+      delete: (key, expected) => call(`delete ${key}`, () => this.delete(key, expected)),
+      watch: () => Promise.resolve<StoreChange[]>([]),
+    };
+  }
+
+  private async call<Value>(
+    daemon: string,
+    pass: () => Promise<void>,
+    label: string,
+    act: () => Value,
+  ): Promise<Value> {
+    await this.deliver(`${daemon} ${label}`);
+    const isReached = !this.isDown && !this.cut.has(daemon);
+    const value = isReached ? act() : undefined;
+    const isLost = label.startsWith('put claims/') && isReached && this.losses > 0;
+    this.losses -= isLost ? 1 : 0;
+    await this.deliver(`${daemon} answered ${label}`);
+    await pass();
+    if (!isReached || isLost) {
+      throw createError();
+    }
+    return value as Value;
+  }
+
+  private put(key: string, value: string, expectedVersion: number): PutOutcome {
+    const current = this.objects.get(key);
+    if ((current?.version ?? 0) !== expectedVersion) {
+      return { kind: 'conflict', current };
+    }
+    this.version += 1;
+    this.objects.set(key, { key, value, version: this.version });
+    return { kind: 'accepted', version: this.version };
+  }
+
+  private delete(key: string, expectedVersion: number): PutOutcome {
+    const current = this.objects.get(key);
+    if (current?.version !== expectedVersion) {
+      return { kind: 'conflict', current };
+    }
+    this.objects.delete(key);
+    this.version += 1;
+    return { kind: 'accepted', version: this.version };
+  }
+}
