Prove the acceptance of changes under lost, late and doubled calls

Cause: `ConfigurationStore` was in without a proof.

Ruled out: deciding a lost confirmation by the newest manifest alone; deleting parts by age, which needs a bound on how long an apply may be paused.

Not proved here: a store that itself goes back to an older state.

--- /dev/null
+++ b/packages/configuration/src/test/ChainOracle.ts
@@ -0,0 +1,49 @@
+import type { ObjectStore } from '@apricotrill/platform';
+import { MANIFEST_KEY, PART_PREFIX, parseManifest } from '../index.js';
+import type { Manifest } from '../index.js';
+
+/**
+ * Watches the store's content itself, beneath all lost and late messages, and writes down every
+ * manifest that was accepted and every moment at which the accepted one could not be read.
+ */
+export class ChainOracle {
+  /** Accepted manifests, oldest first. */
+  readonly chain: Manifest[] = [];
+
+  readonly violations: string[] = [];
+
+  constructor(private readonly objects: ObjectStore) {}
+
+  /** To be called after each effect on the store. */
+  observe(): void {
+    const object = this.objects.get(MANIFEST_KEY);
+    if (object === undefined) {
+      return;
+    }
+    const manifest = parseManifest(object.value);
+    if (!manifest.ok) {
+      this.violations.push(manifest.error);
+      return;
+    }
+    this.append(manifest.value);
+    manifest.value.parts
+      .filter(({ hash }) => this.objects.get(PART_PREFIX + hash) === undefined)
+      .forEach(({ name }) => {
+        this.violations.push(`generation ${manifest.value.generation} lacks part ${name}`);
+      });
+  }
+
+  private append(manifest: Manifest): void {
+    const last = this.chain.at(-1);
+    if (last?.generation === manifest.generation && last.changeId === manifest.changeId) {
+      return;
+    }
+    if (manifest.generation !== (last?.generation ?? 0) + 1) {
+      this.violations.push(`generation ${manifest.generation} after ${last?.generation ?? 0}`);
+    }
+    if (this.chain.some(({ changeId }) => changeId === manifest.changeId)) {
+      this.violations.push(`change ${manifest.changeId} applied twice`);
+    }
+    this.chain.push(manifest);
+  }
+}
