--- /dev/null
+++ b/packages/experiment/src/lib/capacity/CapacityProbe.ts
@@ -0,0 +1,66 @@
+import type { Line } from '../measure/fitLine.js';
+
+/** A figure's growth with one size, as measured. */
+export interface Slope {
+  figure: string;
+  unit: string;
+  /** What the size counts. */
+  sizeName: string;
+  line: Line;
+  /** The size it is worked out for. */
+  atSize: number;
+}
+
+/** What one daemon spends on a role at the two-year size. */
+export interface DaemonCost {
+  messagesPerSecond: number;
+  bytesPerSecond: number;
+  /** Part of one core. */
+  core: number;
+  memoryBytes: number;
+}
+
+/** What a role asks of the platform's store, for the whole system. */
+export interface StoreCost {
+  readsPerSecond: number;
+  writesPerSecond: number;
+  /** Watches that wait at any moment. */
+  waitingWatches: number;
+}
+
+/**
+ * A role at the two-year size.
+ *
+ * @public
+ */
+export interface RoleCapacity {
+  role: string;
+  /** The modules that carry it. */
+  mechanism: string;
+  /** What one daemon holds for it. */
+  state: string;
+  /** Whether it counts against the budget for control, or belongs to the request path. */
+  isControl: boolean;
+  daemon: DaemonCost;
+  store: StoreCost;
+  slopes: Slope[];
+  /** What is not measured, each with its source. */
+  assumptions: string[];
+}
+
+/**
+ * Measures a role at several sizes and works it out for the two-year size.
+ *
+ * @public
+ */
+export interface CapacityProbe {
+  role: string;
+  measure(): Promise<RoleCapacity>;
+}
+
+/** A role that does not touch the store. */
+export const NO_STORE_COST: StoreCost = {
+  readsPerSecond: 0,
+  writesPerSecond: 0,
+  waitingWatches: 0,
+};
