Lend unused slots by what reports show, and put urgent work over less urgent

Cause: a daemon with a backlog could use little more than its share while others idled, and a question waited for its own daemon's few slots behind long drafts. Change: a loan moves by each daemon's part of what a report shows free or in excess, once for each report measured after the last change. Requests go above the share where only less urgent work fills it; tiers up to two may preempt. Floor dispatches state the priority of the tier they go before, or they would wait at the engine behind it.

--- a/packages/policy/src/lib/ClassFairQueue/ClassFairQueue.ts
+++ b/packages/policy/src/lib/ClassFairQueue/ClassFairQueue.ts
@@ -160,6 +160,11 @@
     return this.credits.getWaiting(className);
   }
 
+  /** The tier that a class goes before when its floor is due. */
+  getOvertaken(className: string): number | undefined {
+    return this.credits.getOvertaken(className);
+  }
+
   /** Credits by class that waits. */
   getCredits(): Record<string, number> {
     return this.credits.getCredits();
--- a/packages/policy/src/lib/ClassFairQueue/FloorCredits.ts
+++ b/packages/policy/src/lib/ClassFairQueue/FloorCredits.ts
@@ -21,6 +21,8 @@
   floor: number;
   waiting: number;
   credit: number;
+  /** The most urgent tier whose dispatches earned the credit. */
+  overtakes: number;
 }
 
 /**
@@ -49,7 +51,8 @@
     const effective = Math.max(floor, this.options.minFloor);
     const known = this.classes.get(name);
     const waiting = (known?.waiting ?? 0) + 1;
-    this.classes.set(name, { name, tier, floor: effective, waiting, credit: known?.credit ?? 0 });
+    const { credit, overtakes } = known ?? { credit: 0, overtakes: tier };
+    this.classes.set(name, { name, tier, floor: effective, waiting, credit, overtakes });
   }
 
   /** Notes that one request of the class no longer waits. */
@@ -64,11 +67,18 @@
 
   /** Counts a dispatch; call it while the request that is served still counts as waiting. */
   serve(served: string): void {
-    const earning = this.getEarning();
+    const urgent = this.getMostUrgent();
+    const earning = [...this.classes.values()].filter(({ tier }) => tier > urgent);
     const sum = earning.reduce((total, { floor }) => total + floor, 0);
     const scale = Math.min(1, this.options.maxFloorSum / sum);
-    earning.forEach((each) => this.changeCredit(each, each.floor * scale));
-    this.changeCredit(this.classes.get(served)!, -1);
+    earning.forEach((each) => {
+      const overtakes = Math.min(each.overtakes, urgent);
+      Object.assign(each, { overtakes });
+      this.changeCredit(each, each.floor * scale);
+    });
+    const own = this.classes.get(served)!;
+    own.overtakes = own.tier;
+    this.changeCredit(own, -1);
   }
 
   /** The classes that go before all others, in order. */
@@ -76,8 +86,9 @@
     return this.credited;
   }
 
-  isCredited(name: string): boolean {
-    return this.credited.has(name);
+  /** The tier that a class goes before when its floor is due. */
+  getOvertaken(name: string): number | undefined {
+    return this.classes.get(name)?.overtakes;
   }
 
   getWaiting(name: string): number {
@@ -89,10 +100,8 @@
     return Object.fromEntries([...this.classes.values()].map((each) => [each.name, each.credit]));
   }
 
-  private getEarning(): WaitingClass[] {
-    const classes = [...this.classes.values()];
-    const urgent = classes.reduce((least, { tier }) => Math.min(least, tier), Infinity);
-    return classes.filter(({ tier }) => tier > urgent);
+  private getMostUrgent(): number {
+    return [...this.classes.values()].reduce((least, { tier }) => Math.min(least, tier), Infinity);
   }
 
   private changeCredit(waiting: WaitingClass, change: number): void {
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaChooser.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaChooser.ts
@@ -12,8 +12,8 @@
   TwoChoices = 'two-choices',
   /** It was convicted of being slow and may have recovered. */
   Probe = 'probe',
-  /** Above the share, because the request is urgent and there is room. */
-  UrgentExcess = 'urgent-excess',
+  /** Above the share, over less urgent work. */
+  AboveShare = 'above-share',
   /** In place of a preempted request. */
   Preemption = 'preemption',
   /** Above the share, because the class's floor is due. */
@@ -42,6 +42,8 @@
   failed: ReadonlySet<string>;
   /** Whether it may be sent to a replica under suspicion. */
   mayProbe: boolean;
+  tier: number;
+  isUrgent: boolean;
 }
 
 /** Draws before giving up on finding one that did not fail the request. */
@@ -83,41 +85,53 @@
     if (probe !== undefined) {
       return { state: probe, reason: ChoiceReason.Probe };
     }
-    const preferred = this.findPreferred(pool, wish, now);
+    const drawn = this.drawTwo(pool.open, ({ id }) => !wish.failed.has(id));
+    const preferred = this.findPreferred(pool, wish, drawn, now);
     if (preferred !== undefined) {
       return { state: preferred, reason: ChoiceReason.Affinity };
     }
-    const state = this.chooseOfTwo(pool.open, wish.failed, now);
+    const state = this.getLessLoaded(drawn, now);
     return state && { state, reason: ChoiceReason.TwoChoices };
   }
 
-  /** Chooses among the replicas with room above the share. */
+  /**
+   * Chooses among the replicas with room above the share: for urgent tiers any, for others those
+   * where they find room when less urgent work doesn't count.
+   */
   chooseAboveShare(pool: ReplicaPool, wish: Wish, now: Milliseconds): ReplicaState | undefined {
-    return this.chooseOfTwo(pool.openToUrgent, wish.failed, now);
+    const { failed, isUrgent, tier } = wish;
+    const drawn = this.drawTwo(
+      pool.openAbove,
+      (state) => !failed.has(state.id) && (isUrgent || pool.hasRoomOver(state, tier)),
+    );
+    return this.getLessLoaded(drawn, now);
+  }
+
+  /** Chooses among the replicas with room above the share for a class whose floor is due. */
+  chooseForFloor(pool: ReplicaPool, { failed }: Wish, now: Milliseconds): ReplicaState | undefined {
+    const drawn = this.drawTwo(pool.openAbove, ({ id }) => !failed.has(id));
+    return this.getLessLoaded(drawn, now);
   }
 
-  /** The cached replica, or the second choice, unless that would overload it. */
-  private findPreferred(pool: ReplicaPool, { affinityKey, failed }: Wish, now: Milliseconds) {
-    if (affinityKey === undefined || pool.size < 2) {
+  /**
+   * The cached replica, or the second choice, unless that has more than its part: hashing with
+   * bounded loads, the mean taken from the two that were drawn.
+   */
+  private findPreferred(pool: ReplicaPool, wish: Wish, drawn: ReplicaState[], now: Milliseconds) {
+    if (wish.affinityKey === undefined || drawn.length === 0) {
       return undefined;
     }
-    return pool.affinity
-      .getPreferred(affinityKey)
-      .find(
-        (state) =>
-          pool.open.has(state) &&
-          !failed.has(state.id) &&
-          state.getPressure(now) <= this.options.affinityBound,
-      );
+    const pressures = drawn.map((state) => state.getPressure(now));
+    const mean = pressures.reduce((sum, pressure) => sum + pressure, 0) / drawn.length;
+    return pool.affinity.getPreferred(wish.affinityKey).find((state) => {
+      const { slots } = state.replica;
+      const bound = Math.ceil(this.options.affinityBound * mean * slots);
+      const isOpen = pool.open.has(state) && !wish.failed.has(state.id);
+      return isOpen && state.getPressure(now) * slots <= bound;
+    });
   }
 
-  private chooseOfTwo(
-    candidates: SampledSet<ReplicaState>,
-    failed: ReadonlySet<string>,
-    now: Milliseconds,
-  ): ReplicaState | undefined {
-    const first = this.draw(candidates, ({ id }) => !failed.has(id));
-    const second = this.draw(candidates, (state) => state !== first && !failed.has(state.id));
+  private getLessLoaded([first, second]: ReplicaState[], now: Milliseconds) {
     if (first === undefined || second === undefined) {
       return first;
     }
@@ -128,6 +142,16 @@
     return difference < 0 ? first : second;
   }
 
+  /** Two different replicas at random, or as many as there are. */
+  private drawTwo(
+    candidates: SampledSet<ReplicaState>,
+    fits: (state: ReplicaState) => boolean,
+  ): ReplicaState[] {
+    const first = this.draw(candidates, fits);
+    const second = this.draw(candidates, (state) => state !== first && fits(state));
+    return [first, second].filter((state) => state !== undefined);
+  }
+
   private draw(candidates: SampledSet<ReplicaState>, fits: (state: ReplicaState) => boolean) {
     for (let draws = 0; draws < MAX_DRAWS; draws += 1) {
       const drawn = candidates.draw(this.random);
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaPool.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaPool.ts
@@ -20,8 +20,8 @@
   /** Replicas with room within their limit. */
   readonly open = new SampledSet<ReplicaState>();
 
-  /** Replicas with room for urgent tiers. */
-  readonly openToUrgent = new SampledSet<ReplicaState>();
+  /** Replicas with room above the share. */
+  readonly openAbove = new SampledSet<ReplicaState>();
 
   readonly convicted = new SampledSet<ReplicaState>();
 
@@ -85,14 +85,23 @@
     return this.sound.has(state) || (this.isDesperate && this.usable.has(state));
   }
 
+  /** Whether there is room at the replica if only as urgent or more urgent work counts. */
+  hasRoomOver(state: ReplicaState, tier: number): boolean {
+    return state.getRunningUpTo(tier) < this.getLimit(state);
+  }
+
   getMembers(): readonly ReplicaState[] {
     return this.members;
   }
 
+  private getLimit(state: ReplicaState): number {
+    return Math.max(state.getLimit(), this.hasLoan ? 1 : 0);
+  }
+
   private forget(state: ReplicaState): void {
     this.slots -= this.counted.get(state) ?? 0;
     this.counted.delete(state);
-    [this.usable, this.open, this.openToUrgent, this.convicted, this.sound].forEach((set) =>
+    [this.usable, this.open, this.openAbove, this.convicted, this.sound].forEach((set) =>
       set.set(state, false),
     );
   }
@@ -105,10 +114,9 @@
     this.convicted.set(state, isUsable && state.convicted);
     this.sound.set(state, isSound);
     this.count(state, isSound ? state.share.slots : 0);
-    const limit = Math.max(state.getLimit(), this.hasLoan ? 1 : 0);
     const { own } = state.load;
-    this.open.set(state, isOffered && own < limit);
-    this.openToUrgent.set(state, isOffered && own < state.getUrgentLimit());
+    this.open.set(state, isOffered && own < this.getLimit(state));
+    this.openAbove.set(state, isOffered && own < state.getUpperLimit());
   }
 
   private count(state: ReplicaState, slots: number): void {
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
@@ -48,8 +48,11 @@
 
   private models: ReadonlySet<string> | undefined;
 
-  /** Slots of other daemons that the last report shows unused, as far as they are lent to us. */
-  private borrowed = 0;
+  /** What the last report allows beyond the share, and when it was allowed. */
+  private loan = { slots: 0, at: 0 };
+
+  /** This daemon's running requests by tier. */
+  private readonly byTier: number[] = [];
 
   private avoidUntil: Milliseconds = 0;
 
@@ -120,12 +123,23 @@
 
   /** How many requests this daemon may have running here. */
   getLimit(): number {
-    return this.part.slots + this.borrowed;
+    return this.part.slots + this.loan.slots;
+  }
+
+  /** The same for what goes above the share, over less urgent work: the engine runs it first. */
+  getUpperLimit(): number {
+    return this.getLimit() + Math.max(1, Math.ceil(this.replica.slots * this.options.excess));
+  }
+
+  /** How many requests of a tier, or of more urgent ones, this daemon has running here. */
+  getRunningUpTo(tier: number): number {
+    return this.byTier.slice(0, tier + 1).reduce((sum, count) => sum + (count ?? 0), 0);
   }
 
-  /** The same for urgent tiers, which may go above the share: the engine runs them first. */
-  getUrgentLimit(): number {
-    return this.getLimit() + Math.max(1, Math.ceil(this.replica.slots * this.options.urgentExcess));
+  /** Notes that a request was sent (1) or ended (-1). */
+  note(now: Milliseconds, tier: number, change: 1 | -1): void {
+    this.byTier[tier] = (this.byTier[tier] ?? 0) + change;
+    this.load.note(now, change);
   }
 
   /** The load by slots as it would be with one more request. */
@@ -136,18 +150,21 @@
   }
 
   /**
-   * Takes a load report and with it the loan: slots that nobody uses are lent to the daemons that
-   * divide them, each its part, rounded at random so that the parts add up on average.
+   * Takes a load report, and adjusts the loan: what the daemons leave unused of a replica is lent
+   * to those that need more, and called back when it is overloaded. Each daemon changes what it
+   * uses by its part of what the report shows free or in excess, rounded at random so that the
+   * parts add up on average. A report measured before the last change took effect says nothing
+   * about it, so it changes nothing: otherwise each daemon would take the same free slot again
+   * with each report until the first shows it taken.
    */
   report(report: LoadReport, now: Milliseconds, random: Random): void {
-    if (!this.load.apply(report, now)) {
+    if (!this.load.apply(report, now) || report.measuredAt < this.loan.at) {
       return;
     }
-    const { slots } = this.replica;
-    const load = this.load.get(now, 0, this.options.maxReportAge);
-    const ownUnused = Math.max(0, this.part.slots - this.load.own);
-    const unused = Math.max(0, slots - load - ownUnused);
-    this.borrowed = Math.floor(unused / this.part.contenders + random.next());
+    const free = this.replica.slots - this.load.get(now, 0, this.options.maxReportAge);
+    const change = Math.floor(free / this.part.contenders + random.next());
+    const slots = Math.max(0, this.load.own + change - this.part.slots);
+    this.loan = { slots, at: now };
   }
 
   /**
--- a/packages/policy/src/lib/Scheduler/AttemptRunner.ts
+++ b/packages/policy/src/lib/Scheduler/AttemptRunner.ts
@@ -44,7 +44,7 @@
    *
    * @param freeSlot - tells the queue that the attempt no longer takes a slot
    */
-  dispatch(record: RequestRecord, { state, reason }: Slot, freeSlot: () => void): void {
+  dispatch(record: RequestRecord, { state, reason, priority }: Slot, freeSlot: () => void): void {
     const { clock, options, emit, running } = this.parts;
     const now = clock.now();
     const timeouts = getTimeouts(record, options, now);
@@ -62,6 +62,7 @@
       replica: state.replica,
       resumeAt: record.request.resumable ? record.delivered : 0,
       ...timeouts,
+      priority,
       reason,
     });
   }
@@ -101,7 +102,7 @@
     change: 1 | -1,
     now: Milliseconds,
   ): void {
-    state.load.note(now, change);
+    state.note(now, record.tier, change);
     record.pool.note(change, now);
     this.parts.table.refresh(state);
   }
--- a/packages/policy/src/lib/Scheduler/RequestRecord.ts
+++ b/packages/policy/src/lib/Scheduler/RequestRecord.ts
@@ -155,7 +155,8 @@
 
   getWish(): Wish {
     const mayProbe = this.request.serviceClass.repeatable && !this.isUrgent;
-    return { affinityKey: this.affinityKey, failed: this.failed, mayProbe };
+    const { affinityKey, failed, tier, isUrgent } = this;
+    return { affinityKey, failed, mayProbe, tier, isUrgent };
   }
 
   /** Moves it to another phase; what was timed in the last one is called off. */
--- a/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
+++ b/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
@@ -65,8 +65,8 @@
 
   private readonly review: ReplicaReview;
 
-  /** Whether the request that is being started owes its turn to its class's floor. */
-  private isCredited = false;
+  /** The tier that the request being started goes before, if it owes its turn to a floor. */
+  private overtakes: number | undefined;
 
   constructor(parts: ServiceSchedulerParts) {
     const { clock, random, options } = parts;
@@ -84,7 +84,11 @@
         this.pump();
       },
     });
-    this.slots = new SlotFinder(new ReplicaChooser(random, options), this.running);
+    this.slots = new SlotFinder(
+      new ReplicaChooser(random, options),
+      this.running,
+      options.preemptingTier,
+    );
     this.budget = new RetryBudget(options, clock.now());
     this.room = new WaitingRoom({
       clock,
@@ -205,14 +209,16 @@
 
   /** Starts whatever can run now. */
   private pump(): void {
-    const { options } = this.parts;
+    const { options, clock } = this.parts;
+    const now = clock.now();
     while (
       this.room.size > 0 &&
       this.room.startNext(({ className, tier, pool }, isCredited) => {
-        this.isCredited = isCredited;
+        const overtakes = isCredited ? this.room.getOvertaken(className) : undefined;
+        this.overtakes = overtakes;
         const isUrgent = tier <= options.urgentTier;
         const members = this.table.getPool(pool === '' ? undefined : pool);
-        return this.slots.canStart(members, { tier, className, isUrgent, isCredited });
+        return this.slots.canStart(members, { tier, className, isUrgent, overtakes }, now);
       })
     );
   }
@@ -221,7 +227,8 @@
     const { tier, isUrgent } = record;
     const now = this.parts.clock.now();
     const className = record.request.serviceClass.name;
-    const entitlement = { tier, isUrgent, className, isCredited: this.isCredited };
+    const { overtakes } = this;
+    const entitlement = { tier, isUrgent, className, overtakes };
     const slot = this.slots.find(record, entitlement, now);
     if (slot === undefined) {
       this.room.park(record);
@@ -233,7 +240,7 @@
     }
     this.room.noteDispatch(className);
     return new Promise((resolve) => {
-      this.attempts.dispatch(record, slot, resolve);
+      this.attempts.dispatch(record, { ...slot, priority: overtakes }, resolve);
     });
   }
 
--- a/packages/policy/src/lib/Scheduler/SlotFinder.ts
+++ b/packages/policy/src/lib/Scheduler/SlotFinder.ts
@@ -13,6 +13,8 @@
 export interface Slot extends Choice {
   /** The request that has to be stopped for it. */
   victim?: RequestRecord;
+  /** What the replica is told as the priority, if not the tier. */
+  priority?: number;
 }
 
 /**
@@ -24,15 +26,20 @@
   tier: number;
   className: string;
   isUrgent: boolean;
-  /** The floor of its class is due. */
-  isCredited: boolean;
+  /**
+   * The tier it goes before, when the floor of its class is due. Replicas are told that tier as its
+   * priority, or it would wait there behind the very work it was put before.
+   */
+  overtakes: number | undefined;
 }
 
+const NONE: ReadonlySet<string> = new Set();
+
 /**
- * Finds out whether and where a request can run: within the share if there is room. An urgent one
- * goes above the share where the replica has room, else takes the place of a less urgent one, else
- * goes above the share all the same, since the replica will run it first. A class whose floor is
- * due and of which nothing runs goes above the share too: urgent traffic that alone fills the
+ * Finds out whether and where a request can run: within the share if there is room. Else above it,
+ * over less urgent work, where the replica seems to have a free slot; else in place of a less
+ * urgent request; else above it all the same, since the replica runs it first. A class whose floor
+ * is due and of which nothing runs goes above the share too: urgent traffic that alone fills the
  * share would otherwise starve it.
  *
  * @internal
@@ -42,59 +49,66 @@
 
   private readonly running: RunningRequests;
 
-  constructor(chooser: ReplicaChooser, running: RunningRequests) {
+  private readonly preemptingTier: number;
+
+  constructor(chooser: ReplicaChooser, running: RunningRequests, preemptingTier: number) {
     this.chooser = chooser;
     this.running = running;
+    this.preemptingTier = preemptingTier;
   }
 
-  /** Whether there may be a place; cheap, and blind to replicas that failed the very request. */
-  canStart(pool: ReplicaPool, entitlement: Entitlement): boolean {
+  /** Whether there is a place, unless it is at a replica that failed the very request. */
+  canStart(pool: ReplicaPool, entitlement: Entitlement, now: Milliseconds): boolean {
     if (pool.open.size > 0) {
       return true;
     }
-    const hasExcess = pool.openToUrgent.size > 0;
-    if (entitlement.isUrgent) {
-      return hasExcess || this.findVictim(pool, entitlement.tier) !== undefined;
+    const { tier, isUrgent } = entitlement;
+    if (pool.openAbove.size > 0) {
+      const wish = { tier, isUrgent, failed: NONE, mayProbe: false, affinityKey: undefined };
+      const above = this.chooser.chooseAboveShare(pool, wish, now);
+      if (above !== undefined || this.isFloorDue(entitlement)) {
+        return true;
+      }
     }
-    return hasExcess && this.isFloorDue(entitlement);
+    return this.findVictim(pool, tier, NONE) !== undefined;
   }
 
   /** The place for a request. */
   find(record: RequestRecord, entitlement: Entitlement, now: Milliseconds): Slot | undefined {
-    const within = this.chooser.choose(record.pool, record.getWish(), now);
+    const { pool, tier, failed } = record;
+    const wish = record.getWish();
+    const within = this.chooser.choose(pool, wish, now);
     if (within !== undefined) {
       return within;
     }
-    if (entitlement.isUrgent) {
-      return this.findForUrgent(record, now);
-    }
-    if (this.isFloorDue(entitlement)) {
-      const state = this.chooser.chooseAboveShare(record.pool, record.getWish(), now);
-      return state && { state, reason: ChoiceReason.Floor };
-    }
-    return undefined;
-  }
-
-  private findForUrgent(record: RequestRecord, now: Milliseconds): Slot | undefined {
-    const above = this.chooser.chooseAboveShare(record.pool, record.getWish(), now);
+    const above = this.chooser.chooseAboveShare(pool, wish, now);
     if (above !== undefined && above.getPressure(now) <= 1) {
-      return { state: above, reason: ChoiceReason.UrgentExcess };
+      return { state: above, reason: ChoiceReason.AboveShare };
     }
-    const victim = this.findVictim(record.pool, record.tier, record.failed);
+    const victim = this.findVictim(pool, tier, failed);
     if (victim !== undefined) {
       return { state: victim.attempt!.state, reason: ChoiceReason.Preemption, victim };
     }
-    return above && { state: above, reason: ChoiceReason.UrgentExcess };
+    if (above !== undefined) {
+      return { state: above, reason: ChoiceReason.AboveShare };
+    }
+    const due = this.isFloorDue(entitlement)
+      ? this.chooser.chooseForFloor(pool, wish, now)
+      : undefined;
+    return due && { state: due, reason: ChoiceReason.Floor };
   }
 
-  private findVictim(pool: ReplicaPool, tier: number, failed?: ReadonlySet<string>) {
+  private findVictim(pool: ReplicaPool, tier: number, failed: ReadonlySet<string>) {
+    if (tier > this.preemptingTier) {
+      return undefined;
+    }
     return this.running.preemptible.find(tier, ({ attempt }) => {
       const { state } = attempt!;
-      return pool.offers(state) && !failed?.has(state.id);
+      return pool.offers(state) && !failed.has(state.id);
     });
   }
 
-  private isFloorDue({ isCredited, className }: Entitlement): boolean {
-    return isCredited && this.running.getOfClass(className) === 0;
+  private isFloorDue({ overtakes, className }: Entitlement): boolean {
+    return overtakes !== undefined && this.running.getOfClass(className) === 0;
   }
 }
--- a/packages/policy/src/lib/WaitingRoom/WaitingRoom.ts
+++ b/packages/policy/src/lib/WaitingRoom/WaitingRoom.ts
@@ -192,6 +192,11 @@
     return Object.fromEntries(names.map((name) => [name, this.fair.getWaiting(name)]));
   }
 
+  /** The tier that a class goes before when its floor is due. */
+  getOvertaken(className: string): number | undefined {
+    return this.fair.getOvertaken(className);
+  }
+
   getCredits(): Record<string, number> {
     return this.fair.getCredits();
   }
--- a/packages/policy/src/lib/policyOptions.ts
+++ b/packages/policy/src/lib/policyOptions.ts
@@ -6,8 +6,10 @@
  * @public
  */
 export interface PolicyOptions {
-  /** Tiers up to this one are urgent: they may preempt and may go above the share; default 1. */
+  /** Tiers up to this one are urgent: they are refused only at their deadline; default 1. */
   urgentTier: number;
+  /** Tiers up to this one may preempt less urgent ones; default 2. */
+  preemptingTier: number;
 
   /** Requests of one class that wait at one daemon; default 512. */
   maxWaitingPerClass: number;
@@ -49,13 +51,13 @@
 
   /** How many replicas of a service one daemon sends to, on average over daemons; default 64. */
   subsetSize: number;
-  /** What urgent tiers may send above the share, as a part of a replica's slots; default 0.25. */
-  urgentExcess: number;
+  /** What may be sent above the share over less urgent work, by a replica's slots; default 0.25. */
+  excess: number;
   /** Reports older than this say nothing any more; default 10 s. */
   maxReportAge: Milliseconds;
   /** How far a daemon assumes that the others act on a report as it does, 0 to 1; default 0.5. */
   stampedeDamping: number;
-  /** Load by slots up to which the replica that has the prefix cached is preferred; default 1. */
+  /** Load, by the mean, up to which the replica that has the prefix cached is preferred; default 1.25. */
   affinityBound: number;
 
   /** Attempts that fail in a row before a replica is avoided; default 3. */
@@ -102,6 +104,7 @@
  */
 export const defaultPolicyOptions: PolicyOptions = {
   urgentTier: 1,
+  preemptingTier: 2,
   maxWaitingPerClass: 512,
   minFloor: 0.01,
   maxFloorSum: 0.5,
@@ -120,10 +123,10 @@
   maxPreemptions: 2,
   cancelGrace: 250,
   subsetSize: 64,
-  urgentExcess: 0.25,
+  excess: 0.25,
   maxReportAge: 10_000,
   stampedeDamping: 0.5,
-  affinityBound: 1,
+  affinityBound: 1.25,
   failuresToAvoid: 3,
   avoidance: 250,
   maxAvoidance: 10_000,
