Add the operators' command line

Cause: operators had no way to check, compare, apply and follow a configuration.

Change: `apricotrill` with validate, diff, apply, explain, key create, status, members, history and show. Each command explains itself with details and examples, prints for people or as JSON, and ends with a documented status; errors are one line with step and peer. `apply` asks again with the same identity until there is an answer; without `--id` the identity follows from content, base and author, so that running the same command again after a lost confirmation finds the first run. `ConfigurationStore.apply` has a new outcome `unchanged`: a change without any difference makes no generation, which would have to be spread to every daemon for nothing.

Ruled out: a base that defaults to the newest generation (an operator's file would undo what others had accepted since it was read); clipanion's own required options, which answer "command not found".

Conclusion: works against the store and any daemon that answers `GET /admin/members`.

--- /dev/null
+++ b/packages/cli/src/bin/apricotrill.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+import { userInfo } from 'node:os';
+import { HttpPlatformStore } from '@apricotrill/platform';
+import { SystemClock } from '@apricotrill/utils';
+import { Cli } from 'clipanion';
+import { createCli } from '../lib/createCli.js';
+import { askMembers } from '../lib/daemons/askMembers.js';
+
+await createCli().runExit(process.argv.slice(2), {
+  ...Cli.defaultContext,
+  clock: new SystemClock(),
+  openStore: (url, timeout) => {
+    const store = new HttpPlatformStore({ url, timeout });
+    return { store, dispose: () => store.dispose() };
+  },
+  askMembers,
+  userName: userInfo().username,
+});
--- /dev/null
+++ b/packages/cli/src/lib/commands/HistoryCommand.ts
@@ -0,0 +1,47 @@
+import type { AcceptedChange, Manifest } from '@apricotrill/configuration';
+import { Command } from 'clipanion';
+import { ExitCode } from '../ExitCode.js';
+import type { Report } from '../Report.js';
+import { StoreCommand } from '../StoreCommand.js';
+import { formatTime } from '../text/formatChange.js';
+import { formatTable } from '../text/formatTable.js';
+
+function getChanges(manifest: Manifest | undefined): AcceptedChange[] {
+  if (manifest === undefined) {
+    return [];
+  }
+  const { generation, changeId, author, acceptedAt, contentHash, recent } = manifest;
+  return [{ generation, changeId, author, acceptedAt, contentHash }, ...recent];
+}
+
+/** `apricotrill history` */
+export class HistoryCommand extends StoreCommand {
+  static override paths = [['history']];
+
+  static override usage = Command.Usage({
+    category: 'Watch',
+    description: 'list the last accepted changes',
+    details: `
+      Prints the accepted change and those before it, newest first, as many as the manifest
+      remembers: who, when and under which identity.
+
+      Exit status: 0 answered, 4 no answer from the store.
+    `,
+    examples: [['Show the last changes', '$0 history --platform http://127.0.0.1:8500']],
+  });
+
+  protected async run(): Promise<Report> {
+    const changes = getChanges(await this.useStore((store) => store.readManifest()));
+    const rows = changes.map(({ generation, changeId, author, acceptedAt }) => [
+      String(generation),
+      formatTime(acceptedAt),
+      author,
+      changeId,
+    ]);
+    const lines =
+      rows.length === 0
+        ? ['nothing is accepted yet']
+        : formatTable([['generation', 'accepted', 'author', 'change'], ...rows]);
+    return { exitCode: ExitCode.Done, lines, value: { changes } };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/getApplyReport.ts
@@ -0,0 +1,83 @@
+import type { ApplyOutcome, ConfigurationDifference } from '@apricotrill/configuration';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import { ExitCode } from '../ExitCode.js';
+import type { Report } from '../Report.js';
+import { formatChange } from '../text/formatChange.js';
+import { formatDiff } from '../text/formatDiff.js';
+
+function getName(difference: ConfigurationDifference): string {
+  return difference.kind === 'reordered'
+    ? `${difference.list}: order`
+    : `${difference.list} ${difference.name}`;
+}
+
+/** Entries that both sides touched: there a merge needs a decision. */
+function getOverlap(
+  theirs: readonly ConfigurationDifference[],
+  mine: readonly ConfigurationDifference[],
+): string[] {
+  const touched = new Set(theirs.map(getName));
+  return mine.map(getName).filter((name) => touched.has(name));
+}
+
+function getConflictLines(outcome: Extract<ApplyOutcome, { kind: 'conflict' }>): string[] {
+  const { accepted, theirs, mine } = outcome;
+  const heading = `conflict: ${formatChange(accepted)} was accepted on the same base`;
+  const advice = `nothing was applied; take their side into the files, then apply --base ${accepted.generation}`;
+  if (theirs === undefined) {
+    return [heading, 'yours, against what is accepted:', ...formatDiff(mine), advice];
+  }
+  const overlap = getOverlap(theirs, mine);
+  const both = overlap.length === 0 ? 'nothing' : overlap.join(', ');
+  return [
+    heading,
+    'theirs, since the base:',
+    ...formatDiff(theirs),
+    'yours, since the base:',
+    ...formatDiff(mine),
+    `touched by both: ${both}`,
+    advice,
+  ];
+}
+
+/** What an apply ended in, with what to do next. */
+export function getApplyReport(outcome: ApplyOutcome, changeId: string): Report {
+  switch (outcome.kind) {
+    case 'accepted':
+      return {
+        exitCode: ExitCode.Done,
+        lines: [`accepted: ${formatChange(outcome.change)}`],
+        value: outcome,
+      };
+    case 'unchanged':
+      return {
+        exitCode: ExitCode.Done,
+        lines: [`nothing to apply: ${formatChange(outcome.accepted)} has this very content`],
+        value: outcome,
+      };
+    case 'conflict':
+      return { exitCode: ExitCode.Conflict, lines: getConflictLines(outcome), value: outcome };
+    case 'unavailable': {
+      const { mayBeAccepted, error } = outcome;
+      const fate = mayBeAccepted
+        ? `change ${changeId} may be accepted; run the same command again to find out`
+        : 'nothing was applied';
+      return {
+        exitCode: ExitCode.Unavailable,
+        lines: [`no answer: ${error.message}`, fate],
+        value: { kind: 'unavailable', mayBeAccepted, changeId, message: error.message },
+      };
+    }
+    case 'forgotten':
+      return {
+        exitCode: ExitCode.Impossible,
+        lines: [
+          `the base is too old: ${formatChange(outcome.accepted)} is accepted, and what followed the base is no longer kept`,
+          'compare with diff whether your change is in it',
+        ],
+        value: outcome,
+      };
+    default:
+      throw exhaustiveSwitchError(outcome);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/createCli.ts
@@ -0,0 +1,34 @@
+import { Builtins, Cli } from 'clipanion';
+import { ApplyCommand } from './commands/ApplyCommand.js';
+import { DiffCommand } from './commands/DiffCommand.js';
+import { ExplainCommand } from './commands/ExplainCommand.js';
+import { HistoryCommand } from './commands/HistoryCommand.js';
+import { KeyCreateCommand } from './commands/KeyCreateCommand.js';
+import { MembersCommand } from './commands/MembersCommand.js';
+import { ShowCommand } from './commands/ShowCommand.js';
+import { StatusCommand } from './commands/StatusCommand.js';
+import { ValidateCommand } from './commands/ValidateCommand.js';
+import type { OperatorContext } from './OperatorContext.js';
+
+/** Every command of `apricotrill`. */
+export const COMMANDS = [
+  ValidateCommand,
+  DiffCommand,
+  ApplyCommand,
+  ExplainCommand,
+  KeyCreateCommand,
+  StatusCommand,
+  MembersCommand,
+  HistoryCommand,
+  ShowCommand,
+];
+
+/** Puts the operators' command line together. */
+export function createCli(): Cli<OperatorContext> {
+  const cli = new Cli<OperatorContext>({
+    binaryLabel: 'apricotrill, the operators’ command line',
+    binaryName: 'apricotrill',
+  });
+  [...COMMANDS, Builtins.HelpCommand].forEach((command) => cli.register(command));
+  return cli;
+}
--- /dev/null
+++ b/packages/cli/src/lib/daemons/DaemonUnavailableError.ts
@@ -0,0 +1,4 @@
+import { StepError } from '@apricotrill/utils';
+
+/** A daemon gave no answer that could be read. */
+export class DaemonUnavailableError extends StepError {}
--- a/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.test.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.test.ts
@@ -62,6 +62,16 @@
     await expect(other).rejects.toThrow(ConfigurationError);
   });
 
+  it('makes no generation of a change that changes nothing', async () => {
+    const { store, apply } = createStore();
+    await apply('first', 0);
+    expect(await apply('second', 1)).toMatchObject({
+      kind: 'unchanged',
+      accepted: { generation: 1 },
+    });
+    expect((await store.readManifest())!.generation).toBe(1);
+  });
+
   // Symptom: an operator's edit disappears without a word. Sequence: two operators edit the same
   // base, the second applies after the first. Cause: an update that is not conditional on the base.
   it('shows the loser of a race both sides', async () => {
--- a/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.ts
@@ -40,6 +40,8 @@
  */
 export type ApplyOutcome =
   | { kind: 'accepted'; change: AcceptedChange }
+  /** The base has this very content: there is nothing to accept. */
+  | { kind: 'unchanged'; accepted: AcceptedChange }
   /** Another change was accepted on the same base; this one is not and never will be. */
   | {
       kind: 'conflict';
@@ -199,13 +201,16 @@
     stored: StoredManifest | undefined,
   ): Promise<ApplyOutcome | undefined> {
     const fate = await getFate(this.reader, { ...change, contentHash }, stored?.manifest);
-    if (stored === undefined || fate.kind === 'open') {
-      return undefined;
-    }
     if (fate.kind === 'accepted') {
       return { kind: 'accepted', change: fate.change };
     }
+    if (stored === undefined) {
+      return undefined;
+    }
     const accepted = getAcceptedChange(stored.manifest);
+    if (fate.kind === 'open') {
+      return accepted.contentHash === contentHash ? { kind: 'unchanged', accepted } : undefined;
+    }
     return fate.kind === 'forgotten'
       ? { kind: 'forgotten', accepted }
       : getConflict(this.reader, change, accepted);
