--- a/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
@@ -108,6 +108,13 @@
   core: number;
 }
 
+/** A holder that has seen all its engines. */
+async function createSettledHolder(replicas: number): Promise<unknown> {
+  const holder = createHolder(replicas);
+  await advanceClock(holder.clock, 2 * SPAN);
+  return holder;
+}
+
 /** What the holder of one lease does in a quiet minute. */
 async function readHolder(replicas: number): Promise<HolderReading> {
   const { clock, engines, placement } = createHolder(replicas);
@@ -178,7 +185,9 @@
       ...ofReplicas,
       figure: 'heap of a holder',
       unit: 'bytes',
-      line: await measureLine(REPLICA_COUNTS, (size) => measureHeap(() => createHolder(size))),
+      line: await measureLine(REPLICA_COUNTS, (size) =>
+        measureHeap(() => createSettledHolder(size)),
+      ),
     },
   };
 }
--- a/packages/experiment/src/lib/measure/measureCost.ts
+++ b/packages/experiment/src/lib/measure/measureCost.ts
@@ -2,6 +2,7 @@
 import { runInNewContext } from 'node:vm';
 import { median } from 'simple-statistics';
 import type { Milliseconds } from '@apricotrill/utils';
+import { drainMicrotasks } from './advanceClock.js';
 import { fitLine } from './fitLine.js';
 import type { Line } from './fitLine.js';
 
@@ -24,16 +25,24 @@
   return (user + system) / MICROSECONDS;
 }
 
+/** What earlier promises and callbacks hold is let go a turn later. */
+async function settleHeap(): Promise<void> {
+  await drainMicrotasks();
+  collectGarbage();
+  await drainMicrotasks();
+  collectGarbage();
+}
+
 /**
  * Bytes of heap that what `create` returns keeps alive.
  *
  * @internal
  */
 export async function measureHeap(create: () => Promise<unknown> | unknown): Promise<number> {
-  collectGarbage();
+  await settleHeap();
   const before = process.memoryUsage();
   const kept = await create();
-  collectGarbage();
+  await settleHeap();
   const after = process.memoryUsage();
   const grown = after.heapUsed + after.external - before.heapUsed - before.external;
   // Names the value after the reading, so that it was alive until then.
--- a/packages/experiment/src/lib/policies/policies.ts
+++ b/packages/experiment/src/lib/policies/policies.ts
@@ -1,4 +1,9 @@
-import { Scheduler } from '@apricotrill/policy';
+import {
+  createFirstInFirstOut,
+  createLeastOutstanding,
+  createStrictPriority,
+  Scheduler,
+} from '@apricotrill/policy';
 import type { PolicyFactory } from './Policy.js';
 
 /** The policy under trial; the others are its baselines. */
@@ -11,4 +16,7 @@
  */
 export const policies: Record<string, PolicyFactory> = {
   [POLICY]: (context) => new Scheduler(context),
+  'fifo-round-robin': createFirstInFirstOut,
+  'least-outstanding': createLeastOutstanding,
+  'strict-priority': createStrictPriority,
 };
