--- /dev/null
+++ b/packages/platform/src/lib/LaggedValue/LaggedValue.test.ts
@@ -0,0 +1,28 @@
+import { ManualClock } from '@apricotrill/utils';
+import { LaggedValue } from './LaggedValue.js';
+
+describe('LaggedValue', () => {
+  it('shows each value after the lag, with the time at which it still held', () => {
+    const clock = new ManualClock();
+    const value = new LaggedValue(clock, 100, 'first');
+    clock.advance(50);
+    value.set('second');
+    clock.advance(40);
+    value.set('third');
+    expect(value.get()).toEqual({ value: 'first', measuredAt: 0 });
+    clock.advance(60);
+    expect(value.get()).toEqual({ value: 'second', measuredAt: 50 });
+    clock.advance(100);
+    expect(value.get()).toEqual({ value: 'third', measuredAt: 150 });
+    expect(value.getCurrent()).toBe('third');
+  });
+
+  it('follows a lag changed on the way', () => {
+    const clock = new ManualClock();
+    const value = new LaggedValue(clock, 1_000, 1);
+    value.set(2);
+    expect(value.get().value).toBe(1);
+    value.setLag(0);
+    expect(value.get().value).toBe(2);
+  });
+});
--- a/packages/platform/src/lib/ObjectStore/ObjectStore.ts
+++ b/packages/platform/src/lib/ObjectStore/ObjectStore.ts
@@ -3,6 +3,7 @@
 
 interface Waiter {
   prefix: string;
+  afterVersion: number;
   finish: (changes: StoreChange[]) => void;
 }
 
@@ -84,15 +85,15 @@
       onAnswer(changes);
       return () => {};
     }
-    return this.wait(prefix, wait, onAnswer);
+    return this.wait({ prefix, afterVersion }, wait, onAnswer);
   }
 
   private wait(
-    prefix: string,
+    awaited: Omit<Waiter, 'finish'>,
     span: Milliseconds,
     onAnswer: (changes: StoreChange[]) => void,
   ): () => void {
-    const waiter: Waiter = { prefix, finish: () => {} };
+    const waiter: Waiter = { ...awaited, finish: () => {} };
     const timer = this.clock.setTimer(span, () => waiter.finish([]));
     const callOff = () => {
       timer.cancel();
@@ -119,7 +120,9 @@
   }
 
   private wake(change: StoreChange): void {
-    const woken = [...this.waiters].filter(({ prefix }) => change.key.startsWith(prefix));
-    woken.forEach((waiter) => waiter.finish([change]));
+    [...this.waiters]
+      .filter((waiter) => change.key.startsWith(waiter.prefix))
+      .filter((waiter) => change.version > waiter.afterVersion)
+      .forEach((waiter) => waiter.finish([change]));
   }
 }
