Shorten refusals that would list thousands of names

Cause: a mistyped workspace in a register of 3,500 was answered with all their names; history copied the fields that make an accepted change.

Change: beyond ten candidates the refusal gives their count; `getAcceptedChange` is public and takes the place of the copies.

Ruled out: showing the first ten, which are no likelier than the others.

Conclusion: no change of behaviour besides the wording.

--- a/packages/cli/src/lib/commands/HistoryCommand.ts
+++ b/packages/cli/src/lib/commands/HistoryCommand.ts
@@ -1,3 +1,4 @@
+import { getAcceptedChange } from '@apricotrill/configuration';
 import type { AcceptedChange, Manifest } from '@apricotrill/configuration';
 import { Command } from 'clipanion';
 import { ExitCode } from '../ExitCode.js';
@@ -7,11 +8,7 @@
 import { formatTable } from '../text/formatTable.js';
 
 function getChanges(manifest: Manifest | undefined): AcceptedChange[] {
-  if (manifest === undefined) {
-    return [];
-  }
-  const { generation, changeId, author, acceptedAt, contentHash, recent } = manifest;
-  return [{ generation, changeId, author, acceptedAt, contentHash }, ...recent];
+  return manifest === undefined ? [] : [getAcceptedChange(manifest), ...manifest.recent];
 }
 
 /** `apricotrill history` */
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -12,7 +12,7 @@
   ConfigurationInForce,
   OfferOutcome,
 } from './lib/InForceConfiguration/InForceConfiguration.js';
-export { MANIFEST_KEY, PART_PREFIX, parseManifest } from './lib/Manifest.js';
+export { MANIFEST_KEY, PART_PREFIX, getAcceptedChange, parseManifest } from './lib/Manifest.js';
 export type { AcceptedChange, Manifest, PartReference } from './lib/Manifest.js';
 export type { ConfigurationOptions } from './lib/options.js';
 export { assembleConfiguration } from './lib/parts/assembleConfiguration.js';
--- a/packages/configuration/src/lib/ConfigurationStore/getFate.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/getFate.ts
@@ -78,5 +78,5 @@
     return { kind: 'overtaken' };
   }
   checkIdentity(identity, next);
-  return { kind: 'accepted', change: getAcceptedChange({ parts: [], recent: [], ...next }) };
+  return { kind: 'accepted', change: getAcceptedChange(next) };
 }
--- a/packages/configuration/src/lib/Manifest.ts
+++ b/packages/configuration/src/lib/Manifest.ts
@@ -83,8 +83,16 @@
   }
 }
 
-/** The change a manifest stands for, without its parts. */
-export function getAcceptedChange(manifest: Manifest): AcceptedChange {
+/**
+ * The change alone that a manifest stands for, without its parts.
+ *
+ * @example
+ * ```ts
+ * const changes = [getAcceptedChange(manifest), ...manifest.recent];
+ * ```
+ * @public
+ */
+export function getAcceptedChange(manifest: AcceptedChange): AcceptedChange {
   const { generation, changeId, author, acceptedAt, contentHash } = manifest;
   return { generation, changeId, author, acceptedAt, contentHash };
 }
--- a/packages/model/src/lib/getSuggestion.ts
+++ b/packages/model/src/lib/getSuggestion.ts
@@ -15,11 +15,17 @@
   return isNear ? nearest : undefined;
 }
 
-/** Words the right choice for a mistyped word: the near candidate, or all of them. */
+/** More choices than this are not worth reading. */
+const MOST_SHOWN = 10;
+
+/** Words the right choice for a mistyped word: the near candidate, or all of a few. */
 export function getChoice(word: string, candidates: readonly string[]): string {
   const suggestion = getSuggestion(word, candidates);
   if (suggestion !== undefined) {
     return `"${suggestion}"`;
   }
+  if (candidates.length > MOST_SHOWN) {
+    return `one of the ${candidates.length} that exist`;
+  }
   return candidates.length === 0 ? 'none' : `one of ${candidates.join(', ')}`;
 }
