Test leases, plans and orders case by case

Cause: the fuzz shows that the whole ends well, not which guard does what.

Change: a test for each failure that leases and orders guard against, with the sequence that leads to it. The fake store answers silent calls only after a minute, so that giving them up is left to the lease.

Ruled out: a stub store whose accepted write keeps its version; it breaks the platform's contract and made the lease renew without end.

--- /dev/null
+++ b/packages/placement/src/lib/LeaseManager/LeaseManager.test.ts
@@ -0,0 +1,40 @@
+import { ManualClock } from '@apricotrill/utils';
+import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import { advance } from '../../test/Link.js';
+import { LeaseManager } from './LeaseManager.js';
+
+const free: StoredObject = {
+  key: 'leases/x',
+  value: '{"holder":"","holderIncarnation":"","fencingNumber":0,"grantedFor":0,"renewals":1}',
+  version: 7,
+};
+
+describe('LeaseManager', () => {
+  /*
+   * Symptom: a daemon never contends for a lease again, though the store is well.
+   * Sequence: one read goes out on a connection that has gone silent, and is never answered.
+   * Cause: the lease has one call under way at a time and waited for that one for good.
+   */
+  it('gives up a call that is never answered', async () => {
+    const clock = new ManualClock();
+    let reads = 0;
+    let version = 7;
+    const store = {
+      get: async () => {
+        reads += 1;
+        return reads === 1 ? new Promise<undefined>(() => {}) : free;
+      },
+      put: async () => {
+        version += 1;
+        return { kind: 'accepted' as const, version };
+      },
+    } as unknown as PlatformStore;
+    const lease = new LeaseManager({ self: 'daemon-1', clock, store, name: 'x' });
+    const numbers: (number | undefined)[] = [];
+    lease.onChange((fencingNumber) => numbers.push(fencingNumber));
+    await advance(clock, 10_000);
+    expect(numbers).toEqual([8]);
+    lease.dispose();
+    expect(lease.isHeld()).toBe(false);
+  });
+});
--- a/packages/placement/src/lib/PlacementManager/PlacementManager.fuzz.test.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.fuzz.test.ts
@@ -1,8 +1,7 @@
 import fc from 'fast-check';
 import { createRandom } from '@apricotrill/utils';
 import { createDelays } from '../../test/Link.js';
-import { worldOptions } from '../../test/Daemon.js';
-import { PlacementWorld } from '../../test/PlacementWorld.js';
+import { PlacementWorld, worldOptions } from '../../test/PlacementWorld.js';
 import type { Placements } from '../../test/PlacementWorld.js';
 
 const RUNS = Number(process.env.FUZZ_RUNS ?? 60);
--- a/packages/placement/src/test/Daemon.ts
+++ b/packages/placement/src/test/Daemon.ts
@@ -1,16 +1,14 @@
 import type { Configuration } from '@apricotrill/model';
 import type { ManualClock, Milliseconds, Random } from '@apricotrill/utils';
 import { PlacementManager } from '../lib/PlacementManager/PlacementManager.js';
-import { defaultPlacementOptions } from '../lib/placementOptions.js';
 import { Link } from './Link.js';
 import { PausableClock } from './PausableClock.js';
 import type { EngineOrders } from '../lib/EngineOrders/EngineOrders.js';
 import type { PlacementDecision } from '../lib/PlacementDecision.js';
+import type { PlacementOptions } from '../lib/placementOptions.js';
 import type { FakeEngine } from './FakeEngine.js';
 import type { FakeStore } from './FakeStore.js';
 
-export const worldOptions = { ...defaultPlacementOptions, observeConverged: 10_000 };
-
 /** What a daemon shares with the others. */
 export interface DaemonSurroundings {
   clock: ManualClock;
@@ -18,6 +16,7 @@
   engines: Map<string, FakeEngine>;
   decisions: (PlacementDecision & { daemon: string })[];
   random: Random;
+  options: PlacementOptions;
   getDelay: () => Milliseconds;
   configuration: Configuration;
 }
@@ -63,16 +62,16 @@
       engines: this.createEngines(),
       getConfiguration: () => this.configuration,
       getMembers: () => ['daemon-1', 'daemon-2', 'daemon-3'],
-      options: worldOptions,
+      options: world.options,
       onDecision: (decision) => world.decisions.push({ ...decision, daemon: this.id }),
     });
   }
 
   private createEngines(): EngineOrders {
-    const { engines } = this.world;
-    const { observeTimeout, orderTimeout } = worldOptions;
+    const { engines, options } = this.world;
+    const { observeTimeout, orderTimeout } = options;
     return {
-      observe: ({ id }) => this.link.call(observeTimeout, () => engines.get(id)!.getState()),
+      observe: ({ id }) => this.link.call(observeTimeout, () => engines.get(id)!.observe()),
       order: ({ id }, order) =>
         this.link.call(orderTimeout, () => engines.get(id)!.order(order, this.id)),
     };
--- a/packages/placement/src/test/FakeEngine.ts
+++ b/packages/placement/src/test/FakeEngine.ts
@@ -32,6 +32,12 @@
   /** So many orders from now on are carried out and not confirmed. */
   lostAnswers = 0;
 
+  /** Refuses every order with status 400. */
+  refuses = false;
+
+  /** How often someone looked at it. */
+  looks = 0;
+
   private lives = 0;
 
   private state: EngineState;
@@ -42,7 +48,12 @@
     private readonly weights: FakeWeightStore,
     loaded: string[] = [],
   ) {
-    this.state = { loaded, loading: [], role: EngineRole.Mixed, highestFencingNumber: 0 };
+    this.state = {
+      loaded: [...loaded],
+      loading: [],
+      role: EngineRole.Mixed,
+      highestFencingNumber: 0,
+    };
   }
 
   getState(): EngineState {
@@ -50,6 +61,11 @@
     return { loaded: [...loaded].sort(), loading: [...loading], role, highestFencingNumber };
   }
 
+  observe(): EngineState {
+    this.looks += 1;
+    return this.getState();
+  }
+
   crash(): void {
     this.lives += 1;
     this.state = { ...this.state, loaded: [], loading: [], highestFencingNumber: 0 };
@@ -70,6 +86,9 @@
     if (this.replica.checksFencing && fencingNumber < highest) {
       return { kind: 'stale', highest };
     }
+    if (this.refuses) {
+      return { kind: 'refused', status: 400 };
+    }
     if (order.kind === 'load' && this.clock.now() < this.weights.refusesUntil) {
       return { kind: 'rate-limited', retryAfter: this.weights.refusesUntil - this.clock.now() };
     }
--- a/packages/placement/src/test/FakeStore.ts
+++ b/packages/placement/src/test/FakeStore.ts
@@ -28,7 +28,8 @@
   private version = 100;
 
   connect(link: Link): PlatformStore {
-    const timeout = 2_500;
+    // Longer than the lease waits: giving up a silent call is the lease's own task.
+    const timeout = 60_000;
     return {
       get: (key) => link.call(timeout, () => this.get(key)),
       put: (key, value, expected) => link.call(timeout, () => this.put(key, value, expected)),
--- a/packages/placement/src/test/PlacementWorld.ts
+++ b/packages/placement/src/test/PlacementWorld.ts
@@ -2,11 +2,15 @@
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { Configuration, Replica } from '@apricotrill/model';
 import type { Milliseconds, Random } from '@apricotrill/utils';
+import { defaultPlacementOptions } from '../lib/placementOptions.js';
 import { Daemon } from './Daemon.js';
-import { advance } from './Link.js';
+import { advance, settle } from './Link.js';
 import { FakeEngine } from './FakeEngine.js';
 import { FakeStore } from './FakeStore.js';
 import type { PlacementDecision } from '../lib/PlacementDecision.js';
+import type { PlacementOptions } from '../lib/placementOptions.js';
+
+export const worldOptions = { ...defaultPlacementOptions, observeConverged: 10_000 };
 
 /** What the replicas of a service should carry, by replica id. */
 export type Placements = Record<string, string[]>;
@@ -45,15 +49,19 @@
 
   readonly random: Random;
 
+  readonly options: PlacementOptions;
+
   readonly daemons: Daemon[];
 
   configuration: Configuration;
 
   constructor(
     placements: Placements,
-    readonly getDelay: () => Milliseconds = () => 5,
+    public getDelay: () => Milliseconds = () => 5,
     loaded: Placements = {},
+    options: Partial<PlacementOptions> = {},
   ) {
+    this.options = { ...worldOptions, ...options };
     this.random = createRandom(7);
     this.configuration = createConfiguration(placements);
     this.configuration.register.replicas.forEach((replica) => {
@@ -81,12 +89,14 @@
   /** Moves time on until something is the case; fails after ten minutes of that time. */
   async until(isDone: () => boolean): Promise<void> {
     const limit = this.clock.now() + 600_000;
+    await settle();
     while (!isDone()) {
-      if (this.clock.now() > limit) {
+      if (!this.clock.runNext(limit)) {
         throw new Error('it never came');
       }
       // eslint-disable-next-line no-await-in-loop
-      await this.advance(10);
+      await settle();
+      this.checkHolders();
     }
   }
 
