Prove whole answers through crashes, cuts, crossed pieces and slow callers

Cause: nothing showed as separate processes that an answer stays whole when its engine dies, its connection breaks or its caller is slow.

Change: tests with the engine stand-in behind a real daemon, compared token by token with the answer computed beforehand: a crash in the middle (streamed and unstreamed), a cut at every kind of place (before the first token, in the middle, around the closing chunk), pieces of another answer, a stream that ends properly but early, a caller that does not read while the engine writes 32 MB, and 40 answers at once under cuts, refusals and crossed pieces. The harness gains a fake engine, a TCP relay, oracles by the stand-ins' runs, and a reader of decision log lines. The daemon says once when a caller is slower than its engine.

Found on the way: the HTTP client brings an empty piece each time a paused answer goes on; an attempt that waits for its caller on it would never end. It is left out.

--- /dev/null
+++ b/packages/e2e/src/lib/wholeAnswers.test.ts
@@ -0,0 +1,190 @@
+import { request } from 'undici';
+import { askWholeChat, createChat } from '../test/calls.js';
+import { askChat, getMessages } from '../test/chat.js';
+import { getDecisions, waitForDecision } from '../test/decisions.js';
+import { API_KEY, Deployment, MODEL } from '../test/Deployment.js';
+import type { Daemon } from '../test/Deployment.js';
+import { FakeEngine, getFinishEvent, getTokenEvent } from '../test/FakeEngine.js';
+
+const FAST = ['--step-base', '2', '--step-per-request', '0', '--prefill-per-token', '0'];
+
+describe('whole answers', () => {
+  const deployments: Deployment[] = [];
+  const engines: FakeEngine[] = [];
+
+  afterEach(async () => {
+    engines.splice(0).forEach((engine) => engine.dispose());
+    await Promise.all(deployments.splice(0).map((deployment) => deployment.dispose()));
+  });
+
+  async function start(engineCount: number) {
+    const deployment = new Deployment();
+    deployments.push(deployment);
+    await deployment.prepare();
+    await Promise.all(
+      Array.from({ length: engineCount }, () => deployment.startBackend('engines', FAST)),
+    );
+    const daemon = await deployment.startLoneDaemon();
+    return { deployment, daemon };
+  }
+
+  async function startFake(engine: FakeEngine): Promise<Daemon> {
+    const deployment = new Deployment();
+    deployments.push(deployment);
+    engines.push(engine);
+    await deployment.prepare();
+    deployment.addBackend('engines', await engine.listen());
+    return deployment.startLoneDaemon();
+  }
+
+  /** The engine that runs the only request. */
+  async function getRunner({ deployment, daemon }: { deployment: Deployment; daemon: Daemon }) {
+    const { replica } = await waitForDecision(daemon.process.log, 'choose');
+    return deployment.backends.find(({ id }) => id === replica)!;
+  }
+
+  // Symptom: a draft ends in the middle, or repeats a sentence where its engine died. Sequence:
+  // the engine crashes after some tokens, the request goes to another replica. Cause: the second
+  // attempt starts anew, or one token off, or the broken stream is taken for the whole answer.
+  it('goes on elsewhere at the delivered token when an engine crashes, streamed', async () => {
+    const system = await start(2);
+    const { order, expected } = createChat(system.daemon.port, 40);
+    let crashed: Promise<void> | undefined;
+    const onToken = (count: number) => {
+      if (count === 10) {
+        crashed = getRunner(system).then((engine) => engine.fail({ kind: 'crash' }));
+      }
+    };
+    const answer = await askChat({ ...order, onToken });
+    await crashed?.catch(() => undefined);
+    expect(answer).toMatchObject({ status: 200, whole: true, tokens: expected });
+    const attempts = getDecisions(system.daemon.process.log, 'choose');
+    expect(attempts).toHaveLength(2);
+    expect(attempts[1]?.resumeAt).toBeGreaterThanOrEqual(10);
+  });
+
+  it('goes on elsewhere when an engine crashes, unstreamed', async () => {
+    const system = await start(2);
+    const { order, expected } = createChat(system.daemon.port, 40);
+    const answering = askWholeChat(order);
+    const engine = await getRunner(system);
+    await engine.waitForRuns(([run]) => (run?.tokens ?? 0) >= 10);
+    await engine.fail({ kind: 'crash' }).catch(() => undefined);
+    const { status, body } = await answering;
+    expect(status).toBe(200);
+    expect(body.choices[0]?.message.content).toBe(expected.join(''));
+    expect(getDecisions(system.daemon.process.log, 'choose')).toHaveLength(2);
+  });
+
+  // Symptom: a token twice or one missing right where a connection broke. Sequence: the connection
+  // breaks before the first token, in the middle, and between the last token and the closing chunk.
+  // Cause: the place of the cut counted one off.
+  it('neither repeats nor skips a token wherever the connection breaks', async () => {
+    const { deployment, daemon } = await start(1);
+    const [engine] = deployment.backends;
+    const { order, expected } = createChat(daemon.port, 12);
+    const cuts = [0, 1, 5, expected.length - 1, expected.length];
+    for (const tokens of cuts) {
+      // One after another: each cut belongs to one request.
+      // eslint-disable-next-line no-await-in-loop
+      await engine!.fail({ kind: 'drop-after', tokens, count: 1 });
+      // eslint-disable-next-line no-await-in-loop
+      const answer = await askChat(order);
+      expect(answer).toMatchObject({ status: 200, whole: true, tokens: expected });
+    }
+    const runs = await engine!.getRuns();
+    expect(runs).toHaveLength(2 * cuts.length);
+    expect(runs.filter(({ startIndex }) => startIndex !== 0)).toHaveLength(cuts.length - 1);
+  });
+
+  // Symptom: a stranger's words in a caller's answer. Sequence: a piece of another request's
+  // answer arrives on this one's connection. Cause: whatever comes on the connection is believed.
+  it('drops the pieces of other answers', async () => {
+    const engine = new FakeEngine((name, response) => {
+      const stray = getTokenEvent('another/1', 1, ' stray');
+      const own = [getTokenEvent(name, 0, 'own'), stray, getTokenEvent(name, 1, ' words')];
+      response.end(`${own.join('')}${getFinishEvent(name)}data: [DONE]\n\n`);
+    });
+    const daemon = await startFake(engine);
+    const { order } = createChat(daemon.port, 2);
+    expect((await askChat(order)).tokens).toEqual(['own', ' words']);
+    expect((await askWholeChat(order)).body.choices[0]?.message.content).toBe('own words');
+    const dropped = getDecisions(daemon.process.log, 'relay').filter((line) => 'dropped' in line);
+    expect(dropped).toHaveLength(2);
+  });
+
+  // Symptom: half an answer with an end mark. Sequence: every engine closes its stream properly
+  // but before the answer's end. Cause: the end of the stream taken for the end of the answer.
+  it('never passes a truncated stream off as whole', async () => {
+    const engine = new FakeEngine((name, response) => {
+      response.end(getTokenEvent(name, 0, 'half'));
+    });
+    const daemon = await startFake(engine);
+    const { order } = createChat(daemon.port, 4);
+    const streamed = await askChat(order);
+    expect(streamed.whole).toBe(false);
+    expect(streamed.tokens).toEqual(['half']);
+    expect(streamed.problem).toMatchObject({ outcome: 'failed' });
+    const { status, retryAfter, body } = await askWholeChat(order);
+    expect(status).toBe(503);
+    expect(Number(retryAfter)).toBeGreaterThan(0);
+    expect(body.outcome).toBe('failed');
+  });
+
+  // Symptom: the daemon's memory grows with every caller on a slow line, or the answer of such a
+  // caller is cut. Sequence: the engine writes faster than the caller reads, for long. Cause: the
+  // daemon reads on whatever its caller does, or takes its own waiting for a silent engine.
+  it('makes the engine wait for a slow caller, and loses nothing', async () => {
+    const count = 2000;
+    const text = 'x'.repeat(16 * 1024);
+    let written = 0;
+    const engine = new FakeEngine((name, response) => {
+      const write = () => {
+        while (written < count) {
+          written += 1;
+          if (!response.write(getTokenEvent(name, written - 1, `${written} ${text}`))) {
+            response.once('drain', write);
+            return;
+          }
+        }
+        response.end(`${getFinishEvent(name)}data: [DONE]\n\n`);
+      };
+      write();
+    });
+    const daemon = await startFake(engine);
+    const response = await request(`http://127.0.0.1:${daemon.port}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${API_KEY}` },
+      body: JSON.stringify({ model: MODEL, messages: getMessages('all'), stream: true }),
+    });
+    await waitForDecision(daemon.process.log, 'relay', ({ event }) => event === 'caller-slow');
+    expect(written).toBeLessThan(count);
+    const lines = (await response.body.text()).split('\n').filter((line) => line !== '');
+    const numbers = lines.slice(0, count).map((line) => /"content":"(\d+) x/.exec(line)?.[1]);
+    expect(numbers).toEqual(Array.from({ length: count }, (_, index) => String(index + 1)));
+    expect(lines.at(-1)).toBe('data: [DONE]');
+  });
+
+  // Symptom: now and then, under load, an answer that is not its own or not whole. Sequence: many
+  // answers at once while engines drop connections, refuse, and cross answers. Cause: any of the
+  // above in combination.
+  it('keeps many answers apart under faults', async () => {
+    const { deployment, daemon } = await start(3);
+    await Promise.all(
+      deployment.backends.flatMap((engine, place) => [
+        engine.fail({ kind: 'drop-after', tokens: 3 + place, count: 3 }),
+        engine.fail({ kind: 'stray-answers', count: 5 }),
+        engine.fail({ kind: 'refuse', count: 2 }),
+      ]),
+    );
+    const chats = Array.from({ length: 40 }, (_, index) => createChat(daemon.port, 5 + index));
+    const answers = await Promise.all(chats.map(({ order }) => askChat(order)));
+    answers.forEach((answer, index) => {
+      const { expected } = chats[index]!;
+      expect(answer.tokens).toEqual(expected.slice(0, answer.tokens.length));
+      expect(answer.whole || answer.problem !== undefined).toBe(true);
+      expect(answer.whole).toBe(answer.tokens.length === expected.length);
+    });
+    expect(answers.filter(({ whole }) => whole).length).toBeGreaterThan(30);
+  });
+});
--- a/packages/e2e/src/test/Deployment.ts
+++ b/packages/e2e/src/test/Deployment.ts
@@ -1,33 +1,49 @@
+import type { CallerLimits } from '@apricotrill/model';
 import { createHash } from 'node:crypto';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { Backend } from './Backend.js';
 import { getFreePort } from './getFreePort.js';
 import { Binary, Subprocess } from './Subprocess.js';
+import { TcpRelay } from './TcpRelay.js';
 
 /** The key of the only workspace. */
 export const API_KEY = 'key-of-painotalo';
 
 export const MODEL = 'kieli';
 
-/** A running stand-in of a backend server. */
-export interface Backend {
+/** A running daemon. */
+export interface Daemon {
   id: string;
-  service: string;
   port: number;
+  adminPort: number;
   process: Subprocess;
 }
 
-/** A running daemon. */
-export interface Daemon {
+interface Address {
   id: string;
+  service: string;
   port: number;
-  adminPort: number;
-  process: Subprocess;
+}
+
+/** A daemon's settings, on free ports. */
+export async function getSettings(id: string, limits: Partial<CallerLimits> = {}) {
+  return {
+    id,
+    region: 'etela-suomi',
+    availabilityZone: 'espoo',
+    host: '127.0.0.1',
+    port: 0,
+    adminPort: 0,
+    meshPort: await getFreePort(),
+    platformUrl: 'http://127.0.0.1:1',
+    limits,
+  };
 }
 
 /** The classes of the tests: an urgent check, a hold, a question and a draft. */
-const RULES = {
+export const RULES = {
   classes: [
     { name: 'check', tier: 0, target: { firstToken: 500 }, deadline: 5000, repeatable: true },
     { name: 'hold', tier: 0, target: { firstToken: 500 }, deadline: 5000, repeatable: false },
@@ -67,6 +83,13 @@
 
   private readonly processes: Subprocess[] = [];
 
+  private readonly relays: TcpRelay[] = [];
+
+  /** Backend servers that a test runs itself. */
+  private readonly ownBackends: Address[] = [];
+
+  private lastStandin = 0;
+
   private directory = '';
 
   async prepare(): Promise<void> {
@@ -75,30 +98,37 @@
 
   /** Starts an engine (service `engines`) or a plain service (service `portal`). */
   async startBackend(service: 'engines' | 'portal', args: string[] = []): Promise<Backend> {
-    const binary = service === 'engines' ? Binary.Engine : Binary.Service;
-    const id = `${service}-${this.backends.length + 1}`;
-    const process = this.start(binary, ['--port', '0', ...args]);
-    const { port } = await process.getListening();
-    const backend = { id, service, port: port!, process };
+    const { id, process, port } = await this.startStandin(service, args);
+    const backend = new Backend(id, service, process, port);
     this.backends.push(backend);
     return backend;
   }
 
+  /** The same, with a relay in front that can go silent. */
+  async startRelayedBackend(
+    service: 'engines' | 'portal',
+    args: string[] = [],
+  ): Promise<Backend & { relay: TcpRelay }> {
+    const { id, process, port } = await this.startStandin(service, args);
+    const relay = new TcpRelay(port);
+    this.relays.push(relay);
+    const front = { port: await relay.listen(), relay };
+    const backend = new Backend(id, service, process, port, front);
+    this.backends.push(backend);
+    return Object.assign(backend, { relay });
+  }
+
+  /** Registers a backend server that the test runs itself. */
+  addBackend(service: 'engines' | 'portal', port: number): void {
+    this.ownBackends.push({ id: `own-${this.ownBackends.length + 1}`, service, port });
+  }
+
   /** Starts a daemon that runs alone on the files. */
-  async startLoneDaemon(): Promise<Daemon> {
+  async startLoneDaemon(limits: Partial<CallerLimits> = {}): Promise<Daemon> {
     const register = await this.write('register.jsonc', this.getRegister());
     const rules = await this.write('rules.jsonc', RULES);
     const id = `daemon-${this.daemons.length + 1}`;
-    const settings = await this.write(`${id}.jsonc`, {
-      id,
-      region: 'etela-suomi',
-      availabilityZone: 'espoo',
-      host: '127.0.0.1',
-      port: 0,
-      adminPort: 0,
-      meshPort: await getFreePort(),
-      platformUrl: 'http://127.0.0.1:1',
-    });
+    const settings = await this.write(`${id}.jsonc`, await getSettings(id, limits));
     const args = ['--settings', settings, '--register', register, '--rules', rules];
     const process = this.start(Binary.Router, args);
     const { port, adminPort } = await process.getListening();
@@ -114,7 +144,7 @@
         { name: 'engines', kind: 'model', region: 'etela-suomi', models: [MODEL] },
         { name: 'portal', kind: 'plain', region: 'etela-suomi' },
       ],
-      replicas: this.backends.map(({ id, service, port }) => ({
+      replicas: [...this.backends, ...this.ownBackends].map(({ id, service, port }) => ({
         id,
         service,
         availabilityZone: 'espoo',
@@ -129,10 +159,20 @@
   }
 
   async dispose(): Promise<void> {
+    this.relays.forEach((relay) => relay.dispose());
     await Promise.all(this.processes.map((process) => process.dispose()));
     await rm(this.directory, { recursive: true, force: true });
   }
 
+  private async startStandin(service: 'engines' | 'portal', args: string[]) {
+    const binary = service === 'engines' ? Binary.Engine : Binary.Service;
+    this.lastStandin += 1;
+    const id = `${service}-${this.lastStandin}`;
+    const process = this.start(binary, ['--port', '0', ...args]);
+    const { port } = await process.getListening();
+    return { id, process, port: port! };
+  }
+
   private start(binary: Binary, args: string[]): Subprocess {
     const process = new Subprocess(binary, args);
     this.processes.push(process);
--- a/packages/e2e/src/test/Subprocess.ts
+++ b/packages/e2e/src/test/Subprocess.ts
@@ -2,6 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
+import { LineLog } from './LineLog.js';
 
 const PACKAGES = fileURLToPath(new URL('../../../', import.meta.url));
 
@@ -21,9 +22,7 @@
   /** Resolves with the exit code, or the signal's name. */
   readonly exited: Promise<number | string>;
 
-  readonly log: string[] = [];
-
-  private readonly watchers = new Set<(line: string) => void>();
+  readonly log = new LineLog();
 
   constructor(binary: Binary, args: string[]) {
     const env = { ...process.env, DEBUG: 'apricotrill:*', NODE_OPTIONS: '' };
@@ -34,7 +33,7 @@
     this.exited = new Promise((resolve) => {
       this.child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
     });
-    createInterface({ input: this.child.stderr! }).on('line', (line) => this.noteLine(line));
+    createInterface({ input: this.child.stderr! }).on('line', (line) => this.log.add(line));
   }
 
   /** The first line on standard output, as JSON: where the process listens. */
@@ -45,7 +44,7 @@
         lines.once('line', resolve);
       }),
       this.exited.then((code) => {
-        throw new Error(`process ended with ${code}:\n${this.log.slice(-20).join('\n')}`);
+        throw new Error(`process ended with ${code}:\n${this.log.lines.slice(-20).join('\n')}`);
       }),
     ]);
     return (JSON.parse(line) as { listening: Record<string, number> }).listening;
@@ -53,19 +52,7 @@
 
   /** Waits for a log line that has come or will come. */
   waitForLog(isIt: (line: string) => boolean): Promise<string> {
-    const known = this.log.find(isIt);
-    if (known !== undefined) {
-      return Promise.resolve(known);
-    }
-    return new Promise((resolve) => {
-      const watcher = (line: string) => {
-        if (isIt(line)) {
-          this.watchers.delete(watcher);
-          resolve(line);
-        }
-      };
-      this.watchers.add(watcher);
-    });
+    return this.log.waitFor(isIt);
   }
 
   signal(signal: NodeJS.Signals): void {
@@ -76,9 +63,4 @@
     this.child.kill('SIGKILL');
     await this.exited;
   }
-
-  private noteLine(line: string): void {
-    this.log.push(line);
-    [...this.watchers].forEach((watcher) => watcher(line));
-  }
 }
--- a/packages/e2e/src/test/chat.ts
+++ b/packages/e2e/src/test/chat.ts
@@ -4,6 +4,7 @@
 /** What a caller of the chat interface got. */
 export interface ChatAnswer {
   status: number;
+  requestId?: string;
   tokens: string[];
   whole: boolean;
   problem?: { outcome: string; type: string };
@@ -82,9 +83,10 @@
   });
   const status = response.statusCode;
   const retryAfter = response.headers['retry-after'] as string | undefined;
+  const requestId = response.headers['x-request-id'] as string | undefined;
   if (status !== 200) {
     const problem = (await response.body.json()) as ChatAnswer['problem'];
-    return { status, tokens: [], whole: false, problem, retryAfter };
+    return { status, requestId, tokens: [], whole: false, problem, retryAfter };
   }
   const reader = new AnswerReader(order.onToken);
   const parser = createParser({ onEvent: ({ data }) => reader.take(data) });
@@ -93,5 +95,5 @@
     parser.feed(decoder.decode(bytes as Uint8Array, { stream: true }));
   }
   const { tokens, whole, problem } = reader;
-  return { status, tokens, whole, problem, retryAfter };
+  return { status, requestId, tokens, whole, problem, retryAfter };
 }
--- a/packages/router/src/lib/pipeline/handleChat.ts
+++ b/packages/router/src/lib/pipeline/handleChat.ts
@@ -92,6 +92,7 @@
     connections,
     clock,
     onStray: (what) => log('relay', { request: requestId, dropped: what }),
+    onSlowCaller: () => log('relay', { request: requestId, event: 'caller-slow' }),
   });
   context.runner.run({ call, work, chat, outlivesCaller: false });
 }
--- a/packages/router/src/lib/request/ChatWork.ts
+++ b/packages/router/src/lib/request/ChatWork.ts
@@ -26,6 +26,8 @@
   connections: ReplicaConnections;
   clock: Clock;
   onStray: (what: string) => void;
+  /** The caller reads slower than the engine writes; told once. */
+  onSlowCaller: () => void;
 }
 
 /**
@@ -41,6 +43,8 @@
 
   private delivered = 0;
 
+  private callerIsSlow = false;
+
   /** The attempt whose tokens count. */
   private current = 0;
 
@@ -117,6 +121,10 @@
     if (!response.writableNeedDrain) {
       return undefined;
     }
+    if (!this.callerIsSlow) {
+      this.callerIsSlow = true;
+      this.parts.onSlowCaller();
+    }
     return new Promise((resolve) => {
       const timer = clock.setTimer(routerOptions.callerStall, () => response.destroy());
       const go = () => {
--- a/packages/router/src/lib/upstream/AttemptExchange/AttemptExchange.test.ts
+++ b/packages/router/src/lib/upstream/AttemptExchange/AttemptExchange.test.ts
@@ -5,7 +5,8 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { Dispatcher, buildConnector as Connector } from 'undici';
-import type { Attempt } from '../Attempt.js';
+import type { AnswerFlow, AnswerReader } from '../AnswerReader.js';
+import type { Attempt, AttemptResult } from '../Attempt.js';
 import { PlainAnswerReader } from '../PlainAnswerReader.js';
 import type { PlainAnswer } from '../PlainAnswerReader.js';
 import { AttemptExchange } from './AttemptExchange.js';
@@ -71,7 +72,10 @@
     cleanups.splice(0).forEach((cleanup) => cleanup());
   });
 
-  function run(dispatcher: Dispatcher) {
+  function run(
+    dispatcher: Dispatcher,
+    onBody: (flow: AnswerFlow) => void = () => undefined,
+  ): Promise<AttemptResult> {
     const attempt = {
       requestId: 'request',
       number: 1,
@@ -81,7 +85,18 @@
       signal: controller.signal,
       onLoad: () => undefined,
     } as unknown as Attempt;
-    const createReader = () => new PlainAnswerReader('request/1', (answer) => answers.push(answer));
+    const createReader = (flow: AnswerFlow): AnswerReader => {
+      const plain = new PlainAnswerReader('request/1', (answer) => answers.push(answer));
+      return {
+        onHead: (head) => plain.onHead(head),
+        onBody: (bytes) => {
+          onBody(flow);
+          return plain.onBody(bytes);
+        },
+        onEnd: () => plain.onEnd(),
+        onBreak: () => plain.onBreak(),
+      };
+    };
     return new AttemptExchange({ attempt, clock, createReader }).run(dispatcher, REQUEST);
   }
 
@@ -148,7 +163,32 @@
       }
     });
     const client = connect(origin);
-    expect(await run(client)).toMatchObject({ end: AttemptEnd.Broken, silent: client });
+    const { end, silent } = await run(client);
+    expect(end).toBe(AttemptEnd.Broken);
+    expect(silent === client).toBe(true);
+  });
+
+  // Symptom: a caller on a slow line loses its answer, and the engine's connections are condemned.
+  // Sequence: the answer is held back for the caller, longer than silence is allowed. Cause: our
+  // own waiting counted as the replica's silence.
+  it('does not take waiting for the caller for silence', async () => {
+    let takeMore = () => {};
+    const ready = new Promise<void>((resolve) => {
+      takeMore = resolve;
+    });
+    const { origin } = await serve((socket, received) => {
+      if (isWhole(received)) {
+        socket.write('HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf');
+        ready.then(() => socket.write('half'));
+      }
+    });
+    const { end, detail } = await run(connect(origin), (flow) => {
+      flow.waitFor(ready);
+      clock.advance(5 * TIMEOUT);
+      takeMore();
+    });
+    expect({ end, detail }).toEqual({ end: AttemptEnd.Completed, detail: 'whole' });
+    expect(answers[0]?.body.toString()).toBe('halfhalf');
   });
 
   // Symptom: a refused hold is answered `unknown`. Sequence: the replica refuses by the documented
--- a/packages/router/src/lib/upstream/AttemptExchange/AttemptExchange.ts
+++ b/packages/router/src/lib/upstream/AttemptExchange/AttemptExchange.ts
@@ -109,8 +109,9 @@
     this.settleIf(this.reader.onHead({ status, headers }));
   }
 
+  /** Each resumption brings an empty piece first; waiting for the caller on it would never end. */
   onResponseData(_controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    if (!this.settled) {
+    if (!this.settled && bytes.length > 0) {
       this.settleIf(this.reader.onBody(bytes));
     }
   }
