Measure the capacity of each role and load control state of full size

Cause: the capacity page needs figures worked out from measured slopes, and the control state of the two-year size really loaded.

Change: `apricotrill-experiment capacity` runs one probe for each role (relay, admission, choice, load view, configuration, claims, leases and orders, metrics), each at three or more sizes, fits a line by least squares and prints it with its residual against the budgets; `full-size` loads the configuration, scheduler and claims of that size in a process of its own.

Ruled out: fits through two sizes, which show no spread; heap readings without settling promises first, which were off by more than the state.

--- a/packages/experiment/src/bin/apricotrill-experiment.ts
+++ b/packages/experiment/src/bin/apricotrill-experiment.ts
@@ -1,6 +1,8 @@
 #!/usr/bin/env node
 import { Builtins, Cli } from 'clipanion';
 import { BenchCommand } from './BenchCommand.js';
+import { CapacityCommand } from './CapacityCommand.js';
+import { FullSizeCommand } from './FullSizeCommand.js';
 import { PolicyCommand } from './PolicyCommand.js';
 
 const cli = new Cli({
@@ -12,4 +14,6 @@
 cli.register(Builtins.VersionCommand);
 cli.register(PolicyCommand);
 cli.register(BenchCommand);
+cli.register(CapacityCommand);
+cli.register(FullSizeCommand);
 await cli.runExit(process.argv.slice(2));
--- a/packages/experiment/src/lib/bench/Bench.ts
+++ b/packages/experiment/src/lib/bench/Bench.ts
@@ -9,7 +9,9 @@
 
 const HOST = '127.0.0.1';
 
-const API_KEY = 'bench';
+function getApiKey(workspace: number): string {
+  return `bench-${workspace}`;
+}
 
 const ZONE = { region: 'bench', availabilityZone: 'bench-a' };
 
@@ -63,7 +65,8 @@
     private readonly directory: string,
   ) {}
 
-  static async start(): Promise<Bench> {
+  /** @param workspaces - how many there are, each with a key of its own */
+  static async start(workspaces = 1): Promise<Bench> {
     const directory = await mkdtemp(path.join(tmpdir(), 'apricotrill-bench-'));
     const loadArgs = ['--slots', `${LOAD_SLOTS}`, '--step-base', '20', '--step-per-request', '0'];
     const probeArgs = ['--slots', '64', '--step-base', '1', '--step-per-request', '0'];
@@ -72,7 +75,7 @@
       StartedProcess.start(Binary.Engine, probeArgs),
     ]);
     const files = {
-      'register.jsonc': Bench.createRegister(engines),
+      'register.jsonc': Bench.createRegister(engines, workspaces),
       'rules.jsonc': RULES,
       'settings.jsonc': {
         id: 'bench-daemon',
@@ -97,16 +100,22 @@
     return new Bench(daemon, engines, directory);
   }
 
-  /** Where callers ask the daemon. */
-  getDaemonTarget(model: BenchModel): ChatTarget {
-    return { origin: `http://${HOST}:${this.daemon.ports.port}`, apiKey: API_KEY, model };
+  /** Where callers of a workspace ask the daemon. */
+  getDaemonTarget(model: BenchModel, workspace = 0): ChatTarget {
+    const origin = `http://${HOST}:${this.daemon.ports.port}`;
+    return { origin, apiKey: getApiKey(workspace), model };
+  }
+
+  /** Where the daemon shows its metrics. */
+  get adminOrigin(): string {
+    return `http://${HOST}:${this.daemon.ports.adminPort}`;
   }
 
   /** The engines of a model, asked without the daemon. */
   getDirectTargets(model: BenchModel): ChatTarget[] {
     return this.engines
       .filter((_, index) => Bench.getModel(index) === model)
-      .map(({ ports }) => ({ origin: `http://${HOST}:${ports.port}`, apiKey: API_KEY, model }));
+      .map(({ ports }) => ({ origin: `http://${HOST}:${ports.port}`, apiKey: 'none', model }));
   }
 
   async dispose(): Promise<void> {
@@ -118,7 +127,7 @@
     return engineIndex < LOAD_ENGINES ? BenchModel.Load : BenchModel.Probe;
   }
 
-  private static createRegister(engines: StartedProcess[]) {
+  private static createRegister(engines: StartedProcess[], workspaces: number) {
     return {
       services: [BenchModel.Load, BenchModel.Probe].map((model) => ({
         name: model,
@@ -134,7 +143,11 @@
         port: ports.port,
         slots: LOAD_SLOTS,
       })),
-      workspaces: [{ name: 'bench', weight: 1, apiKeyHashes: [getApiKeyHash(API_KEY)] }],
+      workspaces: Array.from({ length: workspaces }, (_, index) => ({
+        name: `bench-${index}`,
+        weight: 1,
+        apiKeyHashes: [getApiKeyHash(getApiKey(index))],
+      })),
     };
   }
 }
--- /dev/null
+++ b/packages/experiment/src/lib/capacity/formatCapacity.ts
@@ -0,0 +1,150 @@
+import { markdownTable } from 'markdown-table';
+import { getLineValue } from '../measure/fitLine.js';
+import type { RoleCapacity, Slope } from './CapacityProbe.js';
+import type { FullSizeReading } from './FullSizeReading.js';
+import { controlBudget, storeBudget, twoYearSize } from './twoYearSize.js';
+
+const PERCENT = 100;
+
+const MEBIBYTE = 2 ** 20;
+
+const THOUSAND = 1000;
+
+/** A number with about three digits that mean something. */
+export function formatNumber(value: number): string {
+  if (!Number.isFinite(value)) {
+    return '-';
+  }
+  if (Math.abs(value) >= THOUSAND) {
+    return Math.round(value).toLocaleString('en-US');
+  }
+  return value === 0 ? '0' : `${Number(value.toPrecision(3))}`;
+}
+
+function sum(roles: RoleCapacity[], getValue: (role: RoleCapacity) => number): number {
+  return roles.reduce((total, role) => total + getValue(role), 0);
+}
+
+function getDaemonCells({ daemon }: Pick<RoleCapacity, 'daemon'>): string[] {
+  return [
+    formatNumber(daemon.messagesPerSecond),
+    formatNumber(daemon.bytesPerSecond),
+    formatNumber(daemon.core * PERCENT),
+    formatNumber(daemon.memoryBytes / MEBIBYTE),
+  ];
+}
+
+function getControlSum(roles: RoleCapacity[]): string[] {
+  const control = roles.filter(({ isControl }) => isControl);
+  const daemon = {
+    messagesPerSecond: sum(control, (role) => role.daemon.messagesPerSecond),
+    bytesPerSecond: sum(control, (role) => role.daemon.bytesPerSecond),
+    core: sum(control, (role) => role.daemon.core),
+    memoryBytes: sum(control, (role) => role.daemon.memoryBytes),
+  };
+  return ['**all control**', '', '', ...getDaemonCells({ daemon })];
+}
+
+function formatDaemonTable(roles: RoleCapacity[]): string {
+  const { bytesPerSecond, core, memoryBytes } = controlBudget;
+  return markdownTable([
+    ['role', 'carried by', 'state held', 'messages/s', 'bytes/s', 'core %', 'memory MB'],
+    ...roles.map((role) => [
+      role.isControl ? role.role : `${role.role} (request path)`,
+      role.mechanism,
+      role.state,
+      ...getDaemonCells(role),
+    ]),
+    getControlSum(roles),
+    [
+      '**budget for control**',
+      '',
+      '',
+      '-',
+      formatNumber(bytesPerSecond),
+      formatNumber(core * PERCENT),
+      formatNumber(memoryBytes / MEBIBYTE),
+    ],
+  ]);
+}
+
+function formatStoreTable(roles: RoleCapacity[]): string {
+  const users = roles.filter(
+    ({ store }) => store.readsPerSecond + store.writesPerSecond + store.waitingWatches > 0,
+  );
+  const getCells = (getValue: (field: keyof RoleCapacity['store']) => number) =>
+    (['readsPerSecond', 'writesPerSecond', 'waitingWatches'] as const).map((field) =>
+      formatNumber(getValue(field)),
+    );
+  return markdownTable([
+    ['role', 'reads/s', 'writes/s', 'waiting watches'],
+    ...users.map((role) => [role.role, ...getCells((field) => role.store[field])]),
+    ['**all**', ...getCells((field) => sum(users, (role) => role.store[field]))],
+    ['**budget**', formatNumber(storeBudget.reads), formatNumber(storeBudget.writes), 'as reads'],
+  ]);
+}
+
+function getSlopeRow(role: string, { figure, unit, sizeName, line, atSize }: Slope): string[] {
+  const points = line.points.map(
+    ({ size, value }) => `${formatNumber(size)}: ${formatNumber(value)}`,
+  );
+  return [
+    role,
+    unit === '' ? figure : `${figure}, ${unit}`,
+    sizeName,
+    points.join('; '),
+    formatNumber(line.slope),
+    formatNumber(line.intercept),
+    formatNumber(line.residual),
+    `${formatNumber(getLineValue(line, atSize))} at ${formatNumber(atSize)}`,
+  ];
+}
+
+function formatSlopes(roles: RoleCapacity[]): string {
+  return markdownTable([
+    ['role', 'figure', 'size', 'measured', 'slope', 'at zero', 'residual (RMS)', 'worked out'],
+    ...roles.flatMap(({ role, slopes }) => slopes.map((slope) => getSlopeRow(role, slope))),
+  ]);
+}
+
+function formatFullSize(reading: FullSizeReading): string {
+  return markdownTable([
+    ['what', 'read off'],
+    [
+      'resident memory of the bare process with its imports, MB',
+      formatNumber(reading.bareMegabytes),
+    ],
+    ['resident memory with everything loaded, MB', formatNumber(reading.loadedMegabytes)],
+    ['resident memory after a minute of steady control, MB', formatNumber(reading.steadyMegabytes)],
+    ['heap that the state keeps, MB', formatNumber(reading.heapMegabytes)],
+    ['processor time to load it, ms', formatNumber(reading.loadTime)],
+    ['part of a core in steady control, %', formatNumber(reading.steadyCore * PERCENT)],
+    ['what is loaded', reading.loaded],
+  ]);
+}
+
+/**
+ * The part of the capacity page that is measured, as Markdown.
+ *
+ * @internal
+ */
+export function formatCapacity(roles: RoleCapacity[], fullSize?: FullSizeReading): string {
+  const { daemons, replicas } = twoYearSize;
+  const assumptions = roles.flatMap(({ role, assumptions: own }) =>
+    own.map((assumption) => `- ${role}: ${assumption}.`),
+  );
+  const sections = [
+    `### One daemon of ${formatNumber(daemons)} before ${formatNumber(replicas)} replicas`,
+    formatDaemonTable(roles),
+    "### The platform's store, whole system",
+    formatStoreTable(roles),
+    '### Slopes',
+    formatSlopes(roles),
+    '### Assumptions',
+    assumptions.join('\n'),
+  ];
+  if (fullSize !== undefined) {
+    sections.push('### Control state of full size, really loaded', formatFullSize(fullSize));
+  }
+  return `${sections.join('\n\n')}\n`;
+}
--- a/packages/experiment/src/lib/capacity/probes/ClaimsProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/ClaimsProbe.ts
@@ -6,7 +6,7 @@
 import type { Line } from '../../measure/fitLine.js';
 import { measureHeap, measureLine, measureProcessorTime } from '../../measure/measureCost.js';
 import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
-import { SECONDS_PER_DAY, twoYearSize } from '../twoYearSize.js';
+import { MEMBER_CHANGES_PER_SECOND, twoYearSize } from '../twoYearSize.js';
 import { ClaimsFleet, createMembers, SHARDS } from './ClaimsFleet.js';
 
 /** Claims a second over the whole system. */
@@ -23,10 +23,6 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
-/** Instances that come or go in a day: each failure and restart is one leaving and one joining. */
-const MEMBER_CHANGES_PER_SECOND =
-  (2 * (twoYearSize.instanceFailuresPerDay + twoYearSize.instanceRestartsPerDay)) / SECONDS_PER_DAY;
-
 interface RateReading {
   rate: number;
   writes: number;
--- a/packages/experiment/src/lib/capacity/probes/ConfigurationProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/ConfigurationProbe.ts
@@ -1,15 +1,9 @@
-import {
-  getConfigurationParts,
-  getPartsHash,
-  InForceConfiguration,
-} from '@apricotrill/configuration';
-import type { Manifest } from '@apricotrill/configuration';
-import type { Configuration } from '@apricotrill/model';
+import { InForceConfiguration } from '@apricotrill/configuration';
 import { getLineValue } from '../../measure/fitLine.js';
 import { measureHeap, measureLine, measureProcessorTime } from '../../measure/measureCost.js';
 import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
-import { createConfiguration } from '../createConfiguration.js';
 import { CHANGES_PER_SECOND, twoYearSize } from '../twoYearSize.js';
+import { createEdited, createGeneration, createSizedConfiguration } from './sizedConfiguration.js';
 
 const SIZES = [100, 1_000, 3_000, twoYearSize.replicas];
 
@@ -18,48 +12,14 @@
 /** Watchers that hold a watch at the store, in each availability zone. */
 const WATCHERS_PER_ZONE = 2;
 
-/** Register entries other than replicas grow in proportion. */
-function createSized(replicas: number): Configuration {
-  const part = replicas / twoYearSize.replicas;
-  return createConfiguration({
-    replicas,
-    workspaces: Math.round(twoYearSize.workspaces * part),
-    models: twoYearSize.models,
-    availabilityZones: twoYearSize.availabilityZones,
-  });
-}
-
-function createManifest(configuration: Configuration, generation: number) {
-  const parts = getConfigurationParts(configuration);
-  const manifest: Manifest = {
-    generation,
-    changeId: `change-${generation}`,
-    author: 'operator',
-    acceptedAt: 0,
-    contentHash: getPartsHash(parts),
-    parts: parts.map(({ name, hash, size }) => ({ name, hash, size })),
-    recent: [],
-  };
-  return { manifest, texts: new Map(parts.map(({ hash, text }) => [hash, text])) };
-}
-
-/** The configuration with one replica drained: the most usual edit. */
-function createEdited(configuration: Configuration, edit: number): Configuration {
-  const { register, rules } = configuration;
-  const replicas = register.replicas.map((replica, index) =>
-    index === edit ? { ...replica, slots: 0 } : replica,
-  );
-  return { register: { ...register, replicas }, rules };
-}
-
 /** Milliseconds to put one edit in force. */
 async function measureEdit(replicas: number): Promise<number> {
-  const first = createSized(replicas);
+  const first = createSizedConfiguration(replicas);
   const inForce = new InForceConfiguration();
-  const start = createManifest(first, 1);
+  const start = createGeneration(first, 1);
   inForce.offer(start.manifest, start.texts);
   const edits = Array.from({ length: EDITS }, (_, edit) =>
-    createManifest(createEdited(first, edit), edit + 2),
+    createGeneration(createEdited(first, edit), edit + 2),
   );
   const span = await measureProcessorTime(() => {
     edits.forEach(({ manifest, texts }) => inForce.offer(manifest, texts));
@@ -69,9 +29,9 @@
 
 /** Bytes of a manifest and of the parts that one edit changes. */
 function measureEditBytes(replicas: number): number {
-  const first = createSized(replicas);
-  const before = createManifest(first, 1);
-  const after = createManifest(createEdited(first, 0), 2);
+  const first = createSizedConfiguration(replicas);
+  const before = createGeneration(first, 1);
+  const after = createGeneration(createEdited(first, 0), 2);
   const changed = [...after.texts].filter(([hash]) => !before.texts.has(hash));
   const partBytes = changed.reduce((sum, [, text]) => sum + Buffer.byteLength(text), 0);
   return Buffer.byteLength(JSON.stringify(after.manifest)) + partBytes;
@@ -79,7 +39,7 @@
 
 function createInForce(replicas: number): InForceConfiguration {
   const inForce = new InForceConfiguration();
-  const { manifest, texts } = createManifest(createSized(replicas), 1);
+  const { manifest, texts } = createGeneration(createSizedConfiguration(replicas), 1);
   inForce.offer(manifest, texts);
   return inForce;
 }
--- /dev/null
+++ b/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
@@ -0,0 +1,119 @@
+import { Scheduler } from '@apricotrill/policy';
+import type { Configuration } from '@apricotrill/model';
+import { createRandom, ManualClock } from '@apricotrill/utils';
+import { getLineValue } from '../../measure/fitLine.js';
+import { measureHeap, measureLine, measureProcessorTime } from '../../measure/measureCost.js';
+import { NO_STORE_COST } from '../CapacityProbe.js';
+import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
+import { createConfiguration } from '../createConfiguration.js';
+import { getReportRate, LOAD_QUESTION_BYTES } from '../loadReports.js';
+import { CHANGES_PER_SECOND, twoYearSize } from '../twoYearSize.js';
+
+const SIZES = [100, 1_000, 3_000, twoYearSize.replicas];
+
+const REPORTS = 20_000;
+
+const LISTS = 10;
+
+const MICROSECONDS = 1000;
+
+function createSized(replicas: number): Configuration {
+  return createConfiguration({ ...twoYearSize, workspaces: 1, replicas });
+}
+
+/** A scheduler that knows a fleet and has heard each replica's load once. */
+function createScheduler(replicas: number) {
+  const clock = new ManualClock(1_000_000);
+  const { register } = createSized(replicas);
+  const scheduler = new Scheduler({ clock, random: createRandom(1), emit: () => {} });
+  const daemons = Array.from({ length: twoYearSize.daemons }, (_, index) => `daemon-${index}`);
+  scheduler.handle({ kind: 'daemons', self: 'daemon-0', daemons });
+  scheduler.handle({ kind: 'replicas', replicas: register.replicas });
+  const report = (index: number) => {
+    const { id } = register.replicas[index % register.replicas.length]!;
+    const measuredAt = clock.now();
+    scheduler.handle({
+      kind: 'load-report',
+      report: { replica: id, running: index % 16, waiting: 0, measuredAt },
+    });
+  };
+  register.replicas.forEach((_, index) => report(index));
+  return { scheduler, register, report, clock };
+}
+
+/** Microseconds for one report. */
+async function measureReport(replicas: number): Promise<number> {
+  const { report, clock } = createScheduler(replicas);
+  const span = await measureProcessorTime(() => {
+    for (let index = 0; index < REPORTS; index += 1) {
+      clock.advance(1);
+      report(index);
+    }
+  });
+  return (span * MICROSECONDS) / REPORTS;
+}
+
+/** Milliseconds for a list of replicas in which one changed. */
+async function measureList(replicas: number): Promise<number> {
+  const { scheduler, register } = createScheduler(replicas);
+  const span = await measureProcessorTime(() => {
+    for (let index = 0; index < LISTS; index += 1) {
+      const changed = register.replicas.map((replica, other) =>
+        other === index ? { ...replica, slots: 1 } : replica,
+      );
+      scheduler.handle({ kind: 'replicas', replicas: changed });
+    }
+  });
+  return span / LISTS;
+}
+
+async function measureSlopes(): Promise<Record<'report' | 'list' | 'heap', Slope>> {
+  const common = { sizeName: 'replicas', atSize: twoYearSize.replicas };
+  return {
+    report: {
+      ...common,
+      figure: 'taking one load report',
+      unit: 'µs',
+      line: await measureLine(SIZES, measureReport),
+    },
+    list: {
+      ...common,
+      figure: 'taking a list of replicas in which one changed',
+      unit: 'ms',
+      line: await measureLine(SIZES, measureList),
+    },
+    heap: {
+      ...common,
+      figure: 'heap of a scheduler that has heard from every replica (the register included)',
+      unit: 'bytes',
+      line: await measureLine(SIZES, (size) => measureHeap(() => createScheduler(size))),
+    },
+  };
+}
+
+/** What knowing the fleet's load costs. */
+export const loadViewProbe: CapacityProbe = {
+  role: 'load view',
+  async measure(): Promise<RoleCapacity> {
+    const slopes = await measureSlopes();
+    const getAtSize = ({ line, atSize }: Slope) => getLineValue(line, atSize);
+    const rate = getReportRate();
+    const reportCore = (getAtSize(slopes.report) * rate.all) / MICROSECONDS ** 2;
+    const listCore = (getAtSize(slopes.list) * CHANGES_PER_SECOND) / MICROSECONDS;
+    return {
+      role: 'load view',
+      mechanism: 'policy: ReplicaChooser; router: LoadPoller, x-load on answers',
+      state: 'load of each replica, as reported and as sent since',
+      isControl: true,
+      daemon: {
+        messagesPerSecond: rate.asked,
+        bytesPerSecond: rate.asked * LOAD_QUESTION_BYTES,
+        core: reportCore + listCore,
+        memoryBytes: getAtSize(slopes.heap),
+      },
+      store: NO_STORE_COST,
+      slopes: Object.values(slopes),
+      assumptions: rate.assumptions,
+    };
+  },
+};
--- a/packages/experiment/src/lib/capacity/twoYearSize.ts
+++ b/packages/experiment/src/lib/capacity/twoYearSize.ts
@@ -43,3 +43,7 @@
 
 /** Tokens a second that one daemon relays. */
 export const DAEMON_TOKENS = twoYearSize.tokensPerSecond / twoYearSize.daemons;
+
+/** Daemons that come or go in a second: each failure and each restart is a leaving and a joining. */
+export const MEMBER_CHANGES_PER_SECOND =
+  (2 * (twoYearSize.instanceFailuresPerDay + twoYearSize.instanceRestartsPerDay)) / SECONDS_PER_DAY;
--- a/packages/experiment/src/lib/measure/measureCost.ts
+++ b/packages/experiment/src/lib/measure/measureCost.ts
@@ -26,7 +26,7 @@
 }
 
 /** What earlier promises and callbacks hold is let go a turn later. */
-async function settleHeap(): Promise<void> {
+export async function settleHeap(): Promise<void> {
   await drainMicrotasks();
   collectGarbage();
   await drainMicrotasks();
