Join configuration, membership, claims and orders to the daemon; add the demo

Cause: daemons ran alone on files; nothing was shared. Change: SharedPlatform joins the cluster, the claims and the placement over the mesh and the platform's client; ClusterManager is the task around the cluster's core; word that a replica is leaving is joined with what it says itself, so that the end of the one doesn't undo the other (shown to fail without the join). npm run demo shows the main job.

--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,1 @@
+export { DemoCommand } from './lib/DemoCommand.js';
--- /dev/null
+++ b/packages/demo/src/lib/Calls.ts
@@ -0,0 +1,68 @@
+import { ServiceKind } from '@apricotrill/model';
+import type { ClassRule, Configuration } from '@apricotrill/model';
+
+/** Tokens a long draft asks for. */
+const DRAFT_TOKENS = 300;
+
+/**
+ * How a call of a class is made.
+ *
+ * @internal
+ */
+export type CallShape =
+  | { kind: 'chat'; model: string; maxTokens: number; wishedClass: string | undefined }
+  | { kind: 'plain'; method: string; path: string; needsKey: boolean };
+
+/**
+ * A class and how to call it.
+ *
+ * @internal
+ */
+export interface ClassCall {
+  className: string;
+  tier: number;
+  target: number;
+  shape: CallShape;
+}
+
+function getShape(configuration: Configuration, rule: ClassRule, repeatable: boolean): CallShape {
+  const service = configuration.register.services.find(({ name }) => name === rule.service);
+  if (service?.kind === ServiceKind.Model) {
+    return {
+      kind: 'chat',
+      model: service.models[0] ?? '',
+      maxTokens:
+        rule.maxTokensAtMost === undefined ? DRAFT_TOKENS : Math.min(60, rule.maxTokensAtMost),
+      wishedClass: rule.wishedClass,
+    };
+  }
+  const method = rule.method ?? 'POST';
+  const path = `/services/${rule.service}${rule.pathPrefix ?? '/demo'}`;
+  return { kind: 'plain', method, path, needsKey: !repeatable };
+}
+
+/**
+ * One way to call each class, from the first rule that leads to it.
+ *
+ * @example
+ * ```ts
+ * const calls = getClassCalls(configuration);
+ * ```
+ * @internal
+ */
+export function getClassCalls(configuration: Configuration): ClassCall[] {
+  const { classes, classRules } = configuration.rules;
+  return classes.flatMap(({ name, tier, target, repeatable }) => {
+    const rule = classRules.find((each) => each.class === name);
+    return rule === undefined
+      ? []
+      : [
+          {
+            className: name,
+            tier,
+            target: target.firstToken,
+            shape: getShape(configuration, rule, repeatable),
+          },
+        ];
+  });
+}
--- /dev/null
+++ b/packages/demo/src/lib/makeCall.ts
@@ -0,0 +1,102 @@
+import { createParser } from 'eventsource-parser';
+import { randomUUID } from 'node:crypto';
+import { request } from 'undici';
+import type { CallShape } from './Calls.js';
+
+/**
+ * What one call came to, as its caller saw it.
+ *
+ * @internal
+ */
+export interface CallResult {
+  whole: boolean;
+  outcome: string;
+  /** Milliseconds to the first token or the plain answer. */
+  firstToken: number;
+  tokens: number;
+}
+
+interface Target {
+  port: number;
+  apiKey: string;
+  prompt: string;
+  onText?: (text: string) => void;
+}
+
+function refuse(outcome: string): CallResult {
+  return { whole: false, outcome, firstToken: Number.NaN, tokens: 0 };
+}
+
+async function makeChatCall(
+  shape: Extract<CallShape, { kind: 'chat' }>,
+  { port, apiKey, prompt, onText }: Target,
+): Promise<CallResult> {
+  const start = performance.now();
+  const wish: Record<string, string> =
+    shape.wishedClass === undefined ? {} : { 'x-apricotrill-class': shape.wishedClass };
+  const response = await request(`http://127.0.0.1:${port}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${apiKey}`, 'content-type': 'application/json', ...wish },
+    body: JSON.stringify({
+      model: shape.model,
+      messages: [{ role: 'user', content: prompt }],
+      max_tokens: shape.maxTokens,
+      stream: true,
+    }),
+  });
+  if (response.statusCode !== 200) {
+    const problem = (await response.body.json()) as { outcome?: string };
+    return refuse(problem.outcome ?? 'failed');
+  }
+  const result = { whole: false, outcome: 'unknown', firstToken: Number.NaN, tokens: 0 };
+  const parser = createParser({
+    onEvent: ({ data }) => {
+      if (data === '[DONE]') {
+        Object.assign(result, { whole: true, outcome: 'answered' });
+        return;
+      }
+      const chunk = JSON.parse(data) as { choices?: { delta: { content?: string } }[] };
+      const text = chunk.choices?.[0]?.delta.content ?? '';
+      if (text !== '') {
+        result.tokens += 1;
+        result.firstToken = result.tokens === 1 ? performance.now() - start : result.firstToken;
+        onText?.(text);
+      }
+    },
+  });
+  const decoder = new TextDecoder();
+  for await (const bytes of response.body) {
+    parser.feed(decoder.decode(bytes as Uint8Array, { stream: true }));
+  }
+  return result;
+}
+
+async function makePlainCall(
+  shape: Extract<CallShape, { kind: 'plain' }>,
+  { port, apiKey, prompt }: Target,
+): Promise<CallResult> {
+  const start = performance.now();
+  const key: Record<string, string> = shape.needsKey ? { 'idempotency-key': randomUUID() } : {};
+  const response = await request(`http://127.0.0.1:${port}${shape.path}`, {
+    method: shape.method as 'GET',
+    headers: { authorization: `Bearer ${apiKey}`, ...key },
+    body: shape.method === 'GET' ? undefined : JSON.stringify({ prompt }),
+  });
+  const body = (await response.body.json()) as { outcome?: string };
+  return response.statusCode === 200
+    ? { whole: true, outcome: 'answered', firstToken: performance.now() - start, tokens: 0 }
+    : refuse(body.outcome ?? 'failed');
+}
+
+/**
+ * Makes one call and reads its answer to the end.
+ *
+ * @example
+ * ```ts
+ * const result = await makeCall(shape, { port, apiKey, prompt });
+ * ```
+ * @internal
+ */
+export function makeCall(shape: CallShape, target: Target): Promise<CallResult> {
+  return shape.kind === 'chat' ? makeChatCall(shape, target) : makePlainCall(shape, target);
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,3 +1,4 @@
+export { createRouterDaemon } from './lib/createRouterDaemon.js';
 export { RouterDaemon } from './lib/daemon/RouterDaemon.js';
 export type { DaemonPorts, RouterDaemonParts } from './lib/daemon/RouterDaemon.js';
 export type { SharedState, SharedStateListener } from './lib/daemon/SharedState.js';
--- a/packages/router/src/lib/RunCommand.ts
+++ b/packages/router/src/lib/RunCommand.ts
@@ -1,11 +1,10 @@
 import { parseSettings } from '@apricotrill/model';
 import type { Settings } from '@apricotrill/model';
-import { SystemClock, createRandom, getHash } from '@apricotrill/utils';
 import { Command, Option } from 'clipanion';
 import { readFile } from 'node:fs/promises';
-import { RouterDaemon } from './daemon/RouterDaemon.js';
+import { createRouterDaemon } from './createRouterDaemon.js';
+import type { RouterDaemon } from './daemon/RouterDaemon.js';
 import { SharedFiles } from './daemon/SharedFiles.js';
-import { createDecisionLog } from './observe/DecisionLog.js';
 
 const EXIT_WRONG_SETTINGS = 2;
 const EXIT_FORCED = 130;
@@ -66,11 +65,11 @@
   }
 
   private createDaemon(settings: Settings): RouterDaemon {
-    const clock = new SystemClock();
-    const random = createRandom(getHash(`${settings.id} ${clock.now()}`));
-    const shared = new SharedFiles(settings.id, this.register ?? '', this.rules ?? '');
-    const log = createDecisionLog(settings.id);
-    return new RouterDaemon({ settings, clock, random, shared, log });
+    const { register, rules } = this;
+    if (register === undefined || rules === undefined) {
+      return createRouterDaemon(settings);
+    }
+    return createRouterDaemon(settings, new SharedFiles(settings.id, register, rules));
   }
 
   private waitForSignals(daemon: RouterDaemon): Promise<number> {
--- a/packages/router/src/lib/daemon/RouterDaemon.ts
+++ b/packages/router/src/lib/daemon/RouterDaemon.ts
@@ -12,6 +12,7 @@
 import { SchedulingTask } from '../request/SchedulingTask.js';
 import { LoadPoller } from '../upstream/LoadPoller.js';
 import { ReplicaConnections } from '../upstream/ReplicaConnections.js';
+import { LeavingReplicas } from './LeavingReplicas/LeavingReplicas.js';
 import type { SharedState } from './SharedState.js';
 
 /**
@@ -54,6 +55,8 @@
 
   private readonly scheduler: Scheduler;
 
+  private readonly leaving: LeavingReplicas;
+
   private readonly poller: LoadPoller;
 
   private readonly callers: CallerServer;
@@ -74,6 +77,10 @@
       emit: (effect) => this.scheduling.perform(effect),
     });
     this.scheduling.attach(this.scheduler);
+    this.leaving = new LeavingReplicas(clock, {
+      onLeaving: (replica) => this.scheduler.handle({ kind: 'replica-leaving', replica }),
+      onReturned: (replica) => this.scheduler.handle({ kind: 'replica-returned', replica }),
+    });
     this.poller = this.createPoller();
     this.callers = this.createCallerServer();
     this.admin = this.createAdminServer();
@@ -87,7 +94,7 @@
     await shared.start({
       onConfiguration: (configuration, generation) => this.putInForce(configuration, generation),
       onDaemons: (self, daemons) => this.scheduler.handle({ kind: 'daemons', self, daemons }),
-      onReplicaLeaving: (replica) => this.scheduler.handle({ kind: 'replica-leaving', replica }),
+      onReplicaLeaving: (replica, span) => this.leaving.noteWord(replica, span),
     });
     return { port, adminPort };
   }
@@ -103,13 +110,14 @@
     }
     this.stopping = true;
     log('daemon', { event: 'draining', inFlight: this.scheduling.getSize() });
+    shared.announceLeaving();
     await new Promise<void>((resolve) => {
       clock.setTimer(routerOptions.drainNotice, resolve);
     });
     const closed = this.callers.close();
     await this.scheduling.waitUntilIdle();
     this.scheduler.handle({ kind: 'drain' });
-    await shared.announceLeaving();
+    await shared.handOver();
     await closed;
     await this.dispose();
     log('daemon', { event: 'stopped' });
@@ -119,6 +127,7 @@
   async dispose(): Promise<void> {
     this.stopping = true;
     this.poller.dispose();
+    this.leaving.dispose();
     this.callers.dispose();
     this.admin.dispose();
     this.scheduler.dispose();
@@ -142,7 +151,7 @@
   }
 
   private noteLeaving(replica: string): void {
-    this.scheduler.handle({ kind: 'replica-leaving', replica });
+    this.leaving.noteItself(replica);
     this.parts.shared.tellReplicaLeaving(replica);
   }
 
@@ -150,7 +159,7 @@
     return new LoadPoller(this.parts.clock, this.parts.random, {
       onReport: (report) => this.scheduler.handle({ kind: 'load-report', report }),
       onLeaving: (replica) => this.noteLeaving(replica),
-      onReturned: (replica) => this.scheduler.handle({ kind: 'replica-returned', replica }),
+      onReturned: (replica) => this.leaving.noteReturned(replica),
     });
   }
 
--- a/packages/router/src/lib/daemon/SharedFiles.ts
+++ b/packages/router/src/lib/daemon/SharedFiles.ts
@@ -59,7 +59,10 @@
   }
 
   // eslint-disable-next-line class-methods-use-this
-  announceLeaving(): Promise<void> {
+  announceLeaving(): void {}
+
+  // eslint-disable-next-line class-methods-use-this
+  handOver(): Promise<void> {
     return Promise.resolve();
   }
 
--- a/packages/router/src/lib/daemon/SharedState.ts
+++ b/packages/router/src/lib/daemon/SharedState.ts
@@ -1,4 +1,5 @@
 import type { Configuration } from '@apricotrill/model';
+import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimPort } from '../pipeline/ClaimPort.js';
 
 /**
@@ -17,8 +18,10 @@
   getMembers(): unknown;
   /** The generation in force here; 0 before the first. */
   getGeneration(): number;
-  /** This daemon is shutting down: others take over its duties. */
-  announceLeaving(): Promise<void>;
+  /** This daemon begins to shut down: it gets no new duties. */
+  announceLeaving(): void;
+  /** Nothing is in flight any more: gives the duties it still has to others. */
+  handOver(): Promise<void>;
   dispose(): Promise<void>;
 }
 
@@ -30,5 +33,6 @@
 export interface SharedStateListener {
   onConfiguration(configuration: Configuration, generation: number): void;
   onDaemons(self: string, daemons: string[]): void;
-  onReplicaLeaving(replica: string): void;
+  /** Word that a replica is leaving; it holds for `span`. */
+  onReplicaLeaving(replica: string, span: Milliseconds): void;
 }
--- a/packages/router/src/lib/observe/DecisionLog.ts
+++ b/packages/router/src/lib/observe/DecisionLog.ts
@@ -23,7 +23,7 @@
  *
  * @internal
  */
-export type DecisionLog = (step: DecisionStep, fields: Record<string, unknown>) => void;
+export type DecisionLog = (step: DecisionStep, fields: object) => void;
 
 /**
  * Creates the log of one daemon. A step that is switched off costs one check and no JSON.
--- a/packages/router/src/lib/options.ts
+++ b/packages/router/src/lib/options.ts
@@ -27,4 +27,10 @@
   maxWorkspaceLabels: 100,
   /** How long a request may wait for another one with its Idempotency-Key. */
   inProgressRetryAfter: 1000,
+  /** How long a call to the platform may take. */
+  platformTimeout: 2000,
+  /** How long a claim message between daemons may take. */
+  claimCallTimeout: 1000,
+  /** How long the hand-over of claim shards may take at shutdown. */
+  handOverTimeout: 5000,
 } as const;
--- a/packages/router/src/lib/pipeline/ClaimPort.ts
+++ b/packages/router/src/lib/pipeline/ClaimPort.ts
@@ -35,6 +35,8 @@
 export type ClaimVerdict =
   | { kind: 'granted'; end: (end: ClaimEnd) => void }
   | { kind: 'answered'; answer: PlainAnswer }
+  /** The request ran; its answer was too long to keep. */
+  | { kind: 'answer-not-kept'; status: number }
   | { kind: 'in-progress' }
   | { kind: 'mismatch' }
   | { kind: 'unknown' }
--- a/packages/router/src/lib/pipeline/Problem.ts
+++ b/packages/router/src/lib/pipeline/Problem.ts
@@ -18,6 +18,7 @@
   KeyMissing = 'idempotency-key-missing',
   KeyReused = 'idempotency-key-reused',
   KeyInProgress = 'idempotency-key-in-progress',
+  KeyDone = 'idempotency-key-done',
   NoClaim = 'claim-unavailable',
   NotReady = 'not-ready',
   GivenUp = 'given-up',
--- a/packages/router/src/lib/pipeline/claim.ts
+++ b/packages/router/src/lib/pipeline/claim.ts
@@ -71,6 +71,14 @@
         outcome: Outcome.Unknown,
         retryAfter: routerOptions.inProgressRetryAfter,
       };
+    case 'answer-not-kept':
+      return {
+        reason: ProblemReason.KeyDone,
+        status: 409,
+        title: TITLE,
+        detail: `the request ran and was answered with status ${verdict.status}; its answer was too long to keep`,
+        outcome: Outcome.Unknown,
+      };
     case 'mismatch':
       return {
         reason: ProblemReason.KeyReused,
--- /dev/null
+++ b/packages/router/src/lib/shared/ClaimAdapter.ts
@@ -0,0 +1,99 @@
+import type { ClaimAnswer, ClaimHandle, ClaimManager, StoredAnswer } from '@apricotrill/claims';
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { Clock } from '@apricotrill/utils';
+import { isUtf8 } from 'node:buffer';
+import type { ClaimEnd, ClaimPort, ClaimRequest, ClaimVerdict } from '../pipeline/ClaimPort.js';
+import type { PlainAnswer } from '../upstream/runPlainAttempt.js';
+
+const CONTENT_TYPE = 'content-type';
+const ENCODING = 'x-kept-encoding';
+const BASE64 = 'base64';
+
+function getStoredAnswer({ status, contentType, body }: PlainAnswer): StoredAnswer {
+  const headers: Record<string, string> = { [CONTENT_TYPE]: contentType };
+  if (isUtf8(body)) {
+    return { kind: 'whole', status, headers, body: body.toString('utf8') };
+  }
+  headers[ENCODING] = BASE64;
+  return { kind: 'whole', status, headers, body: body.toString(BASE64) };
+}
+
+function getVerdictOfAnswer(answer: StoredAnswer): ClaimVerdict {
+  if (answer.kind === 'status-only') {
+    return { kind: 'answer-not-kept', status: answer.status };
+  }
+  const encoding = answer.headers[ENCODING] === BASE64 ? BASE64 : 'utf8';
+  const contentType = answer.headers[CONTENT_TYPE] ?? 'application/octet-stream';
+  const body = Buffer.from(answer.body, encoding);
+  return { kind: 'answered', answer: { status: answer.status, contentType, body } };
+}
+
+/**
+ * Speaks to the claims as the request path does.
+ *
+ * @internal
+ */
+export class ClaimAdapter implements ClaimPort {
+  private readonly claims: ClaimManager;
+
+  private readonly clock: Clock;
+
+  constructor(claims: ClaimManager, clock: Clock) {
+    this.claims = claims;
+    this.clock = clock;
+  }
+
+  async claim(request: ClaimRequest): Promise<ClaimVerdict> {
+    return this.getVerdict(await this.claims.claim(request));
+  }
+
+  private getVerdict(answer: ClaimAnswer): ClaimVerdict {
+    switch (answer.kind) {
+      case 'granted':
+        return this.getGrant(answer.handle);
+      case 'settled':
+        return getVerdictOfAnswer(answer.answer);
+      case 'in-progress':
+      case 'mismatch':
+      case 'unknown':
+        return { kind: answer.kind };
+      case 'unavailable':
+        return { kind: 'unavailable', retryAfter: answer.retryAfter };
+      default:
+        throw exhaustiveSwitchError(answer);
+    }
+  }
+
+  /**
+   * A grant that this process held through a long pause is void: the key may have been forgotten
+   * and granted again. Nothing has been dispatched yet, so it goes back as not run.
+   */
+  private getGrant(handle: ClaimHandle): ClaimVerdict {
+    if (this.clock.now() >= handle.deadline) {
+      this.end(handle, { kind: 'released' });
+      return { kind: 'unavailable', retryAfter: 0 };
+    }
+    return { kind: 'granted', end: (end) => this.end(handle, end) };
+  }
+
+  /** The claims go on trying to report an outcome; nothing here waits for it. */
+  private end(handle: ClaimHandle, end: ClaimEnd): void {
+    this.settle(handle, end).catch(() => undefined);
+  }
+
+  private settle(handle: ClaimHandle, end: ClaimEnd): Promise<void> {
+    switch (end.kind) {
+      case 'answered':
+        return this.claims.settle(handle, {
+          kind: 'answered',
+          answer: getStoredAnswer(end.answer),
+        });
+      case 'released':
+        return this.claims.settle(handle, { kind: 'not-run' });
+      case 'unknown':
+        return this.claims.settle(handle, { kind: 'unknown' });
+      default:
+        throw exhaustiveSwitchError(end);
+    }
+  }
+}
