Agree on members and spread the configuration, as state machines

Cause: daemons have to know each other, and a generation accepted at the store has to come in force at all of them, at 9 and at 1,800, through cuts, pauses and store outages.

Change: ClusterCore and its parts, without I/O. Each daemon probes its neighbours on rings of its region (connections stay open; probing anybody at random would open a TCP connection for each probe), asks others before it suspects, and tells by rumours under one allowance of bytes. Views are compared by hashes of buckets. A daemon most of whose peers don't answer takes itself for cut off and keeps its view; a pause of the process counts against nobody; a region that is lost stays in the view as unreachable; members that flap get no duties for a while. Refutations have a counter of their own: an incarnation is one process. Two watchers a zone hold a watch at the store and poll beside it; peers fetch the difference of manifests and the parts they lack, by content hash.

Ruled out: random probing (see above); telling records back after a comparison (each side compares by itself; removing it changed nothing).

Shown to matter so far by removing them and seeing the fuzz fail: the own-network check, refutation, the refutation that keeps "leaving", comparison of views, precedence of records. The other guards have no test that fails without them yet; focused tests follow.

--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export { clusterOptions } from './lib/clusterOptions.js';
+export { ClusterManager } from './lib/ClusterManager/ClusterManager.js';
+export type { ClusterSettings } from './lib/ClusterManager/ClusterManager.js';
+export type { ClusterDecision } from './lib/ClusterDecision.js';
+export { ConfigurationSource, DeathCause } from './lib/ClusterDecision.js';
+export type { ClusterCounters } from './lib/ClusterCounters.js';
+export type { ClusterOptions } from './lib/clusterOptions.js';
+export type { ZoneLoad } from './lib/LoadDigests/LoadDigests.js';
+export { MemberState } from './lib/Member.js';
+export type { DaemonIdentity, Member, MemberRecord } from './lib/Member.js';
+export type { ServiceLoad } from './lib/messages.js';
--- /dev/null
+++ b/packages/cluster/src/lib/ClusterCounters.ts
@@ -0,0 +1,46 @@
+/**
+ * What the cluster part has done so far.
+ *
+ * @public
+ */
+export interface ClusterCounters {
+  probes: number;
+  probeFailures: number;
+  suspicions: number;
+  refutations: number;
+  gossips: number;
+  rumoursSent: number;
+  rumoursHeard: number;
+  syncs: number;
+  requests: number;
+  fetches: number;
+  partsFromPeers: number;
+  partsFromStore: number;
+  /** Store calls: reads of the manifest, of parts, of the list; watches started. */
+  manifestReads: number;
+  partReads: number;
+  listReads: number;
+  watches: number;
+}
+
+/** Counters at zero. */
+export function createClusterCounters(): ClusterCounters {
+  return {
+    probes: 0,
+    probeFailures: 0,
+    suspicions: 0,
+    refutations: 0,
+    gossips: 0,
+    rumoursSent: 0,
+    rumoursHeard: 0,
+    syncs: 0,
+    requests: 0,
+    fetches: 0,
+    partsFromPeers: 0,
+    partsFromStore: 0,
+    manifestReads: 0,
+    partReads: 0,
+    listReads: 0,
+    watches: 0,
+  };
+}
--- /dev/null
+++ b/packages/cluster/src/lib/ProbeTargets/ProbeTargets.ts
@@ -0,0 +1,114 @@
+import { getHash } from '@apricotrill/utils';
+import type { ClusterOptions } from '../clusterOptions.js';
+import type { DaemonIdentity } from '../Member.js';
+import { isRunning } from '../Member.js';
+import type { MemberTable } from '../MemberTable/MemberTable.js';
+
+const CIRCLE = 2 ** 32;
+
+/** The members in the order in which they follow a daemon's place on a ring. */
+function getFollowers(self: string, members: readonly string[], ring: number): string[] {
+  const start = getHash(self, ring);
+  return members
+    .map((member) => ({ member, distance: (getHash(member, ring) - start + CIRCLE) % CIRCLE }))
+    .sort((left, right) => left.distance - right.distance)
+    .map(({ member }) => member);
+}
+
+/**
+ * Whom a daemon probes. Each daemon has a place on several rings; it probes its next neighbour on
+ * each, so that everybody is probed by as many others, over connections that stay open. Probing
+ * anybody at random, as usual over UDP, would open a TCP connection for each probe at 1,800.
+ *
+ * The rings of a region hold its own daemons only: when regions lose each other, nobody is
+ * suspected for it. Into each other region a daemon keeps one link.
+ */
+export class ProbeTargets {
+  private computedAt = -1;
+
+  private neighbours: string[] = [];
+
+  private regions = new Map<string, string[]>();
+
+  constructor(
+    private readonly self: DaemonIdentity,
+    private readonly table: MemberTable,
+    private readonly options: ClusterOptions,
+  ) {}
+
+  /** The next neighbours on the rings of the own region, without repetition. */
+  getNeighbours(): readonly string[] {
+    this.refresh();
+    return this.neighbours;
+  }
+
+  /** The running members by region, without this daemon. */
+  getRegions(): ReadonlyMap<string, readonly string[]> {
+    this.refresh();
+    return this.regions;
+  }
+
+  /** The members of another region in the order in which this daemon tries them as its link. */
+  getLink(region: string, attempt: number): string | undefined {
+    const members = this.getRegions().get(region) ?? [];
+    const followers = getFollowers(this.self.id, members, 0);
+    return followers[attempt % followers.length];
+  }
+
+  /** How many daemons a region has, this one among them. */
+  getRegionSize(region: string): number {
+    const others = this.getRegions().get(region)?.length ?? 0;
+    return region === this.self.region ? others + 1 : others;
+  }
+
+  /** Whether a region has too few daemons to look after each other. */
+  isSmall(region: string): boolean {
+    return this.getRegionSize(region) < this.options.smallRegion;
+  }
+
+  /** Whether this daemon's failure to reach the member makes it suspect. */
+  isProbedByUs(member: string): boolean {
+    const region = this.table.get(member)?.record.region;
+    return region !== undefined && (region === this.self.region || this.isSmall(region));
+  }
+
+  /**
+   * Whether a member's silence can speak for a fault of this daemon's own network. Other regions
+   * are lost together, which says nothing about it, unless they are nearly all there is.
+   */
+  isInOwnCircle(member: string): boolean {
+    const region = this.table.get(member)?.record.region;
+    return region === this.self.region || this.isSmall(this.self.region);
+  }
+
+  private refresh(): void {
+    if (this.computedAt === this.table.version) {
+      return;
+    }
+    this.computedAt = this.table.version;
+    this.regions = new Map();
+    [...this.table.values()]
+      .filter(({ record }) => isRunning(record.state))
+      .forEach(({ record }) => this.addToRegion(record));
+    this.neighbours = this.computeNeighbours(this.regions.get(this.self.region) ?? []);
+  }
+
+  private addToRegion({ id, region }: DaemonIdentity): void {
+    const members = this.regions.get(region);
+    if (members === undefined) {
+      this.regions.set(region, [id]);
+    } else {
+      members.push(id);
+    }
+  }
+
+  /** Each ring's neighbour is sought among those that no earlier ring has taken. */
+  private computeNeighbours(members: readonly string[]): string[] {
+    const neighbours: string[] = [];
+    for (let ring = 0; ring < this.options.probeRings; ring += 1) {
+      const others = members.filter((member) => !neighbours.includes(member));
+      neighbours.push(...getFollowers(this.self.id, others, ring).slice(0, 1));
+    }
+    return neighbours;
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/lib/coreMessages.ts
@@ -0,0 +1,47 @@
+import type { ConfigurationInForce } from '@apricotrill/configuration';
+import type { Instance, StoreChange } from '@apricotrill/platform';
+import type { Milliseconds } from '@apricotrill/utils';
+import type { ClusterDecision } from './ClusterDecision.js';
+import type { PeerAnswer, PeerRequest, ServiceLoad } from './messages.js';
+
+/** What happens around the core. */
+export type CoreMessage =
+  | { kind: 'request'; requestId: number; from: string; request: PeerRequest }
+  | { kind: 'answer'; callId: number; answer: PeerAnswer }
+  | { kind: 'call-failed'; callId: number }
+  | { kind: 'watch-answered'; watchId: number; changes: StoreChange[] }
+  | { kind: 'watch-failed'; watchId: number }
+  /** `text` is undefined when the store holds no manifest. */
+  | { kind: 'manifest-read'; text: string | undefined; version: number }
+  | { kind: 'manifest-read-failed' }
+  | { kind: 'parts-read'; readId: number; parts: ReadonlyMap<string, string> }
+  | { kind: 'parts-read-failed'; readId: number }
+  | { kind: 'instances-read'; instances: Instance[] }
+  | { kind: 'instances-read-failed' }
+  | { kind: 'announce-leaving' }
+  | { kind: 'tell-replica-leaving'; replica: string }
+  | { kind: 'publish-load'; services: readonly ServiceLoad[] };
+
+/** What the core wants done. */
+export type CoreEffect =
+  | {
+      kind: 'call';
+      callId: number;
+      address: string;
+      request: PeerRequest;
+      timeout: Milliseconds;
+    }
+  | { kind: 'reply'; requestId: number; answer: PeerAnswer }
+  | { kind: 'start-watch'; watchId: number; afterVersion: number }
+  | { kind: 'end-watch'; watchId: number }
+  | { kind: 'read-manifest' }
+  | { kind: 'read-parts'; readId: number; hashes: string[] }
+  | { kind: 'read-instances' }
+  /** The view of the members changed. */
+  | { kind: 'members' }
+  | { kind: 'configuration'; inForce: ConfigurationInForce }
+  | { kind: 'replica-leaving'; replica: string; remaining: Milliseconds }
+  | { kind: 'decision'; decision: ClusterDecision };
+
+/** Takes what the core wants done. */
+export type EmitEffect = (effect: CoreEffect) => void;
