Talk TLS between daemons, with keys that are read again

Cause: the mesh spoke in the clear, and the tls settings were read and ignored. Change: the keys package holds the newest usable keys and refuses a state in which certificate and key do not belong together; the mesh takes them over for new connections; a stand-in of the operators' authority issues test keys. Ruled out: gRPC's own file watcher, which takes over each file as it changes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -34,6 +34,10 @@
       // Node runs iterators natively, and streams have no other form; the guide's reason against
       // `for ... of` is the weight of a transpiled one.
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'import-x/no-extraneous-dependencies': [
+        'error',
+        { devDependencies: ['**/*.test.ts', '**/src/test/**', '**/*.mjs'] },
+      ],
       // The house style names files after their one main export and uses no default exports.
       'import-x/prefer-default-export': 'off',
     },
--- a/packages/mesh/src/lib/ChannelPool/ChannelPool.ts
+++ b/packages/mesh/src/lib/ChannelPool/ChannelPool.ts
@@ -1,6 +1,8 @@
 import type { ChannelOptions } from '@grpc/grpc-js';
-import { Client, credentials } from '@grpc/grpc-js';
+import { Client } from '@grpc/grpc-js';
 import type { MeshOptions } from '../meshOptions.js';
+import { getChannelCredentials } from '../KeyProvider/KeyProvider.js';
+import type { KeyProvider } from '../KeyProvider/KeyProvider.js';
 import { getTarget } from '../getTarget.js';
 import { PooledChannel } from './PooledChannel.js';
 
@@ -34,7 +36,10 @@
   /** In order of last use, oldest first. */
   private readonly channels = new Map<string, PooledChannel>();
 
-  constructor(private readonly options: MeshOptions) {}
+  constructor(
+    private readonly options: MeshOptions,
+    private readonly provider?: KeyProvider,
+  ) {}
 
   /** How many channels are open. */
   get size(): number {
@@ -73,7 +78,7 @@
   private open(address: string): PooledChannel {
     const client = new Client(
       getTarget(address),
-      credentials.createInsecure(),
+      getChannelCredentials(this.provider),
       getChannelOptions(this.options),
     );
     return new PooledChannel(address, client);
--- a/packages/mesh/src/lib/Mesh/Mesh.ts
+++ b/packages/mesh/src/lib/Mesh/Mesh.ts
@@ -1,4 +1,6 @@
+import type { KeySource } from '@apricotrill/keys';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
+import { KeyProvider } from '../KeyProvider/KeyProvider.js';
 import { decodeAnswer, encodeEnvelope } from '../codec.js';
 import { MeshClient } from '../MeshClient/MeshClient.js';
 import type { MeshOptions } from '../meshOptions.js';
@@ -20,6 +22,8 @@
   /** The port to listen at; 0 lets the machine choose. */
   port: number;
   clock: Clock;
+  /** The keys for TLS, both ways; plain connections when absent. */
+  keys?: KeySource;
   options?: Partial<MeshOptions>;
 }
 
@@ -48,11 +52,20 @@
 
   private readonly server: MeshServer;
 
-  constructor({ self, host, port, clock, options }: MeshSettings) {
+  private readonly provider: KeyProvider | undefined;
+
+  constructor({ self, host, port, clock, keys, options }: MeshSettings) {
     this.self = self;
     this.options = { ...meshOptions, ...options };
-    this.client = new MeshClient(clock, this.options);
-    this.server = new MeshServer({ host, port, options: this.options, traffic: this.traffic });
+    this.provider = keys && new KeyProvider(keys);
+    this.client = new MeshClient(clock, this.options, this.provider);
+    this.server = new MeshServer({
+      host,
+      port,
+      options: this.options,
+      traffic: this.traffic,
+      provider: this.provider,
+    });
   }
 
   /** How many channels to peers are open. */
@@ -107,5 +120,6 @@
   dispose(): void {
     this.client.dispose();
     this.server.dispose();
+    this.provider?.dispose();
   }
 }
--- a/packages/mesh/src/lib/MeshClient/MeshClient.ts
+++ b/packages/mesh/src/lib/MeshClient/MeshClient.ts
@@ -3,6 +3,7 @@
 import type { PooledChannel } from '../ChannelPool/PooledChannel.js';
 import { ChannelPool } from '../ChannelPool/ChannelPool.js';
 import { getMeshError } from '../getMeshError.js';
+import type { KeyProvider } from '../KeyProvider/KeyProvider.js';
 import { MeshError, MeshFailure } from '../MeshError.js';
 import type { MeshOptions } from '../meshOptions.js';
 import { callMethod } from '../meshService.js';
@@ -32,8 +33,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly options: MeshOptions,
+    provider?: KeyProvider,
   ) {
-    this.pool = new ChannelPool(options);
+    this.pool = new ChannelPool(options, provider);
   }
 
   get channelCount(): number {
--- a/packages/mesh/src/lib/MeshServer/MeshServer.ts
+++ b/packages/mesh/src/lib/MeshServer/MeshServer.ts
@@ -1,7 +1,9 @@
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js';
-import { Server, ServerCredentials, status } from '@grpc/grpc-js';
+import { Server, status } from '@grpc/grpc-js';
 import type { Envelope } from '../codec.js';
 import { decodeEnvelope, encodeAnswer } from '../codec.js';
+import { getServerCredentials } from '../KeyProvider/KeyProvider.js';
+import type { KeyProvider } from '../KeyProvider/KeyProvider.js';
 import { MeshError, MeshFailure } from '../MeshError.js';
 import type { MeshOptions } from '../meshOptions.js';
 import { meshService } from '../meshService.js';
@@ -29,6 +31,7 @@
   port: number;
   options: MeshOptions;
   traffic: TrafficCounters;
+  provider?: KeyProvider;
 }
 
 /**
@@ -64,14 +67,18 @@
     const { host, port } = this.settings;
     const address = host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
     return new Promise((resolve, reject) => {
-      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error, bound) => {
-        if (error === null) {
-          resolve(bound);
-          return;
-        }
-        const context = { step: 'mesh-listen', peer: address, cause: error };
-        reject(new MeshError(MeshFailure.Unreachable, error.message, context));
-      });
+      this.server.bindAsync(
+        address,
+        getServerCredentials(this.settings.provider),
+        (error, bound) => {
+          if (error === null) {
+            resolve(bound);
+            return;
+          }
+          const context = { step: 'mesh-listen', peer: address, cause: error };
+          reject(new MeshError(MeshFailure.Unreachable, error.message, context));
+        },
+      );
     });
   }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,5 @@
+export { CertificateAuthority } from './lib/authority/CertificateAuthority.js';
+export type { IssuedKeys } from './lib/authority/CertificateAuthority.js';
 export { BackendFaultSwitch } from './lib/backend/BackendFaultSwitch.js';
 export type { BackendFault } from './lib/backend/BackendFaultSwitch.js';
 export type { CacheEvent } from './lib/engine/CacheEventLog.js';
