--- a/packages/standins/src/lib/engine/EngineStandin.ts
+++ b/packages/standins/src/lib/engine/EngineStandin.ts
@@ -179,8 +179,9 @@
     if (this.options.requiresLoaded && !this.orders.serves(request.model)) {
       return RefusalReason.NotLoaded;
     }
-    const { waiting } = this.requests.batch.getLoad();
-    return waiting >= this.options.maxWaiting ? RefusalReason.Overloaded : undefined;
+    const { running, waiting } = this.requests.batch.getLoad();
+    const isFull = running + waiting >= this.options.slots + this.options.maxWaiting;
+    return isFull ? RefusalReason.Overloaded : undefined;
   }
 }
 
--- a/packages/standins/src/lib/http/StandinServer.ts
+++ b/packages/standins/src/lib/http/StandinServer.ts
@@ -97,8 +97,10 @@
   silenceConnections(): void {
     this.sockets.forEach((socket) => {
       this.silent.add(socket);
-      // A corked socket keeps what is written to it in memory; nobody uncorks this one again.
-      socket.cork();
+      // Otherwise an idle connection would be closed in order, and its client would notice.
+      socket.setTimeout(0);
+      // Corking it would not do: the end of an answer undoes that.
+      Object.assign(socket, { write: () => true, end: () => socket });
     });
   }
 
--- /dev/null
+++ b/packages/standins/src/lib/service/ServiceStandin.test.ts
@@ -0,0 +1,64 @@
+import { createHash } from 'node:crypto';
+import { ManualClock } from '@apricotrill/utils';
+import { until } from '../../test/until.js';
+import { createServiceStandin } from './ServiceStandin.js';
+import type { ServiceStandinSetup } from './ServiceStandin.js';
+
+const disposals: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  await Promise.all(disposals.splice(0).map((dispose) => dispose()));
+});
+
+async function setUp(setup: ServiceStandinSetup = {}) {
+  const service = createServiceStandin({ service: 'bodega-app', delay: 1, loadLag: 0, ...setup });
+  disposals.push(() => service.dispose());
+  const { host, port } = await service.listen();
+  const headers = { 'idempotency-key': 'key-1', 'x-request-id': 'r-1/1' };
+  const pay = (init: RequestInit = {}) =>
+    fetch(`http://${host}:${port}/payments/7?full=1`, {
+      method: 'POST',
+      body: '{}',
+      headers,
+      ...init,
+    });
+  return { service, pay };
+}
+
+describe('ServiceStandin', () => {
+  it('echoes the call and keeps its run', async () => {
+    const { service, pay } = await setUp();
+    const answer = await pay();
+    const echo = createHash('sha256').update('{}').digest('hex');
+    const call = { method: 'POST', path: '/payments/7?full=1', requestId: 'r-1/1', run: 1 };
+    expect(await answer.json()).toEqual({ service: 'bodega-app', echo, ...call });
+    expect(answer.headers.get('x-load')).toMatch(/slots=16/);
+    expect(service.getRuns()).toEqual([{ ...call, idempotencyKey: 'key-1', completed: true }]);
+  });
+
+  it('runs a call whose answer is lost, and none it refuses', async () => {
+    const { service, pay } = await setUp();
+    service.faults.apply({ kind: 'drop-after', tokens: 0, count: 1 });
+    await expect(pay()).rejects.toThrow('fetch failed');
+    expect(service.getRuns()).toMatchObject([{ idempotencyKey: 'key-1', completed: false }]);
+    service.faults.apply({ kind: 'leave' });
+    const refusal = await pay();
+    expect([refusal.status, refusal.headers.get('x-outcome')]).toEqual([503, 'not-run']);
+    expect(service.getRuns()).toHaveLength(1);
+  });
+
+  it('runs a limited number at once and refuses what may not even wait', async () => {
+    const clock = new ManualClock();
+    const { service, pay } = await setUp({ slots: 1, maxWaiting: 1, clock });
+    const statuses: number[] = [];
+    const calls = Array.from({ length: 4 }, async () => statuses.push((await pay()).status));
+    await until(() => statuses.length === 2);
+    expect(statuses).toEqual([429, 429]);
+    expect(service.getRuns()).toHaveLength(1);
+    clock.advance(1);
+    clock.advance(1);
+    await Promise.all(calls);
+    expect(statuses).toEqual([429, 429, 200, 200]);
+    expect(service.getRuns()).toHaveLength(2);
+  });
+});
--- a/packages/standins/src/lib/service/ServiceStandin.ts
+++ b/packages/standins/src/lib/service/ServiceStandin.ts
@@ -208,8 +208,9 @@
     if (this.faults.takeRefusal()) {
       return RefusalReason.Refusing;
     }
-    const { waiting } = this.queue.getLoad();
-    return waiting >= this.options.maxWaiting ? RefusalReason.Overloaded : undefined;
+    const { running, waiting } = this.queue.getLoad();
+    const isFull = running + waiting >= this.options.slots + this.options.maxWaiting;
+    return isFull ? RefusalReason.Overloaded : undefined;
   }
 }
 
