Serve callers over TLS when keys are set; wait for open calls before hand-over

Cause: the tls settings were ignored towards callers. And at shutdown a request still being read or claimed was in no queue, so the hand-over could begin before it. Change: the caller server and the mesh take the keys of the settings and each newer set; shutdown closes the connections first, then waits for the queue.

--- a/packages/router/src/lib/RunCommand.ts
+++ b/packages/router/src/lib/RunCommand.ts
@@ -1,6 +1,6 @@
 import { parseSettings } from '@apricotrill/model';
 import type { Settings } from '@apricotrill/model';
-import { Command, Option } from 'clipanion';
+import { Command, Option, UsageError } from 'clipanion';
 import { readFile } from 'node:fs/promises';
 import { createRouterDaemon } from './createRouterDaemon.js';
 import type { RouterDaemon } from './daemon/RouterDaemon.js';
@@ -9,6 +9,17 @@
 const EXIT_WRONG_SETTINGS = 2;
 const EXIT_FORCED = 130;
 
+const LAST_PORT = 65_535;
+
+/** @throws UsageError when it is no port */
+function readPort(text: string): number {
+  const port = Number(text);
+  if (!Number.isInteger(port) || port < 1 || port > LAST_PORT) {
+    throw new UsageError(`--announced-mesh-port takes a port, 1 to ${LAST_PORT}, not "${text}"`);
+  }
+  return port;
+}
+
 /**
  * Runs the daemon until it is told to stop.
  *
@@ -33,6 +44,10 @@
     description: 'the settings of this daemon, JSON with comments',
   });
 
+  announcedMeshPort = Option.String('--announced-mesh-port', {
+    description: 'where other daemons reach the mesh, when something in between translates ports',
+  });
+
   register = Option.String('--register', {
     description: 'run alone on this register instead of the platform',
   });
@@ -67,9 +82,12 @@
   private createDaemon(settings: Settings): RouterDaemon {
     const { register, rules } = this;
     if (register === undefined || rules === undefined) {
-      return createRouterDaemon(settings);
+      const announced = this.announcedMeshPort;
+      const announcedMeshPort = announced === undefined ? undefined : readPort(announced);
+      return createRouterDaemon(settings, { announcedMeshPort });
     }
-    return createRouterDaemon(settings, new SharedFiles(settings.id, register, rules));
+    const lone = new SharedFiles(settings.id, register, rules);
+    return createRouterDaemon(settings, { lone });
   }
 
   private waitForSignals(daemon: RouterDaemon): Promise<number> {
--- a/packages/router/src/lib/daemon/RouterDaemon.ts
+++ b/packages/router/src/lib/daemon/RouterDaemon.ts
@@ -1,7 +1,8 @@
+import type { KeyFiles } from '@apricotrill/keys';
 import type { Configuration, Settings } from '@apricotrill/model';
 import { Scheduler } from '@apricotrill/policy';
 import type { LoadReport } from '@apricotrill/policy';
-import type { Clock, Random } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { AdminServer } from '../observe/AdminServer.js';
 import type { DecisionLog } from '../observe/DecisionLog.js';
 import { RouterMetrics } from '../observe/RouterMetrics.js';
@@ -13,7 +14,7 @@
 import { LoadPoller } from '../upstream/LoadPoller.js';
 import { ReplicaConnections } from '../upstream/ReplicaConnections.js';
 import { LeavingReplicas } from './LeavingReplicas/LeavingReplicas.js';
-import type { SharedState } from './SharedState.js';
+import type { DaemonPorts, SharedState } from './SharedState.js';
 
 /**
  * What a daemon is made of.
@@ -26,16 +27,8 @@
   random: Random;
   shared: SharedState;
   log: DecisionLog;
-}
-
-/**
- * Where a daemon listens.
- *
- * @internal
- */
-export interface DaemonPorts {
-  port: number;
-  adminPort: number;
+  /** The keys for TLS; plain connections when absent. */
+  keys?: KeyFiles;
 }
 
 /**
@@ -87,16 +80,21 @@
   }
 
   /** Starts to listen; callers are served once a configuration is in force. */
-  async start(): Promise<DaemonPorts> {
-    const { settings, shared } = this.parts;
+  async start(): Promise<DaemonPorts & { meshPort?: number }> {
+    const { settings, shared, keys } = this.parts;
+    await keys?.load();
     const adminPort = await this.admin.listen(settings.host, settings.adminPort);
     const port = await this.callers.listen();
-    await shared.start({
-      onConfiguration: (configuration, generation) => this.putInForce(configuration, generation),
-      onDaemons: (self, daemons) => this.scheduler.handle({ kind: 'daemons', self, daemons }),
-      onReplicaLeaving: (replica, span) => this.leaving.noteWord(replica, span),
-    });
-    return { port, adminPort };
+    const listener = {
+      onConfiguration: (configuration: Configuration, generation: number) =>
+        this.putInForce(configuration, generation),
+      onDaemons: (self: string, daemons: string[]) =>
+        this.scheduler.handle({ kind: 'daemons', self, daemons }),
+      onReplicaLeaving: (replica: string, span: Milliseconds) =>
+        this.leaving.noteWord(replica, span),
+    };
+    const meshPort = (await shared.start(listener, { port, adminPort })) ?? undefined;
+    return { port, adminPort, meshPort };
   }
 
   /**
@@ -114,11 +112,11 @@
     await new Promise<void>((resolve) => {
       clock.setTimer(routerOptions.drainNotice, resolve);
     });
-    const closed = this.callers.close();
+    // A request that is still being read or claimed is in no queue yet, but on a connection.
+    await this.callers.close();
     await this.scheduling.waitUntilIdle();
     this.scheduler.handle({ kind: 'drain' });
     await shared.handOver();
-    await closed;
     await this.dispose();
     log('daemon', { event: 'stopped' });
   }
@@ -133,6 +131,7 @@
     this.scheduler.dispose();
     await this.connections.dispose();
     await this.parts.shared.dispose();
+    this.parts.keys?.dispose();
   }
 
   private putInForce(configuration: Configuration, generation: number): void {
@@ -185,7 +184,12 @@
       connections,
       log,
     };
-    return new CallerServer(context, { host, port, headersTimeout: limits.headersTimeoutMs });
+    return new CallerServer(context, {
+      host,
+      port,
+      headersTimeout: limits.headersTimeoutMs,
+      keys: this.parts.keys,
+    });
   }
 
   private createAdminServer(): AdminServer {
--- a/packages/router/src/lib/daemon/SharedState.ts
+++ b/packages/router/src/lib/daemon/SharedState.ts
@@ -2,14 +2,31 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimPort } from '../pipeline/ClaimPort.js';
 
+/**
+ * Where a daemon listens.
+ *
+ * @internal
+ */
+export interface DaemonPorts {
+  /** For callers. */
+  port: number;
+  /** For the balancer, for metrics and for operators. */
+  adminPort: number;
+}
+
 /**
  * What a daemon shares with the others, as the request path sees it.
  *
  * @internal
  */
 export interface SharedState {
-  /** Begins to take part; configurations and news come to the listener from now on. */
-  start(listener: SharedStateListener): Promise<void>;
+  /**
+   * Begins to take part; configurations and news come to the listener from now on.
+   *
+   * @param ports - where this daemon is reached
+   * @returns the port of its mesh, if it has one
+   */
+  start(listener: SharedStateListener, ports: DaemonPorts): Promise<number | void>;
   /** Claims on requests that may not be repeated. */
   claims: ClaimPort;
   /** A replica told this daemon that it is leaving: let the others know. */
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -1,6 +1,9 @@
+import type { KeyMaterial, KeySource } from '@apricotrill/keys';
 import { Outcome } from '@apricotrill/policy';
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
+import type { Server as TlsServer } from 'node:https';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
@@ -20,6 +23,8 @@
   host: string;
   port: number;
   headersTimeout: number;
+  /** The keys for HTTPS; plain HTTP when absent. */
+  keys?: KeySource;
 }
 
 type Handler = (
@@ -58,10 +63,13 @@
 
   private closing = false;
 
+  private stopKeys: (() => void) | undefined;
+
   constructor(context: CallerContext, address: CallerServerAddress) {
     this.context = context;
     this.address = address;
-    this.server = createServer({ headersTimeout: address.headersTimeout, requestTimeout: 0 });
+    const options = { headersTimeout: address.headersTimeout, requestTimeout: 0 };
+    this.server = address.keys === undefined ? createServer(options) : createTlsServer(options);
     this.server.on('clientError', (_error, socket) =>
       CallerServer.refuseMalformed(socket as Socket),
     );
@@ -82,6 +90,7 @@
 
   /** @returns the port, for when the machine chose it */
   listen(): Promise<number> {
+    this.useKeys();
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(this.address.port, this.address.host, () => {
@@ -104,10 +113,23 @@
 
   /** Cuts every connection: only for a forced end. */
   dispose(): void {
+    this.stopKeys?.();
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  /** New connections take the newest keys; open ones keep theirs. */
+  private useKeys(): void {
+    const { keys } = this.address;
+    if (keys === undefined) {
+      return;
+    }
+    const use = ({ certificate, privateKey }: KeyMaterial) =>
+      (this.server as TlsServer).setSecureContext({ cert: certificate, key: privateKey });
+    use(keys.getCurrent());
+    this.stopKeys = keys.onChange(use);
+  }
+
   private handle(request: IncomingMessage, response: ServerResponse, handler: Handler): void {
     const requestId = randomUUID();
     if (this.closing) {
--- a/packages/router/src/lib/shared/ClaimAdapter.ts
+++ b/packages/router/src/lib/shared/ClaimAdapter.ts
@@ -2,6 +2,7 @@
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import type { Clock } from '@apricotrill/utils';
 import { isUtf8 } from 'node:buffer';
+import { routerOptions } from '../options.js';
 import type { ClaimEnd, ClaimPort, ClaimRequest, ClaimVerdict } from '../pipeline/ClaimPort.js';
 import type { PlainAnswer } from '../upstream/runPlainAttempt.js';
 
@@ -28,29 +29,54 @@
   return { kind: 'answered', answer: { status: answer.status, contentType, body } };
 }
 
+function settle(claims: ClaimManager, handle: ClaimHandle, end: ClaimEnd): Promise<void> {
+  switch (end.kind) {
+    case 'answered':
+      return claims.settle(handle, { kind: 'answered', answer: getStoredAnswer(end.answer) });
+    case 'released':
+      return claims.settle(handle, { kind: 'not-run' });
+    case 'unknown':
+      return claims.settle(handle, { kind: 'unknown' });
+    default:
+      throw exhaustiveSwitchError(end);
+  }
+}
+
+/** The claims go on trying to report an outcome; nothing here waits for it. */
+function settleSoon(claims: ClaimManager, handle: ClaimHandle, end: ClaimEnd): void {
+  settle(claims, handle, end).catch(() => undefined);
+}
+
 /**
  * Speaks to the claims as the request path does.
  *
  * @internal
  */
 export class ClaimAdapter implements ClaimPort {
-  private readonly claims: ClaimManager;
-
   private readonly clock: Clock;
 
-  constructor(claims: ClaimManager, clock: Clock) {
-    this.claims = claims;
+  private claims: ClaimManager | undefined;
+
+  constructor(clock: Clock) {
     this.clock = clock;
   }
 
+  /** Claims can be asked for from now on. */
+  attach(claims: ClaimManager): void {
+    this.claims = claims;
+  }
+
   async claim(request: ClaimRequest): Promise<ClaimVerdict> {
-    return this.getVerdict(await this.claims.claim(request));
+    if (this.claims === undefined) {
+      return { kind: 'unavailable', retryAfter: routerOptions.inProgressRetryAfter };
+    }
+    return this.getVerdict(this.claims, await this.claims.claim(request));
   }
 
-  private getVerdict(answer: ClaimAnswer): ClaimVerdict {
+  private getVerdict(claims: ClaimManager, answer: ClaimAnswer): ClaimVerdict {
     switch (answer.kind) {
       case 'granted':
-        return this.getGrant(answer.handle);
+        return this.getGrant(claims, answer.handle);
       case 'settled':
         return getVerdictOfAnswer(answer.answer);
       case 'in-progress':
@@ -68,32 +94,11 @@
    * A grant that this process held through a long pause is void: the key may have been forgotten
    * and granted again. Nothing has been dispatched yet, so it goes back as not run.
    */
-  private getGrant(handle: ClaimHandle): ClaimVerdict {
+  private getGrant(claims: ClaimManager, handle: ClaimHandle): ClaimVerdict {
     if (this.clock.now() >= handle.deadline) {
-      this.end(handle, { kind: 'released' });
+      settleSoon(claims, handle, { kind: 'released' });
       return { kind: 'unavailable', retryAfter: 0 };
     }
-    return { kind: 'granted', end: (end) => this.end(handle, end) };
-  }
-
-  /** The claims go on trying to report an outcome; nothing here waits for it. */
-  private end(handle: ClaimHandle, end: ClaimEnd): void {
-    this.settle(handle, end).catch(() => undefined);
-  }
-
-  private settle(handle: ClaimHandle, end: ClaimEnd): Promise<void> {
-    switch (end.kind) {
-      case 'answered':
-        return this.claims.settle(handle, {
-          kind: 'answered',
-          answer: getStoredAnswer(end.answer),
-        });
-      case 'released':
-        return this.claims.settle(handle, { kind: 'not-run' });
-      case 'unknown':
-        return this.claims.settle(handle, { kind: 'unknown' });
-      default:
-        throw exhaustiveSwitchError(end);
-    }
+    return { kind: 'granted', end: (end) => settleSoon(claims, handle, end) };
   }
 }
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -2,16 +2,18 @@
 import type { ClaimMember, ClaimMessage, ClaimReply } from '@apricotrill/claims';
 import { ClusterManager } from '@apricotrill/cluster';
 import type { Member } from '@apricotrill/cluster';
+import type { KeySource } from '@apricotrill/keys';
 import { Mesh } from '@apricotrill/mesh';
 import type { Configuration, Settings } from '@apricotrill/model';
 import { HttpEngineOrders, PlacementManager } from '@apricotrill/placement';
 import { HttpInstanceList, HttpPlatformStore } from '@apricotrill/platform';
-import type { PlatformStore } from '@apricotrill/platform';
 import type { Clock, Random } from '@apricotrill/utils';
-import type { SharedState, SharedStateListener } from '../daemon/SharedState.js';
+import type { DaemonPorts, SharedState, SharedStateListener } from '../daemon/SharedState.js';
 import type { DecisionLog } from '../observe/DecisionLog.js';
 import { routerOptions } from '../options.js';
 import { ClaimAdapter } from './ClaimAdapter.js';
+import { getMemberView } from './MemberList.js';
+import type { MemberList } from './MemberList.js';
 
 /** The mesh topic of claims. */
 const CLAIM_TOPIC = 'claim';
@@ -26,6 +28,17 @@
   clock: Clock;
   random: Random;
   log: DecisionLog;
+  /** The keys for TLS between daemons; plain connections when absent. */
+  keys?: KeySource;
+  /** Where the others reach the mesh, when something in between translates ports. */
+  announcedMeshPort?: number;
+}
+
+/** What there is once the daemon's own ports are known. */
+interface Joined {
+  cluster: ClusterManager;
+  claimManager: ClaimManager;
+  placement: PlacementManager;
 }
 
 function getClaimMember(member: Member): ClaimMember {
@@ -50,11 +63,7 @@
 
   private readonly instanceList: HttpInstanceList;
 
-  private readonly cluster: ClusterManager;
-
-  private readonly claimManager: ClaimManager;
-
-  private placement: PlacementManager | undefined;
+  private joined: Joined | undefined;
 
   private configuration: Configuration | undefined;
 
@@ -69,54 +78,49 @@
       host: settings.host,
       port: settings.meshPort,
       clock,
+      keys: parts.keys,
     });
-    this.cluster = this.createCluster();
-    this.claimManager = this.createClaims();
-    this.claims = new ClaimAdapter(this.claimManager, clock);
+    this.claims = new ClaimAdapter(clock);
   }
 
-  async start(listener: SharedStateListener): Promise<void> {
-    const { settings } = this.parts;
+  /**
+   * The others are told the ports that are really listened at, so it joins only once they are
+   * known.
+   */
+  async start(listener: SharedStateListener, ports: DaemonPorts): Promise<number> {
+    const meshPort = await this.mesh.listen();
+    const cluster = this.createCluster({ ...ports, meshPort });
+    const claimManager = this.createClaims(cluster);
+    this.claims.attach(claimManager);
     this.mesh.handle(CLAIM_TOPIC, (message, { from }) =>
-      this.claimManager.handle(from, message as ClaimMessage),
+      claimManager.handle(from, message as ClaimMessage),
     );
-    this.cluster.onMembers((members) => {
-      this.claimManager.onMembersChanged();
-      const eligible = members.filter(({ isEligible }) => isEligible).map(({ id }) => id);
-      listener.onDaemons(settings.id, eligible);
-    });
-    this.cluster.onReplicaLeaving((replica, span) => listener.onReplicaLeaving(replica, span));
-    this.cluster.onConfiguration(({ configuration, manifest }) => {
-      this.configuration = configuration;
-      listener.onConfiguration(configuration, manifest.generation);
-      this.placement?.handleConfigurationChange();
-    });
-    await this.mesh.listen();
-    this.cluster.start();
-    this.placement = this.createPlacement(this.store);
+    this.listen(listener, cluster, claimManager);
+    const placement = this.createPlacement(cluster);
+    this.joined = { cluster, claimManager, placement };
+    cluster.start();
+    return meshPort;
   }
 
   tellReplicaLeaving(replica: string): void {
-    this.cluster.tellReplicaLeaving(replica);
+    this.joined?.cluster.tellReplicaLeaving(replica);
   }
 
-  getMembers(): unknown {
-    const members = this.cluster.getMembers().map((member) => ({
-      id: member.id,
-      availabilityZone: member.availabilityZone,
-      state: member.state,
-      generation: member.generation,
-      isEligible: member.isEligible,
-    }));
-    return { self: this.parts.settings.id, generation: this.getGeneration(), members };
+  getMembers(): MemberList {
+    const members = this.joined?.cluster.getMembers() ?? [];
+    return {
+      self: this.parts.settings.id,
+      generation: this.getGeneration(),
+      members: members.map(getMemberView),
+    };
   }
 
   getGeneration(): number {
-    return this.cluster.getGeneration();
+    return this.joined?.cluster.getGeneration() ?? 0;
   }
 
   announceLeaving(): void {
-    this.cluster.announceLeaving();
+    this.joined?.cluster.announceLeaving();
   }
 
   /**
@@ -124,24 +128,47 @@
    * that their next owners need no witness.
    */
   async handOver(): Promise<void> {
-    await this.placement?.release();
-    const rest = await this.claimManager.handOver(routerOptions.handOverTimeout);
+    if (this.joined === undefined) {
+      return;
+    }
+    const { placement, claimManager } = this.joined;
+    await placement.release();
+    const rest = await claimManager.handOver(routerOptions.handOverTimeout);
     this.parts.log('claim', { event: 'handed-over', ...rest });
   }
 
   dispose(): Promise<void> {
-    this.placement?.dispose();
-    this.claimManager.dispose();
-    this.cluster.dispose();
+    this.joined?.placement.dispose();
+    this.joined?.claimManager.dispose();
+    this.joined?.cluster.dispose();
     this.mesh.dispose();
     return Promise.all([this.store.dispose(), this.instanceList.dispose()]).then(() => undefined);
   }
 
-  private createCluster(): ClusterManager {
-    const { settings, clock, random, log } = this.parts;
-    const { id, region, availabilityZone, host, port, meshPort, adminPort, seeds } = settings;
+  private listen(
+    listener: SharedStateListener,
+    cluster: ClusterManager,
+    claimManager: ClaimManager,
+  ): void {
+    cluster.onMembers((members) => {
+      claimManager.onMembersChanged();
+      const eligible = members.filter(({ isEligible }) => isEligible).map(({ id }) => id);
+      listener.onDaemons(this.parts.settings.id, eligible);
+    });
+    cluster.onReplicaLeaving((replica, span) => listener.onReplicaLeaving(replica, span));
+    cluster.onConfiguration(({ configuration, manifest }) => {
+      this.configuration = configuration;
+      listener.onConfiguration(configuration, manifest.generation);
+      this.joined?.placement.handleConfigurationChange();
+    });
+  }
+
+  private createCluster(ports: DaemonPorts & { meshPort: number }): ClusterManager {
+    const { settings, clock, random, log, announcedMeshPort } = this.parts;
+    const { id, region, availabilityZone, host, seeds } = settings;
+    const meshPort = announcedMeshPort ?? ports.meshPort;
     return new ClusterManager({
-      self: { id, region, availabilityZone, host, port, meshPort, adminPort },
+      self: { id, region, availabilityZone, host, ...ports, meshPort },
       clock,
       random,
       mesh: this.mesh,
@@ -153,11 +180,10 @@
     });
   }
 
-  private createClaims(): ClaimManager {
+  private createClaims(cluster: ClusterManager): ClaimManager {
     const { settings, clock, log } = this.parts;
-    const self = this.cluster.getSelf();
     return new ClaimManager({
-      self: getClaimMember(self),
+      self: getClaimMember(cluster.getSelf()),
       clock,
       store: this.store,
       transport: {
@@ -167,7 +193,7 @@
           }) as Promise<ClaimReply>,
       },
       getMembers: () =>
-        this.cluster
+        cluster
           .getMembers()
           .filter(({ isEligible, id }) => isEligible || id === settings.id)
           .map(getClaimMember),
@@ -175,17 +201,17 @@
     });
   }
 
-  private createPlacement(store: PlatformStore): PlacementManager {
+  private createPlacement(cluster: ClusterManager): PlacementManager {
     const { settings, clock, random, log } = this.parts;
     return new PlacementManager({
       self: settings.id,
       clock,
       random,
-      store,
+      store: this.store,
       engines: new HttpEngineOrders(clock),
       getConfiguration: () => this.configuration,
       getMembers: () =>
-        this.cluster
+        cluster
           .getMembers()
           .filter(({ isEligible }) => isEligible)
           .map(({ id }) => id),
