Prove with real daemons how changes are accepted and come into force

Cause: the command line was tested on fakes only.

Change: a fleet for tests: the platform's stand-in, daemons in three availability zones and the operators' command line, all as processes.

Mesh ports are taken below the range for outgoing connections, so that a daemon which is down for a while finds its port free.

--- /dev/null
+++ b/packages/e2e/src/test/Fleet.ts
@@ -0,0 +1,180 @@
+import type { Instance } from '@apricotrill/platform';
+import { InstanceRole, InstanceState } from '@apricotrill/platform';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Deployment, RULES } from './Deployment.js';
+import { FleetDaemon } from './FleetDaemon.js';
+import { getQuietPort } from './getQuietPort.js';
+import { PlatformProcess } from './PlatformProcess.js';
+import type { OperatorResult } from './runOperator.js';
+import { runOperator } from './runOperator.js';
+
+const REGION = 'etela-suomi';
+
+/** The availability zones, which daemons are dealt out to in turn. */
+export const ZONES = ['helsinki-a', 'helsinki-b', 'espoo'];
+
+type Register = ReturnType<Deployment['getRegister']>;
+
+/** The operators' two files. */
+export interface Files {
+  register: Register;
+  rules: typeof RULES;
+}
+
+/** How a daemon of a fleet differs from the others. */
+export interface FleetDaemonOptions {
+  availabilityZone?: string;
+  /** Where the others reach its mesh, when that is not where it listens. */
+  announcedMeshPort?: number;
+  /** Mesh ports of the daemons it asks first; all of the fleet when absent. */
+  seeds?: number[];
+}
+
+/** A daemon as the platform lists it. */
+function getInstance({ id, availabilityZone }: FleetDaemon, port: number): Instance {
+  const role = InstanceRole.Daemon;
+  const state = InstanceState.Live;
+  return { id, role, state, availabilityZone, host: '127.0.0.1', port };
+}
+
+/**
+ * Router daemons in several availability zones as separate processes, joined by the platform's
+ * stand-in and by each other, with the configuration that the operators' command line applied.
+ * Everything it started ends with {@link Fleet.dispose}.
+ */
+export class Fleet {
+  /** The backend servers. */
+  readonly backends = new Deployment();
+
+  readonly daemons: FleetDaemon[] = [];
+
+  private platformProcess: PlatformProcess | undefined;
+
+  private directory = '';
+
+  private written = 0;
+
+  get platform(): PlatformProcess {
+    return this.platformProcess!;
+  }
+
+  /** Starts the platform's stand-in. */
+  async prepare(platformArgs: string[] = ['--list-lag', '500']): Promise<void> {
+    this.directory = await mkdtemp(join(tmpdir(), 'apricotrill-fleet-'));
+    await this.backends.prepare();
+    this.platformProcess = await PlatformProcess.start(platformArgs);
+  }
+
+  /** Applies the first configuration and starts daemons; resolves when all know each other. */
+  async start(count: number): Promise<void> {
+    await this.apply(0);
+    const daemons: FleetDaemon[] = [];
+    for (let index = 0; index < count; index += 1) {
+      // One after the other: each takes the next port.
+      // eslint-disable-next-line no-await-in-loop
+      daemons.push(await this.addDaemon());
+    }
+    await Promise.all(daemons.map((daemon) => daemon.start()));
+    await this.waitUntilJoined();
+  }
+
+  /** Adds a daemon to the fleet and to the platform's list, without starting it. */
+  async addDaemon(options: FleetDaemonOptions = {}): Promise<FleetDaemon> {
+    const place = this.daemons.length;
+    const id = `daemon-${place + 1}`;
+    const zone = options.availabilityZone ?? ZONES[place % ZONES.length]!;
+    const meshPort = await getQuietPort();
+    const seeds = options.seeds ?? this.daemons.map((daemon) => daemon.meshPort);
+    const settings = await this.write(id, {
+      id,
+      region: REGION,
+      availabilityZone: zone,
+      host: '127.0.0.1',
+      port: 0,
+      adminPort: 0,
+      meshPort,
+      platformUrl: this.platform.url,
+      seeds: seeds.map((port) => ({ host: '127.0.0.1', port })),
+    });
+    const announced = options.announcedMeshPort;
+    const announcing = announced === undefined ? [] : ['--announced-mesh-port', String(announced)];
+    const daemon = new FleetDaemon(id, zone, meshPort, ['--settings', settings, ...announcing]);
+    this.daemons.push(daemon);
+    await this.platform.putInstance(getInstance(daemon, announced ?? meshPort));
+    return daemon;
+  }
+
+  /** Waits until every daemon is ready and knows all the others as alive. */
+  async waitUntilJoined(): Promise<void> {
+    const { daemons } = this;
+    await Promise.all(
+      daemons.map(async (daemon) => {
+        await daemon.waitUntilReady();
+        await daemon.waitForMembers(
+          (members) => members.filter(({ state }) => state === 'alive').length === daemons.length,
+        );
+      }),
+    );
+  }
+
+  /** The operators' files, as everything that was started wants them. */
+  getFiles(): Files {
+    return structuredClone({ register: this.backends.getRegister(), rules: RULES });
+  }
+
+  /** Writes the operators' two files. @returns the arguments that name them */
+  async writeFiles({ register, rules }: Files): Promise<string[]> {
+    return [
+      '--register',
+      await this.write('register', register),
+      '--rules',
+      await this.write('rules', rules),
+    ];
+  }
+
+  /** Runs a command of the operators that asks the platform. */
+  operate(command: string, ...args: string[]): Promise<OperatorResult> {
+    return runOperator([command, '--platform', this.platform.url, ...args]);
+  }
+
+  /** Has an edit of the files accepted on a base. @throws when it is not accepted */
+  async apply(base: number, edit: (files: Files) => void = () => undefined): Promise<number> {
+    const files = this.getFiles();
+    edit(files);
+    const named = await this.writeFiles(files);
+    const result = await this.operate('apply', '--base', String(base), ...named);
+    if (result.code !== 0) {
+      throw new Error(`apply: ${result.code}\n${result.output}${result.errors.join('\n')}`);
+    }
+    return base + 1;
+  }
+
+  /** The admin addresses of the daemons, as options of the command line. */
+  getDaemonOptions(daemons: readonly FleetDaemon[] = this.daemons): string[] {
+    return daemons.flatMap(({ adminPort }) => ['--daemon', `127.0.0.1:${adminPort}`]);
+  }
+
+  /** A backend server as the platform lists it. */
+  async listBackend(id: string, state: InstanceState): Promise<void> {
+    const { replicas } = this.backends.getRegister();
+    const { availabilityZone, host, port } = replicas.find((replica) => replica.id === id)!;
+    const role = InstanceRole.BackendServer;
+    await this.platform.putInstance({ id, role, state, availabilityZone, host, port });
+  }
+
+  async dispose(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.dispose()));
+    await this.platformProcess?.process.dispose();
+    await this.backends.dispose();
+    await rm(this.directory, { recursive: true, force: true });
+  }
+
+  private async write(name: string, value: unknown): Promise<string> {
+    this.written += 1;
+    const path = join(this.directory, `${name}-${this.written}.jsonc`);
+    await writeFile(path, JSON.stringify(value, undefined, 2));
+    return path;
+  }
+}
--- /dev/null
+++ b/packages/e2e/src/test/getQuietPort.ts
@@ -0,0 +1,33 @@
+import { createServer } from 'node:net';
+
+/**
+ * Below the ports that the system gives to outgoing connections: a daemon that is down for a while
+ * finds its port free when it comes back.
+ */
+const FIRST_PORT = 10_000;
+
+const LAST_PORT = 32_000;
+
+/** Test files run in processes of their own; each begins somewhere else. */
+let next = FIRST_PORT + ((process.pid * 131) % (LAST_PORT - FIRST_PORT));
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** A port that is free and stays so while nobody listens at it. */
+export async function getQuietPort(): Promise<number> {
+  for (;;) {
+    const port = next;
+    next = port === LAST_PORT ? FIRST_PORT : port + 1;
+    // One port after the other until one is free.
+    // eslint-disable-next-line no-await-in-loop
+    if (await isFree(port)) {
+      return port;
+    }
+  }
+}
