Prove that silent connections are found, replaced and kept from holds

Cause: nothing showed what happens when a connection stays open and nothing passes on it any more. Two faults were found on the way. Each connection of a lost pool that was found silent condemned whatever pool was there by then, so that every answer opened a connection of its own for a while. And a caller slower than its engine was cut off after a few seconds: the scheduler hears of no token while the daemon waits for the caller, and ends the attempt as silent.

Change: a pool is condemned once. While only the caller is waited for, the scheduler hears of progress by no tokens, three times in the longest gap allowed; a caller that takes nothing for 30 s counts as gone, which also bounds a shutdown.

Tests, through a TCP relay that loses track of the connections open at the moment: a stream goes on over a new connection while its neighbour's on the same engine ends undisturbed; one silent connection replaces the pool, so that later checks are answered at the first attempt; a hold never goes out on a connection that was idle. A daemon within the test's process holds its claims in memory.

Guards shown, each taken out and a test failed: the silence limit, condemning the pool, letting the neighbours end (closing instead of destroying), the fresh connection for a hold, condemning once, the beats while waiting, the end of the wait.

--- a/packages/e2e/src/test/Deployment.ts
+++ b/packages/e2e/src/test/Deployment.ts
@@ -42,7 +42,10 @@
   };
 }
 
-/** The classes of the tests: an urgent check, a hold, a question and a draft. */
+/**
+ * The classes of the tests: an urgent check, a hold, a question and a draft, and hasty ones for
+ * tests in which something goes silent.
+ */
 export const RULES = {
   classes: [
     { name: 'check', tier: 0, target: { firstToken: 500 }, deadline: 5000, repeatable: true },
@@ -63,8 +66,13 @@
       preemptible: true,
       repeatable: true,
     },
+    { name: 'hasty', tier: 1, target: { firstToken: 200 }, deadline: 20000, repeatable: true },
+    { name: 'hasty-hold', tier: 0, target: { firstToken: 200 }, deadline: 1000 },
   ],
   classRules: [
+    { service: 'portal', wishedClass: 'hasty', class: 'hasty' },
+    { service: 'portal', wishedClass: 'hasty-hold', class: 'hasty-hold' },
+    { service: 'engines', wishedClass: 'hasty', class: 'hasty' },
     { service: 'portal', method: 'GET', class: 'check' },
     { service: 'portal', class: 'hold' },
     { service: 'engines', maxTokensAtMost: 50, class: 'question' },
--- /dev/null
+++ b/packages/e2e/src/test/LocalDaemon.ts
@@ -0,0 +1,83 @@
+import { parseConfiguration, parseSettings } from '@apricotrill/model';
+import type { CallerLimits } from '@apricotrill/model';
+import { RouterDaemon } from '@apricotrill/router';
+import type { SharedState, SharedStateListener } from '@apricotrill/router';
+import { SystemClock, createRandom } from '@apricotrill/utils';
+import { RULES, getSettings } from './Deployment.js';
+import type { Deployment } from './Deployment.js';
+import { LineLog } from './LineLog.js';
+import { MemoryClaims } from './MemoryClaims.js';
+import type { ClaimPort } from './MemoryClaims.js';
+
+/** What a daemon shares when there is nobody to share it with. */
+function createLocalState(deployment: Deployment, claims: ClaimPort): SharedState {
+  const start = (listener: SharedStateListener) => {
+    const result = parseConfiguration({
+      registerText: JSON.stringify(deployment.getRegister()),
+      registerFile: 'register',
+      rulesText: JSON.stringify(RULES),
+      rulesFile: 'rules',
+    });
+    if (!result.ok) {
+      throw new Error(JSON.stringify(result.error));
+    }
+    listener.onDaemons('local', ['local']);
+    listener.onConfiguration(result.value, 1);
+    return Promise.resolve();
+  };
+  const shared = {
+    start,
+    claims,
+    tellReplicaLeaving: () => undefined,
+    getMembers: () => [],
+    getGeneration: () => 1,
+    announceLeaving: () => Promise.resolve(),
+    handOver: () => Promise.resolve(),
+    dispose: () => Promise.resolve(),
+  };
+  return shared;
+}
+
+/** A daemon in the test's own process, where the test holds its claims in its hands. */
+export class LocalDaemon {
+  readonly log = new LineLog();
+
+  port = 0;
+
+  adminPort = 0;
+
+  private readonly daemon: RouterDaemon;
+
+  private constructor(settingsText: string, shared: SharedState) {
+    const settings = parseSettings(settingsText, 'settings');
+    if (!settings.ok) {
+      throw new Error(JSON.stringify(settings.error));
+    }
+    this.daemon = new RouterDaemon({
+      settings: settings.value,
+      clock: new SystemClock(),
+      random: createRandom(1),
+      shared,
+      log: (step, fields) => this.log.add(`apricotrill:${step} ${JSON.stringify(fields)}`),
+    });
+  }
+
+  static async start(
+    deployment: Deployment,
+    claims: ClaimPort = new MemoryClaims(),
+    limits: Partial<CallerLimits> = {},
+  ): Promise<LocalDaemon> {
+    const settings = JSON.stringify(await getSettings('local', limits));
+    const local = new LocalDaemon(settings, createLocalState(deployment, claims));
+    Object.assign(local, await local.daemon.start());
+    return local;
+  }
+
+  stop(): Promise<void> {
+    return this.daemon.stop();
+  }
+
+  dispose(): Promise<void> {
+    return this.daemon.dispose();
+  }
+}
--- /dev/null
+++ b/packages/e2e/src/test/MemoryClaims.ts
@@ -0,0 +1,28 @@
+import type { SharedState } from '@apricotrill/router';
+
+/** Where a daemon claims keys. */
+export type ClaimPort = SharedState['claims'];
+
+type ClaimVerdict = Awaited<ReturnType<ClaimPort['claim']>>;
+type ClaimRequest = Parameters<ClaimPort['claim']>[0];
+type ClaimEnd = Parameters<Extract<ClaimVerdict, { kind: 'granted' }>['end']>[0];
+
+/** Claims kept in memory, as one daemon alone would see them. */
+export class MemoryClaims implements ClaimPort {
+  /** How each key ended; running while it has not. */
+  readonly ends = new Map<string, ClaimEnd | { kind: 'running' }>();
+
+  claim({ key }: ClaimRequest): Promise<ClaimVerdict> {
+    const known = this.ends.get(key);
+    switch (known?.kind) {
+      case 'running':
+        return Promise.resolve({ kind: 'in-progress' });
+      case 'answered':
+      case 'unknown':
+        return Promise.resolve(known);
+      default:
+        this.ends.set(key, { kind: 'running' });
+        return Promise.resolve({ kind: 'granted', end: (end) => this.ends.set(key, end) });
+    }
+  }
+}
--- a/packages/e2e/src/test/calls.ts
+++ b/packages/e2e/src/test/calls.ts
@@ -58,18 +58,27 @@
 /** What the stand-in of a plain service answers, or the problem there was. */
 type PortalBody = { run?: number; echo?: string } & Partial<Problem>;
 
+/** The header by which a test asks for a hasty class. */
+export const HASTY = { 'x-apricotrill-class': 'hasty' };
+
+interface CallOptions {
+  signal?: AbortSignal;
+  headers?: Record<string, string>;
+}
+
 /** Checks an artwork's status: may be repeated. */
-export function checkArtwork(port: number, artwork: string, signal?: AbortSignal) {
+export function checkArtwork(port: number, artwork: string, options: CallOptions = {}) {
   const url = `http://127.0.0.1:${port}/services/portal/artwork/${artwork}`;
-  return send<PortalBody>(url, { method: 'GET', signal });
+  return send<PortalBody>(url, { method: 'GET', ...options });
 }
 
 /** Places a hold: may not be repeated. */
-export function placeHold(port: number, key: string, signal?: AbortSignal) {
+export function placeHold(port: number, key: string, options: CallOptions = {}) {
+  const headers = { 'idempotency-key': key, ...options.headers };
   return send<PortalBody>(`http://127.0.0.1:${port}/services/portal/holds`, {
     method: 'POST',
-    headers: { 'idempotency-key': key, 'content-type': 'application/json' },
+    ...options,
+    headers,
     body: JSON.stringify({ hold: key }),
-    signal,
   });
 }
--- a/packages/router/src/lib/request/ChatWork.ts
+++ b/packages/router/src/lib/request/ChatWork.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@apricotrill/utils';
 import type { ServerResponse } from 'node:http';
-import { routerOptions } from '../options.js';
 import type { Problem } from '../pipeline/Problem.js';
 import type { AttemptResult } from '../upstream/Attempt.js';
 import type { ChatAnswerListener } from '../upstream/ChatAnswerReader.js';
@@ -10,6 +9,10 @@
 import type { ChatRequest } from './ChatRequest.js';
 import type { ChatSink } from './ChatSink.js';
 import type { OrderedAttempt, RequestWork } from './RequestWork.js';
+import { waitForCaller } from './waitForCaller/waitForCaller.js';
+
+/** How often, in the longest gap between tokens, the scheduler hears that a caller is slow. */
+const BEATS_PER_GAP = 3;
 
 /**
  * What a chat request is made of.
@@ -111,30 +114,23 @@
         unreported = 0;
       },
       onStray,
-      waitForCaller: () => this.waitForCaller(),
+      waitForCaller: () => this.waitForCaller(ordered),
     };
   }
 
-  /** A caller that takes nothing for a long time holds a slot of the engine: it counts as gone. */
-  private waitForCaller(): Promise<void> | undefined {
-    const { response, clock } = this.parts;
+  private waitForCaller({
+    tokenGapTimeout,
+    onProgress,
+  }: OrderedAttempt): Promise<void> | undefined {
+    const { response, clock, onSlowCaller } = this.parts;
     if (!response.writableNeedDrain) {
       return undefined;
     }
     if (!this.callerIsSlow) {
       this.callerIsSlow = true;
-      this.parts.onSlowCaller();
+      onSlowCaller();
     }
-    return new Promise((resolve) => {
-      const timer = clock.setTimer(routerOptions.callerStall, () => response.destroy());
-      const go = () => {
-        timer.cancel();
-        response.off('drain', go);
-        response.off('close', go);
-        resolve();
-      };
-      response.once('drain', go);
-      response.once('close', go);
-    });
+    const beat = tokenGapTimeout / BEATS_PER_GAP;
+    return waitForCaller({ response, clock, beat, onBeat: () => onProgress(0) });
   }
 }
--- a/packages/router/src/lib/request/RequestWork.ts
+++ b/packages/router/src/lib/request/RequestWork.ts
@@ -16,7 +16,7 @@
   firstTokenTimeout: Milliseconds;
   tokenGapTimeout: Milliseconds;
   signal: AbortSignal;
-  /** Tokens (or the plain answer) went to the caller. */
+  /** Tokens (or the plain answer) went to the caller; 0 while only the caller is waited for. */
   onProgress: (tokens: number) => void;
   onLoad: LoadListener;
 }
--- a/packages/router/src/lib/upstream/ReplicaConnections.ts
+++ b/packages/router/src/lib/upstream/ReplicaConnections.ts
@@ -31,6 +31,8 @@
 
   private readonly retired = new Set<Dispatcher>();
 
+  private readonly condemned = new WeakSet<Dispatcher>();
+
   /** The shared connections to a replica, for what may be repeated. */
   getShared(replica: Replica): Dispatcher {
     const origin = getOrigin(replica);
@@ -63,9 +65,10 @@
   condemn(replica: Replica, suspect: Dispatcher): void {
     const origin = getOrigin(replica);
     const pool = this.pools.get(origin);
-    if (pool === undefined || this.retired.has(suspect)) {
+    if (pool === undefined || this.condemned.has(suspect)) {
       return;
     }
+    this.condemned.add(pool);
     this.pools.delete(origin);
     this.retire(pool);
   }
