Test the guards of membership and spread one by one; let no timer outlive the daemon

Cause: the fuzz passed with many guards removed, since they back each other up.

Writing them showed three faults, mended here: a pause noticed by a suspicion's own timer still declared the member dead; a suspicion from another region ran out there before the region counted as lost (now only a member's own region judges it, or, for small regions, those who probe it); the timers that forget the dead kept a disposed daemon's process alive for an hour. ClusterManager: topics apart for membership and configuration, parts read by one list call when many, members computed once.

Ruled out: judging another region's daemons by the last sign of life (the word of the suspicion itself counts as one).

--- a/packages/cluster/src/lib/AntiEntropy/AntiEntropy.ts
+++ b/packages/cluster/src/lib/AntiEntropy/AntiEntropy.ts
@@ -106,6 +106,7 @@
     const { syncInterval } = context.options;
     const interval = this.getRunning().length === 0 ? JOIN_INTERVAL : syncInterval;
     this.timer = context.clock.setTimer(jitter(context, interval), () => {
+      this.parts.membership.forgetDead();
       this.syncNow();
       this.arm();
     });
--- a/packages/cluster/src/lib/ClusterCore/ClusterCore.ts
+++ b/packages/cluster/src/lib/ClusterCore/ClusterCore.ts
@@ -31,6 +31,8 @@
 
   private viewTimer: Timer | undefined;
 
+  private graceTimer: Timer | undefined;
+
   private isSettled = false;
 
   constructor(private readonly settings: CoreSettings) {
@@ -74,7 +76,8 @@
     regions.start();
     antiEntropy.start();
     list.start();
-    this.settings.clock.setTimer(this.settings.options.joinGrace, () => {
+    const { clock, options } = this.settings;
+    this.graceTimer = clock.setTimer(options.joinGrace, () => {
       this.isSettled = true;
       this.noteChange();
     });
@@ -88,6 +91,7 @@
 
   dispose(): void {
     this.viewTimer?.cancel();
+    this.graceTimer?.cancel();
     const { prober, regions, antiEntropy, list, watcher, loads } = this.parts;
     const { spreader, calls, spread, membership } = this.parts;
     [
--- a/packages/cluster/src/lib/ClusterCore/CoreParts.ts
+++ b/packages/cluster/src/lib/ClusterCore/CoreParts.ts
@@ -91,6 +91,7 @@
       identity: this.settings.self,
       tell: (rumour) => this.spreader.tell(rumour),
       isRegionReachable: (region) => this.regions.isReachable(region),
+      isOursToJudge: (member) => this.targets.isOursToJudge(member),
       hasHeardRegion: (region, since) => this.regions.hasHeard(region, since),
       onChange: this.onChange,
     });
--- a/packages/cluster/src/lib/ClusterManager/ClusterManager.ts
+++ b/packages/cluster/src/lib/ClusterManager/ClusterManager.ts
@@ -12,11 +12,20 @@
 import type { CoreEffect, CoreMessage } from '../coreMessages.js';
 import type { ZoneLoad } from '../LoadDigests/LoadDigests.js';
 import type { DaemonIdentity, Member } from '../Member.js';
-import type { PeerAnswer, ServiceLoad } from '../messages.js';
+import { getAddress } from '../Member.js';
+import type { PeerAnswer, PeerRequest, ServiceLoad } from '../messages.js';
 import { PlatformTask } from './PlatformTask.js';
 
-/** The mesh topic of membership and configuration. */
-const CLUSTER_TOPIC = 'cluster';
+/** The mesh topics, apart so that their bytes are counted apart. */
+enum Topic {
+  Membership = 'membership',
+  Configuration = 'configuration',
+}
+
+function getTopic({ kind }: PeerRequest): Topic {
+  const isFetch = kind === 'fetch-manifest' || kind === 'fetch-parts';
+  return isFetch ? Topic.Configuration : Topic.Membership;
+}
 
 /**
  * What a manager is given.
@@ -76,10 +85,11 @@
       clock,
       random,
       options: { ...clusterOptions, ...options },
-      seeds: seeds.map(({ host, port }) => `${host}:${port}`),
+      seeds: seeds.map(({ host, port }) => getAddress(host, port)),
       emit: (effect) => this.carryOut(effect),
     });
     this.platform = new PlatformTask({
+      clock,
       store,
       instanceList,
       deliver: (message) => this.deliver(message),
@@ -88,9 +98,10 @@
 
   /** Begins to take part; the mesh must listen by then. */
   start(): void {
-    const { mesh } = this.settings;
-    mesh.handle(CLUSTER_TOPIC, async (message, { from }) =>
-      encodeAnswer(await this.answer(message, from)),
+    Object.values(Topic).forEach((topic) =>
+      this.settings.mesh.handle(topic, async (message, { from }) =>
+        encodeAnswer(await this.answer(message, from)),
+      ),
     );
     this.core.start();
   }
@@ -176,7 +187,7 @@
         this.replies.delete(effect.requestId);
         break;
       case 'members':
-        this.memberListeners.forEach((listener) => listener(this.getMembers()));
+        this.tellMembers();
         break;
       case 'configuration':
         this.configurationListeners.forEach((listener) => listener(effect.inForce));
@@ -199,9 +210,14 @@
     }
   }
 
+  private tellMembers(): void {
+    const members = this.getMembers();
+    this.memberListeners.forEach((listener) => listener(members));
+  }
+
   private call({ callId, address, request, timeout }: Call): void {
     this.settings.mesh
-      .call(address, CLUSTER_TOPIC, encodeRequest(request), { timeout })
+      .call(address, getTopic(request), encodeRequest(request), { timeout })
       .then((answer) => decodeAnswer(answer, address))
       .then(
         (answer) => this.deliver({ kind: 'answer', callId, answer }),
--- a/packages/cluster/src/lib/ClusterManager/PlatformTask.ts
+++ b/packages/cluster/src/lib/ClusterManager/PlatformTask.ts
@@ -1,5 +1,6 @@
-import { MANIFEST_KEY, PART_PREFIX } from '@apricotrill/configuration';
+import { ConfigurationStore, MANIFEST_KEY } from '@apricotrill/configuration';
 import type { InstanceList, PlatformStore } from '@apricotrill/platform';
+import type { Clock } from '@apricotrill/utils';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import type { CoreEffect, CoreMessage } from '../coreMessages.js';
 
@@ -10,6 +11,7 @@
 >;
 
 interface PlatformTaskSettings {
+  clock: Clock;
   store: PlatformStore;
   instanceList: InstanceList;
   deliver: (message: CoreMessage) => void;
@@ -19,7 +21,11 @@
 export class PlatformTask {
   private readonly watches = new Map<number, AbortController>();
 
-  constructor(private readonly settings: PlatformTaskSettings) {}
+  private readonly configuration: ConfigurationStore;
+
+  constructor(private readonly settings: PlatformTaskSettings) {
+    this.configuration = new ConfigurationStore(settings);
+  }
 
   carryOut(effect: PlatformEffect): void {
     switch (effect.kind) {
@@ -78,13 +84,7 @@
   }
 
   private async readParts(readId: number, hashes: readonly string[]): Promise<CoreMessage> {
-    const { store } = this.settings;
-    const objects = await Promise.all(hashes.map((hash) => store.get(PART_PREFIX + hash)));
-    const texts = hashes.flatMap((hash, index): [string, string][] => {
-      const object = objects[index];
-      return object === undefined ? [] : [[hash, object.value]];
-    });
-    return { kind: 'parts-read', readId, parts: new Map(texts) };
+    return { kind: 'parts-read', readId, parts: await this.configuration.readParts(hashes) };
   }
 
   private async readInstances(): Promise<CoreMessage> {
--- a/packages/cluster/src/lib/Membership/Membership.ts
+++ b/packages/cluster/src/lib/Membership/Membership.ts
@@ -27,6 +27,8 @@
   tell: (rumour: Rumour) => void;
   /** Whether a region can be reached from here. */
   isRegionReachable: (region: string) => boolean;
+  /** Whether this daemon is among those that find out whether the member is there. */
+  isOursToJudge: (member: string) => boolean;
   /** Whether any daemon of a region was heard since then; true for the own region. */
   hasHeardRegion: (region: string, since: Milliseconds) => boolean;
   onChange: () => void;
@@ -153,6 +155,17 @@
     return hasPaused;
   }
 
+  /**
+   * Forgets those who have been dead for long. Until then they stay known: a late message from
+   * before the death would otherwise bring them back, everywhere.
+   */
+  forgetDead(): void {
+    const oldest = this.context.clock.now() - this.context.options.tombstoneSpan;
+    [...this.table.values()]
+      .filter(({ record, stateSince }) => !isRunning(record.state) && stateSince < oldest)
+      .forEach(({ record }) => this.table.forget(record.id));
+  }
+
   /** All members but the dead, this daemon first. */
   getMembers(ownGeneration: number): Member[] {
     const self = this.getMember({
@@ -199,7 +212,6 @@
         break;
       case MemberState.Dead:
         this.experience.forget(id);
-        this.scheduleForgetting(record);
         decide(this.context, { kind: 'member-dead', member: id, incarnation, cause });
         break;
       case MemberState.Alive:
@@ -220,19 +232,6 @@
     this.damper.add(id, isRefutation ? REFUTATION_PENALTY : RETURN_PENALTY);
   }
 
-  /**
-   * The dead stay known for a while: a late message from before the death would otherwise bring
-   * them back, everywhere.
-   */
-  private scheduleForgetting(record: MemberRecord): void {
-    const { clock, options } = this.context;
-    clock.setTimer(options.tombstoneSpan, () => {
-      if (this.table.get(record.id)?.record === record) {
-        this.table.forget(record.id);
-      }
-    });
-  }
-
   private getCorrection(heard: MemberRecord): MemberRecord | undefined {
     const known = this.table.get(heard.id)!.record;
     const isSame =
@@ -244,7 +243,8 @@
 
   /**
    * Whether no conclusion may be drawn from a member's silence: its refutation cannot arrive while
-   * this process sleeps, is cut off, or its region gives no sign of life.
+   * this process sleeps, is cut off, or its region gives no sign of life. A larger region judges its
+   * own daemons, and its verdict arrives when it can.
    */
   private isOnHold(member: string, since: Milliseconds): boolean {
     const region = this.table.get(member)?.record.region;
@@ -252,6 +252,7 @@
       this.noticePause() ||
       this.experience.isCutOff ||
       region === undefined ||
+      !this.parts.isOursToJudge(member) ||
       !this.parts.hasHeardRegion(region, since)
     );
   }
--- a/packages/cluster/src/lib/ProbeTargets/ProbeTargets.ts
+++ b/packages/cluster/src/lib/ProbeTargets/ProbeTargets.ts
@@ -66,8 +66,8 @@
     return this.getRegionSize(region) < this.options.smallRegion;
   }
 
-  /** Whether this daemon's failure to reach the member makes it suspect. */
-  isProbedByUs(member: string): boolean {
+  /** Whether this daemon may suspect the member and declare it dead. */
+  isOursToJudge(member: string): boolean {
     const region = this.table.get(member)?.record.region;
     return region !== undefined && (region === this.self.region || this.isSmall(region));
   }
--- a/packages/cluster/src/lib/Prober/Prober.ts
+++ b/packages/cluster/src/lib/Prober/Prober.ts
@@ -124,7 +124,7 @@
       return;
     }
     context.counters.probeFailures += 1;
-    const maySuspect = this.parts.targets.isProbedByUs(member);
+    const maySuspect = this.parts.targets.isOursToJudge(member);
     if (maySuspect && startedAt > membership.pause.resumedAt) {
       this.probeThroughPeers(member, startedAt);
     }
--- a/packages/cluster/src/test/TestCluster.ts
+++ b/packages/cluster/src/test/TestCluster.ts
@@ -44,13 +44,20 @@
   listLag?: Milliseconds;
 }
 
-const START = 1_000_000;
+const START = 1_000_000_000;
 
 /** What one daemon holds of another. */
 export function getView({ host }: TestDaemon, id: string): Member | undefined {
   return host.core.getMembers().find((member) => member.id === id);
 }
 
+/** The members that a daemon has decided something about. */
+export function getDecided({ decisions }: TestDaemon, kind: ClusterDecision['kind']): string[] {
+  return decisions
+    .filter((decision) => decision.kind === kind)
+    .map((decision) => ('member' in decision ? decision.member : ''));
+}
+
 /** Some cores on one clock and one carrier, whose messages and platform the test can disturb. */
 export class TestCluster {
   readonly clock = new ManualClock(START);
@@ -111,6 +118,20 @@
     return condition();
   }
 
+  /** Cuts one daemon off from all others. */
+  isolate(daemon: TestDaemon): void {
+    this.faults.canPass = (from, to) => from !== daemon.id && to !== daemon.id;
+  }
+
+  heal(): void {
+    this.faults.canPass = () => true;
+  }
+
+  /** The daemons but the given ones. */
+  getOthers(...without: TestDaemon[]): TestDaemon[] {
+    return this.daemons.filter((daemon) => !without.includes(daemon));
+  }
+
   /** Has the next generation accepted at the store. */
   accept(workspaces?: number): number {
     this.generation += 1;
