Bound how many replicas a daemon asks for load

Cause: in a fleet of 21 services most replicas answer a daemon less than once a second, so each would have been asked each second: over a thousand questions. Change: at most 50 an interval, the longest silent first; a replica that gives no answer has had its turn. Ruled out: no questions at all, since a leaving replica would be noticed only by a refused request. Measured: without the bound the test fails (100 asked for 50).

--- a/packages/router/src/lib/options.ts
+++ b/packages/router/src/lib/options.ts
@@ -15,6 +15,8 @@
   maxPlainAnswer: 8 * 1024 * 1024,
   /** How often a replica's load is asked for when no answer brought it. */
   loadInterval: 1000,
+  /** How many replicas are asked in one interval at most. */
+  loadQuestions: 50,
   /** How long a load question may take. */
   loadTimeout: 800,
   /** Prompt characters that count for prefix affinity. */
@@ -27,6 +29,8 @@
   maxWorkspaceLabels: 100,
   /** How long a request may wait for another one with its Idempotency-Key. */
   inProgressRetryAfter: 1000,
+  /** When asking again makes sense for a caller whose key could not be claimed in time. */
+  claimRetryAfter: 1000,
   /** How long a call to the platform may take. */
   platformTimeout: 2000,
   /** How long a claim message between daemons may take. */
--- /dev/null
+++ b/packages/router/src/lib/upstream/LoadPoller.test.ts
@@ -0,0 +1,58 @@
+import { ManualClock, createRandom } from '@apricotrill/utils';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { routerOptions } from '../options.js';
+import { LoadPoller } from './LoadPoller.js';
+
+/*
+ * Symptom: in a large fleet a daemon spends more on asking for load than on all other control.
+ * Sequence: hundreds of replicas send it no answer within a second; each is asked each second.
+ * Cause: the number of questions grew with the fleet.
+ */
+describe('LoadPoller', () => {
+  it('asks a bounded number in each interval, and each replica in turn', async () => {
+    const asked: string[] = [];
+    const server = createServer((request, response) => {
+      asked.push(request.headers.host ?? '');
+      response.end(JSON.stringify({ running: 0, waiting: 0, measuredAt: 1, leaving: false }));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const count = 2 * routerOptions.loadQuestions;
+    const clock = new ManualClock(10_000);
+    const reported = new Set<string>();
+    const waitForReports = (wanted: number) =>
+      new Promise<void>((resolve) => {
+        const check = () => (reported.size >= wanted ? resolve() : setImmediate(check));
+        check();
+      });
+    const poller = new LoadPoller(clock, createRandom(1), {
+      onReport: ({ replica }) => reported.add(replica),
+      onLeaving: () => undefined,
+      onReturned: () => undefined,
+    });
+    poller.setReplicas(
+      Array.from({ length: count }, (_, index) => ({
+        id: `engine-${index}`,
+        service: 'engines',
+        availabilityZone: 'espoo',
+        host: '127.0.0.1',
+        port,
+        slots: 1,
+        checksFencing: false,
+        placement: [],
+      })),
+    );
+    clock.advance(routerOptions.loadInterval * 1.2);
+    await waitForReports(routerOptions.loadQuestions);
+    expect(asked).toHaveLength(routerOptions.loadQuestions);
+    clock.advance(routerOptions.loadInterval * 1.2);
+    await waitForReports(count);
+    expect(reported.size).toBe(count);
+    poller.dispose();
+    server.close();
+    server.closeAllConnections();
+  });
+});
--- a/packages/router/src/lib/upstream/LoadPoller.ts
+++ b/packages/router/src/lib/upstream/LoadPoller.ts
@@ -1,6 +1,6 @@
 import type { Replica } from '@apricotrill/model';
 import type { LoadReport } from '@apricotrill/policy';
-import type { Clock, Random, Timer } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { request } from 'undici';
 import { routerOptions } from '../options.js';
 
@@ -85,18 +85,31 @@
 
   private askAll(): void {
     const due = this.clock.now() - routerOptions.loadInterval;
-    const isDue = ({ id }: Replica) => this.leaving.has(id) || (this.heardAt.get(id) ?? 0) <= due;
-    this.replicas.filter(isDue).forEach((replica) => {
+    this.getOldest(due).forEach((replica) => {
       this.ask(replica).catch(() => undefined);
     });
   }
 
+  /**
+   * The replicas not heard of lately, the longest silent first. Their number is bounded: in a large
+   * fleet most replicas send this daemon an answer less than once a second, and asking all of them
+   * would take more processor time than control may have.
+   */
+  private getOldest(due: Milliseconds): Replica[] {
+    const getAge = ({ id }: Replica) => this.heardAt.get(id) ?? 0;
+    return this.replicas
+      .filter((replica) => this.leaving.has(replica.id) || getAge(replica) <= due)
+      .sort((left, right) => getAge(left) - getAge(right))
+      .slice(0, routerOptions.loadQuestions);
+  }
+
   private async ask(replica: Replica): Promise<void> {
+    // Also when no answer comes: one that is down must not keep the others from their turn.
+    this.hear(replica.id);
     const response = await request(`http://${replica.host}:${replica.port}/load`, {
       signal: AbortSignal.timeout(routerOptions.loadTimeout),
     });
     const answer = (await response.body.json()) as LoadAnswer;
-    this.hear(replica.id);
     const { running, waiting, measuredAt } = answer;
     this.listener.onReport({ replica: replica.id, running, waiting, measuredAt });
     this.noteLeaving(replica.id, answer.leaving === true);
