--- a/packages/standins/src/lib/service/ServiceStandin.test.ts
+++ b/packages/standins/src/lib/service/ServiceStandin.test.ts
@@ -36,15 +36,18 @@
     expect(service.getRuns()).toEqual([{ ...call, idempotencyKey: 'key-1', completed: true }]);
   });
 
-  it('runs a call whose answer is lost, and none it refuses', async () => {
+  it('runs a call whose answer is lost or strays, and none it refuses', async () => {
     const { service, pay } = await setUp();
     service.faults.apply({ kind: 'drop-after', tokens: 0, count: 1 });
     await expect(pay()).rejects.toThrow('fetch failed');
     expect(service.getRuns()).toMatchObject([{ idempotencyKey: 'key-1', completed: false }]);
+    service.faults.apply({ kind: 'stray-answers', count: 1 });
+    expect((await pay()).headers.get('x-request-id')).toBe('stray/0');
+    expect(service.getRuns()[1]).toMatchObject({ requestId: 'r-1/1', completed: true });
     service.faults.apply({ kind: 'leave' });
     const refusal = await pay();
     expect([refusal.status, refusal.headers.get('x-outcome')]).toEqual([503, 'not-run']);
-    expect(service.getRuns()).toHaveLength(1);
+    expect(service.getRuns()).toHaveLength(2);
   });
 
   it('runs a limited number at once and refuses what may not even wait', async () => {
--- a/packages/standins/src/lib/service/ServiceStandin.ts
+++ b/packages/standins/src/lib/service/ServiceStandin.ts
@@ -57,6 +57,9 @@
   loadLag: 200,
 };
 
+/** The request id on an answer that belongs to another request. */
+const STRAY_ID = 'stray/0';
+
 /**
  * A call that took effect at the service.
  *
@@ -153,6 +156,7 @@
   private async serveCall(request: RoutedRequest, response: ServerResponse): Promise<void> {
     const body = await readBody(request);
     await this.faults.whenNotStalled();
+    // Runs even if the caller has left meanwhile: a call that arrived may take effect late.
     const refusal = this.getRefusal();
     if (refusal !== undefined) {
       sendRefusal(response, refusal, this.getReportedLoad());
@@ -174,7 +178,7 @@
         if (isDropped) {
           response.destroy();
         } else if (!response.destroyed) {
-          this.answer(isStray ? { ...run!, requestId: 'stray/0' } : run!, response, body);
+          this.answer(run!, isStray ? STRAY_ID : run!.requestId, response, body);
         }
       },
     });
@@ -192,9 +196,14 @@
     });
   }
 
-  private answer(run: ServiceRun, response: ServerResponse, body: string): void {
+  private answer(
+    run: ServiceRun,
+    requestId: string | undefined,
+    response: ServerResponse,
+    body: string,
+  ): void {
     const echo = createHash('sha256').update(body).digest('hex');
-    const { method, path, requestId } = run;
+    const { method, path } = run;
     const id = requestId === undefined ? {} : { 'x-request-id': requestId };
     const content = { service: this.options.service, method, path, echo, requestId, run: run.run };
     sendJson(response, 200, content, { ...id, ...getLoadHeaders(this.getReportedLoad()) });
