--- a/packages/experiment/src/lib/report/createPlot.ts
+++ b/packages/experiment/src/lib/report/createPlot.ts
@@ -1,7 +1,7 @@
 import type { Cell } from './aggregate.js';
 import { groupCells } from './formatCells.js';
 
-const PANEL = { width: 460, height: 150, left: 44, top: 26, bottom: 34 };
+const PANEL = { width: 600, height: 150, left: 44, top: 26, bottom: 34 };
 
 const COLUMNS = 2;
 
@@ -13,6 +13,9 @@
 
 const PERCENT = 100;
 
+/** The waste panel ends at the aim. */
+const WASTE_TOP = 2;
+
 /** One panel: a figure for each scenario and policy, between 0 and `top`. */
 interface Panel {
   title: string;
@@ -34,9 +37,7 @@
     .map((part) => {
       const y = PANEL.top + plotHeight * (1 - part);
       const line = `<line x1="${PANEL.left}" x2="${PANEL.width}" y1="${y}" y2="${y}" stroke="#ddd"/>`;
-      const label = (top * part)
-        .toPrecision(3)
-        .replace(/\.?0+$/, (zeros) => (zeros.startsWith('.') ? '' : zeros));
+      const label = `${Number((top * part).toPrecision(3))}`;
       return line + drawText(PANEL.left - 4, y + 4, label, 'text-anchor="end"');
     })
     .join('');
@@ -112,6 +113,7 @@
       groups,
       `${deployment}: wasted tokens, %`,
       ({ chat }) => chat.wasted.median * PERCENT,
+      WASTE_TOP,
     ),
   ];
 }
