Show in the metrics what control costs a daemon

Cause: bytes between daemons, what the cluster did and the calls to the store were counted and shown to nobody, so that a budget for control could not be checked on a running daemon. Change: counters for bytes and messages by topic and direction, for the cluster's events, for store calls and the bytes of their bodies, and a gauge of open watches. They copy the parts' own counters when the metrics are read. Ruled out: counting in prom-client at each message, which costs on every message what is looked at four times a minute. Conclusion: bytes are those of envelopes and bodies; framing is not in them.

--- a/packages/router/src/lib/daemon/RouterDaemon.ts
+++ b/packages/router/src/lib/daemon/RouterDaemon.ts
@@ -63,6 +63,7 @@
   constructor(parts: RouterDaemonParts) {
     this.parts = parts;
     const { clock, random, log } = parts;
+    parts.shared.addMetrics?.(this.metrics.registry);
     this.scheduling = new SchedulingTask(log);
     this.scheduler = new Scheduler({
       clock,
--- a/packages/router/src/lib/daemon/SharedState.ts
+++ b/packages/router/src/lib/daemon/SharedState.ts
@@ -1,5 +1,6 @@
 import type { Configuration } from '@apricotrill/model';
 import type { Milliseconds } from '@apricotrill/utils';
+import type { Registry } from 'prom-client';
 import type { ClaimPort } from '../pipeline/ClaimPort.js';
 
 /**
@@ -27,6 +28,8 @@
    * @returns the port of its mesh, if it has one
    */
   start(listener: SharedStateListener, ports: DaemonPorts): Promise<number | void>;
+  /** Adds what control costs to the daemon's metrics; absent where there is no control. */
+  addMetrics?(registry: Registry): void;
   /** Claims on requests that may not be repeated. */
   claims: ClaimPort;
   /** A replica told this daemon that it is leaving: let the others know. */
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -8,7 +8,9 @@
 import { HttpEngineOrders, PlacementManager } from '@apricotrill/placement';
 import { HttpInstanceList, HttpPlatformStore } from '@apricotrill/platform';
 import type { Clock, Random } from '@apricotrill/utils';
+import type { Registry } from 'prom-client';
 import type { DaemonPorts, SharedState, SharedStateListener } from '../daemon/SharedState.js';
+import { addControlMetrics } from '../observe/addControlMetrics.js';
 import type { DecisionLog } from '../observe/DecisionLog.js';
 import { routerOptions } from '../options.js';
 import { ClaimAdapter } from './ClaimAdapter.js';
@@ -102,6 +104,14 @@
     return meshPort;
   }
 
+  addMetrics(registry: Registry): void {
+    addControlMetrics(registry, {
+      getTraffic: () => this.mesh.traffic.getTopics(),
+      getCluster: () => this.joined?.cluster.getCounters(),
+      getStore: () => this.store.getCounters(),
+    });
+  }
+
   tellReplicaLeaving(replica: string): void {
     this.joined?.cluster.tellReplicaLeaving(replica);
   }
