--- a/packages/e2e/src/test/calls.ts
+++ b/packages/e2e/src/test/calls.ts
@@ -56,7 +56,7 @@
 }
 
 /** What the stand-in of a plain service answers, or the problem there was. */
-type PortalBody = { run?: number; echo?: string } & Partial<Problem>;
+type PortalBody = { run?: number; echo?: string; requestId?: string } & Partial<Problem>;
 
 /** The header by which a test asks for a hasty class. */
 export const HASTY = { 'x-apricotrill-class': 'hasty' };
--- a/packages/router/src/lib/pipeline/claim.ts
+++ b/packages/router/src/lib/pipeline/claim.ts
@@ -1,5 +1,6 @@
 import { Outcome } from '@apricotrill/policy';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { createHash } from 'node:crypto';
 import { routerOptions } from '../options.js';
 import type { PlainAnswer } from '../upstream/runPlainAttempt.js';
@@ -109,21 +110,58 @@
   }
 }
 
+/**
+ * Asks for the claim, for a bounded time. What comes later comes for nobody: a key granted then is
+ * given back, since nothing was sent for it, and the caller may ask again with it.
+ */
+function getVerdict(
+  claims: ClaimPort,
+  request: ClaimRequest,
+  limit: { clock: Clock; patience: Milliseconds },
+): Promise<ClaimVerdict> {
+  return new Promise((resolve) => {
+    const unavailable = { kind: 'unavailable', retryAfter: routerOptions.claimRetryAfter } as const;
+    let late = false;
+    const timer = limit.clock.setTimer(limit.patience, () => {
+      late = true;
+      resolve(unavailable);
+    });
+    claims.claim(request).then(
+      (verdict) => {
+        timer.cancel();
+        if (late && verdict.kind === 'granted') {
+          verdict.end({ kind: 'released' });
+        }
+        resolve(verdict);
+      },
+      () => {
+        timer.cancel();
+        resolve(unavailable);
+      },
+    );
+  });
+}
+
 /**
  * The filter that lets a request which may not be repeated run at most once, whichever daemon its
  * caller asks again.
  *
  * @param claims - where claims are kept
  * @param request - the key and what it is for
+ * @param limit - how long the claim may take, in milliseconds
  * @throws ProblemError when it may not run
  * @example
  * ```ts
- * const pass = await claim(claims, { workspace, key, fingerprint, requestId });
+ * const pass = await claim(claims, { workspace, key, fingerprint, requestId }, limit);
  * ```
  * @internal
  */
-export async function claim(claims: ClaimPort, request: ClaimRequest): Promise<ClaimPass> {
-  const verdict = await claims.claim(request);
+export async function claim(
+  claims: ClaimPort,
+  request: ClaimRequest,
+  limit: { clock: Clock; patience: Milliseconds },
+): Promise<ClaimPass> {
+  const verdict = await getVerdict(claims, request, limit);
   switch (verdict.kind) {
     case 'granted':
       return { kind: 'run', end: verdict.end };
--- a/packages/router/src/lib/pipeline/handlePlain.ts
+++ b/packages/router/src/lib/pipeline/handlePlain.ts
@@ -93,12 +93,12 @@
     return;
   }
   const key = readIdempotencyKey(request.headers['idempotency-key']);
-  const pass = await claim(context.claims, {
-    workspace: call.workspace.name,
-    key,
-    fingerprint: getFingerprint(method, path, received.body),
-    requestId,
-  });
+  const fingerprint = getFingerprint(method, path, received.body);
+  const pass = await claim(
+    context.claims,
+    { workspace: call.workspace.name, key, fingerprint, requestId },
+    { clock: context.clock, patience: call.serviceClass.deadline },
+  );
   context.log('claim', { request: requestId, key, kind: pass.kind });
   if (pass.kind === 'answered') {
     writePlainAnswer(response, pass.answer, requestId);
