Plan only when an engine differs, and look in batches

Cause: with one service of 6,900 replicas the holder went through its whole table and planned eight times a second, once for each look its budget allowed: 141 ms of processor time a second. Some guards also had no test that failed without them.

Change: a round plans only when a reachable engine isn't as it should be, and looks come in batches a second apart.

Ruled out: fewer looks a second instead; the cost was in the rounds, not in the looks.

--- a/packages/placement/src/lib/EngineTable/EngineTable.ts
+++ b/packages/placement/src/lib/EngineTable/EngineTable.ts
@@ -7,6 +7,8 @@
   /** Absent when the last look failed, or before the first. */
   state: EngineState | undefined;
   looked: boolean;
+  /** Whether the state was as it should be when it was seen. */
+  isConverged: boolean;
   nextLookAt: Milliseconds;
   /** Between the last look and the next. */
   interval: Milliseconds;
@@ -64,6 +66,7 @@
   lookSoon(id: string, now: Milliseconds): void {
     const entry = this.entries.get(id);
     if (entry !== undefined) {
+      entry.isConverged = false;
       entry.nextLookAt = now;
       entry.interval = this.options.observeChanging;
     }
@@ -91,6 +94,11 @@
     return [...this.entries.values()].every(({ looked }) => looked);
   }
 
+  /** Whether some engine that can be reached is not as it should be, so that planning has a point. */
+  hasMismatch(): boolean {
+    return [...this.entries.values()].some((entry) => entry.state && !entry.isConverged);
+  }
+
   /** An engine reported its state. */
   takeState(id: string, state: EngineState, isConverged: boolean, now: Milliseconds): void {
     const entry = this.entries.get(id);
@@ -99,6 +107,7 @@
     }
     entry.loadingSince = getLoadingSince(entry, state, now);
     entry.state = state;
+    entry.isConverged = isConverged;
     entry.looked = true;
     entry.unsureSince = undefined;
     this.schedule(entry, isConverged, now);
@@ -197,6 +206,7 @@
     return {
       state: undefined,
       looked: false,
+      isConverged: false,
       nextLookAt: now,
       interval: observeChanging,
       unsureSince: undefined,
--- a/packages/placement/src/lib/HttpEngineOrders/HttpEngineOrders.test.ts
+++ b/packages/placement/src/lib/HttpEngineOrders/HttpEngineOrders.test.ts
@@ -1,8 +1,10 @@
 import { createServer } from 'node:http';
+import { subscribe } from 'node:diagnostics_channel';
 import { once } from 'node:events';
 import { ManualClock } from '@apricotrill/utils';
 import type { AddressInfo } from 'node:net';
 import type { Server, ServerResponse } from 'node:http';
+import { settle } from '../../test/Link.js';
 import { createConfiguration } from '../../test/PlacementWorld.js';
 import { EngineUnavailableError } from '../EngineOrders/EngineOrders.js';
 import { HttpEngineOrders } from './HttpEngineOrders.js';
@@ -79,13 +81,13 @@
    * Cause: the timeout covered the headers and not the body.
    */
   it('gives up an answer that stalls half way', async () => {
-    let began = () => {};
-    const half = new Promise<void>((resolve) => {
-      began = resolve;
+    const hasHeaders = new Promise((resolve) => {
+      subscribe('undici:request:headers', resolve);
     });
-    answer = (response) => response.writeHead(200).write('{"loaded":', began);
+    answer = (response) => response.writeHead(200).write('{"loaded":');
     const look = engines.observe(replica);
-    await half;
+    await hasHeaders;
+    await settle();
     clock.advance(2_000);
     await expect(look).rejects.toThrow(EngineUnavailableError);
   });
--- a/packages/placement/src/lib/Lease/Lease.test.ts
+++ b/packages/placement/src/lib/Lease/Lease.test.ts
@@ -68,21 +68,20 @@
   });
 
   /*
-   * Symptom: a daemon believes to hold a lease on the word of an answer long out of date.
-   * Sequence: a renewal is given up after its timeout; another daemon takes the lease, which is
-   * read; then the confirmation of the renewal comes in after all.
+   * Symptom: a holder counts its term from a write that never took effect, and holds too long.
+   * Sequence: a grant is given up after its timeout, and reading back shows nothing; a second write
+   * is under way when the first, which landed late, is confirmed.
    * Cause: an answer was taken without asking which call it belongs to.
    */
   it('drops the answer to a call that was given up', () => {
     const lease = createLease();
-    const { attempt, value } = getWrite(lookAt(lease, free, 0));
+    const { attempt } = getWrite(lookAt(lease, free, 0));
     lease.handle({ kind: 'call-failed', attempt }, 3_000);
-    const taken = value.replace('daemon-1', 'daemon-2');
-    const object = { ...free, value: taken, version: 9 };
-    lease.handle({ kind: 'read-answered', attempt: attempt + 1, object }, 3_010);
+    lease.handle({ kind: 'read-answered', attempt: attempt + 1, object: free }, 3_010);
+    getWrite(lease.handle({ kind: 'tick', rank: 0 }, 4_000));
     const outcome = { kind: 'accepted' as const, version: 8 };
-    lease.handle({ kind: 'write-answered', attempt, outcome }, 3_020);
-    expect(lease.isHeld(3_020)).toBe(false);
+    lease.handle({ kind: 'write-answered', attempt, outcome }, 5_000);
+    expect(lease.isHeld(5_000)).toBe(false);
   });
 
   /*
@@ -132,5 +131,10 @@
     expect(lease.isHeld(10)).toBe(true);
     const release = getWrite(lease.handle({ kind: 'tick', rank: 1 }, 10 + options.yieldAfter));
     expect(JSON.parse(release.value)).toMatchObject({ holder: '', grantedFor: 0 });
+    const accepted = { kind: 'accepted' as const, version: 9 };
+    const now = 10 + options.yieldAfter;
+    lease.handle({ kind: 'write-answered', attempt: release.attempt, outcome: accepted }, now);
+    const [effect] = lease.handle({ kind: 'tick', rank: 1 }, now + options.candidateDelay);
+    expect(effect).toEqual({ kind: 'wake', at: now + options.span });
   });
 });
--- a/packages/placement/src/lib/PlacementManager/PlacementManager.test.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.test.ts
@@ -107,6 +107,42 @@
     expect(getKinds(world)).not.toContain('order-sent');
     world.store.isDown = false;
     await untilLoaded(world, edited);
+    const kinds = getKinds(world);
+    const after = kinds.slice(kinds.lastIndexOf('lease-gained'), kinds.indexOf('order-sent'));
+    expect(after).toEqual(['lease-gained', 'engine-met', 'engine-met']);
+  });
+
+  /*
+   * Symptom: the weight store refuses loads after hand-overs.
+   * Sequence: a holder uses the rate up and gives the lease away; the next one sends at once.
+   * Cause: the next holder's bucket had filled while the other was sending.
+   */
+  it('starts a term with nothing to spend at the weight store', async () => {
+    const world = new PlacementWorld(WANTED);
+    await world.advance(60_000);
+    const released = world.getHolder('chat')!.manager.release();
+    world.engines.forEach((engine) => engine.crash());
+    await world.until(() => getKinds(world).filter((kind) => kind === 'lease-gained').length === 2);
+    await released;
+    const gained = getKinds(world).lastIndexOf('lease-gained');
+    await untilLoaded(world, WANTED);
+    const sent = world.decisions.slice(gained).find(({ kind }) => kind === 'order-sent');
+    const gap = 1_000 / worldOptions.loadsPerSecond;
+    expect(sent!.at - world.decisions[gained]!.at).toBeGreaterThanOrEqual(gap);
+  });
+
+  /*
+   * Symptom: an accepted edit takes a minute to begin to take effect.
+   * Sequence: all engines are as they should be and looked at rarely; an edit comes into force.
+   * Cause: the edit was found at the next look that was due.
+   */
+  it('follows an edit at once', async () => {
+    const options = { observeConverged: 60_000 };
+    const world = new PlacementWorld(WANTED, undefined, WANTED, options);
+    await world.advance(300_000);
+    world.edit(SURPLUS);
+    await world.advance(50);
+    expect(getKinds(world)).toContain('order-sent');
   });
 
   /*
--- a/packages/placement/src/lib/PlacementPlanner/PlacementPlanner.test.ts
+++ b/packages/placement/src/lib/PlacementPlanner/PlacementPlanner.test.ts
@@ -43,7 +43,14 @@
         const states = new Map(IDS.map((id, index) => [id, createState([...before[index]!])]));
         const getBases = () =>
           [...states.values()].flatMap(({ loaded }) => loaded.map(getBaseName));
-        const kept = getBases().filter((base) => after.flat().map(getBaseName).includes(base));
+        const count = (bases: string[], base: string) => bases.filter((b) => b === base).length;
+        const targets = [...desired.engines.values()].flatMap((engine) =>
+          engine.names.map(getBaseName),
+        );
+        const floors = [...new Set(targets)].map((base) => ({
+          base,
+          floor: Math.min(count(getBases(), base), count(targets, base)),
+        }));
         const none = new Set<string>();
         const plan = () =>
           new PlacementPlanner({
@@ -60,11 +67,14 @@
             if (order.kind === 'load') {
               state.loading.push(getLoadableName(order));
             } else if (order.kind === 'unload') {
+              expect(state.loaded).toEqual(expect.arrayContaining(wanted[replica]!));
               state.loaded = state.loaded.filter((name) => name !== getLoadableName(order));
             }
           });
           expect(isLoading().length).toBeLessThanOrEqual(CHANGING_AT_MOST);
-          expect(getBases()).toEqual(expect.arrayContaining(kept));
+          floors.forEach(({ base, floor }) => {
+            expect(count(getBases(), base)).toBeGreaterThanOrEqual(floor);
+          });
           const ready = isLoading()[picks.next().value % Math.max(1, isLoading().length)];
           ready?.loaded.push(...ready.loading.splice(0));
         }
@@ -76,6 +86,20 @@
     );
   });
 
+  /*
+   * Symptom: a model has no copy left although one engine had it.
+   * Sequence: the only engine that should carry it can't be reached; another one still has it.
+   * Cause: copies that nobody has seen were counted on.
+   */
+  it('keeps a surplus copy while no wanted one has been seen', () => {
+    const configuration = createConfiguration({ 'chat-1': ['a@1'], 'chat-2': ['b@1'] });
+    const desired = getDesiredPlacement(configuration, 'chat', defaultPlacementOptions);
+    const observed = new Map([['chat-2', createState(['a@1', 'b@1'])]]);
+    const none = new Set<string>();
+    const input = { desired, observed, busy: none, resting: none, changingAtMost: 9 };
+    expect(new PlacementPlanner(input).getOrders()).toEqual([]);
+  });
+
   it('spreads each model over the zones, and moves little when a replica comes', () => {
     const ids = Array.from({ length: 20 }, (_, index) => `chat-${index}`);
     const options = { copies: 4 };
--- a/packages/placement/src/lib/ServicePlacement/ServicePlacement.ts
+++ b/packages/placement/src/lib/ServicePlacement/ServicePlacement.ts
@@ -164,6 +164,9 @@
   }
 
   private plan(): PlannedOrder[] {
+    if (!this.table.hasMismatch()) {
+      return [];
+    }
     const { clock, options } = this.settings;
     const now = clock.now();
     const share = Math.floor(this.desired.engines.size * options.changingShare);
@@ -224,8 +227,12 @@
     }
   }
 
+  /**
+   * Looks come in batches, a second apart: with engines due one by one, each round would go through
+   * the whole table for a single look.
+   */
   private getNextLook(): Milliseconds {
-    const { clock, looks } = this.settings;
-    return Math.max(this.table.getNextDue(), looks.getNextAt(clock.now()));
+    const { clock, options } = this.settings;
+    return Math.max(this.table.getNextDue(), clock.now() + options.observeChanging);
   }
 }
