Measure the questions for load instead of assuming them

Cause: the daemon now asks 50 replicas a second at most, and the bytes and processor time of one question were assumed.

Change: the load view's probe asks a stand-in engine as the daemon does and reads processor time and bytes off, at three rates; the bound comes from the router's options.

--- a/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
@@ -1,11 +1,13 @@
 import { Scheduler } from '@apricotrill/policy';
 import type { Configuration } from '@apricotrill/model';
 import { createRandom, ManualClock } from '@apricotrill/utils';
+import { fitLine } from '../../measure/fitLine.js';
 import { measureHeap, measureLine, measureProcessorTime } from '../../measure/measureCost.js';
 import { getWorkedOut, NO_STORE_COST } from '../CapacityProbe.js';
 import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
 import { createConfiguration } from '../createConfiguration.js';
-import { getReportRate, LOAD_QUESTION_BYTES } from '../loadReports.js';
+import { getReportRate } from '../loadReports.js';
+import { readQuestions } from './readQuestions.js';
 import { CHANGES_PER_SECOND, MEMBER_CHANGES_PER_SECOND, twoYearSize } from '../twoYearSize.js';
 
 const SIZES = [100, 1_000, 3_000, twoYearSize.replicas];
@@ -14,8 +16,13 @@
 
 const LISTS = 10;
 
+const QUESTIONS = [500, 1_000, 2_000];
+
 const MICROSECONDS = 1000;
 
+/** Headers of TCP and IP: a question, its answer and two acknowledgements. */
+const PACKET_BYTES = 4 * 52;
+
 function createSized(replicas: number): Configuration {
   return createConfiguration({ ...twoYearSize, workspaces: 1, replicas });
 }
@@ -79,6 +86,22 @@
   return span / LISTS;
 }
 
+/** What one question for load takes: the slope of so many. */
+async function measureQuestionSlopes(): Promise<Record<'time' | 'bytes', Slope>> {
+  const readings = await readQuestions(QUESTIONS);
+  const create = (figure: string, unit: string, field: 'time' | 'bytes'): Slope => ({
+    figure,
+    unit,
+    sizeName: 'questions in a second',
+    line: fitLine(readings.map(({ questions, [field]: value }) => ({ size: questions, value }))),
+    atSize: getReportRate().asked,
+  });
+  return {
+    time: create('processor time of questions for load', 'ms', 'time'),
+    bytes: create('bytes of questions for load, both ways', 'bytes', 'bytes'),
+  };
+}
+
 async function measureSlopes(): Promise<
   Record<'report' | 'list' | 'daemonChange' | 'heap', Slope>
 > {
@@ -116,7 +139,9 @@
   role: 'load view',
   async measure(): Promise<RoleCapacity> {
     const slopes = await measureSlopes();
+    const questions = await measureQuestionSlopes();
     const rate = getReportRate();
+    const askedCore = (questions.time.line.slope * rate.asked) / MICROSECONDS;
     const reportCore = (getWorkedOut(slopes.report) * rate.all) / MICROSECONDS ** 2;
     const daemonCore =
       (getWorkedOut(slopes.daemonChange) * MEMBER_CHANGES_PER_SECOND) / MICROSECONDS;
@@ -127,14 +152,18 @@
       state: 'load of each replica, as reported and as sent since',
       isControl: true,
       daemon: {
-        messagesPerSecond: rate.asked,
-        bytesPerSecond: rate.asked * LOAD_QUESTION_BYTES,
-        core: reportCore + listCore + daemonCore,
+        messagesPerSecond: 2 * rate.asked,
+        bytesPerSecond: rate.asked * (questions.bytes.line.slope + PACKET_BYTES),
+        core: askedCore + reportCore + listCore + daemonCore,
         memoryBytes: getWorkedOut(slopes.heap),
       },
       store: NO_STORE_COST,
-      slopes: Object.values(slopes),
-      assumptions: rate.assumptions,
+      slopes: [...Object.values(slopes), ...Object.values(questions)],
+      assumptions: [
+        `a daemon asks ${rate.asked} replicas a second at most, those it heard from longest ago (router options)`,
+        `TCP and IP add ${PACKET_BYTES} bytes to a question and its answer`,
+        'reports on answers cost no message of their own',
+      ],
     };
   },
 };
