--- a/packages/placement/src/lib/PlacementManager/PlacementManager.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.ts
@@ -1,4 +1,3 @@
-import { ServiceKind } from '@apricotrill/model';
 import type { Configuration } from '@apricotrill/model';
 import type { PlatformStore } from '@apricotrill/platform';
 import type { Clock, Random, Timer } from '@apricotrill/utils';
@@ -7,7 +6,7 @@
 import { ServicePlacement } from '../ServicePlacement/ServicePlacement.js';
 import { TokenBucket } from '../TokenBucket/TokenBucket.js';
 import { getLeaseRank } from './getLeaseRank.js';
-import { getLoadRate } from './getLoadRate.js';
+import { getLoadRates } from './getLoadRates.js';
 import type { EngineOrders } from '../EngineOrders/EngineOrders.js';
 import type { PlacementListener } from '../PlacementDecision.js';
 import type { PlacementOptions } from '../placementOptions.js';
@@ -133,20 +132,17 @@
   }
 
   private syncDuties(configuration: Configuration): void {
-    const services = configuration.register.services.filter(
-      ({ kind }) => kind === ServiceKind.Model,
-    );
-    const names = new Set(services.map(({ name }) => name));
+    const rates = getLoadRates(configuration, this.options.loadsPerSecond);
     this.duties.forEach(({ placement }, name) => {
-      if (!names.has(name)) {
+      if (!rates.has(name)) {
         this.duties.delete(name);
         placement.release().finally(() => placement.dispose());
       }
     });
     const now = this.settings.clock.now();
-    names.forEach((name) => {
+    rates.forEach((rate, name) => {
       const duty = this.duties.get(name) ?? this.createDuty(name);
-      duty.loads.setRate(getLoadRate(configuration, name, this.options.loadsPerSecond), now);
+      duty.loads.setRate(rate, now);
       this.duties.set(name, duty);
     });
   }
