Let the register name the role of an engine

Cause: the planner gave roles, but no register entry could ask for one, so no set-role order was ever planned. Change: replicas take an optional role; the enum moved to the model.

--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -6,7 +6,7 @@
 export { parseConfiguration, parseRegister, parseRules } from './lib/parseConfiguration.js';
 export type { ConfigurationText } from './lib/parseConfiguration.js';
 export { parseSettings } from './lib/parseSettings.js';
-export { ServiceKind } from './lib/Register.js';
+export { EngineRole, ServiceKind } from './lib/Register.js';
 export type {
   ClassRule,
   Configuration,
--- a/packages/model/src/lib/Register.ts
+++ b/packages/model/src/lib/Register.ts
@@ -24,6 +24,13 @@
   costPerRequest: number;
 }
 
+/** Which part of a request an engine works on. */
+export enum EngineRole {
+  Mixed = 'mixed',
+  Prefill = 'prefill',
+  Decode = 'decode',
+}
+
 /**
  * One copy of a service at an address: a model engine or a process of a plain service.
  *
@@ -41,6 +48,8 @@
   checksFencing: boolean;
   /** The models, adapters and versions placement should keep loaded here, as `model[:adapter]@version`. */
   placement: string[];
+  /** The role placement should give its engine; left as it is when absent. */
+  role?: EngineRole;
 }
 
 /**
--- a/packages/model/src/lib/schemas/registerSchema.ts
+++ b/packages/model/src/lib/schemas/registerSchema.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { ServiceKind } from '../Register.js';
+import { EngineRole, ServiceKind } from '../Register.js';
 import { describeKey } from './describeKey.js';
 import { NAME_FORM, ipAddress, name, port, price } from './scalars.js';
 
@@ -60,6 +60,10 @@
     type: 'list of "model[:adapter]@version"',
     meaning: 'What should be kept loaded here; the model must be one the service lists.',
   }),
+  role: describeKey(z.enum(EngineRole).optional(), {
+    type: '"mixed", "prefill" or "decode"',
+    meaning: 'The role its engine should have; left as it is when absent.',
+  }),
 });
 
 const workspace = z.strictObject({
--- a/packages/placement/src/bench/measureHolder.ts
+++ b/packages/placement/src/bench/measureHolder.ts
@@ -1,7 +1,7 @@
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import { EngineRole } from '@apricotrill/model';
 import { getDesiredPlacement } from '../lib/DesiredPlacement/getDesiredPlacement.js';
-import { EngineRole } from '../lib/EngineOrders/EngineOrders.js';
 import { PlacementManager } from '../lib/PlacementManager/PlacementManager.js';
 import { defaultPlacementOptions } from '../lib/placementOptions.js';
 import { createFleet } from './createFleet.js';
--- a/packages/placement/src/bench/measurePlanner.ts
+++ b/packages/placement/src/bench/measurePlanner.ts
@@ -1,5 +1,5 @@
+import { EngineRole } from '@apricotrill/model';
 import { getDesiredPlacement } from '../lib/DesiredPlacement/getDesiredPlacement.js';
-import { EngineRole } from '../lib/EngineOrders/EngineOrders.js';
 import { defaultPlacementOptions } from '../lib/placementOptions.js';
 import { PlacementPlanner } from '../lib/PlacementPlanner/PlacementPlanner.js';
 import { createFleet } from './createFleet.js';
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,7 +3,7 @@
   DesiredEngine,
   DesiredPlacement,
 } from './lib/DesiredPlacement/getDesiredPlacement.js';
-export { EngineRole, EngineUnavailableError } from './lib/EngineOrders/EngineOrders.js';
+export { EngineUnavailableError } from './lib/EngineOrders/EngineOrders.js';
 export type {
   EngineOrder,
   EngineOrders,
--- a/packages/placement/src/lib/DesiredPlacement/getDesiredPlacement.ts
+++ b/packages/placement/src/lib/DesiredPlacement/getDesiredPlacement.ts
@@ -1,8 +1,7 @@
 import { ServiceKind } from '@apricotrill/model';
-import type { Configuration, Replica, Service } from '@apricotrill/model';
+import type { Configuration, Replica, Service, EngineRole } from '@apricotrill/model';
 import { getBaseName, getLoadableModel } from '../modelName.js';
 import { getSpread } from './getSpread.js';
-import type { EngineRole } from '../EngineOrders/EngineOrders.js';
 import type { PlacementOptions } from '../placementOptions.js';
 
 /**
@@ -34,11 +33,6 @@
   unversioned: readonly string[];
 }
 
-/** A replica whose register entry names a role. */
-interface RoleBearer extends Replica {
-  role?: EngineRole;
-}
-
 type SpreadOptions = Pick<PlacementOptions, 'copies' | 'modelsPerReplica'>;
 
 const EMPTY: DesiredPlacement = { engines: new Map(), unversioned: [] };
@@ -49,7 +43,7 @@
   const models = service.models.filter((name) => getLoadableModel(name) !== undefined);
   const spread = getSpread({ models, placedByHand, free }, options);
   const engines = new Map<string, DesiredEngine>();
-  replicas.forEach((replica: RoleBearer) => {
+  replicas.forEach((replica) => {
     const listed =
       replica.placement.length > 0 ? replica.placement : (spread.get(replica.id) ?? []);
     const names = [...new Set(listed)].sort();
--- a/packages/placement/src/lib/EngineOrders/EngineOrders.ts
+++ b/packages/placement/src/lib/EngineOrders/EngineOrders.ts
@@ -1,14 +1,7 @@
 import { StepError } from '@apricotrill/utils';
-import type { Replica } from '@apricotrill/model';
+import type { EngineRole, Replica } from '@apricotrill/model';
 import type { Milliseconds } from '@apricotrill/utils';
 
-/** Which part of a request an engine works on. */
-export enum EngineRole {
-  Mixed = 'mixed',
-  Prefill = 'prefill',
-  Decode = 'decode',
-}
-
 /**
  * One model, adapter and version an engine may carry.
  *
--- a/packages/placement/src/lib/HttpEngineOrders/HttpEngineOrders.ts
+++ b/packages/placement/src/lib/HttpEngineOrders/HttpEngineOrders.ts
@@ -2,7 +2,8 @@
 import { z } from 'zod';
 import type { Replica } from '@apricotrill/model';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
-import { EngineRole, EngineUnavailableError } from '../EngineOrders/EngineOrders.js';
+import { EngineRole } from '@apricotrill/model';
+import { EngineUnavailableError } from '../EngineOrders/EngineOrders.js';
 import { defaultPlacementOptions } from '../placementOptions.js';
 import type {
   EngineOrders,
--- a/packages/placement/src/lib/PlacementPlanner/PlacementPlanner.test.ts
+++ b/packages/placement/src/lib/PlacementPlanner/PlacementPlanner.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
+import { EngineRole } from '@apricotrill/model';
 import { createConfiguration } from '../../test/PlacementWorld.js';
 import { getDesiredPlacement } from '../DesiredPlacement/getDesiredPlacement.js';
-import { EngineRole } from '../EngineOrders/EngineOrders.js';
 import { getBaseName, getLoadableName } from '../modelName.js';
 import { defaultPlacementOptions } from '../placementOptions.js';
 import { PlacementPlanner } from './PlacementPlanner.js';
@@ -127,4 +127,17 @@
     const unload = { kind: 'unload', model: 'c', version: '1' };
     expect(orders).toEqual([unload, unload, unload, unload]);
   });
+
+  it('gives an engine the role the register names, and leaves the others theirs', () => {
+    const configuration = createConfiguration({ 'chat-1': ['a@1'], 'chat-2': ['a@1'] });
+    configuration.register.replicas[0]!.role = EngineRole.Prefill;
+    const desired = getDesiredPlacement(configuration, 'chat', defaultPlacementOptions);
+    const observed = new Map(['chat-1', 'chat-2'].map((id) => [id, createState(['a@1'])]));
+    const none = new Set<string>();
+    const input = { desired, observed, busy: none, resting: none, changingAtMost: 9 };
+    const orders = new PlacementPlanner(input).getOrders();
+    expect(orders.map(({ replica, order }) => [replica, order])).toEqual([
+      ['chat-1', { kind: 'set-role', role: 'prefill' }],
+    ]);
+  });
 });
--- a/packages/placement/src/test/FakeEngine.ts
+++ b/packages/placement/src/test/FakeEngine.ts
@@ -1,7 +1,7 @@
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import type { Replica } from '@apricotrill/model';
 import type { ManualClock, Milliseconds } from '@apricotrill/utils';
-import { EngineRole } from '../lib/EngineOrders/EngineOrders.js';
+import { EngineRole } from '@apricotrill/model';
 import { getLoadableName } from '../lib/modelName.js';
 import type {
   EngineOrder,
