--- a/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
@@ -1,10 +1,6 @@
-import {
-  defaultPlacementOptions,
-  EngineRole,
-  LeaseManager,
-  PlacementManager,
-} from '@apricotrill/placement';
+import { defaultPlacementOptions, LeaseManager, PlacementManager } from '@apricotrill/placement';
 import type { EngineOrders, EngineState } from '@apricotrill/placement';
+import { EngineRole } from '@apricotrill/model';
 import type { Replica } from '@apricotrill/model';
 import { MemoryPlatformStore, ObjectStore } from '@apricotrill/platform';
 import { createRandom, ManualClock } from '@apricotrill/utils';
