Keep slots free for short answers, preempt late, and let allowances move both ways

Cause: under a burst of long answers a short question found every slot taken, and stopping a long one at once had its prompt computed twice each time. Convictions of stragglers came from first tokens that had waited in an engine's queue. Change: a part of each replica's slots stays free of less urgent tiers while both kinds come; what is not urgent waits at the replica for a part of its target before it preempts; a daemon's allowance is called back in proportion when reports show more than the slots, and lent additively when they show fewer; first tokens count for convictions only where a slot seemed free; requests that were dispatched before go ahead of their lane. Ruled out: a guaranteed whole share while a replica is overloaded; every dip of a report let all daemons jump back to it at once, and the free slots were gone.

--- a/packages/policy/src/lib/ClassFairQueue/QueuePlace.ts
+++ b/packages/policy/src/lib/ClassFairQueue/QueuePlace.ts
@@ -14,6 +14,6 @@
   weight: number;
   /** Names the replicas that can run it: requests of one pool compete for the same slots. */
   pool: string;
-  /** It was dispatched before: it goes ahead of its workspace's others and is not charged again. */
+  /** It was dispatched before: it goes ahead of its lane's others and is not charged again. */
   resumed?: boolean;
 }
--- a/packages/policy/src/lib/ClassFairQueue/TierQueue.ts
+++ b/packages/policy/src/lib/ClassFairQueue/TierQueue.ts
@@ -7,6 +7,10 @@
 /** Accounts kept before idle ones are swept; the limit doubles with those that remain. */
 const IDLE_ACCOUNTS = 128;
 
+function getLaneKey({ place }: WaitingItem): string {
+  return `${place.serviceClass.name}\n${place.pool}`;
+}
+
 /**
  * The waiting requests of one tier, shared among workspaces by weight with start-time fair
  * queueing (Goyal, Vin and Cheng, 1996): each workspace's next request carries a start tag in
@@ -56,43 +60,35 @@
   }
 
   add(item: WaitingItem): void {
-    const account = this.getAccount(item.place.workspace);
     const lane = this.getLane(item);
-    this.activate(account, item.place.weight);
-    const queue = account.queues.get(lane) ?? new WorkspaceQueue(account);
-    queue.add(item);
-    if (queue.size === 1) {
-      queue.startAt(Math.max(this.virtualTime, account.finish));
-      account.queues.set(lane, queue);
-      lane.queues.push(queue);
+    this.count += 1;
+    if (item.place.resumed) {
+      lane.addResumed(item);
     } else {
-      lane.queues.update(queue);
+      this.addFresh(item, lane);
     }
-    this.count += 1;
-    this.changeFresh(account, item.place.resumed ? 0 : 1);
   }
 
   remove(item: WaitingItem): void {
-    const account = this.accounts.get(item.place.workspace)!;
     const lane = this.getLane(item);
-    const queue = account.queues.get(lane)!;
-    // The heap orders by heads: an emptied queue leaves it while it still has one.
-    if (queue.size === 1) {
-      this.dropQueue(account, lane, queue);
-    }
-    queue.remove(item);
-    lane.queues.update(queue);
     this.count -= 1;
-    this.changeFresh(account, item.place.resumed ? 0 : -1);
-    this.settle(account);
+    if (item.place.resumed) {
+      lane.removeResumed(item);
+    } else {
+      this.removeFresh(item, lane);
+    }
+    if (lane.isEmpty) {
+      this.lanes.delete(getLaneKey(item));
+    }
+    this.forgetIdle();
   }
 
   /** Takes out the next request of a lane and charges its workspace. */
   serve(lane: Lane): WaitingItem {
-    const queue = lane.queues.peek()!;
-    const item = queue.head!;
-    const { account, start } = queue;
+    const queue = lane.queues.peek();
+    const item = lane.nextResumed ?? queue!.head!;
     if (!item.place.resumed) {
+      const { account, start } = queue!;
       this.virtualTime = Math.max(this.virtualTime, start);
       account.charge(start);
       this.restart(account);
@@ -127,21 +123,48 @@
     return account;
   }
 
-  private getLane({ place }: WaitingItem): Lane {
-    const key = `${place.serviceClass.name}\n${place.pool}`;
+  private getLane(item: WaitingItem): Lane {
+    const key = getLaneKey(item);
     const known = this.lanes.get(key);
     if (known !== undefined) {
       return known;
     }
-    const lane = new Lane(place.serviceClass.name, this.tier, place.pool);
+    const { serviceClass, pool } = item.place;
+    const lane = new Lane(serviceClass.name, this.tier, pool);
     this.lanes.set(key, lane);
     return lane;
   }
 
-  private activate(account: WorkspaceAccount, weight: number): void {
-    const before = account.queues.size > 0 ? account.share : 0;
-    account.setWeight(weight);
-    this.weights += account.share - before;
+  private addFresh(item: WaitingItem, lane: Lane): void {
+    const account = this.getAccount(item.place.workspace);
+    this.weights -= account.fresh > 0 ? account.share : 0;
+    account.setWeight(item.place.weight);
+    this.weights += account.share;
+    const queue = account.queues.get(lane) ?? new WorkspaceQueue(account);
+    queue.add(item);
+    if (queue.size === 1) {
+      queue.startAt(Math.max(this.virtualTime, account.finish));
+      account.queues.set(lane, queue);
+      lane.queues.push(queue);
+    }
+    this.changeFresh(account, 1);
+  }
+
+  private removeFresh(item: WaitingItem, lane: Lane): void {
+    const account = this.accounts.get(item.place.workspace)!;
+    const queue = account.queues.get(lane)!;
+    // The heap orders by heads: an emptied queue leaves it while it still has one.
+    if (queue.size === 1) {
+      lane.queues.remove(queue);
+      account.queues.delete(lane);
+    }
+    queue.remove(item);
+    lane.queues.update(queue);
+    this.changeFresh(account, -1);
+    if (account.fresh === 0) {
+      this.weights -= account.share;
+      this.backlogs.remove(account);
+    }
   }
 
   private changeFresh(account: WorkspaceAccount, change: number): void {
@@ -161,21 +184,8 @@
     });
   }
 
-  private dropQueue(account: WorkspaceAccount, lane: Lane, queue: WorkspaceQueue): void {
-    lane.queues.remove(queue);
-    account.queues.delete(lane);
-    if (lane.queues.size === 0) {
-      this.lanes.delete(`${lane.className}\n${lane.pool}`);
-    }
-  }
-
-  /** Forgets what an idle workspace or an idle tier no longer needs. */
-  private settle(account: WorkspaceAccount): void {
-    if (account.queues.size > 0) {
-      return;
-    }
-    this.weights -= account.share;
-    this.backlogs.remove(account);
+  /** Forgets what an idle tier, or an idle workspace, no longer needs. */
+  private forgetIdle(): void {
     if (this.count === 0) {
       this.accounts.clear();
       this.virtualTime = 0;
@@ -188,7 +198,7 @@
   /** An idle workspace whose share lies in the past would start afresh anyway. */
   private sweep(): void {
     this.accounts.forEach((account, workspace) => {
-      if (account.queues.size === 0 && account.finish <= this.virtualTime) {
+      if (account.fresh === 0 && account.finish <= this.virtualTime) {
         this.accounts.delete(workspace);
       }
     });
--- a/packages/policy/src/lib/ClassFairQueue/WorkspaceAccount.ts
+++ b/packages/policy/src/lib/ClassFairQueue/WorkspaceAccount.ts
@@ -24,7 +24,7 @@
     this.workspace = workspace;
   }
 
-  /** Waiting requests that were never dispatched: only these may have to give way. */
+  /** Its waiting requests that were never dispatched: only these may have to give way. */
   get fresh(): number {
     return this.freshCount;
   }
@@ -57,11 +57,7 @@
     let newest: WaitingItem | undefined;
     this.queues.forEach((queue) => {
       const candidate = queue.newest;
-      if (
-        candidate !== undefined &&
-        !candidate.place.resumed &&
-        candidate.sequence > (newest?.sequence ?? -1)
-      ) {
+      if (candidate !== undefined && candidate.sequence > (newest?.sequence ?? -1)) {
         newest = candidate;
       }
     });
--- a/packages/policy/src/lib/ClassFairQueue/WorkspaceQueue.ts
+++ b/packages/policy/src/lib/ClassFairQueue/WorkspaceQueue.ts
@@ -4,7 +4,7 @@
 import type { WorkspaceAccount } from './WorkspaceAccount.js';
 
 /**
- * The waiting requests of one workspace in one lane, the oldest first.
+ * The waiting requests of one workspace in one lane that were not dispatched yet, the oldest first.
  *
  * @internal
  */
@@ -43,8 +43,7 @@
   }
 
   add(item: WaitingItem): void {
-    const node = item.place.resumed ? this.items.prepend(item) : this.items.append(item);
-    this.nodes.set(item.place.id, node);
+    this.nodes.set(item.place.id, this.items.append(item));
   }
 
   remove(item: WaitingItem): void {
--- a/packages/policy/src/lib/PreemptionList/PreemptionList.ts
+++ b/packages/policy/src/lib/PreemptionList/PreemptionList.ts
@@ -43,15 +43,16 @@
 
   /**
    * The request to stop for an urgent one: of the least urgent tier, which must be strictly less
-   * urgent, the one dispatched last, because its prompt's work is the least to do again.
+   * urgent, the one with least of its answer delivered, since the rest of a long one ends sooner.
+   * Of a tier, those dispatched last are looked at.
    *
    * @param tier - of the urgent request
    * @param fits - whether its replica could run the urgent request
    */
   find(tier: number, fits: (victim: RequestRecord) => boolean): RequestRecord | undefined {
     for (let lowest = this.tiers.length - 1; lowest > tier; lowest -= 1) {
-      const victim = this.tiers[lowest]?.findLast(
-        (record) => record.canGoOn && fits(record),
+      const victim = this.tiers[lowest]?.findLeast(
+        (record) => (record.canGoOn && fits(record) ? record.delivered : undefined),
         MAX_LOOKED_AT,
       );
       if (victim !== undefined) {
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaChooser.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaChooser.ts
@@ -57,7 +57,8 @@
     .getAll()
     .slice(0, MAX_PROBES)
     .find(
-      (state) => now >= state.probeAt && state.load.own < state.getLimit() && !failed.has(state.id),
+      (state) =>
+        now >= state.probeAt && state.load.own < state.getLimit(now) && !failed.has(state.id),
     );
   due?.postponeProbe(now);
   return due;
@@ -102,7 +103,7 @@
     const { failed, isUrgent, tier } = wish;
     const drawn = this.drawTwo(
       pool.openAbove,
-      (state) => !failed.has(state.id) && (isUrgent || pool.hasRoomOver(state, tier)),
+      (state) => !failed.has(state.id) && (isUrgent || pool.hasRoomOver(state, tier, now)),
     );
     return this.getLessLoaded(drawn, now);
   }
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaPool.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaPool.ts
@@ -46,8 +46,11 @@
    */
   private hasLoan = true;
 
-  constructor(model: string | undefined) {
+  private readonly preemptingTier: number;
+
+  constructor(model: string | undefined, preemptingTier: number) {
     this.model = model;
+    this.preemptingTier = preemptingTier;
   }
 
   get size(): number {
@@ -86,16 +89,23 @@
   }
 
   /** Whether there is room at the replica if only as urgent or more urgent work counts. */
-  hasRoomOver(state: ReplicaState, tier: number): boolean {
-    return state.getRunningUpTo(tier) < this.getLimit(state);
+  hasRoomOver(state: ReplicaState, tier: number, now: Milliseconds): boolean {
+    const limit =
+      tier <= this.preemptingTier ? this.getUpperLimit(state, now) : this.getLimit(state, now);
+    return state.getRunningUpTo(tier) < limit;
   }
 
   getMembers(): readonly ReplicaState[] {
     return this.members;
   }
 
-  private getLimit(state: ReplicaState): number {
-    return Math.max(state.getLimit(), this.hasLoan ? 1 : 0);
+  private getLimit(state: ReplicaState, now: Milliseconds): number {
+    return Math.max(state.getLimit(now), this.hasLoan ? 1 : 0);
+  }
+
+  /** The limit for what less urgent work must not keep out: never below the share. */
+  private getUpperLimit(state: ReplicaState, now: Milliseconds): number {
+    return Math.max(this.getLimit(state, now), state.share.slots);
   }
 
   private forget(state: ReplicaState): void {
@@ -115,8 +125,9 @@
     this.sound.set(state, isSound);
     this.count(state, isSound ? state.share.slots : 0);
     const { own } = state.load;
-    this.open.set(state, isOffered && own < this.getLimit(state));
-    this.openAbove.set(state, isOffered && own < state.getUpperLimit());
+    this.open.set(state, isOffered && own < this.getLimit(state, now));
+    const above = this.getUpperLimit(state, now) + state.getExcess();
+    this.openAbove.set(state, isOffered && own < above);
   }
 
   private count(state: ReplicaState, slots: number): void {
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
@@ -4,13 +4,15 @@
 import type { LoadReport } from '../messages.js';
 import type { PolicyOptions } from '../policyOptions.js';
 import type { Share } from '../SharedLimit/SharedLimit.js';
+import { SlotAllowance } from '../SharedLimit/SlotAllowance.js';
 import { CorrectedLoad } from './CorrectedLoad.js';
 import { LatencyWindow } from './LatencyWindow.js';
 
-/** Measurements kept of a replica: the median moves once eight of them agree. */
-const WINDOW = 15;
+/** First tokens kept of a replica: they vary with prompts, so the median is to move slowly. */
+const FIRST_TOKENS = 15;
 
-const NO_SHARE: Share = { isIn: false, slots: 0, contenders: 1 };
+/** Token gaps kept: they vary little, so five slow ones are enough. */
+const TOKEN_GAPS = 9;
 
 /**
  * What this daemon knows of one replica.
@@ -21,9 +23,9 @@
   readonly load = new CorrectedLoad();
 
   /** Delays of first tokens and between tokens, as multiples of what is usual for their class. */
-  readonly firstTokens = new LatencyWindow(WINDOW);
+  readonly firstTokens = new LatencyWindow(FIRST_TOKENS);
 
-  readonly tokenGaps = new LatencyWindow(WINDOW);
+  readonly tokenGaps = new LatencyWindow(TOKEN_GAPS);
 
   readonly hash: number;
 
@@ -44,13 +46,10 @@
 
   private description: Replica;
 
-  private part: Share = NO_SHARE;
+  private readonly allowance: SlotAllowance;
 
   private models: ReadonlySet<string> | undefined;
 
-  /** What the last report allows beyond the share, and when it was allowed. */
-  private loan = { slots: 0, at: 0 };
-
   /** This daemon's running requests by tier. */
   private readonly byTier: number[] = [];
 
@@ -62,6 +61,7 @@
     this.description = description;
     this.options = options;
     this.hash = getHash(description.id);
+    this.allowance = new SlotAllowance(options.maxReportAge);
   }
 
   get id(): string {
@@ -82,7 +82,7 @@
   }
 
   get share(): Share {
-    return this.part;
+    return this.allowance.share;
   }
 
   /** Takes the newest entry of the register. */
@@ -102,8 +102,13 @@
     this.leaving = leaving;
   }
 
-  setShare(share: Share): void {
-    this.part = share;
+  /**
+   * Takes this daemon's part.
+   *
+   * @param fillable - the replica's slots without those kept free
+   */
+  setShare(share: Share, fillable: number): void {
+    this.allowance.setShare(share, fillable);
   }
 
   /** The models that placement keeps here; none when it was told nothing. */
@@ -114,7 +119,7 @@
 
   /** Whether it may be sent anything at all. */
   isUsable(): boolean {
-    return this.listed && !this.leaving && this.part.isIn;
+    return this.listed && !this.leaving && this.share.isIn;
   }
 
   isAvoided(now: Milliseconds): boolean {
@@ -122,13 +127,13 @@
   }
 
   /** How many requests this daemon may have running here. */
-  getLimit(): number {
-    return this.part.slots + this.loan.slots;
+  getLimit(now: Milliseconds): number {
+    return this.allowance.getLimit(now);
   }
 
-  /** The same for what goes above the share, over less urgent work: the engine runs it first. */
-  getUpperLimit(): number {
-    return this.getLimit() + Math.max(1, Math.ceil(this.replica.slots * this.options.excess));
+  /** What may be sent above the limit, over less urgent work: the engine runs it first. */
+  getExcess(): number {
+    return Math.max(1, Math.ceil(this.replica.slots * this.options.excess));
   }
 
   /** How many requests of a tier, or of more urgent ones, this daemon has running here. */
@@ -145,26 +150,17 @@
   /** The load by slots as it would be with one more request. */
   getPressure(now: Milliseconds): number {
     const { stampedeDamping, maxReportAge } = this.options;
-    const others = (this.part.contenders - 1) * stampedeDamping;
+    const others = (this.share.contenders - 1) * stampedeDamping;
     return (this.load.get(now, others, maxReportAge) + 1) / Math.max(1, this.replica.slots);
   }
 
-  /**
-   * Takes a load report, and adjusts the loan: what the daemons leave unused of a replica is lent
-   * to those that need more, and called back when it is overloaded. Each daemon changes what it
-   * uses by its part of what the report shows free or in excess, rounded at random so that the
-   * parts add up on average. A report measured before the last change took effect says nothing
-   * about it, so it changes nothing: otherwise each daemon would take the same free slot again
-   * with each report until the first shows it taken.
-   */
+  /** Takes a load report. */
   report(report: LoadReport, now: Milliseconds, random: Random): void {
-    if (!this.load.apply(report, now) || report.measuredAt < this.loan.at) {
-      return;
+    if (this.load.apply(report, now)) {
+      const load = this.load.get(now, 0, this.options.maxReportAge);
+      const { measuredAt } = report;
+      this.allowance.report({ load, own: this.load.own, measuredAt }, now, random);
     }
-    const free = this.replica.slots - this.load.get(now, 0, this.options.maxReportAge);
-    const change = Math.floor(free / this.part.contenders + random.next());
-    const slots = Math.max(0, this.load.own + change - this.part.slots);
-    this.loan = { slots, at: now };
   }
 
   /**
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaTable.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaTable.ts
@@ -1,6 +1,7 @@
 import type { Replica } from '@apricotrill/model';
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { PolicyOptions } from '../policyOptions.js';
+import type { Reserve } from '../Reserve/Reserve.js';
 import type { SharedLimit } from '../SharedLimit/SharedLimit.js';
 import { ReplicaPool } from './ReplicaPool.js';
 import { ReplicaState } from './ReplicaState.js';
@@ -14,6 +15,7 @@
   clock: Clock;
   options: PolicyOptions;
   limit: SharedLimit;
+  reserve: Reserve;
   /** Whether somebody said that the replica is leaving. */
   isLeaving: (replica: string) => boolean;
   /** A replica may be sent something again. */
@@ -52,7 +54,7 @@
     if (known !== undefined) {
       return known;
     }
-    const pool = new ReplicaPool(model);
+    const pool = new ReplicaPool(model, this.parts.options.preemptingTier);
     pool.setReplicas([...this.states.values()], this.parts.clock.now());
     this.pools.set(model, pool);
     return pool;
@@ -85,7 +87,8 @@
       // A model that few replicas hold must be reached by every daemon, also in a large fleet.
       const counts = [...state.getModels()].map((model) => holders.get(model)!);
       const count = Math.min(listed.length, ...counts);
-      state.setShare(this.parts.limit.getShare(state.id, state.replica.slots, count));
+      const slots = this.parts.reserve.getUsable(state.replica.slots);
+      state.setShare(this.parts.limit.getShare(state.id, slots, count), slots);
     });
     const now = this.parts.clock.now();
     const all = [...this.states.values()];
--- a/packages/policy/src/lib/Scheduler/Attempt.ts
+++ b/packages/policy/src/lib/Scheduler/Attempt.ts
@@ -4,7 +4,7 @@
 import { Delay } from '../ReplicaChooser/StragglerDetector.js';
 
 /** Tokens over which one gap is averaged, so that a stream doesn't flood the measurements. */
-const GAP_TOKENS = 16;
+const GAP_TOKENS = 8;
 
 /**
  * Something measured of an attempt.
@@ -32,6 +32,15 @@
 
   readonly tokenGapTimeout: Milliseconds;
 
+  /**
+   * The replica seemed to have a free slot. Otherwise its first token says how long it waited
+   * there, and nothing about the replica's speed.
+   */
+  readonly hadRoom: boolean;
+
+  /** When a less urgent request is to be stopped for it, unless it has answered by then. */
+  private preemptAt: Milliseconds | undefined;
+
   /** Why the scheduler cancelled it, if it did. */
   cancelReason: CancelReason | undefined;
 
@@ -44,7 +53,7 @@
   constructor(
     parts: Pick<
       Attempt,
-      'number' | 'state' | 'startedAt' | 'firstTokenTimeout' | 'tokenGapTimeout'
+      'number' | 'state' | 'startedAt' | 'firstTokenTimeout' | 'tokenGapTimeout' | 'hadRoom'
     >,
   ) {
     this.number = parts.number;
@@ -52,6 +61,7 @@
     this.startedAt = parts.startedAt;
     this.firstTokenTimeout = parts.firstTokenTimeout;
     this.tokenGapTimeout = parts.tokenGapTimeout;
+    this.hadRoom = parts.hadRoom;
   }
 
   /** When the replica has been silent for too long. */
@@ -61,6 +71,28 @@
       : this.lastAt + this.tokenGapTimeout;
   }
 
+  /** Whether the replica has begun to answer, and so has given it a slot. */
+  get hasAnswered(): boolean {
+    return this.lastAt !== undefined;
+  }
+
+  /** When to look at it next, counted without the owner's margin. */
+  getNextCheck(margin: Milliseconds): Milliseconds {
+    const silentAt = this.silentAt + margin;
+    return this.hasAnswered ? silentAt : Math.min(silentAt, this.preemptAt ?? silentAt);
+  }
+
+  preemptLater(at: Milliseconds): void {
+    this.preemptAt = at;
+  }
+
+  /** Whether it is time to stop another request for it; true once. */
+  takePreemption(now: Milliseconds): boolean {
+    const isDue = !this.hasAnswered && this.preemptAt !== undefined && now >= this.preemptAt;
+    this.preemptAt = isDue ? undefined : this.preemptAt;
+    return isDue;
+  }
+
   cancel(reason: CancelReason): void {
     this.cancelReason = reason;
   }
@@ -71,7 +103,7 @@
     this.lastAt = now;
     if (isFirst) {
       this.gapFrom = now;
-      return { delay: Delay.FirstToken, value: now - this.startedAt };
+      return this.hadRoom ? { delay: Delay.FirstToken, value: now - this.startedAt } : undefined;
     }
     this.gapTokens += tokens;
     if (this.gapTokens < GAP_TOKENS) {
--- a/packages/policy/src/lib/Scheduler/AttemptRunner.ts
+++ b/packages/policy/src/lib/Scheduler/AttemptRunner.ts
@@ -23,6 +23,8 @@
   emit: (effect: SchedulerEffect) => void;
   /** A cancelled attempt did not report its end in time. */
   onCancelled: (record: RequestRecord) => void;
+  /** An attempt has waited too long for its first token to wait on behind less urgent work. */
+  onLate: (record: RequestRecord) => void;
   /** An attempt has been silent for longer than its owner should have allowed. */
   onSilent: (record: RequestRecord) => void;
 }
@@ -44,12 +46,18 @@
    *
    * @param freeSlot - tells the queue that the attempt no longer takes a slot
    */
-  dispatch(record: RequestRecord, { state, reason, priority }: Slot, freeSlot: () => void): void {
+  dispatch(record: RequestRecord, slot: Slot, freeSlot: () => void): void {
+    const { state, reason, priority } = slot;
     const { clock, options, emit, running } = this.parts;
     const now = clock.now();
     const timeouts = getTimeouts(record, options, now);
     const number = record.nextAttempt;
-    const attempt = new Attempt({ number, state, startedAt: now, ...timeouts });
+    const hadRoom = state.getPressure(now) <= 1;
+    const attempt = new Attempt({ number, state, startedAt: now, hadRoom, ...timeouts });
+    if (slot.mayPreemptLater) {
+      const { target } = record.request.serviceClass;
+      attempt.preemptLater(now + options.preemptionPatience * target.firstToken);
+    }
     record.begin(attempt, freeSlot);
     record.enter(Phase.Running);
     this.watch(record, attempt);
@@ -107,15 +115,22 @@
     this.parts.table.refresh(state);
   }
 
-  /** Ends an attempt whose owner lost track of it; usually the owner is quicker. */
+  /**
+   * Looks after an attempt until its end: preempts for it when it waits at the replica for too
+   * long, and ends it when its owner lost track of it; usually the owner is quicker.
+   */
   private watch(record: RequestRecord, attempt: Attempt): void {
-    const { clock, options, onSilent } = this.parts;
-    const left = attempt.silentAt + options.silenceMargin - clock.now();
-    const timer = clock.setTimer(left, () => {
-      if (clock.now() < attempt.silentAt + options.silenceMargin) {
-        this.watch(record, attempt);
-      } else {
+    const { clock, options, onSilent, onLate } = this.parts;
+    const check = attempt.getNextCheck(options.silenceMargin);
+    const timer = clock.setTimer(check - clock.now(), () => {
+      const now = clock.now();
+      if (now >= attempt.silentAt + options.silenceMargin) {
         onSilent(record);
+        return;
+      }
+      this.watch(record, attempt);
+      if (attempt.takePreemption(now)) {
+        onLate(record);
       }
     });
     record.watch(timer);
--- a/packages/policy/src/lib/Scheduler/Scheduler.fuzz.test.ts
+++ b/packages/policy/src/lib/Scheduler/Scheduler.fuzz.test.ts
@@ -16,6 +16,7 @@
 function tellBoth(oracle: SchedulerOracle, harness: Harness, message: SchedulerMessage): void {
   oracle.hear(message);
   harness.tell(message).forEach((effect) => oracle.check(effect, harness.clock.now()));
+  oracle.checkRest();
 }
 
 /** Moves time timer by timer, so that each effect is checked at its own time. */
@@ -25,6 +26,7 @@
   while (harness.clock.runNext(until)) {
     harness.effects.slice(checked).forEach((effect) => oracle.check(effect, harness.clock.now()));
     checked = harness.effects.length;
+    oracle.checkRest();
   }
   harness.clock.advance(until - harness.clock.now());
 }
--- a/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
+++ b/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
@@ -7,6 +7,7 @@
 import { ReplicaChooser } from '../ReplicaChooser/ReplicaChooser.js';
 import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
 import { ReplicaTable } from '../ReplicaChooser/ReplicaTable.js';
+import { Reserve } from '../Reserve/Reserve.js';
 import { RetryBudget } from '../RetryBudget/RetryBudget.js';
 import type { SharedLimit } from '../SharedLimit/SharedLimit.js';
 import { WaitingRoom } from '../WaitingRoom/WaitingRoom.js';
@@ -65,19 +66,30 @@
 
   private readonly review: ReplicaReview;
 
+  private readonly reserve: Reserve;
+
   /** The tier that the request being started goes before, if it owes its turn to a floor. */
   private overtakes: number | undefined;
 
   constructor(parts: ServiceSchedulerParts) {
     const { clock, random, options } = parts;
     this.parts = parts;
-    this.table = new ReplicaTable({ ...parts, onOpened: () => this.pump() });
+    this.reserve = new Reserve(options);
+    this.table = new ReplicaTable({
+      ...parts,
+      reserve: this.reserve,
+      onOpened: () => this.pump(),
+    });
     this.running = new RunningRequests(options.maxPreemptions);
     this.attempts = new AttemptRunner({
       ...parts,
       table: this.table,
       running: this.running,
       onCancelled: (record) => this.attemptEnded(record, AttemptEnd.Cancelled),
+      onLate: (record) => {
+        this.preempt(this.slots.findLateVictim(record));
+        this.pump();
+      },
       onSilent: (record) => {
         this.pathSilent(record.attempt!.state.id);
         this.attempts.cancel(record, CancelReason.Silent);
@@ -102,7 +114,10 @@
   }
 
   submit(request: ScheduledRequest): void {
-    const { options, records } = this.parts;
+    const { options, records, clock } = this.parts;
+    if (this.reserve.note(request.serviceClass.tier, clock.now())) {
+      this.table.updateShares();
+    }
     const isUrgent = request.serviceClass.tier <= options.urgentTier;
     const record = new RequestRecord(request, this.table.getPool(request.model), isUrgent);
     records.set(record.id, record);
@@ -234,16 +249,20 @@
       this.room.park(record);
       return Promise.resolve();
     }
-    if (slot.victim !== undefined) {
-      slot.victim.preempt();
-      this.attempts.cancel(slot.victim, CancelReason.Preempted);
-    }
+    this.preempt(slot.victim);
     this.room.noteDispatch(className);
     return new Promise((resolve) => {
       this.attempts.dispatch(record, { ...slot, priority: overtakes }, resolve);
     });
   }
 
+  private preempt(victim: RequestRecord | undefined): void {
+    victim?.preempt();
+    if (victim !== undefined) {
+      this.attempts.cancel(victim, CancelReason.Preempted);
+    }
+  }
+
   private goOn(record: RequestRecord, end: AttemptEnd, isOwnCancel: boolean): void {
     const { clock, options, emit } = this.parts;
     const now = clock.now();
--- a/packages/policy/src/lib/Scheduler/SlotFinder.ts
+++ b/packages/policy/src/lib/Scheduler/SlotFinder.ts
@@ -13,6 +13,8 @@
 export interface Slot extends Choice {
   /** The request that has to be stopped for it. */
   victim?: RequestRecord;
+  /** It may have to wait there; another may be stopped for it later. */
+  mayPreemptLater?: boolean;
   /** What the replica is told as the priority, if not the tier. */
   priority?: number;
 }
@@ -36,11 +38,13 @@
 const NONE: ReadonlySet<string> = new Set();
 
 /**
- * Finds out whether and where a request can run: within the share if there is room. Else above it,
- * over less urgent work, where the replica seems to have a free slot; else in place of a less
- * urgent request; else above it all the same, since the replica runs it first. A class whose floor
- * is due and of which nothing runs goes above the share too: urgent traffic that alone fills the
- * share would otherwise starve it.
+ * Finds out whether and where a request can run: within the share if there is room, else above it,
+ * over less urgent work, since the replica runs it first. Where no slot seems free, an urgent
+ * request takes the place of a less urgent one at once; another does so only when it has waited at
+ * the replica for a part of its target, because what is stopped has its prompt computed again.
+ *
+ * A class whose floor is due and of which nothing runs goes above the share too: urgent traffic
+ * that alone fills the share would otherwise starve it.
  *
  * @internal
  */
@@ -70,22 +74,41 @@
         return true;
       }
     }
-    return this.findVictim(pool, tier, NONE) !== undefined;
+    return this.findAnyVictim(pool, tier, NONE) !== undefined;
   }
 
   /** The place for a request. */
   find(record: RequestRecord, entitlement: Entitlement, now: Milliseconds): Slot | undefined {
-    const { pool, tier, failed } = record;
-    const wish = record.getWish();
-    const within = this.chooser.choose(pool, wish, now);
+    const within = this.chooser.choose(record.pool, record.getWish(), now);
     if (within !== undefined) {
       return within;
     }
-    const above = this.chooser.chooseAboveShare(pool, wish, now);
-    if (above !== undefined && above.getPressure(now) <= 1) {
-      return { state: above, reason: ChoiceReason.AboveShare };
+    return this.findAbove(record, entitlement, now);
+  }
+
+  /** A less urgent request at the replica where a more urgent one has waited for too long. */
+  findLateVictim({ pool, tier, attempt }: RequestRecord): RequestRecord | undefined {
+    const { state } = attempt!;
+    return this.findVictim(
+      pool,
+      tier,
+      (victim) => victim.attempt!.state === state && victim.attempt!.hasAnswered,
+    );
+  }
+
+  private findAbove(
+    record: RequestRecord,
+    entitlement: Entitlement,
+    now: Milliseconds,
+  ): Slot | undefined {
+    const { pool, tier, failed, isUrgent } = record;
+    const above = this.chooser.chooseAboveShare(pool, record.getWish(), now);
+    const hasRoom = above !== undefined && above.getPressure(now) <= 1;
+    if (above !== undefined && (hasRoom || !isUrgent)) {
+      const mayPreemptLater = tier <= this.preemptingTier;
+      return { state: above, reason: ChoiceReason.AboveShare, mayPreemptLater };
     }
-    const victim = this.findVictim(pool, tier, failed);
+    const victim = this.findAnyVictim(pool, tier, failed);
     if (victim !== undefined) {
       return { state: victim.attempt!.state, reason: ChoiceReason.Preemption, victim };
     }
@@ -93,19 +116,28 @@
       return { state: above, reason: ChoiceReason.AboveShare };
     }
     const due = this.isFloorDue(entitlement)
-      ? this.chooser.chooseForFloor(pool, wish, now)
+      ? this.chooser.chooseForFloor(pool, record.getWish(), now)
       : undefined;
     return due && { state: due, reason: ChoiceReason.Floor };
   }
 
-  private findVictim(pool: ReplicaPool, tier: number, failed: ReadonlySet<string>) {
+  /** One that has begun its answer surely holds a slot; one that has not may be waiting itself. */
+  private findAnyVictim(pool: ReplicaPool, tier: number, failed: ReadonlySet<string>) {
+    const fits = ({ attempt }: RequestRecord) => !failed.has(attempt!.state.id);
+    return (
+      this.findVictim(pool, tier, (victim) => fits(victim) && victim.attempt!.hasAnswered) ??
+      this.findVictim(pool, tier, fits)
+    );
+  }
+
+  private findVictim(pool: ReplicaPool, tier: number, fits: (victim: RequestRecord) => boolean) {
     if (tier > this.preemptingTier) {
       return undefined;
     }
-    return this.running.preemptible.find(tier, ({ attempt }) => {
-      const { state } = attempt!;
-      return pool.offers(state) && !failed.has(state.id);
-    });
+    return this.running.preemptible.find(
+      tier,
+      (victim) => pool.offers(victim.attempt!.state) && fits(victim),
+    );
   }
 
   private isFloorDue({ overtakes, className }: Entitlement): boolean {
--- a/packages/policy/src/lib/Scheduler/getServiceSnapshot.ts
+++ b/packages/policy/src/lib/Scheduler/getServiceSnapshot.ts
@@ -48,7 +48,7 @@
   return {
     id: state.id,
     running: state.load.own,
-    limit: state.getLimit(),
+    limit: state.getLimit(now),
     share: state.share.slots,
     pressure: state.getPressure(now),
     leaving: state.isLeaving,
--- /dev/null
+++ b/packages/policy/src/lib/SharedLimit/SlotAllowance.ts
@@ -0,0 +1,82 @@
+import type { Milliseconds, Random } from '@apricotrill/utils';
+import type { Share } from './SharedLimit.js';
+
+const NO_SHARE: Share = { isIn: false, slots: 0, contenders: 1 };
+
+/**
+ * What a load report says, corrected by what this daemon did since.
+ *
+ * @internal
+ */
+export interface ObservedLoad {
+  load: number;
+  /** How much of it is this daemon's. */
+  own: number;
+  measuredAt: Milliseconds;
+}
+
+/**
+ * How many requests one daemon may have running at one replica. Without load reports that is its
+ * share. A report that shows free slots lends each daemon its part of them; one that shows more
+ * than the slots calls back a part of what each uses, down to half its share. Adding the same for
+ * all and taking back in proportion lets those that use most give back most, as TCP's congestion
+ * control does (Chiu and Jain, 1989). Parts are rounded at random, so that they add up on average.
+ *
+ * The parts that daemons are lent never exceed what a report shows free. As reports lag, a replica
+ * may for the time of the lag get what was lent and what its owners take back at once: by their
+ * shares they could use their slots all along.
+ *
+ * @internal
+ */
+export class SlotAllowance {
+  private readonly maxAge: Milliseconds;
+
+  private part: Share = NO_SHARE;
+
+  private fillable = 0;
+
+  private allowed: { slots: number; at: Milliseconds } | undefined;
+
+  /** @param maxAge - how long the last change counts without a further report */
+  constructor(maxAge: Milliseconds) {
+    this.maxAge = maxAge;
+  }
+
+  get share(): Share {
+    return this.part;
+  }
+
+  /**
+   * Takes this daemon's part.
+   *
+   * @param fillable - the slots that all daemons together should fill
+   */
+  setShare(share: Share, fillable: number): void {
+    this.part = share;
+    this.fillable = fillable;
+  }
+
+  getLimit(now: Milliseconds): number {
+    const { allowed } = this;
+    return allowed === undefined || now - allowed.at > this.maxAge
+      ? this.part.slots
+      : allowed.slots;
+  }
+
+  /**
+   * Adjusts the limit. A report that was measured before the last change took effect changes
+   * nothing: each daemon would take the same free slot again with every report until the first
+   * that shows it taken.
+   */
+  report({ load, own, measuredAt }: ObservedLoad, now: Milliseconds, random: Random): void {
+    if (this.allowed !== undefined && measuredAt < this.allowed.at) {
+      return;
+    }
+    const free = this.fillable - load;
+    const { slots, contenders } = this.part;
+    const change = free >= 0 ? free / contenders : (free * own) / load;
+    const least = Math.ceil(slots / 2);
+    const wanted = own + Math.floor(change + random.next());
+    this.allowed = { slots: Math.max(least, wanted), at: now };
+  }
+}
--- a/packages/policy/src/lib/WaitingRoom/WaitingRoom.ts
+++ b/packages/policy/src/lib/WaitingRoom/WaitingRoom.ts
@@ -95,7 +95,7 @@
       return undefined;
     }
     const wait = this.fair.getAhead(place) / rate;
-    return wait <= left
+    return wait <= left * this.parts.options.refusalMargin
       ? undefined
       : { reason: GiveUpReason.Deadline, retryAfter: this.spread(wait - left) };
   }
--- a/packages/policy/src/lib/policyOptions.ts
+++ b/packages/policy/src/lib/policyOptions.ts
@@ -20,10 +20,12 @@
 
   /** What a refused caller is told to wait at least; default 500 ms. */
   minRetryAfter: Milliseconds;
-  /** What a refused caller is told to wait at most; default 30 s. */
+  /** What a refused caller is told to wait at most; default 10 s. */
   maxRetryAfter: Milliseconds;
-  /** Waiting time of a class after which its drain rate is trusted for refusals; default 1 s. */
+  /** Waiting time of a class after which its drain rate is trusted for refusals; default 3 s. */
   minDrainObservation: Milliseconds;
+  /** By how much the expected wait must exceed what is left for a refusal; default 1.5. */
+  refusalMargin: number;
   /** Time over which a drain rate is observed; default 5 s. */
   drainWindow: Milliseconds;
   /** How long a request that has begun its answer waits to go on before it is given up; default 2 min. */
@@ -44,6 +46,11 @@
   /** The longest such wait; default 2 s. */
   maxRetryBackoff: Milliseconds;
 
+  /**
+   * How long a request that is not urgent waits at a replica for its first token before another is
+   * preempted for it, as a part of its target; default 0.75.
+   */
+  preemptionPatience: number;
   /** How often one request may be preempted; default 2. */
   maxPreemptions: number;
   /** How long a cancelled attempt may take to report its end; default 250 ms. */
@@ -53,6 +60,13 @@
   subsetSize: number;
   /** What may be sent above the share over less urgent work, by a replica's slots; default 0.25. */
   excess: number;
+  /**
+   * The part of a replica's slots that is kept free of tiers that may not preempt, while requests
+   * of both kinds come; default 0.2, rounded down.
+   */
+  reserve: number;
+  /** How long after the last request of either kind the reserve is kept; default 30 s. */
+  reserveMemory: Milliseconds;
   /** Reports older than this say nothing any more; default 10 s. */
   maxReportAge: Milliseconds;
   /** How far a daemon assumes that the others act on a report as it does, 0 to 1; default 0.5. */
@@ -109,8 +123,9 @@
   minFloor: 0.01,
   maxFloorSum: 0.5,
   minRetryAfter: 500,
-  maxRetryAfter: 30_000,
-  minDrainObservation: 1000,
+  maxRetryAfter: 10_000,
+  minDrainObservation: 3000,
+  refusalMargin: 1.5,
   drainWindow: 5000,
   resumePatience: 120_000,
   maxFailures: 4,
@@ -120,10 +135,13 @@
   retryReserve: 0.25,
   retryBackoff: 50,
   maxRetryBackoff: 2000,
+  preemptionPatience: 0.75,
   maxPreemptions: 2,
   cancelGrace: 250,
   subsetSize: 64,
   excess: 0.25,
+  reserve: 0.2,
+  reserveMemory: 30_000,
   maxReportAge: 10_000,
   stampedeDamping: 0.5,
   affinityBound: 1.25,
--- a/packages/policy/src/lib/structures/LinkedList.ts
+++ b/packages/policy/src/lib/structures/LinkedList.ts
@@ -78,15 +78,22 @@
     this.count -= 1;
   }
 
-  /** The first value from the end that fits, looking at `limit` values at most. */
-  findLast(fits: (value: Value) => boolean, limit: number): Value | undefined {
+  /**
+   * The value with the smallest key.
+   *
+   * @param getKey - undefined for values that don't count
+   * @param limit - how many values are looked at, from the end
+   */
+  findLeast(getKey: (value: Value) => number | undefined, limit: number): Value | undefined {
+    let least: { value: Value; key: number } | undefined;
     let node = this.last;
     for (let looked = 0; node !== undefined && looked < limit; looked += 1) {
-      if (fits(node.value)) {
-        return node.value;
+      const key = getKey(node.value);
+      if (key !== undefined && (least === undefined || key < least.key)) {
+        least = { value: node.value, key };
       }
       node = node.previous;
     }
-    return undefined;
+    return least?.value;
   }
 }
--- a/packages/policy/src/test/Story.ts
+++ b/packages/policy/src/test/Story.ts
@@ -7,6 +7,7 @@
   replica: string;
   end?: AttemptEnd;
   cancelledAt?: Milliseconds;
+  isAnswered?: boolean;
 }
 
 /** The plainest account of one request. */
