Answer every kind of input with a clear 4xx and keep the rest untouched

Cause: an upload refused early was answered with `connection: close`, so the connection was reset under bytes still coming and the reset overtook the 413; an undeclared large body was paused and resumed by turns; a head that stopped was looked at after 30 s only; brackets in brackets exhausted the stack when the body was written for the engine (500 `unknown`); bytes after a request that was being answered were refused with a 400 in the middle of its answer; `n: 2` got one answer passed off as whole.

Change: a refused request's rest is read and thrown away within 2 s and 64 MiB, then cut off; the connection stays good in between. Bytes that never become a request get a problem document, 431 for a large head and 408 for a slow one, looked at each second. The engine's body is written once, for all attempts, with the priority of the attempt in front: the scheduler may give another one than the tier's, which was ignored. `n` other than 1 and a wrong `max_completion_tokens` are refused; `null` counts as absent, as client libraries write it. A request counts as in flight from its first byte, and a caller that left before its request was scheduled is noticed. Connections of callers have an owner, which the shutdown uses.

Ruled out: ending the connection after an answer that garbage followed; it ends as an idle one does, and no test could tell.

--- a/packages/router/src/lib/options.ts
+++ b/packages/router/src/lib/options.ts
@@ -11,6 +11,13 @@
   answerTail: 1000,
   /** How long a caller may take nothing of its answer before it counts as gone. */
   callerStall: 30_000,
+  /** How often connections are looked at whose headers are overdue. */
+  connectionsCheck: 1000,
+  /** How long, and how much of, a request that was refused unread is still read. */
+  refusedBodyTimeout: 2000,
+  refusedBodyBytes: 64 * 1024 * 1024,
+  /** When asking again makes sense after a fault of this daemon. */
+  internalRetryAfter: 1000,
   /** The longest plain answer that is relayed, in bytes. */
   maxPlainAnswer: 8 * 1024 * 1024,
   /** How often a replica's load is asked for when no answer brought it. */
@@ -33,6 +40,10 @@
   claimRetryAfter: 1000,
   /** How long a call to the platform may take. */
   platformTimeout: 2000,
+  /** How long a daemon that starts waits for the store's word on what is accepted. */
+  startGrace: 3000,
+  /** How long it then waits for the accepted configuration itself. */
+  startLimit: 10_000,
   /** How long a claim message between daemons may take. */
   claimCallTimeout: 1000,
   /** How long the hand-over of claim shards may take at shutdown. */
--- /dev/null
+++ b/packages/router/src/lib/pipeline/CallerConnections/CallerConnections.ts
@@ -0,0 +1,110 @@
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { routerOptions } from '../../options.js';
+
+/** What is known of one caller's connection. */
+interface Connection {
+  /** Requests whose answers are not over. */
+  inFlight: Set<IncomingMessage>;
+  /** What had been read when the last request was over: more means that another has begun. */
+  readAtRest: number;
+  timer: Timer | undefined;
+}
+
+/**
+ * Owns the connections of callers: knows which carry a request, and ends those that don't when the
+ * daemon shuts down.
+ *
+ * The HTTP server ends idle connections itself, but takes one that never sent anything, or was
+ * opened again by the caller's library in advance, for busy: one such connection would hold the
+ * shutdown for good.
+ *
+ * @internal
+ */
+export class CallerConnections {
+  private readonly connections = new Map<Socket, Connection>();
+
+  private readonly clock: Clock;
+
+  private readonly headersTimeout: Milliseconds;
+
+  private draining = false;
+
+  /** @param headersTimeout - how long a request that has begun may take to be whole when draining */
+  constructor(clock: Clock, headersTimeout: Milliseconds) {
+    this.clock = clock;
+    this.headersTimeout = headersTimeout;
+  }
+
+  /** A caller has connected. */
+  add(socket: Socket): void {
+    const connection: Connection = {
+      inFlight: new Set(),
+      readAtRest: socket.bytesRead,
+      timer: undefined,
+    };
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      connection.timer?.cancel();
+      this.connections.delete(socket);
+    });
+    if (this.draining) {
+      this.endIfIdle(socket, connection);
+    }
+  }
+
+  /** A request has begun: its connection lasts until its answer is over. */
+  begin(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    const connection = this.connections.get(socket);
+    if (connection === undefined) {
+      return;
+    }
+    connection.inFlight.add(request);
+    connection.timer?.cancel();
+    connection.timer = undefined;
+    this.boundTail(response);
+    response.once('close', () => {
+      connection.inFlight.delete(request);
+      connection.readAtRest = socket.bytesRead;
+      if (this.draining) {
+        this.endIfIdle(socket, connection);
+      }
+    });
+  }
+
+  /** Whether a request that has been read whole is being answered on the connection. */
+  isAnswering(socket: Socket): boolean {
+    const inFlight = this.connections.get(socket)?.inFlight ?? [];
+    return [...inFlight].some(({ complete }) => complete);
+  }
+
+  /** From now on each connection ends as soon as it carries no request. */
+  drain(): void {
+    this.draining = true;
+    this.connections.forEach((connection, socket) => this.endIfIdle(socket, connection));
+  }
+
+  private endIfIdle(socket: Socket, connection: Connection): void {
+    if (connection.inFlight.size > 0) {
+      return;
+    }
+    if (socket.bytesRead === connection.readAtRest) {
+      socket.destroySoon();
+      return;
+    }
+    // A caller is in the middle of sending a request: it gets its answer, if it comes to it.
+    Object.assign(connection, {
+      timer: this.clock.setTimer(this.headersTimeout, () => socket.destroy()),
+    });
+  }
+
+  /** The last bytes of an answer that its caller never reads must not hold the process for good. */
+  private boundTail(response: ServerResponse): void {
+    response.once('prefinish', () => {
+      const timer = this.clock.setTimer(routerOptions.callerStall, () => response.destroy());
+      response.once('close', () => timer.cancel());
+    });
+  }
+}
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -7,11 +7,15 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
+import { routerOptions } from '../options.js';
+import { CallerConnections } from './CallerConnections/CallerConnections.js';
 import type { CallerContext } from './CallerContext.js';
+import { discardBody } from './discardBody.js';
 import { handleChat } from './handleChat.js';
 import { handlePlain } from './handlePlain.js';
 import { ProblemError, ProblemReason } from './Problem.js';
 import type { Problem } from './Problem.js';
+import { refuseConnection } from './refuseConnection.js';
 import { writeProblem } from './writeProblem.js';
 
 /**
@@ -47,6 +51,7 @@
   title: 'Internal error',
   detail: 'this daemon failed on the request',
   outcome: Outcome.Unknown,
+  retryAfter: routerOptions.internalRetryAfter,
 };
 
 /**
@@ -61,6 +66,8 @@
 
   private readonly server: Server;
 
+  private readonly connections: CallerConnections;
+
   private closing = false;
 
   private stopKeys: (() => void) | undefined;
@@ -68,24 +75,26 @@
   constructor(context: CallerContext, address: CallerServerAddress) {
     this.context = context;
     this.address = address;
-    const options = { headersTimeout: address.headersTimeout, requestTimeout: 0 };
-    this.server = address.keys === undefined ? createServer(options) : createTlsServer(options);
-    this.server.on('clientError', (_error, socket) =>
-      CallerServer.refuseMalformed(socket as Socket),
-    );
+    this.connections = new CallerConnections(context.clock, address.headersTimeout);
+    this.server = this.createServer();
+    const { server } = this;
     const app = polka({
-      server: this.server,
-      onNoMatch: (_request, response) => writeProblem(response, UNKNOWN_PATH, randomUUID()),
+      server,
+      onNoMatch: (request, response) =>
+        this.handle(request, response, () => {
+          throw new ProblemError(UNKNOWN_PATH, { step: 'receive', peer: 'caller' });
+        }),
     });
     app.post('/v1/chat/completions', (request, response) =>
       this.handle(request, response, (...parts) => handleChat(context, ...parts)),
     );
-    app.get('/v1/models', (_request, response) => this.listModels(response));
+    app.get('/v1/models', (request, response) =>
+      this.handle(request, response, () => this.listModels(response)),
+    );
     app.use('/services', (request, response) =>
       this.handle(request, response, (...parts) => this.servePlain(...parts)),
     );
-    app.handler = app.handler.bind(app);
-    this.server.on('request', (request, response) => app.handler(request as never, response));
+    server.on('request', (request, response) => app.handler(request as never, response));
   }
 
   /** @returns the port, for when the machine chose it */
@@ -101,13 +110,14 @@
 
   /**
    * Stops taking connections; answers in flight go on. Every answer from now on asks its caller to
-   * close, or idle connections kept for reuse would hold the process for good.
+   * close, and connections without a request end, or those kept for reuse would hold the process
+   * for good.
    */
   close(): Promise<void> {
     this.closing = true;
     return new Promise((resolve) => {
       this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      this.connections.drain();
     });
   }
 
@@ -130,29 +140,59 @@
     this.stopKeys = keys.onChange(use);
   }
 
+  private createServer(): Server {
+    const { keys, headersTimeout } = this.address;
+    const options = {
+      headersTimeout,
+      requestTimeout: 0,
+      connectionsCheckingInterval: routerOptions.connectionsCheck,
+    };
+    // A handshake that never ends would hold the shutdown as an idle connection does.
+    const server =
+      keys === undefined
+        ? createServer(options)
+        : createTlsServer({ ...options, handshakeTimeout: headersTimeout });
+    server.on(keys === undefined ? 'connection' : 'secureConnection', (socket: Socket) =>
+      this.connections.add(socket),
+    );
+    server.on('clientError', (error, socket) => this.refuseBytes(error, socket as Socket));
+    return server;
+  }
+
   private handle(request: IncomingMessage, response: ServerResponse, handler: Handler): void {
     const requestId = randomUUID();
+    const leave = this.context.runner.enter();
+    this.connections.begin(request, response);
     if (this.closing) {
       response.setHeader('connection', 'close');
     }
-    Promise.resolve(handler(request, response, requestId)).catch((error: unknown) => {
-      this.refuse(response, requestId, error);
-      request.resume();
-    });
+    const handling = async () => handler(request, response, requestId);
+    handling()
+      .catch((error: unknown) => {
+        this.refuse(response, requestId, error);
+        discardBody(request, this.context.clock);
+      })
+      .finally(leave);
   }
 
   private refuse(response: ServerResponse, requestId: string, error: unknown): void {
     const known = error instanceof ProblemError;
     const problem = known ? error.problem : INTERNAL;
-    if (problem.status === 413 || problem.status === 408) {
-      // The rest of the body is not worth reading: the connection ends with the answer.
-      response.setHeader('connection', 'close');
-    }
     const detail = known ? error.message : String((error as Error).stack ?? error);
     this.context.log('identify', { request: requestId, refused: problem.reason, detail });
     writeProblem(response, problem, requestId);
   }
 
+  /**
+   * Bytes that are not HTTP end their own connection only. When they follow a request that is being
+   * answered, they must not become part of its answer, nor pass it off as not run.
+   */
+  private refuseBytes(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!this.connections.isAnswering(socket)) {
+      refuseConnection(socket, error);
+    }
+  }
+
   private servePlain(request: IncomingMessage, response: ServerResponse, requestId: string) {
     const { originalUrl, url = '/' } = request as { originalUrl?: string; url?: string };
     const [, , service = '', ...rest] = (originalUrl ?? url).split('/');
@@ -167,11 +207,4 @@
     response.setHeader('content-type', 'application/json');
     response.end(JSON.stringify({ object: 'list', data }));
   }
-
-  /** Bytes that are not HTTP get a 400 and end their own connection only. */
-  private static refuseMalformed(socket: Socket): void {
-    if (socket.writable) {
-      socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
-    }
-  }
 }
--- a/packages/router/src/lib/pipeline/handleChat.ts
+++ b/packages/router/src/lib/pipeline/handleChat.ts
@@ -5,6 +5,7 @@
 import { ChatStreamSink } from '../request/ChatStreamSink.js';
 import { ChatWholeSink } from '../request/ChatWholeSink.js';
 import { ChatWork } from '../request/ChatWork.js';
+import { EngineBody } from '../request/EngineBody.js';
 import type { CallerCall } from './CallerCall.js';
 import type { CallerContext } from './CallerContext.js';
 import { CLASS_HEADER, identifyClass, identifyModelService } from './identify.js';
@@ -39,6 +40,15 @@
   return value as ChatRequest;
 }
 
+/** A body of brackets in brackets is read without trouble, and exhausts the stack when written. */
+function createEngineBody(chat: ChatRequest): EngineBody {
+  try {
+    return new EngineBody(chat);
+  } catch {
+    throw createMalformed('the body is nested too deeply');
+  }
+}
+
 function identifyCall(
   received: ReceivedRequest,
   chat: ChatRequest,
@@ -74,6 +84,7 @@
 ): Promise<void> {
   const received = await receive(context, request, requestId);
   const chat = parseChat(received.body);
+  const body = createEngineBody(chat);
   const call = identifyCall(received, chat, request, response);
   const { clock, connections, log } = context;
   log('identify', {
@@ -85,8 +96,8 @@
   const Sink = chat.stream === true ? ChatStreamSink : ChatWholeSink;
   const work = new ChatWork({
     requestId,
-    chat,
-    priority: call.serviceClass.tier,
+    body,
+    tier: call.serviceClass.tier,
     response,
     sink: new Sink(response, requestId),
     connections,
--- a/packages/router/src/lib/pipeline/readBody.ts
+++ b/packages/router/src/lib/pipeline/readBody.ts
@@ -1,5 +1,5 @@
 import { Outcome } from '@apricotrill/policy';
-import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { IncomingMessage } from 'node:http';
 import { ProblemError, ProblemReason } from './Problem.js';
 import type { Problem } from './Problem.js';
@@ -14,7 +14,10 @@
   bodyTimeout: Milliseconds;
 }
 
-function createBodyError(request: IncomingMessage, problem: Omit<Problem, 'outcome' | 'title'>) {
+function createBodyError(
+  request: IncomingMessage,
+  problem: Pick<Problem, 'reason' | 'status' | 'detail'>,
+) {
   const peer = request.socket.remoteAddress ?? 'caller';
   return new ProblemError(
     { ...problem, title: 'The request could not be read', outcome: Outcome.NotRun },
@@ -22,6 +25,72 @@
   );
 }
 
+function createTooLarge(request: IncomingMessage, { maxBodyBytes }: BodyLimits) {
+  const detail = `the body is larger than ${maxBodyBytes} bytes`;
+  return createBodyError(request, { reason: ProblemReason.TooLarge, status: 413, detail });
+}
+
+/** Collects one body; listens no longer than it must. */
+class BodyReader {
+  private readonly chunks: Buffer[] = [];
+
+  private size = 0;
+
+  private timer: Timer | undefined;
+
+  private readonly request: IncomingMessage;
+
+  private readonly limits: BodyLimits;
+
+  private readonly onEnd: (result: Buffer | ProblemError) => void;
+
+  constructor(
+    request: IncomingMessage,
+    limits: BodyLimits,
+    onEnd: (result: Buffer | ProblemError) => void,
+  ) {
+    this.request = request;
+    this.limits = limits;
+    this.onEnd = onEnd;
+  }
+
+  start(clock: Clock): void {
+    const { request, limits } = this;
+    this.timer = clock.setTimer(limits.bodyTimeout, () => {
+      const detail = `the body did not arrive within ${limits.bodyTimeout} ms`;
+      this.fail({ reason: ProblemReason.SlowBody, status: 408, detail });
+    });
+    request.on('data', this.take);
+    request.once('end', this.finish);
+    request.once('error', this.cutOff);
+  }
+
+  private readonly take = (chunk: Buffer) => {
+    this.size += chunk.length;
+    this.chunks.push(chunk);
+    if (this.size > this.limits.maxBodyBytes) {
+      this.end(createTooLarge(this.request, this.limits));
+    }
+  };
+
+  private readonly finish = () => this.end(Buffer.concat(this.chunks));
+
+  private readonly cutOff = () =>
+    this.fail({ reason: ProblemReason.Malformed, status: 400, detail: 'the body was cut off' });
+
+  private fail(problem: Pick<Problem, 'reason' | 'status' | 'detail'>): void {
+    this.end(createBodyError(this.request, problem));
+  }
+
+  private end(result: Buffer | ProblemError): void {
+    this.timer?.cancel();
+    this.request.off('data', this.take);
+    this.request.off('end', this.finish);
+    this.request.off('error', this.cutOff);
+    this.onEnd(result);
+  }
+}
+
 /**
  * Reads the whole body, within its bounds. A body that is too large, too slow or cut off ends its
  * own request and nothing else: without the time bound, callers that send a byte now and then
@@ -42,40 +111,12 @@
   limits: BodyLimits,
   clock: Clock,
 ): Promise<Buffer> {
-  const tooLarge = () =>
-    createBodyError(request, {
-      reason: ProblemReason.TooLarge,
-      status: 413,
-      detail: `the body is larger than ${limits.maxBodyBytes} bytes`,
-    });
   if (Number(request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
-    return Promise.reject(tooLarge());
+    return Promise.reject(createTooLarge(request, limits));
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const timer = clock.setTimer(limits.bodyTimeout, () => {
-      const detail = `the body did not arrive within ${limits.bodyTimeout} ms`;
-      reject(createBodyError(request, { reason: ProblemReason.SlowBody, status: 408, detail }));
-    });
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limits.maxBodyBytes) {
-        timer.cancel();
-        request.pause();
-        reject(tooLarge());
-        return;
-      }
-      chunks.push(chunk);
-    });
-    request.once('end', () => {
-      timer.cancel();
-      resolve(Buffer.concat(chunks));
-    });
-    request.once('error', () => {
-      timer.cancel();
-      const detail = 'the body was cut off';
-      reject(createBodyError(request, { reason: ProblemReason.Malformed, status: 400, detail }));
-    });
+    const settle = (result: Buffer | ProblemError) =>
+      Buffer.isBuffer(result) ? resolve(result) : reject(result);
+    new BodyReader(request, limits, settle).start(clock);
   });
 }
--- a/packages/router/src/lib/request/ChatRequest.ts
+++ b/packages/router/src/lib/request/ChatRequest.ts
@@ -21,6 +21,18 @@
   );
 }
 
+/** Client libraries write `null` for what was not given. */
+function isAbsent(value: unknown): boolean {
+  return value === undefined || value === null;
+}
+
+const LIMIT_KEYS = ['max_tokens', 'max_completion_tokens'];
+
+function getLimitFault(key: string, limit: unknown): string | undefined {
+  const isRight = isAbsent(limit) || (Number.isInteger(limit) && (limit as number) > 0);
+  return isRight ? undefined : `\`${key}\` must be a whole number above 0`;
+}
+
 /**
  * Checks the shape of a chat request.
  *
@@ -36,18 +48,20 @@
   if (typeof value !== 'object' || value === null || Array.isArray(value)) {
     return 'the body must be a JSON object';
   }
-  const { model, messages, stream, max_tokens: maxTokens } = value as Record<string, unknown>;
+  const { model, messages, stream, n } = value as Record<string, unknown>;
   if (typeof model !== 'string' || model === '') {
     return '`model` must be the name of a model';
   }
   if (!Array.isArray(messages) || messages.length === 0 || !messages.every(isMessage)) {
     return '`messages` must be a list of objects with `role` and `content`, not empty';
   }
-  if (stream !== undefined && typeof stream !== 'boolean') {
+  if (!isAbsent(stream) && typeof stream !== 'boolean') {
     return '`stream` must be true or false';
   }
-  if (maxTokens !== undefined && !(Number.isInteger(maxTokens) && (maxTokens as number) > 0)) {
-    return '`max_tokens` must be a whole number above 0';
+  if (!isAbsent(n) && n !== 1) {
+    return '`n` must be 1: one request gets one answer';
   }
-  return undefined;
+  return LIMIT_KEYS.map((key) => getLimitFault(key, (value as Record<string, unknown>)[key])).find(
+    (fault) => fault !== undefined,
+  );
 }
--- a/packages/router/src/lib/request/ChatWork.ts
+++ b/packages/router/src/lib/request/ChatWork.ts
@@ -6,8 +6,8 @@
 import type { ChatChunk, ChatToken } from '../upstream/ChatChunk.js';
 import type { ReplicaConnections } from '../upstream/ReplicaConnections.js';
 import { runChatAttempt } from '../upstream/runChatAttempt.js';
-import type { ChatRequest } from './ChatRequest.js';
 import type { ChatSink } from './ChatSink.js';
+import type { EngineBody } from './EngineBody.js';
 import type { OrderedAttempt, RequestWork } from './RequestWork.js';
 import { waitForCaller } from './waitForCaller/waitForCaller.js';
 
@@ -21,9 +21,10 @@
  */
 export interface ChatWorkParts {
   requestId: string;
-  chat: ChatRequest;
-  /** The priority engines honour: the tier of the class. */
-  priority: number;
+  /** What engines get. */
+  body: EngineBody;
+  /** The tier of the class: the priority engines honour when the scheduler gives no other. */
+  tier: number;
   response: ServerResponse;
   sink: ChatSink;
   connections: ReplicaConnections;
@@ -42,8 +43,6 @@
 export class ChatWork implements RequestWork {
   private readonly parts: ChatWorkParts;
 
-  private readonly body: string;
-
   private delivered = 0;
 
   private callerIsSlow = false;
@@ -55,17 +54,16 @@
 
   constructor(parts: ChatWorkParts) {
     this.parts = parts;
-    this.body = JSON.stringify({ ...parts.chat, stream: true, priority: parts.priority });
   }
 
   run(ordered: OrderedAttempt): Promise<AttemptResult> {
-    const { clock, connections, requestId } = this.parts;
+    const { clock, connections, requestId, body, tier } = this.parts;
     const dispatcher = connections.getShared(ordered.replica);
     this.current = ordered.number;
     const attempt = {
       ...ordered,
       requestId,
-      body: this.body,
+      body: body.getText(ordered.priority ?? tier),
       resumeAt: this.delivered,
       listener: this.createListener(ordered),
     };
--- a/packages/router/src/lib/request/RequestRunner.ts
+++ b/packages/router/src/lib/request/RequestRunner.ts
@@ -45,8 +45,9 @@
 
 /** The head of the prompt: what requests of one catalogue or contract share. */
 function getPrefixHash(chat: ChatRequest): number {
-  const [first] = chat.messages;
-  return getHash(JSON.stringify(first?.content ?? '').slice(0, routerOptions.prefixLength));
+  const content = chat.messages[0]?.content;
+  const text = typeof content === 'string' ? content : JSON.stringify(content ?? '');
+  return getHash(text.slice(0, routerOptions.prefixLength));
 }
 
 function getScheduledRequest({ call, chat }: RunOrder): ScheduledRequest {
@@ -75,6 +76,15 @@
     this.parts = parts;
   }
 
+  /**
+   * A request has begun to arrive; a shutdown waits for it.
+   *
+   * @returns to be called when it has been run or refused
+   */
+  enter(): () => void {
+    return this.parts.scheduling.enter();
+  }
+
   /** Submits a call; its work answers the caller. */
   run(order: RunOrder): void {
     const { scheduling, clock } = this.parts;
@@ -101,6 +111,10 @@
       call.response.once('close', () => task.callerLeft());
     }
     scheduling.submit(task, { kind: 'submit', request });
+    if (!order.outlivesCaller && call.response.closed) {
+      // It left before we listened: no event will tell.
+      task.callerLeft();
+    }
   }
 
   private settle(order: RunOrder, settlement: Settlement, firstProgress: number | undefined): void {
--- a/packages/router/src/lib/request/RequestTask.ts
+++ b/packages/router/src/lib/request/RequestTask.ts
@@ -105,6 +105,7 @@
       resumeAt: effect.resumeAt,
       firstTokenTimeout: effect.firstTokenTimeout,
       tokenGapTimeout: effect.tokenGapTimeout,
+      priority: effect.priority,
       signal: controller.signal,
       onProgress: (tokens: number) => this.progress(effect.attempt, tokens),
       onLoad: this.parts.onLoad,
--- a/packages/router/src/lib/request/RequestWork.ts
+++ b/packages/router/src/lib/request/RequestWork.ts
@@ -15,6 +15,8 @@
   resumeAt: number;
   firstTokenTimeout: Milliseconds;
   tokenGapTimeout: Milliseconds;
+  /** The priority to give the engine; the tier of the class when absent. */
+  priority: number | undefined;
   signal: AbortSignal;
   /** Tokens (or the plain answer) went to the caller; 0 while only the caller is waited for. */
   onProgress: (tokens: number) => void;
--- a/packages/router/src/lib/request/SchedulingTask.ts
+++ b/packages/router/src/lib/request/SchedulingTask.ts
@@ -26,7 +26,10 @@
 
   private scheduler: SchedulerPort | undefined;
 
-  private onIdle: (() => void)[] = [];
+  /** Requests that have arrived and are not submitted or refused yet. */
+  private arriving = 0;
+
+  private readonly onIdle: (() => void)[] = [];
 
   constructor(log: DecisionLog) {
     this.log = log;
@@ -37,6 +40,20 @@
     this.scheduler = scheduler;
   }
 
+  /**
+   * A request has begun to arrive. Without the count, a shutdown would pass over a caller that is
+   * still sending its request, and refuse it.
+   *
+   * @returns to be called when the request has been submitted or refused
+   */
+  enter(): () => void {
+    this.arriving += 1;
+    return () => {
+      this.arriving -= 1;
+      this.noteIdle();
+    };
+  }
+
   /** Hands a request to the scheduler. */
   submit(task: RequestTask, message: Submit): void {
     this.tasks.set(message.request.id, task);
@@ -57,20 +74,17 @@
   /** A request is over for its caller. */
   forget(id: string): void {
     this.tasks.delete(id);
-    if (this.tasks.size === 0) {
-      this.onIdle.forEach((resolve) => resolve());
-      this.onIdle = [];
-    }
+    this.noteIdle();
   }
 
-  /** How many requests are waiting or running. */
+  /** How many requests are arriving, waiting or running. */
   getSize(): number {
-    return this.tasks.size;
+    return this.tasks.size + this.arriving;
   }
 
-  /** Resolves once no request is waiting or running. */
+  /** Resolves once no request is arriving, waiting or running. */
   waitUntilIdle(): Promise<void> {
-    if (this.tasks.size === 0) {
+    if (this.getSize() === 0) {
       return Promise.resolve();
     }
     return new Promise((resolve) => {
@@ -78,6 +92,12 @@
     });
   }
 
+  private noteIdle(): void {
+    if (this.getSize() === 0) {
+      this.onIdle.splice(0).forEach((resolve) => resolve());
+    }
+  }
+
   private writeDecision(effect: SchedulerEffect): void {
     switch (effect.kind) {
       case 'dispatch':
