Hold a starting daemon's first configuration until it is the accepted one; exit for sure

Cause: a daemon that starts put the first configuration in force that any peer brought. Next to a peer that was frozen for long and had just woken, a restarted daemon served by generation 2 after it had served by 3. And a daemon that was told to stop next to a frozen peer logged that it had stopped, but its process stayed for two minutes, until the test ended it: connections to the frozen peer stayed half closed. A daemon whose mesh port was taken stayed too, with its other ports open.

The process ends itself once the daemon has stopped or could not start.

Ruled out: keeping the last generation on the instance, which keeps nothing.

Guard shown: without the wait the process-level test of versions finds "daemon-1: generation 2 after 3"; without the exit it hangs in the stop.

--- a/packages/router/src/lib/RunCommand.ts
+++ b/packages/router/src/lib/RunCommand.ts
@@ -7,8 +7,12 @@
 import { SharedFiles } from './daemon/SharedFiles.js';
 
 const EXIT_WRONG_SETTINGS = 2;
+const EXIT_FAILED = 1;
 const EXIT_FORCED = 130;
 
+/** The command ends with its process. */
+const untilExit = new Promise<number>(() => {});
+
 const LAST_PORT = 65_535;
 
 /** @throws UsageError when it is no port */
@@ -60,12 +64,12 @@
       return EXIT_WRONG_SETTINGS;
     }
     const daemon = this.createDaemon(settings);
-    const ended = this.waitForSignals(daemon);
-    const ports = await daemon.start();
+    this.endOnSignals(daemon);
+    const ports = await daemon.start().catch((error: unknown) => this.fail(error));
     this.context.stdout.write(
       `${JSON.stringify({ listening: { host: settings.host, ...ports } })}\n`,
     );
-    return ended;
+    return untilExit;
   }
 
   private async readSettings(): Promise<Settings | undefined> {
@@ -90,24 +94,29 @@
     return createRouterDaemon(settings, { lone });
   }
 
-  private waitForSignals(daemon: RouterDaemon): Promise<number> {
-    return new Promise((resolve) => {
-      let signals = 0;
-      const onSignal = () => {
-        signals += 1;
-        if (signals > 1) {
-          process.exit(EXIT_FORCED);
-        }
-        daemon.stop().then(
-          () => resolve(0),
-          (error: unknown) => {
-            this.context.stderr.write(`${String(error)}\n`);
-            resolve(1);
-          },
-        );
-      };
-      process.on('SIGTERM', onSignal);
-      process.on('SIGINT', onSignal);
-    });
+  /** A daemon that could not start would go on with some of its ports open and serve nobody. */
+  private fail(error: unknown): never {
+    this.context.stderr.write(`${String(error)}\n`);
+    process.exit(EXIT_FAILED);
+  }
+
+  /**
+   * Exits by itself once the daemon has stopped: a connection whose other end is frozen would stay
+   * half closed and hold the process for as long as that end sleeps, and a restart with it.
+   */
+  private endOnSignals(daemon: RouterDaemon): void {
+    let signals = 0;
+    const onSignal = () => {
+      signals += 1;
+      if (signals > 1) {
+        process.exit(EXIT_FORCED);
+      }
+      daemon.stop().then(
+        () => process.exit(0),
+        (error: unknown) => this.fail(error),
+      );
+    };
+    process.on('SIGTERM', onSignal);
+    process.on('SIGINT', onSignal);
   }
 }
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -3,6 +3,7 @@
 import { ClusterManager } from '@apricotrill/cluster';
 import type { Member } from '@apricotrill/cluster';
 import type { KeySource } from '@apricotrill/keys';
+import { MANIFEST_KEY, parseManifest } from '@apricotrill/configuration';
 import { Mesh } from '@apricotrill/mesh';
 import type { Configuration, Settings } from '@apricotrill/model';
 import { HttpEngineOrders, PlacementManager } from '@apricotrill/placement';
@@ -14,6 +15,7 @@
 import type { DecisionLog } from '../observe/DecisionLog.js';
 import { routerOptions } from '../options.js';
 import { ClaimAdapter } from './ClaimAdapter.js';
+import { FirstConfiguration } from './FirstConfiguration/FirstConfiguration.js';
 import { getMemberView } from './MemberList.js';
 import type { MemberList } from './MemberList.js';
 
@@ -41,6 +43,7 @@
   cluster: ClusterManager;
   claimManager: ClaimManager;
   placement: PlacementManager;
+  first: FirstConfiguration;
 }
 
 function getClaimMember(member: Member): ClaimMember {
@@ -97,9 +100,9 @@
     this.mesh.handle(CLAIM_TOPIC, (message, { from }) =>
       claimManager.handle(from, message as ClaimMessage),
     );
-    this.listen(listener, cluster, claimManager);
+    const first = this.listen(listener, cluster, claimManager);
     const placement = this.createPlacement(cluster);
-    this.joined = { cluster, claimManager, placement };
+    this.joined = { cluster, claimManager, placement, first };
     cluster.start();
     return meshPort;
   }
@@ -126,7 +129,7 @@
   }
 
   getGeneration(): number {
-    return this.joined?.cluster.getGeneration() ?? 0;
+    return this.joined?.first.generation ?? 0;
   }
 
   announceLeaving(): void {
@@ -148,6 +151,7 @@
   }
 
   dispose(): Promise<void> {
+    this.joined?.first.dispose();
     this.joined?.placement.dispose();
     this.joined?.claimManager.dispose();
     this.joined?.cluster.dispose();
@@ -159,18 +163,32 @@
     listener: SharedStateListener,
     cluster: ClusterManager,
     claimManager: ClaimManager,
-  ): void {
+  ): FirstConfiguration {
     cluster.onMembers((members) => {
       claimManager.onMembersChanged();
       const eligible = members.filter(({ isEligible }) => isEligible).map(({ id }) => id);
       listener.onDaemons(this.parts.settings.id, eligible);
     });
     cluster.onReplicaLeaving((replica, span) => listener.onReplicaLeaving(replica, span));
-    cluster.onConfiguration(({ configuration, manifest }) => {
-      this.configuration = configuration;
-      listener.onConfiguration(configuration, manifest.generation);
-      this.joined?.placement.handleConfigurationChange();
+    const first = new FirstConfiguration({
+      clock: this.parts.clock,
+      options: { grace: routerOptions.startGrace, limit: routerOptions.startLimit },
+      release: ({ configuration, manifest }) => {
+        this.configuration = configuration;
+        listener.onConfiguration(configuration, manifest.generation);
+        this.joined?.placement.handleConfigurationChange();
+      },
     });
+    cluster.onConfiguration((inForce) => first.offer(inForce));
+    this.readAccepted(first).catch(() => undefined);
+    return first;
+  }
+
+  /** Without an answer the grace decides. */
+  private async readAccepted(first: FirstConfiguration): Promise<void> {
+    const object = await this.store.get(MANIFEST_KEY);
+    const manifest = object === undefined ? undefined : parseManifest(object.value);
+    first.hearAccepted(manifest?.ok === true ? manifest.value.generation : 0);
   }
 
   private createCluster(ports: DaemonPorts & { meshPort: number }): ClusterManager {
