--- /dev/null
+++ b/packages/e2e/src/lib/storeOutage.test.ts
@@ -0,0 +1,83 @@
+import { ExitCode } from '@apricotrill/cli';
+import { Fleet } from '../test/Fleet.js';
+import { FleetCaller } from '../test/FleetCaller.js';
+import type { FleetDaemon } from '../test/FleetDaemon.js';
+import { placeHolds, startShards } from '../test/shards.js';
+
+/** For what has to outlast leases and the patience of membership. */
+const LONG = 120_000;
+
+const DOWN = { kind: 'down' } as const;
+
+const UP = { kind: 'up' } as const;
+
+describe('a long outage of the platform', () => {
+  const fleet = new Fleet();
+  const caller = new FleetCaller();
+  let holder: FleetDaemon;
+
+  beforeAll(async () => {
+    await fleet.prepare();
+    await fleet.backends.startBackend('engines', ['--checks-fencing']);
+    await fleet.backends.startBackend('portal');
+    await fleet.start(3);
+    await startShards(fleet.daemons, caller);
+    holder = await fleet.waitForHolder();
+  }, LONG);
+
+  afterAll(() => fleet.dispose());
+
+  // Symptom: gate checks and holds stop with the store, or a change made meanwhile is lost. Sequence:
+  // the store goes down and stays down until leases have run out; calls of every kind go on, keys
+  // are repeated at other daemons, a daemon joins, and an operator applies a change. Cause: a call
+  // to the store on the path of a request; claims that only the store can grant; a shard given away
+  // when the new owner cannot take it.
+  it(
+    'lets everything that runs go on, and a change wait',
+    async () => {
+      const [first, second, third] = fleet.daemons as [FleetDaemon, FleetDaemon, FleetDaemon];
+      await fleet.platform.fail(DOWN);
+
+      const lone = await fleet.addDaemon({ seeds: [] });
+      await lone.start();
+      const seeds = [first.meshPort, second.meshPort];
+      const late = await fleet.addDaemon({ seeds });
+      await late.start();
+
+      const keys = await placeHolds(caller, first);
+      await Promise.all(keys.map((key) => caller.hold(second, key)));
+      expect((await caller.check(third, '17')).end.kind).toBe('answered');
+      expect((await caller.chat(third, 20)).end.kind).toBe('answered');
+
+      // It has its configuration from its peers; the lone one has nobody to take one from.
+      await late.waitUntilReady();
+      expect(await lone.isReady()).toBe(false);
+      expect((await caller.chat(late, 20)).end.kind).toBe('answered');
+
+      const status = await fleet.operate('status', ...fleet.getDaemonOptions([first]));
+      expect(status.code).toBe(ExitCode.Unavailable);
+      expect(status.output).toMatch(/^accepted: unknown.*generation 1 is in force at 4 of 4/s);
+
+      // By then every daemon knows the late one, and what moves for its sake would have moved.
+      await holder.waitForDecision('placement', ({ kind }) => kind === 'lease-lost');
+      await placeHolds(caller, late);
+      await placeHolds(caller, third);
+
+      const files = fleet.getFiles();
+      Object.assign(files.register.workspaces[0]!, { weight: 2 });
+      const edit = await fleet.writeFiles(files);
+      const unheard = await fleet.operate('apply', '--base', '1', '--timeout', '0', ...edit);
+      expect(unheard.code).toBe(ExitCode.Unavailable);
+      expect(unheard.output).toContain('nothing was applied');
+      const wait = ['--base', '1', '--wait', ...fleet.getDaemonOptions([first])];
+      const waiting = fleet.operate('apply', ...wait, '--timeout', String(LONG), ...edit);
+      await fleet.platform.fail(UP);
+      expect((await waiting).code).toBe(ExitCode.Done);
+      await Promise.all(fleet.daemons.map((daemon) => daemon.waitForGeneration(2)));
+      await lone.waitUntilReady();
+      await placeHolds(caller, lone);
+      expect(await fleet.checkHistory(caller.calls)).toEqual([]);
+    },
+    LONG,
+  );
+});
--- a/packages/e2e/src/test/Fleet.ts
+++ b/packages/e2e/src/test/Fleet.ts
@@ -3,9 +3,13 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { getDecisions } from './decisions.js';
+import type { Decision } from './decisions.js';
 import { Deployment, RULES } from './Deployment.js';
 import { FleetDaemon } from './FleetDaemon.js';
-import { getQuietPort } from './getQuietPort.js';
+import { getQuietPorts } from './getQuietPorts.js';
+import { checkHistory, getGenerations } from './history.js';
+import type { RecordedCall } from './history.js';
 import { PlatformProcess } from './PlatformProcess.js';
 import type { OperatorResult } from './runOperator.js';
 import { runOperator } from './runOperator.js';
@@ -13,7 +17,7 @@
 const REGION = 'etela-suomi';
 
 /** The availability zones, which daemons are dealt out to in turn. */
-export const ZONES = ['helsinki-a', 'helsinki-b', 'espoo'];
+const ZONES = ['helsinki-a', 'helsinki-b', 'espoo'];
 
 type Register = ReturnType<Deployment['getRegister']>;
 
@@ -25,7 +29,7 @@
 
 /** How a daemon of a fleet differs from the others. */
 export interface FleetDaemonOptions {
-  availabilityZone?: string;
+  meshPort?: number;
   /** Where the others reach its mesh, when that is not where it listens. */
   announcedMeshPort?: number;
   /** Mesh ports of the daemons it asks first; all of the fleet when absent. */
@@ -39,6 +43,10 @@
   return { id, role, state, availabilityZone, host: '127.0.0.1', port };
 }
 
+function isGain({ kind, service }: Decision, wanted: string): boolean {
+  return kind === 'lease-gained' && service === wanted;
+}
+
 /**
  * Router daemons in several availability zones as separate processes, joined by the platform's
  * stand-in and by each other, with the configuration that the operators' command line applied.
@@ -56,6 +64,8 @@
 
   private written = 0;
 
+  private lastDaemon = 0;
+
   get platform(): PlatformProcess {
     return this.platformProcess!;
   }
@@ -70,23 +80,24 @@
   /** Applies the first configuration and starts daemons; resolves when all know each other. */
   async start(count: number): Promise<void> {
     await this.apply(0);
-    const daemons: FleetDaemon[] = [];
-    for (let index = 0; index < count; index += 1) {
-      // One after the other: each takes the next port.
+    const meshPorts = await getQuietPorts(count);
+    for (const meshPort of meshPorts) {
+      const seeds = meshPorts.filter((port) => port !== meshPort);
+      // One after the other, so that they are numbered in the order of the list.
       // eslint-disable-next-line no-await-in-loop
-      daemons.push(await this.addDaemon());
+      await this.addDaemon({ meshPort, seeds });
     }
-    await Promise.all(daemons.map((daemon) => daemon.start()));
+    await Promise.all(this.daemons.map((daemon) => daemon.start()));
     await this.waitUntilJoined();
   }
 
   /** Adds a daemon to the fleet and to the platform's list, without starting it. */
   async addDaemon(options: FleetDaemonOptions = {}): Promise<FleetDaemon> {
-    const place = this.daemons.length;
-    const id = `daemon-${place + 1}`;
-    const zone = options.availabilityZone ?? ZONES[place % ZONES.length]!;
-    const meshPort = await getQuietPort();
+    this.lastDaemon += 1;
+    const id = `daemon-${this.lastDaemon}`;
+    const zone = ZONES[(this.lastDaemon - 1) % ZONES.length]!;
     const seeds = options.seeds ?? this.daemons.map((daemon) => daemon.meshPort);
+    const meshPort = options.meshPort ?? (await getQuietPorts(1))[0]!;
     const settings = await this.write(id, {
       id,
       region: REGION,
@@ -119,6 +130,15 @@
     );
   }
 
+  /** Waits until a daemon holds the lease on a service's engines. @returns the first that did */
+  async waitForHolder(service = 'engines'): Promise<FleetDaemon> {
+    const gains = this.daemons.map(async (daemon) => {
+      await daemon.waitForDecision('placement', (decision) => isGain(decision, service));
+      return daemon;
+    });
+    return Promise.race(gains);
+  }
+
   /** The operators' files, as everything that was started wants them. */
   getFiles(): Files {
     return structuredClone({ register: this.backends.getRegister(), rules: RULES });
@@ -156,6 +176,18 @@
     return daemons.flatMap(({ adminPort }) => ['--daemon', `127.0.0.1:${adminPort}`]);
   }
 
+  /** What was violated so far, by what callers, backend servers and logs say. */
+  async checkHistory(calls: readonly RecordedCall[]): Promise<string[]> {
+    const runs = await Promise.all(this.backends.backends.map((backend) => backend.getRuns()));
+    const versions = this.daemons.map(({ id, processes }) => ({
+      daemon: id,
+      generations: processes.flatMap(({ log }) =>
+        getGenerations(getDecisions(log, 'configuration')),
+      ),
+    }));
+    return checkHistory({ calls, runs: runs.flat(), versions });
+  }
+
   /** A backend server as the platform lists it. */
   async listBackend(id: string, state: InstanceState): Promise<void> {
     const { replicas } = this.backends.getRegister();
--- a/packages/e2e/src/test/getQuietPort.ts
+++ b/packages/e2e/src/test/getQuietPorts.ts
@@ -19,15 +19,18 @@
   });
 }
 
-/** A port that is free and stays so while nobody listens at it. */
-export async function getQuietPort(): Promise<number> {
-  for (;;) {
-    const port = next;
-    next = port === LAST_PORT ? FIRST_PORT : port + 1;
-    // One port after the other until one is free.
-    // eslint-disable-next-line no-await-in-loop
-    if (await isFree(port)) {
-      return port;
-    }
-  }
+function takeNext(): number {
+  const port = next;
+  next = port === LAST_PORT ? FIRST_PORT : port + 1;
+  return port;
+}
+
+async function getQuietPort(): Promise<number> {
+  const port = takeNext();
+  return (await isFree(port)) ? port : getQuietPort();
+}
+
+/** Ports that are free and stay so while nobody listens at them. */
+export function getQuietPorts(count: number): Promise<number[]> {
+  return Promise.all(Array.from({ length: count }, getQuietPort));
 }
--- /dev/null
+++ b/packages/e2e/src/test/shards.ts
@@ -0,0 +1,75 @@
+import { DEFAULT_CLAIM_OPTIONS, getClaimName, getClaimShard } from '@apricotrill/claims';
+import type { FleetDaemon } from './FleetDaemon.js';
+import type { Entry, FleetCaller } from './FleetCaller.js';
+import { pollUntil } from './pollUntil.js';
+
+/** The only workspace of the tests. */
+const WORKSPACE = 'painotalo';
+
+export const SHARDS = DEFAULT_CLAIM_OPTIONS.shards;
+
+/** A shard of claims as its owner's log tells. */
+export interface OwnedShard {
+  owner: FleetDaemon;
+  witness?: string;
+}
+
+let lastKey = 0;
+
+/** A key never used before, of this shard. */
+export function createKey(shard: number): string {
+  for (;;) {
+    lastKey += 1;
+    const key = `hold-${lastKey}`;
+    if (getClaimShard(getClaimName(WORKSPACE, key), SHARDS) === shard) {
+      return key;
+    }
+  }
+}
+
+/** The shards that a daemon's running process owns. */
+function getOwned(daemon: FleetDaemon): Map<number, OwnedShard> {
+  const owned = new Map<number, OwnedShard>();
+  daemon.getDecisions('claim').forEach(({ kind, shard, witness }) => {
+    if (kind === 'shard-taken' || kind === 'witness-changed') {
+      owned.set(Number(shard), { owner: daemon, witness: witness as string | undefined });
+    } else if (kind === 'shard-left') {
+      owned.delete(Number(shard));
+    }
+  });
+  return owned;
+}
+
+/** Which of these daemons owns each shard. */
+export function getShards(daemons: readonly FleetDaemon[]): Map<number, OwnedShard> {
+  return new Map(daemons.flatMap((daemon) => [...getOwned(daemon)]));
+}
+
+/** Places a hold in each shard. @returns the keys, by shard */
+export async function placeHolds(caller: FleetCaller, entry: Entry): Promise<string[]> {
+  const keys = Array.from({ length: SHARDS }, (_, shard) => createKey(shard));
+  const answers = await Promise.all(keys.map((key) => caller.hold(entry, key)));
+  expect(answers.map(({ end }) => end.kind)).toEqual(keys.map(() => 'answered'));
+  return keys;
+}
+
+/**
+ * Has the first callers' holds bring every shard an owner among these daemons, and waits until each
+ * has a witness too.
+ */
+export async function startShards(
+  daemons: readonly FleetDaemon[],
+  caller: FleetCaller,
+): Promise<ReadonlyMap<number, OwnedShard>> {
+  await placeHolds(caller, daemons[0]!);
+  return pollUntil(
+    () => Promise.resolve(getShards(daemons)),
+    (shards) =>
+      shards.size === SHARDS && [...shards.values()].every(({ witness }) => witness !== undefined),
+  );
+}
+
+/** The shards of one owner. */
+export function getShardsOf(shards: ReadonlyMap<number, OwnedShard>, owner: FleetDaemon): number[] {
+  return [...shards].filter(([, owned]) => owned.owner === owner).map(([shard]) => shard);
+}
