Tell duties apart in the capacity sums; interpolate within what was measured

Cause: the sum of control was that of a daemon that owns a shard and holds a lease at once, which few do; and a figure for a size below the largest one measured was never less than the largest.

Change: the sums of control are given for a daemon without duties and for one with both; the floor of a figure holds beyond the largest size only.

--- a/packages/experiment/src/lib/capacity/CapacityProbe.ts
+++ b/packages/experiment/src/lib/capacity/CapacityProbe.ts
@@ -13,12 +13,13 @@
 }
 
 /**
- * The figure at the size it is worked out for: the line's value, or what was measured at the
- * largest size where that is more. A line through noise may fall.
+ * The figure at the size it is worked out for: the line's value; beyond the largest size measured,
+ * not less than what was measured there, since a line through noise may fall.
  */
 export function getWorkedOut({ line, atSize }: Slope): number {
   const largest = line.points.reduce((left, right) => (right.size > left.size ? right : left));
-  return Math.max(getLineValue(line, atSize), largest.value);
+  const value = getLineValue(line, atSize);
+  return atSize < largest.size ? value : Math.max(value, largest.value);
 }
 
 /** What one daemon spends on a role at the two-year size. */
@@ -52,6 +53,8 @@
   /** Whether it counts against the budget for control, or belongs to the request path. */
   isControl: boolean;
   daemon: DaemonCost;
+  /** What a daemon spends that holds none of the role's duties; the same when absent. */
+  withoutDuty?: DaemonCost;
   store: StoreCost;
   slopes: Slope[];
   /** What is not measured, each with its source. */
--- a/packages/experiment/src/lib/capacity/formatCapacity.ts
+++ b/packages/experiment/src/lib/capacity/formatCapacity.ts
@@ -1,7 +1,7 @@
 import { markdownTable } from 'markdown-table';
 import { fitLine, getLineValue } from '../measure/fitLine.js';
 import { getWorkedOut } from './CapacityProbe.js';
-import type { RoleCapacity, Slope } from './CapacityProbe.js';
+import type { DaemonCost, RoleCapacity, Slope } from './CapacityProbe.js';
 import type { FullSizeReading } from './FullSizeReading.js';
 import type { FailureReading } from './probes/readFailures.js';
 import { controlBudget, storeBudget, twoYearSize } from './twoYearSize.js';
@@ -27,7 +27,7 @@
   return roles.reduce((total, role) => total + getValue(role), 0);
 }
 
-function getDaemonCells({ daemon }: Pick<RoleCapacity, 'daemon'>): string[] {
+function getDaemonCells(daemon: DaemonCost): string[] {
   return [
     formatNumber(daemon.messagesPerSecond),
     formatNumber(daemon.bytesPerSecond),
@@ -36,37 +36,40 @@
   ];
 }
 
-function getControlSum(roles: RoleCapacity[]): string[] {
+function getControlSum(
+  title: string,
+  roles: RoleCapacity[],
+  getCost: (role: RoleCapacity) => DaemonCost,
+): string[] {
   const control = roles.filter(({ isControl }) => isControl);
-  const daemon = {
-    messagesPerSecond: sum(control, (role) => role.daemon.messagesPerSecond),
-    bytesPerSecond: sum(control, (role) => role.daemon.bytesPerSecond),
-    core: sum(control, (role) => role.daemon.core),
-    memoryBytes: sum(control, (role) => role.daemon.memoryBytes),
+  const add = (field: keyof DaemonCost) => sum(control, (role) => getCost(role)[field]);
+  const total = {
+    messagesPerSecond: add('messagesPerSecond'),
+    bytesPerSecond: add('bytesPerSecond'),
+    core: add('core'),
+    memoryBytes: add('memoryBytes'),
   };
-  return ['**all control**', '', '', ...getDaemonCells({ daemon })];
+  return [`**${title}**`, '', '', ...getDaemonCells(total)];
 }
 
 function formatDaemonTable(roles: RoleCapacity[]): string {
   const { bytesPerSecond, core, memoryBytes } = controlBudget;
+  const budget = [bytesPerSecond, core * PERCENT, memoryBytes / MEBIBYTE].map(formatNumber);
   return markdownTable([
     ['role', 'carried by', 'state held', 'messages/s', 'bytes/s', 'core %', 'memory MB'],
     ...roles.map((role) => [
       role.isControl ? role.role : `${role.role} (request path)`,
       role.mechanism,
       role.state,
-      ...getDaemonCells(role),
+      ...getDaemonCells(role.daemon),
     ]),
-    getControlSum(roles),
-    [
-      '**budget for control**',
-      '',
-      '',
-      '-',
-      formatNumber(bytesPerSecond),
-      formatNumber(core * PERCENT),
-      formatNumber(memoryBytes / MEBIBYTE),
-    ],
+    getControlSum(
+      'control, a daemon without a shard or a lease',
+      roles,
+      ({ daemon, withoutDuty }) => withoutDuty ?? daemon,
+    ),
+    getControlSum('control, a daemon with both', roles, ({ daemon }) => daemon),
+    ['**budget for control**', '', '', '-', ...budget],
   ]);
 }
 
--- a/packages/experiment/src/lib/capacity/probes/ClaimsProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/ClaimsProbe.ts
@@ -147,6 +147,12 @@
         core: claimCore + changeCore,
         memoryBytes: getWorkedOut(members.heap!),
       },
+      withoutDuty: {
+        messagesPerSecond: 0,
+        bytesPerSecond: 0,
+        core: changeCore,
+        memoryBytes: getWorkedOut(members.heap!),
+      },
       store: {
         readsPerSecond: getWorkedOut(rates.reads!),
         writesPerSecond: getWorkedOut(rates.writes!),
--- a/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
@@ -206,6 +206,7 @@
         core: getWorkedOut(slopes.core!),
         memoryBytes: getWorkedOut(slopes.heap!),
       },
+      withoutDuty: { messagesPerSecond: 0, bytesPerSecond: 0, core: 0, memoryBytes: 0 },
       store: {
         readsPerSecond: getWorkedOut(slopes.reads!),
         writesPerSecond: getWorkedOut(slopes.writes!),
--- a/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
@@ -121,7 +121,7 @@
     },
     daemonChange: {
       ...common,
-      figure: `a daemon of ${twoYearSize.daemons} comes or goes`,
+      figure: `one daemon of ${twoYearSize.daemons} comes or goes`,
       unit: 'ms',
       line: await measureLine(SIZES, measureDaemonChange),
     },
