Write the capacity tables in the form the formatter leaves

Cause: the page is written by a command, and the formatter's check would have turned its wide tables down.

Change: tables that fit the page are aligned, wider ones are not.

--- a/packages/experiment/src/lib/capacity/formatCapacity.ts
+++ b/packages/experiment/src/lib/capacity/formatCapacity.ts
@@ -1,4 +1,4 @@
-import { markdownTable } from 'markdown-table';
+import { formatTable } from '../report/formatTable.js';
 import { fitLine, getLineValue } from '../measure/fitLine.js';
 import { getWorkedOut } from './CapacityProbe.js';
 import type { DaemonCost, RoleCapacity, Slope } from './CapacityProbe.js';
@@ -55,7 +55,7 @@
 function formatDaemonTable(roles: RoleCapacity[]): string {
   const { bytesPerSecond, core, memoryBytes } = controlBudget;
   const budget = [bytesPerSecond, core * PERCENT, memoryBytes / MEBIBYTE].map(formatNumber);
-  return markdownTable([
+  return formatTable([
     ['role', 'carried by', 'state held', 'messages/s', 'bytes/s', 'core %', 'memory MB'],
     ...roles.map((role) => [
       role.isControl ? role.role : `${role.role} (request path)`,
@@ -81,7 +81,7 @@
     (['readsPerSecond', 'writesPerSecond', 'waitingWatches'] as const).map((field) =>
       formatNumber(getValue(field)),
     );
-  return markdownTable([
+  return formatTable([
     ['role', 'reads/s', 'writes/s', 'waiting watches'],
     ...users.map((role) => [role.role, ...getCells((field) => role.store[field])]),
     ['**all**', ...getCells((field) => sum(users, (role) => role.store[field]))],
@@ -107,14 +107,14 @@
 }
 
 function formatSlopes(roles: RoleCapacity[]): string {
-  return markdownTable([
+  return formatTable([
     ['role', 'figure', 'size', 'measured', 'slope', 'at zero', 'residual (RMS)', 'worked out'],
     ...roles.flatMap(({ role, slopes }) => slopes.map((slope) => getSlopeRow(role, slope))),
   ]);
 }
 
 function formatFullSize(reading: FullSizeReading): string {
-  return markdownTable([
+  return formatTable([
     ['what', 'read off'],
     [
       'resident memory of the bare process with its imports, MB',
@@ -150,7 +150,7 @@
   });
   const atSize = formatNumber(twoYearSize.daemons);
   return [
-    markdownTable([
+    formatTable([
       [
         'failure',
         'until all agree, s',
