End a job that was resumed at its last token, and no other one

A job cancelled on its very last token was resumed at its end; the engine finished it without a token, and the modelled engine put that end on the token of another job in the same step. The fault was the harness's, not the scheduler's.

Change: such a job ends with an output of its own, without tokens.

Guard tried without: the new test fails (the other job ends twice).

--- a/packages/experiment/src/lib/replicas/EngineModel/EngineModel.test.ts
+++ b/packages/experiment/src/lib/replicas/EngineModel/EngineModel.test.ts
@@ -36,6 +36,19 @@
     expect(engine.getLoad()).toEqual({ running: 0, waiting: 0 });
   });
 
+  // Symptom: answers called whole while most of their tokens were missing. A job was cancelled on
+  // its very last token and resumed at its end; the engine finished it without a token, and the
+  // end was put on the token of another job in the same step.
+  it('ends a job that was resumed at its end, and no other one', () => {
+    const { clock, engine, outputs, getTokens } = createEngine(4);
+    engine.submit(createJob('whole'));
+    engine.submit(createJob('over', { resumeAt: 10 }));
+    clock.advance(10_000);
+    expect([getTokens('whole'), getTokens('over')]).toEqual([10, 0]);
+    const ends = outputs.filter(({ finished }) => finished).map(({ key }) => key);
+    expect(ends.sort()).toEqual(['over', 'whole']);
+  });
+
   it('lets waiting jobs in by priority, then by arrival', () => {
     const { clock, engine, outputs } = createEngine(1);
     engine.submit(createJob('running', { priority: 4 }));
--- a/packages/experiment/src/lib/replicas/EngineModel/EngineModel.ts
+++ b/packages/experiment/src/lib/replicas/EngineModel/EngineModel.ts
@@ -91,7 +91,17 @@
       this.addOutput({ key: event.id, units: 1, finished: false });
     } else if (event.kind === 'finished') {
       this.keys.delete(event.id);
-      Object.assign(this.pending.at(-1)!, { finished: true });
+      this.finish(event.id);
+    }
+  }
+
+  /** A job resumed at its end has no token left: it finishes with an output of its own. */
+  private finish(key: string): void {
+    const last = this.pending.at(-1);
+    if (last?.key === key) {
+      last.finished = true;
+    } else {
+      this.addOutput({ key, units: 0, finished: true });
     }
   }
 
--- a/packages/experiment/src/lib/simulation/DaemonModel.ts
+++ b/packages/experiment/src/lib/simulation/DaemonModel.ts
@@ -119,21 +119,26 @@
   }
 
   private relay(attempt: Attempt, output: JobOutput): void {
-    const { id, number } = attempt;
     if (!attempt.answered) {
       Object.assign(attempt, { answered: true });
       this.reportLoad(attempt.replica);
     }
     Object.assign(attempt, { silentAt: this.context.clock.now() + attempt.tokenGapTimeout });
-    if (this.submissions.get(id)?.current === output.key) {
-      this.context.listener.onTokens(id, output.units);
+    if (output.units > 0) {
+      this.progress(attempt, output);
     }
-    this.policy.handle({ kind: 'progress', id, attempt: number, tokens: output.units });
     if (output.finished) {
       this.endAttempt(output.key, AttemptEnd.Completed);
     }
   }
 
+  private progress({ id, number }: Attempt, { key, units }: JobOutput): void {
+    if (this.submissions.get(id)?.current === key) {
+      this.context.listener.onTokens(id, units);
+    }
+    this.policy.handle({ kind: 'progress', id, attempt: number, tokens: units });
+  }
+
   private handleEffect(effect: SchedulerEffect): void {
     switch (effect.kind) {
       case 'dispatch':
