--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -3,8 +3,6 @@
   testEnvironment: 'node',
   // A busy machine must not change the verdict: tests wait on events, this only ends a hung one.
   testTimeout: 120000,
-  // Tests wait on events; this only ends one whose event never comes, also on a busy machine.
-  testTimeout: 60_000,
   reporters: ['default', '<rootDir>/tools/summaryReporter.mjs'],
   roots: ['<rootDir>/packages'],
   testMatch: ['**/src/**/*.test.ts'],
