Prove what happens when callers and replicas leave, and return

Cause: nothing showed that work ends when its caller goes, that a hold does not, and that a replica which leaves gets nothing new and loses nothing. One fault was found: a replica that refused a request with the word that it leaves, and took work again before it was asked for its load, never got work again, since its return was told only by the poller that had seen it leave.

Change: the poller tells with each answer that a replica takes work.

--- /dev/null
+++ b/packages/e2e/src/lib/callerLeaves.test.ts
@@ -0,0 +1,108 @@
+import { getMetric, waitForService } from '../test/admin.js';
+import { askWholeChat, createChat, placeHold } from '../test/calls.js';
+import { askChat } from '../test/chat.js';
+import { getDecisions, waitForDecision } from '../test/decisions.js';
+import { Deployment } from '../test/Deployment.js';
+import { LocalDaemon } from '../test/LocalDaemon.js';
+import { MemoryClaims } from '../test/MemoryClaims.js';
+
+const ONE_SLOT = ['--slots', '1', '--step-base', '2', '--step-per-request', '0'];
+
+describe('a caller that leaves', () => {
+  let deployment: Deployment;
+
+  beforeEach(async () => {
+    deployment = new Deployment();
+    await deployment.prepare();
+  });
+
+  afterEach(() => deployment.dispose());
+
+  // Symptom: engines are busy with answers nobody reads. Sequence: the caller closes its
+  // connection in the middle of a long answer. Cause: its leaving was noticed at the end, or not
+  // told to the engine. The engine has one slot: the second answer comes when the first one's work
+  // has ended.
+  it.each(['streamed', 'unstreamed'])('ends the work on its answer, %s', async (form) => {
+    const engine = await deployment.startBackend('engines', ONE_SLOT);
+    const daemon = await deployment.startLoneDaemon();
+    const { order, expected } = createChat(daemon.port, 2000);
+    const leaving = new AbortController();
+    const onToken = (count: number) => count === 10 && leaving.abort();
+    const { signal } = leaving;
+    const ask = form === 'streamed' ? askChat({ ...order, onToken, signal }) : undefined;
+    const left = ask ?? askWholeChat(order, signal);
+    const rejected = expect(left).rejects.toThrow();
+    if (form === 'unstreamed') {
+      await engine.waitForRuns(([run]) => (run?.tokens ?? 0) >= 10);
+      leaving.abort();
+    }
+    await rejected;
+    const second = createChat(daemon.port, 3);
+    expect((await askChat(second.order)).tokens).toEqual(second.expected);
+    const [run] = await engine.getRuns();
+    expect(run).toMatchObject({ completed: false });
+    expect(run!.tokens).toBeLessThan(expected.length);
+    const wasted = 'apricotrill_wasted_tokens_total{class="draft",reason="caller-left"}';
+    expect(await getMetric(daemon, wasted)).toBeGreaterThanOrEqual(10);
+  });
+
+  // Symptom: an engine computes answers for callers that gave up long before. Sequence: the caller
+  // leaves while its request waits in the daemon's queue. Cause: only running requests were ended.
+  it('takes its request out of the queue', async () => {
+    const engine = await deployment.startBackend('engines', ONE_SLOT);
+    const daemon = await deployment.startLoneDaemon();
+    const { order } = createChat(daemon.port, 2000);
+    const staying = new AbortController();
+    const leaving = new AbortController();
+    const ask = ({ signal }: AbortController) =>
+      askChat({ ...order, signal }).catch(() => undefined);
+    const countWaiting = async (isIt: (count: number) => boolean) => {
+      const count = ({ waiting }: { waiting: Record<string, number> }) => waiting.draft ?? 0;
+      return count(await waitForService(daemon, 'engines', (service) => isIt(count(service))));
+    };
+    const { log } = daemon.process;
+    const haveCome = (count: number) =>
+      waitForDecision(log, 'identify', () => getDecisions(log, 'identify').length >= count);
+    const asked = [ask(staying)];
+    // eslint-disable-next-line no-await-in-loop
+    while ((await countWaiting(() => true)) === 0) {
+      asked.push(ask(staying));
+    }
+    await haveCome(asked.length);
+    const before = await countWaiting(() => true);
+    asked.push(ask(leaving));
+    await haveCome(asked.length);
+    leaving.abort();
+    const left = await waitForDecision(log, 'settle');
+    expect(left.kind).toBe('caller-left');
+    await countWaiting((count) => count <= before);
+    staying.abort();
+    await Promise.all(asked);
+    const second = createChat(daemon.port, 3);
+    expect((await askChat(second.order)).tokens).toEqual(second.expected);
+    const ran = (await engine.getRuns()).map(({ requestId }) => requestId.split('/')[0]);
+    expect(ran.length).toBeGreaterThan(0);
+    expect(ran).not.toContain(left.request);
+  });
+
+  // Symptom: a hold nobody knows the end of. Sequence: the caller leaves while its hold runs, and
+  // asks again with its key. Cause: the hold was cut off like any other work.
+  it('does not end a hold', async () => {
+    const portal = await deployment.startBackend('portal', ['--delay', '200']);
+    const claims = new MemoryClaims();
+    const daemon = await LocalDaemon.start(deployment, claims);
+    const leaving = new AbortController();
+    const rejected = expect(
+      placeHold(daemon.port, 'hold-1', { signal: leaving.signal }),
+    ).rejects.toThrow();
+    await portal.waitForRuns((runs) => runs.length === 1);
+    leaving.abort();
+    await rejected;
+    await waitForDecision(daemon.log, 'settle');
+    expect(claims.ends.get('hold-1')).toMatchObject({ kind: 'answered' });
+    const again = await placeHold(daemon.port, 'hold-1');
+    expect(again).toMatchObject({ status: 200, body: { run: 1 } });
+    expect(await portal.getRuns()).toMatchObject([{ completed: true }]);
+    await daemon.dispose();
+  });
+});
--- a/packages/e2e/src/test/calls.ts
+++ b/packages/e2e/src/test/calls.ts
@@ -15,9 +15,14 @@
 export type Problem = NonNullable<ChatAnswer['problem']>;
 
 /** A chat whose answer has at least that many tokens, and the answer it must get. */
-export function createChat(port: number, atLeast: number, maxTokens = 2 * atLeast) {
+export function createChat(
+  port: number,
+  atLeast: number,
+  maxTokens = 2 * atLeast,
+  topic = 'posters on matte paper',
+) {
   for (let turn = 0; ; turn += 1) {
-    const prompt = `Quote ${turn} posters on matte paper.`;
+    const prompt = `Quote ${turn} ${topic}.`;
     const expected = getExpectedAnswer(MODEL, getMessages(prompt), maxTokens);
     if (expected.length >= atLeast) {
       return { order: { port, apiKey: API_KEY, model: MODEL, prompt, maxTokens }, expected };
--- a/packages/router/src/lib/upstream/LoadPoller.ts
+++ b/packages/router/src/lib/upstream/LoadPoller.ts
@@ -20,6 +20,7 @@
 export interface LoadPollerListener {
   onReport: (report: LoadReport) => void;
   onLeaving: (replica: string) => void;
+  /** The replica takes work; told with each answer that says so. */
   onReturned: (replica: string) => void;
 }
 
@@ -115,12 +116,17 @@
     this.noteLeaving(replica.id, answer.leaving === true);
   }
 
+  /**
+   * A replica that takes work says so each time: it may have refused a request and come back
+   * between two questions, and nobody else would ever take the word on its leaving back.
+   */
   private noteLeaving(replica: string, leaving: boolean): void {
-    if (leaving && !this.leaving.has(replica)) {
+    if (!leaving) {
+      this.leaving.delete(replica);
+      this.listener.onReturned(replica);
+    } else if (!this.leaving.has(replica)) {
       this.leaving.add(replica);
       this.listener.onLeaving(replica);
-    } else if (!leaving && this.leaving.delete(replica)) {
-      this.listener.onReturned(replica);
     }
   }
 }
