--- a/packages/policy/src/lib/ClassFairQueue/ClassFairQueue.ts
+++ b/packages/policy/src/lib/ClassFairQueue/ClassFairQueue.ts
@@ -155,6 +155,11 @@
     return Math.min(waiting, (own * (tier.activeWeight + weight)) / weight);
   }
 
+  /** Whether any request of the same class waits for the same pool. */
+  hasLane(place: QueuePlace): boolean {
+    return this.getTier(place.serviceClass.tier).hasLane(place);
+  }
+
   /** How many requests of a class wait. */
   getWaiting(className: string): number {
     return this.credits.getWaiting(className);
--- a/packages/policy/src/lib/ClassFairQueue/TierQueue.ts
+++ b/packages/policy/src/lib/ClassFairQueue/TierQueue.ts
@@ -1,5 +1,6 @@
 import { Heap } from '../structures/Heap.js';
 import { Lane } from './Lane.js';
+import type { QueuePlace } from './QueuePlace.js';
 import type { WaitingItem } from './WaitingItem.js';
 import { WorkspaceAccount } from './WorkspaceAccount.js';
 import { WorkspaceQueue } from './WorkspaceQueue.js';
@@ -7,8 +8,8 @@
 /** Accounts kept before idle ones are swept; the limit doubles with those that remain. */
 const IDLE_ACCOUNTS = 128;
 
-function getLaneKey({ place }: WaitingItem): string {
-  return `${place.serviceClass.name}\n${place.pool}`;
+function getLaneKey({ serviceClass, pool }: QueuePlace): string {
+  return `${serviceClass.name}\n${pool}`;
 }
 
 /**
@@ -78,7 +79,7 @@
       this.removeFresh(item, lane);
     }
     if (lane.isEmpty) {
-      this.lanes.delete(getLaneKey(item));
+      this.lanes.delete(getLaneKey(item.place));
     }
     this.forgetIdle();
   }
@@ -108,6 +109,11 @@
     return best;
   }
 
+  /** Whether any request of the class waits for the pool. */
+  hasLane(place: QueuePlace): boolean {
+    return this.lanes.has(getLaneKey(place));
+  }
+
   /** Waiting requests of a workspace that were never dispatched. */
   getFresh(workspace: string): number {
     return this.accounts.get(workspace)?.fresh ?? 0;
@@ -124,7 +130,7 @@
   }
 
   private getLane(item: WaitingItem): Lane {
-    const key = getLaneKey(item);
+    const key = getLaneKey(item.place);
     const known = this.lanes.get(key);
     if (known !== undefined) {
       return known;
--- a/packages/policy/src/lib/ReplicaChooser/LatencyWindow.ts
+++ b/packages/policy/src/lib/ReplicaChooser/LatencyWindow.ts
@@ -18,9 +18,17 @@
 
   private cached: number | undefined;
 
-  /** @param capacity - how many values are kept */
-  constructor(capacity: number) {
+  private addedSince = 0;
+
+  private readonly tolerance: number;
+
+  /**
+   * @param capacity - how many values are kept
+   * @param tolerance - how many values may come before the median is computed anew
+   */
+  constructor(capacity: number, tolerance = 0) {
     this.capacity = capacity;
+    this.tolerance = tolerance;
   }
 
   get size(): number {
@@ -30,7 +38,7 @@
   add(value: number): void {
     this.values[this.next] = value;
     this.next = (this.next + 1) % this.capacity;
-    this.cached = undefined;
+    this.addedSince += 1;
   }
 
   clear(): void {
@@ -41,7 +49,10 @@
 
   /** The median; zero when there is nothing. */
   getMedian(): number {
-    this.cached ??= getMedian(this.values);
+    if (this.cached === undefined || this.addedSince > this.tolerance) {
+      this.cached = getMedian(this.values);
+      this.addedSince = 0;
+    }
     return this.cached;
   }
 }
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaChooser.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaChooser.ts
@@ -46,9 +46,15 @@
   isUrgent: boolean;
 }
 
-/** Draws before giving up on finding one that did not fail the request. */
+/** Draws before the set is searched for one that fits. */
 const MAX_DRAWS = 4;
 
+/**
+ * Replicas looked at for room over less urgent work. A saturated large fleet has little of it, and
+ * looking everywhere with every message would cost more than it finds.
+ */
+const MAX_LOOKED_AT = 16;
+
 /** Convicted replicas looked at for a probe. */
 const MAX_PROBES = 8;
 
@@ -101,13 +107,18 @@
    */
   chooseAboveShare(pool: ReplicaPool, wish: Wish, now: Milliseconds): ReplicaState | undefined {
     const { failed, isUrgent, tier } = wish;
-    const drawn = this.drawTwo(
-      pool.openAbove,
-      (state) => !failed.has(state.id) && (isUrgent || pool.hasRoomOver(state, tier, now)),
-    );
+    const fits = (state: ReplicaState) =>
+      !failed.has(state.id) && (isUrgent || pool.hasRoomOver(state, tier, now));
+    const drawn = this.drawTwo(pool.openAbove, fits, MAX_LOOKED_AT);
     return this.getLessLoaded(drawn, now);
   }
 
+  /** Any replica where a tier finds room above the share. */
+  findAboveShare(pool: ReplicaPool, tier: number, now: Milliseconds): ReplicaState | undefined {
+    const fits = (state: ReplicaState) => pool.hasRoomOver(state, tier, now);
+    return this.draw(pool.openAbove, fits, MAX_LOOKED_AT);
+  }
+
   /** Chooses among the replicas with room above the share for a class whose floor is due. */
   chooseForFloor(pool: ReplicaPool, { failed }: Wish, now: Milliseconds): ReplicaState | undefined {
     const drawn = this.drawTwo(pool.openAbove, ({ id }) => !failed.has(id));
@@ -147,19 +158,27 @@
   private drawTwo(
     candidates: SampledSet<ReplicaState>,
     fits: (state: ReplicaState) => boolean,
+    limit?: number,
   ): ReplicaState[] {
-    const first = this.draw(candidates, fits);
-    const second = this.draw(candidates, (state) => state !== first && fits(state));
-    return [first, second].filter((state) => state !== undefined);
+    const first = this.draw(candidates, fits, limit);
+    if (first === undefined || candidates.size === 1) {
+      return first === undefined ? [] : [first];
+    }
+    const second = this.draw(candidates, (state) => state !== first && fits(state), limit);
+    return second === undefined ? [first] : [first, second];
   }
 
-  private draw(candidates: SampledSet<ReplicaState>, fits: (state: ReplicaState) => boolean) {
+  private draw(
+    candidates: SampledSet<ReplicaState>,
+    fits: (state: ReplicaState) => boolean,
+    limit?: number,
+  ): ReplicaState | undefined {
     for (let draws = 0; draws < MAX_DRAWS; draws += 1) {
       const drawn = candidates.draw(this.random);
       if (drawn === undefined || fits(drawn)) {
         return drawn;
       }
     }
-    return candidates.find(this.random, fits);
+    return candidates.find(this.random, fits, limit);
   }
 }
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
@@ -138,7 +138,11 @@
 
   /** How many requests of a tier, or of more urgent ones, this daemon has running here. */
   getRunningUpTo(tier: number): number {
-    return this.byTier.slice(0, tier + 1).reduce((sum, count) => sum + (count ?? 0), 0);
+    let sum = 0;
+    for (let each = 0; each <= tier; each += 1) {
+      sum += this.byTier[each] ?? 0;
+    }
+    return sum;
   }
 
   /** Notes that a request was sent (1) or ended (-1). */
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaTable.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaTable.ts
@@ -34,6 +34,9 @@
 
   private readonly pools = new Map<string | undefined, ReplicaPool>();
 
+  /** How many replicas hold each model. */
+  private readonly holders = new Map<string, number>();
+
   private readonly timers = new Map<ReplicaState, Timer>();
 
   constructor(parts: ReplicaTableParts) {
@@ -48,8 +51,13 @@
     return this.states.values();
   }
 
-  /** The replicas that can run a model, or any of them. */
-  getPool(model: string | undefined): ReplicaPool {
+  /**
+   * The replicas that can run a model. Those of a model that placement keeps nowhere, or of none,
+   * are all replicas: a caller that makes up names of models must not fill the memory with pools.
+   */
+  getPool(wanted: string | undefined): ReplicaPool {
+    const isHeld = wanted !== undefined && this.holders.has(wanted);
+    const model = isHeld || this.pools.has(wanted) ? wanted : undefined;
     const known = this.pools.get(model);
     if (known !== undefined) {
       return known;
@@ -79,13 +87,10 @@
   /** Divides the slots anew, after replicas or daemons changed. */
   updateShares(): void {
     const listed = [...this.states.values()].filter(({ isListed }) => isListed);
-    const holders = new Map<string, number>();
-    listed.forEach((state) =>
-      state.getModels().forEach((model) => holders.set(model, (holders.get(model) ?? 0) + 1)),
-    );
+    this.countHolders(listed);
     listed.forEach((state) => {
       // A model that few replicas hold must be reached by every daemon, also in a large fleet.
-      const counts = [...state.getModels()].map((model) => holders.get(model)!);
+      const counts = [...state.getModels()].map((model) => this.holders.get(model)!);
       const count = Math.min(listed.length, ...counts);
       const slots = this.parts.reserve.getUsable(state.replica.slots);
       state.setShare(this.parts.limit.getShare(state.id, slots, count), slots);
@@ -131,6 +136,15 @@
     this.timers.clear();
   }
 
+  private countHolders(listed: readonly ReplicaState[]): void {
+    this.holders.clear();
+    listed.forEach((state) =>
+      state.getModels().forEach((model) => {
+        this.holders.set(model, (this.holders.get(model) ?? 0) + 1);
+      }),
+    );
+  }
+
   private unlist(state: ReplicaState, listed: ReadonlySet<string>): void {
     if (listed.has(state.id)) {
       return;
--- a/packages/policy/src/lib/ReplicaChooser/StragglerDetector.ts
+++ b/packages/policy/src/lib/ReplicaChooser/StragglerDetector.ts
@@ -10,9 +10,11 @@
   TokenGap = 'token-gap',
 }
 
-/** Measurements kept to know what is usual for a class. */
+/** Measurements kept to know what is usual for a class, and how many new ones may be ignored. */
 const CLASS_WINDOW = 63;
 
+const CLASS_TOLERANCE = 7;
+
 /** Measurements of a class needed before anything is called unusual. */
 const MIN_CLASS_SAMPLES = 8;
 
@@ -91,7 +93,7 @@
   }
 
   private getRatio(key: string, value: Milliseconds): number | undefined {
-    const window = this.usual.get(key) ?? new LatencyWindow(CLASS_WINDOW);
+    const window = this.usual.get(key) ?? new LatencyWindow(CLASS_WINDOW, CLASS_TOLERANCE);
     this.usual.set(key, window);
     const median = window.size < MIN_CLASS_SAMPLES ? undefined : window.getMedian();
     window.add(value);
--- a/packages/policy/src/lib/Scheduler/Attempt.ts
+++ b/packages/policy/src/lib/Scheduler/Attempt.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@apricotrill/utils';
-import type { CancelReason } from '../messages.js';
+import { CancelReason } from '../messages.js';
 import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
 import { Delay } from '../ReplicaChooser/StragglerDetector.js';
 
@@ -71,6 +71,13 @@
       : this.lastAt + this.tokenGapTimeout;
   }
 
+  /** Whether the scheduler ended it for reasons that say nothing about the replica's answer. */
+  get isOwnCancel(): boolean {
+    return (
+      this.cancelReason === CancelReason.Preempted || this.cancelReason === CancelReason.Straggling
+    );
+  }
+
   /** Whether the replica has begun to answer, and so has given it a slot. */
   get hasAnswered(): boolean {
     return this.lastAt !== undefined;
--- a/packages/policy/src/lib/Scheduler/ReplicaReview.ts
+++ b/packages/policy/src/lib/Scheduler/ReplicaReview.ts
@@ -5,8 +5,10 @@
 import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
 import type { ReplicaTable } from '../ReplicaChooser/ReplicaTable.js';
 import { StragglerDetector, Verdict } from '../ReplicaChooser/StragglerDetector.js';
+import type { RetryBudget } from '../RetryBudget/RetryBudget.js';
 import type { Measurement } from './Attempt.js';
 import type { RequestRecord } from './RequestRecord.js';
+import type { RunningRequests } from './RunningRequests.js';
 
 /**
  * What the review is made of.
@@ -17,6 +19,10 @@
   clock: Clock;
   options: PolicyOptions;
   table: ReplicaTable;
+  running: RunningRequests;
+  budget: RetryBudget;
+  /** Stops an attempt at a replica that is too slow. */
+  cancel: (record: RequestRecord) => void;
 }
 
 /**
@@ -77,13 +83,27 @@
     }
     if (verdict === Verdict.Convicted) {
       state.convict(now);
+      this.parts.table.refresh(state);
+      this.moveAway(state, now);
     } else {
       state.acquit();
+      this.parts.table.refresh(state);
     }
-    this.parts.table.refresh(state);
     return true;
   }
 
+  /** Takes the requests that run at a convicted replica to its peers, within the retry budget. */
+  private moveAway(state: ReplicaState, now: Milliseconds): void {
+    const { running, budget, cancel } = this.parts;
+    running.getAt(state).forEach((record) => {
+      const isWorthIt = record.canGoOn && !record.hasMoved && record.pool.open.size > 0;
+      if (isWorthIt && budget.take(now, record.isUrgent)) {
+        record.move(state.id);
+        cancel(record);
+      }
+    });
+  }
+
   private getDetector(pool: ReplicaPool): StragglerDetector {
     const known = this.detectors.get(pool);
     if (known !== undefined) {
--- a/packages/policy/src/lib/Scheduler/RequestRecord.ts
+++ b/packages/policy/src/lib/Scheduler/RequestRecord.ts
@@ -148,9 +148,16 @@
   }
 
   getPlace(): QueuePlace {
-    const { id, serviceClass, workspace, workspaceWeight, model } = this.request;
+    const { id, serviceClass, workspace, workspaceWeight } = this.request;
     const resumed = this.attemptCount > 0 || this.parkCount > 0;
-    return { id, serviceClass, workspace, weight: workspaceWeight, pool: model ?? '', resumed };
+    return {
+      id,
+      serviceClass,
+      workspace,
+      weight: workspaceWeight,
+      pool: this.pool.model ?? '',
+      resumed,
+    };
   }
 
   getWish(): Wish {
--- a/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
+++ b/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
@@ -1,15 +1,12 @@
 import type { Replica } from '@apricotrill/model';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
-import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import type { Milliseconds } from '@apricotrill/utils';
 import { AttemptEnd, CancelReason, GiveUpReason } from '../messages.js';
-import type { LoadReport, Outcome, ScheduledRequest, SchedulerEffect } from '../messages.js';
-import type { PolicyOptions } from '../policyOptions.js';
+import type { LoadReport, Outcome, ScheduledRequest } from '../messages.js';
 import { ReplicaChooser } from '../ReplicaChooser/ReplicaChooser.js';
-import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
 import { ReplicaTable } from '../ReplicaChooser/ReplicaTable.js';
 import { Reserve } from '../Reserve/Reserve.js';
 import { RetryBudget } from '../RetryBudget/RetryBudget.js';
-import type { SharedLimit } from '../SharedLimit/SharedLimit.js';
 import { WaitingRoom } from '../WaitingRoom/WaitingRoom.js';
 import { AttemptRunner } from './AttemptRunner.js';
 import { getNextStep } from './getNextStep.js';
@@ -18,25 +15,9 @@
 import { ReplicaReview } from './ReplicaReview.js';
 import { Phase, RequestRecord } from './RequestRecord.js';
 import { RunningRequests } from './RunningRequests.js';
+import type { ServiceSchedulerParts } from './ServiceSchedulerParts.js';
 import { SlotFinder } from './SlotFinder.js';
 
-/**
- * What the scheduler of one service is made of.
- *
- * @internal
- */
-export interface ServiceSchedulerParts {
-  service: string;
-  clock: Clock;
-  random: Random;
-  options: PolicyOptions;
-  limit: SharedLimit;
-  /** All requests that are not over, of every service. */
-  records: Map<string, RequestRecord>;
-  isLeaving: (replica: string) => boolean;
-  emit: (effect: SchedulerEffect) => void;
-}
-
 interface GivingUp {
   reason: GiveUpReason;
   /** What the caller is told if it is not what the attempts say. */
@@ -110,7 +91,14 @@
       onExpired: (record) => this.expire(record),
       onReturned: () => this.pump(),
     });
-    this.review = new ReplicaReview({ clock, options, table: this.table });
+    this.review = new ReplicaReview({
+      clock,
+      options,
+      table: this.table,
+      running: this.running,
+      budget: this.budget,
+      cancel: (record) => this.attempts.cancel(record, CancelReason.Straggling),
+    });
   }
 
   submit(request: ScheduledRequest): void {
@@ -135,8 +123,7 @@
       this.giveUp(records.get(loser)!, { reason: GiveUpReason.Overload });
     }
     if (loser !== record.id) {
-      this.room.add(record);
-      this.pump();
+      this.join(record);
     }
   }
 
@@ -156,7 +143,6 @@
     this.review.noteSuccess(state);
     const measurement = record.progress(tokens, this.parts.clock.now());
     if (measurement !== undefined && this.review.noteMeasurement(record, state, measurement)) {
-      this.moveAway(state);
       this.pump();
     }
   }
@@ -167,17 +153,14 @@
       this.attempts.release(record);
     }
     record.end(end);
-    const isOwnCancel =
-      attempt.cancelReason === CancelReason.Preempted ||
-      attempt.cancelReason === CancelReason.Straggling;
     if (end === AttemptEnd.Completed) {
       this.budget.earn();
       this.review.noteSuccess(attempt.state);
-    } else if (!isOwnCancel) {
+    } else if (!attempt.isOwnCancel) {
       record.fail(attempt.state.id);
       this.review.noteFailure(attempt.state, end, retryAfter);
     }
-    this.goOn(record, end, isOwnCancel);
+    this.goOn(record, end, attempt.isOwnCancel);
     this.pump();
   }
 
@@ -238,13 +221,23 @@
     );
   }
 
+  /**
+   * Lets a newcomer wait, or start if it can. After every message all that waits is known to find
+   * no room, so one more behind it finds none either; in an overload this saves most of the work.
+   */
+  private join(record: RequestRecord): void {
+    const isBlocked = this.room.isBlocked(record);
+    this.room.add(record);
+    if (!isBlocked) {
+      this.pump();
+    }
+  }
+
   private start(record: RequestRecord): Promise<void> {
-    const { tier, isUrgent } = record;
-    const now = this.parts.clock.now();
-    const className = record.request.serviceClass.name;
     const { overtakes } = this;
-    const entitlement = { tier, isUrgent, className, overtakes };
-    const slot = this.slots.find(record, entitlement, now);
+    const className = record.request.serviceClass.name;
+    const entitlement = { tier: record.tier, isUrgent: record.isUrgent, className, overtakes };
+    const slot = this.slots.find(record, entitlement, this.parts.clock.now());
     if (slot === undefined) {
       this.room.park(record);
       return Promise.resolve();
@@ -290,20 +283,6 @@
     this.giveUp(record, { reason: isOrphan ? GiveUpReason.NoReplica : GiveUpReason.Deadline });
   }
 
-  /** Gives the requests that run at a convicted replica to its peers, within the retry budget. */
-  private moveAway(state: ReplicaState): void {
-    const now = this.parts.clock.now();
-    const movable = this.running
-      .getAt(state)
-      .filter((record) => record.canGoOn && !record.hasMoved);
-    movable.forEach((record) => {
-      if (state.convicted && record.pool.open.size > 0 && this.budget.take(now, record.isUrgent)) {
-        record.move(state.id);
-        this.attempts.cancel(record, CancelReason.Straggling);
-      }
-    });
-  }
-
   private giveUp(
     record: RequestRecord,
     { reason, outcome = record.outcome, retryAfter }: GivingUp,
--- /dev/null
+++ b/packages/policy/src/lib/Scheduler/ServiceSchedulerParts.ts
@@ -0,0 +1,22 @@
+import type { Clock, Random } from '@apricotrill/utils';
+import type { SchedulerEffect } from '../messages.js';
+import type { PolicyOptions } from '../policyOptions.js';
+import type { SharedLimit } from '../SharedLimit/SharedLimit.js';
+import type { RequestRecord } from './RequestRecord.js';
+
+/**
+ * What the scheduler of one service is made of.
+ *
+ * @internal
+ */
+export interface ServiceSchedulerParts {
+  service: string;
+  clock: Clock;
+  random: Random;
+  options: PolicyOptions;
+  limit: SharedLimit;
+  /** All requests that are not over, of every service. */
+  records: Map<string, RequestRecord>;
+  isLeaving: (replica: string) => boolean;
+  emit: (effect: SchedulerEffect) => void;
+}
--- a/packages/policy/src/lib/Scheduler/SlotFinder.ts
+++ b/packages/policy/src/lib/Scheduler/SlotFinder.ts
@@ -2,6 +2,7 @@
 import { ChoiceReason } from '../ReplicaChooser/ReplicaChooser.js';
 import type { Choice, ReplicaChooser } from '../ReplicaChooser/ReplicaChooser.js';
 import type { ReplicaPool } from '../ReplicaChooser/ReplicaPool.js';
+import type { ReplicaState } from '../ReplicaChooser/ReplicaState.js';
 import type { RequestRecord } from './RequestRecord.js';
 import type { RunningRequests } from './RunningRequests.js';
 
@@ -55,6 +56,9 @@
 
   private readonly preemptingTier: number;
 
+  /** What `canStart` found last: in a large fleet a second search may look elsewhere. */
+  private found: ReplicaState | undefined;
+
   constructor(chooser: ReplicaChooser, running: RunningRequests, preemptingTier: number) {
     this.chooser = chooser;
     this.running = running;
@@ -68,9 +72,8 @@
     }
     const { tier, isUrgent } = entitlement;
     if (pool.openAbove.size > 0) {
-      const wish = { tier, isUrgent, failed: NONE, mayProbe: false, affinityKey: undefined };
-      const above = this.chooser.chooseAboveShare(pool, wish, now);
-      if (above !== undefined || this.isFloorDue(entitlement)) {
+      this.found = isUrgent ? undefined : this.chooser.findAboveShare(pool, tier, now);
+      if (isUrgent || this.found !== undefined || this.isFloorDue(entitlement)) {
         return true;
       }
     }
@@ -102,7 +105,8 @@
     now: Milliseconds,
   ): Slot | undefined {
     const { pool, tier, failed, isUrgent } = record;
-    const above = this.chooser.chooseAboveShare(pool, record.getWish(), now);
+    const above =
+      this.chooser.chooseAboveShare(pool, record.getWish(), now) ?? this.getFound(record);
     const hasRoom = above !== undefined && above.getPressure(now) <= 1;
     if (above !== undefined && (hasRoom || !isUrgent)) {
       const mayPreemptLater = tier <= this.preemptingTier;
@@ -140,6 +144,13 @@
     );
   }
 
+  private getFound({ pool, failed }: RequestRecord): ReplicaState | undefined {
+    const { found } = this;
+    this.found = undefined;
+    const isFit = found !== undefined && pool.openAbove.has(found) && !failed.has(found.id);
+    return isFit ? found : undefined;
+  }
+
   private isFloorDue({ overtakes, className }: Entitlement): boolean {
     return overtakes !== undefined && this.running.getOfClass(className) === 0;
   }
--- a/packages/policy/src/lib/WaitingRoom/WaitingRoom.ts
+++ b/packages/policy/src/lib/WaitingRoom/WaitingRoom.ts
@@ -133,6 +133,11 @@
     this.getDrainRate(record.request.serviceClass.name).setWaiting(true, now);
   }
 
+  /** Whether requests wait that could run wherever this one could, and can't. */
+  isBlocked(record: RequestRecord): boolean {
+    return this.fair.hasLane(record.getPlace());
+  }
+
   /**
    * Takes a request aside for a moment: only replicas that failed it have room, and it must not
    * hold up those behind it. After the pause those replicas may be tried again.
--- a/packages/policy/src/lib/structures/SampledSet.ts
+++ b/packages/policy/src/lib/structures/SampledSet.ts
@@ -38,11 +38,20 @@
     return this.members[random.integer(this.members.length)];
   }
 
-  /** The first member that fits, looking from a random place on. */
-  find(random: Random, fits: (member: Member) => boolean): Member | undefined {
+  /**
+   * The first member that fits, looking from a random place on.
+   *
+   * @param limit - how many members are looked at; all by default
+   */
+  find(
+    random: Random,
+    fits: (member: Member) => boolean,
+    limit = Number.POSITIVE_INFINITY,
+  ): Member | undefined {
     const { length } = this.members;
     const start = random.integer(Math.max(1, length));
-    for (let step = 0; step < length; step += 1) {
+    const last = Math.min(length, limit);
+    for (let step = 0; step < last; step += 1) {
       const member = this.members[(start + step) % length]!;
       if (fits(member)) {
         return member;
