Play edits of the full-size state that really come in force

Cause: each edit was made against the first generation, so that from the second one on a part was missing, the edit was refused, and the reading of steady control was a third of the truth.

Change: edits follow one another, an edit that does not come in force stops the reading, and comings and goings reach the scheduler too.

--- a/packages/experiment/src/lib/capacity/measureFullSize.ts
+++ b/packages/experiment/src/lib/capacity/measureFullSize.ts
@@ -3,7 +3,7 @@
 import type { Manifest } from '@apricotrill/configuration';
 import { MemoryPlatformStore } from '@apricotrill/platform';
 import { Scheduler } from '@apricotrill/policy';
-import { createRandom, ManualClock } from '@apricotrill/utils';
+import { assert, createRandom, ManualClock } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import { advanceClock } from '../measure/advanceClock.js';
 import { measureProcessorTime, settleHeap } from '../measure/measureCost.js';
@@ -37,15 +37,19 @@
  * @internal
  */
 export function createFullSizeInput(): FullSizeInput {
-  const configuration = createSizedConfiguration(twoYearSize.replicas);
-  const first = createGeneration(configuration, 1);
+  let configuration = createSizedConfiguration(twoYearSize.replicas);
+  let before = createGeneration(configuration, 1);
+  const input: FullSizeInput = [{ manifest: before.manifest, texts: [...before.texts] }];
   const count = Math.ceil(STEADY_SECONDS / EDIT_SECONDS);
-  const edits = Array.from({ length: count }, (_, edit) => {
-    const edited = createGeneration(createEdited(configuration, edit), edit + 2);
-    const texts = [...edited.texts].filter(([hash]) => !first.texts.has(hash));
-    return { manifest: edited.manifest, texts };
-  });
-  return [{ manifest: first.manifest, texts: [...first.texts] }, ...edits];
+  for (let edit = 0; edit < count; edit += 1) {
+    configuration = createEdited(configuration, edit);
+    const after = createGeneration(configuration, edit + 2);
+    const known = before.texts;
+    const texts = [...after.texts].filter(([hash]) => !known.has(hash));
+    input.push({ manifest: after.manifest, texts });
+    before = after;
+  }
+  return input;
 }
 
 /** The parts of a daemon that hold control state, joined as the daemon joins them. */
@@ -86,19 +90,32 @@
   }
 }
 
+function putInForce({ inForce }: ControlState, { manifest, texts }: Generation): void {
+  const { kind } = inForce.offer(manifest, texts);
+  assert(kind === 'in-force', `generation ${manifest.generation} comes in force, not ${kind}`);
+}
+
+/** One daemon goes, and the one that went before is back. */
+function changeMembers({ claims, scheduler }: ControlState, gone: number): void {
+  const ids = createMembers(twoYearSize.daemons).map(({ id }) => id);
+  const [self] = ids;
+  const daemons = ids.filter((id, index) => index === 0 || index !== gone);
+  scheduler.handle({ kind: 'daemons', self: self!, daemons });
+  claims.onMembersChanged();
+}
+
 /** One minute: reports every second, edits and comings and goings at their average rate. */
 async function playSteadyControl(state: ControlState, edits: Generation[]): Promise<void> {
   let memberChanges = 0;
   for (let second = 0; second < STEADY_SECONDS; second += 1) {
     reportLoads(state);
     if (second % EDIT_SECONDS === 0) {
-      const edit = edits[second / EDIT_SECONDS]!;
-      state.inForce.offer(edit.manifest, edit.texts);
+      putInForce(state, edits[second / EDIT_SECONDS]!);
     }
     memberChanges += MEMBER_CHANGES_PER_SECOND;
     if (memberChanges >= 1) {
       memberChanges -= 1;
-      state.claims.onMembersChanged();
+      changeMembers(state, second);
     }
     // eslint-disable-next-line no-await-in-loop
     await advanceClock(state.clock, SECOND);
@@ -123,7 +140,7 @@
   }));
   const state = createControlState();
   const loadTime = await measureProcessorTime(() => {
-    state.inForce.offer(first!.manifest, first!.texts);
+    putInForce(state, first!);
     reportLoads(state);
   });
   await settleHeap();
