--- a/packages/claims/src/lib/ClaimOptions.ts
+++ b/packages/claims/src/lib/ClaimOptions.ts
@@ -14,8 +14,10 @@
    * remembered for twice as long after its grant, and must end within one retention.
    */
   retention: Milliseconds;
-  /** Least time between the starts of two commits of a shard: bounds the writes a second. */
+  /** Mean time between the starts of two commits of a shard: bounds the writes a second. */
   commitInterval: Milliseconds;
+  /** How many commits may start at once after a quiet time, so that a lone claim need not wait. */
+  commitBurst: number;
   /** How long an outcome may wait for a commit that some claim starts anyway. */
   settleDelay: Milliseconds;
   /** How long the entry daemon tries for a grant; a grant that arrives later is void. */
@@ -75,6 +77,7 @@
   shards: 16,
   retention: 15 * MINUTE,
   commitInterval: 100,
+  commitBurst: 3,
   settleDelay: SECOND,
   claimTimeout: 2 * SECOND,
   callTimeout: SECOND,
@@ -89,7 +92,7 @@
   retryDelayLimit: 2 * SECOND,
   candidates: 3,
   answerLimit: 4 * KIBIBYTE,
-  rollSize: 48 * KIBIBYTE,
+  rollSize: 16 * KIBIBYTE,
   segmentSize: 512 * KIBIBYTE,
   headLimit: 768 * KIBIBYTE,
   entryLimit: 20_000,
--- a/packages/claims/src/lib/ClaimShard/CommitLoop.ts
+++ b/packages/claims/src/lib/ClaimShard/CommitLoop.ts
@@ -1,9 +1,10 @@
 import type { StoredObject } from '@apricotrill/platform';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimMember } from '../claimTypes.js';
-import { getHeadKey, getSegmentPrefix, parseHead } from '../ShardHead.js';
+import { getHeadKey, getSegmentKey, parseHead } from '../ShardHead.js';
 import type { SegmentReference, ShardHead } from '../ShardHead.js';
 import { Backoff } from './Backoff.js';
+import { CommitPace } from './CommitPace.js';
 import { NO_ANSWER } from './shardMessages.js';
 import type { HeadRead, ShardContext, WriteResult } from './shardMessages.js';
 import type { SegmentPlan, ShardTable } from './ShardTable.js';
@@ -38,12 +39,12 @@
 
 type Pending =
   | { kind: 'head'; id: number; commit: Commit }
-  | { kind: 'segment'; id: number; plan: SegmentPlan }
+  | { kind: 'segment'; id: number; number: number; plan: SegmentPlan }
   | { kind: 'read'; id: number; sentAt: Milliseconds };
 
 /**
  * Group commit of one shard: one conditional write of the head at a time, holding every mutation
- * made so far, and no two starts closer than the commit interval. A write without an answer is
+ * made so far, on average no more often than the commit interval. A write without an answer is
  * looked up by its commit id.
  */
 export class CommitLoop {
@@ -64,9 +65,7 @@
 
   private readonly backoff: Backoff;
 
-  private due: Milliseconds = Number.POSITIVE_INFINITY;
-
-  private lastStart: Milliseconds = Number.NEGATIVE_INFINITY;
+  private readonly pace: CommitPace;
 
   constructor(
     private readonly context: ShardContext,
@@ -80,6 +79,7 @@
     this.wanted = header;
     this.committed = start.sequence;
     this.provedAt = start.provedAt;
+    this.pace = new CommitPace(context.options);
     this.backoff = new Backoff(context.options.retryDelay, context.options.retryDelayLimit);
   }
 
@@ -107,7 +107,7 @@
 
   /** Asks for a commit that starts by a time. */
   request(at: Milliseconds): void {
-    this.due = Math.min(this.due, at);
+    this.pace.request(at);
   }
 
   getNextWake(): Milliseconds {
@@ -117,14 +117,14 @@
     if (this.mustReadBack) {
       return this.backoff.due;
     }
-    return Math.min(this.getWriteTime(), this.provedAt + this.context.options.verifyInterval);
+    return Math.min(this.pace.due, this.provedAt + this.context.options.verifyInterval);
   }
 
   step(now: Milliseconds): void {
     if (this.pending !== undefined || now < this.getNextWake()) {
       return;
     }
-    if (!this.mustReadBack && now >= this.getWriteTime()) {
+    if (!this.mustReadBack && now >= this.pace.due) {
       this.write(now);
     } else {
       this.pending = { kind: 'read', id: this.context.createId(), sentAt: now };
@@ -161,7 +161,7 @@
     }
     this.onAnswer();
     if (pending.kind === 'segment') {
-      this.onSegment(pending.plan, result);
+      this.onSegment(pending.number, pending.plan, result);
     } else if (result.kind === 'accepted') {
       this.adopt(pending.commit, result.version, pending.commit.sentAt, now);
     } else {
@@ -170,16 +170,11 @@
     return true;
   }
 
-  private getWriteTime(): Milliseconds {
-    return Math.max(this.due, this.lastStart + this.context.options.commitInterval);
-  }
-
   private write(now: Milliseconds): void {
     const { rollSize, segmentSize } = this.context.options;
     this.table.expire(now);
-    const name = this.createCommitId();
     const plan =
-      this.table.rollableSize > rollSize ? this.table.planSegment(name, segmentSize) : undefined;
+      this.table.rollableSize > rollSize ? this.table.planSegment(segmentSize) : undefined;
     if (plan === undefined) {
       this.writeHead(now);
     } else {
@@ -190,22 +185,22 @@
   private writeSegment(plan: SegmentPlan): void {
     const { shard, createId, emit } = this.context;
     const id = createId();
-    this.pending = { kind: 'segment', id, plan };
-    const key = `${getSegmentPrefix(shard)}${plan.name}`;
+    const number = createId();
+    this.pending = { kind: 'segment', id, number, plan };
+    const key = getSegmentKey(shard, { writer: this.getWriter(), number });
     emit({ kind: 'write', id, key, value: plan.value, expectedVersion: 0 });
   }
 
   private writeHead(now: Milliseconds): void {
     const { shard, createId, emit } = this.context;
     const commit: Commit = {
-      id: this.createCommitId(),
+      id: `${this.getWriter()}.${createId()}`,
       header: this.wanted,
       sequence: this.source.getSequence(),
       dropped: this.table.getExpiredSegments(),
       sentAt: now,
     };
-    this.due = Number.POSITIVE_INFINITY;
-    this.lastStart = now;
+    this.pace.start(now);
     this.unconfirmed.set(commit.id, commit);
     const value = JSON.stringify(this.source.createHead(commit.id, commit.header, now));
     const id = createId();
@@ -213,9 +208,9 @@
     emit({ kind: 'write', id, key: getHeadKey(shard), value, expectedVersion: this.version });
   }
 
-  private createCommitId(): string {
-    const { self, createId } = this.context;
-    return `${self.id}.${self.incarnation}.${createId()}`;
+  private getWriter(): string {
+    const { self } = this.context;
+    return `${self.id}.${self.incarnation}`;
   }
 
   private onNoAnswer(now: Milliseconds): void {
@@ -239,13 +234,19 @@
     emit({ kind: 'decision', decision: { kind, shard, epoch: this.header.epoch } });
   }
 
-  private onSegment(plan: SegmentPlan, result: Exclude<WriteResult, typeof NO_ANSWER>): void {
+  private onSegment(
+    number: number,
+    plan: SegmentPlan,
+    result: Exclude<WriteResult, typeof NO_ANSWER>,
+  ): void {
     if (result.kind === 'conflict') {
       // The name is taken, which only a repeated delivery of our own write explains: the next try
       // uses a new name, and what is left behind is removed at the next takeover.
       return;
     }
-    this.table.finishSegment(plan, result.version);
+    const { version } = result;
+    const reference = { writer: this.getWriter(), number, version, expires: plan.expires };
+    this.table.finishSegment(plan, reference);
     const { shard, emit } = this.context;
     const { epoch } = this.header;
     const sizes = { entries: plan.names.length, size: plan.value.length };
@@ -285,8 +286,9 @@
       this.request(now);
     }
     const { shard, emit } = this.context;
-    for (const { name, version: expectedVersion } of commit.dropped) {
-      emit({ kind: 'delete', key: `${getSegmentPrefix(shard)}${name}`, expectedVersion });
+    for (const segment of commit.dropped) {
+      const key = getSegmentKey(shard, segment);
+      emit({ kind: 'delete', key, expectedVersion: segment.version });
     }
     this.table.forgetExpired(commit.dropped);
     this.source.onCommitted(commit, now);
--- a/packages/claims/src/lib/ClaimShard/ShardTable.ts
+++ b/packages/claims/src/lib/ClaimShard/ShardTable.ts
@@ -9,17 +9,16 @@
 interface Row {
   entry: ClaimEntry;
   size: number;
-  /** The segment that holds it; undefined while it stands in the head. */
-  segment?: string;
+  /** Whether a segment holds it, not the head. */
+  isInSegment: boolean;
 }
 
 function isRollable(row: Row): boolean {
-  return row.segment === undefined && row.entry.state === EntryState.Settled;
+  return !row.isInSegment && row.entry.state === EntryState.Settled;
 }
 
 /** A segment about to be written. */
 export interface SegmentPlan {
-  name: string;
   names: string[];
   value: string;
   expires: Milliseconds;
@@ -67,7 +66,8 @@
 
   put(entry: ClaimEntry): void {
     this.remove(entry.name);
-    const row = { entry, size: Buffer.byteLength(JSON.stringify(entry)) };
+    const size = Buffer.byteLength(JSON.stringify(entry));
+    const row = { entry, size, isInSegment: false };
     this.rows.set(entry.name, row);
     this.account(row, 1);
   }
@@ -86,11 +86,16 @@
     for (const entry of entries) {
       const loaded = { ...entry, expires: reference.expires };
       if (!this.rows.has(entry.name)) {
-        this.rows.set(entry.name, { entry: loaded, size: 0, segment: reference.name });
+        this.rows.set(entry.name, { entry: loaded, size: 0, isInSegment: true });
       }
     }
   }
 
+  /** Notes a segment found at the store that no head lists, for removal with the next commit. */
+  dropSegment(reference: SegmentReference): void {
+    this.expired.push(reference);
+  }
+
   /** Forgets what has expired. Segments that expired stay listed until a commit drops them. */
   expire(now: Milliseconds): void {
     if (now < this.nextScan) {
@@ -110,7 +115,7 @@
   }
 
   getHeadEntries(): ClaimEntry[] {
-    const inHead = [...this.rows.values()].filter(({ segment }) => segment === undefined);
+    const inHead = [...this.rows.values()].filter(({ isInSegment }) => !isInSegment);
     return inHead.map(({ entry }) => entry);
   }
 
@@ -127,7 +132,7 @@
   }
 
   /** Picks settled entries for the next segment, oldest first, up to a size. */
-  planSegment(name: string, limit: number): SegmentPlan | undefined {
+  planSegment(limit: number): SegmentPlan | undefined {
     const picked: ClaimEntry[] = [];
     let size = 0;
     for (const row of this.rows.values()) {
@@ -141,7 +146,6 @@
     }
     const expires = Math.max(...picked.map((entry) => entry.expires));
     return {
-      name,
       names: picked.map((entry) => entry.name),
       value: JSON.stringify(picked),
       expires,
@@ -149,13 +153,13 @@
   }
 
   /** The segment is in the store: its entries leave the head. */
-  finishSegment(plan: SegmentPlan, version: number): void {
-    this.segments.push({ name: plan.name, version, expires: plan.expires });
+  finishSegment(plan: SegmentPlan, reference: SegmentReference): void {
+    this.segments.push(reference);
     for (const name of plan.names) {
       const row = this.rows.get(name);
       if (row !== undefined && isRollable(row)) {
         this.account(row, -1);
-        row.segment = plan.name;
+        row.isInSegment = true;
         // All entries of a segment leave together, so that a reader needs one time for all.
         row.entry.expires = plan.expires;
       }
@@ -163,7 +167,7 @@
   }
 
   private account(row: Row, sign: 1 | -1): void {
-    if (row.segment === undefined) {
+    if (!row.isInSegment) {
       this.headSize += sign * row.size;
       this.settledSize += isRollable(row) ? sign * row.size : 0;
     }
--- a/packages/claims/src/lib/ClaimShard/Takeover.ts
+++ b/packages/claims/src/lib/ClaimShard/Takeover.ts
@@ -215,7 +215,7 @@
   }
 
   private readSegments(reading: Reading, now: Milliseconds): void {
-    if (reading.head === undefined || reading.head.segments.length === 0) {
+    if (reading.head === undefined) {
       this.finishReading(reading, [], now);
       return;
     }
--- a/packages/claims/src/lib/ClaimShard/loadTable.ts
+++ b/packages/claims/src/lib/ClaimShard/loadTable.ts
@@ -2,8 +2,8 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimOptions } from '../ClaimOptions.js';
 import type { ClaimEntry, ClaimMutation } from '../messages.js';
-import { getSegmentPrefix, moveTime } from '../ShardHead.js';
-import type { Doubt, ShardHead } from '../ShardHead.js';
+import { getSegmentKey, moveTime, parseSegmentKey } from '../ShardHead.js';
+import type { Doubt, SegmentReference, ShardHead } from '../ShardHead.js';
 import { mergeMutation } from './entries.js';
 import { ShardTable } from './ShardTable.js';
 
@@ -35,32 +35,70 @@
   }
 }
 
+/** The segments a head lists, with their versions as read; undefined when one is missing. */
+function findSegments(
+  shard: number,
+  head: ShardHead,
+  objects: ReadonlyMap<string, StoredObject>,
+  now: Milliseconds,
+): SegmentReference[] | undefined {
+  const found: SegmentReference[] = [];
+  for (const { writer, numbers, lives } of head.segments) {
+    for (const [index, number] of numbers.entries()) {
+      const object = objects.get(getSegmentKey(shard, { writer, number }));
+      if (object === undefined) {
+        return undefined;
+      }
+      found.push({ writer, number, version: object.version, expires: now + lives[index]! });
+    }
+  }
+  return found;
+}
+
+/** What no head lists was left behind by a lost write or a lost removal. */
+function dropOthers(
+  shard: number,
+  table: ShardTable,
+  listed: ReadonlySet<string>,
+  objects: readonly StoredObject[],
+): void {
+  for (const { key, version } of objects.filter((object) => !listed.has(object.key))) {
+    table.dropSegment({ ...parseSegmentKey(shard, key), version, expires: 0 });
+  }
+}
+
 /**
  * Builds a shard's table from its head, its segments and the last witness's memory.
  *
+ * @param objects - everything under the shard's segment prefix, read after the head
  * @returns undefined when a segment that the head names is missing
  */
 export function loadTable(
   shard: number,
   { head, mutations }: ShardSources,
-  segments: readonly StoredObject[],
+  objects: readonly StoredObject[],
   options: ClaimOptions,
   now: Milliseconds,
 ): ShardTable | undefined {
   const table = new ShardTable();
-  const prefix = getSegmentPrefix(shard);
-  const texts = new Map(segments.map(({ key, value }) => [key, value]));
-  for (const entry of head?.entries ?? []) {
-    table.put({ ...entry, expires: moveTime(entry.expires, head!, now) });
+  if (head === undefined) {
+    return table;
   }
-  for (const segment of [...(head?.segments ?? [])].reverse()) {
-    const text = texts.get(`${prefix}${segment.name}`);
-    if (text === undefined) {
-      return undefined;
-    }
-    const expires = moveTime(segment.expires, head!, now);
-    table.loadSegment({ ...segment, expires }, JSON.parse(text) as ClaimEntry[]);
+  const byKey = new Map(objects.map((object) => [object.key, object]));
+  const segments = findSegments(shard, head, byKey, now);
+  if (segments === undefined) {
+    return undefined;
+  }
+  for (const entry of head.entries) {
+    table.put({ ...entry, expires: moveTime(entry.expires, head, now) });
+  }
+  const listed = new Set<string>();
+  for (const segment of segments.sort((left, right) => right.version - left.version)) {
+    const key = getSegmentKey(shard, segment);
+    listed.add(key);
+    table.loadSegment(segment, JSON.parse(byKey.get(key)!.value) as ClaimEntry[]);
   }
+  dropOthers(shard, table, listed, objects);
   mutations.forEach((mutation) => applyMutation(table, mutation, options, now));
   return table;
 }
--- a/packages/claims/src/lib/ShardHead.ts
+++ b/packages/claims/src/lib/ShardHead.ts
@@ -4,12 +4,26 @@
 
 /** Settled entries that no longer change, moved out of the head into an object of their own. */
 export interface SegmentReference {
-  name: string;
+  /** The process that wrote it. */
+  writer: string;
+  /** Unique among the writer's. */
+  number: number;
   version: number;
   /** When its youngest entry expires, by the owner's clock. */
   expires: Milliseconds;
 }
 
+/**
+ * The segments of one writer as the head lists them. The head is written with every commit and may
+ * list hundreds: field names would be most of it.
+ */
+export interface SegmentList {
+  writer: string;
+  numbers: number[];
+  /** How long each has left at `writtenAt`, in whole milliseconds. */
+  lives: Milliseconds[];
+}
+
 /**
  * An epoch whose witness gave no word at the takeover: what its owner granted without the store is
  * unknown until `until`.
@@ -39,7 +53,7 @@
   clean: boolean;
   writtenAt: Milliseconds;
   doubts: Doubt[];
-  segments: SegmentReference[];
+  segments: SegmentList[];
   entries: ClaimEntry[];
 }
 
@@ -52,10 +66,21 @@
   table: { getSegments(): SegmentReference[]; getHeadEntries(): ClaimEntry[] };
 }
 
+function listSegments(segments: readonly SegmentReference[], now: Milliseconds): SegmentList[] {
+  const lists = new Map<string, SegmentList>();
+  for (const { writer, number, expires } of segments) {
+    const list = lists.get(writer) ?? { writer, numbers: [], lives: [] };
+    list.numbers.push(number);
+    list.lives.push(Math.max(0, Math.ceil(expires - now)));
+    lists.set(writer, list);
+  }
+  return [...lists.values()];
+}
+
 /** The head as its owner writes it now. */
 export function createHead(owner: ClaimMember, content: HeadContent, now: Milliseconds): ShardHead {
   const { commit, header, sequence, doubts, table } = content;
-  const segments = table.getSegments();
+  const segments = listSegments(table.getSegments(), now);
   const entries = table.getHeadEntries();
   return { owner, ...header, commit, sequence, writtenAt: now, doubts, segments, entries };
 }
@@ -70,6 +95,14 @@
   return `claim-segments/${shard}/`;
 }
 
+/** The store key of a segment. */
+export function getSegmentKey(
+  shard: number,
+  { writer, number }: Pick<SegmentReference, 'writer' | 'number'>,
+): string {
+  return `${getSegmentPrefix(shard)}${writer}/${number}`;
+}
+
 /** Parses what an owner wrote. @throws SyntaxError when the object is no JSON */
 export function parseHead(text: string): ShardHead {
   return JSON.parse(text) as ShardHead;
@@ -79,3 +112,10 @@
 export function moveTime(time: Milliseconds, head: ShardHead, now: Milliseconds): Milliseconds {
   return now + Math.max(0, time - head.writtenAt);
 }
+
+/** The writer and number in a segment's store key. */
+export function parseSegmentKey(shard: number, key: string): { writer: string; number: number } {
+  const rest = key.slice(getSegmentPrefix(shard).length);
+  const end = rest.lastIndexOf('/');
+  return { writer: rest.slice(0, end), number: Number(rest.slice(end + 1)) };
+}
