--- a/packages/policy/src/lib/ReplicaChooser/LatencyWindow.ts
+++ b/packages/policy/src/lib/ReplicaChooser/LatencyWindow.ts
@@ -47,6 +47,16 @@
     this.cached = undefined;
   }
 
+  /** The median of the last few; zero when there is nothing. */
+  getRecentMedian(count: number): number {
+    const size = Math.min(count, this.values.length);
+    const recent = Array.from({ length: size }, (_, index) => {
+      const position = (this.next - 1 - index + this.capacity) % this.capacity;
+      return this.values[position]!;
+    });
+    return getMedian(recent);
+  }
+
   /** The median; zero when there is nothing. */
   getMedian(): number {
     if (this.cached === undefined || this.addedSince > this.tolerance) {
--- a/packages/policy/src/lib/ReplicaChooser/StragglerDetector.ts
+++ b/packages/policy/src/lib/ReplicaChooser/StragglerDetector.ts
@@ -27,6 +27,9 @@
 /** Replicas with measurements that a comparison needs: with two, either could be the slow one. */
 const MIN_PEERS = 3;
 
+/** Probes that an acquittal rests on. */
+const PROBES = 3;
+
 /** What became of a replica's standing. */
 export enum Verdict {
   Unchanged = 'unchanged',
@@ -80,7 +83,7 @@
     value: Milliseconds,
     now: Milliseconds,
   ): Verdict {
-    const ratio = this.getRatio(`${delay} ${className}`, value);
+    const ratio = this.getRatio(`${delay} ${className}`, value, !state.convicted);
     if (ratio === undefined) {
       return Verdict.Unchanged;
     }
@@ -92,11 +95,14 @@
     return state.convicted ? this.review(state, now) : this.judge(state, now);
   }
 
-  private getRatio(key: string, value: Milliseconds): number | undefined {
+  /** @param isUsual - whether the value tells what is usual; that of a slow replica does not */
+  private getRatio(key: string, value: Milliseconds, isUsual: boolean): number | undefined {
     const window = this.usual.get(key) ?? new LatencyWindow(CLASS_WINDOW, CLASS_TOLERANCE);
     this.usual.set(key, window);
     const median = window.size < MIN_CLASS_SAMPLES ? undefined : window.getMedian();
-    window.add(value);
+    if (isUsual) {
+      window.add(value);
+    }
     if (median === undefined) {
       return undefined;
     }
@@ -125,10 +131,10 @@
     const isFast = [Delay.FirstToken, Delay.TokenGap].every((delay) => {
       const window = getWindow(state, delay);
       const reference = this.getReference(delay, now) ?? 1;
-      return window.size === 0 || window.getMedian() <= acquittalFactor * reference;
+      return window.getRecentMedian(PROBES) <= acquittalFactor * reference;
     });
-    const probes = state.firstTokens.size;
-    return isFast && probes >= 3 ? Verdict.Acquitted : Verdict.Unchanged;
+    const isKnown = state.firstTokens.size >= PROBES;
+    return isFast && isKnown ? Verdict.Acquitted : Verdict.Unchanged;
   }
 
   /** The median of the peers' medians, kept for as long as a judgement is. */
