Prove that a shutdown cuts nothing off and ends by itself

Tests: on SIGTERM the readiness answer turns while new connections are still taken; then they are refused; a stream in flight and a request half sent by then end whole; a connection kept after its request and one that never carried any are closed; the process exits 0 by itself. A second signal ends it at once with 130. Holds that run end first, also one whose caller has left and one whose key is still being claimed.

--- /dev/null
+++ b/packages/e2e/src/lib/shutdown.test.ts
@@ -0,0 +1,162 @@
+import { connect } from 'node:net';
+import type { ServerResponse } from 'node:http';
+import { getReadiness, getStatus } from '../test/admin.js';
+import { createChat, placeHold } from '../test/calls.js';
+import { askChat, getMessages } from '../test/chat.js';
+import { waitForDecision } from '../test/decisions.js';
+import { API_KEY, Deployment, MODEL } from '../test/Deployment.js';
+import type { Daemon } from '../test/Deployment.js';
+import { FakeEngine, getFinishEvent, getTokenEvent } from '../test/FakeEngine.js';
+import { LocalDaemon } from '../test/LocalDaemon.js';
+import { MemoryClaims } from '../test/MemoryClaims.js';
+import { RawCaller } from '../test/RawCaller.js';
+
+const FORCED = 130;
+
+const LIST_MODELS = 'GET /v1/models HTTP/1.1\r\nhost: daemon\r\n\r\n';
+
+/** Connects again and again, until nobody listens any more. */
+async function waitUntilRefused(port: number): Promise<void> {
+  const isRefused = await new Promise<boolean>((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    socket.once('connect', () => {
+      socket.destroy();
+      resolve(false);
+    });
+    socket.once('error', () => resolve(true));
+  });
+  if (!isRefused) {
+    await waitUntilRefused(port);
+  }
+}
+
+/** Asks for the status until a request is in flight. */
+async function waitUntilInFlight(daemon: { adminPort: number }): Promise<void> {
+  if ((await getStatus(daemon)).inFlight === 0) {
+    await waitUntilInFlight(daemon);
+  }
+}
+
+describe('a daemon that is told to stop', () => {
+  let deployment: Deployment;
+  let daemon: Daemon;
+  let engine: FakeEngine;
+  const answers: { name: string; response: ServerResponse }[] = [];
+
+  beforeEach(async () => {
+    answers.splice(0);
+    deployment = new Deployment();
+    await deployment.prepare();
+    engine = new FakeEngine((name, response) => {
+      response.write(getTokenEvent(name, 0, 'begun'));
+      answers.push({ name, response });
+    });
+    deployment.addBackend('engines', await engine.listen());
+  });
+
+  afterEach(async () => {
+    engine.dispose();
+    await deployment.dispose();
+  });
+
+  const endAnswers = () =>
+    answers.splice(0).forEach(({ name, response }) => {
+      const end = `${getFinishEvent(name)}data: [DONE]\n\n`;
+      response.end(`${getTokenEvent(name, 1, ' ended')}${end}`);
+    });
+
+  const isDraining = () =>
+    waitForDecision(daemon.process.log, 'daemon', ({ event }) => event === 'draining');
+
+  // Symptom: answers are cut, callers see resets, or the process has to be killed. Sequence: the
+  // platform replaces the instance while a stream is on its way, a request is half sent, and
+  // callers keep connections for later. Cause: listening ends before the balancer knows, what is
+  // being sent counts for nothing, or idle connections count for something.
+  it('turns its readiness first, ends everything in flight, and exits', async () => {
+    daemon = await deployment.startLoneDaemon();
+    const streaming = askChat(createChat(daemon.port, 2).order);
+    await engine.waitForCount(1);
+    const idle = new RawCaller(daemon.port).send(LIST_MODELS);
+    await idle.getStatus();
+    const unused = new RawCaller(daemon.port);
+    const body = JSON.stringify({ model: MODEL, messages: getMessages('half') });
+    const head = ['POST /v1/chat/completions HTTP/1.1', 'host: daemon'];
+    head.push(`authorization: Bearer ${API_KEY}`, `content-length: ${body.length}`);
+    const sending = new RawCaller(daemon.port);
+    sending.send(`${head.join('\r\n')}\r\n\r\n${body.slice(0, 20)}`);
+    expect(await getReadiness(daemon)).toBe(200);
+    daemon.process.signal('SIGTERM');
+    await isDraining();
+    expect(await getReadiness(daemon)).toBe(503);
+    expect(await new RawCaller(daemon.port).send(LIST_MODELS).getStatus()).toBe(200);
+    await waitUntilRefused(daemon.port);
+    await Promise.all([idle.closed, unused.closed]);
+    expect(await getReadiness(daemon)).toBe(503);
+    sending.send(body.slice(20));
+    await engine.waitForCount(2);
+    endAnswers();
+    expect(await streaming).toMatchObject({ whole: true, tokens: ['begun', ' ended'] });
+    expect(await sending.waitFor('"usage"')).toContain('begun ended');
+    expect(await daemon.process.exited).toBe(0);
+  });
+
+  it('exits at once on a second signal', async () => {
+    daemon = await deployment.startLoneDaemon();
+    const cut = expect(askChat(createChat(daemon.port, 2).order)).rejects.toThrow();
+    await engine.waitForCount(1);
+    daemon.process.signal('SIGTERM');
+    await isDraining();
+    daemon.process.signal('SIGINT');
+    expect(await daemon.process.exited).toBe(FORCED);
+    await cut;
+  });
+
+  // Symptom: a hold whose end nobody knows. Sequence: the daemon stops while holds run, one of
+  // them left by its caller. Cause: the shutdown waited for callers only.
+  it('ends the holds that run, also those whose callers have left', async () => {
+    const portal = await deployment.startBackend('portal', ['--delay', '4000']);
+    const claims = new MemoryClaims();
+    const local = await LocalDaemon.start(deployment, claims);
+    const leaving = new AbortController();
+    const staying = placeHold(local.port, 'staying');
+    const left = expect(
+      placeHold(local.port, 'left', { signal: leaving.signal }),
+    ).rejects.toThrow();
+    await portal.waitForRuns((runs) => runs.length === 2);
+    const stopped = local.stop();
+    leaving.abort();
+    await left;
+    expect(await staying).toMatchObject({ status: 200 });
+    await stopped;
+    expect([...claims.ends.values()].map(({ kind }) => kind)).toEqual(['answered', 'answered']);
+  });
+
+  // Symptom: a key that stays taken for nothing. Sequence: the caller leaves while its key is being
+  // claimed, the daemon stops, the claim is granted. Cause: a request between two filters was in
+  // flight for nobody.
+  it('waits for a hold whose key is still being claimed', async () => {
+    await deployment.startBackend('portal');
+    const ends: string[] = [];
+    let grant = () => {};
+    const claiming = new Promise<void>((resolve) => {
+      grant = resolve;
+    });
+    const local = await LocalDaemon.start(deployment, {
+      claim: async () => {
+        await claiming;
+        return { kind: 'granted', end: ({ kind }) => ends.push(kind) };
+      },
+    });
+    const leaving = new AbortController();
+    const left = expect(
+      placeHold(local.port, 'left', { signal: leaving.signal }),
+    ).rejects.toThrow();
+    await waitUntilInFlight(local);
+    const stopped = local.stop().then(() => [...ends]);
+    leaving.abort();
+    await left;
+    await waitUntilRefused(local.port);
+    grant();
+    expect(await stopped).toEqual(['answered']);
+  });
+});
--- a/packages/e2e/src/test/FakeEngine.ts
+++ b/packages/e2e/src/test/FakeEngine.ts
@@ -18,6 +18,10 @@
 export class FakeEngine {
   private readonly server: Server;
 
+  private count = 0;
+
+  private watchers: (() => void)[] = [];
+
   /** @param answer - writes the answer; told the attempt's name */
   constructor(answer: (name: string, response: ServerResponse) => void) {
     this.server = createServer((request: IncomingMessage, response) => {
@@ -27,7 +31,11 @@
         return;
       }
       const name = String(request.headers['x-request-id']);
-      request.once('end', () => answer(name, response));
+      request.once('end', () => {
+        answer(name, response);
+        this.count += 1;
+        this.watchers.splice(0).forEach((watcher) => watcher());
+      });
     });
   }
 
@@ -38,6 +46,16 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Waits until that many requests have come. */
+  async waitForCount(count: number): Promise<void> {
+    while (this.count < count) {
+      // eslint-disable-next-line no-await-in-loop
+      await new Promise<void>((resolve) => {
+        this.watchers.push(resolve);
+      });
+    }
+  }
+
   dispose(): void {
     this.server.close();
     this.server.closeAllConnections();
