Prove that a request given up is answered at once, with Retry-After

Cause: a request given up in the middle of its stream can carry no header any more, and its problem did not say when to ask again.

Change: problem documents carry `retryAfter` in seconds beside the header.

Looked through for waits of a request that is given up: reading its body (bounded by the limits), its claim (by the deadline), its queue place (by the deadline), a running attempt (by its silence limit), waiting for its caller (30 s), a refusal's body (not waited for). None is left without a bound.

Tests: given up in the queue before what it waits for ends; without a replica; after failed attempts before and after the first token; with a fault the engine finds, whose status passes through without Retry-After, since asking again would find it again.

Guards shown, each taken out and a test failed: the answer to the caller, the header, the member of the document, passing 422 through.

--- /dev/null
+++ b/packages/e2e/src/lib/givenUp.test.ts
@@ -0,0 +1,89 @@
+import { askWholeChat, checkArtwork, createChat, placeHold } from '../test/calls.js';
+import { askChat } from '../test/chat.js';
+import { Deployment } from '../test/Deployment.js';
+import { FakeEngine, getTokenEvent } from '../test/FakeEngine.js';
+import { LocalDaemon } from '../test/LocalDaemon.js';
+
+const HASTY_HOLD = { 'x-apricotrill-class': 'hasty-hold' };
+
+// Symptom: a caller waits for an answer that will never come, or asks again at once. Sequence: its
+// request is given up in the queue, before or after its first token. Cause: the decision to give
+// up and the answer to the caller were two things.
+describe('a request that is given up is answered at once, with Retry-After', () => {
+  let deployment: Deployment;
+  let engine: FakeEngine | undefined;
+  let daemon: LocalDaemon;
+
+  beforeEach(async () => {
+    deployment = new Deployment();
+    await deployment.prepare();
+  });
+
+  afterEach(async () => {
+    engine?.dispose();
+    await daemon.dispose();
+    await deployment.dispose();
+  });
+
+  async function startWith(fake: FakeEngine): Promise<void> {
+    engine = fake;
+    deployment.addBackend('engines', await fake.listen());
+    daemon = await LocalDaemon.start(deployment);
+  }
+
+  it('when it waits in the queue: before what it waited for', async () => {
+    const portal = await deployment.startBackend('portal', ['--delay', '4000', '--slots', '1']);
+    daemon = await LocalDaemon.start(deployment);
+    const order: string[] = [];
+    const checks = Array.from({ length: 12 }, async () => {
+      await checkArtwork(daemon.port, '17');
+      order.push('check');
+    });
+    await portal.waitForRuns((runs) => runs.length > 0);
+    const held = await placeHold(daemon.port, 'hold-1', { headers: HASTY_HOLD });
+    order.push('hold');
+    expect(held).toMatchObject({ status: 503, body: { outcome: 'not-run' } });
+    expect(Number(held.retryAfter)).toBeGreaterThan(0);
+    await Promise.race(checks);
+    expect(order[0]).toBe('hold');
+  });
+
+  it('when no replica is there', async () => {
+    daemon = await LocalDaemon.start(deployment);
+    const held = await placeHold(daemon.port, 'hold-1');
+    expect(held).toMatchObject({ status: 503, body: { outcome: 'not-run' } });
+    expect(Number(held.retryAfter)).toBeGreaterThan(0);
+  });
+
+  it('when every attempt failed before the first token', async () => {
+    await startWith(new FakeEngine((_name, response) => response.destroy()));
+    const { order } = createChat(daemon.port, 2);
+    const answer = await askChat(order);
+    expect(answer).toMatchObject({ status: 503, problem: { outcome: 'failed' } });
+    expect(Number(answer.retryAfter)).toBeGreaterThan(0);
+  });
+
+  it('when every attempt failed after the first token', async () => {
+    await startWith(
+      new FakeEngine((name, response) => {
+        response.write(getTokenEvent(name, 0, 'half'), () => response.destroy());
+      }),
+    );
+    const { order } = createChat(daemon.port, 2);
+    const answer = await askChat(order);
+    expect(answer).toMatchObject({ status: 200, whole: false, problem: { outcome: 'failed' } });
+    expect(answer.problem?.retryAfter).toBeGreaterThan(0);
+  });
+
+  // Asking again would find the same fault: there is no Retry-After.
+  it('when the engine finds fault with the request: with its own status', async () => {
+    await startWith(
+      new FakeEngine((_name, response) => {
+        response.writeHead(422).end('{"error":"too long for this model"}');
+      }),
+    );
+    const answer = await askWholeChat(createChat(daemon.port, 2).order);
+    expect(answer).toMatchObject({ status: 422, body: { outcome: 'failed' } });
+    expect(answer.retryAfter).toBeUndefined();
+  });
+});
--- a/packages/e2e/src/test/chat.ts
+++ b/packages/e2e/src/test/chat.ts
@@ -7,7 +7,7 @@
   requestId?: string;
   tokens: string[];
   whole: boolean;
-  problem?: { outcome: string; type: string };
+  problem?: { outcome: string; type: string; retryAfter?: number };
   retryAfter?: string;
 }
 
@@ -29,7 +29,7 @@
 }
 
 interface ChatEvent {
-  error?: { outcome: string; type: string };
+  error?: ChatAnswer['problem'];
   choices?: { delta: { content?: string } }[];
 }
 
--- a/packages/router/src/lib/pipeline/writeProblem.ts
+++ b/packages/router/src/lib/pipeline/writeProblem.ts
@@ -1,10 +1,16 @@
+import type { Milliseconds } from '@apricotrill/utils';
 import type { ServerResponse } from 'node:http';
 import type { Problem } from './Problem.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+function getSeconds(retryAfter: Milliseconds): number {
+  return Math.max(1, Math.ceil(retryAfter / MILLISECONDS_PER_SECOND));
+}
+
 /**
- * The body of a problem as RFC 9457 writes it.
+ * The body of a problem as RFC 9457 writes it, with `outcome` and, in seconds, `retryAfter`: a
+ * problem within a stream comes too late for a header.
  *
  * @example
  * ```ts
@@ -20,6 +26,7 @@
     detail: problem.detail,
     outcome: problem.outcome,
     instance: requestId,
+    retryAfter: problem.retryAfter === undefined ? undefined : getSeconds(problem.retryAfter),
   };
 }
 
@@ -45,8 +52,7 @@
   response.setHeader('content-length', Buffer.byteLength(body));
   response.setHeader('x-request-id', requestId);
   if (problem.retryAfter !== undefined) {
-    const seconds = Math.max(1, Math.ceil(problem.retryAfter / MILLISECONDS_PER_SECOND));
-    response.setHeader('retry-after', String(seconds));
+    response.setHeader('retry-after', String(getSeconds(problem.retryAfter)));
   }
   response.end(body);
 }
