Tell who gets no new duties from who is gone, for claims

Cause: claims knew only members that may be given duties, and took all others for gone. In a rolling restart under load a daemon that shuts down announced it, the next one took its shard by force, asked for its witness, which had been restarted just before, and told a caller with a new key "unknown" until the owner had answered, 14 ms later. A repeat of a hold that ran at such a daemon, or at one that was only suspected, was told that nobody knows. And an owner named a witness that had ended for 5 s more; if the owner crashed too in that time, its shards refused new keys for a quarter of an hour, the store up all the time.

Change: members carry a standing: active, passive (answers, keeps what it has, gets nothing new) or doubted (does not answer). Only active ones own and witness; a shard is not taken from a passive owner; a hold of any that has not ended for certain is in progress; a witness that has ended or is leaving is replaced at once.

Ruled out: answering nothing in quarantine until the first word of the old owner or witness, which would hold up callers where nobody answers.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -9,7 +9,7 @@
 } from './lib/ClaimManager/ClaimSettings.js';
 export { createClaimOptions, DEFAULT_CLAIM_OPTIONS } from './lib/ClaimOptions.js';
 export type { ClaimOptions } from './lib/ClaimOptions.js';
-export { RefusalReason, UnknownCause } from './lib/claimTypes.js';
+export { MemberStanding, RefusalReason, UnknownCause } from './lib/claimTypes.js';
 export type {
   ClaimAnswer,
   ClaimHandle,
--- a/packages/claims/src/lib/ClaimManager/ClaimSettings.ts
+++ b/packages/claims/src/lib/ClaimManager/ClaimSettings.ts
@@ -30,7 +30,7 @@
   options?: Partial<ClaimOptions>;
   store: PlatformStore;
   transport: ClaimTransport;
-  /** The live members by this daemon's view. */
+  /** The members that have not ended, by this daemon's view, with what it may expect of each. */
   getMembers: () => readonly ClaimMember[];
   /** Called with every decision, for the log. */
   onDecision?: (decision: ClaimDecision) => void;
--- /dev/null
+++ b/packages/claims/src/lib/ClaimManager/memberStanding.test.ts
@@ -0,0 +1,54 @@
+import { getHandle, start } from '../../test/claimScenario.js';
+import { TEST_OPTIONS } from '../../test/TestCluster.js';
+import type { TestCluster } from '../../test/TestCluster.js';
+import type { TestDaemon } from '../../test/TestDaemon.js';
+import { MemberStanding } from '../claimTypes.js';
+
+/** Everyone that runs sees a member in this standing. */
+function lookAt(cluster: TestCluster, seen: TestDaemon, standing: MemberStanding): void {
+  const members = cluster
+    .getLive()
+    .map((member) => (member === seen.member ? { ...member, standing } : member));
+  cluster.daemons.filter(({ isCrashed }) => !isCrashed).forEach((daemon) => daemon.look(members));
+}
+
+describe('a claim among members that come and go', () => {
+  // Symptom: in a rolling restart a caller with a new key is told "unknown". Sequence: the owner
+  // announces that it shuts down and still owns its shard; the next daemon is asked. Cause: who gets
+  // no new duties is taken for gone, and its shard is taken from it by force.
+  it('stays with an owner that shuts down until it hands over', async () => {
+    const { cluster, owner, next, other } = await start();
+    lookAt(cluster, owner, MemberStanding.Passive);
+    await cluster.run(TEST_OPTIONS.moveDelay!);
+    getHandle(await cluster.ask(next, 'before'));
+    await cluster.complete(owner.claims.handOver(2000));
+    getHandle(await cluster.ask(other, 'after'));
+    const proofs = cluster.getDecisions('shard-taken').map(({ proof }) => proof);
+    expect(proofs.sort()).toEqual(['clean', 'fresh']);
+  });
+
+  // Symptom: a caller is told that nobody knows whether its hold ran, while it runs. Sequence: the
+  // daemon that runs it shuts down, or is slow to answer for a moment. Cause: as above.
+  it.each([MemberStanding.Passive, MemberStanding.Doubted])(
+    'is in progress while the daemon that runs it is %s',
+    async (standing) => {
+      const { cluster, next, other } = await start();
+      getHandle(await cluster.ask(other, 'hold'));
+      lookAt(cluster, other, standing);
+      expect((await cluster.ask(next, 'hold')).kind).toBe('in-progress');
+    },
+  );
+
+  // Symptom: a shard refuses new keys for a quarter of an hour after two crashes, the store up all
+  // the time. Sequence: the witness starts again; a moment later its owner crashes. Cause: the owner
+  // goes on naming a process that has ended until the members have settled.
+  it('has a new witness at once when the old one has ended', async () => {
+    const { cluster, owner, witness, next } = await start();
+    cluster.restart(witness);
+    cluster.lookAll();
+    await cluster.run(TEST_OPTIONS.moveDelay! / 5);
+    owner.crash();
+    cluster.lookAll();
+    expect((await cluster.ask(next, 'new')).kind).toBe('granted');
+  });
+});
--- a/packages/claims/src/lib/ClaimShard/ClaimShard.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.ts
@@ -66,6 +66,7 @@
     switch (input.kind) {
       case 'members':
         this.context.members = input.members;
+        this.onResult(input);
         break;
       case 'claim':
       case 'settle':
--- a/packages/claims/src/lib/ClaimShard/OwnerHint.ts
+++ b/packages/claims/src/lib/ClaimShard/OwnerHint.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimMember } from '../claimTypes.js';
-import { isSameProcess } from '../placement.js';
+import { isDoubted, isSameProcess } from '../placement.js';
 import type { ShardContext } from './shardMessages.js';
 
 interface Hint {
@@ -20,7 +20,9 @@
     if (hint === undefined) {
       return undefined;
     }
-    const isLive = this.context.members.some((member) => isSameProcess(member, hint.owner));
+    const isLive = this.context.members.some(
+      (member) => isSameProcess(member, hint.owner) && !isDoubted(member),
+    );
     return isLive || now < hint.until ? hint.owner : undefined;
   }
 
--- a/packages/claims/src/lib/ClaimShard/Ownership.ts
+++ b/packages/claims/src/lib/ClaimShard/Ownership.ts
@@ -111,8 +111,15 @@
       case 'peer-replied':
         this.onPeerReply(input.id, input.reply, now);
         break;
+      case 'members':
+        if (this.choice.isEnding(this.commits.wanted.witness)) {
+          this.changeWitness(now);
+        }
+        break;
       case 'rebalance':
-        this.checkWitness(now);
+        if (this.choice.isOutdated(this.commits.wanted.witness)) {
+          this.changeWitness(now);
+        }
         break;
       default:
         break;
@@ -230,13 +237,6 @@
     return Math.max(wanted, link.retryAt);
   }
 
-  /** Looks whether the witness is still the right one, once the members have settled. */
-  private checkWitness(now: Milliseconds): void {
-    if (this.choice.isOutdated(this.commits.wanted.witness)) {
-      this.changeWitness(now);
-    }
-  }
-
   /** A new witness means a new epoch, so that an epoch has one witness for good. */
   private changeWitness(now: Milliseconds): void {
     const { wanted } = this.commits;
--- a/packages/claims/src/lib/ClaimShard/Takeover.ts
+++ b/packages/claims/src/lib/ClaimShard/Takeover.ts
@@ -4,7 +4,7 @@
 import type { ClaimMember } from '../claimTypes.js';
 import type { ClaimMutation, ClaimReply } from '../messages.js';
 import { SealRole } from '../messages.js';
-import { getPreferredWitness, isSameProcess } from '../placement.js';
+import { getPreferredWitness, isDoubted, isSameProcess } from '../placement.js';
 import { createHead, getHeadKey, parseHead } from '../ShardHead.js';
 import type { Doubt, ShardHead } from '../ShardHead.js';
 import { getMovedDoubts, loadTable } from './loadTable.js';
@@ -195,9 +195,17 @@
     }
   }
 
+  /**
+   * Whether the owner can be asked to hand over, or does so by itself. One that shuts down still
+   * owns its shards: taken from it by force, a shard would be in quarantine until it has told what
+   * it granted, and callers would be told "unknown" for keys that nobody ever used.
+   */
   private isLive(owner: ClaimMember): boolean {
     const { self, members } = this.context;
-    return !isSameProcess(owner, self) && members.some((member) => isSameProcess(member, owner));
+    return (
+      !isSameProcess(owner, self) &&
+      members.some((member) => isSameProcess(member, owner) && !isDoubted(member))
+    );
   }
 
   private seal(reading: Reading, { epoch }: ShardHead, peer: ClaimMember): void {
--- a/packages/claims/src/lib/claimTypes.ts
+++ b/packages/claims/src/lib/claimTypes.ts
@@ -1,7 +1,17 @@
 import type { Milliseconds } from '@apricotrill/utils';
 
+/** What a daemon may expect of another one that has not ended for certain. */
+export enum MemberStanding {
+  /** It may own shards and witness for others. */
+  Active = 'active',
+  /** It answers and keeps what it has, and gets nothing new: it shuts down, or comes and goes. */
+  Passive = 'passive',
+  /** It does not answer. It may live, but nobody waits for it. */
+  Doubted = 'doubted',
+}
+
 /**
- * A live daemon that takes part in claims.
+ * A daemon that takes part in claims and has not ended for certain.
  *
  * @public
  */
@@ -12,6 +22,8 @@
   availabilityZone: string;
   /** Where its peers reach it, as `host:port`. */
   address: string;
+  /** By the view of whoever lists it; active when absent. */
+  standing?: MemberStanding;
 }
 
 /**
--- a/packages/claims/src/lib/placement.ts
+++ b/packages/claims/src/lib/placement.ts
@@ -1,4 +1,5 @@
 import { getHash, getRendezvousOrder } from '@apricotrill/utils';
+import { MemberStanding } from './claimTypes.js';
 import type { ClaimHolder, ClaimMember } from './claimTypes.js';
 
 /**
@@ -28,8 +29,18 @@
   return getHash(name) % shards;
 }
 
+/** Whether duties may be given to a member. */
+export function isActive({ standing = MemberStanding.Active }: ClaimMember): boolean {
+  return standing === MemberStanding.Active;
+}
+
+/** Whether a member gives no answer at the moment. */
+export function isDoubted({ standing }: ClaimMember): boolean {
+  return standing === MemberStanding.Doubted;
+}
+
 /**
- * The members in the order in which they should own a shard.
+ * The active members in the order in which they should own a shard.
  *
  * @example
  * ```ts
@@ -38,7 +49,7 @@
  * @public
  */
 export function getOwnerOrder(shard: number, members: readonly ClaimMember[]): ClaimMember[] {
-  const byId = new Map(members.map((member) => [member.id, member]));
+  const byId = new Map(members.filter(isActive).map((member) => [member.id, member]));
   return getRendezvousOrder(`claims/${shard}`, [...byId.keys()]).map((id) => byId.get(id)!);
 }
 
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -1,6 +1,6 @@
-import { ClaimManager } from '@apricotrill/claims';
+import { ClaimManager, MemberStanding } from '@apricotrill/claims';
 import type { ClaimMember, ClaimMessage, ClaimReply } from '@apricotrill/claims';
-import { ClusterManager } from '@apricotrill/cluster';
+import { ClusterManager, MemberState } from '@apricotrill/cluster';
 import type { Member } from '@apricotrill/cluster';
 import type { KeySource } from '@apricotrill/keys';
 import { MANIFEST_KEY, parseManifest } from '@apricotrill/configuration';
@@ -46,6 +46,19 @@
   first: FirstConfiguration;
 }
 
+/**
+ * What claims may expect of a member. Who gets no duties is not gone: one that shuts down still has
+ * its shards and its requests, and one that is suspected may only be slow.
+ */
+function getStanding({ isEligible, isReachable, state }: Member): MemberStanding {
+  if (isEligible) {
+    return MemberStanding.Active;
+  }
+  return isReachable && state !== MemberState.Suspect
+    ? MemberStanding.Passive
+    : MemberStanding.Doubted;
+}
+
 function getClaimMember(member: Member): ClaimMember {
   const { id, incarnation, availabilityZone, address } = member;
   return { id, incarnation, availabilityZone, address };
@@ -209,7 +222,7 @@
   }
 
   private createClaims(cluster: ClusterManager): ClaimManager {
-    const { settings, clock, log } = this.parts;
+    const { clock, log } = this.parts;
     return new ClaimManager({
       self: getClaimMember(cluster.getSelf()),
       clock,
@@ -223,8 +236,7 @@
       getMembers: () =>
         cluster
           .getMembers()
-          .filter(({ isEligible, id }) => isEligible || id === settings.id)
-          .map(getClaimMember),
+          .map((member) => ({ ...getClaimMember(member), standing: getStanding(member) })),
       onDecision: (decision) => log('claim', decision),
     });
   }
