Measure with real daemons what they share, and a rolling restart under load

Cause: what membership, configuration and claims cost and how fast a change is in force was measured on the state machines alone, and no figure said what a restart of all daemons does to calls in flight. Change: npm run bench:shared starts fleets of daemons over several availability zones as processes and measures, idle and for accepted changes: time to in force by each daemon's own log, store calls by the platform's counters, bytes by the daemons' metrics and by the kernel, processor time and memory, held against the budget for control. Then nine daemons restart one after the other under checks, holds and streamed chats; callers' answers are held against the backend servers' own lists of runs. Ruled out: polling the admin port for what is in force, which adds its interval to every time; rates without subtracting what the metrics' own reading costs; a balancer that repeats calls, which would hide what a daemon loses. Each of six checks of the pure parts fails its test when taken out.

--- a/packages/experiment/src/bin/apricotrill-experiment.ts
+++ b/packages/experiment/src/bin/apricotrill-experiment.ts
@@ -4,6 +4,7 @@
 import { CapacityCommand } from './CapacityCommand.js';
 import { FullSizeCommand } from './FullSizeCommand.js';
 import { PolicyCommand } from './PolicyCommand.js';
+import { SharedCommand } from './SharedCommand.js';
 
 const cli = new Cli({
   binaryLabel: 'Experiments, benchmarks and the capacity table of apricotrill',
@@ -16,4 +17,5 @@
 cli.register(BenchCommand);
 cli.register(CapacityCommand);
 cli.register(FullSizeCommand);
+cli.register(SharedCommand);
 await cli.runExit(process.argv.slice(2));
