--- a/packages/e2e/src/test/Fleet.ts
+++ b/packages/e2e/src/test/Fleet.ts
@@ -58,6 +58,9 @@
 
   readonly daemons: FleetDaemon[] = [];
 
+  /** Daemons that were killed and will not come back. */
+  private readonly lost: FleetDaemon[] = [];
+
   private platformProcess: PlatformProcess | undefined;
 
   private directory = '';
@@ -117,6 +120,14 @@
     return daemon;
   }
 
+  /** Kills a daemon for good; the platform's list drops it with its lag. */
+  async lose(daemon: FleetDaemon): Promise<void> {
+    this.daemons.splice(this.daemons.indexOf(daemon), 1);
+    this.lost.push(daemon);
+    await daemon.kill();
+    await this.platform.deleteInstance(daemon.id);
+  }
+
   /** Waits until every daemon is ready and knows all the others as alive. */
   async waitUntilJoined(): Promise<void> {
     const { daemons } = this;
@@ -179,7 +190,7 @@
   /** What was violated so far, by what callers, backend servers and logs say. */
   async checkHistory(calls: readonly RecordedCall[]): Promise<string[]> {
     const runs = await Promise.all(this.backends.backends.map((backend) => backend.getRuns()));
-    const versions = this.daemons.map(({ id, processes }) => ({
+    const versions = [...this.daemons, ...this.lost].map(({ id, processes }) => ({
       daemon: id,
       generations: processes.flatMap(({ log }) =>
         getGenerations(getDecisions(log, 'configuration')),
@@ -197,7 +208,7 @@
   }
 
   async dispose(): Promise<void> {
-    await Promise.all(this.daemons.map((daemon) => daemon.dispose()));
+    await Promise.all([...this.daemons, ...this.lost].map((daemon) => daemon.dispose()));
     await this.platformProcess?.process.dispose();
     await this.backends.dispose();
     await rm(this.directory, { recursive: true, force: true });
--- a/packages/e2e/src/test/FleetCaller.ts
+++ b/packages/e2e/src/test/FleetCaller.ts
@@ -5,6 +5,7 @@
 import { askChat } from './chat.js';
 import { API_KEY } from './Deployment.js';
 import type { CallEnd, RecordedCall } from './history.js';
+import { pollUntil } from './pollUntil.js';
 
 /** Where a caller asks. */
 export interface Entry {
@@ -35,6 +36,16 @@
   return { kind: 'refused', status, outcome, type };
 }
 
+/** Whether the whole answer came. */
+export function isAnswered({ end }: RecordedCall): boolean {
+  return end.kind === 'answered';
+}
+
+/** What a caller was told in two words: the reason of a refusal and what became of the request. */
+export function getWord({ end }: RecordedCall): string {
+  return end.kind === 'refused' ? `${end.type.split(':').at(-1)} ${end.outcome}` : end.kind;
+}
+
 /** A caller that writes down what it got for each call, for the check of the whole history. */
 export class FleetCaller {
   readonly calls: RecordedCall[] = [];
@@ -45,6 +56,11 @@
     return this.send(entry, { method: 'POST', path: '/holds', key, body }, options);
   }
 
+  /** Asks in turn until there is an answer, as callers do that are told to ask again. */
+  holdUntilAnswered(entry: Entry, key: string): Promise<Answered> {
+    return pollUntil(() => this.hold(entry, key), isAnswered);
+  }
+
   /** Checks an artwork's status, which may be repeated. */
   check(entry: Entry, artwork: string, options: CallOptions = {}): Promise<Answered> {
     return this.send(entry, { method: 'GET', path: `/artwork/${artwork}`, body: '' }, options);
--- a/packages/e2e/src/test/FleetDaemon.ts
+++ b/packages/e2e/src/test/FleetDaemon.ts
@@ -35,7 +35,7 @@
     readonly id: string,
     readonly availabilityZone: string,
     readonly meshPort: number,
-    private readonly args: string[],
+    readonly args: string[],
   ) {}
 
   get process(): Subprocess {
--- a/packages/e2e/src/test/shards.ts
+++ b/packages/e2e/src/test/shards.ts
@@ -45,7 +45,7 @@
   return new Map(daemons.flatMap((daemon) => [...getOwned(daemon)]));
 }
 
-/** Places a hold in each shard. @returns the keys, by shard */
+/** Places a hold in each shard, and is answered at once. @returns the keys, by shard */
 export async function placeHolds(caller: FleetCaller, entry: Entry): Promise<string[]> {
   const keys = Array.from({ length: SHARDS }, (_, shard) => createKey(shard));
   const answers = await Promise.all(keys.map((key) => caller.hold(entry, key)));
@@ -55,17 +55,19 @@
 
 /**
  * Has the first callers' holds bring every shard an owner among these daemons, and waits until each
- * has a witness too.
+ * has a witness among them too.
  */
 export async function startShards(
   daemons: readonly FleetDaemon[],
   caller: FleetCaller,
 ): Promise<ReadonlyMap<number, OwnedShard>> {
-  await placeHolds(caller, daemons[0]!);
+  const keys = Array.from({ length: SHARDS }, (_, shard) => createKey(shard));
+  await Promise.all(keys.map((key) => caller.holdUntilAnswered(daemons[0]!, key)));
+  const ids = daemons.map(({ id }) => id);
   return pollUntil(
     () => Promise.resolve(getShards(daemons)),
     (shards) =>
-      shards.size === SHARDS && [...shards.values()].every(({ witness }) => witness !== undefined),
+      shards.size === SHARDS && [...shards.values()].every(({ witness }) => ids.includes(witness!)),
   );
 }
 
