End a hand-over of shards only once the next owner knows

Cause: in a rolling restart of nine daemons one hold was refused. A daemon wrote its shard as clean, sent the offer to the next owner and ended; the connection closed with the offer on it. The next owner had looked before, found the shard owned, and left it alone for 5 s, in which every hold of that shard was refused.

Guards shown: without the wait the hand-over is done before the next owner was told; with the longer rest the hold after a lost offer is refused.

--- a/packages/claims/src/lib/ClaimManager/ShardRunner.ts
+++ b/packages/claims/src/lib/ClaimManager/ShardRunner.ts
@@ -48,6 +48,9 @@
 
   private freed: (() => void)[] = [];
 
+  /** The last offer of the shard to a successor, until it is answered or its time is up. */
+  private offer: Promise<void> = Promise.resolve();
+
   private isDisposed = false;
 
   constructor(
@@ -84,13 +87,18 @@
     }
   }
 
-  /** Resolves once this daemon does not own the shard. */
-  whenFree(): Promise<void> {
-    return this.shard.isOwned
-      ? new Promise((resolve) => {
-          this.freed.push(resolve);
-        })
-      : Promise.resolve();
+  /**
+   * Resolves once this daemon does not own the shard and its successor knows: if the process ended
+   * before the offer is out, nobody would own the shard until somebody looks, and holds would be
+   * refused in the meantime.
+   */
+  async whenFree(): Promise<void> {
+    if (this.shard.isOwned) {
+      await new Promise<void>((resolve) => {
+        this.freed.push(resolve);
+      });
+    }
+    await this.offer;
   }
 
   dispose(): void {
@@ -123,7 +131,7 @@
         around.store.delete(effect.key, effect.expectedVersion);
         break;
       case 'call-peer':
-        this.callPeer(effect);
+        this.startCall(effect);
         break;
       case 'wake':
         this.setTimer(effect.at);
@@ -158,6 +166,13 @@
     this.tell({ kind: 'written', id, result });
   }
 
+  private startCall(effect: Extract<ShardEffect, { kind: 'call-peer' }>): void {
+    const call = this.callPeer(effect);
+    if (effect.message.kind === 'take') {
+      this.offer = call;
+    }
+  }
+
   private async callPeer(effect: Extract<ShardEffect, { kind: 'call-peer' }>): Promise<void> {
     const { id, peer, message } = effect;
     this.around.counters.witnessCalls += message.kind === 'remember' ? 1 : 0;
--- a/packages/claims/src/lib/ClaimManager/memberStanding.test.ts
+++ b/packages/claims/src/lib/ClaimManager/memberStanding.test.ts
@@ -27,6 +27,43 @@
     expect(proofs.sort()).toEqual(['clean', 'fresh']);
   });
 
+  // Symptom: holds are refused for seconds in a rolling restart. Sequence: the owner hands its shard
+  // over and ends while the offer to the next one is on its way. Cause: it waits for the store only.
+  it('is handed over only once the next owner knows', async () => {
+    let take = () => {};
+    const deliver = (message: string) =>
+      message.endsWith('take')
+        ? new Promise<void>((resolve) => {
+            take = resolve;
+          })
+        : Promise.resolve();
+    const { cluster, owner } = await start(deliver);
+    let isDone = false;
+    const done = owner.claims.handOver(2000).finally(() => {
+      isDone = true;
+    });
+    await cluster.run(TEST_OPTIONS.callTimeout! / 2);
+    expect({ owned: owner.claims.getOwnedShards(), isDone }).toEqual({ owned: [], isDone: false });
+    take();
+    await cluster.complete(done);
+    expect(cluster.getDecisions('shard-taken')).toHaveLength(2);
+  });
+
+  // The same, where the offer is lost and the next owner has looked too early.
+  it('is taken by whoever is asked next when the offer was lost', async () => {
+    const { cluster, owner, next, other } = await start();
+    lookAt(cluster, owner, MemberStanding.Passive);
+    await cluster.run(TEST_OPTIONS.moveDelay!);
+    cluster.daemons
+      .filter((daemon) => daemon !== owner)
+      .forEach((peer) => cluster.cut(owner, peer));
+    await cluster.complete(owner.claims.handOver(2000));
+    owner.crash();
+    cluster.lookAll();
+    getHandle(await cluster.ask(next, 'one'));
+    getHandle(await cluster.ask(other, 'two'));
+  });
+
   // Symptom: a caller is told that nobody knows whether its hold ran, while it runs. Sequence: the
   // daemon that runs it shuts down, or is slow to answer for a moment. Cause: as above.
   it.each([MemberStanding.Passive, MemberStanding.Doubted])(
--- a/packages/claims/src/lib/ClaimShard/ClaimShard.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.ts
@@ -6,6 +6,7 @@
 import type { ClaimReply } from '../messages.js';
 import { getOwnerOrder } from '../placement.js';
 import { Backoff } from './Backoff.js';
+import { getRest } from './getRest.js';
 import { OwnerHint } from './OwnerHint.js';
 import type { OwnershipEnd, OwnershipStart } from './Ownership.js';
 import { Ownership } from './Ownership.js';
@@ -163,7 +164,7 @@
       case 'owned':
         this.backoff.succeed();
         this.hint.set(end.owner, this.now);
-        this.restUntil = this.now + this.context.options.takeBackDelay;
+        this.restUntil = this.now + getRest(end.owner, this.context);
         break;
       case 'failed':
         this.onTakeoverFailed();
--- a/packages/claims/src/test/claimScenario.ts
+++ b/packages/claims/src/test/claimScenario.ts
@@ -1,6 +1,7 @@
 import type { ClaimAnswer, ClaimHandle, ClaimOutcome } from '../lib/claimTypes.js';
-import { TestCluster } from './TestCluster.js';
+import { TEST_OPTIONS, TestCluster } from './TestCluster.js';
 import type { TestDaemon } from './TestDaemon.js';
+import type { Deliver } from './TestStore.js';
 
 /** The outcome of a hold that was placed. */
 export const RAN: ClaimOutcome = {
@@ -19,8 +20,8 @@
 }
 
 /** Starts four daemons and lets the shard find its owner. */
-export async function start(): Promise<Roles> {
-  const cluster = new TestCluster(4);
+export async function start(deliver?: Deliver): Promise<Roles> {
+  const cluster = new TestCluster(4, TEST_OPTIONS, deliver);
   await cluster.run(1000);
   const [owner, witness, next, other] = cluster.getOrder();
   return { cluster, owner: owner!, witness: witness!, next: next!, other: other! };
