--- a/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaState.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, Random } from '@apricotrill/utils';
 import type { LoadReport } from '../messages.js';
 import type { PolicyOptions } from '../policyOptions.js';
+import type { SlotPlan } from '../Reserve/Reserve.js';
 import type { Share } from '../SharedLimit/SharedLimit.js';
 import { SlotAllowance } from '../SharedLimit/SlotAllowance.js';
 import { CorrectedLoad } from './CorrectedLoad.js';
@@ -102,13 +103,9 @@
     this.leaving = leaving;
   }
 
-  /**
-   * Takes this daemon's part.
-   *
-   * @param fillable - the replica's slots without those kept free
-   */
-  setShare(share: Share, fillable: number): void {
-    this.allowance.setShare(share, fillable);
+  /** Takes this daemon's part, and how all of them use the slots. */
+  setShare(share: Share, plan: SlotPlan): void {
+    this.allowance.setShare(share, plan);
   }
 
   /** The models that placement keeps here; none when it was told nothing. */
--- a/packages/policy/src/lib/ReplicaChooser/ReplicaTable.ts
+++ b/packages/policy/src/lib/ReplicaChooser/ReplicaTable.ts
@@ -92,8 +92,8 @@
       // A model that few replicas hold must be reached by every daemon, also in a large fleet.
       const counts = [...state.getModels()].map((model) => this.holders.get(model)!);
       const count = Math.min(listed.length, ...counts);
-      const slots = this.parts.reserve.getUsable(state.replica.slots);
-      state.setShare(this.parts.limit.getShare(state.id, slots, count), slots);
+      const plan = this.parts.reserve.getPlan(state.replica.slots);
+      state.setShare(this.parts.limit.getShare(state.id, plan.shared, count), plan);
     });
     const now = this.parts.clock.now();
     const all = [...this.states.values()];
--- a/packages/policy/src/lib/Reserve/Reserve.ts
+++ b/packages/policy/src/lib/Reserve/Reserve.ts
@@ -1,5 +1,22 @@
 import type { Milliseconds } from '@apricotrill/utils';
 
+/** The part of its share that a daemon gives up last while a reserve has to be kept free. */
+const GUARANTEED_BESIDE_RESERVE = 0.5;
+
+/**
+ * How the slots of a replica are to be used by the daemons together.
+ *
+ * @internal
+ */
+export interface SlotPlan {
+  /** Slots that are divided among the daemons. */
+  shared: number;
+  /** How many running requests the loans aim at. */
+  fillable: number;
+  /** The part of its share that a daemon may always use. */
+  guaranteed: number;
+}
+
 /**
  * What decides on the reserve.
  *
@@ -10,6 +27,8 @@
   preemptingTier: number;
   /** The part of a replica's slots that is kept free. */
   reserve: number;
+  /** What may wait at a replica, as a part of its slots, while nothing is kept free. */
+  ahead: number;
   /** How long after the last request of either kind the reserve is kept. */
   reserveMemory: Milliseconds;
 }
@@ -52,8 +71,13 @@
     return this.active !== was;
   }
 
-  /** The slots of a replica that may be filled. */
-  getUsable(slots: number): number {
-    return this.active ? slots - Math.floor(slots * this.options.reserve) : slots;
+  /** How the slots of a replica are to be used. */
+  getPlan(slots: number): SlotPlan {
+    if (this.active) {
+      const open = slots - Math.floor(slots * this.options.reserve);
+      return { shared: open, fillable: open, guaranteed: GUARANTEED_BESIDE_RESERVE };
+    }
+    const ahead = Math.ceil(slots * this.options.ahead);
+    return { shared: slots, fillable: slots + ahead, guaranteed: 1 };
   }
 }
--- a/packages/policy/src/lib/Scheduler/SlotFinder.ts
+++ b/packages/policy/src/lib/Scheduler/SlotFinder.ts
@@ -82,11 +82,21 @@
 
   /** The place for a request. */
   find(record: RequestRecord, entitlement: Entitlement, now: Milliseconds): Slot | undefined {
-    const within = this.chooser.choose(record.pool, record.getWish(), now);
-    if (within !== undefined) {
+    const { pool, tier, isUrgent } = record;
+    const within = this.chooser.choose(pool, record.getWish(), now);
+    const isQuick = tier <= this.preemptingTier;
+    if (within !== undefined && (!isQuick || within.state.getPressure(now) <= 1)) {
       return within;
     }
-    return this.findAbove(record, entitlement, now);
+    const above = this.findAbove(record, now);
+    if (above !== undefined && above.state.getPressure(now) <= 1) {
+      return above;
+    }
+    const place = within ?? above;
+    if (place !== undefined && !isUrgent) {
+      return { ...place, mayPreemptLater: isQuick };
+    }
+    return this.findByPreemption(record) ?? place ?? this.findForFloor(record, entitlement, now);
   }
 
   /** A less urgent request at the replica where a more urgent one has waited for too long. */
@@ -99,30 +109,26 @@
     );
   }
 
-  private findAbove(
+  private findAbove(record: RequestRecord, now: Milliseconds): Choice | undefined {
+    const state =
+      this.chooser.chooseAboveShare(record.pool, record.getWish(), now) ?? this.getFound(record);
+    return state && { state, reason: ChoiceReason.AboveShare };
+  }
+
+  private findByPreemption({ pool, tier, failed }: RequestRecord): Slot | undefined {
+    const victim = this.findAnyVictim(pool, tier, failed);
+    return victim && { state: victim.attempt!.state, reason: ChoiceReason.Preemption, victim };
+  }
+
+  private findForFloor(
     record: RequestRecord,
     entitlement: Entitlement,
     now: Milliseconds,
   ): Slot | undefined {
-    const { pool, tier, failed, isUrgent } = record;
-    const above =
-      this.chooser.chooseAboveShare(pool, record.getWish(), now) ?? this.getFound(record);
-    const hasRoom = above !== undefined && above.getPressure(now) <= 1;
-    if (above !== undefined && (hasRoom || !isUrgent)) {
-      const mayPreemptLater = tier <= this.preemptingTier;
-      return { state: above, reason: ChoiceReason.AboveShare, mayPreemptLater };
-    }
-    const victim = this.findAnyVictim(pool, tier, failed);
-    if (victim !== undefined) {
-      return { state: victim.attempt!.state, reason: ChoiceReason.Preemption, victim };
-    }
-    if (above !== undefined) {
-      return { state: above, reason: ChoiceReason.AboveShare };
-    }
-    const due = this.isFloorDue(entitlement)
-      ? this.chooser.chooseForFloor(pool, record.getWish(), now)
+    const state = this.isFloorDue(entitlement)
+      ? this.chooser.chooseForFloor(record.pool, record.getWish(), now)
       : undefined;
-    return due && { state: due, reason: ChoiceReason.Floor };
+    return state && { state, reason: ChoiceReason.Floor };
   }
 
   /** One that has begun its answer surely holds a slot; one that has not may be waiting itself. */
--- a/packages/policy/src/lib/SharedLimit/SlotAllowance.ts
+++ b/packages/policy/src/lib/SharedLimit/SlotAllowance.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, Random } from '@apricotrill/utils';
+import type { SlotPlan } from '../Reserve/Reserve.js';
 import type { Share } from './SharedLimit.js';
 
 const NO_SHARE: Share = { isIn: false, slots: 0, contenders: 1 };
@@ -18,9 +19,10 @@
 /**
  * How many requests one daemon may have running at one replica. Without load reports that is its
  * share. A report that shows free slots lends each daemon its part of them; one that shows more
- * than the slots calls back a part of what each uses, down to half its share. Adding the same for
- * all and taking back in proportion lets those that use most give back most, as TCP's congestion
- * control does (Chiu and Jain, 1989). Parts are rounded at random, so that they add up on average.
+ * than the slots calls back a part of what each uses: down to its share, or to half of it where
+ * slots are kept free and the replica is overloaded all the same. Adding the same for all and
+ * taking back in proportion lets those that use most give back most, as TCP's congestion control
+ * does (Chiu and Jain, 1989). Parts are rounded at random, so that they add up on average.
  *
  * The parts that daemons are lent never exceed what a report shows free. As reports lag, a replica
  * may for the time of the lag get what was lent and what its owners take back at once: by their
@@ -33,7 +35,7 @@
 
   private part: Share = NO_SHARE;
 
-  private fillable = 0;
+  private plan: SlotPlan = { shared: 0, fillable: 0, guaranteed: 1 };
 
   private allowed: { slots: number; at: Milliseconds } | undefined;
 
@@ -46,22 +48,18 @@
     return this.part;
   }
 
-  /**
-   * Takes this daemon's part.
-   *
-   * @param fillable - the slots that all daemons together should fill
-   */
-  setShare(share: Share, fillable: number): void {
+  /** Takes this daemon's part, and how all of them use the slots. */
+  setShare(share: Share, plan: SlotPlan): void {
     this.part = share;
-    this.fillable = fillable;
+    this.plan = plan;
   }
 
-  /** Never below half the share, also when that grew since the last report. */
+  /** Never below what is guaranteed, also when the share grew since the last report. */
   getLimit(now: Milliseconds): number {
     const { allowed, part } = this;
     return allowed === undefined || now - allowed.at > this.maxAge
       ? part.slots
-      : Math.max(Math.ceil(part.slots / 2), allowed.slots);
+      : Math.max(Math.ceil(part.slots * this.plan.guaranteed), allowed.slots);
   }
 
   /**
@@ -73,7 +71,7 @@
     if (this.allowed !== undefined && measuredAt < this.allowed.at) {
       return;
     }
-    const free = this.fillable - load;
+    const free = this.plan.fillable - load;
     const change = free >= 0 ? free / this.part.contenders : (free * own) / load;
     this.allowed = { slots: own + Math.floor(change + random.next()), at: now };
   }
--- a/packages/policy/src/lib/policyOptions.ts
+++ b/packages/policy/src/lib/policyOptions.ts
@@ -65,6 +65,11 @@
    * of both kinds come; default 0.2, rounded down.
    */
   reserve: number;
+  /**
+   * What may wait at a replica, as a part of its slots and rounded up, while nothing is kept free:
+   * a slot that ends is then taken again at once; default 0.06.
+   */
+  ahead: number;
   /** How long after the last request of either kind the reserve is kept; default 30 s. */
   reserveMemory: Milliseconds;
   /** Reports older than this say nothing any more; default 10 s. */
@@ -141,6 +146,7 @@
   subsetSize: 64,
   excess: 0.25,
   reserve: 0.2,
+  ahead: 0.06,
   reserveMemory: 30_000,
   maxReportAge: 10_000,
   stampedeDamping: 0.5,
