Name in a probe whom it is for; measure an edit of the two-year register

Cause: instances are replaced and addresses used again; whoever answers at an address was taken for the daemon that was there, which then stayed in every view.

Change: a probe carries the member's id, and a daemon with another id answers that it isn't it. The member's own record tells since when. Compressed texts are kept by hash and text.

Shown to matter: without the id in the probe the new test fails (the old id stays for good).

--- a/packages/cluster/src/bench/createManifest.ts
+++ b/packages/cluster/src/bench/createManifest.ts
@@ -18,12 +18,12 @@
   };
 }
 
-/** A manifest and its parts; neighbouring generations differ in one part. */
-export function createManifest(
+/** A generation with the given content. */
+export function createManifestOf(
+  configuration: Configuration,
   generation: number,
-  workspaces = 20,
 ): { manifest: Manifest; parts: ConfigurationPart[] } {
-  const parts = getConfigurationParts(createConfiguration(workspaces, generation));
+  const parts = getConfigurationParts(configuration);
   const manifest = {
     generation,
     changeId: `change-${generation}`,
@@ -35,3 +35,8 @@
   };
   return { manifest, parts };
 }
+
+/** A manifest and its parts; neighbouring generations differ in one part. */
+export function createManifest(generation: number, workspaces = 20) {
+  return createManifestOf(createConfiguration(workspaces, generation), generation);
+}
--- a/packages/cluster/src/bench/spreadCost.ts
+++ b/packages/cluster/src/bench/spreadCost.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { FleetSize } from './Fleet.js';
 import { Fleet } from './Fleet.js';
+import { measureEdit } from './measureEdit.js';
 
 /**
  * What membership and the spread of configuration cost each daemon, by size of the fleet: real
@@ -127,5 +128,7 @@
   fleet.dispose();
 }
 
+// eslint-disable-next-line no-console -- as above
+console.log('an edit of the two-year register', JSON.stringify(measureEdit()));
 const wanted = process.argv[2]?.split(',').map(Number);
 SIZES.filter(({ daemons }) => wanted?.includes(daemons) ?? true).forEach(measure);
--- a/packages/cluster/src/lib/ClusterCore/PeerTalk.ts
+++ b/packages/cluster/src/lib/ClusterCore/PeerTalk.ts
@@ -25,6 +25,11 @@
 export class PeerTalk {
   constructor(private readonly parts: PeerTalkParts) {}
 
+  /** This daemon's id. */
+  get self(): string {
+    return this.parts.membership.self.get().id;
+  }
+
   /** Rumours to send along. */
   takeRumours(): Rumour[] {
     return this.parts.spreader.take().map((rumour) => this.parts.reader.refresh(rumour));
--- a/packages/cluster/src/lib/ClusterCore/RequestHandler.ts
+++ b/packages/cluster/src/lib/ClusterCore/RequestHandler.ts
@@ -34,9 +34,12 @@
   }
 
   private getAnswer(from: string, request: Exclude<PeerRequest, PingThrough>): PeerAnswer {
-    const { antiEntropy, loads, spread } = this.parts;
+    const { antiEntropy, loads, spread, talk } = this.parts;
     switch (request.kind) {
       case 'ping':
+        return request.member === talk.self
+          ? this.getAck(from, request.rumours)
+          : { kind: 'nothing', generation: spread.getGeneration() };
       case 'gossip':
         return this.getAck(from, request.rumours);
       case 'sync':
@@ -67,6 +70,7 @@
     const ping = {
       kind: 'ping',
       generation: spread.getGeneration(),
+      member: request.member,
       rumours: request.rumours,
     } as const;
     calls.call(request.address, ping, context.options.indirectTimeout, (answer) => {
--- a/packages/cluster/src/lib/Membership/Membership.test.ts
+++ b/packages/cluster/src/lib/Membership/Membership.test.ts
@@ -148,6 +148,18 @@
     expect(new Set(states)).toEqual(new Set([MemberState.Leaving]));
   });
 
+  it('notices a crash although another daemon answers at the address by now', () => {
+    // Symptom: a daemon that was replaced stays in the view, for good.
+    // Sequence: its process ends; a daemon of another id starts at the same address.
+    // Cause: whoever answers at the address is taken for the one who was there.
+    const cluster = createCluster({ zones: NINE, listLag: 10_000_000 });
+    const [gone, other] = cluster.daemons;
+    cluster.crash(gone!);
+    const heir = cluster.restart(gone!, 0, 'daemon-heir');
+    const isReplaced = () => getView(other!, heir.id) && !getView(other!, gone!.id);
+    expect(cluster.runUntil(() => Boolean(isReplaced()), 30_000)).toBe(true);
+  });
+
   it('is told by whom it talks to that it is taken for dead', () => {
     // Symptom: a daemon that was away stays dead for the others although it talks to them.
     // Sequence: it is cut off and taken for dead; all rumours of it have been told; it comes back.
--- a/packages/cluster/src/lib/Membership/Membership.ts
+++ b/packages/cluster/src/lib/Membership/Membership.ts
@@ -53,9 +53,12 @@
 
   private readonly context: CoreContext;
 
+  private readonly startedAt: Milliseconds;
+
   constructor(private readonly parts: MembershipParts) {
     const { context, identity, onChange } = parts;
     this.context = context;
+    this.startedAt = context.clock.now();
     this.experience = new Experience(context, onChange);
     this.pause = new PauseDetector(context);
     this.damper = new FlapDamper(context, onChange);
@@ -170,7 +173,7 @@
   getMembers(ownGeneration: number): Member[] {
     const self = this.getMember({
       record: this.self.get(),
-      stateSince: 0,
+      stateSince: this.startedAt,
       generation: ownGeneration,
     });
     const others = [...this.table.values()]
--- a/packages/cluster/src/lib/Prober/Prober.ts
+++ b/packages/cluster/src/lib/Prober/Prober.ts
@@ -49,11 +49,12 @@
     const request = {
       kind: 'ping',
       generation: this.parts.getGeneration(),
+      member,
       rumours: [...membership.getWordOn(member), ...this.parts.takeRumours()],
     } as const;
     calls.call(getMeshAddress(record), request, context.options.probeTimeout, (answer) => {
       this.settle(member, startedAt, answer);
-      onResult(answer !== undefined);
+      onResult(answer?.kind === 'ack');
     });
   }
 
@@ -72,6 +73,7 @@
       const request = {
         kind: 'ping-through',
         generation: this.parts.getGeneration(),
+        member,
         address: getMeshAddress(record),
         rumours: membership.getWordOn(member),
       } as const;
@@ -122,10 +124,11 @@
     pickSome(context, others, 1).forEach((member) => this.probe(member));
   }
 
+  /** Any answer shows that the network works; only one by the member that it is there. */
   private settle(member: string, startedAt: Milliseconds, answer: PeerAnswer | undefined): void {
     const { context, membership } = this.parts;
     this.note(member, startedAt, answer);
-    if (answer !== undefined) {
+    if (answer?.kind === 'ack') {
       return;
     }
     context.counters.probeFailures += 1;
@@ -144,7 +147,7 @@
     if (isTelling && isMember && this.parts.targets.isInOwnCircle(peer)) {
       membership.experience.record(peer, answer !== undefined);
     }
-    if (answer !== undefined) {
+    if (answer?.kind === 'ack') {
       this.parts.hear(peer, answer);
     }
   }
--- a/packages/cluster/src/lib/codec/messageCodec.test.ts
+++ b/packages/cluster/src/lib/codec/messageCodec.test.ts
@@ -46,8 +46,15 @@
 );
 
 const requests = fc.oneof<fc.Arbitrary<PeerRequest>[]>(
-  fc.record({ kind: fc.constantFrom('ping', 'gossip'), generation: count, rumours }),
-  fc.record({ kind: fc.constant('ping-through'), generation: count, rumours, address: name }),
+  fc.record({ kind: fc.constant('gossip'), generation: count, rumours }),
+  fc.record({ kind: fc.constant('ping'), generation: count, rumours, member: name }),
+  fc.record({
+    kind: fc.constant('ping-through'),
+    generation: count,
+    rumours,
+    member: name,
+    address: name,
+  }),
   fc.record({
     kind: fc.constant('sync'),
     generation: count,
--- a/packages/cluster/src/lib/codec/messageCodec.ts
+++ b/packages/cluster/src/lib/codec/messageCodec.ts
@@ -46,14 +46,20 @@
 
 const requestSchemas: Record<RequestTag, z.ZodType<PeerRequest>> = {
   [RequestTag.Ping]: z
-    .tuple([z.number(), count, rumoursSchema])
-    .transform(([, generation, rumours]) => ({ kind: 'ping', generation, rumours })),
-  [RequestTag.PingThrough]: z
     .tuple([z.number(), count, rumoursSchema, z.string()])
-    .transform(([, generation, rumours, address]) => ({
+    .transform(([, generation, rumours, member]) => ({
+      kind: 'ping',
+      generation,
+      rumours,
+      member,
+    })),
+  [RequestTag.PingThrough]: z
+    .tuple([z.number(), count, rumoursSchema, z.string(), z.string()])
+    .transform(([, generation, rumours, member, address]) => ({
       kind: 'ping-through',
       generation,
       rumours,
+      member,
       address,
     })),
   [RequestTag.Gossip]: z
@@ -112,10 +118,10 @@
   const { generation } = request;
   switch (request.kind) {
     case 'ping':
-      return [RequestTag.Ping, generation, request.rumours.map(encodeRumour)];
+      return [RequestTag.Ping, generation, request.rumours.map(encodeRumour), request.member];
     case 'ping-through': {
       const rumours = request.rumours.map(encodeRumour);
-      return [RequestTag.PingThrough, generation, rumours, request.address];
+      return [RequestTag.PingThrough, generation, rumours, request.member, request.address];
     }
     case 'gossip':
       return [RequestTag.Gossip, generation, request.rumours.map(encodeRumour)];
--- a/packages/cluster/src/lib/codec/textCodec.ts
+++ b/packages/cluster/src/lib/codec/textCodec.ts
@@ -8,7 +8,7 @@
 /** Compressed texts kept: a new part is asked for by several peers within a second. */
 const KEPT_TEXTS = 16;
 
-const kept = new Map<string, Uint8Array>();
+const kept = new Map<string, { text: string; compressed: Uint8Array }>();
 
 export function compressText(text: string): Uint8Array {
   return deflateRawSync(text);
@@ -26,11 +26,11 @@
 
 function compressPart(hash: string, text: string): Uint8Array {
   const known = kept.get(hash);
-  if (known !== undefined) {
-    return known;
+  if (known?.text === text) {
+    return known.compressed;
   }
   const compressed = compressText(text);
-  kept.set(hash, compressed);
+  kept.set(hash, { text, compressed });
   if (kept.size > KEPT_TEXTS) {
     kept.delete(kept.keys().next().value!);
   }
--- a/packages/cluster/src/lib/messages.ts
+++ b/packages/cluster/src/lib/messages.ts
@@ -71,8 +71,15 @@
 
 /** What one daemon asks another. Every request carries the sender's generation in force. */
 export type PeerRequest =
-  | { kind: 'ping'; generation: number; rumours: readonly Rumour[] }
-  | { kind: 'ping-through'; generation: number; address: string; rumours: readonly Rumour[] }
+  /** Another daemon may have the address by now, so the request names whom it is for. */
+  | { kind: 'ping'; generation: number; member: string; rumours: readonly Rumour[] }
+  | {
+      kind: 'ping-through';
+      generation: number;
+      member: string;
+      address: string;
+      rumours: readonly Rumour[];
+    }
   | { kind: 'gossip'; generation: number; rumours: readonly Rumour[] }
   /** Compare views: hashes of the sender's records by bucket; answer from bucket `start` on. */
   | { kind: 'sync'; generation: number; self: MemberRecord; start: number; buckets: Uint8Array }
@@ -84,7 +91,10 @@
 export type PeerAnswer =
   /** To `ping`, `gossip` and `load`; to `ping-through` when the target answered. */
   | { kind: 'ack'; generation: number; rumours: readonly Rumour[] }
-  /** To `ping-through` when the target did not answer, to a fetch when there is nothing to give. */
+  /**
+   * To a ping for somebody else, to `ping-through` when the member did not answer, to a fetch when
+   * there is nothing to give.
+   */
   | { kind: 'nothing'; generation: number }
   | {
       kind: 'sync-page';
--- a/packages/cluster/src/test/TestCluster.ts
+++ b/packages/cluster/src/test/TestCluster.ts
@@ -162,9 +162,9 @@
   }
 
   /** Starts a process in the place of one that crashed, on a machine whose clock may be off. */
-  restart(old: TestDaemon, clockOffset: Milliseconds = 0): TestDaemon {
+  restart(old: TestDaemon, clockOffset: Milliseconds = 0, id = old.id): TestDaemon {
     const { meshPort, availabilityZone, region } = old.host.self;
-    return this.startProcess(old.id, `${region}/${availabilityZone}`, meshPort, clockOffset);
+    return this.startProcess(id, `${region}/${availabilityZone}`, meshPort, clockOffset);
   }
 
   setPlatform(state: Partial<PlatformState>): void {
