--- a/packages/cluster/src/lib/ClusterCore/CoreParts.ts
+++ b/packages/cluster/src/lib/ClusterCore/CoreParts.ts
@@ -92,7 +92,6 @@
       tell: (rumour) => this.spreader.tell(rumour),
       isRegionReachable: (region) => this.regions.isReachable(region),
       isOursToJudge: (member) => this.targets.isOursToJudge(member),
-      hasHeardRegion: (region, since) => this.regions.hasHeard(region, since),
       onChange: this.onChange,
     });
   }
--- a/packages/cluster/src/lib/Membership/Membership.ts
+++ b/packages/cluster/src/lib/Membership/Membership.ts
@@ -29,8 +29,6 @@
   isRegionReachable: (region: string) => boolean;
   /** Whether this daemon is among those that find out whether the member is there. */
   isOursToJudge: (member: string) => boolean;
-  /** Whether any daemon of a region was heard since then; true for the own region. */
-  hasHeardRegion: (region: string, since: Milliseconds) => boolean;
   onChange: () => void;
 }
 
@@ -65,7 +63,7 @@
     this.self = new SelfRecord(context, identity, (record) => this.tellSelf(record));
     this.suspicions = new Suspicions({
       context,
-      isOnHold: (member, since) => this.isOnHold(member, since),
+      isOnHold: (member) => this.isOnHold(member),
       onExpired: (member) => this.declareDead(member, DeathCause.Unrefuted),
     });
   }
@@ -246,18 +244,11 @@
 
   /**
    * Whether no conclusion may be drawn from a member's silence: its refutation cannot arrive while
-   * this process sleeps, is cut off, or its region gives no sign of life. A larger region judges its
-   * own daemons, and its verdict arrives when it can.
+   * this process sleeps or is cut off. Another region judges its own daemons, and its verdict
+   * arrives when it can; a refutation may never, when the regions lose each other.
    */
-  private isOnHold(member: string, since: Milliseconds): boolean {
-    const region = this.table.get(member)?.record.region;
-    return (
-      this.noticePause() ||
-      this.experience.isCutOff ||
-      region === undefined ||
-      !this.parts.isOursToJudge(member) ||
-      !this.parts.hasHeardRegion(region, since)
-    );
+  private isOnHold(member: string): boolean {
+    return this.noticePause() || this.experience.isCutOff || !this.parts.isOursToJudge(member);
   }
 
   private getMember({ record, stateSince, generation }: MemberEntry): Member {
--- a/packages/cluster/src/lib/Membership/Suspicions.ts
+++ b/packages/cluster/src/lib/Membership/Suspicions.ts
@@ -1,10 +1,10 @@
-import type { Milliseconds, Timer } from '@apricotrill/utils';
+import type { Timer } from '@apricotrill/utils';
 import type { CoreContext } from '../CoreContext.js';
 
 interface SuspicionParts {
   context: CoreContext;
   /** Whether no conclusion may be drawn from a member's silence now. */
-  isOnHold: (member: string, since: Milliseconds) => boolean;
+  isOnHold: (member: string) => boolean;
   onExpired: (member: string) => void;
 }
 
@@ -17,10 +17,7 @@
   start(member: string): void {
     const { context } = this.parts;
     this.timers.get(member)?.cancel();
-    const since = context.clock.now();
-    const timer = context.clock.setTimer(context.options.suspicionSpan, () =>
-      this.expire(member, since),
-    );
+    const timer = context.clock.setTimer(context.options.suspicionSpan, () => this.expire(member));
     this.timers.set(member, timer);
   }
 
@@ -40,8 +37,8 @@
   }
 
   /** While on hold the member gets its full time again: a refutation cannot arrive either. */
-  private expire(member: string, since: Milliseconds): void {
-    if (this.parts.isOnHold(member, since)) {
+  private expire(member: string): void {
+    if (this.parts.isOnHold(member)) {
       this.start(member);
     } else {
       this.timers.delete(member);
--- a/packages/cluster/src/lib/ProbeTargets/ProbeTargets.ts
+++ b/packages/cluster/src/lib/ProbeTargets/ProbeTargets.ts
@@ -89,15 +89,9 @@
     return region === this.self.region ? others + 1 : others;
   }
 
-  /** Whether a region has too few daemons to look after each other. */
-  isSmall(region: string): boolean {
-    return this.getRegionSize(region) < this.options.smallRegion;
-  }
-
-  /** Whether this daemon may suspect the member and declare it dead. */
+  /** Whether this daemon may suspect the member and declare it dead: each region judges its own. */
   isOursToJudge(member: string): boolean {
-    const region = this.table.get(member)?.record.region;
-    return region !== undefined && (region === this.self.region || this.isSmall(region));
+    return this.table.get(member)?.record.region === this.self.region;
   }
 
   /**
@@ -105,8 +99,8 @@
    * are lost together, which says nothing about it, unless they are nearly all there is.
    */
   isInOwnCircle(member: string): boolean {
-    const region = this.table.get(member)?.record.region;
-    return region === this.self.region || this.isSmall(this.self.region);
+    const isAmongFew = this.getRegionSize(this.self.region) < this.options.smallRegion;
+    return isAmongFew || this.isOursToJudge(member);
   }
 
   private refresh(): void {
--- a/packages/cluster/src/lib/Prober/Prober.ts
+++ b/packages/cluster/src/lib/Prober/Prober.ts
@@ -96,7 +96,8 @@
   private tick(): void {
     const { context, membership, targets } = this.parts;
     const neighbours = targets.getNeighbours();
-    this.timer = context.clock.setTimer(this.getInterval(neighbours.length), () => this.tick());
+    const interval = jitter(context, context.options.probeInterval);
+    this.timer = context.clock.setTimer(interval, () => this.tick());
     membership.noticePause();
     if (neighbours.length > 0) {
       this.turn = (this.turn + 1) % neighbours.length;
@@ -107,13 +108,6 @@
     }
   }
 
-  /** With more neighbours than usual each still has its turn as often. */
-  private getInterval(neighbours: number): Milliseconds {
-    const { context } = this.parts;
-    const { probeInterval, probeRings } = context.options;
-    return jitter(context, probeInterval * (probeRings / Math.max(probeRings, neighbours)));
-  }
-
   /** Tries peers beyond the neighbours: whose fault silence is shows in a larger sample only. */
   private widenSample(neighbours: readonly string[]): void {
     const { context, membership } = this.parts;
--- a/packages/cluster/src/lib/RegionReach/RegionReach.test.ts
+++ b/packages/cluster/src/lib/RegionReach/RegionReach.test.ts
@@ -73,14 +73,14 @@
     cluster.dispose();
   });
 
-  it('notices a crash in a region too small to look after itself', () => {
+  it('notices a crash in a region of two', () => {
     // Symptom: a dead daemon of a small region stays in the view.
     // Sequence: one of two daemons of a region crashes; its instance is still listed.
-    // Cause: only daemons of its own region judge it, and one alone cannot tell whose fault it is.
+    // Cause: the other one, whose only neighbour is silent, takes itself for cut off.
     const { cluster } = createCluster({ 'fi/a': 6, 'se/b': 2 });
     const gone = cluster.daemons[6]!;
     cluster.crash(gone, true);
-    const isGone = () => cluster.daemons.slice(0, 6).every((daemon) => !getView(daemon, gone.id));
+    const isGone = () => cluster.daemons.every((daemon) => !getView(daemon, gone.id));
     expect(cluster.runUntil(isGone, 60_000)).toBe(true);
     cluster.dispose();
   });
@@ -88,7 +88,7 @@
   it('keeps the daemons of a small region that is lost', () => {
     // Symptom: a region of two daemons is dropped whenever it is cut off.
     // Sequence: nothing passes between it and the larger one for two minutes.
-    // Cause: its daemons are judged from outside, one by one, by their silence.
+    // Cause: its daemons are judged from outside by their silence, or take each other for dead.
     const { cluster, cutRegions } = createCluster({ 'fi/a': 6, 'se/b': 2 });
     cutRegions();
     cluster.run(120_000);
--- a/packages/cluster/src/lib/RegionReach/RegionReach.ts
+++ b/packages/cluster/src/lib/RegionReach/RegionReach.ts
@@ -52,12 +52,6 @@
     return this.regions.get(region)?.isReachable ?? true;
   }
 
-  /** Whether a daemon of the region was heard since then; true for the own region. */
-  hasHeard(region: string, since: Milliseconds): boolean {
-    const state = this.regions.get(region);
-    return state === undefined || state.heardAt >= since;
-  }
-
   /** A daemon of the region was heard. */
   hear(region: string): void {
     const state = this.regions.get(region);
--- a/packages/cluster/src/lib/clusterOptions.ts
+++ b/packages/cluster/src/lib/clusterOptions.ts
@@ -18,7 +18,7 @@
   probeRings: number;
   /** Time between two probes into another region. */
   crossRegionInterval: Milliseconds;
-  /** A region with fewer daemons than this is probed from outside, since nobody inside can. */
+  /** In a region of fewer daemons, those of other regions count as well for the own network. */
   smallRegion: number;
   /** A region of which nothing was heard for so long counts as unreachable. */
   regionSilence: Milliseconds;
