Look again for something to stop when a question still waits

Cause: a question at a full replica looked once for a draft to stop; one that had not answered yet was passed over, and the question waited on. Change: it looks again after the same part of its target, until it is answered.

--- a/packages/policy/src/lib/Scheduler/AttemptRunner.ts
+++ b/packages/policy/src/lib/Scheduler/AttemptRunner.ts
@@ -23,8 +23,12 @@
   emit: (effect: SchedulerEffect) => void;
   /** A cancelled attempt did not report its end in time. */
   onCancelled: (record: RequestRecord) => void;
-  /** An attempt has waited too long for its first token to wait on behind less urgent work. */
-  onLate: (record: RequestRecord) => void;
+  /**
+   * An attempt has waited too long for its first token to wait on behind less urgent work.
+   *
+   * @returns whether something was stopped for it
+   */
+  onLate: (record: RequestRecord) => boolean;
   /** An attempt has been silent for longer than its owner should have allowed. */
   onSilent: (record: RequestRecord) => void;
 }
@@ -55,8 +59,7 @@
     const hadRoom = state.getPressure(now) <= 1;
     const attempt = new Attempt({ number, state, startedAt: now, hadRoom, ...timeouts });
     if (slot.mayPreemptLater) {
-      const { target } = record.request.serviceClass;
-      attempt.preemptLater(now + options.preemptionPatience * target.firstToken);
+      attempt.preemptLater(now + this.getPatience(record));
     }
     record.begin(attempt, freeSlot);
     record.enter(Phase.Running);
@@ -128,14 +131,18 @@
         onSilent(record);
         return;
       }
-      this.watch(record, attempt);
-      if (attempt.takePreemption(now)) {
-        onLate(record);
+      if (attempt.takePreemption(now) && !onLate(record)) {
+        attempt.preemptLater(now + this.getPatience(record));
       }
+      this.watch(record, attempt);
     });
     record.watch(timer);
   }
 
+  private getPatience({ request }: RequestRecord): Milliseconds {
+    return this.parts.options.preemptionPatience * request.serviceClass.target.firstToken;
+  }
+
   private emitCancel(record: RequestRecord, reason: CancelReason): void {
     const attempt = record.attempt!;
     attempt.cancel(reason);
--- a/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
+++ b/packages/policy/src/lib/Scheduler/ServiceScheduler.ts
@@ -67,10 +67,7 @@
       table: this.table,
       running: this.running,
       onCancelled: (record) => this.attemptEnded(record, AttemptEnd.Cancelled),
-      onLate: (record) => {
-        this.preempt(this.slots.findLateVictim(record));
-        this.pump();
-      },
+      onLate: (record) => this.preempt(this.slots.findLateVictim(record)),
       onSilent: (record) => {
         this.pathSilent(record.attempt!.state.id);
         this.attempts.cancel(record, CancelReason.Silent);
@@ -249,11 +246,12 @@
     });
   }
 
-  private preempt(victim: RequestRecord | undefined): void {
+  private preempt(victim: RequestRecord | undefined): boolean {
     victim?.preempt();
     if (victim !== undefined) {
       this.attempts.cancel(victim, CancelReason.Preempted);
     }
+    return victim !== undefined;
   }
 
   private goOn(record: RequestRecord, end: AttemptEnd, isOwnCancel: boolean): void {
--- a/packages/policy/src/lib/Scheduler/preemption.test.ts
+++ b/packages/policy/src/lib/Scheduler/preemption.test.ts
@@ -98,6 +98,13 @@
     expect(submit(harness, 'chat', 'chat')).toEqual(['dispatch chat']);
     expect(harness.advance(374)).toEqual([]);
     expect(getBrief(harness.advance(1))).toEqual(['cancel draft']);
+    // A draft that has not answered may be waiting itself: stopping it would free nothing.
+    const early = new Harness({ slots: 1, options: { reserve: 0, ahead: 0 } });
+    submit(early, 'draft', 'draft');
+    submit(early, 'chat', 'chat');
+    expect(early.advance(600)).toEqual([]);
+    early.progress('draft');
+    expect(getBrief(early.advance(150))).toEqual(['cancel draft']);
     const answered = createFull('draft');
     submit(answered, 'chat', 'chat');
     answered.progress('chat');
