Let a full shard of claims come free again

Change: a claim of a new key clears out expired ones first. Measured: the test fails without the change. Ruled out: clearing out on a timer; a shard nobody asks needs no room.

--- a/packages/claims/src/lib/ClaimShard/CallProcessor.ts
+++ b/packages/claims/src/lib/ClaimShard/CallProcessor.ts
@@ -91,6 +91,9 @@
   private claimNew(input: ClaimCall, now: Milliseconds): void {
     const { options } = this.context;
     const { request } = input;
+    // A full shard that refuses everything has nothing to commit, and a commit is when old keys are
+    // cleared out otherwise: it would stay full for good.
+    this.table.expire(now);
     if (!this.source.canGrant(now)) {
       this.refuse(input, RefusalReason.StoreUnavailable);
     } else if (this.table.count >= options.entryLimit || this.table.size >= options.headLimit) {
--- a/packages/claims/src/lib/ClaimShard/ShardTable.test.ts
+++ b/packages/claims/src/lib/ClaimShard/ShardTable.test.ts
@@ -67,6 +67,19 @@
     expect(repeat).toMatchObject({ kind: 'settled', answer: { kind: 'status-only' } });
   });
 
+  // Symptom: a shard refuses every new key for good after a burst. Sequence: it is full; with
+  // nothing granted, nothing is written. Cause: expired keys are only cleared out by a commit.
+  it('is free again when its keys have expired', async () => {
+    const cluster = new TestCluster(4, { ...OPTIONS, entryLimit: 10 });
+    await cluster.run(1000);
+    await settleMany(cluster, 10);
+    await cluster.run(1000);
+    const daemon = cluster.daemons[1]!;
+    expect(await cluster.ask(daemon, 'more')).toMatchObject({ reason: 'overload' });
+    await cluster.run(TEST_OPTIONS.retention!);
+    expect((await cluster.ask(daemon, 'more')).kind).toBe('granted');
+  });
+
   // Symptom: a hold placed twice after an upgrade. Sequence: old daemons cut the keys into another
   // number of shards than new ones. Cause: a key then has two owners that never meet.
   it('is not served by daemons that count the shards differently', async () => {
