Don't tell a rumour back to who has just told it

Cause: with 100 daemons a death was sometimes known to one of them only after the next comparison of views: those around it had used up the rumour's sends on answers to peers that knew it.

Change: answers leave out what the request told.

--- a/packages/cluster/src/lib/ClusterCore/PeerTalk.ts
+++ b/packages/cluster/src/lib/ClusterCore/PeerTalk.ts
@@ -30,9 +30,9 @@
     return this.parts.membership.self.get().id;
   }
 
-  /** Rumours to send along. */
-  takeRumours(): Rumour[] {
-    return this.parts.spreader.take().map((rumour) => this.parts.reader.refresh(rumour));
+  /** Rumours to send along; not those that the receiver has just told. */
+  takeRumours(heard: readonly Rumour[] = []): Rumour[] {
+    return this.parts.spreader.take(heard).map((rumour) => this.parts.reader.refresh(rumour));
   }
 
   /** @returns newer word on what the sender told */
--- a/packages/cluster/src/lib/ClusterCore/RequestHandler.ts
+++ b/packages/cluster/src/lib/ClusterCore/RequestHandler.ts
@@ -59,7 +59,7 @@
   private getAck(from: string, rumours: readonly Rumour[]): PeerAnswer {
     const { spread, talk } = this.parts;
     const told = talk.hearRumours(rumours);
-    const own = [...told, ...talk.getWordOn(from), ...talk.takeRumours()];
+    const own = [...told, ...talk.getWordOn(from), ...talk.takeRumours(rumours)];
     return { kind: 'ack', generation: spread.getGeneration(), rumours: own };
   }
 
--- a/packages/cluster/src/lib/RumourQueue/RumourQueue.ts
+++ b/packages/cluster/src/lib/RumourQueue/RumourQueue.ts
@@ -9,7 +9,8 @@
   sends: number;
 }
 
-function getKey(rumour: Rumour): string {
+/** What a rumour is about: a newer one on the same subject takes its place. */
+export function getRumourKey(rumour: Rumour): string {
   switch (rumour.kind) {
     case 'member':
       return `member ${rumour.record.id}`;
@@ -36,7 +37,7 @@
 
   /** Adds a rumour in place of an older one on the same subject. */
   add(rumour: Rumour, sends: number): void {
-    const key = getKey(rumour);
+    const key = getRumourKey(rumour);
     const bytes = getRumourBytes(rumour);
     this.queue.set(key, { key, rumour, bytes, sendsLeft: sends, sends: 0 });
   }
@@ -44,10 +45,13 @@
   /**
    * Takes the least told rumours that fit; each counts as told once more.
    *
+   * @param except - subjects of which the receiver knows
    * @param onTaken - told the size of each rumour taken
    */
-  take(maxBytes: number, onTaken: (bytes: number) => void): Rumour[] {
-    const candidates = [...this.queue.values()].sort((left, right) => left.sends - right.sends);
+  take(maxBytes: number, except: ReadonlySet<string>, onTaken: (bytes: number) => void): Rumour[] {
+    const candidates = [...this.queue.values()]
+      .filter(({ key }) => !except.has(key))
+      .sort((left, right) => left.sends - right.sends);
     let bytesLeft = maxBytes;
     const taken = candidates.filter(({ bytes }) => {
       const fits = bytes <= bytesLeft;
--- a/packages/cluster/src/lib/Spreader/Spreader.ts
+++ b/packages/cluster/src/lib/Spreader/Spreader.ts
@@ -2,7 +2,7 @@
 import type { CoreContext } from '../CoreContext.js';
 import { jitter } from '../CoreContext.js';
 import type { Rumour } from '../messages.js';
-import { RumourQueue } from '../RumourQueue/RumourQueue.js';
+import { getRumourKey, RumourQueue } from '../RumourQueue/RumourQueue.js';
 
 const SECOND = 1000;
 
@@ -52,11 +52,17 @@
     this.add(rumour, this.parts.context.options.rumourRepeats);
   }
 
-  /** Rumours for one message, within its bound and the allowance. */
-  take(): Rumour[] {
+  /**
+   * Rumours for one message, within its bound and the allowance.
+   *
+   * @param heard - what the receiver has just told: telling it back would use up the sends
+   */
+  take(heard: readonly Rumour[] = []): Rumour[] {
     const { options, counters } = this.parts.context;
     this.refill();
-    const rumours = this.queue.take(Math.min(options.rumourBytes, this.allowance), (bytes) => {
+    const maxBytes = Math.min(options.rumourBytes, this.allowance);
+    const known = new Set(heard.map(getRumourKey));
+    const rumours = this.queue.take(maxBytes, known, (bytes) => {
       this.allowance -= bytes;
     });
     counters.rumoursSent += rumours.length;
