Take a shard as soon as the owner one rested for has gone

Cause: a failed owner's claims went on 13 s after its end, 8 s of which were noticing it. The next owner had looked meanwhile, found an owner that lived by its view, and left the shard alone for 5 s, also after it had seen that owner go. Change: a rest for the sake of an owner ends with that owner; the rest after a loss stays, since it is against two views that differ. Both live in ShardRest, with the short rest for an owner that shuts down. The time until claims go on was not measured again. Ruled out: a shorter rest for all; with many preferred shards it would read the store for nothing.

--- a/packages/claims/src/lib/ClaimShard/ClaimShard.test.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.test.ts
@@ -152,4 +152,19 @@
     core.tell(claim, 210 + options.takeBackDelay);
     expect(core.get('read-head')).toBeDefined();
   });
+
+  // Symptom: claims of a shard go on seconds later than its owner's end was noticed. Sequence: the
+  // next owner looks just before, and finds an owner that lives. Cause: it rests for the sake of an
+  // owner that has since gone.
+  it('takes a shard as soon as the owner for whose sake it rested has gone', () => {
+    const core = new CoreUnderTest();
+    core.tell(claim, 100);
+    core.read(createRead({ owner: WITNESS }), 100);
+    expect(core.get('reply').reply).toEqual({ kind: 'not-owner', owner: WITNESS });
+    core.tell(claim, 101);
+    expect(core.get('read-head')).toBeUndefined();
+    core.tell({ kind: 'members', members: [SELF!] }, 102);
+    core.tell(claim, 103);
+    expect(core.get('read-head')).toBeDefined();
+  });
 });
--- a/packages/claims/src/lib/ClaimShard/ClaimShard.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.ts
@@ -6,10 +6,10 @@
 import type { ClaimReply } from '../messages.js';
 import { getOwnerOrder } from '../placement.js';
 import { Backoff } from './Backoff.js';
-import { getRest } from './getRest.js';
 import { OwnerHint } from './OwnerHint.js';
 import type { OwnershipEnd, OwnershipStart } from './Ownership.js';
 import { Ownership } from './Ownership.js';
+import { ShardRest } from './ShardRest.js';
 import type { ShardCall, ShardContext, ShardInput } from './shardMessages.js';
 import type { TakeoverEnd } from './Takeover.js';
 import { Takeover } from './Takeover.js';
@@ -39,8 +39,7 @@
 
   private readonly backoff: Backoff;
 
-  /** Until when we leave the shard alone, after we lost it. */
-  private restUntil: Milliseconds = Number.NEGATIVE_INFINITY;
+  private readonly rest: ShardRest;
 
   /** The last owner has left the shard to us since the takeover in progress began. */
   private isOffered = false;
@@ -55,6 +54,7 @@
   constructor(private readonly context: ShardContext) {
     const { retryDelay, retryDelayLimit } = context.options;
     this.hint = new OwnerHint(context);
+    this.rest = new ShardRest(context);
     this.backoff = new Backoff(retryDelay, retryDelayLimit);
   }
 
@@ -137,7 +137,7 @@
 
   /** Whether to look at the object now, and to take the shard if nobody has it. */
   private mayTake(): boolean {
-    if (this.isLeaving || this.now < Math.max(this.restUntil, this.backoff.due)) {
+    if (this.isLeaving || !this.rest.isOver(this.now) || this.now < this.backoff.due) {
       return false;
     }
     // A takeover of ours may have taken effect unconfirmed: the others would send everyone here,
@@ -164,7 +164,7 @@
       case 'owned':
         this.backoff.succeed();
         this.hint.set(end.owner, this.now);
-        this.restUntil = this.now + getRest(end.owner, this.context);
+        this.rest.startAfterLook(end.owner, this.now);
         break;
       case 'failed':
         this.onTakeoverFailed();
@@ -208,12 +208,11 @@
     const { ownership } = this.phase;
     this.phase = { kind: 'idle' };
     this.hint.set(to, this.now);
-    const { shard, emit, createId, options } = this.context;
+    const { shard, emit, createId } = this.context;
     if (cause === LossCause.HandedOver && to !== undefined) {
       emit({ kind: 'call-peer', id: createId(), peer: to, message: { kind: 'take', shard } });
     } else {
-      // Two daemons whose views differ would otherwise take the shard from each other in turn.
-      this.restUntil = this.now + options.takeBackDelay;
+      this.rest.startAfterLoss(this.now);
     }
     const { epoch } = ownership;
     emit({ kind: 'decision', decision: { kind: 'shard-left', shard, epoch, to: to?.id, cause } });
