--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/generated/**', 'out/**'] },
+  { ignores: ['**/dist/**', '**/generated/**', 'out/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
@@ -14,7 +14,11 @@
     languageOptions: {
       parserOptions: {
         projectService: false,
-        project: ['./packages/*/tsconfig.json', './tsconfig.tests.json'],
+        project: [
+          './packages/*/tsconfig.json',
+          './platform/tsconfig.json',
+          './tsconfig.tests.json',
+        ],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -4,7 +4,7 @@
   // A busy machine must not change the verdict: tests wait on events, this only ends a hung one.
   testTimeout: 120000,
   reporters: ['default', '<rootDir>/tools/summaryReporter.mjs'],
-  roots: ['<rootDir>/packages'],
+  roots: ['<rootDir>/packages', '<rootDir>/platform'],
   testMatch: ['**/src/**/*.test.ts'],
   extensionsToTreatAsEsm: ['.ts'],
   moduleNameMapper: {
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,37 @@
+export { RouteKind } from './lib/config/RelayConfiguration.js';
+export type {
+  CallerLimits,
+  EngineProfile,
+  RelayConfiguration,
+  RelayReplica,
+  RelayRoute,
+  RelayService,
+  RelayWorkspace,
+  RouteTarget,
+} from './lib/config/RelayConfiguration.js';
+export type { HealthSource } from './lib/daemon/HealthChecks/HealthChecks.js';
+export { RelayDaemon } from './lib/daemon/RelayDaemon.js';
+export type { ListenAddress, RelaySettings } from './lib/daemon/RelaySettings.js';
+export type { CacheChange, LoadReport, Prompt, PromptPart } from './lib/decide/messages.js';
+export type {
+  CacheListing,
+  CacheNews,
+  CacheSource,
+} from './lib/follow/CacheFollower/CacheFollower.js';
+export type {
+  ObjectChange,
+  ObjectList,
+  ObjectSource,
+  WatchResult,
+} from './lib/follow/StateFollower/ObjectSource.js';
+export { createRelayLog } from './lib/observe/createRelayLog.js';
+export type { RelayEvent, RelayLog } from './lib/observe/RelayEvent.js';
+export { RelayMetrics } from './lib/observe/RelayMetrics.js';
+export { findHeader, getEndToEndHeaders } from './lib/protocol/connectionHeaders.js';
+export type {
+  AnswerFields,
+  CallerFields,
+  RelayProtocol,
+  SendFields,
+} from './lib/protocol/RelayProtocol.js';
+export type { AnswerHead } from './lib/upstream/UpstreamExchange/UpstreamExchange.js';
--- /dev/null
+++ b/packages/relay/src/lib/callers/admitCall.ts
@@ -0,0 +1,56 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { IncomingMessage } from 'node:http';
+import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
+import type { RelayRoute, RelayWorkspace } from '../config/RelayConfiguration.js';
+import type { CallerFields } from '../protocol/RelayProtocol.js';
+import { callerOptions } from './callerOptions.js';
+
+/** Whether a head may go on, and by what. */
+export type CallAdmission =
+  | { kind: 'admitted'; route: RelayRoute; workspace: RelayWorkspace | undefined }
+  | { kind: 'rejected'; status: number; reason: string; retryAfter?: Milliseconds };
+
+const BAD_REQUEST = 400;
+const UNAUTHORIZED = 401;
+const NOT_FOUND = 404;
+const HEAD_TOO_LARGE = 431;
+const UNAVAILABLE = 503;
+
+/** The length of the head as it came, within a few bytes. */
+function getHeadBytes({ method, url, rawHeaders }: IncomingMessage): number {
+  const line = (method ?? '').length + (url ?? '').length;
+  return rawHeaders.reduce((sum, item) => sum + item.length + 2, line);
+}
+
+/**
+ * Checks the head of a request against the configuration in force.
+ *
+ * @param active - undefined before the first configuration
+ */
+export function admitCall(
+  request: IncomingMessage,
+  fields: CallerFields,
+  active: ActiveConfiguration | undefined,
+): CallAdmission {
+  if (active === undefined) {
+    const retryAfter = callerOptions.startingRetryAfter;
+    return { kind: 'rejected', status: UNAVAILABLE, reason: 'no configuration yet', retryAfter };
+  }
+  const { configuration, routes, keys } = active;
+  if (getHeadBytes(request) > configuration.limits.headerBytes) {
+    return { kind: 'rejected', status: HEAD_TOO_LARGE, reason: 'head too large' };
+  }
+  const { host } = request.headers;
+  if (host === undefined || !request.url?.startsWith('/')) {
+    return { kind: 'rejected', status: BAD_REQUEST, reason: 'no host or no path' };
+  }
+  const route = routes.find(host, request.url);
+  if (route === undefined) {
+    return { kind: 'rejected', status: NOT_FOUND, reason: 'unknown route' };
+  }
+  const workspace = keys?.find(fields.key);
+  if (keys !== undefined && workspace === undefined && !route.isPublic) {
+    return { kind: 'rejected', status: UNAUTHORIZED, reason: 'unknown key' };
+  }
+  return { kind: 'admitted', route, workspace };
+}
--- /dev/null
+++ b/packages/relay/src/lib/callers/callerOptions.ts
@@ -0,0 +1,14 @@
+import type { Milliseconds } from '@apricotrill/utils';
+
+/** How callers' connections are handled, beside what the configuration says. */
+export const callerOptions = {
+  /** The largest head that the HTTP server reads at all, in bytes; the configuration's is smaller. */
+  largestHeadBytes: 131_072,
+  /** How often connections with overdue heads are looked for. */
+  overdueCheck: 500 satisfies Milliseconds,
+  /** Retry-After while there is no configuration: a daemon that starts has one in half a second. */
+  startingRetryAfter: 500 satisfies Milliseconds,
+  /** Heads of callers may take this long before a configuration says otherwise. */
+  headerTimeout: 3_000 satisfies Milliseconds,
+  idleTimeout: 15_000 satisfies Milliseconds,
+};
--- /dev/null
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -0,0 +1,428 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import { RouteKind } from '../../config/RelayConfiguration.js';
+import { chooseReplica } from '../chooseReplica.js';
+import type { ChosenReplica } from '../chooseReplica.js';
+import { getNextStep } from '../getNextStep.js';
+import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
+import type { PlacementEffect, PlacementMessage, PlacementRequest } from '../messages.js';
+import { placementOptions } from '../placementOptions.js';
+import type { PlacementOptions } from '../placementOptions.js';
+import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
+import type { RetryAllowanceParts } from '../RetryAllowance/RetryAllowance.js';
+import { createRequestRecord } from '../RequestRecord.js';
+import type { RequestRecord, RunningAttempt } from '../RequestRecord.js';
+import { ServiceState } from './ServiceState.js';
+
+/** What a core is made of. */
+export interface PlacementCoreParts {
+  clock: Clock;
+  emit: (effect: PlacementEffect) => void;
+  options?: Partial<PlacementOptions>;
+}
+
+/**
+ * Decides which request goes to which replica and when, what follows a failed attempt, and when a
+ * request is given up: messages in, effects out, no I/O.
+ *
+ * @example
+ * ```ts
+ * const core = new PlacementCore({ clock, emit: (effect) => sockets.perform(effect) });
+ * core.handle({ kind: 'services', services });
+ * core.handle({ kind: 'replicas', replicas });
+ * core.handle({ kind: 'submit', request });
+ * ```
+ * @public
+ */
+export class PlacementCore {
+  private readonly clock: Clock;
+
+  private readonly emit: (effect: PlacementEffect) => void;
+
+  private readonly options: PlacementOptions;
+
+  private readonly services = new Map<string, ServiceState>();
+
+  private readonly records = new Map<string, RequestRecord>();
+
+  constructor({ clock, emit, options }: PlacementCoreParts) {
+    this.clock = clock;
+    this.emit = emit;
+    this.options = { ...placementOptions, ...options };
+  }
+
+  handle(message: PlacementMessage): void {
+    switch (message.kind) {
+      case 'services':
+        message.services.forEach((service) => {
+          this.getService(service.name).service = service;
+        });
+        break;
+      case 'replicas':
+        this.setReplicas(message);
+        break;
+      case 'submit':
+        this.submit(message.request);
+        break;
+      case 'caller-left':
+        this.leave(message.id);
+        break;
+      case 'answering':
+        this.noteAnswering(message);
+        break;
+      case 'attempt-ended':
+        this.end(message);
+        break;
+      case 'load':
+        this.findReplica(message.replica)?.noteReport(message.report, this.clock.now());
+        break;
+      case 'health':
+        this.noteHealth(message);
+        break;
+      case 'leaving':
+        this.noteLeaving(message.replica);
+        break;
+      case 'cache-changed':
+        this.findReplica(message.replica)?.cache.apply(message.changes);
+        break;
+      case 'cache-listed':
+        this.findReplica(message.replica)?.cache.replace(message.changes);
+        break;
+      case 'cache-lost':
+        this.findReplica(message.replica)?.cache.forget();
+        break;
+      default:
+        message satisfies never;
+    }
+  }
+
+  /** Requests that are not over. */
+  get openRequests(): number {
+    return this.records.size;
+  }
+
+  /** Repeats that this daemon may send of a service now. */
+  getRepeatsLeft(service: string): number {
+    return this.getService(service).allowance.getLeft(this.clock.now());
+  }
+
+  /** Takes over other bounds of repeats; what was counted stays. */
+  setRetries(parts: RetryAllowanceParts): void {
+    this.options.retryRatio = parts.ratio;
+    this.options.retryWindow = parts.window;
+    this.options.retrySlack = parts.slack;
+    this.services.forEach(({ allowance }) => allowance.setParts(parts));
+  }
+
+  private getService(name: string): ServiceState {
+    const existing = this.services.get(name);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const service = new ServiceState(this.options);
+    this.services.set(name, service);
+    return service;
+  }
+
+  private findReplica(id: string): ReplicaState | undefined {
+    for (const service of this.services.values()) {
+      const state = service.replicas.get(id);
+      if (state !== undefined) {
+        return state;
+      }
+    }
+    return undefined;
+  }
+
+  private setReplicas({ replicas }: Extract<PlacementMessage, { kind: 'replicas' }>): void {
+    replicas.forEach(({ service }) => this.getService(service));
+    this.services.forEach((service, name) => {
+      service.setReplicas(replicas.filter((replica) => replica.service === name));
+      this.drainWaiting(service);
+    });
+  }
+
+  private submit(request: PlacementRequest): void {
+    const now = this.clock.now();
+    const record = createRequestRecord(request);
+    const service = this.getService(request.service);
+    this.records.set(request.id, record);
+    service.allowance.noteRequest(now);
+    record.deadlineTimer = this.clock.setTimer(request.deadline - now, () => this.expire(record));
+    if (service.getStaying().length === 0) {
+      this.giveUp(record, Outcome.NotRun, GiveUpReason.NoReplica);
+      return;
+    }
+    this.placeOrWait(record);
+  }
+
+  private placeOrWait(record: RequestRecord): void {
+    if (!this.place(record)) {
+      this.getService(record.request.service).waiting.add(record);
+    }
+  }
+
+  /** @returns false when there is no room now */
+  private place(record: RequestRecord): boolean {
+    const { request } = record;
+    const now = this.clock.now();
+    const service = this.getService(request.service);
+    const chosen = chooseReplica({
+      request,
+      service: service.service,
+      candidates: service.getCandidates(record.tried, now),
+      now,
+      options: this.options,
+    });
+    if (chosen === undefined) {
+      return false;
+    }
+    this.send(record, chosen);
+    return true;
+  }
+
+  private send(record: RequestRecord, { state, choice }: ChosenReplica): void {
+    const { request } = record;
+    const now = this.clock.now();
+    record.started += 1;
+    record.tried.add(state.replica.id);
+    const { prompt } = request;
+    const attempt: RunningAttempt = {
+      number: record.started,
+      state,
+      sentAt: now,
+      missingTokens: choice.missingTokens,
+      memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens / 2,
+      isAnswering: false,
+    };
+    record.running = attempt;
+    state.running.add(attempt);
+    if (prompt !== undefined) {
+      state.cache.expect(prompt, now);
+    }
+    this.watchSilence(record, attempt);
+    this.emit({
+      kind: 'send',
+      id: request.id,
+      attempt: attempt.number,
+      replica: state.replica,
+      choice,
+    });
+  }
+
+  /** Bounds the wait for the first byte where another replica may still answer in time. */
+  private watchSilence(record: RequestRecord, attempt: RunningAttempt): void {
+    const { request } = record;
+    const span = this.getSilence(request);
+    record.silenceTimer?.cancel();
+    record.silenceTimer = this.clock.setTimer(span, () => this.noteSilence(record, attempt));
+  }
+
+  private getSilence(request: PlacementRequest): Milliseconds {
+    const { plainSilence, streamSilence } = this.options;
+    const factor = request.kind === RouteKind.Stream ? streamSilence : plainSilence;
+    return request.latencyTarget * factor;
+  }
+
+  private noteSilence(record: RequestRecord, attempt: RunningAttempt): void {
+    const { request } = record;
+    if (record.running !== attempt || attempt.isAnswering) {
+      return;
+    }
+    const now = this.clock.now();
+    if (attempt.state.isDark(now)) {
+      this.suspect(attempt.state, 'nothing comes from it');
+    }
+    const service = this.getService(request.service);
+    const others = service.getCandidates(record.tried, now);
+    const hasOther = others.some(({ replica }) => !record.tried.has(replica.id));
+    if (!request.repeatable || record.sent + 1 >= request.maxAttempts || !hasOther) {
+      this.watchDarkness(record, attempt);
+      return;
+    }
+    if (service.allowance.getLeft(now) < 1) {
+      this.watchDarkness(record, attempt);
+      return;
+    }
+    this.emit({
+      kind: 'cancel',
+      id: request.id,
+      attempt: attempt.number,
+      reason: CancelReason.Silent,
+    });
+  }
+
+  /** Looks again later: a replica that went dark is noticed by what was sent to it. */
+  private watchDarkness(record: RequestRecord, attempt: RunningAttempt): void {
+    const span = this.options.darkAfter;
+    record.silenceTimer = this.clock.setTimer(span, () => this.noteSilence(record, attempt));
+  }
+
+  private noteAnswering({ id, attempt }: { id: string; attempt: number }): void {
+    const record = this.records.get(id);
+    if (record?.running?.number === attempt) {
+      record.running.isAnswering = true;
+      record.running.state.noteByte(this.clock.now());
+      record.silenceTimer?.cancel();
+    }
+  }
+
+  private end({ id, attempt, end }: Extract<PlacementMessage, { kind: 'attempt-ended' }>): void {
+    const record = this.records.get(id);
+    const running = record?.running;
+    if (record === undefined || running?.number !== attempt) {
+      return;
+    }
+    this.release(record);
+    this.noteEnd(record, running, end);
+    this.judge(running, end);
+    this.goOn(record, attempt, end);
+    this.drainWaiting(this.getService(record.request.service));
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private noteEnd(record: RequestRecord, running: RunningAttempt, end: AttemptEnd): void {
+    if (end === AttemptEnd.NotSent || end === AttemptEnd.Misdirected) {
+      Object.assign(record, { unsent: record.unsent + 1 });
+      return;
+    }
+    Object.assign(record, { sent: record.sent + 1 });
+    if (end !== AttemptEnd.Refused) {
+      Object.assign(record, { mayHaveRun: true });
+    }
+  }
+
+  /** What the end of an attempt says of its replica. */
+  private judge({ state, sentAt }: RunningAttempt, end: AttemptEnd): void {
+    const now = this.clock.now();
+    switch (end) {
+      case AttemptEnd.Completed:
+        state.noteSuccess(now - sentAt);
+        break;
+      case AttemptEnd.Failed:
+        state.noteFailure();
+        break;
+      case AttemptEnd.Refused:
+        state.fullUntil = now + this.options.fullSpan;
+        break;
+      case AttemptEnd.Misdirected:
+        this.noteLeaving(state.replica.id);
+        break;
+      case AttemptEnd.NotSent:
+        this.suspect(state, 'no connection can be opened');
+        break;
+      case AttemptEnd.Broken:
+        if (state.noteBroken()) {
+          this.suspect(state, 'attempts break in a row');
+        }
+        break;
+      case AttemptEnd.Cancelled:
+        break;
+      default:
+        end satisfies never;
+    }
+  }
+
+  private goOn(record: RequestRecord, attempt: number, end: AttemptEnd): void {
+    const step = getNextStep(record, end, this.options.unsentLimit);
+    if (step.kind === 'settle') {
+      this.settle(record, attempt);
+      return;
+    }
+    if (step.kind === 'give-up') {
+      this.giveUp(record, step.outcome, step.reason);
+      return;
+    }
+    const { allowance } = this.getService(record.request.service);
+    if (!step.isRepeat || allowance.take(this.clock.now())) {
+      this.placeOrWait(record);
+    } else if (step.otherwise === 'settle') {
+      this.settle(record, attempt);
+    } else {
+      this.giveUp(record, step.otherwise.outcome, step.otherwise.reason);
+    }
+  }
+
+  private settle(record: RequestRecord, attempt: number): void {
+    this.forget(record);
+    this.emit({ kind: 'settle', id: record.request.id, attempt });
+  }
+
+  private giveUp(record: RequestRecord, outcome: Outcome, reason: GiveUpReason): void {
+    this.forget(record);
+    const { id } = record.request;
+    const retryAfter = outcome === Outcome.NotRun ? this.options.retryAfter : undefined;
+    this.emit({ kind: 'give-up', id, outcome, reason, retryAfter });
+  }
+
+  private expire(record: RequestRecord): void {
+    const { running } = record;
+    const outcome = running === undefined && !record.mayHaveRun ? Outcome.NotRun : Outcome.Unknown;
+    this.cancelRunning(record, CancelReason.Deadline);
+    this.giveUp(record, outcome, GiveUpReason.Deadline);
+  }
+
+  private leave(id: string): void {
+    const record = this.records.get(id);
+    if (record !== undefined) {
+      this.cancelRunning(record, CancelReason.CallerLeft);
+      this.forget(record);
+      this.drainWaiting(this.getService(record.request.service));
+    }
+  }
+
+  private cancelRunning(record: RequestRecord, reason: CancelReason): void {
+    const { running, request } = record;
+    if (running !== undefined) {
+      this.emit({ kind: 'cancel', id: request.id, attempt: running.number, reason });
+      this.release(record);
+    }
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private release(record: RequestRecord): void {
+    const { running } = record;
+    if (running !== undefined) {
+      running.state.running.delete(running);
+    }
+    record.silenceTimer?.cancel();
+    Object.assign(record, { running: undefined });
+  }
+
+  private forget(record: RequestRecord): void {
+    this.release(record);
+    record.deadlineTimer?.cancel();
+    this.getService(record.request.service).waiting.remove(record);
+    this.records.delete(record.request.id);
+  }
+
+  private drainWaiting(service: ServiceState): void {
+    if (service.waiting.size > 0) {
+      service.waiting.drain((record) => this.place(record));
+    }
+  }
+
+  /** The replica gets nothing new until a health check clears it, while there are others. */
+  private suspect(state: ReplicaState, reason: string): void {
+    if (state.suspicion === undefined) {
+      Object.assign(state, { suspicion: reason });
+      this.emit({ kind: 'suspect', replica: state.replica, reason });
+    }
+  }
+
+  private noteHealth({ replica, isHealthy }: { replica: string; isHealthy: boolean }): void {
+    const state = this.findReplica(replica);
+    if (state?.suspicion !== undefined && isHealthy) {
+      state.suspicion = undefined;
+      state.noteByte(this.clock.now());
+      this.emit({ kind: 'trust', replica: state.replica });
+      this.services.forEach((service) => this.drainWaiting(service));
+    }
+  }
+
+  private noteLeaving(id: string): void {
+    const state = this.findReplica(id);
+    if (state !== undefined) {
+      state.isLeaving = true;
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -0,0 +1,145 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { EngineProfile, RelayReplica } from '../../config/RelayConfiguration.js';
+import { CacheView } from '../CacheView/CacheView.js';
+import type { LoadReport } from '../messages.js';
+import type { PlacementOptions } from '../placementOptions.js';
+import type { RunningAttempt } from '../RequestRecord.js';
+
+/** Weight of the newest measurement in a moving average. */
+const NEWEST = 0.15;
+
+/** A plain request's time before any was measured. */
+const FIRST_LATENCY: Milliseconds = 80;
+
+/** A report and what this daemon had under way when it came. */
+interface StampedReport {
+  report: LoadReport;
+  at: Milliseconds;
+  ownThen: number;
+}
+
+/** What the placement core knows of one replica. */
+export class ReplicaState {
+  replica: RelayReplica;
+
+  readonly cache = new CacheView();
+
+  readonly running = new Set<RunningAttempt>();
+
+  /** Why nothing new is sent there while others will do; undefined when it is trusted. */
+  suspicion: string | undefined;
+
+  /** Word from elsewhere than the list that it is about to leave. */
+  isLeaving = false;
+
+  fullUntil: Milliseconds = 0;
+
+  private failuresInRow = 0;
+
+  /** Part of its answers that were failures. */
+  private failureRate = 0;
+
+  private latency = FIRST_LATENCY;
+
+  private heardAt: Milliseconds = 0;
+
+  private stamped: StampedReport | undefined;
+
+  private readonly options: PlacementOptions;
+
+  constructor(replica: RelayReplica, options: PlacementOptions) {
+    this.replica = replica;
+    this.options = options;
+  }
+
+  get lastReport(): StampedReport | undefined {
+    return this.stamped;
+  }
+
+  get expectedFailures(): number {
+    return this.failureRate;
+  }
+
+  get expectedLatency(): Milliseconds {
+    return this.latency;
+  }
+
+  noteReport(report: LoadReport, now: Milliseconds): void {
+    this.stamped = { report, at: now, ownThen: this.running.size };
+    this.heardAt = now;
+  }
+
+  noteByte(now: Milliseconds): void {
+    this.heardAt = now;
+  }
+
+  noteSuccess(latency: Milliseconds): void {
+    this.failuresInRow = 0;
+    this.failureRate += NEWEST * (0 - this.failureRate);
+    this.latency += NEWEST * (latency - this.latency);
+  }
+
+  /** It answered with a failure of its own: that it answers at all clears it of being down. */
+  noteFailure(): void {
+    this.failuresInRow = 0;
+    this.failureRate += NEWEST * (1 - this.failureRate);
+  }
+
+  /** @returns whether it has broken so many attempts in a row that it should not be trusted */
+  noteBroken(): boolean {
+    this.failuresInRow += 1;
+    this.failureRate += NEWEST * (1 - this.failureRate);
+    return this.failuresInRow >= this.options.suspectAfter;
+  }
+
+  /** Whether requests are under way and nothing at all came for too long. */
+  isDark(now: Milliseconds): boolean {
+    const limit = now - this.options.darkAfter;
+    const oldest = Math.min(...[...this.running].map(({ sentAt }) => sentAt));
+    return oldest < limit && this.heardAt < limit;
+  }
+
+  /** Requests under way there of other daemons, by a report that counts less as it ages. */
+  getOthers(now: Milliseconds): number {
+    return this.getAged(now, ({ report, ownThen }) => report.running + report.waiting - ownThen);
+  }
+
+  /** Requests of all daemons that wait there for a slot, by the same report. */
+  getWaiting(now: Milliseconds): number {
+    return this.getAged(now, ({ report }) => report.waiting);
+  }
+
+  /** Prompt tokens sent by this daemon that the engine has still to read. */
+  getBacklog(now: Milliseconds): number {
+    const unread = [...this.running].filter(({ isAnswering }) => !isAnswering);
+    if (unread.length === 0) {
+      return 0;
+    }
+    const tokens = unread.reduce((sum, { missingTokens }) => sum + missingTokens, 0);
+    const since = now - Math.min(...unread.map(({ sentAt }) => sentAt));
+    return Math.max(0, tokens - since * this.options.readRate);
+  }
+
+  /** Tokens in the engine's memory for requests of this daemon, and as many for each other one. */
+  getMemory(now: Milliseconds): number {
+    let own = 0;
+    this.running.forEach(({ memoryTokens }) => {
+      own += memoryTokens;
+    });
+    const mean = this.running.size === 0 ? 0 : own / this.running.size;
+    return own + mean * this.getOthers(now);
+  }
+
+  hasRoom(connections: number, profile: EngineProfile | undefined): boolean {
+    const slots = profile?.slots ?? this.replica.slots;
+    return this.running.size < Math.min(connections, Math.max(1, slots));
+  }
+
+  private getAged(now: Milliseconds, get: (stamped: StampedReport) => number): number {
+    if (this.stamped === undefined) {
+      return 0;
+    }
+    const age = now - this.stamped.at;
+    return Math.max(0, get(this.stamped)) * 0.5 ** (age / this.options.reportHalfLife);
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -0,0 +1,136 @@
+import { getRendezvousScore } from '@apricotrill/utils';
+import type { Milliseconds } from '@apricotrill/utils';
+import type { RelayService } from '../config/RelayConfiguration.js';
+import type { Choice, PlacementRequest, Prompt } from './messages.js';
+import type { PlacementOptions } from './placementOptions.js';
+import type { ReplicaState } from './ReplicaState/ReplicaState.js';
+
+/** What a choice is made from. */
+export interface ChoiceInputs {
+  request: PlacementRequest;
+  service: RelayService | undefined;
+  candidates: readonly ReplicaState[];
+  now: Milliseconds;
+  options: PlacementOptions;
+}
+
+/** The replica chosen, and why. */
+export interface ChosenReplica {
+  state: ReplicaState;
+  choice: Choice;
+}
+
+interface Offer {
+  state: ReplicaState;
+  missingTokens: number;
+  cost: Milliseconds;
+}
+
+/** Failing answers are worth an attempt only where nothing else is near. */
+const FAILURE_COST: Milliseconds = 1_000;
+
+/**
+ * Part of the failures that all replicas of a service show: faults of the requests, which say
+ * nothing against a replica.
+ */
+function getCommonFailures(candidates: readonly ReplicaState[]): number {
+  return Math.min(...candidates.map(({ expectedFailures }) => expectedFailures));
+}
+
+/**
+ * The part by which requests of one session find each other: the last that can be shared. The last
+ * of all belongs to the request alone, unless there is only one.
+ */
+function getSessionPart(prompt: Prompt): string | undefined {
+  return (prompt.parts.at(-2) ?? prompt.parts.at(-1))?.id;
+}
+
+/**
+ * The wait for the first token at an engine: what it has to read before, what it has to read for
+ * this prompt, and a little for what runs beside it.
+ *
+ * Load pattern: prompts of several thousand tokens share long heads, and an engine reads some 40
+ * tokens in a millisecond. Sent to the engine with the fewest requests, every engine reads every
+ * head, and the reading alone fills them; sent to the one that holds the head, most is never read.
+ * Where one session is asked for so much that its engine falls behind, the wait there grows over
+ * the cost of reading the head again, and another engine takes a part.
+ */
+function getEngineOffer(inputs: ChoiceInputs, state: ReplicaState, prompt: Prompt): Offer {
+  const { now, options, service } = inputs;
+  const missingTokens = state.cache.getMissing(prompt, now);
+  const others = state.getWaiting(now) * missingTokens;
+  const reading = (state.getBacklog(now) + others + missingTokens) / options.readRate;
+  const running = (state.running.size + state.getOthers(now)) * options.runningCost;
+  const memory = service?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
+  const wanted = state.getMemory(now) + prompt.inputTokens + prompt.outputTokens / 2;
+  const full = wanted > memory * options.memoryLimit ? options.memoryCost : 0;
+  return { state, missingTokens, cost: reading + running + full };
+}
+
+/** The wait for an answer of a plain service: its time, and more for what waits before. */
+function getPlainOffer({ now }: ChoiceInputs, state: ReplicaState): Offer {
+  const load = state.running.size + state.getOthers(now) + 1;
+  const slots = Math.max(1, state.replica.slots);
+  const rounds = Math.max(1, load / slots);
+  const spread = load / slots;
+  return { state, missingTokens: 0, cost: state.expectedLatency * (rounds + spread) };
+}
+
+function getOffer(inputs: ChoiceInputs, state: ReplicaState, commonFailures: number): Offer {
+  const { request, now } = inputs;
+  const { prompt } = request;
+  const offer =
+    prompt === undefined ? getPlainOffer(inputs, state) : getEngineOffer(inputs, state, prompt);
+  const failures = Math.max(0, state.expectedFailures - commonFailures);
+  const full = state.fullUntil > now ? request.latencyTarget : 0;
+  return { ...offer, cost: offer.cost + failures * FAILURE_COST + full + state.replica.warmupLeft };
+}
+
+/**
+ * Sessions that no engine holds yet have a home that all daemons compute alike: otherwise each
+ * daemon would start the same session elsewhere.
+ */
+function preferHome({ request, options }: ChoiceInputs, offers: Offer[]): void {
+  const session = request.prompt === undefined ? undefined : getSessionPart(request.prompt);
+  if (session === undefined || offers.length < 2) {
+    return;
+  }
+  const scored = offers.map((offer) => ({
+    offer,
+    score: getRendezvousScore(session, offer.state.replica.id),
+  }));
+  scored.sort((left, right) => right.score - left.score);
+  scored[0]!.offer.cost -= options.homePreference;
+  scored[1]!.offer.cost -= options.homePreference / 2;
+}
+
+/**
+ * Chooses where a request is sent.
+ *
+ * @param inputs - the request and the replicas it may go to
+ * @returns undefined when there is none
+ */
+export function chooseReplica(inputs: ChoiceInputs): ChosenReplica | undefined {
+  const { candidates, now } = inputs;
+  if (candidates.length === 0) {
+    return undefined;
+  }
+  const commonFailures = getCommonFailures(candidates);
+  const offers = candidates.map((state) => getOffer(inputs, state, commonFailures));
+  preferHome(inputs, offers);
+  offers.sort((left, right) => left.cost - right.cost);
+  const [best, second] = offers as [Offer, Offer | undefined];
+  const { lastReport } = best.state;
+  return {
+    state: best.state,
+    choice: {
+      cost: best.cost,
+      missingTokens: best.missingTokens,
+      inFlight: best.state.running.size,
+      reported: lastReport?.report,
+      reportAge: lastReport === undefined ? undefined : now - lastReport.at,
+      runnerUp:
+        second === undefined ? undefined : { replica: second.state.replica.id, cost: second.cost },
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -0,0 +1,162 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { RelayReplica, RelayService, RouteKind } from '../config/RelayConfiguration.js';
+
+/**
+ * The messages of the placement core: what the sockets around it tell it, and what it tells them
+ * to do. It has no I/O; the daemon, the tests and the experiments speak these and nothing else.
+ */
+
+/** A part of a prompt that other prompts may share. */
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
+
+/** What a request asks of an engine. */
+export interface Prompt {
+  model: string;
+  inputTokens: number;
+  /** The most tokens that the answer may have. */
+  outputTokens: number;
+  /** In the order in which the engine reads them; the last belongs to this request or session. */
+  parts: PromptPart[];
+}
+
+/**
+ * A request as the placement core sees it.
+ *
+ * @public
+ */
+export interface PlacementRequest {
+  /** Unique over all daemons and time. */
+  id: string;
+  route: string;
+  service: string;
+  kind: RouteKind;
+  /** Whether a run may be followed by another one: idempotent, or resumed after the last event. */
+  repeatable: boolean;
+  workspace: string;
+  /** 0 is the most urgent. */
+  priority: number;
+  maxAttempts: number;
+  latencyTarget: Milliseconds;
+  /** The caller, or the route, waits no longer. */
+  deadline: Milliseconds;
+  arrived: Milliseconds;
+  prompt?: Prompt;
+}
+
+/** How one attempt at a replica ended. */
+export enum AttemptEnd {
+  /** The whole answer came, and the replica calls it a success or a fault of the request. */
+  Completed = 'completed',
+  /** The whole answer came: the replica ran the request and failed. */
+  Failed = 'failed',
+  /** No byte of the request left this daemon. */
+  NotSent = 'not-sent',
+  /** The replica says that it did not run the request. */
+  Refused = 'refused',
+  /** Another replica answers at this address; nothing ran. */
+  Misdirected = 'misdirected',
+  /** The connection broke, or what came is no whole answer: the request may have run. */
+  Broken = 'broken',
+  /** Cancelled on order of the core. */
+  Cancelled = 'cancelled',
+}
+
+/** What is known of a request that gets no answer of a replica. */
+export enum Outcome {
+  NotRun = 'not-run',
+  Unknown = 'unknown',
+}
+
+/** Why a request is given up. */
+export enum GiveUpReason {
+  /** Its time is over. */
+  Deadline = 'deadline',
+  /** No replica of the service is known to work. */
+  NoReplica = 'no-replica',
+  /** Every replica it may be sent to refused it, or the budget of repeats is spent. */
+  Refused = 'refused',
+  /** It may have run and must not run again. */
+  MayHaveRun = 'may-have-run',
+  /** More of its service waits than could be answered in time. */
+  Overload = 'overload',
+}
+
+/** A replica's own word on its load. */
+export interface LoadReport {
+  running: number;
+  waiting: number;
+  slots: number;
+}
+
+/** A change of what an engine keeps in its memory. */
+export interface CacheChange {
+  kind: 'added' | 'removed';
+  part: string;
+  /** Tokens of the part that are kept now. */
+  tokens: number;
+  model: string;
+}
+
+/** @public */
+export type PlacementMessage =
+  | { kind: 'services'; services: readonly RelayService[] }
+  | { kind: 'replicas'; replicas: readonly RelayReplica[] }
+  | { kind: 'submit'; request: PlacementRequest }
+  | { kind: 'caller-left'; id: string }
+  /** The first byte of an answer came. */
+  | { kind: 'answering'; id: string; attempt: number }
+  | { kind: 'attempt-ended'; id: string; attempt: number; end: AttemptEnd }
+  | { kind: 'load'; replica: string; report: LoadReport }
+  /** A replica proved, or failed to prove, that it works. */
+  | { kind: 'health'; replica: string; isHealthy: boolean }
+  /** A replica refuses, or says by other means, since it is about to leave. */
+  | { kind: 'leaving'; replica: string }
+  | { kind: 'cache-changed'; replica: string; changes: readonly CacheChange[] }
+  /** All that an engine holds; what was believed before is forgotten. */
+  | { kind: 'cache-listed'; replica: string; changes: readonly CacheChange[] }
+  /** What an engine holds is unknown from here on. */
+  | { kind: 'cache-lost'; replica: string };
+
+/** @public */
+export type PlacementEffect =
+  | { kind: 'send'; id: string; attempt: number; replica: RelayReplica; choice: Choice }
+  | { kind: 'cancel'; id: string; attempt: number; reason: CancelReason }
+  | {
+      kind: 'give-up';
+      id: string;
+      outcome: Outcome;
+      reason: GiveUpReason;
+      /** When to ask again makes sense; absent where it doesn't. */
+      retryAfter?: Milliseconds;
+    }
+  /** The answer of this attempt is final, also where it is a failure. */
+  | { kind: 'settle'; id: string; attempt: number }
+  | { kind: 'suspect'; replica: RelayReplica; reason: string }
+  | { kind: 'trust'; replica: RelayReplica };
+
+/** Why an attempt is cancelled. */
+export enum CancelReason {
+  CallerLeft = 'caller-left',
+  Deadline = 'deadline',
+  /** The replica gave no sign for too long, and the request may run elsewhere. */
+  Silent = 'silent',
+}
+
+/** The inputs of a choice, for the log. */
+export interface Choice {
+  /** The expected time to the first byte. */
+  cost: Milliseconds;
+  /** Prompt tokens that the engine would have to read. */
+  missingTokens: number;
+  /** Requests of this daemon that are under way there. */
+  inFlight: number;
+  /** The replica's last report. */
+  reported?: LoadReport;
+  /** Age of that report. */
+  reportAge?: Milliseconds;
+  /** The next best. */
+  runnerUp?: { replica: string; cost: Milliseconds };
+}
--- /dev/null
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -0,0 +1,80 @@
+import type { Milliseconds } from '@apricotrill/utils';
+
+/**
+ * What the placement core is tuned by.
+ *
+ * @public
+ */
+export interface PlacementOptions {
+  /** Repeats of a service are at most this part of its requests, over `retryWindow`. */
+  retryRatio: number;
+  retryWindow: Milliseconds;
+  /** Repeats that this daemon may send beyond the ratio in one window. */
+  retrySlack: number;
+  /** Daemons that may share a replica's connections. */
+  expectedDaemons: number;
+  /** Prompt tokens that an engine reads in a millisecond, until it has shown its own rate. */
+  readRate: number;
+  /** What one running request adds to the wait for a first token. */
+  runningCost: Milliseconds;
+  /** How much the preferred replica of a session may be behind and still be taken. */
+  homePreference: Milliseconds;
+  /** An engine's memory is kept this full at most, as a part of the whole. */
+  memoryLimit: number;
+  /** Over the memory limit, the wait for a place. */
+  memoryCost: Milliseconds;
+  /** A load report counts for half after this long. */
+  reportHalfLife: Milliseconds;
+  /** Time that a first attempt at a plain service may take, against the latency target. */
+  plainSilence: number;
+  /** The same for the first event of a stream that can be resumed. */
+  streamSilence: number;
+  /** A replica that refused is taken for full this long. */
+  fullSpan: Milliseconds;
+  /** Sends that never left this daemon, for one request. */
+  unsentLimit: number;
+  /** Attempts that fail in a row make a replica suspect. */
+  suspectAfter: number;
+  /** A replica that is silent this long with requests under way is suspect. */
+  darkAfter: Milliseconds;
+  /** Retry-After where the service will be back soon. */
+  retryAfter: Milliseconds;
+}
+
+/**
+ * The defaults. Spans that follow from a service level come from the route; those below are of the
+ * machine or of our own choosing, and say where from.
+ *
+ * @public
+ */
+export const placementOptions: PlacementOptions = {
+  // Operators state the ratio, the window and the slack that all daemons share in the settings;
+  // these stand in where they don't.
+  retryRatio: 0.2,
+  retryWindow: 10_000,
+  retrySlack: 1,
+  // The number of entry instances of today's larger deployment, with room for replacements.
+  expectedDaemons: 12,
+  // Between the rates of the engines in use (41 and 52).
+  readRate: 40,
+  // A step of an engine grows by about 0.012 ms a request and a first token needs a few of them.
+  runningCost: 0.1,
+  // A tenth of the shortest latency target in use.
+  homePreference: 30,
+  // The rest is for the tokens that running requests will still generate.
+  memoryLimit: 0.92,
+  memoryCost: 2_000,
+  // Plain requests last some 100 ms, streams a few hundred: after a second most have changed.
+  reportHalfLife: 1_000,
+  // Leaves a third of the target to the second attempt; 1 in 100 healthy answers takes longer.
+  plainSilence: 0.65,
+  // A prompt that waits behind others has its place in the queue to lose.
+  streamSilence: 3,
+  // About the time of a plain request.
+  fullSpan: 100,
+  unsentLimit: 3,
+  suspectAfter: 3,
+  // Longer than the first token of the largest prompt on a busy engine takes.
+  darkAfter: 1_200,
+  retryAfter: 300,
+};
--- /dev/null
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -0,0 +1,207 @@
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import type { ObjectChange, ObjectSource } from './ObjectSource.js';
+
+/** How the store is followed. */
+export interface FollowOptions {
+  /** How long one watch waits at the store. */
+  watchWait: Milliseconds;
+  /** The first pause after a call that failed; it doubles up to the longest. */
+  firstPause: Milliseconds;
+  longestPause: Milliseconds;
+  /**
+   * How long an object that was deleted while the store was away is kept after its return: objects
+   * that live write themselves again within two seconds.
+   */
+  returnGrace: Milliseconds;
+}
+
+/**
+ * Pauses: a call a tenth of a second from every daemon is far below what the store takes, and twice
+ * a second is enough while it is away. The watch is short, since a watch on a connection that went
+ * silent is noticed when its time is over, and changes must be in force within two seconds.
+ */
+export const followOptions: FollowOptions = {
+  watchWait: 1_000,
+  firstPause: 100,
+  longestPause: 500,
+  returnGrace: 2_500,
+};
+
+/** What a follower tells of the objects it follows. */
+export interface FollowListener<Item> {
+  /** All objects that are believed to exist, after each change. */
+  onItems(items: ReadonlyMap<string, Item>, revision: number): void;
+  onLost(error: Error): void;
+  onRegained(after: Milliseconds): void;
+  /** An object is kept although it was deleted, since the store had been away. */
+  onKept(name: string, until: Milliseconds): void;
+}
+
+/** What a follower is made of. */
+export interface StateFollowerParts<Item> {
+  source: ObjectSource<Item>;
+  clock: Clock;
+  random: Random;
+  listener: FollowListener<Item>;
+  options?: Partial<FollowOptions>;
+}
+
+/**
+ * Follows the objects of one kind: lists them once, then watches for changes, and lists again when
+ * the store has dropped its history. What was known stays known while the store is away. Revisions
+ * only grow: an answer that is older than what is known changes nothing.
+ */
+export class StateFollower<Item> {
+  private readonly parts: StateFollowerParts<Item>;
+
+  private readonly options: FollowOptions;
+
+  private readonly abort = new AbortController();
+
+  private items = new Map<string, Item>();
+
+  /** Objects that were deleted while the store was away, and until when they are kept. */
+  private readonly kept = new Map<string, Milliseconds>();
+
+  private revision: number | undefined;
+
+  private lostAt: Milliseconds | undefined;
+
+  /** Deletions heard until then may be of objects that only lapsed. */
+  private graceUntil: Milliseconds = 0;
+
+  private pause: Milliseconds;
+
+  constructor(parts: StateFollowerParts<Item>) {
+    this.parts = parts;
+    this.options = { ...followOptions, ...parts.options };
+    this.pause = this.options.firstPause;
+  }
+
+  /** Follows until it is disposed. */
+  async run(): Promise<void> {
+    let mustList = true;
+    while (!this.abort.signal.aborted) {
+      try {
+        mustList = await this.step(mustList);
+        this.noteAnswer();
+      } catch (error) {
+        await this.noteError(error);
+      }
+    }
+  }
+
+  dispose(): void {
+    this.abort.abort();
+  }
+
+  /** When the objects were last known to be complete; undefined before the first list. */
+  get isComplete(): boolean {
+    return this.revision !== undefined;
+  }
+
+  /** @returns whether everything must be listed next */
+  private async step(mustList: boolean): Promise<boolean> {
+    const { source } = this.parts;
+    if (mustList || this.revision === undefined) {
+      const list = await source.list();
+      this.markReturn();
+      this.takeList(list.items, list.revision);
+      return false;
+    }
+    const result = await source.watch(this.revision, this.options.watchWait, this.abort.signal);
+    if (result.kind === 'history-gone') {
+      return true;
+    }
+    this.markReturn();
+    if (result.revision >= this.revision) {
+      this.takeChanges(result.changes, result.revision);
+    }
+    return false;
+  }
+
+  private takeList(listed: Map<string, Item>, revision: number): void {
+    if (this.revision !== undefined && revision < this.revision) {
+      return;
+    }
+    const gone = [...this.items.keys()].filter((name) => !listed.has(name));
+    const changes: ObjectChange<Item>[] = gone.map((name) => ({ name, item: undefined }));
+    listed.forEach((item, name) => changes.push({ name, item }));
+    const isFirst = this.revision === undefined;
+    this.takeChanges(changes, revision, isFirst);
+  }
+
+  private takeChanges(changes: ObjectChange<Item>[], revision: number, isFirst = false): void {
+    this.revision = revision;
+    const isChanged = changes.length > 0 || isFirst;
+    changes.forEach((change) => this.takeChange(change));
+    if (isChanged) {
+      this.tell();
+    }
+  }
+
+  private takeChange({ name, item }: ObjectChange<Item>): void {
+    if (item !== undefined) {
+      this.kept.delete(name);
+      this.items.set(name, item);
+      return;
+    }
+    const now = this.parts.clock.now();
+    if (now < this.graceUntil && this.items.has(name)) {
+      this.keep(name, this.graceUntil);
+      return;
+    }
+    this.items.delete(name);
+  }
+
+  private keep(name: string, until: Milliseconds): void {
+    const { clock, listener } = this.parts;
+    this.kept.set(name, until);
+    listener.onKept(name, until);
+    clock.setTimer(until - clock.now(), () => {
+      if (this.kept.get(name) === until) {
+        this.kept.delete(name);
+        this.items.delete(name);
+        this.tell();
+      }
+    });
+  }
+
+  private tell(): void {
+    if (!this.abort.signal.aborted) {
+      this.parts.listener.onItems(this.items, this.revision ?? 0);
+    }
+  }
+
+  /** Called before what an answer brings is taken over. */
+  private markReturn(): void {
+    if (this.lostAt !== undefined) {
+      this.graceUntil = this.parts.clock.now() + this.options.returnGrace;
+    }
+  }
+
+  private noteAnswer(): void {
+    this.pause = this.options.firstPause;
+    if (this.lostAt !== undefined) {
+      const after = this.parts.clock.now() - this.lostAt;
+      this.lostAt = undefined;
+      this.parts.listener.onRegained(after);
+    }
+  }
+
+  private async noteError(error: unknown): Promise<void> {
+    if (this.abort.signal.aborted) {
+      return;
+    }
+    const { clock, listener, random } = this.parts;
+    if (this.lostAt === undefined) {
+      this.lostAt = clock.now();
+      listener.onLost(error instanceof Error ? error : new Error(String(error)));
+    }
+    const span = this.pause * (0.5 + random.next() / 2);
+    this.pause = Math.min(this.options.longestPause, this.pause * 2);
+    await new Promise<void>((resolve) => {
+      clock.setTimer(span, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -0,0 +1,78 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type {
+  AttemptEnd,
+  CancelReason,
+  Choice,
+  GiveUpReason,
+  Outcome,
+} from '../decide/messages.js';
+
+/**
+ * The catalogue of log lines: one kind for each decision that touches a request, each change of
+ * what the daemon believes, and each step of its life.
+ *
+ * @public
+ */
+export type RelayEvent =
+  | { event: 'start'; daemon: string; availabilityZone: string; pid: number }
+  | { event: 'listening'; callers: string; status: string }
+  | { event: 'reload'; changed: string[] }
+  | { event: 'stopping'; signal: string; open: number }
+  | { event: 'stopped'; after: Milliseconds; cutOff: number }
+  | { event: 'fault'; step: string; error: string }
+  | { event: 'dependency-lost'; dependency: string; error: string }
+  | { event: 'dependency-regained'; dependency: string; after: Milliseconds }
+  | { event: 'configuration'; version: number; previous: number | undefined; routes: number }
+  | { event: 'configuration-refused'; version: unknown; reason: string }
+  | { event: 'replica-added'; replica: string; service: string; address: string; revision: number }
+  | { event: 'replica-draining'; replica: string; service: string; revision: number }
+  | { event: 'replica-removed'; replica: string; service: string; revision: number }
+  | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
+  | { event: 'replica-suspect'; replica: string; service: string; reason: string }
+  | { event: 'replica-trusted'; replica: string; service: string }
+  | { event: 'cache-listed'; replica: string; parts: number; reason: string }
+  | {
+      event: 'admitted';
+      id: string;
+      route: string;
+      workspace: string;
+      priority: number;
+      timeLeft: Milliseconds;
+      version: number;
+    }
+  | { event: 'rejected'; id: string; status: number; reason: string; version: number | undefined }
+  | { event: 'sent'; id: string; attempt: number; replica: string; service: string; choice: Choice }
+  | { event: 'first-byte'; id: string; attempt: number; replica: string; after: Milliseconds }
+  | {
+      event: 'attempt-ended';
+      id: string;
+      attempt: number;
+      replica: string;
+      end: AttemptEnd;
+      status: number | undefined;
+      after: Milliseconds;
+      detail: string | undefined;
+    }
+  | { event: 'cancelled'; id: string; attempt: number; reason: CancelReason }
+  | {
+      event: 'given-up';
+      id: string;
+      outcome: Outcome;
+      reason: GiveUpReason;
+      status: number;
+      retryAfter: Milliseconds | undefined;
+      after: Milliseconds;
+    }
+  | { event: 'caller-left'; id: string; after: Milliseconds }
+  | {
+      event: 'answered';
+      id: string;
+      status: number;
+      replica: string;
+      attempts: number;
+      after: Milliseconds;
+    }
+  | { event: 'lines-dropped'; lines: number };
+
+/** Writes one event as one line. */
+export type RelayLog = (event: RelayEvent) => void;
--- /dev/null
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -0,0 +1,69 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+
+/** Spans from a few milliseconds to the longest timeouts in use, in seconds. */
+const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 4, 8, 16];
+
+/** The daemon's metrics, under names that follow the conventions of Prometheus. */
+export class RelayMetrics {
+  readonly registry = new Registry();
+
+  readonly requests = new Counter({
+    name: 'apricotrill_relay_requests_total',
+    help: 'Requests that are over, by route kind and by what became of them.',
+    labelNames: ['kind', 'outcome', 'reason'],
+    registers: [this.registry],
+  });
+
+  readonly attempts = new Counter({
+    name: 'apricotrill_relay_attempts_total',
+    help: 'Attempts at replicas, by service and end.',
+    labelNames: ['service', 'end'],
+    registers: [this.registry],
+  });
+
+  readonly firstByte = new Histogram({
+    name: 'apricotrill_relay_first_byte_seconds',
+    help: 'From the arrival of a request to the first byte of its answer.',
+    labelNames: ['kind'],
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+
+  readonly whole = new Histogram({
+    name: 'apricotrill_relay_answer_seconds',
+    help: 'From the arrival of a request to the last byte of its answer.',
+    labelNames: ['kind'],
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+
+  readonly connectionsOpened = new Counter({
+    name: 'apricotrill_relay_upstream_connections_opened_total',
+    help: 'Connections opened to replicas, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  readonly storeCalls = new Counter({
+    name: 'apricotrill_relay_store_calls_total',
+    help: "Calls to the platform's store, by kind of object and outcome.",
+    labelNames: ['object', 'outcome'],
+    registers: [this.registry],
+  });
+
+  constructor() {
+    collectDefaultMetrics({ register: this.registry });
+  }
+
+  /** Adds a gauge that is read when the metrics are. */
+  addGauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `apricotrill_relay_${name}`,
+      help,
+      registers: [this.registry],
+      collect(): void {
+        gauge.set(read());
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -0,0 +1,57 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { IncomingHttpHeaders } from 'node:http';
+import type { RelayReplica } from '../config/RelayConfiguration.js';
+import type { LoadReport, Prompt } from '../decide/messages.js';
+import type { AnswerHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
+
+/** What a caller states about its request beside method, target and body. */
+export interface CallerFields {
+  /** Unique for each attempt of a caller; absent where it names none. */
+  requestId: string | undefined;
+  key: string | undefined;
+  /** How long the caller will wait; absent where it doesn't say. */
+  timeout: Milliseconds | undefined;
+  prompt: Prompt | undefined;
+  /** The last event that the caller has of a stream it wants to go on with. */
+  resumeAfter: string | undefined;
+}
+
+/** What a replica is told about a request. */
+export interface SendFields {
+  replica: RelayReplica;
+  workspace: string | undefined;
+  timeLeft: Milliseconds;
+  /** Of the route or the workspace; 0 is the most urgent. */
+  priority: number;
+  /** The caller has the stream up to this event. */
+  resumeAfter: string | undefined;
+}
+
+/** What a replica states about its answer. */
+export interface AnswerFields {
+  /** The request it answers; absent where it doesn't say. */
+  requestId: string | undefined;
+  /** The replica vouches for the answer as its own. */
+  isSigned: boolean;
+  /** The replica did not run the request. */
+  isRefusal: boolean;
+  /** The replica is another one than the one that was meant, and did not run the request. */
+  isMisdirected: boolean;
+  load: LoadReport | undefined;
+}
+
+/**
+ * How the relay's own fields stand in the headers of callers and replicas. What no field names is
+ * passed on as it came.
+ *
+ * @public
+ */
+export interface RelayProtocol {
+  readCaller(headers: IncomingHttpHeaders): CallerFields;
+  /**
+   * @param rawHeaders - the caller's, names and values in turn, without those of one connection
+   * @returns what the replica gets
+   */
+  getUpstreamHeaders(rawHeaders: readonly string[], fields: SendFields): string[];
+  readAnswer(head: AnswerHead): AnswerFields;
+}
--- /dev/null
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -0,0 +1,132 @@
+import { Client } from 'undici';
+import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { upstreamOptions } from '../upstreamOptions.js';
+
+/** One connection to one replica; it carries one request at a time. */
+export interface UpstreamConnection {
+  readonly client: Client;
+  isBusy: boolean;
+  /** It was opened and has not been closed. */
+  isOpen: boolean;
+}
+
+/** Nothing of the client's own may repeat a request or time it out: those decisions are ours. */
+const CLIENT_OPTIONS = {
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  pipelining: 1,
+  connect: { timeout: upstreamOptions.connectTimeout },
+  keepAliveTimeout: upstreamOptions.idleTimeout,
+  keepAliveTimeoutThreshold: upstreamOptions.idleMargin,
+};
+
+/**
+ * Owns the connections to every replica. The one that was used last is used first, so that the
+ * others can rest until they close: a new connection is dear, and each one a replica holds is one
+ * less for the other daemons.
+ */
+export class UpstreamConnections {
+  private readonly byReplica = new Map<string, UpstreamConnection[]>();
+
+  private readonly onOpened: (replica: RelayReplica) => void;
+
+  /** @param onOpened - told of each connection that is opened */
+  constructor(onOpened: (replica: RelayReplica) => void) {
+    this.onOpened = onOpened;
+  }
+
+  /** A connection that carries nothing; it stays the caller's until it is given back. */
+  take(replica: RelayReplica): UpstreamConnection {
+    const resting = this.byReplica
+      .get(replica.id)
+      ?.findLast(({ isBusy, isOpen }) => !isBusy && isOpen);
+    const connection = resting ?? this.create(replica);
+    connection.isBusy = true;
+    return connection;
+  }
+
+  /** Gives a connection back after its request. */
+  giveBack(replica: RelayReplica, connection: UpstreamConnection): void {
+    Object.assign(connection, { isBusy: false });
+    const connections = this.byReplica.get(replica.id) ?? [];
+    if (!connection.isOpen) {
+      this.drop(replica, connection);
+      return;
+    }
+    // The last one used is found first.
+    connections.splice(connections.indexOf(connection), 1);
+    connections.push(connection);
+  }
+
+  /** Closes what rests of replicas that are gone; what is under way there goes on. */
+  retain(ids: ReadonlySet<string>): void {
+    this.byReplica.forEach((connections, id) => {
+      if (!ids.has(id)) {
+        connections
+          .filter(({ isBusy }) => !isBusy)
+          .forEach((connection) => this.dropById(id, connection));
+      }
+    });
+  }
+
+  /**
+   * Closes what rests of a replica on which a request went unanswered: what lies between may have
+   * lost track of all of them at once, and the next request would go unanswered too.
+   */
+  closeResting({ id }: RelayReplica): void {
+    (this.byReplica.get(id) ?? [])
+      .filter(({ isBusy }) => !isBusy)
+      .forEach((connection) => this.dropById(id, connection));
+  }
+
+  get size(): number {
+    let size = 0;
+    this.byReplica.forEach((connections) => {
+      size += connections.length;
+    });
+    return size;
+  }
+
+  async dispose(): Promise<void> {
+    const all = [...this.byReplica.values()].flat();
+    this.byReplica.clear();
+    await Promise.allSettled(all.map(({ client }) => client.destroy()));
+  }
+
+  private create(replica: RelayReplica): UpstreamConnection {
+    const client = new Client(`http://${replica.address}`, CLIENT_OPTIONS);
+    const connection: UpstreamConnection = { client, isBusy: false, isOpen: false };
+    client.on('connect', () => {
+      connection.isOpen = true;
+      this.onOpened(replica);
+    });
+    client.on('disconnect', () => {
+      connection.isOpen = false;
+      if (!connection.isBusy) {
+        this.drop(replica, connection);
+      }
+    });
+    const connections = this.byReplica.get(replica.id) ?? [];
+    this.byReplica.set(replica.id, connections);
+    connections.push(connection);
+    return connection;
+  }
+
+  private drop(replica: RelayReplica, connection: UpstreamConnection): void {
+    this.dropById(replica.id, connection);
+  }
+
+  private dropById(id: string, connection: UpstreamConnection): void {
+    const connections = this.byReplica.get(id);
+    const index = connections?.indexOf(connection) ?? -1;
+    if (connections === undefined || index === -1) {
+      return;
+    }
+    connections.splice(index, 1);
+    if (connections.length === 0) {
+      this.byReplica.delete(id);
+    }
+    // Ends at once: nothing is under way on it.
+    connection.client.destroy().catch(() => undefined);
+  }
+}
