Let daemons tell each other what they placed, copy prompts between engines, keep resets from passing as ends

Cause: each daemon knew an eighth of the load. Engines that others had just sent prompts looked idle, all daemons chose them, and first tokens expected in 50 ms took up to 1,700. Answers without length that ended in a reset were passed off as whole: the HTTP client takes a reset for their end. A daemon that stops took requests on connections that had never carried one.

Ruled out: the replicas' reports (asked for, they are priced as probes, and count requests, not prompt tokens). gRPC for the news: hundreds of calls a second, each of which may be lost.

--- a/packages/router/src/lib/pipeline/CallerConnections/CallerConnections.test.ts
+++ b/packages/callers/src/lib/CallerConnections/CallerConnections.test.ts
@@ -2,10 +2,10 @@
 import { EventEmitter } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { routerOptions } from '../../options.js';
 import { CallerConnections } from './CallerConnections.js';
 
 const HEADERS_TIMEOUT = 5000;
+const CALLER_STALL = 30_000;
 
 /** A socket or an answer, of which only the end matters. */
 class FakeEnd extends EventEmitter {
@@ -26,7 +26,11 @@
 describe('CallerConnections', () => {
   function setUp() {
     const clock = new ManualClock();
-    const connections = new CallerConnections(clock, HEADERS_TIMEOUT);
+    const connections = new CallerConnections({
+      clock,
+      headersTimeout: HEADERS_TIMEOUT,
+      callerStall: CALLER_STALL,
+    });
     const open = () => {
       const socket = new FakeEnd();
       connections.add(socket as unknown as Socket);
@@ -85,7 +89,7 @@
     stuck.emit('prefinish');
     read.emit('prefinish');
     read.emit('close');
-    clock.advance(routerOptions.callerStall);
+    clock.advance(CALLER_STALL);
     expect([stuck.ended, read.ended]).toEqual([true, false]);
   });
 });
--- a/packages/router/src/lib/pipeline/CallerConnections/CallerConnections.ts
+++ b/packages/callers/src/lib/CallerConnections/CallerConnections.ts
@@ -1,7 +1,19 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { routerOptions } from '../../options.js';
+
+/**
+ * How long callers' connections are waited for.
+ *
+ * @public
+ */
+export interface CallerConnectionOptions {
+  clock: Clock;
+  /** How long a request that has begun may take to be whole when draining. */
+  headersTimeout: Milliseconds;
+  /** How long a caller may take nothing of its answer before it counts as gone. */
+  callerStall: Milliseconds;
+}
 
 /** What is known of one caller's connection. */
 interface Connection {
@@ -20,21 +32,20 @@
  * opened again by the caller's library in advance, for busy: one such connection would hold the
  * shutdown for good.
  *
- * @internal
+ * @public
  */
 export class CallerConnections {
   private readonly connections = new Map<Socket, Connection>();
 
   private readonly clock: Clock;
 
-  private readonly headersTimeout: Milliseconds;
+  private readonly options: CallerConnectionOptions;
 
   private draining = false;
 
-  /** @param headersTimeout - how long a request that has begun may take to be whole when draining */
-  constructor(clock: Clock, headersTimeout: Milliseconds) {
-    this.clock = clock;
-    this.headersTimeout = headersTimeout;
+  constructor(options: CallerConnectionOptions) {
+    this.clock = options.clock;
+    this.options = options;
   }
 
   /** A caller has connected. */
@@ -96,14 +107,14 @@
     }
     // A caller is in the middle of sending a request: it gets its answer, if it comes to it.
     Object.assign(connection, {
-      timer: this.clock.setTimer(this.headersTimeout, () => socket.destroy()),
+      timer: this.clock.setTimer(this.options.headersTimeout, () => socket.destroy()),
     });
   }
 
   /** The last bytes of an answer that its caller never reads must not hold the process for good. */
   private boundTail(response: ServerResponse): void {
     response.once('prefinish', () => {
-      const timer = this.clock.setTimer(routerOptions.callerStall, () => response.destroy());
+      const timer = this.clock.setTimer(this.options.callerStall, () => response.destroy());
       response.once('close', () => timer.cancel());
     });
   }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -35,3 +35,4 @@
   SendFields,
 } from './lib/protocol/RelayProtocol.js';
 export type { AnswerHead } from './lib/upstream/UpstreamExchange/UpstreamExchange.js';
+export type { PeerDirectory, PeerEntry } from './lib/peers/PeerDirectory.js';
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -1,3 +1,5 @@
+import { CallerConnections } from '@apricotrill/callers';
+import type { Clock } from '@apricotrill/utils';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
@@ -7,6 +9,7 @@
 
 /** What a caller's server needs. */
 export interface CallerServerParts {
+  clock: Clock;
   onRequest: (request: IncomingMessage, response: ServerResponse) => void;
   /** Bytes came that are no request. */
   onMalformed: (reason: string) => void;
@@ -18,6 +21,8 @@
 
   private readonly open = new Set<ServerResponse>();
 
+  private readonly connections: CallerConnections;
+
   private isDraining = false;
 
   constructor(private readonly parts: CallerServerParts) {
@@ -31,10 +36,13 @@
       },
       (request, response) => this.take(request, response),
     );
-    this.server.on('clientError', (error, socket) => {
-      parts.onMalformed(error.message);
-      refuseConnection(socket as Socket, error);
+    this.connections = new CallerConnections({
+      clock: parts.clock,
+      headersTimeout: callerOptions.headerTimeout,
+      callerStall: callerOptions.callerStall,
     });
+    this.server.on('connection', (socket) => this.connections.add(socket));
+    this.server.on('clientError', (error, socket) => this.refuse(socket as Socket, error));
   }
 
   /** @returns the port, for when the machine chose it */
@@ -65,10 +73,10 @@
     this.server.closeIdleConnections();
   }
 
-  /** Takes no new connections. */
+  /** Takes no new connections, and ends those that carry no request. */
   stopListening(): void {
     this.server.close();
-    this.server.closeIdleConnections();
+    this.connections.drain();
   }
 
   dispose(): void {
@@ -80,8 +88,20 @@
     if (this.isDraining) {
       response.shouldKeepAlive = false;
     }
+    this.connections.begin(request, response);
     this.open.add(response);
     response.once('close', () => this.open.delete(response));
     this.parts.onRequest(request, response);
   }
+
+  /**
+   * Bytes that are not HTTP end their own connection only. Where they follow a request that is being
+   * answered, they must not become part of its answer.
+   */
+  private refuse(socket: Socket, error: NodeJS.ErrnoException): void {
+    this.parts.onMalformed(error.message);
+    if (!this.connections.isAnswering(socket)) {
+      refuseConnection(socket, error);
+    }
+  }
 }
--- a/packages/relay/src/lib/config/ActiveConfiguration.ts
+++ b/packages/relay/src/lib/config/ActiveConfiguration.ts
@@ -1,5 +1,5 @@
 import { KeyTable } from './KeyTable.js';
-import type { RelayConfiguration, RelayService } from './RelayConfiguration.js';
+import type { RelayConfiguration, RelayRoute, RelayService } from './RelayConfiguration.js';
 import { RouteTable } from './RouteTable.js';
 
 /** One version of the configuration with its look-up tables, taken over as a whole. */
@@ -21,3 +21,22 @@
     services: new Map(services.map((service) => [service.name, service])),
   };
 }
+
+function hasTarget({ targets }: RelayRoute, services: ReadonlySet<string>): boolean {
+  return targets.some(({ service }) => services.has(service));
+}
+
+/**
+ * The place of a route's requests among those of equal priority at the same services: those that
+ * must be answered soonest go first. A short question that waits behind a long prompt is late; the
+ * prompt that lets it pass loses a fraction of the question's few milliseconds.
+ *
+ * @returns 0 for routes with the shortest latency target, else 1
+ */
+export function getUrgency({ configuration }: ActiveConfiguration, route: RelayRoute): number {
+  const services = new Set(route.targets.map(({ service }) => service));
+  const isBeaten = configuration.routes.some(
+    (other) => other.latencyTarget < route.latencyTarget && hasTarget(other, services),
+  );
+  return isBeaten ? 1 : 0;
+}
--- a/packages/relay/src/lib/config/RelayConfiguration.ts
+++ b/packages/relay/src/lib/config/RelayConfiguration.ts
@@ -57,6 +57,10 @@
   memoryTokens: number;
   /** How many callers of one engine's cache events may wait at once. */
   cacheListeners: number;
+  /** Tokens of one event of a stream. */
+  eventTokens: number;
+  /** How long one engine takes to copy a token of another's memory; absent where it can't. */
+  copyTime?: Milliseconds;
 }
 
 /** @public */
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -1,9 +1,11 @@
 import type { Clock, Random } from '@apricotrill/utils';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { admitCall } from '../callers/admitCall.js';
+import type { CallAdmission } from '../callers/admitCall.js';
+import { callerOptions } from '../callers/callerOptions.js';
 import { CallerServer } from '../callers/CallerServer/CallerServer.js';
 import { readBody } from '../callers/readBody.js';
-import { createActiveConfiguration } from '../config/ActiveConfiguration.js';
+import { createActiveConfiguration, getUrgency } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
 import { pickService } from '../config/pickService.js';
 import type { RelayConfiguration, RelayReplica } from '../config/RelayConfiguration.js';
@@ -17,10 +19,12 @@
 import type { RelayLog } from '../observe/RelayEvent.js';
 import { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
-import type { CallerFields, RelayProtocol } from '../protocol/RelayProtocol.js';
+import type { RelayProtocol } from '../protocol/RelayProtocol.js';
 import type { ReceivedRequest } from '../request/ReceivedRequest.js';
 import { RelayTask } from '../request/RelayTask.js';
 import { writeRefusal } from '../request/writeRefusal.js';
+import type { PeerDirectory } from '../peers/PeerDirectory.js';
+import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import { StatusServer } from '../status/StatusServer.js';
 import { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import { getRetrySlack } from './getRetrySlack.js';
@@ -43,10 +47,21 @@
   replicas: ObjectSource<RelayReplica>;
   caches: CacheSource;
   health: HealthSource;
+  peers: PeerDirectory;
 }
 
 const REQUEST_TOO_LARGE = 413;
 
+/**
+ * A request that comes on a connection that was open before, too late to be ended within the grace.
+ */
+const STOPPING: CallAdmission = {
+  kind: 'rejected',
+  status: 503,
+  reason: 'this daemon is stopping',
+  retryAfter: callerOptions.stoppingRetryAfter,
+};
+
 /**
  * The relay's process: follows the store, takes callers' requests, and performs what the placement
  * core decides.
@@ -72,6 +87,8 @@
 
   private readonly checks: HealthChecks;
 
+  private readonly link: PeerLink;
+
   private readonly followers: StateFollower<unknown>[] = [];
 
   private active: ActiveConfiguration | undefined;
@@ -80,6 +97,9 @@
 
   private isStopping = false;
 
+  /** It takes no requests any more. */
+  private isClosed = false;
+
   private counter = 0;
 
   constructor(parts: RelayDaemonParts) {
@@ -96,6 +116,7 @@
       metrics.connectionsOpened.inc({ service }),
     );
     this.callers = new CallerServer({
+      clock,
       onRequest: (request, response) => {
         this.take(request, response).catch((error: unknown) => {
           log({ event: 'fault', step: 'take request', error: String(error) });
@@ -113,6 +134,16 @@
     const tell = (message: PlacementMessage) => this.core.handle(message);
     this.watch = new ReplicaWatch({ ...parts, tell });
     this.checks = new HealthChecks({ clock, source: parts.health, tell });
+    this.link = new PeerLink({
+      self: { id: settings.id, address: `${settings.peers.host}:${settings.peers.port}` },
+      clock,
+      random: parts.random,
+      log,
+      directory: parts.peers,
+      getAll: () => this.core.getSharedAttempts(),
+      onNews: (peer, news) => tell({ kind: 'peer-news', peer, news }),
+      onGone: (peer) => tell({ kind: 'peer-gone', peer }),
+    });
     this.addGauges();
   }
 
@@ -123,6 +154,7 @@
     if (settings.metrics !== undefined) {
       await this.status.listen(settings.metrics.host, settings.metrics.port);
     }
+    await this.link.start();
     const port = await this.callers.listen(settings.callers.host, settings.callers.port);
     log({
       event: 'listening',
@@ -145,11 +177,13 @@
     log({ event: 'stopping', signal, open: this.callers.openAnswers });
     this.callers.drain();
     await this.sleep(shutdownOptions.listenOn);
+    this.isClosed = true;
     this.callers.stopListening();
     const end = started + settings.grace - shutdownOptions.reserve;
     while (this.callers.openAnswers > 0 && clock.now() < end) {
       await this.sleep(shutdownOptions.look);
     }
+    await this.link.leave();
     log({
       event: 'stopped',
       after: clock.now() - started,
@@ -178,6 +212,7 @@
     this.followers.forEach((follower) => follower.dispose());
     this.watch.dispose();
     this.checks.dispose();
+    this.link.dispose();
     this.callers.dispose();
     this.status.dispose();
     await this.connections.dispose();
@@ -199,6 +234,7 @@
       'Open connections to replicas.',
       () => this.connections.size,
     );
+    metrics.addGauge('peers', 'Other daemons that are heard.', () => this.link.livePeers);
     metrics.addGauge('configuration_version', 'In force here.', () => this.version ?? 0);
     metrics.addGauge('ready', '1 while new callers are welcome.', () => Number(this.isReady));
   }
@@ -257,7 +293,7 @@
     const arrived = clock.now();
     const fields = protocol.readCaller(request.headers);
     const id = this.createId(fields.requestId);
-    const admission = admitCall(request, fields, this.active);
+    const admission = this.isClosed ? STOPPING : admitCall(request, fields, this.active);
     if (admission.kind === 'rejected') {
       const { status, reason, retryAfter } = admission;
       log({ event: 'rejected', id, status, reason, version: this.version });
@@ -290,6 +326,7 @@
       service: pickService(route, this.parts.random),
       workspace,
       priority: workspace?.priority ?? route.priority,
+      urgency: getUrgency(this.active!, route),
       arrived,
       deadline: arrived + Math.min(route.timeout, fields.timeout ?? Number.POSITIVE_INFINITY),
       version: configuration.version,
@@ -349,6 +386,9 @@
       case 'settle':
         this.tasks.get(effect.id)?.settle();
         break;
+      case 'share':
+        this.link.tell(effect.news);
+        break;
       case 'suspect': {
         const { replica, reason } = effect;
         const { id, service } = replica;
--- a/packages/relay/src/lib/daemon/RelaySettings.ts
+++ b/packages/relay/src/lib/daemon/RelaySettings.ts
@@ -19,6 +19,8 @@
   status: ListenAddress;
   /** Metrics, for operators, where they are not on the status port. */
   metrics: ListenAddress | undefined;
+  /** Datagrams between daemons. */
+  peers: ListenAddress;
   /** Paths beside `/ready` at which the balancer asks. */
   readyPaths: string[];
   /** Repeats that all daemons together may send to a service. */
--- a/packages/relay/src/lib/decide/CacheView/CacheView.ts
+++ b/packages/relay/src/lib/decide/CacheView/CacheView.ts
@@ -14,6 +14,13 @@
   return `${model} ${part}`;
 }
 
+/** A part that the engine will keep once it has read it. */
+interface ExpectedPart {
+  tokens: number;
+  until: Milliseconds;
+  isRead: boolean;
+}
+
 /**
  * What one engine keeps of prompts, as far as this daemon knows: from the engine's events, which
  * come late, and from what this daemon sent since. Without the second, a burst of requests of one
@@ -23,7 +30,7 @@
 export class CacheView {
   private readonly held = new Map<string, number>();
 
-  private readonly expected = new Map<string, { tokens: number; until: Milliseconds }>();
+  private readonly expected = new Map<string, ExpectedPart>();
 
   /** A request with this prompt was sent to the engine. */
   expect(prompt: Prompt, now: Milliseconds): void {
@@ -31,7 +38,17 @@
       this.sweep(now);
     }
     prompt.parts.forEach(({ id, tokens }) => {
-      this.expected.set(getKey(prompt.model, id), { tokens, until: now + EXPECTED_SPAN });
+      const key = getKey(prompt.model, id);
+      const isRead = this.expected.get(key)?.isRead ?? false;
+      this.expected.set(key, { tokens, until: now + EXPECTED_SPAN, isRead });
+    });
+  }
+
+  /** The engine has read a prompt that was sent to it. */
+  noteRead(prompt: Prompt, now: Milliseconds): void {
+    prompt.parts.forEach(({ id, tokens }) => {
+      const key = getKey(prompt.model, id);
+      this.expected.set(key, { tokens, until: now + EXPECTED_SPAN, isRead: true });
     });
   }
 
@@ -63,21 +80,37 @@
     this.expected.clear();
   }
 
-  /** Tokens of the prompt that the engine would have to read. */
-  getMissing(prompt: Prompt, now: Milliseconds): number {
+  /** Tokens of the prompt's head that the engine keeps, or will once it has read what was sent. */
+  getCached(prompt: Prompt, now: Milliseconds): number {
+    return this.getHead(prompt, (key) => this.getKept(key, now));
+  }
+
+  /** Tokens of the prompt's head that another engine could copy from this one now. */
+  getCopyable(prompt: Prompt, now: Milliseconds): number {
+    return this.getHead(prompt, (key) => this.getRead(key, now));
+  }
+
+  get size(): number {
+    return this.held.size;
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private getHead({ model, parts, inputTokens }: Prompt, get: (key: string) => number): number {
     let cached = 0;
-    for (const { id, tokens } of prompt.parts) {
-      const kept = Math.min(tokens, this.getKept(getKey(prompt.model, id), now));
+    for (const { id, tokens } of parts) {
+      const kept = Math.min(tokens, get(getKey(model, id)));
       cached += kept;
       if (kept < tokens - BLOCK_TOKENS) {
         break;
       }
     }
-    return Math.max(0, prompt.inputTokens - cached);
+    return Math.min(cached, inputTokens);
   }
 
-  get size(): number {
-    return this.held.size;
+  private getRead(key: string, now: Milliseconds): number {
+    const expected = this.expected.get(key);
+    const isRead = expected !== undefined && expected.isRead && expected.until > now;
+    return Math.max(this.held.get(key) ?? 0, isRead ? expected.tokens : 0);
   }
 
   private getKept(key: string, now: Milliseconds): number {
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -4,7 +4,13 @@
 import type { ChosenReplica } from '../chooseReplica.js';
 import { getNextStep } from '../getNextStep.js';
 import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
-import type { PlacementEffect, PlacementMessage, PlacementRequest } from '../messages.js';
+import type {
+  PlacementEffect,
+  PlacementMessage,
+  PlacementRequest,
+  SharedAttempt,
+} from '../messages.js';
+import { PeerAttempts, getShared } from '../PeerAttempts/PeerAttempts.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
@@ -44,10 +50,14 @@
 
   private readonly records = new Map<string, RequestRecord>();
 
+  /** What other daemons have under way. */
+  private readonly peers: PeerAttempts;
+
   constructor({ clock, emit, options }: PlacementCoreParts) {
     this.clock = clock;
     this.emit = emit;
     this.options = { ...placementOptions, ...options };
+    this.peers = new PeerAttempts(clock, (id) => this.findReplica(id));
   }
 
   handle(message: PlacementMessage): void {
@@ -75,6 +85,12 @@
       case 'load':
         this.findReplica(message.replica)?.noteReport(message.report, this.clock.now());
         break;
+      case 'peer-news':
+        this.peers.take(message.peer, message.news);
+        break;
+      case 'peer-gone':
+        this.peers.forget(message.peer);
+        break;
       case 'health':
         this.noteHealth(message);
         break;
@@ -105,6 +121,12 @@
     return this.getService(service).allowance.getLeft(this.clock.now());
   }
 
+  /** All that this daemon has under way, for the others. */
+  getSharedAttempts(): SharedAttempt[] {
+    const running = [...this.records.values()].map((record) => record.running);
+    return running.filter((attempt) => attempt !== undefined).map(getShared);
+  }
+
   /** Takes over other bounds of repeats; what was counted stays. */
   setRetries(parts: RetryAllowanceParts): void {
     this.options.retryRatio = parts.ratio;
@@ -188,18 +210,23 @@
     const { prompt } = request;
     const attempt: RunningAttempt = {
       number: record.started,
+      key: `${request.id}/${record.started}`,
+      isOwn: true,
       state,
       sentAt: now,
       missingTokens: choice.missingTokens,
       memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens / 2,
+      pauseTarget: request.pauseTarget,
+      prompt,
       isAnswering: false,
     };
     record.running = attempt;
-    state.running.add(attempt);
+    state.noteSent(attempt, now);
     if (prompt !== undefined) {
       state.cache.expect(prompt, now);
     }
     this.watchSilence(record, attempt);
+    this.emit({ kind: 'share', news: { kind: 'placed', attempt: getShared(attempt) } });
     this.emit({
       kind: 'send',
       id: request.id,
@@ -260,8 +287,14 @@
   private noteAnswering({ id, attempt }: { id: string; attempt: number }): void {
     const record = this.records.get(id);
     if (record?.running?.number === attempt) {
-      record.running.isAnswering = true;
-      record.running.state.noteByte(this.clock.now());
+      const { running } = record;
+      const now = this.clock.now();
+      running.isAnswering = true;
+      running.state.noteByte(now);
+      if (running.prompt !== undefined) {
+        running.state.cache.noteRead(running.prompt, now);
+      }
+      this.emit({ kind: 'share', news: { kind: 'answering', key: running.key } });
       record.silenceTimer?.cancel();
     }
   }
@@ -378,11 +411,11 @@
     }
   }
 
-  // eslint-disable-next-line class-methods-use-this
   private release(record: RequestRecord): void {
     const { running } = record;
     if (running !== undefined) {
       running.state.running.delete(running);
+      this.emit({ kind: 'share', news: { kind: 'ended', key: running.key } });
     }
     record.silenceTimer?.cancel();
     Object.assign(record, { running: undefined });
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -11,11 +11,11 @@
 /** A plain request's time before any was measured. */
 const FIRST_LATENCY: Milliseconds = 80;
 
-/** A report and what this daemon had under way when it came. */
+/** A report and what was known to be under way when it came. */
 interface StampedReport {
   report: LoadReport;
   at: Milliseconds;
-  ownThen: number;
+  knownThen: number;
 }
 
 /** What the placement core knows of one replica. */
@@ -47,6 +47,11 @@
 
   private readonly options: PlacementOptions;
 
+  /** Prompt tokens that were sent there, each counting less as it ages. */
+  private pressure = 0;
+
+  private pressureAt: Milliseconds = 0;
+
   constructor(replica: RelayReplica, options: PlacementOptions) {
     this.replica = replica;
     this.options = options;
@@ -65,10 +70,32 @@
   }
 
   noteReport(report: LoadReport, now: Milliseconds): void {
-    this.stamped = { report, at: now, ownThen: this.running.size };
+    this.stamped = { report, at: now, knownThen: this.running.size };
     this.heardAt = now;
   }
 
+  /** An attempt of this daemon or another was sent there. */
+  noteSent(attempt: RunningAttempt, now: Milliseconds): void {
+    this.running.add(attempt);
+    this.pressure = this.getPressure(now) + attempt.missingTokens;
+    this.pressureAt = now;
+  }
+
+  /** The part of its time that the engine spent on reading prompts lately, 0 to 1 and above. */
+  getReadingShare(now: Milliseconds): number {
+    const { pressureHalfLife, readRate } = this.options;
+    return (this.getPressure(now) * Math.LN2) / (pressureHalfLife * readRate);
+  }
+
+  /** Requests of this daemon that are under way there. */
+  get ownRunning(): number {
+    let own = 0;
+    this.running.forEach(({ isOwn }) => {
+      own += isOwn ? 1 : 0;
+    });
+    return own;
+  }
+
   noteByte(now: Milliseconds): void {
     this.heardAt = now;
   }
@@ -95,13 +122,14 @@
   /** Whether requests are under way and nothing at all came for too long. */
   isDark(now: Milliseconds): boolean {
     const limit = now - this.options.darkAfter;
-    const oldest = Math.min(...[...this.running].map(({ sentAt }) => sentAt));
+    const own = [...this.running].filter(({ isOwn }) => isOwn);
+    const oldest = Math.min(...own.map(({ sentAt }) => sentAt));
     return oldest < limit && this.heardAt < limit;
   }
 
-  /** Requests under way there of other daemons, by a report that counts less as it ages. */
+  /** Requests under way there that no daemon told of, by a report that counts less as it ages. */
   getOthers(now: Milliseconds): number {
-    return this.getAged(now, ({ report, ownThen }) => report.running + report.waiting - ownThen);
+    return this.getAged(now, ({ report, knownThen }) => report.running + report.waiting - knownThen);
   }
 
   /** Requests of all daemons that wait there for a slot, by the same report. */
@@ -132,7 +160,11 @@
 
   hasRoom(connections: number, profile: EngineProfile | undefined): boolean {
     const slots = profile?.slots ?? this.replica.slots;
-    return this.running.size < Math.min(connections, Math.max(1, slots));
+    return this.ownRunning < Math.min(connections, Math.max(1, slots));
+  }
+
+  private getPressure(now: Milliseconds): number {
+    return this.pressure * 0.5 ** ((now - this.pressureAt) / this.options.pressureHalfLife);
   }
 
   private getAged(now: Milliseconds, get: (stamped: StampedReport) => number): number {
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -1,16 +1,23 @@
 import type { Milliseconds, Timer } from '@apricotrill/utils';
-import type { PlacementRequest } from './messages.js';
+import type { PlacementRequest, Prompt } from './messages.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
-/** An attempt that is under way. */
+/** An attempt that is under way, of this daemon or of another. */
 export interface RunningAttempt {
+  /** The daemon's own number of it; 0 for those of others. */
   number: number;
+  /** Unique among the attempts of its daemon. */
+  key: string;
+  isOwn: boolean;
   state: ReplicaState;
   sentAt: Milliseconds;
   /** Prompt tokens that its engine had to read. */
   missingTokens: number;
   /** What it will take of its engine's memory, the prompt and half of the longest answer. */
   memoryTokens: number;
+  /** Absent where the answer is no stream. */
+  pauseTarget: Milliseconds | undefined;
+  prompt: Prompt | undefined;
   /** The first byte of the answer came. */
   isAnswering: boolean;
 }
--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -23,12 +23,25 @@
 interface Offer {
   state: ReplicaState;
   missingTokens: number;
+  copy: Copy | undefined;
   cost: Milliseconds;
 }
 
+/** What an engine would copy of a prompt from another one. */
+interface Copy {
+  from: ReplicaState;
+  tokens: number;
+  time: Milliseconds;
+}
+
 /** Failing answers are worth an attempt only where nothing else is near. */
 const FAILURE_COST: Milliseconds = 1_000;
 
+/** A step of an engine that reads nothing makes one token of each request. */
+const STEP_TIME: Milliseconds = 5.5;
+
+const SECOND: Milliseconds = 1_000;
+
 /**
  * Part of the failures that all replicas of a service show: faults of the requests, which say
  * nothing against a replica.
@@ -45,6 +58,74 @@
   return (prompt.parts.at(-2) ?? prompt.parts.at(-1))?.id;
 }
 
+/**
+ * What the engine could copy of the prompt in place of reading it: copying a token takes a third of
+ * the time of reading it, and leaves the engine's steps to the requests that run.
+ */
+function getCopy(
+  { candidates, service, now, options }: ChoiceInputs,
+  state: ReplicaState,
+  prompt: Prompt,
+  cached: number,
+): Copy | undefined {
+  const copyTime = service?.engine?.copyTime;
+  if (copyTime === undefined) {
+    return undefined;
+  }
+  let best: Copy | undefined;
+  candidates.forEach((from) => {
+    const tokens = from === state ? 0 : from.cache.getCopyable(prompt, now) - cached;
+    if (tokens >= options.leastCopy && tokens > (best?.tokens ?? 0)) {
+      best = { from, tokens, time: tokens * copyTime };
+    }
+  });
+  return best;
+}
+
+/**
+ * What long prompts and running streams do to each other. An engine reads a prompt in chunks, one
+ * in each step, so that a step lasts some 50 ms in place of 5; an event of four tokens then takes
+ * over 200 ms, near the longest pause that is in time, and a stream of many events that meets one
+ * long prompt is late as a whole.
+ *
+ * Load pattern: long prompts with short answers beside short prompts with long answers. Spread
+ * alike over all engines, every stream meets a prompt; kept apart by this cost, few do.
+ */
+function getPauseCost(
+  { request, service, now, options }: ChoiceInputs,
+  state: ReplicaState,
+  prompt: Prompt,
+  missingTokens: number,
+): Milliseconds {
+  const eventTokens = service?.engine?.eventTokens ?? 1;
+  const chunkTime = options.chunkTokens / options.readRate;
+  const slowEvent = chunkTime * eventTokens;
+  const isSlowed = (pause: Milliseconds | undefined) => pause !== undefined && pause < slowEvent * 1.5;
+  let cost = 0;
+  if (isSlowed(request.pauseTarget)) {
+    const length = Math.min(1, (prompt.outputTokens * STEP_TIME) / SECOND);
+    cost += Math.min(1, state.getReadingShare(now)) * length * options.pressureCost;
+  }
+  const events = missingTokens / options.chunkTokens / eventTokens;
+  if (events > 0.5) {
+    state.running.forEach(({ pauseTarget }) => {
+      cost += isSlowed(pauseTarget) ? Math.min(1, events) * options.slowedCost : 0;
+    });
+  }
+  return cost;
+}
+
+/** Over its memory's limit an engine stops requests that run, and reads them again later. */
+function getMemoryCost(
+  { service, now, options }: ChoiceInputs,
+  state: ReplicaState,
+  prompt: Prompt,
+): Milliseconds {
+  const memory = service?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
+  const wanted = state.getMemory(now) + prompt.inputTokens + prompt.outputTokens / 2;
+  return wanted > memory * options.memoryLimit ? options.memoryCost : 0;
+}
+
 /**
  * The wait for the first token at an engine: what it has to read before, what it has to read for
  * this prompt, and a little for what runs beside it.
@@ -56,15 +137,17 @@
  * the cost of reading the head again, and another engine takes a part.
  */
 function getEngineOffer(inputs: ChoiceInputs, state: ReplicaState, prompt: Prompt): Offer {
-  const { now, options, service } = inputs;
-  const missingTokens = state.cache.getMissing(prompt, now);
+  const { now, options } = inputs;
+  const cached = state.cache.getCached(prompt, now);
+  const copy = getCopy(inputs, state, prompt, cached);
+  const missingTokens = Math.max(0, prompt.inputTokens - cached - (copy?.tokens ?? 0));
   const others = state.getWaiting(now) * missingTokens;
   const reading = (state.getBacklog(now) + others + missingTokens) / options.readRate;
   const running = (state.running.size + state.getOthers(now)) * options.runningCost;
-  const memory = service?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
-  const wanted = state.getMemory(now) + prompt.inputTokens + prompt.outputTokens / 2;
-  const full = wanted > memory * options.memoryLimit ? options.memoryCost : 0;
-  return { state, missingTokens, cost: reading + running + full };
+  const pauses = getPauseCost(inputs, state, prompt, missingTokens);
+  const memory = getMemoryCost(inputs, state, prompt);
+  const cost = reading + (copy?.time ?? 0) + running + pauses + memory;
+  return { state, missingTokens, copy, cost };
 }
 
 /** The wait for an answer of a plain service: its time, and more for what waits before. */
@@ -73,7 +156,7 @@
   const slots = Math.max(1, state.replica.slots);
   const rounds = Math.max(1, load / slots);
   const spread = load / slots;
-  return { state, missingTokens: 0, cost: state.expectedLatency * (rounds + spread) };
+  return { state, missingTokens: 0, copy: undefined, cost: state.expectedLatency * (rounds + spread) };
 }
 
 function getOffer(inputs: ChoiceInputs, state: ReplicaState, commonFailures: number): Offer {
@@ -126,6 +209,8 @@
     choice: {
       cost: best.cost,
       missingTokens: best.missingTokens,
+      fetchFrom: best.copy?.from.replica,
+      fetchTokens: best.copy?.tokens,
       inFlight: best.state.running.size,
       reported: lastReport?.report,
       reportAge: lastReport === undefined ? undefined : now - lastReport.at,
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -40,6 +40,8 @@
   priority: number;
   maxAttempts: number;
   latencyTarget: Milliseconds;
+  /** The longest pause between two events that is still in time; absent where there are none. */
+  pauseTarget?: Milliseconds;
   /** The caller, or the route, waits no longer. */
   deadline: Milliseconds;
   arrived: Milliseconds;
@@ -100,6 +102,29 @@
   model: string;
 }
 
+/** A request that is under way at a replica, as daemons tell each other. */
+export interface SharedAttempt {
+  /** Unique among the attempts of one daemon. */
+  key: string;
+  replica: string;
+  missingTokens: number;
+  memoryTokens: number;
+  /** Absent where the answer is no stream. */
+  pauseTarget?: Milliseconds;
+  isAnswering: boolean;
+  /** The prompt's parts, which the engine will keep. */
+  prompt?: Prompt;
+}
+
+/** What one daemon tells the others. */
+export type SharedNews =
+  | { kind: 'placed'; attempt: SharedAttempt }
+  /** The engine has read the prompt. */
+  | { kind: 'answering'; key: string }
+  | { kind: 'ended'; key: string }
+  /** All that is under way; what was told before is forgotten. */
+  | { kind: 'all'; attempts: SharedAttempt[] };
+
 /** @public */
 export type PlacementMessage =
   | { kind: 'services'; services: readonly RelayService[] }
@@ -110,6 +135,9 @@
   | { kind: 'answering'; id: string; attempt: number }
   | { kind: 'attempt-ended'; id: string; attempt: number; end: AttemptEnd }
   | { kind: 'load'; replica: string; report: LoadReport }
+  | { kind: 'peer-news'; peer: string; news: SharedNews }
+  /** Nothing was heard of another daemon for long. */
+  | { kind: 'peer-gone'; peer: string }
   /** A replica proved, or failed to prove, that it works. */
   | { kind: 'health'; replica: string; isHealthy: boolean }
   /** A replica refuses, or says by other means, since it is about to leave. */
@@ -134,6 +162,8 @@
     }
   /** The answer of this attempt is final, also where it is a failure. */
   | { kind: 'settle'; id: string; attempt: number }
+  /** For the other daemons. */
+  | { kind: 'share'; news: SharedNews }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'trust'; replica: RelayReplica };
 
@@ -151,6 +181,10 @@
   cost: Milliseconds;
   /** Prompt tokens that the engine would have to read. */
   missingTokens: number;
+  /** The replica from which it is to copy what it lacks of the prompt. */
+  fetchFrom?: RelayReplica;
+  /** Tokens that it would copy. */
+  fetchTokens?: number;
   /** Requests of this daemon that are under way there. */
   inFlight: number;
   /** The replica's last report. */
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -19,6 +19,16 @@
   runningCost: Milliseconds;
   /** How much the preferred replica of a session may be behind and still be taken. */
   homePreference: Milliseconds;
+  /** Reading that was done this long ago counts for half. */
+  pressureHalfLife: Milliseconds;
+  /** What an engine that only reads prompts costs a stream that runs there for a second. */
+  pressureCost: Milliseconds;
+  /** What a long prompt costs each stream that it slows beyond its longest pause. */
+  slowedCost: Milliseconds;
+  /** Tokens that an engine reads in one step, between the steps of running streams. */
+  chunkTokens: number;
+  /** Copying fewer tokens than this from another engine is not worth the set-up. */
+  leastCopy: number;
   /** An engine's memory is kept this full at most, as a part of the whole. */
   memoryLimit: number;
   /** Over the memory limit, the wait for a place. */
@@ -61,6 +71,14 @@
   runningCost: 0.1,
   // A tenth of the shortest latency target in use.
   homePreference: 30,
+  // Prompts come in bursts of a few seconds; a stream lasts one to two.
+  pressureHalfLife: 1_500,
+  pressureCost: 300,
+  slowedCost: 25,
+  // The chunk of the engines in use.
+  chunkTokens: 2_048,
+  // Setting a copy up takes about as long as reading a hundred tokens.
+  leastCopy: 128,
   // The rest is for the tokens that running requests will still generate.
   memoryLimit: 0.92,
   memoryCost: 2_000,
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -21,7 +21,7 @@
  * silent is noticed when its time is over, and changes must be in force within two seconds.
  */
 export const followOptions: FollowOptions = {
-  watchWait: 1_000,
+  watchWait: 2_000,
   firstPause: 100,
   longestPause: 500,
   returnGrace: 2_500,
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -89,7 +89,7 @@
   });
   // A reader that has gone is no reason to stop serving; there is nowhere left to say so.
   output.on('error', () => undefined);
-  const logger = pino({ base: undefined, formatters: { level: () => ({}) } }, output);
+  const logger = pino({ base: undefined, formatters: { level: (level) => ({ level }) } }, output);
   return {
     log: createBoundedLog(clock, (event) => logger.info(event)),
     flush: () => output.flush(),
--- /dev/null
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
@@ -0,0 +1,85 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { PeerEntry } from '../PeerDirectory.js';
+
+/** When a peer counts as gone, and when its entry is given up. */
+export const peerOptions = {
+  /** Three of its regular messages were missed. */
+  silence: 3_500 satisfies Milliseconds,
+  /** Longer than a machine takes to be replaced under the same name. */
+  forgetAfter: 120_000 satisfies Milliseconds,
+};
+
+interface Peer {
+  address: string;
+  /** Undefined while nothing was heard since it was found or lost. */
+  heardAt: Milliseconds | undefined;
+  foundAt: Milliseconds;
+}
+
+/** Which daemons there are, and which of them are heard. */
+export class PeerTable {
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(private readonly self: string) {}
+
+  /** Takes over what the directory lists. */
+  setListed(entries: readonly PeerEntry[], now: Milliseconds): void {
+    entries
+      .filter(({ id }) => id !== this.self)
+      .forEach(({ id, address }) => {
+        const peer = this.peers.get(id);
+        if (peer === undefined) {
+          this.peers.set(id, { address, heardAt: undefined, foundAt: now });
+        } else if (peer.heardAt === undefined) {
+          peer.address = address;
+        }
+      });
+  }
+
+  /** @returns whether the peer was not heard before */
+  noteHeard({ id, address }: PeerEntry, now: Milliseconds): boolean {
+    const peer = this.peers.get(id);
+    const isNew = peer?.heardAt === undefined;
+    this.peers.set(id, { address, heardAt: now, foundAt: peer?.foundAt ?? now });
+    return isNew;
+  }
+
+  /** Peers that have fallen silent since the last call. */
+  takeSilent(now: Milliseconds): string[] {
+    const silent: string[] = [];
+    this.peers.forEach((peer, id) => {
+      if (peer.heardAt !== undefined && now - peer.heardAt > peerOptions.silence) {
+        Object.assign(peer, { heardAt: undefined, foundAt: now });
+        silent.push(id);
+      }
+    });
+    return silent;
+  }
+
+  /** Peers that were not heard for so long that they will not come back under their name. */
+  takeForgotten(now: Milliseconds): string[] {
+    const forgotten = [...this.peers].filter(
+      ([, { heardAt, foundAt }]) =>
+        heardAt === undefined && now - foundAt > peerOptions.forgetAfter,
+    );
+    forgotten.forEach(([id]) => this.peers.delete(id));
+    return forgotten.map(([id]) => id);
+  }
+
+  /** Addresses of the peers that are heard. */
+  get live(): string[] {
+    return [...this.peers.values()]
+      .filter(({ heardAt }) => heardAt !== undefined)
+      .map(({ address }) => address);
+  }
+
+  /** Addresses of all that may be there. */
+  get all(): string[] {
+    return [...this.peers.values()].map(({ address }) => address);
+  }
+
+  /** Whether this daemon, of those that are heard, has the first name: one of them tidies up. */
+  get isFirst(): boolean {
+    return [...this.peers].every(([id, { heardAt }]) => heardAt === undefined || this.self < id);
+  }
+}
--- a/packages/relay/src/lib/request/ReceivedRequest.ts
+++ b/packages/relay/src/lib/request/ReceivedRequest.ts
@@ -18,6 +18,8 @@
   /** Absent where callers need no keys. */
   workspace: RelayWorkspace | undefined;
   priority: number;
+  /** Its place among requests of the same priority: 0 before 1. */
+  urgency: number;
   arrived: Milliseconds;
   deadline: Milliseconds;
   /** The configuration that admitted it. */
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -83,6 +83,7 @@
       priority: request.priority,
       maxAttempts: route.maxAttempts,
       latencyTarget: route.latencyTarget,
+      pauseTarget: route.pauseTarget,
       deadline: request.deadline,
       arrived: request.arrived,
       prompt: request.fields.prompt,
@@ -114,6 +115,8 @@
       workspace: request.workspace?.name,
       timeLeft: Math.max(1, Math.round(request.deadline - startedAt)),
       priority: request.priority,
+      urgency: request.urgency,
+      fetchFrom: choice.fetchFrom,
       resumeAfter: this.lastEvent,
     });
     exchange.run(
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -1,4 +1,4 @@
-import { Client } from 'undici';
+import { Client, buildConnector } from 'undici';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { upstreamOptions } from '../upstreamOptions.js';
 
@@ -8,6 +8,8 @@
   isBusy: boolean;
   /** It was opened and has not been closed. */
   isOpen: boolean;
+  /** Why it broke; undefined while it is open, and after an end in good order. */
+  error: Error | undefined;
 }
 
 /** Nothing of the client's own may repeat a request or time it out: those decisions are ours. */
@@ -15,11 +17,12 @@
   headersTimeout: 0,
   bodyTimeout: 0,
   pipelining: 1,
-  connect: { timeout: upstreamOptions.connectTimeout },
   keepAliveTimeout: upstreamOptions.idleTimeout,
   keepAliveTimeoutThreshold: upstreamOptions.idleMargin,
 };
 
+const connect = buildConnector({ timeout: upstreamOptions.connectTimeout });
+
 /**
  * Owns the connections to every replica. The one that was used last is used first, so that the
  * others can rest until they close: a new connection is dear, and each one a replica holds is one
@@ -94,8 +97,29 @@
   }
 
   private create(replica: RelayReplica): UpstreamConnection {
-    const client = new Client(`http://${replica.address}`, CLIENT_OPTIONS);
-    const connection: UpstreamConnection = { client, isBusy: false, isOpen: false };
+    // The client takes a reset for the end of an answer without length: its word alone would pass
+    // off as whole what a crash cut short. The socket itself tells.
+    const client = new Client(`http://${replica.address}`, {
+      ...CLIENT_OPTIONS,
+      connect: (options, callback) => {
+        connect(options, (error, socket) => {
+          socket?.once('error', (cause: Error) => {
+            connection.error = cause;
+          });
+          if (socket === null) {
+            callback(error, null);
+          } else {
+            callback(null, socket);
+          }
+        });
+      },
+    });
+    const connection: UpstreamConnection = {
+      client,
+      isBusy: false,
+      isOpen: false,
+      error: undefined,
+    };
     client.on('connect', () => {
       connection.isOpen = true;
       this.onOpened(replica);
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
@@ -42,6 +42,8 @@
 
   private isOver = false;
 
+  private connection: UpstreamConnection | undefined;
+
   private onReleased: (() => void) | undefined;
 
   private tail: Timer | undefined;
@@ -54,6 +56,7 @@
   /** @param onReleased - called once when the connection carries nothing more of this request */
   run(connection: UpstreamConnection, request: UpstreamRequest, onReleased: () => void): void {
     this.onReleased = onReleased;
+    this.connection = connection;
     connection.client.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -117,11 +120,18 @@
     }
   }
 
+  /** An answer without length ends with its connection: after a reset it is cut short. */
   onResponseEnd(): void {
     this.release();
-    if (!this.isOver) {
-      this.isOver = true;
+    if (this.isOver) {
+      return;
+    }
+    this.isOver = true;
+    const error = this.connection?.error;
+    if (error === undefined) {
       this.listener.onEnd();
+    } else {
+      this.listener.onError(error, true);
     }
   }
 
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -1,3 +1,4 @@
+import { CallerConnections } from '@apricotrill/callers';
 import type { KeyMaterial, KeySource } from '@apricotrill/keys';
 import { Outcome } from '@apricotrill/policy';
 import { randomUUID } from 'node:crypto';
@@ -8,7 +9,6 @@
 import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
 import { routerOptions } from '../options.js';
-import { CallerConnections } from './CallerConnections/CallerConnections.js';
 import type { CallerContext } from './CallerContext.js';
 import { discardBody } from './discardBody.js';
 import { handleChat } from './handleChat.js';
@@ -75,7 +75,11 @@
   constructor(context: CallerContext, address: CallerServerAddress) {
     this.context = context;
     this.address = address;
-    this.connections = new CallerConnections(context.clock, address.headersTimeout);
+    this.connections = new CallerConnections({
+      clock: context.clock,
+      headersTimeout: address.headersTimeout,
+      callerStall: routerOptions.callerStall,
+    });
     this.server = this.createServer();
     const { server } = this;
     const app = polka({
