Tell a reset from an end, and a refused connection from an open one

Cause: (1) the connector handed a refused connection on as one that was open, and the HTTP client failed an assertion: daemons ended by themselves while replicas were down. (2) A reset that is noticed together with the last bytes is reported as an end in good order, so that answers without length passed for whole. (3) A connection was free again before a second answer behind the first had been looked at.

Ruled out for (2): the error that the client reports (it reports none), the socket's error event (there is none). A reset connection has no peer any more, one closed in order still has.

--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { upstreamOptions } from '../upstreamOptions.js';
@@ -21,6 +22,23 @@
   keepAliveTimeoutThreshold: upstreamOptions.idleMargin,
 };
 
+/**
+ * Learns from the socket itself how a connection ended. The client takes a reset for the end of an
+ * answer without length, and where the last bytes and the reset are noticed together even the
+ * socket reports an end in good order; what a crash cut short would pass for whole. But a
+ * connection that was reset has no peer any more, while one that its peer closed still has.
+ */
+function noteBreak(socket: Socket, connection: UpstreamConnection): void {
+  socket.once('error', (cause: Error) => {
+    Object.assign(connection, { error: cause });
+  });
+  socket.once('end', () => {
+    if (socket.remoteAddress === undefined) {
+      Object.assign(connection, { error: new Error('the connection was reset') });
+    }
+  });
+}
+
 const connect = buildConnector({ timeout: upstreamOptions.connectTimeout });
 
 /**
@@ -48,17 +66,13 @@
     return connection;
   }
 
-  /** Gives a connection back after its request. */
+  /**
+   * Gives a connection back after its request. It is free only once what came with the answer's last
+   * bytes has been looked at: a second answer there ends the connection, and must not meet the next
+   * request on it.
+   */
   giveBack(replica: RelayReplica, connection: UpstreamConnection): void {
-    Object.assign(connection, { isBusy: false });
-    const connections = this.byReplica.get(replica.id) ?? [];
-    if (!connection.isOpen) {
-      this.drop(replica, connection);
-      return;
-    }
-    // The last one used is found first.
-    connections.splice(connections.indexOf(connection), 1);
-    connections.push(connection);
+    setImmediate(() => this.free(replica, connection));
   }
 
   /** Closes what rests of replicas that are gone; what is under way there goes on. */
@@ -96,21 +110,29 @@
     await Promise.allSettled(all.map(({ client }) => client.destroy()));
   }
 
+  private free(replica: RelayReplica, connection: UpstreamConnection): void {
+    Object.assign(connection, { isBusy: false });
+    const connections = this.byReplica.get(replica.id) ?? [];
+    if (!connection.isOpen) {
+      this.drop(replica, connection);
+      return;
+    }
+    // The last one used is found first.
+    connections.splice(connections.indexOf(connection), 1);
+    connections.push(connection);
+  }
+
   private create(replica: RelayReplica): UpstreamConnection {
-    // The client takes a reset for the end of an answer without length: its word alone would pass
-    // off as whole what a crash cut short. The socket itself tells.
     const client = new Client(`http://${replica.address}`, {
       ...CLIENT_OPTIONS,
       connect: (options, callback) => {
         connect(options, (error, socket) => {
-          socket?.once('error', (cause: Error) => {
-            connection.error = cause;
-          });
-          if (socket === null) {
-            callback(error, null);
-          } else {
-            callback(null, socket);
+          if (error !== null || !socket) {
+            callback(error ?? new Error('no connection'), null);
+            return;
           }
+          noteBreak(socket, connection);
+          callback(null, socket);
         });
       },
     });
