--- a/packages/relay/src/lib/callers/admitCall.ts
+++ b/packages/relay/src/lib/callers/admitCall.ts
@@ -7,7 +7,13 @@
 
 /** Whether a head may go on, and by what. */
 export type CallAdmission =
-  | { kind: 'admitted'; route: RelayRoute; workspace: RelayWorkspace | undefined }
+  | {
+      kind: 'admitted';
+      /** What admitted it; a version that comes meanwhile does not concern it. */
+      active: ActiveConfiguration;
+      route: RelayRoute;
+      workspace: RelayWorkspace | undefined;
+    }
   | { kind: 'rejected'; status: number; reason: string; retryAfter?: Milliseconds };
 
 const BAD_REQUEST = 400;
@@ -52,5 +58,5 @@
   if (keys !== undefined && workspace === undefined && !route.isPublic) {
     return { kind: 'rejected', status: UNAUTHORIZED, reason: 'unknown key' };
   }
-  return { kind: 'admitted', route, workspace };
+  return { kind: 'admitted', active, route, workspace };
 }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -17,7 +17,7 @@
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { CacheSource } from '../follow/CacheFollower/CacheFollower.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
-import { RelayMetrics } from '../observe/RelayMetrics.js';
+import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
 import type { RelayProtocol } from '../protocol/RelayProtocol.js';
 import type { ReceivedRequest } from '../request/ReceivedRequest.js';
@@ -181,6 +181,7 @@
     this.callers.stopListening();
     const end = started + settings.grace - shutdownOptions.reserve;
     while (this.callers.openAnswers > 0 && clock.now() < end) {
+      // eslint-disable-next-line no-await-in-loop
       await this.sleep(shutdownOptions.look);
     }
     await this.link.leave();
@@ -257,7 +258,7 @@
           log({ event: 'replica-kept', replica, until, reason: 'the store was away' }),
       },
     });
-    this.followers.push(follower as StateFollower<unknown>);
+    this.followers.push(follower);
     follower.run().catch((error: unknown) => {
       log({ event: 'fault', step: `follow ${dependency}`, error: String(error) });
     });
@@ -301,7 +302,8 @@
       request.resume();
       return;
     }
-    const { configuration } = this.active!;
+    const { active, route, workspace } = admission;
+    const { configuration } = active;
     const read = await readBody(request, configuration.limits.bodyBytes);
     if (read.kind === 'cut') {
       log({ event: 'caller-left', id, after: clock.now() - arrived });
@@ -314,7 +316,6 @@
       writeRefusal(response, { status: REQUEST_TOO_LARGE, reason, outcome: Outcome.NotRun });
       return;
     }
-    const { route, workspace } = admission;
     this.relay(response, {
       id,
       method: request.method ?? 'GET',
@@ -326,7 +327,7 @@
       service: pickService(route, this.parts.random),
       workspace,
       priority: workspace?.priority ?? route.priority,
-      urgency: getUrgency(this.active!, route),
+      urgency: getUrgency(active, route),
       arrived,
       deadline: arrived + Math.min(route.timeout, fields.timeout ?? Number.POSITIVE_INFINITY),
       version: configuration.version,
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -15,8 +15,8 @@
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { RetryAllowanceParts } from '../RetryAllowance/RetryAllowance.js';
-import { createRequestRecord } from '../RequestRecord.js';
-import type { RequestRecord, RunningAttempt } from '../RequestRecord.js';
+import { RequestRecord } from '../RequestRecord.js';
+import type { RunningAttempt } from '../RequestRecord.js';
 import { ServiceState } from './ServiceState.js';
 
 /** What a core is made of. */
@@ -165,11 +165,11 @@
 
   private submit(request: PlacementRequest): void {
     const now = this.clock.now();
-    const record = createRequestRecord(request);
+    const record = new RequestRecord(request);
     const service = this.getService(request.service);
     this.records.set(request.id, record);
     service.allowance.noteRequest(now);
-    record.deadlineTimer = this.clock.setTimer(request.deadline - now, () => this.expire(record));
+    record.setDeadline(this.clock.setTimer(request.deadline - now, () => this.expire(record)));
     if (service.getStaying().length === 0) {
       this.giveUp(record, Outcome.NotRun, GiveUpReason.NoReplica);
       return;
@@ -205,12 +205,11 @@
   private send(record: RequestRecord, { state, choice }: ChosenReplica): void {
     const { request } = record;
     const now = this.clock.now();
-    record.started += 1;
-    record.tried.add(state.replica.id);
     const { prompt } = request;
+    const number = record.started + 1;
     const attempt: RunningAttempt = {
-      number: record.started,
-      key: `${request.id}/${record.started}`,
+      number,
+      key: `${request.id}/${number}`,
       isOwn: true,
       state,
       sentAt: now,
@@ -220,7 +219,7 @@
       prompt,
       isAnswering: false,
     };
-    record.running = attempt;
+    record.begin(attempt);
     state.noteSent(attempt, now);
     if (prompt !== undefined) {
       state.cache.expect(prompt, now);
@@ -240,8 +239,7 @@
   private watchSilence(record: RequestRecord, attempt: RunningAttempt): void {
     const { request } = record;
     const span = this.getSilence(request);
-    record.silenceTimer?.cancel();
-    record.silenceTimer = this.clock.setTimer(span, () => this.noteSilence(record, attempt));
+    record.setSilence(this.clock.setTimer(span, () => this.noteSilence(record, attempt)));
   }
 
   private getSilence(request: PlacementRequest): Milliseconds {
@@ -281,7 +279,7 @@
   /** Looks again later: a replica that went dark is noticed by what was sent to it. */
   private watchDarkness(record: RequestRecord, attempt: RunningAttempt): void {
     const span = this.options.darkAfter;
-    record.silenceTimer = this.clock.setTimer(span, () => this.noteSilence(record, attempt));
+    record.setSilence(this.clock.setTimer(span, () => this.noteSilence(record, attempt)));
   }
 
   private noteAnswering({ id, attempt }: { id: string; attempt: number }): void {
@@ -295,7 +293,7 @@
         running.state.cache.noteRead(running.prompt, now);
       }
       this.emit({ kind: 'share', news: { kind: 'answering', key: running.key } });
-      record.silenceTimer?.cancel();
+      record.endSilence();
     }
   }
 
@@ -306,24 +304,12 @@
       return;
     }
     this.release(record);
-    this.noteEnd(record, running, end);
+    record.count(end);
     this.judge(running, end);
     this.goOn(record, attempt, end);
     this.drainWaiting(this.getService(record.request.service));
   }
 
-  // eslint-disable-next-line class-methods-use-this
-  private noteEnd(record: RequestRecord, running: RunningAttempt, end: AttemptEnd): void {
-    if (end === AttemptEnd.NotSent || end === AttemptEnd.Misdirected) {
-      Object.assign(record, { unsent: record.unsent + 1 });
-      return;
-    }
-    Object.assign(record, { sent: record.sent + 1 });
-    if (end !== AttemptEnd.Refused) {
-      Object.assign(record, { mayHaveRun: true });
-    }
-  }
-
   /** What the end of an attempt says of its replica. */
   private judge({ state, sentAt }: RunningAttempt, end: AttemptEnd): void {
     const now = this.clock.now();
@@ -335,7 +321,7 @@
         state.noteFailure();
         break;
       case AttemptEnd.Refused:
-        state.fullUntil = now + this.options.fullSpan;
+        state.noteFull(now);
         break;
       case AttemptEnd.Misdirected:
         this.noteLeaving(state.replica.id);
@@ -412,18 +398,16 @@
   }
 
   private release(record: RequestRecord): void {
-    const { running } = record;
+    const running = record.takeRunning();
     if (running !== undefined) {
       running.state.running.delete(running);
       this.emit({ kind: 'share', news: { kind: 'ended', key: running.key } });
     }
-    record.silenceTimer?.cancel();
-    Object.assign(record, { running: undefined });
   }
 
   private forget(record: RequestRecord): void {
     this.release(record);
-    record.deadlineTimer?.cancel();
+    record.endTimers();
     this.getService(record.request.service).waiting.remove(record);
     this.records.delete(record.request.id);
   }
@@ -436,8 +420,7 @@
 
   /** The replica gets nothing new until a health check clears it, while there are others. */
   private suspect(state: ReplicaState, reason: string): void {
-    if (state.suspicion === undefined) {
-      Object.assign(state, { suspicion: reason });
+    if (state.suspect(reason)) {
       this.emit({ kind: 'suspect', replica: state.replica, reason });
     }
   }
@@ -445,8 +428,7 @@
   private noteHealth({ replica, isHealthy }: { replica: string; isHealthy: boolean }): void {
     const state = this.findReplica(replica);
     if (state?.suspicion !== undefined && isHealthy) {
-      state.suspicion = undefined;
-      state.noteByte(this.clock.now());
+      state.trust(this.clock.now());
       this.emit({ kind: 'trust', replica: state.replica });
       this.services.forEach((service) => this.drainWaiting(service));
     }
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -106,6 +106,25 @@
     this.latency += NEWEST * (latency - this.latency);
   }
 
+  /** @returns whether it was trusted until now */
+  suspect(reason: string): boolean {
+    const isNew = this.suspicion === undefined;
+    this.suspicion ??= reason;
+    return isNew;
+  }
+
+  /** It has proved that it works. */
+  trust(now: Milliseconds): void {
+    this.suspicion = undefined;
+    this.failuresInRow = 0;
+    this.heardAt = now;
+  }
+
+  /** It refused a request: for a moment others go first. */
+  noteFull(now: Milliseconds): void {
+    this.fullUntil = now + this.options.fullSpan;
+  }
+
   /** It answered with a failure of its own: that it answers at all clears it of being down. */
   noteFailure(): void {
     this.failuresInRow = 0;
@@ -129,7 +148,10 @@
 
   /** Requests under way there that no daemon told of, by a report that counts less as it ages. */
   getOthers(now: Milliseconds): number {
-    return this.getAged(now, ({ report, knownThen }) => report.running + report.waiting - knownThen);
+    return this.getAged(
+      now,
+      ({ report, knownThen }) => report.running + report.waiting - knownThen,
+    );
   }
 
   /** Requests of all daemons that wait there for a slot, by the same report. */
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, Timer } from '@apricotrill/utils';
+import { AttemptEnd } from './messages.js';
 import type { PlacementRequest, Prompt } from './messages.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
@@ -23,34 +24,70 @@
 }
 
 /** What the placement core keeps of a request until it is over. */
-export interface RequestRecord {
-  request: PlacementRequest;
+export class RequestRecord {
   /** Attempts that were started, whatever became of them. */
-  started: number;
+  started = 0;
+
   /** Attempts that reached a replica: these count against the route's limit. */
-  sent: number;
+  sent = 0;
+
   /** Attempts of which no byte left this daemon. */
-  unsent: number;
+  unsent = 0;
+
   /** Some attempt may have run. */
-  mayHaveRun: boolean;
+  mayHaveRun = false;
+
   /** Replicas that were tried. */
-  tried: Set<string>;
+  readonly tried = new Set<string>();
+
   running: RunningAttempt | undefined;
-  deadlineTimer: Timer | undefined;
-  silenceTimer: Timer | undefined;
-}
 
-/** The record of a request that has just arrived. */
-export function createRequestRecord(request: PlacementRequest): RequestRecord {
-  return {
-    request,
-    started: 0,
-    sent: 0,
-    unsent: 0,
-    mayHaveRun: false,
-    tried: new Set(),
-    running: undefined,
-    deadlineTimer: undefined,
-    silenceTimer: undefined,
-  };
+  private deadlineTimer: Timer | undefined;
+
+  private silenceTimer: Timer | undefined;
+
+  constructor(readonly request: PlacementRequest) {}
+
+  begin(attempt: RunningAttempt): void {
+    this.started = attempt.number;
+    this.tried.add(attempt.state.replica.id);
+    this.running = attempt;
+  }
+
+  /** Counts an attempt by what its end proves. */
+  count(end: AttemptEnd): void {
+    if (end === AttemptEnd.NotSent || end === AttemptEnd.Misdirected) {
+      this.unsent += 1;
+      return;
+    }
+    this.sent += 1;
+    this.mayHaveRun ||= end !== AttemptEnd.Refused;
+  }
+
+  /** @returns the attempt that was under way, which is so no longer */
+  takeRunning(): RunningAttempt | undefined {
+    const { running } = this;
+    this.running = undefined;
+    this.endSilence();
+    return running;
+  }
+
+  setDeadline(timer: Timer): void {
+    this.deadlineTimer = timer;
+  }
+
+  /** Replaces the timer that looks for silence. */
+  setSilence(timer: Timer): void {
+    this.silenceTimer?.cancel();
+    this.silenceTimer = timer;
+  }
+
+  endSilence(): void {
+    this.silenceTimer?.cancel();
+  }
+
+  endTimers(): void {
+    this.endSilence();
+    this.deadlineTimer?.cancel();
+  }
 }
--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -100,7 +100,8 @@
   const eventTokens = service?.engine?.eventTokens ?? 1;
   const chunkTime = options.chunkTokens / options.readRate;
   const slowEvent = chunkTime * eventTokens;
-  const isSlowed = (pause: Milliseconds | undefined) => pause !== undefined && pause < slowEvent * 1.5;
+  const isSlowed = (pause: Milliseconds | undefined) =>
+    pause !== undefined && pause < slowEvent * 1.5;
   let cost = 0;
   if (isSlowed(request.pauseTarget)) {
     const length = Math.min(1, (prompt.outputTokens * STEP_TIME) / SECOND);
@@ -156,7 +157,12 @@
   const slots = Math.max(1, state.replica.slots);
   const rounds = Math.max(1, load / slots);
   const spread = load / slots;
-  return { state, missingTokens: 0, copy: undefined, cost: state.expectedLatency * (rounds + spread) };
+  return {
+    state,
+    missingTokens: 0,
+    copy: undefined,
+    cost: state.expectedLatency * (rounds + spread),
+  };
 }
 
 function getOffer(inputs: ChoiceInputs, state: ReplicaState, commonFailures: number): Offer {
--- a/packages/relay/src/lib/follow/CacheFollower/CacheFollower.ts
+++ b/packages/relay/src/lib/follow/CacheFollower/CacheFollower.ts
@@ -89,8 +89,10 @@
     await this.sleep(random.next() * cacheOptions.interval);
     while (!this.abort.signal.aborted) {
       const started = clock.now();
+      // eslint-disable-next-line no-await-in-loop
       const isFine = await this.step().catch((error: unknown) => this.fail(error));
       const left = started + cacheOptions.interval - clock.now();
+      // eslint-disable-next-line no-await-in-loop
       await this.sleep(isFine ? left : cacheOptions.pause * (0.5 + random.next()));
     }
   }
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -83,9 +83,11 @@
     let mustList = true;
     while (!this.abort.signal.aborted) {
       try {
+        // eslint-disable-next-line no-await-in-loop
         mustList = await this.step(mustList);
         this.noteAnswer();
       } catch (error) {
+        // eslint-disable-next-line no-await-in-loop
         await this.noteError(error);
       }
     }
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -165,11 +165,13 @@
   private async follow(): Promise<void> {
     const { clock, random } = this.parts;
     while (!this.isOver) {
+      // eslint-disable-next-line no-await-in-loop
       const isFine = await this.look().catch((error: unknown) => {
         this.fault('directory', error);
         return false;
       });
       const span = isFine ? linkOptions.relist : linkOptions.pause;
+      // eslint-disable-next-line no-await-in-loop
       await new Promise<void>((resolve) => {
         clock.setTimer(span * (0.5 + random.next()), resolve);
       });
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -123,6 +123,7 @@
   }
 
   private create(replica: RelayReplica): UpstreamConnection {
+    let connection: UpstreamConnection | undefined;
     const client = new Client(`http://${replica.address}`, {
       ...CLIENT_OPTIONS,
       connect: (options, callback) => {
@@ -131,31 +132,30 @@
             callback(error ?? new Error('no connection'), null);
             return;
           }
-          noteBreak(socket, connection);
+          noteBreak(socket, connection!);
           callback(null, socket);
         });
       },
     });
-    const connection: UpstreamConnection = {
-      client,
-      isBusy: false,
-      isOpen: false,
-      error: undefined,
-    };
-    client.on('connect', () => {
-      connection.isOpen = true;
+    connection = { client, isBusy: false, isOpen: false, error: undefined };
+    this.follow(replica, connection);
+    const connections = this.byReplica.get(replica.id) ?? [];
+    this.byReplica.set(replica.id, connections);
+    connections.push(connection);
+    return connection;
+  }
+
+  private follow(replica: RelayReplica, connection: UpstreamConnection): void {
+    connection.client.on('connect', () => {
+      Object.assign(connection, { isOpen: true });
       this.onOpened(replica);
     });
-    client.on('disconnect', () => {
-      connection.isOpen = false;
+    connection.client.on('disconnect', () => {
+      Object.assign(connection, { isOpen: false });
       if (!connection.isBusy) {
         this.drop(replica, connection);
       }
     });
-    const connections = this.byReplica.get(replica.id) ?? [];
-    this.byReplica.set(replica.id, connections);
-    connections.push(connection);
-    return connection;
   }
 
   private drop(replica: RelayReplica, connection: UpstreamConnection): void {
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
@@ -59,7 +59,7 @@
     this.connection = connection;
     connection.client.dispatch(
       {
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         path: request.target,
         headers: request.rawHeaders,
         body: request.body ?? null,
