Test the relay's decisions, readers and followers without any bench

Links between daemons now cancel their timers when they are disposed of: a test process stayed open before.

--- /dev/null
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.test.ts
@@ -0,0 +1,281 @@
+import { CoreHarness } from '../../../test/CoreHarness.js';
+import {
+  createEngineService,
+  createPrompt,
+  createReplica,
+  createRequest,
+  createService,
+} from '../../../test/fixtures.js';
+import { RouteKind } from '../../config/RelayConfiguration.js';
+import { AttemptEnd, GiveUpReason, Outcome } from '../messages.js';
+import type { SharedAttempt } from '../messages.js';
+
+const APP = [createService('app')];
+const TWO = [createReplica('i-1'), createReplica('i-2')];
+
+describe('PlacementCore', () => {
+  // Symptom: a caller is told to come back although its request ran. Sequence: a payment is sent,
+  // the connection breaks. Cause: a broken attempt was taken for one that did not run.
+  it('never repeats what may run once, and says that it may have run', () => {
+    const harness = new CoreHarness(APP, TWO);
+    harness.submit(createRequest('p', { kind: RouteKind.Once, repeatable: false, maxAttempts: 2 }));
+    harness.end('p', 1, AttemptEnd.Broken);
+    expect(harness.get('send')).toHaveLength(1);
+    expect(harness.get('give-up')).toMatchObject([
+      { outcome: Outcome.Unknown, reason: GiveUpReason.MayHaveRun },
+    ]);
+  });
+
+  it('sends what may run once elsewhere after a refusal, while attempts are left', () => {
+    const harness = new CoreHarness(APP, TWO);
+    harness.submit(createRequest('p', { kind: RouteKind.Once, repeatable: false, maxAttempts: 2 }));
+    harness.end('p', 1, AttemptEnd.Refused);
+    expect(new Set(harness.getReplicas('p')).size).toBe(2);
+    harness.end('p', 2, AttemptEnd.Refused);
+    expect(harness.get('give-up')).toMatchObject([{ outcome: Outcome.NotRun }]);
+    expect(harness.get('give-up')[0]!.retryAfter).toBeGreaterThan(0);
+  });
+
+  it('counts no attempt that never left, and gives up after a few of them', () => {
+    const harness = new CoreHarness(APP, TWO);
+    harness.submit(createRequest('a', { maxAttempts: 1 }));
+    harness.end('a', 1, AttemptEnd.NotSent);
+    harness.end('a', 2, AttemptEnd.NotSent);
+    harness.end('a', 3, AttemptEnd.NotSent);
+    expect(harness.get('send')).toHaveLength(3);
+    expect(harness.get('give-up')).toMatchObject([
+      { outcome: Outcome.NotRun, reason: GiveUpReason.NoReplica },
+    ]);
+  });
+
+  // Symptom: a failing service gets a multiple of its load. Sequence: every answer is a failure,
+  // every request is repeated. Cause: nothing bounds the repeats of all requests together.
+  it('hands failures on once the repeats of the service are spent', () => {
+    const harness = new CoreHarness(APP, TWO, { retryRatio: 0.2, retrySlack: 1 });
+    for (let index = 0; index < 50; index += 1) {
+      const id = `r${index}`;
+      harness.submit(createRequest(id));
+      harness.end(id, 1, AttemptEnd.Failed);
+      if (harness.getReplicas(id).length > 1) {
+        harness.end(id, 2, AttemptEnd.Failed);
+      }
+    }
+    expect(harness.get('send').length).toBeLessThanOrEqual(50 + 50 * 0.2 + 1);
+    expect(harness.get('send').length).toBeGreaterThan(50);
+    expect(harness.get('settle')).toHaveLength(50);
+  });
+
+  it('answers at once when its time is over, and cancels what is under way', () => {
+    const harness = new CoreHarness(APP, TWO);
+    harness.submit(createRequest('p', { kind: RouteKind.Once, repeatable: false, deadline: 700 }));
+    harness.clock.advance(700);
+    expect(harness.get('cancel')).toMatchObject([{ id: 'p', attempt: 1 }]);
+    expect(harness.get('give-up')).toMatchObject([
+      { outcome: Outcome.Unknown, reason: GiveUpReason.Deadline },
+    ]);
+    expect(harness.core.openRequests).toBe(0);
+  });
+
+  it('cancels what a caller left behind', () => {
+    const harness = new CoreHarness(APP, TWO);
+    harness.submit(createRequest('a'));
+    harness.core.handle({ kind: 'caller-left', id: 'a' });
+    expect(harness.get('cancel')).toHaveLength(1);
+    expect(harness.get('give-up')).toHaveLength(0);
+  });
+
+  // Symptom: answers of a status check take until their timeout. Sequence: a replica runs a request
+  // and its answer is lost; nothing ever comes on the connection. Cause: only the deadline ended it.
+  it('asks another replica when the first is silent, where a request may be repeated', () => {
+    const harness = new CoreHarness(APP, TWO, { retrySlack: 5 });
+    harness.submit(createRequest('a'));
+    harness.clock.advance(250);
+    expect(harness.get('cancel')).toHaveLength(1);
+    expect(new Set(harness.getReplicas('a')).size).toBe(2);
+  });
+
+  it('waits for a silent replica where a request may run once', () => {
+    const harness = new CoreHarness(APP, TWO, { retrySlack: 5 });
+    harness.submit(createRequest('p', { kind: RouteKind.Once, repeatable: false }));
+    harness.clock.advance(1_400);
+    expect(harness.get('cancel')).toHaveLength(0);
+  });
+
+  // Symptom: requests go on failing on a replica that is down until the list says so, seconds
+  // later. Sequence: the replica crashes; connections to it are refused. Cause: only the list
+  // decided who gets requests.
+  it('avoids a replica that refuses connections until it answers a health check', () => {
+    const harness = new CoreHarness(APP, TWO);
+    harness.submit(createRequest('a'));
+    const [down] = harness.getReplicas('a');
+    harness.end('a', 1, AttemptEnd.NotSent);
+    expect(harness.get('suspect')).toMatchObject([{ replica: { id: down } }]);
+    for (let index = 0; index < 5; index += 1) {
+      harness.submit(createRequest(`b${index}`));
+      expect(harness.getReplicas(`b${index}`)).not.toContain(down);
+    }
+    harness.core.handle({ kind: 'health', replica: down!, isHealthy: true });
+    expect(harness.get('trust')).toHaveLength(1);
+    for (let index = 0; index < 4; index += 1) {
+      harness.submit(createRequest(`c${index}`));
+    }
+    const after = [0, 1, 2, 3].flatMap((index) => harness.getReplicas(`c${index}`));
+    expect(after).toContain(down);
+  });
+
+  it('sends nothing to replicas that drain, are gone, or say that another is there', () => {
+    const harness = new CoreHarness(APP, [
+      createReplica('i-1', { isDraining: true }),
+      createReplica('i-2'),
+      createReplica('i-3'),
+    ]);
+    harness.submit(createRequest('a'));
+    const [first] = harness.getReplicas('a');
+    harness.end('a', 1, AttemptEnd.Misdirected);
+    const [, second] = harness.getReplicas('a');
+    expect(first).not.toBe('i-1');
+    expect(second).not.toBe('i-1');
+    expect(second).not.toBe(first);
+    harness.submit(createRequest('b'));
+    expect(harness.getReplicas('b')).toEqual([second]);
+  });
+
+  it('refuses at once where no replica is known, and says when to come back', () => {
+    const harness = new CoreHarness(APP, []);
+    harness.submit(createRequest('a'));
+    const [effect] = harness.get('give-up');
+    expect(effect).toMatchObject({ outcome: Outcome.NotRun, reason: GiveUpReason.NoReplica });
+    expect(effect!.retryAfter).toBeGreaterThan(0);
+  });
+
+  it('lets the most urgent of those that wait go first', () => {
+    const harness = new CoreHarness([createService('app', { maxConnections: 24 })], [TWO[0]!]);
+    const ids = ['a', 'b'];
+    ids.forEach((id) => harness.submit(createRequest(id)));
+    harness.submit(createRequest('late', { priority: 2 }));
+    harness.submit(createRequest('urgent', { priority: 0 }));
+    expect(harness.get('send')).toHaveLength(2);
+    harness.end('a', 1, AttemptEnd.Completed);
+    expect(harness.getReplicas('urgent')).toHaveLength(1);
+    expect(harness.getReplicas('late')).toHaveLength(0);
+  });
+});
+
+describe('PlacementCore with engines', () => {
+  const engines = ['e-1', 'e-2', 'e-3', 'e-4'].map((id) => createReplica(id, { service: 'llm' }));
+  const services = [createEngineService('llm')];
+
+  function createHarness(): CoreHarness {
+    return new CoreHarness(services, engines);
+  }
+
+  function submit(harness: CoreHarness, id: string, parts: [string, number][]): string {
+    const stream = { kind: RouteKind.Stream, repeatable: false, service: 'llm', pauseTarget: 400 };
+    const prompt = createPrompt(parts, 52);
+    harness.submit(createRequest(id, { ...stream, prompt, deadline: 6_000, maxAttempts: 1 }));
+    return harness.getReplicas(id)[0]!;
+  }
+
+  function answer(harness: CoreHarness, id: string): void {
+    harness.core.handle({ kind: 'answering', id, attempt: 1 });
+    harness.end(id, 1, AttemptEnd.Completed);
+  }
+
+  // Load pattern: one session asks again and again, while the others are idle.
+  it('sends a session to the engine that has read it, and to another when that falls behind', () => {
+    const harness = createHarness();
+    const session: [string, number][] = [
+      ['catalogue', 2_500],
+      ['session', 3_800],
+    ];
+    const first = submit(harness, 'a', [...session, ['own-a', 1_000]]);
+    harness.clock.advance(300);
+    answer(harness, 'a');
+    expect(submit(harness, 'b', [...session, ['own-b', 1_000]])).toBe(first);
+    const used = new Set<string>();
+    for (let index = 0; index < 12; index += 1) {
+      used.add(submit(harness, `c${index}`, [...session, [`own-c${index}`, 3_000]]));
+    }
+    expect(used.size).toBeGreaterThan(1);
+  });
+
+  it('lets an engine copy what another has read', () => {
+    const harness = createHarness();
+    const first = submit(harness, 'a', [
+      ['catalogue', 2_500],
+      ['own-a', 500],
+    ]);
+    harness.clock.advance(100);
+    harness.core.handle({ kind: 'answering', id: 'a', attempt: 1 });
+    for (let index = 0; index < 6; index += 1) {
+      submit(harness, `load${index}`, [
+        ['catalogue', 2_500],
+        [`own${index}`, 6_000],
+      ]);
+    }
+    const elsewhere = harness.get('send').filter(({ replica }) => replica.id !== first);
+    expect(elsewhere.length).toBeGreaterThan(0);
+    expect(elsewhere.some(({ choice }) => choice.fetchFrom?.id === first)).toBe(true);
+  });
+
+  // Load pattern: eight daemons get requests of different sessions in the same moment. Symptom:
+  // first tokens expected in 50 ms take over a second. Cause: each daemon takes the engine that the
+  // others have just chosen for idle.
+  it('counts what other daemons have just placed', () => {
+    const alone = createHarness();
+    const preferred = submit(alone, 'x', [
+      ['session', 1_000],
+      ['own', 500],
+    ]);
+    const harness = createHarness();
+    const attempt: SharedAttempt = {
+      key: 'p/1',
+      replica: preferred,
+      missingTokens: 18_000,
+      memoryTokens: 18_000,
+      isAnswering: false,
+    };
+    harness.core.handle({ kind: 'peer-news', peer: 'd-2', news: { kind: 'placed', attempt } });
+    expect(
+      submit(harness, 'x', [
+        ['session', 1_000],
+        ['own', 500],
+      ]),
+    ).not.toBe(preferred);
+    harness.core.handle({ kind: 'peer-gone', peer: 'd-2' });
+    expect(
+      submit(harness, 'y', [
+        ['session', 1_000],
+        ['own-y', 500],
+      ]),
+    ).toBe(preferred);
+  });
+
+  // Load pattern: long prompts with short answers beside short prompts with long answers. Symptom:
+  // the pauses of the long answers pass their target. Cause: an engine that reads a long prompt
+  // makes its other requests wait between tokens.
+  it('keeps long prompts away from engines where many streams run', () => {
+    const harness = createHarness();
+    const streams = engines.slice(0, 3).flatMap(({ id }, engine) =>
+      [0, 1, 2, 3, 4, 5, 6, 7].map((index) => ({
+        key: `s${engine}-${index}`,
+        replica: id,
+        missingTokens: 0,
+        memoryTokens: 800,
+        pauseTarget: 250,
+        isAnswering: true,
+      })),
+    );
+    harness.core.handle({
+      kind: 'peer-news',
+      peer: 'd-2',
+      news: { kind: 'all', attempts: streams },
+    });
+    for (let index = 0; index < 3; index += 1) {
+      expect(submit(harness, `p${index}`, [[`own${index}`, 6_000]])).toBe('e-4');
+      harness.clock.advance(200);
+      answer(harness, `p${index}`);
+      harness.clock.advance(2_000);
+    }
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -0,0 +1,138 @@
+import { ManualClock, createRandom } from '@apricotrill/utils';
+import type { ObjectList, ObjectSource, WatchResult } from './ObjectSource.js';
+import { StateFollower, followOptions } from './StateFollower.js';
+
+type Answer<Value> = Value | Error;
+
+/** A source whose every answer the test gives. */
+class ScriptedSource implements ObjectSource<string> {
+  readonly calls: string[] = [];
+
+  private waiting: ((answer: Answer<unknown>) => void) | undefined;
+
+  list(): Promise<ObjectList<string>> {
+    return this.call('list') as Promise<ObjectList<string>>;
+  }
+
+  watch(revision: number): Promise<WatchResult<string>> {
+    return this.call(`watch ${revision}`) as Promise<WatchResult<string>>;
+  }
+
+  /** Answers the call that waits, and lets the follower take it in. */
+  async answer(answer: Answer<ObjectList<string> | WatchResult<string>>): Promise<void> {
+    this.waiting!(answer);
+    await ScriptedSource.settle();
+  }
+
+  static async settle(): Promise<void> {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
+  private call(name: string): Promise<unknown> {
+    this.calls.push(name);
+    return new Promise((resolve, reject) => {
+      this.waiting = (answer) => (answer instanceof Error ? reject(answer) : resolve(answer));
+    });
+  }
+}
+
+function listOf(revision: number, ...names: string[]): ObjectList<string> {
+  return { revision, items: new Map(names.map((name) => [name, name])) };
+}
+
+function changesOf(revision: number, ...changes: [string, string | undefined][]) {
+  return {
+    kind: 'changes' as const,
+    revision,
+    changes: changes.map(([name, item]) => ({ name, item })),
+  };
+}
+
+describe('StateFollower', () => {
+  async function setUp() {
+    const clock = new ManualClock();
+    const source = new ScriptedSource();
+    const seen: string[][] = [];
+    const log: string[] = [];
+    const follower = new StateFollower({
+      source,
+      clock,
+      random: createRandom(1),
+      listener: {
+        onItems: (items) => seen.push([...items.keys()].sort()),
+        onLost: () => log.push('lost'),
+        onRegained: () => log.push('regained'),
+        onKept: (name) => log.push(`kept ${name}`),
+      },
+    });
+    follower.run().catch((error: unknown) => log.push(String(error)));
+    await ScriptedSource.settle();
+    return { clock, source, seen, log, follower };
+  }
+
+  it('lists once, then watches on from what it has', async () => {
+    const { source, seen } = await setUp();
+    await source.answer(listOf(5, 'a'));
+    await source.answer(changesOf(7, ['b', 'b'], ['a', undefined]));
+    expect(source.calls).toEqual(['list', 'watch 5', 'watch 7']);
+    expect(seen).toEqual([['a'], ['b']]);
+  });
+
+  // Symptom: a replica that left gets requests for minutes. Sequence: the store drops its history
+  // while a replica leaves. Cause: a watch that begins after the gap never tells of it.
+  it('lists again when the history is gone, and drops what left in the gap', async () => {
+    const { source, seen } = await setUp();
+    await source.answer(listOf(5, 'a', 'b'));
+    await source.answer({ kind: 'history-gone' });
+    await source.answer(listOf(9, 'b'));
+    expect(source.calls).toEqual(['list', 'watch 5', 'list', 'watch 9']);
+    expect(seen.at(-1)).toEqual(['b']);
+  });
+
+  it('never goes back to an older state', async () => {
+    const { source, seen } = await setUp();
+    await source.answer(listOf(5, 'a', 'b'));
+    await source.answer({ kind: 'history-gone' });
+    await source.answer(listOf(3, 'a'));
+    expect(seen.at(-1)).toEqual(['a', 'b']);
+  });
+
+  it('keeps what it knows while the store is away, and asks again with pauses', async () => {
+    const { clock, source, seen, log } = await setUp();
+    await source.answer(listOf(5, 'a'));
+    await source.answer(new Error('down'));
+    expect(source.calls).toHaveLength(2);
+    clock.advance(followOptions.longestPause);
+    await ScriptedSource.settle();
+    await source.answer(changesOf(5));
+    expect(log).toEqual(['lost', 'regained']);
+    expect(seen).toEqual([['a']]);
+  });
+
+  // Symptom: after an outage of the store all replicas are gone for two seconds. Sequence: entries
+  // lapse while replicas can't renew them; the store comes back and tells of the deletions. Cause:
+  // a deletion was taken for the end of the replica.
+  it('keeps what lapsed during an outage until it could have come back', async () => {
+    const { clock, source, seen, log } = await setUp();
+    await source.answer(listOf(5, 'a', 'b'));
+    await source.answer(new Error('down'));
+    clock.advance(followOptions.longestPause);
+    await ScriptedSource.settle();
+    await source.answer(changesOf(8, ['a', undefined], ['b', undefined]));
+    expect(log).toContain('kept a');
+    await source.answer(changesOf(9, ['a', 'a']));
+    expect(seen.at(-1)).toEqual(['a', 'b']);
+    clock.advance(followOptions.returnGrace);
+    expect(seen.at(-1)).toEqual(['a']);
+  });
+
+  it('drops at once what is deleted while the store is there', async () => {
+    const { source, seen, log } = await setUp();
+    await source.answer(listOf(5, 'a'));
+    await source.answer(changesOf(6, ['a', undefined]));
+    expect(seen.at(-1)).toEqual([]);
+    expect(log).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -0,0 +1,131 @@
+import { SystemClock, createRandom } from '@apricotrill/utils';
+import { createSocket } from 'node:dgram';
+import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
+import type { RelayEvent } from '../../observe/RelayEvent.js';
+import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
+import { PeerLink } from './PeerLink.js';
+
+/** The platform's entries, in memory. */
+class MemoryDirectory implements PeerDirectory {
+  readonly entries = new Map<string, PeerEntry>();
+
+  register(entry: PeerEntry): Promise<void> {
+    this.entries.set(entry.id, entry);
+    return Promise.resolve();
+  }
+
+  remove(id: string): Promise<void> {
+    this.entries.delete(id);
+    return Promise.resolve();
+  }
+
+  list(): Promise<PeerEntry[]> {
+    return Promise.resolve([...this.entries.values()]);
+  }
+}
+
+function getFreePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const socket = createSocket('udp4');
+    socket.bind(0, '127.0.0.1', () => {
+      const { port } = socket.address();
+      socket.close(() => resolve(port));
+    });
+  });
+}
+
+const ATTEMPT: SharedAttempt = {
+  key: 'r/1',
+  replica: 'e-1',
+  missingTokens: 100,
+  memoryTokens: 100,
+  isAnswering: false,
+};
+
+describe('PeerLink', () => {
+  const links: PeerLink[] = [];
+
+  /** A link, and a wait for what it hears or logs. */
+  async function createLink(id: string, directory: PeerDirectory, attempts: SharedAttempt[] = []) {
+    const heard: SharedNews[] = [];
+    const events: RelayEvent[] = [];
+    const waits: (() => void)[] = [];
+    const wake = () => waits.splice(0).forEach((wait) => wait());
+    const link = new PeerLink({
+      self: { id, address: `127.0.0.1:${await getFreePort()}` },
+      clock: new SystemClock(),
+      random: createRandom(1),
+      log: (event) => {
+        events.push(event);
+        wake();
+      },
+      directory,
+      getAll: () => attempts,
+      onNews: (_peer, news) => {
+        heard.push(news);
+        wake();
+      },
+      onGone: wake,
+    });
+    links.push(link);
+    await link.start();
+    const until = async (isDone: () => boolean) => {
+      while (!isDone()) {
+        // eslint-disable-next-line no-await-in-loop
+        await new Promise<void>((resolve) => {
+          waits.push(resolve);
+        });
+      }
+    };
+    return { link, heard, events, until };
+  }
+
+  afterEach(() => links.splice(0).forEach((link) => link.dispose()));
+
+  // Symptom: for half a minute after a start daemons place as if each were alone. Sequence: all
+  // start in the same moment and read the list before any has written its entry. Cause: the entry
+  // was written after the list was read.
+  it('lets daemons that start together find each other', async () => {
+    const directory = new MemoryDirectory();
+    const both = await Promise.all([createLink('d-1', directory), createLink('d-2', directory)]);
+    await Promise.all(
+      both.map(({ events, until }) =>
+        until(() => events.some(({ event }) => event === 'peer-found')),
+      ),
+    );
+    expect(both.map(({ link }) => link.livePeers)).toEqual([1, 1]);
+  });
+
+  it('tells news at once, and everything again to make up for what was lost', async () => {
+    const directory = new MemoryDirectory();
+    const left = await createLink('d-1', directory, [ATTEMPT]);
+    const right = await createLink('d-2', directory);
+    await left.until(() => left.link.livePeers === 1);
+    left.link.tell({ kind: 'placed', attempt: ATTEMPT });
+    await right.until(() => right.heard.some(({ kind }) => kind === 'placed'));
+    await right.until(() =>
+      right.heard.some((news) => news.kind === 'all' && news.attempts.length === 1),
+    );
+    expect(right.events.some(({ event }) => event === 'fault')).toBe(false);
+  });
+
+  it('leaves with word to the others, and without its entry', async () => {
+    const directory = new MemoryDirectory();
+    const left = await createLink('d-1', directory);
+    await createLink('d-2', directory);
+    await left.until(() => left.link.livePeers === 1);
+    await left.link.leave();
+    expect([...directory.entries.keys()]).toEqual(['d-2']);
+  });
+
+  it('takes bytes that are no news for what they are', async () => {
+    const directory = new MemoryDirectory();
+    const { events, until } = await createLink('d-1', directory);
+    const [, port] = directory.entries.get('d-1')!.address.split(':');
+    const socket = createSocket('udp4');
+    socket.send('nonsense', Number(port), '127.0.0.1');
+    await until(() => events.some(({ event }) => event === 'fault'));
+    socket.close();
+    expect(events.filter(({ event }) => event === 'fault')).toHaveLength(1);
+  });
+});
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -61,6 +61,11 @@
 
   private gathering: Timer | undefined;
 
+  private refreshing: Timer | undefined;
+
+  /** The pause before the next look at the directory. */
+  private pausing: Timer | undefined;
+
   private isOver = false;
 
   private isRegistered = false;
@@ -100,7 +105,7 @@
 
   dispose(): void {
     this.isOver = true;
-    this.gathering?.cancel();
+    [this.gathering, this.refreshing, this.pausing].forEach((timer) => timer?.cancel());
     this.socket.close();
   }
 
@@ -129,7 +134,7 @@
       log({ event: 'peer-lost', peer });
       onGone(peer);
     });
-    clock.setTimer(linkOptions.refresh, () => this.refresh());
+    this.refreshing = clock.setTimer(linkOptions.refresh, () => this.refresh());
   }
 
   private sendTo(addresses: readonly string[], news: SharedNews[]): void {
@@ -173,7 +178,7 @@
       const span = isFine ? linkOptions.relist : linkOptions.pause;
       // eslint-disable-next-line no-await-in-loop
       await new Promise<void>((resolve) => {
-        clock.setTimer(span * (0.5 + random.next()), resolve);
+        this.pausing = clock.setTimer(span * (0.5 + random.next()), resolve);
       });
     }
   }
--- /dev/null
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
@@ -0,0 +1,40 @@
+import { PeerTable, peerOptions } from './PeerTable.js';
+
+describe('PeerTable', () => {
+  it('counts a listed daemon as live once it is heard, and as gone once it is silent', () => {
+    const table = new PeerTable('d-1');
+    table.setListed(
+      [
+        { id: 'd-1', address: 'a:1' },
+        { id: 'd-2', address: 'a:2' },
+      ],
+      0,
+    );
+    expect([table.all, table.live]).toEqual([['a:2'], []]);
+    expect(table.noteHeard({ id: 'd-2', address: 'a:2' }, 10)).toBe(true);
+    expect(table.noteHeard({ id: 'd-2', address: 'a:2' }, 20)).toBe(false);
+    expect(table.live).toEqual(['a:2']);
+    expect(table.takeSilent(20 + peerOptions.silence)).toEqual([]);
+    expect(table.takeSilent(21 + peerOptions.silence)).toEqual(['d-2']);
+    expect([table.all, table.live]).toEqual([['a:2'], []]);
+  });
+
+  it('takes a daemon that is back at another address', () => {
+    const table = new PeerTable('d-1');
+    table.noteHeard({ id: 'd-2', address: 'a:2' }, 0);
+    table.noteHeard({ id: 'd-2', address: 'b:2' }, 1);
+    expect(table.live).toEqual(['b:2']);
+  });
+
+  it('gives up entries that were silent for long, and lets one daemon tidy up', () => {
+    const table = new PeerTable('d-2');
+    table.setListed([{ id: 'd-1', address: 'a:1' }], 0);
+    expect(table.isFirst).toBe(true);
+    table.noteHeard({ id: 'd-1', address: 'a:1' }, 0);
+    expect(table.isFirst).toBe(false);
+    table.takeSilent(peerOptions.silence + 1);
+    expect(table.takeForgotten(peerOptions.forgetAfter)).toEqual([]);
+    expect(table.takeForgotten(peerOptions.forgetAfter * 2)).toEqual(['d-1']);
+    expect(table.all).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/upstream/EventSplitter/EventSplitter.test.ts
@@ -0,0 +1,45 @@
+import * as fc from 'fast-check';
+import { EventSplitter } from './EventSplitter.js';
+
+describe('EventSplitter', () => {
+  it('cuts any stream into whole events without changing a byte, however it is cut up', () => {
+    const line = fc.constantFrom('id: 7', 'data: x', 'data: {"a":"b"}', 'event: e', ': c');
+    const event = fc
+      .record({
+        lines: fc.array(line, { minLength: 1, maxLength: 3 }),
+        end: fc.constantFrom('\n', '\r\n'),
+      })
+      .map(({ lines, end }) => `${lines.join(end)}${end}${end}`);
+    fc.assert(
+      fc.property(
+        fc.array(event, { maxLength: 6 }),
+        fc.constantFrom('', 'data: unfin'),
+        fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1, maxLength: 20 }),
+        (events, rest, sizes) => {
+          const stream = Buffer.from(events.join('') + rest);
+          const splitter = new EventSplitter();
+          const got: string[] = [];
+          let at = 0;
+          for (let index = 0; at < stream.length; index += 1) {
+            const size = sizes[index % sizes.length]!;
+            splitter.push(stream.subarray(at, at + size)).forEach(({ bytes }) => {
+              got.push(bytes.toString());
+            });
+            at += size;
+          }
+          expect(got).toEqual(events);
+          expect(splitter.unfinished.toString()).toBe(rest);
+        },
+      ),
+      { seed: 3 },
+    );
+  });
+
+  it('reads the id of an event, wherever its line stands', () => {
+    const splitter = new EventSplitter();
+    const [first, second, third] = splitter.push(
+      Buffer.from('id: 12\ndata: x\n\ndata: y\nid:13\n\ndata: id: 5\n\n'),
+    );
+    expect([first!.id, second!.id, third!.id]).toEqual(['12', '13', undefined]);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/test/fixtures.ts
@@ -0,0 +1,93 @@
+import { RouteKind } from '../lib/config/RelayConfiguration.js';
+import type {
+  RelayConfiguration,
+  RelayReplica,
+  RelayRoute,
+  RelayService,
+} from '../lib/config/RelayConfiguration.js';
+import type { PlacementRequest, Prompt } from '../lib/decide/messages.js';
+
+export function createReplica(id: string, parts: Partial<RelayReplica> = {}): RelayReplica {
+  return {
+    id,
+    service: 'app',
+    address: '127.0.0.1:1',
+    availabilityZone: 'a',
+    slots: 6,
+    isDraining: false,
+    warmupLeft: 0,
+    ...parts,
+  };
+}
+
+export function createService(name: string, parts: Partial<RelayService> = {}): RelayService {
+  return { name, healthPath: '/health', maxConnections: 120, ...parts };
+}
+
+/** A service of engines like those in use. */
+export function createEngineService(name: string): RelayService {
+  return createService(name, {
+    maxConnections: 600,
+    engine: {
+      slots: 96,
+      memoryTokens: 300_000,
+      cacheListeners: 12,
+      eventTokens: 4,
+      copyTime: 0.008,
+    },
+  });
+}
+
+export function createRoute(parts: Partial<RelayRoute> = {}): RelayRoute {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/a/',
+    kind: RouteKind.Idempotent,
+    resumable: false,
+    timeout: 1_500,
+    latencyTarget: 300,
+    priority: 1,
+    maxAttempts: 2,
+    isPublic: false,
+    targets: [{ service: 'app', weight: 1 }],
+    ...parts,
+  };
+}
+
+export function createConfiguration(parts: Partial<RelayConfiguration> = {}): RelayConfiguration {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: [createService('app')],
+    limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
+    ...parts,
+  };
+}
+
+export function createPrompt(parts: [string, number][], outputTokens = 100): Prompt {
+  const inputTokens = parts.reduce((sum, [, tokens]) => sum + tokens, 0);
+  return {
+    model: 'm',
+    inputTokens,
+    outputTokens,
+    parts: parts.map(([id, tokens]) => ({ id, tokens })),
+  };
+}
+
+export function createRequest(id: string, parts: Partial<PlacementRequest> = {}): PlacementRequest {
+  return {
+    id,
+    route: 'r',
+    service: 'app',
+    kind: RouteKind.Idempotent,
+    repeatable: true,
+    workspace: 'w',
+    priority: 1,
+    maxAttempts: 2,
+    latencyTarget: 300,
+    deadline: 1_500,
+    arrived: 0,
+    ...parts,
+  };
+}
