Hold no break of an earlier socket against an answer; keep prompts and long answers apart

A resting connection that is reset in the moment in which a request takes it is opened again by the client; the break of the first socket stayed noted and was held against the second. A test plays the sequence, red before, green after. Limits are still being measured.

--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -47,7 +47,7 @@
 
   private readonly options: PlacementOptions;
 
-  /** Prompt tokens that were sent there, each counting less as it ages. */
+  /** Tokens of long prompts that were sent there, each counting less as it ages. */
   private pressure = 0;
 
   private pressureAt: Milliseconds = 0;
@@ -77,7 +77,8 @@
   /** An attempt of this daemon or another was sent there. */
   noteSent(attempt: RunningAttempt, now: Milliseconds): void {
     this.running.add(attempt);
-    this.pressure = this.getPressure(now) + attempt.missingTokens;
+    const isLong = attempt.missingTokens >= this.options.chunkTokens / 2;
+    this.pressure = this.getPressure(now) + (isLong ? attempt.missingTokens : 0);
     this.pressureAt = now;
   }
 
--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -3,6 +3,7 @@
 import type { RelayService } from '../config/RelayConfiguration.js';
 import type { Choice, PlacementRequest, Prompt } from './messages.js';
 import type { PlacementOptions } from './placementOptions.js';
+import { getReadingEngines, isSlowedByReading } from './readingEngines.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
 /** What a choice is made from. */
@@ -14,6 +15,11 @@
   options: PlacementOptions;
 }
 
+/** The same, with the engines that read long prompts. */
+interface EngineInputs extends ChoiceInputs {
+  reading: ReadonlySet<ReplicaState>;
+}
+
 /** The replica chosen, and why. */
 export interface ChosenReplica {
   state: ReplicaState;
@@ -37,10 +43,7 @@
 /** Failing answers are worth an attempt only where nothing else is near. */
 const FAILURE_COST: Milliseconds = 1_000;
 
-/** A step of an engine that reads nothing makes one token of each request. */
-const STEP_TIME: Milliseconds = 5.5;
-
-const SECOND: Milliseconds = 1_000;
+const NO_ENGINES: ReadonlySet<ReplicaState> = new Set();
 
 /**
  * Part of the failures that all replicas of a service show: faults of the requests, which say
@@ -83,37 +86,29 @@
 }
 
 /**
- * What long prompts and running streams do to each other. An engine reads a prompt in chunks, one
- * in each step, so that a step lasts some 50 ms in place of 5; an event of four tokens then takes
- * over 200 ms, near the longest pause that is in time, and a stream of many events that meets one
- * long prompt is late as a whole.
- *
- * Load pattern: long prompts with short answers beside short prompts with long answers. Spread
- * alike over all engines, every stream meets a prompt; kept apart by this cost, few do.
+ * What long prompts and running streams do to each other, as a wait: a stream keeps away from the
+ * engines that read, a prompt from those where streams run, unless the engines of its own kind have
+ * fallen behind by more than that.
  */
 function getPauseCost(
-  { request, service, now, options }: ChoiceInputs,
+  { request, service, now, options, reading }: EngineInputs,
   state: ReplicaState,
-  prompt: Prompt,
   missingTokens: number,
 ): Milliseconds {
-  const eventTokens = service?.engine?.eventTokens ?? 1;
-  const chunkTime = options.chunkTokens / options.readRate;
-  const slowEvent = chunkTime * eventTokens;
-  const isSlowed = (pause: Milliseconds | undefined) =>
-    pause !== undefined && pause < slowEvent * 1.5;
-  let cost = 0;
-  if (isSlowed(request.pauseTarget)) {
-    const length = Math.min(1, (prompt.outputTokens * STEP_TIME) / SECOND);
-    cost += Math.min(1, state.getReadingShare(now)) * length * options.pressureCost;
-  }
-  const events = missingTokens / options.chunkTokens / eventTokens;
-  if (events > 0.5) {
-    state.running.forEach(({ pauseTarget }) => {
-      cost += isSlowed(pauseTarget) ? Math.min(1, events) * options.slowedCost : 0;
-    });
+  const { engine } = service ?? {};
+  const isReading = reading.has(state);
+  if (isSlowedByReading(request.pauseTarget, engine, options)) {
+    const share = Math.min(1, state.getReadingShare(now));
+    return share * options.pressureCost + (isReading ? options.wrongSideCost : 0);
   }
-  return cost;
+  const unbroken = options.chunkTokens * (engine?.eventTokens ?? 1);
+  const part = Math.min(1, (state.getBacklog(now) + missingTokens) / unbroken);
+  let slowed = 0;
+  state.running.forEach(({ pauseTarget }) => {
+    slowed += isSlowedByReading(pauseTarget, engine, options) ? 1 : 0;
+  });
+  const side = isReading || slowed === 0 ? 0 : options.wrongSideCost;
+  return slowed * part * options.slowedCost + side;
 }
 
 /** Over its memory's limit an engine stops requests that run, and reads them again later. */
@@ -137,7 +132,7 @@
  * Where one session is asked for so much that its engine falls behind, the wait there grows over
  * the cost of reading the head again, and another engine takes a part.
  */
-function getEngineOffer(inputs: ChoiceInputs, state: ReplicaState, prompt: Prompt): Offer {
+function getEngineOffer(inputs: EngineInputs, state: ReplicaState, prompt: Prompt): Offer {
   const { now, options } = inputs;
   const cached = state.cache.getCached(prompt, now);
   const copy = getCopy(inputs, state, prompt, cached);
@@ -145,7 +140,7 @@
   const others = state.getWaiting(now) * missingTokens;
   const reading = (state.getBacklog(now) + others + missingTokens) / options.readRate;
   const running = (state.running.size + state.getOthers(now)) * options.runningCost;
-  const pauses = getPauseCost(inputs, state, prompt, missingTokens);
+  const pauses = getPauseCost(inputs, state, missingTokens);
   const memory = getMemoryCost(inputs, state, prompt);
   const cost = reading + (copy?.time ?? 0) + running + pauses + memory;
   return { state, missingTokens, copy, cost };
@@ -165,7 +160,7 @@
   };
 }
 
-function getOffer(inputs: ChoiceInputs, state: ReplicaState, commonFailures: number): Offer {
+function getOffer(inputs: EngineInputs, state: ReplicaState, commonFailures: number): Offer {
   const { request, now } = inputs;
   const { prompt } = request;
   const offer =
@@ -205,7 +200,12 @@
     return undefined;
   }
   const commonFailures = getCommonFailures(candidates);
-  const offers = candidates.map((state) => getOffer(inputs, state, commonFailures));
+  const { request, options } = inputs;
+  const reading =
+    request.prompt === undefined
+      ? NO_ENGINES
+      : getReadingEngines(request.service, candidates, now, options);
+  const offers = candidates.map((state) => getOffer({ ...inputs, reading }, state, commonFailures));
   preferHome(inputs, offers);
   offers.sort((left, right) => left.cost - right.cost);
   const [best, second] = offers as [Offer, Offer | undefined];
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -25,6 +25,10 @@
   pressureCost: Milliseconds;
   /** What a long prompt costs each stream that it slows beyond its longest pause. */
   slowedCost: Milliseconds;
+  /** What it costs to send a prompt to an engine that answers, or a stream to one that reads. */
+  wrongSideCost: Milliseconds;
+  /** The part of their time that the engines that read prompts are to spend on it. */
+  readingUse: number;
   /** Tokens that an engine reads in one step, between the steps of running streams. */
   chunkTokens: number;
   /** Copying fewer tokens than this from another engine is not worth the set-up. */
@@ -75,6 +79,8 @@
   pressureHalfLife: 1_500,
   pressureCost: 300,
   slowedCost: 25,
+  wrongSideCost: 60,
+  readingUse: 0.6,
   // The chunk of the engines in use.
   chunkTokens: 2_048,
   // Setting a copy up takes about as long as reading a hundred tokens.
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -73,6 +73,10 @@
       replica: string;
       attempts: number;
       after: Milliseconds;
+      /** From the arrival to the first byte that was passed on. */
+      firstByte: Milliseconds | undefined;
+      /** The longest pause between two events of a stream. */
+      longestPause: Milliseconds | undefined;
     }
   | { event: 'lines-dropped'; lines: number };
 
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -57,6 +57,12 @@
   /** The last event that the caller has been given. */
   private lastEvent: string | undefined;
 
+  private firstByteAt: Milliseconds | undefined;
+
+  private lastEventAt: Milliseconds | undefined;
+
+  private longestPause: Milliseconds | undefined;
+
   private attempts = 0;
 
   private replica = '';
@@ -214,6 +220,7 @@
   private noteFirstByte({ id, attempt, replica }: Send, startedAt: Milliseconds): void {
     const { clock, log, metrics, request, tell } = this.parts;
     const now = clock.now();
+    this.firstByteAt ??= now;
     tell({ kind: 'answering', id, attempt });
     log({ event: 'first-byte', id, attempt, replica: replica.id, after: now - startedAt });
     metrics.firstByte.observe(
@@ -236,10 +243,19 @@
       this.lastEvent = id ?? this.lastEvent;
     });
     if (fresh.length > 0) {
+      this.notePause();
       this.write(Buffer.concat(fresh.map(({ bytes }) => bytes)));
     }
   }
 
+  private notePause(): void {
+    const now = this.parts.clock.now();
+    if (this.lastEventAt !== undefined) {
+      this.longestPause = Math.max(this.longestPause ?? 0, now - this.lastEventAt);
+    }
+    this.lastEventAt = now;
+  }
+
   /** A replica that goes on too early repeats events that the caller already has. */
   private wasGiven(id: string | undefined): boolean {
     const last = Number(this.lastEvent);
@@ -271,7 +287,18 @@
     const { clock, log, metrics, request } = this.parts;
     const after = clock.now() - request.arrived;
     const { attempts, replica } = this;
-    log({ event: 'answered', id: request.id, status, replica, attempts, after });
+    const { firstByteAt, longestPause } = this;
+    const firstByte = firstByteAt === undefined ? undefined : firstByteAt - request.arrived;
+    log({
+      event: 'answered',
+      id: request.id,
+      status,
+      replica,
+      attempts,
+      after,
+      firstByte,
+      longestPause,
+    });
     metrics.whole.observe({ kind: request.route.kind }, after / MILLISECONDS_PER_SECOND);
   }
 
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -132,6 +132,8 @@
             callback(error ?? new Error('no connection'), null);
             return;
           }
+          // What broke an earlier socket says nothing of this one.
+          connection!.error = undefined;
           noteBreak(socket, connection!);
           callback(null, socket);
         });
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -1,4 +1,5 @@
 import { SystemClock } from '@apricotrill/utils';
+import { once } from 'node:events';
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
@@ -27,6 +28,13 @@
   };
 }
 
+/** A connection is free again once the event loop has looked at what came behind the answer. */
+function turn(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(() => setImmediate(resolve));
+  });
+}
+
 describe('UpstreamExchange', () => {
   let server: Server | undefined;
   const connections = new UpstreamConnections(() => undefined);
@@ -39,9 +47,11 @@
     });
   }
 
-  function run(port: number): Promise<Ending> {
+  function run(
+    port: number,
+    connection = connections.take(createReplica(port)),
+  ): Promise<Ending> {
     const replica = createReplica(port);
-    const connection = connections.take(replica);
     return new Promise((resolve) => {
       let head: AnswerHead | undefined;
       let body = '';
@@ -113,6 +123,26 @@
     expect(opened).toBe(2);
   });
 
+  // Symptom: an answer that came whole is cut off at its end. Sequence: a resting connection is reset
+  // in the moment in which a request takes it; the client opens another and sends the request there;
+  // the answer comes whole. Cause: the break of the first socket was held against the second.
+  it('does not hold the break of an earlier socket against an answer', async () => {
+    const sockets: Socket[] = [];
+    const port = await listen((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1'));
+    });
+    await run(port);
+    await turn();
+    const connection = connections.take(createReplica(port));
+    const broken = once(connection.client, 'disconnect');
+    sockets[0]!.resetAndDestroy();
+    await broken;
+    await expect(run(port, connection)).resolves.toMatchObject({ kind: 'end', body: '1' });
+    expect(sockets).toHaveLength(2);
+  });
+
   it('uses a connection again', async () => {
     let opened = 0;
     const port = await listen((socket) => {
@@ -120,10 +150,7 @@
       socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1'));
     });
     await run(port);
-    // It is free again once the event loop has looked at what came behind the answer.
-    await new Promise((resolve) => {
-      setImmediate(() => setImmediate(resolve));
-    });
+    await turn();
     await run(port);
     expect(opened).toBe(1);
   });
