--- a/packages/demo/src/bin/apricotrill-demo.ts
+++ b/packages/demo/src/bin/apricotrill-demo.ts
@@ -9,4 +9,7 @@
 });
 cli.register(DemoCommand);
 cli.register(Builtins.HelpCommand);
-await cli.runExit(process.argv.slice(2));
+const exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
+// Links between daemons that both ends close in the same moment stay half closed for minutes, each
+// end waiting for the other. Everything is shown and stopped by now: nothing is left to wait for.
+process.exit(exitCode);
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -77,10 +77,10 @@
   homePreference: 30,
   // Prompts come in bursts of a few seconds; a stream lasts one to two.
   pressureHalfLife: 1_500,
-  pressureCost: 300,
-  slowedCost: 25,
-  wrongSideCost: 60,
-  readingUse: 0.6,
+  pressureCost: 150,
+  slowedCost: 6,
+  wrongSideCost: 40,
+  readingUse: 0.3,
   // The chunk of the engines in use.
   chunkTokens: 2_048,
   // Setting a copy up takes about as long as reading a hundred tokens.
