--- a/packages/cli/src/lib/createCli.ts
+++ b/packages/cli/src/lib/createCli.ts
@@ -7,6 +7,7 @@
 import { MembersCommand } from './commands/MembersCommand.js';
 import { ShowCommand } from './commands/ShowCommand.js';
 import { StatusCommand } from './commands/StatusCommand.js';
+import { TraceCommand } from './commands/TraceCommand.js';
 import { ValidateCommand } from './commands/ValidateCommand.js';
 import type { OperatorContext } from './OperatorContext.js';
 
@@ -21,6 +22,7 @@
   MembersCommand,
   HistoryCommand,
   ShowCommand,
+  TraceCommand,
 ];
 
 /** Puts the operators' command line together. */
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -127,9 +127,8 @@
     if (this.isOver) {
       return;
     }
-    const { clock, getAll, onGone, log } = this.parts;
-    const attempts = getAll().map((attempt) => ({ ...attempt, prompt: undefined }));
-    this.sendTo(this.table.all, [{ kind: 'all', attempts }]);
+    const { clock, onGone, log } = this.parts;
+    this.tellAll();
     this.table.takeSilent(clock.now()).forEach((peer) => {
       log({ event: 'peer-lost', peer });
       onGone(peer);
@@ -137,6 +136,11 @@
     this.refreshing = clock.setTimer(linkOptions.refresh, () => this.refresh());
   }
 
+  private tellAll(addresses = this.table.all): void {
+    const attempts = this.parts.getAll().map((attempt) => ({ ...attempt, prompt: undefined }));
+    this.sendTo(addresses, [{ kind: 'all', attempts }]);
+  }
+
   private sendTo(addresses: readonly string[], news: SharedNews[]): void {
     const datagram: Datagram = { from: this.parts.self, news };
     const bytes = Buffer.from(JSON.stringify(datagram));
@@ -162,6 +166,7 @@
     const { clock, log, onNews } = this.parts;
     if (this.table.noteHeard(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
+      this.tellAll([from.address]);
     }
     news.forEach((item) => onNews(from.id, item));
   }
@@ -196,6 +201,9 @@
     );
     const now = clock.now();
     this.table.setListed(entries, now);
+    // A daemon that starts need not wait for the next refresh to be known, and to know the others'
+    // load: after a restart of all the first second has the most to place.
+    this.tellAll();
     const forgotten = this.table.takeForgotten(now);
     if (this.table.isFirst) {
       await Promise.all(forgotten.map((id) => directory.remove(id)));
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -47,10 +47,7 @@
     });
   }
 
-  function run(
-    port: number,
-    connection = connections.take(createReplica(port)),
-  ): Promise<Ending> {
+  function run(port: number, connection = connections.take(createReplica(port))): Promise<Ending> {
     const replica = createReplica(port);
     return new Promise((resolve) => {
       let head: AnswerHead | undefined;
