End within the grace also while the store gives no answer; the catalogue of log lines

A daemon that had answered everything took its entry out of the store and waited 1.5 s for the answer of a store that was silent, after using its grace up to the last 0.3 s. Ruled out: answers that were still open (stopped lines say cutOff 0).

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -24,6 +24,7 @@
   ObjectSource,
   WatchResult,
 } from './lib/follow/StateFollower/ObjectSource.js';
+export { eventMeanings, getEventTable } from './lib/observe/eventMeanings.js';
 export { createRelayLog } from './lib/observe/createRelayLog.js';
 export type { RelayEvent, RelayLog } from './lib/observe/RelayEvent.js';
 export { RelayMetrics } from './lib/observe/RelayMetrics.js';
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -33,6 +33,7 @@
 import type { RelaySettings } from './RelaySettings.js';
 import { ReplicaWatch } from './ReplicaWatch.js';
 import { shutdownOptions } from './shutdownOptions.js';
+import { waitAtMost } from './waitAtMost.js';
 
 /** What a daemon is made of. */
 export interface RelayDaemonParts {
@@ -173,24 +174,26 @@
     const { clock, log } = this.parts;
     const { settings } = this;
     const started = clock.now();
+    const end = started + settings.grace - shutdownOptions.reserve;
     this.isStopping = true;
     log({ event: 'stopping', signal, open: this.callers.openAnswers });
     this.callers.drain();
     await this.sleep(shutdownOptions.listenOn);
     this.isClosed = true;
     this.callers.stopListening();
-    const end = started + settings.grace - shutdownOptions.reserve;
+    const unlisted = this.link.unlist();
     while (this.callers.openAnswers > 0 && clock.now() < end) {
       // eslint-disable-next-line no-await-in-loop
       await this.sleep(shutdownOptions.look);
     }
-    await this.link.leave();
+    await waitAtMost(unlisted, clock, end - clock.now());
+    this.link.tellGone();
     log({
       event: 'stopped',
       after: clock.now() - started,
       cutOff: this.callers.openAnswers,
     });
-    await this.dispose();
+    await waitAtMost(this.dispose(), clock, shutdownOptions.dispose);
   }
 
   /**
--- /dev/null
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -0,0 +1,47 @@
+import type { RelayEvent } from './RelayEvent.js';
+
+/**
+ * What each kind of log line says, for the operators' page. A kind without a meaning does not
+ * compile.
+ *
+ * @public
+ */
+export const eventMeanings: Record<RelayEvent['event'], string> = {
+  start: 'the process runs',
+  listening: 'its ports are open',
+  reload: 'settings were read again, and which of them changed',
+  stopping: 'it was told to stop, with the answers that are open',
+  stopped: 'it ends, with the answers it had to cut off',
+  fault: 'something failed inside or at a dependency, and where',
+  'dependency-lost': 'the store, or the cache events of an engine, give no answer',
+  'dependency-regained': 'they do again, and after how long',
+  configuration: 'a version is in force here, and the one before',
+  'configuration-refused': 'a version could not be read; the one before stays in force',
+  'replica-added': 'a replica is in the list, with the revision of the store that says so',
+  'replica-draining': 'a replica says that it will leave: it gets nothing new',
+  'replica-removed': 'a replica is gone from the list',
+  'replica-kept': 'a replica lapsed while the store was away, and is kept until then',
+  'replica-suspect': 'a replica gets nothing while others will do, and why',
+  'replica-trusted': 'a suspect replica has answered its health check',
+  'peer-found': 'another daemon is heard',
+  'peer-lost': 'another daemon has fallen silent: what it had under way is forgotten',
+  'cache-listed': 'everything that an engine keeps was read, and why',
+  admitted: 'a request has a route and a workspace, with the version that says so',
+  rejected: 'a request got an answer of the daemon itself before any replica was chosen',
+  sent: 'an attempt goes to a replica, with the inputs of the choice and the next best',
+  'first-byte': "the attempt's first byte came",
+  'attempt-ended': 'how an attempt ended',
+  cancelled: 'an attempt was ended by the daemon, and why',
+  'given-up': 'a request gets no answer of a replica: outcome, reason and what the caller was told',
+  'caller-left': 'the caller closed its connection',
+  answered: "a request has its answer, with its times and a stream's longest pause",
+  'lines-dropped': 'so many lines were held back in the last second',
+};
+
+/** The table of the operators' page, in Markdown. */
+export function getEventTable(): string {
+  const rows = Object.entries(eventMeanings).map(
+    ([event, meaning]) => `| \`${event}\` | ${meaning} |`,
+  );
+  return ['| event | says |', '| --- | --- |', ...rows].join('\n');
+}
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -114,7 +114,8 @@
     const left = await createLink('d-1', directory);
     await createLink('d-2', directory);
     await left.until(() => left.link.livePeers === 1);
-    await left.link.leave();
+    await left.link.unlist();
+    left.link.tellGone();
     expect([...directory.entries.keys()]).toEqual(['d-2']);
   });
 
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -96,11 +96,15 @@
     this.gathering ??= this.parts.clock.setTimer(linkOptions.gather, () => this.flush());
   }
 
-  /** Leaves: the others need not wait for its silence. */
-  async leave(): Promise<void> {
+  /** Takes its entry out of the directory; while it still talks, the others know it all the same. */
+  async unlist(): Promise<void> {
     const { directory, self } = this.parts;
+    await directory.remove(self.id).catch((error: unknown) => this.fault('unlist', error));
+  }
+
+  /** The others need not wait for its silence. */
+  tellGone(): void {
     this.sendTo(this.table.all, [{ kind: 'all', attempts: [] }]);
-    await directory.remove(self.id).catch((error: unknown) => this.fault('leave', error));
   }
 
   dispose(): void {
