Notice the return of the store at once, not with the next change

Daemons that had been cut off watched again with a wait of two seconds; nothing changed, so the return was noticed only with the deletion of a replica that left, which was taken for a lapse of the outage and held back 2.5 s.

--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -8,13 +8,16 @@
 class ScriptedSource implements ObjectSource<string> {
   readonly calls: string[] = [];
 
+  readonly waits: number[] = [];
+
   private waiting: ((answer: Answer<unknown>) => void) | undefined;
 
   list(): Promise<ObjectList<string>> {
     return this.call('list') as Promise<ObjectList<string>>;
   }
 
-  watch(revision: number): Promise<WatchResult<string>> {
+  watch(revision: number, wait: number): Promise<WatchResult<string>> {
+    this.waits.push(wait);
     return this.call(`watch ${revision}`) as Promise<WatchResult<string>>;
   }
 
@@ -128,6 +131,25 @@
     expect(seen.at(-1)).toEqual(['a']);
   });
 
+  // Symptom: a replica that left gets requests for 2.5 s. Sequence: a daemon is cut off from the
+  // store and back; nothing changes for two seconds; a replica leaves. Cause: the watch after the
+  // return waited for a change, so that the return was noticed only with the deletion, which was
+  // then taken for a lapse of the outage.
+  it('notices the return of the store at once, not with the next change', async () => {
+    const { clock, source, seen, log } = await setUp();
+    await source.answer(listOf(5, 'a'));
+    await source.answer(new Error('cut'));
+    clock.advance(followOptions.longestPause);
+    await ScriptedSource.settle();
+    expect(source.waits.at(-1)).toBeLessThan(10);
+    await source.answer(changesOf(5));
+    expect(log).toEqual(['lost', 'regained']);
+    expect(source.waits.at(-1)).toBe(followOptions.watchWait);
+    clock.advance(followOptions.returnGrace);
+    await source.answer(changesOf(6, ['a', undefined]));
+    expect(seen.at(-1)).toEqual([]);
+  });
+
   it('drops at once what is deleted while the store is there', async () => {
     const { source, seen, log } = await setUp();
     await source.answer(listOf(5, 'a'));
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -27,6 +27,9 @@
   returnGrace: 2_500,
 };
 
+/** How long the first watch after an outage waits: the shortest that the store knows. */
+const RETURN_WAIT: Milliseconds = 1;
+
 /** What a follower tells of the objects it follows. */
 export interface FollowListener<Item> {
   /** All objects that are believed to exist, after each change. */
@@ -111,7 +114,10 @@
       this.takeList(list.items, list.revision);
       return false;
     }
-    const result = await source.watch(this.revision, this.options.watchWait, this.abort.signal);
+    // After an outage the first watch does not wait for a change: the return counts from the moment
+    // of the return, or the next replica that leaves would be taken for one that lapsed.
+    const wait = this.lostAt === undefined ? this.options.watchWait : RETURN_WAIT;
+    const result = await source.watch(this.revision, wait, this.abort.signal);
     if (result.kind === 'history-gone') {
       return true;
     }
