Sum up a span of logs, and show what the daemon knows in its metrics

Cause: the logs told the story of one request, not of a span, and the metrics had neither workspaces nor the ages of what decisions rest on.

- apricotrill incident: what became worse, for whom, from when, and the changes of belief beside it.
- Metrics by route, priority and workspace with at most 100 values a label; admission wait, pauses, ages of the configuration and of reports, repeats left, whether the store answers.

--- a/packages/cli/src/lib/commands/TraceCommand.ts
+++ b/packages/cli/src/lib/commands/TraceCommand.ts
@@ -1,13 +1,10 @@
 import { Command, Option } from 'clipanion';
-import { createReadStream } from 'node:fs';
-import { createInterface } from 'node:readline';
 import { ExitCode } from '../ExitCode.js';
 import { OperatorCommand } from '../OperatorCommand.js';
-import { UnreadableFileError } from '../readFiles.js';
 import type { Report } from '../Report.js';
 import { formatTable } from '../text/formatTable.js';
-import { getStory, parseLogLine } from '../trace/RequestStory.js';
-import type { LogLine } from '../trace/RequestStory.js';
+import { readLogLines } from '../trace/readLogLines.js';
+import { getStory } from '../trace/RequestStory.js';
 
 /** `apricotrill trace` */
 export class TraceCommand extends OperatorCommand {
@@ -35,9 +32,7 @@
   files = Option.Rest();
 
   protected async run(): Promise<Report> {
-    const sources = this.files.length === 0 ? [undefined] : this.files;
-    const read = await Promise.all(sources.map((file) => this.readLines(file)));
-    const story = getStory(read.flat(), this.id);
+    const story = getStory(await readLogLines(this.files, this.context.stdin), this.id);
     if (story.length === 0) {
       const lines = [`no line of request ${this.id}`];
       return { exitCode: ExitCode.Impossible, lines, value: { story } };
@@ -54,20 +49,4 @@
     ]);
     return { exitCode: ExitCode.Done, lines, value: { story } };
   }
-
-  private async readLines(file: string | undefined): Promise<LogLine[]> {
-    const input = file === undefined ? this.context.stdin : createReadStream(file);
-    const lines: LogLine[] = [];
-    try {
-      for await (const text of createInterface({ input })) {
-        const line = parseLogLine(text, file ?? '');
-        if (line !== undefined) {
-          lines.push(line);
-        }
-      }
-    } catch (cause) {
-      throw new UnreadableFileError(String(cause), { step: 'read', peer: file ?? 'stdin', cause });
-    }
-    return lines;
-  }
 }
--- a/packages/cli/src/lib/createCli.ts
+++ b/packages/cli/src/lib/createCli.ts
@@ -3,6 +3,7 @@
 import { DiffCommand } from './commands/DiffCommand.js';
 import { ExplainCommand } from './commands/ExplainCommand.js';
 import { HistoryCommand } from './commands/HistoryCommand.js';
+import { IncidentCommand } from './commands/IncidentCommand.js';
 import { KeyCreateCommand } from './commands/KeyCreateCommand.js';
 import { MembersCommand } from './commands/MembersCommand.js';
 import { ShowCommand } from './commands/ShowCommand.js';
@@ -23,6 +24,7 @@
   HistoryCommand,
   ShowCommand,
   TraceCommand,
+  IncidentCommand,
 ];
 
 /** Puts the operators' command line together. */
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -1,28 +1,15 @@
-import type { Clock, Random } from '@apricotrill/utils';
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import { admitCall } from '../callers/admitCall.js';
-import type { CallAdmission } from '../callers/admitCall.js';
-import { callerOptions } from '../callers/callerOptions.js';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { CallerServer } from '../callers/CallerServer/CallerServer.js';
-import { readBody } from '../callers/readBody.js';
-import { createActiveConfiguration, getUrgency } from '../config/ActiveConfiguration.js';
+import { createActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
-import { pickService } from '../config/pickService.js';
 import type { RelayConfiguration, RelayReplica } from '../config/RelayConfiguration.js';
-import { Outcome } from '../decide/messages.js';
 import type { PlacementEffect, PlacementMessage } from '../decide/messages.js';
 import { PlacementCore } from '../decide/PlacementCore/PlacementCore.js';
-import { StateFollower } from '../follow/StateFollower/StateFollower.js';
-import type { FollowListener } from '../follow/StateFollower/StateFollower.js';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { CacheSource } from '../follow/CacheFollower/CacheFollower.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
-import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
 import type { RelayProtocol } from '../protocol/RelayProtocol.js';
-import type { ReceivedRequest } from '../request/ReceivedRequest.js';
-import { RelayTask } from '../request/RelayTask.js';
-import { writeRefusal } from '../request/writeRefusal.js';
 import type { PeerDirectory } from '../peers/PeerDirectory.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import { StatusServer } from '../status/StatusServer.js';
@@ -32,7 +19,9 @@
 import type { HealthSource } from './HealthChecks/HealthChecks.js';
 import type { RelaySettings } from './RelaySettings.js';
 import { ReplicaWatch } from './ReplicaWatch.js';
+import { RequestIntake } from './RequestIntake.js';
 import { shutdownOptions } from './shutdownOptions.js';
+import { StoreLink } from './StoreLink.js';
 import { waitAtMost } from './waitAtMost.js';
 
 /** What a daemon is made of. */
@@ -51,17 +40,11 @@
   peers: PeerDirectory;
 }
 
-const REQUEST_TOO_LARGE = 413;
+const MILLISECONDS_PER_SECOND = 1_000;
 
-/**
- * A request that comes on a connection that was open before, too late to be ended within the grace.
- */
-const STOPPING: CallAdmission = {
-  kind: 'rejected',
-  status: 503,
-  reason: 'this daemon is stopping',
-  retryAfter: callerOptions.stoppingRetryAfter,
-};
+function getSeconds(span: Milliseconds): number {
+  return span / MILLISECONDS_PER_SECOND;
+}
 
 /**
  * The relay's process: follows the store, takes callers' requests, and performs what the placement
@@ -82,18 +65,21 @@
 
   private readonly connections: UpstreamConnections;
 
-  private readonly tasks = new Map<string, RelayTask>();
-
   private readonly watch: ReplicaWatch;
 
   private readonly checks: HealthChecks;
 
   private readonly link: PeerLink;
 
-  private readonly followers: StateFollower<unknown>[] = [];
+  private readonly store: StoreLink;
+
+  private readonly intake: RequestIntake;
 
   private active: ActiveConfiguration | undefined;
 
+  /** When the configuration came into force here. */
+  private activeSince: Milliseconds | undefined;
+
   private hasReplicas = false;
 
   private isStopping = false;
@@ -101,8 +87,6 @@
   /** It takes no requests any more. */
   private isClosed = false;
 
-  private counter = 0;
-
   constructor(parts: RelayDaemonParts) {
     this.parts = parts;
     this.settings = parts.settings;
@@ -116,23 +100,31 @@
     this.connections = new UpstreamConnections(({ service }) =>
       metrics.connectionsOpened.inc({ service }),
     );
+    const tell = (message: PlacementMessage) => this.core.handle(message);
+    this.store = new StoreLink(parts);
+    this.intake = new RequestIntake({
+      ...parts,
+      daemon: settings.id,
+      connections: this.connections,
+      tell,
+      getActive: () => this.active,
+      isClosed: () => this.isClosed,
+    });
     this.callers = new CallerServer({
       clock,
       onRequest: (request, response) => {
-        this.take(request, response).catch((error: unknown) => {
+        this.intake.take(request, response).catch((error: unknown) => {
           log({ event: 'fault', step: 'take request', error: String(error) });
           response.destroy();
         });
       },
-      onMalformed: (reason) =>
-        log({ event: 'rejected', id: '', status: 400, reason, version: this.version }),
+      onMalformed: (reason) => this.intake.noteMalformed(reason),
     });
     this.status = new StatusServer({
       isReady: () => this.isReady,
       readyPaths: settings.readyPaths,
       metrics,
     });
-    const tell = (message: PlacementMessage) => this.core.handle(message);
     this.watch = new ReplicaWatch({ ...parts, tell });
     this.checks = new HealthChecks({ clock, source: parts.health, tell });
     this.link = new PeerLink({
@@ -162,10 +154,10 @@
       callers: `${settings.callers.host}:${port}`,
       status: `${settings.status.host}:${settings.status.port}`,
     });
-    this.follow('configuration', configurations, (items) => {
+    this.store.follow('configuration', configurations, (items) => {
       items.forEach((configuration) => this.apply(configuration));
     });
-    this.follow('replicas', replicas, (items, revision) => this.setReplicas(items, revision));
+    this.store.follow('replicas', replicas, (items, revision) => this.setReplicas(items, revision));
     return port;
   }
 
@@ -213,7 +205,7 @@
   }
 
   async dispose(): Promise<void> {
-    this.followers.forEach((follower) => follower.dispose());
+    this.store.dispose();
     this.watch.dispose();
     this.checks.dispose();
     this.link.dispose();
@@ -231,40 +223,28 @@
   }
 
   private addGauges(): void {
-    const { metrics } = this.parts;
-    metrics.addGauge('open_requests', 'Requests under way.', () => this.core.openRequests);
-    metrics.addGauge(
-      'upstream_connections',
-      'Open connections to replicas.',
-      () => this.connections.size,
-    );
-    metrics.addGauge('peers', 'Other daemons that are heard.', () => this.link.livePeers);
-    metrics.addGauge('configuration_version', 'In force here.', () => this.version ?? 0);
+    const { clock, metrics } = this.parts;
+    const { core, connections, link } = this;
+    metrics.addGauge('open_requests', 'Requests under way.', () => core.openRequests);
+    metrics.addGauge('upstream_connections', 'Open to replicas.', () => connections.size);
+    metrics.addGauge('peers', 'Other daemons that are heard.', () => link.livePeers);
     metrics.addGauge('ready', '1 while new callers are welcome.', () => Number(this.isReady));
-  }
-
-  private follow<Item>(
-    dependency: string,
-    source: ObjectSource<Item>,
-    onItems: FollowListener<Item>['onItems'],
-  ): void {
-    const { clock, random, log } = this.parts;
-    const follower = new StateFollower({
-      source,
-      clock,
-      random,
-      listener: {
-        onItems,
-        onLost: (error) => log({ event: 'dependency-lost', dependency, error: error.message }),
-        onRegained: (after) => log({ event: 'dependency-regained', dependency, after }),
-        onKept: (replica, until) =>
-          log({ event: 'replica-kept', replica, until, reason: 'the store was away' }),
-      },
-    });
-    this.followers.push(follower);
-    follower.run().catch((error: unknown) => {
-      log({ event: 'fault', step: `follow ${dependency}`, error: String(error) });
-    });
+    metrics.addGauge('configuration_version', 'In force here.', () => this.version ?? 0);
+    metrics.addGauge('configuration_age_seconds', 'Since it came into force here.', () =>
+      getSeconds(this.activeSince === undefined ? 0 : clock.now() - this.activeSince),
+    );
+    metrics.addGauges(
+      'store_reached',
+      '1 where the last call was answered.',
+      'object',
+      () => this.store.states,
+    );
+    metrics.addGauges('repeats_left', 'Repeats that may be sent now.', 'service', () =>
+      core.getRepeatsLeft(),
+    );
+    metrics.addGauges('report_age_seconds', "Of a replica's last word.", 'replica', () =>
+      core.getReportAges().map(([id, age]) => [id, getSeconds(age)] as const),
+    );
   }
 
   /** Versions only go forward, whatever order they are heard in. */
@@ -274,6 +254,7 @@
       return;
     }
     this.active = createActiveConfiguration(configuration);
+    this.activeSince = this.parts.clock.now();
     this.callers.setLimits(configuration.limits);
     this.core.handle({ kind: 'services', services: configuration.services });
     this.watch.setServices(configuration.services);
@@ -292,103 +273,20 @@
     this.checks.retain(ids);
   }
 
-  private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, log, protocol } = this.parts;
-    const arrived = clock.now();
-    const fields = protocol.readCaller(request.headers);
-    const id = this.createId(fields.requestId);
-    const admission = this.isClosed ? STOPPING : admitCall(request, fields, this.active);
-    if (admission.kind === 'rejected') {
-      const { status, reason, retryAfter } = admission;
-      log({ event: 'rejected', id, status, reason, version: this.version });
-      writeRefusal(response, { status, reason, outcome: Outcome.NotRun, retryAfter });
-      request.resume();
-      return;
-    }
-    const { active, route, workspace } = admission;
-    const { configuration } = active;
-    const read = await readBody(request, configuration.limits.bodyBytes);
-    if (read.kind === 'cut') {
-      log({ event: 'caller-left', id, after: clock.now() - arrived });
-      return;
-    }
-    if (read.kind === 'too-large') {
-      const reason = 'body too large';
-      log({ event: 'rejected', id, status: REQUEST_TOO_LARGE, reason, version: this.version });
-      response.shouldKeepAlive = false;
-      writeRefusal(response, { status: REQUEST_TOO_LARGE, reason, outcome: Outcome.NotRun });
-      return;
-    }
-    this.relay(response, {
-      id,
-      method: request.method ?? 'GET',
-      target: request.url ?? '/',
-      rawHeaders: getEndToEndHeaders(request.rawHeaders),
-      body: read.body,
-      fields,
-      route,
-      service: pickService(route, this.parts.random),
-      workspace,
-      priority: workspace?.priority ?? route.priority,
-      urgency: getUrgency(active, route),
-      arrived,
-      deadline: arrived + Math.min(route.timeout, fields.timeout ?? Number.POSITIVE_INFINITY),
-      version: configuration.version,
-    });
-  }
-
-  private relay(response: ServerResponse, request: ReceivedRequest): void {
-    const { clock, log, metrics, protocol } = this.parts;
-    if (response.destroyed) {
-      return;
-    }
-    const { id, route, workspace, priority, version } = request;
-    log({
-      event: 'admitted',
-      id,
-      route: route.name,
-      workspace: workspace?.name ?? '',
-      priority,
-      timeLeft: request.deadline - clock.now(),
-      version,
-    });
-    const task = new RelayTask({
-      request,
-      response,
-      protocol,
-      connections: this.connections,
-      clock,
-      log,
-      metrics,
-      tell: (message) => this.core.handle(message),
-      onOver: () => this.tasks.delete(id),
-    });
-    this.tasks.set(id, task);
-    this.core.handle({ kind: 'submit', request: task.placementRequest });
-  }
-
-  private createId(requestId: string | undefined): string {
-    if (requestId !== undefined && !this.tasks.has(requestId)) {
-      return requestId;
-    }
-    this.counter += 1;
-    return `${this.parts.settings.id}/${this.counter}`;
-  }
-
   private perform(effect: PlacementEffect): void {
     const { log } = this.parts;
     switch (effect.kind) {
       case 'send':
-        this.tasks.get(effect.id)?.send(effect);
+        this.intake.getTask(effect.id)?.send(effect);
         break;
       case 'cancel':
-        this.tasks.get(effect.id)?.cancel(effect);
+        this.intake.getTask(effect.id)?.cancel(effect);
         break;
       case 'give-up':
-        this.tasks.get(effect.id)?.giveUp(effect);
+        this.intake.getTask(effect.id)?.giveUp(effect);
         break;
       case 'settle':
-        this.tasks.get(effect.id)?.settle();
+        this.intake.getTask(effect.id)?.settle();
         break;
       case 'share':
         this.link.tell(effect.news);
--- /dev/null
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -0,0 +1,162 @@
+import type { Clock, Random } from '@apricotrill/utils';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { admitCall } from '../callers/admitCall.js';
+import type { CallAdmission } from '../callers/admitCall.js';
+import { callerOptions } from '../callers/callerOptions.js';
+import { readBody } from '../callers/readBody.js';
+import { getUrgency } from '../config/ActiveConfiguration.js';
+import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
+import { pickService } from '../config/pickService.js';
+import { Outcome } from '../decide/messages.js';
+import type { PlacementMessage } from '../decide/messages.js';
+import type { RelayLog } from '../observe/RelayEvent.js';
+import type { RelayMetrics } from '../observe/RelayMetrics.js';
+import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
+import type { RelayProtocol } from '../protocol/RelayProtocol.js';
+import type { ReceivedRequest } from '../request/ReceivedRequest.js';
+import { RelayTask } from '../request/RelayTask.js';
+import { writeRefusal } from '../request/writeRefusal.js';
+import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
+
+/** What the intake is made of. */
+export interface RequestIntakeParts {
+  /** This daemon's name, which is part of the ids it gives. */
+  daemon: string;
+  clock: Clock;
+  random: Random;
+  log: RelayLog;
+  metrics: RelayMetrics;
+  protocol: RelayProtocol;
+  connections: UpstreamConnections;
+  tell: (message: PlacementMessage) => void;
+  getActive: () => ActiveConfiguration | undefined;
+  /** Whether the daemon takes no requests any more. */
+  isClosed: () => boolean;
+}
+
+const BAD_REQUEST = 400;
+const REQUEST_TOO_LARGE = 413;
+
+/**
+ * A request that comes on a connection that was open before, too late to be ended within the grace.
+ */
+const STOPPING: CallAdmission = {
+  kind: 'rejected',
+  status: 503,
+  reason: 'this daemon is stopping',
+  retryAfter: callerOptions.stoppingRetryAfter,
+};
+
+/** Takes callers' requests: admits or rejects them, reads them, and gives each a task. */
+export class RequestIntake {
+  private readonly tasks = new Map<string, RelayTask>();
+
+  private counter = 0;
+
+  constructor(private readonly parts: RequestIntakeParts) {}
+
+  /** The request with this id, while it is open. */
+  getTask(id: string): RelayTask | undefined {
+    return this.tasks.get(id);
+  }
+
+  async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, log, protocol, random } = this.parts;
+    const arrived = clock.now();
+    const fields = protocol.readCaller(request.headers);
+    const id = this.createId(fields.requestId);
+    const admission = this.parts.isClosed()
+      ? STOPPING
+      : admitCall(request, fields, this.parts.getActive());
+    if (admission.kind === 'rejected') {
+      const { status, reason, retryAfter } = admission;
+      this.noteRejected(id, status, reason);
+      writeRefusal(response, { status, reason, outcome: Outcome.NotRun, retryAfter });
+      request.resume();
+      return;
+    }
+    const { active, route, workspace } = admission;
+    const { configuration } = active;
+    const read = await readBody(request, configuration.limits.bodyBytes);
+    if (read.kind === 'cut') {
+      log({ event: 'caller-left', id, after: clock.now() - arrived });
+      return;
+    }
+    if (read.kind === 'too-large') {
+      const reason = 'body too large';
+      this.noteRejected(id, REQUEST_TOO_LARGE, reason);
+      response.shouldKeepAlive = false;
+      writeRefusal(response, { status: REQUEST_TOO_LARGE, reason, outcome: Outcome.NotRun });
+      return;
+    }
+    this.relay(response, {
+      id,
+      method: request.method ?? 'GET',
+      target: request.url ?? '/',
+      rawHeaders: getEndToEndHeaders(request.rawHeaders),
+      body: read.body,
+      fields,
+      route,
+      service: pickService(route, random),
+      workspace,
+      priority: workspace?.priority ?? route.priority,
+      urgency: getUrgency(active, route),
+      arrived,
+      deadline: arrived + Math.min(route.timeout, fields.timeout ?? Number.POSITIVE_INFINITY),
+      version: configuration.version,
+    });
+  }
+
+  private relay(response: ServerResponse, request: ReceivedRequest): void {
+    const { clock, connections, log, metrics, protocol, tell } = this.parts;
+    if (response.destroyed) {
+      return;
+    }
+    const { id, route, workspace, priority, version } = request;
+    log({
+      event: 'admitted',
+      id,
+      route: route.name,
+      workspace: workspace?.name ?? '',
+      priority,
+      timeLeft: request.deadline - clock.now(),
+      version,
+    });
+    const task = new RelayTask({
+      request,
+      response,
+      protocol,
+      connections,
+      clock,
+      log,
+      metrics,
+      tell,
+      onOver: () => this.tasks.delete(id),
+    });
+    this.tasks.set(id, task);
+    tell({ kind: 'submit', request: task.placementRequest });
+  }
+
+  private createId(requestId: string | undefined): string {
+    if (requestId !== undefined && !this.tasks.has(requestId)) {
+      return requestId;
+    }
+    this.counter += 1;
+    return `${this.parts.daemon}/${this.counter}`;
+  }
+
+  /** What came is no request: its connection has been answered and closed. */
+  noteMalformed(reason: string): void {
+    this.noteRejected('', BAD_REQUEST, reason);
+  }
+
+  private noteRejected(id: string, status: number, reason: string): void {
+    const { log, metrics } = this.parts;
+    log({ event: 'rejected', id, status, reason, version: this.version });
+    metrics.rejections.inc({ status });
+  }
+
+  private get version(): number | undefined {
+    return this.parts.getActive()?.configuration.version;
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -0,0 +1,68 @@
+import type { Clock, Random } from '@apricotrill/utils';
+import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
+import { StateFollower } from '../follow/StateFollower/StateFollower.js';
+import type { FollowListener } from '../follow/StateFollower/StateFollower.js';
+import type { RelayLog } from '../observe/RelayEvent.js';
+
+/** What the link is made of. */
+export interface StoreLinkParts {
+  clock: Clock;
+  random: Random;
+  log: RelayLog;
+}
+
+/** Follows kinds of objects in the store, and knows which of them the store answers for. */
+export class StoreLink {
+  private readonly followers: StateFollower<unknown>[] = [];
+
+  /** Undefined until the first answer or failure. */
+  private readonly reached = new Map<string, boolean | undefined>();
+
+  constructor(private readonly parts: StoreLinkParts) {}
+
+  follow<Item>(
+    dependency: string,
+    source: ObjectSource<Item>,
+    onItems: FollowListener<Item>['onItems'],
+  ): void {
+    const { clock, random, log } = this.parts;
+    this.reached.set(dependency, undefined);
+    const follower = new StateFollower({
+      source,
+      clock,
+      random,
+      listener: {
+        onItems: (items, revision) => {
+          this.reached.set(dependency, this.reached.get(dependency) ?? true);
+          onItems(items, revision);
+        },
+        onLost: (error) => {
+          this.reached.set(dependency, false);
+          log({ event: 'dependency-lost', dependency, error: error.message });
+        },
+        onRegained: (after) => {
+          this.reached.set(dependency, true);
+          log({ event: 'dependency-regained', dependency, after });
+        },
+        onKept: (replica, until) =>
+          log({ event: 'replica-kept', replica, until, reason: 'the store was away' }),
+      },
+    });
+    this.followers.push(follower);
+    follower.run().catch((error: unknown) => {
+      log({ event: 'fault', step: `follow ${dependency}`, error: String(error) });
+    });
+  }
+
+  /** 1 for each kind of objects whose last call was answered, else 0. */
+  get states(): [string, number][] {
+    return [...this.reached].map(([dependency, isReached]) => [
+      dependency,
+      Number(isReached === true),
+    ]);
+  }
+
+  dispose(): void {
+    this.followers.forEach((follower) => follower.dispose());
+  }
+}
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -116,9 +116,20 @@
     return this.records.size;
   }
 
-  /** Repeats that this daemon may send of a service now. */
-  getRepeatsLeft(service: string): number {
-    return this.getService(service).allowance.getLeft(this.clock.now());
+  /** Repeats that this daemon may send now, by service. */
+  getRepeatsLeft(): [string, number][] {
+    const now = this.clock.now();
+    return [...this.services].map(([name, { allowance }]) => [name, allowance.getLeft(now)]);
+  }
+
+  /** How old the last report of each replica is that has sent one. */
+  getReportAges(): [string, Milliseconds][] {
+    const now = this.clock.now();
+    return [...this.services.values()].flatMap(({ replicas }) =>
+      [...replicas].flatMap(([id, { lastReport }]): [string, Milliseconds][] =>
+        lastReport === undefined ? [] : [[id, now - lastReport.at]],
+      ),
+    );
   }
 
   /** All that this daemon has under way, for the others. */
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -104,6 +104,7 @@
     this.attempts += 1;
     this.replica = replica.id;
     const startedAt = clock.now();
+    this.noteWait(startedAt);
     const exchange: UpstreamExchange = new UpstreamExchange(
       clock,
       new AnswerReader({
@@ -211,6 +212,14 @@
     };
   }
 
+  private noteWait(now: Milliseconds): void {
+    const { metrics, request } = this.parts;
+    if (this.attempts === 1) {
+      const wait = (now - request.arrived) / MILLISECONDS_PER_SECOND;
+      metrics.admissionWait.observe({ kind: request.route.kind }, wait);
+    }
+  }
+
   private noteFields(replica: string, { load }: AnswerFields): void {
     if (load !== undefined) {
       this.parts.tell({ kind: 'load', replica, report: load });
@@ -249,9 +258,12 @@
   }
 
   private notePause(): void {
-    const now = this.parts.clock.now();
+    const { clock, metrics, request } = this.parts;
+    const now = clock.now();
     if (this.lastEventAt !== undefined) {
-      this.longestPause = Math.max(this.longestPause ?? 0, now - this.lastEventAt);
+      const pause = now - this.lastEventAt;
+      this.longestPause = Math.max(this.longestPause ?? 0, pause);
+      metrics.pauses.observe({ kind: request.route.kind }, pause / MILLISECONDS_PER_SECOND);
     }
     this.lastEventAt = now;
   }
@@ -315,7 +327,14 @@
     const { metrics, request, onOver } = this.parts;
     if (!this.isOver) {
       this.isOver = true;
-      metrics.requests.inc({ kind: request.route.kind, outcome, reason });
+      metrics.countRequest({
+        route: request.route.name,
+        workspace: request.workspace?.name ?? '',
+        kind: request.route.kind,
+        priority: request.priority,
+        outcome,
+        reason,
+      });
       onOver();
     }
   }
