--- a/packages/e2e/src/test/Backend.ts
+++ b/packages/e2e/src/test/Backend.ts
@@ -1,6 +1,6 @@
+import type { TcpRelay } from '@apricotrill/standins';
 import { request } from 'undici';
 import type { Subprocess } from './Subprocess.js';
-import type { TcpRelay } from './TcpRelay.js';
 
 /** What ran at a backend server, by its own word: the oracle of the tests. */
 export interface Run {
--- a/packages/e2e/src/test/Deployment.ts
+++ b/packages/e2e/src/test/Deployment.ts
@@ -1,3 +1,4 @@
+import { TcpRelay } from '@apricotrill/standins';
 import type { CallerLimits } from '@apricotrill/model';
 import { createHash } from 'node:crypto';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
@@ -6,7 +7,6 @@
 import { Backend } from './Backend.js';
 import { getFreePort } from './getFreePort.js';
 import { Binary, Subprocess } from './Subprocess.js';
-import { TcpRelay } from './TcpRelay.js';
 
 /** The key of the only workspace. */
 export const API_KEY = 'key-of-painotalo';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -34,6 +34,7 @@
 export type { CacheChange } from './lib/engine/PrefixCache.js';
 export { WeightStore } from './lib/engine/WeightStore.js';
 export type { ListenAddress } from './lib/http/StandinServer.js';
+export { LinkFault, TcpRelay } from './lib/network/TcpRelay.js';
 export {
   createPlatformStandin,
   defaultPlatformStandinOptions,
