One reader of bodies and one refusal of heads for both daemons, with a time bound

Cause: router and relay each had readBody and refuseConnection; the relay's had no bound in time, so that a caller that sends a byte of its body now and then held a socket and memory until Node's own five minutes were over. packages/callers has both now; the router turns results into its problems, the relay bounds a body by the idle timeout of the configuration and answers 408.

--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -1,11 +1,10 @@
-import { CallerConnections } from '@apricotrill/callers';
+import { CallerConnections, refuseConnection } from '@apricotrill/callers';
 import type { Clock } from '@apricotrill/utils';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { CallerLimits } from '../../config/RelayConfiguration.js';
 import { callerOptions } from '../callerOptions.js';
-import { refuseConnection } from '../refuseConnection.js';
 
 /** What a caller's server needs. */
 export interface CallerServerParts {
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -1,9 +1,10 @@
-import type { Clock, Random } from '@apricotrill/utils';
+import { readBody } from '@apricotrill/callers';
+import type { BodyResult } from '@apricotrill/callers';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { admitCall } from '../callers/admitCall.js';
 import type { CallAdmission } from '../callers/admitCall.js';
 import { callerOptions } from '../callers/callerOptions.js';
-import { readBody } from '../callers/readBody.js';
 import { getUrgency } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
 import { pickService } from '../config/pickService.js';
@@ -35,7 +36,14 @@
 }
 
 const BAD_REQUEST = 400;
-const REQUEST_TOO_LARGE = 413;
+
+type UnreadBody = Exclude<BodyResult['kind'], 'whole'>;
+
+/** What callers are told whose body is not read to its end. */
+const UNREAD: Readonly<Record<Exclude<UnreadBody, 'cut'>, { status: number; reason: string }>> = {
+  'too-large': { status: 413, reason: 'body too large' },
+  'too-slow': { status: 408, reason: 'body too slow' },
+};
 
 /**
  * A request that comes on a connection that was open before, too late to be ended within the grace.
@@ -61,7 +69,7 @@
   }
 
   async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, log, protocol, random } = this.parts;
+    const { clock, protocol, random } = this.parts;
     const arrived = clock.now();
     const fields = protocol.readCaller(request.headers);
     const id = this.createId(fields.requestId);
@@ -77,16 +85,10 @@
     }
     const { active, route, workspace } = admission;
     const { configuration } = active;
-    const read = await readBody(request, configuration.limits.bodyBytes);
-    if (read.kind === 'cut') {
-      log({ event: 'caller-left', id, after: clock.now() - arrived });
-      return;
-    }
-    if (read.kind === 'too-large') {
-      const reason = 'body too large';
-      this.noteRejected(id, REQUEST_TOO_LARGE, reason);
-      response.shouldKeepAlive = false;
-      writeRefusal(response, { status: REQUEST_TOO_LARGE, reason, outcome: Outcome.NotRun });
+    const { bodyBytes, idleTimeout } = configuration.limits;
+    const read = await readBody(request, { maxBytes: bodyBytes, timeout: idleTimeout }, clock);
+    if (read.kind !== 'whole') {
+      this.endUnread(response, id, read.kind, clock.now() - arrived);
       return;
     }
     this.relay(response, {
@@ -107,6 +109,23 @@
     });
   }
 
+  /** The body can't be had: its connection ends with the answer, since the rest may still come. */
+  private endUnread(
+    response: ServerResponse,
+    id: string,
+    kind: UnreadBody,
+    after: Milliseconds,
+  ): void {
+    if (kind === 'cut') {
+      this.parts.log({ event: 'caller-left', id, after });
+      return;
+    }
+    const { status, reason } = UNREAD[kind];
+    this.noteRejected(id, status, reason);
+    response.shouldKeepAlive = false;
+    writeRefusal(response, { status, reason, outcome: Outcome.NotRun });
+  }
+
   private relay(response: ServerResponse, request: ReceivedRequest): void {
     const { clock, connections, log, metrics, protocol, tell } = this.parts;
     if (response.destroyed) {
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -1,4 +1,4 @@
-import { CallerConnections } from '@apricotrill/callers';
+import { CallerConnections, refuseConnection } from '@apricotrill/callers';
 import type { KeyMaterial, KeySource } from '@apricotrill/keys';
 import { Outcome } from '@apricotrill/policy';
 import { randomUUID } from 'node:crypto';
@@ -11,11 +11,11 @@
 import { routerOptions } from '../options.js';
 import type { CallerContext } from './CallerContext.js';
 import { discardBody } from './discardBody.js';
+import { getMalformedBody } from './getMalformedBody.js';
 import { handleChat } from './handleChat.js';
 import { handlePlain } from './handlePlain.js';
 import { ProblemError, ProblemReason } from './Problem.js';
 import type { Problem } from './Problem.js';
-import { refuseConnection } from './refuseConnection.js';
 import { writeProblem } from './writeProblem.js';
 
 /**
@@ -193,7 +193,7 @@
    */
   private refuseBytes(error: NodeJS.ErrnoException, socket: Socket): void {
     if (!this.connections.isAnswering(socket)) {
-      refuseConnection(socket, error);
+      refuseConnection(socket, error, getMalformedBody);
     }
   }
 
--- a/packages/router/src/lib/pipeline/readBody.ts
+++ b/packages/router/src/lib/pipeline/readBody.ts
@@ -1,5 +1,6 @@
+import { readBody as readWithin } from '@apricotrill/callers';
 import { Outcome } from '@apricotrill/policy';
-import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { IncomingMessage } from 'node:http';
 import { ProblemError, ProblemReason } from './Problem.js';
 import type { Problem } from './Problem.js';
@@ -25,76 +26,8 @@
   );
 }
 
-function createTooLarge(request: IncomingMessage, { maxBodyBytes }: BodyLimits) {
-  const detail = `the body is larger than ${maxBodyBytes} bytes`;
-  return createBodyError(request, { reason: ProblemReason.TooLarge, status: 413, detail });
-}
-
-/** Collects one body; listens no longer than it must. */
-class BodyReader {
-  private readonly chunks: Buffer[] = [];
-
-  private size = 0;
-
-  private timer: Timer | undefined;
-
-  private readonly request: IncomingMessage;
-
-  private readonly limits: BodyLimits;
-
-  private readonly onEnd: (result: Buffer | ProblemError) => void;
-
-  constructor(
-    request: IncomingMessage,
-    limits: BodyLimits,
-    onEnd: (result: Buffer | ProblemError) => void,
-  ) {
-    this.request = request;
-    this.limits = limits;
-    this.onEnd = onEnd;
-  }
-
-  start(clock: Clock): void {
-    const { request, limits } = this;
-    this.timer = clock.setTimer(limits.bodyTimeout, () => {
-      const detail = `the body did not arrive within ${limits.bodyTimeout} ms`;
-      this.fail({ reason: ProblemReason.SlowBody, status: 408, detail });
-    });
-    request.on('data', this.take);
-    request.once('end', this.finish);
-    request.once('error', this.cutOff);
-  }
-
-  private readonly take = (chunk: Buffer) => {
-    this.size += chunk.length;
-    this.chunks.push(chunk);
-    if (this.size > this.limits.maxBodyBytes) {
-      this.end(createTooLarge(this.request, this.limits));
-    }
-  };
-
-  private readonly finish = () => this.end(Buffer.concat(this.chunks));
-
-  private readonly cutOff = () =>
-    this.fail({ reason: ProblemReason.Malformed, status: 400, detail: 'the body was cut off' });
-
-  private fail(problem: Pick<Problem, 'reason' | 'status' | 'detail'>): void {
-    this.end(createBodyError(this.request, problem));
-  }
-
-  private end(result: Buffer | ProblemError): void {
-    this.timer?.cancel();
-    this.request.off('data', this.take);
-    this.request.off('end', this.finish);
-    this.request.off('error', this.cutOff);
-    this.onEnd(result);
-  }
-}
-
 /**
- * Reads the whole body, within its bounds. A body that is too large, too slow or cut off ends its
- * own request and nothing else: without the time bound, callers that send a byte now and then
- * would hold sockets and memory for ever.
+ * Reads the whole body, within its bounds.
  *
  * @param request - the caller's request
  * @param limits - bounds in bytes and milliseconds
@@ -106,17 +39,34 @@
  * ```
  * @internal
  */
-export function readBody(
+export async function readBody(
   request: IncomingMessage,
-  limits: BodyLimits,
+  { maxBodyBytes, bodyTimeout }: BodyLimits,
   clock: Clock,
 ): Promise<Buffer> {
-  if (Number(request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
-    return Promise.reject(createTooLarge(request, limits));
+  const result = await readWithin(request, { maxBytes: maxBodyBytes, timeout: bodyTimeout }, clock);
+  switch (result.kind) {
+    case 'whole':
+      return result.body ?? Buffer.alloc(0);
+    case 'too-large':
+      throw createBodyError(request, {
+        reason: ProblemReason.TooLarge,
+        status: 413,
+        detail: `the body is larger than ${maxBodyBytes} bytes`,
+      });
+    case 'too-slow':
+      throw createBodyError(request, {
+        reason: ProblemReason.SlowBody,
+        status: 408,
+        detail: `the body did not arrive within ${bodyTimeout} ms`,
+      });
+    case 'cut':
+      throw createBodyError(request, {
+        reason: ProblemReason.Malformed,
+        status: 400,
+        detail: 'the body was cut off',
+      });
+    default:
+      return result satisfies never;
   }
-  return new Promise((resolve, reject) => {
-    const settle = (result: Buffer | ProblemError) =>
-      Buffer.isBuffer(result) ? resolve(result) : reject(result);
-    new BodyReader(request, limits, settle).start(clock);
-  });
 }
