--- a/packages/cli/src/lib/incident/IncidentSummary.ts
+++ b/packages/cli/src/lib/incident/IncidentSummary.ts
@@ -64,6 +64,7 @@
   'replica-kept': 'replica',
   'replica-suspect': 'replica',
   'replica-trusted': 'replica',
+  'replica-avoided': 'replica',
   'peer-found': 'peer',
   'peer-lost': 'peer',
 };
--- a/packages/cli/src/lib/trace/RequestStory.ts
+++ b/packages/cli/src/lib/trace/RequestStory.ts
@@ -20,6 +20,7 @@
 const REPLICA_EVENTS = new Set([
   'replica-suspect',
   'replica-trusted',
+  'replica-avoided',
   'replica-draining',
   'replica-removed',
   'replica-kept',
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -136,6 +136,12 @@
       getAll: () => this.core.getSharedAttempts(),
       onNews: (peer, news) => tell({ kind: 'peer-news', peer, news }),
       onGone: (peer) => tell({ kind: 'peer-gone', peer }),
+      onCount: (daemons) => {
+        this.watch.setDaemons(daemons);
+        this.store.setDaemons(daemons);
+      },
+      getChanges: () => this.store.lastChanges,
+      onChanges: (changes) => this.store.noteChangesElsewhere(changes),
     });
     this.addGauges();
   }
@@ -200,7 +206,7 @@
     );
     this.settings = settings;
     const { ratio, window, slack } = settings.retries;
-    this.core.setRetries({ ratio, window, slack: getRetrySlack(slack) });
+    this.core.book.setRetries({ ratio, window, slack: getRetrySlack(slack) });
     return changed;
   }
 
@@ -240,10 +246,10 @@
       () => this.store.states,
     );
     metrics.addGauges('repeats_left', 'Repeats that may be sent now.', 'service', () =>
-      core.getRepeatsLeft(),
+      core.book.getRepeatsLeft(),
     );
     metrics.addGauges('report_age_seconds', "Of a replica's last word.", 'replica', () =>
-      core.getReportAges().map(([id, age]) => [id, getSeconds(age)] as const),
+      core.book.getReportAges().map(([id, age]) => [id, getSeconds(age)] as const),
     );
   }
 
@@ -304,6 +310,12 @@
         log({ event: 'replica-trusted', replica: id, service });
         break;
       }
+      case 'avoid': {
+        const { replica, span } = effect;
+        const { id, service } = replica;
+        log({ event: 'replica-avoided', replica: id, service, span });
+        break;
+      }
       default:
         effect satisfies never;
     }
--- a/packages/relay/src/lib/daemon/ReplicaWatch.ts
+++ b/packages/relay/src/lib/daemon/ReplicaWatch.ts
@@ -18,18 +18,32 @@
 export class ReplicaWatch {
   private replicas = new Map<string, RelayReplica>();
 
-  private engines = new Set<string>();
+  /** Services of engines, and how many listeners each of these takes. */
+  private engines = new Map<string, number>();
+
+  /** How many daemons there are; undefined until that is known. */
+  private daemons: number | undefined;
 
   private readonly followers = new Map<string, CacheFollower>();
 
   constructor(private readonly parts: ReplicaWatchParts) {}
 
   setServices(services: readonly RelayService[]): void {
-    const engines = services.filter(({ engine }) => engine !== undefined);
-    this.engines = new Set(engines.map(({ name }) => name));
+    this.engines = new Map(
+      services.flatMap(({ name, engine }): [string, number][] =>
+        engine === undefined ? [] : [[name, engine.cacheListeners]],
+      ),
+    );
     this.followCaches();
   }
 
+  setDaemons(daemons: number): void {
+    if (daemons !== this.daemons) {
+      this.daemons = daemons;
+      this.followCaches();
+    }
+  }
+
   setReplicas(replicas: readonly RelayReplica[], revision: number): void {
     const listed = new Map(replicas.map((replica) => [replica.id, replica]));
     this.logChanges(listed, revision);
@@ -37,6 +51,11 @@
     this.followCaches();
   }
 
+  /** Engines whose caches are followed. */
+  get followed(): number {
+    return this.followers.size;
+  }
+
   dispose(): void {
     this.followers.forEach((follower) => follower.dispose());
     this.followers.clear();
@@ -63,18 +82,29 @@
   private followCaches(): void {
     this.followers.forEach((follower, id) => {
       const replica = this.replicas.get(id);
-      if (replica === undefined || !this.engines.has(replica.service)) {
+      if (replica === undefined || !this.isFollowed(replica)) {
         follower.dispose();
         this.followers.delete(id);
+        this.parts.tell({ kind: 'cache-lost', replica: id });
       }
     });
     this.replicas.forEach((replica) => {
-      if (this.engines.has(replica.service) && !this.followers.has(replica.id)) {
+      if (this.isFollowed(replica) && !this.followers.has(replica.id)) {
         this.followCache(replica);
       }
     });
   }
 
+  /**
+   * Whether the engine's cache events are read. Where an engine takes fewer listeners than there are
+   * daemons, most would ask in vain, again and again: 74 daemons made 1,300 calls a second to 63
+   * engines beside 460 requests. There a home for each session takes the place of what is cached.
+   */
+  private isFollowed({ service }: RelayReplica): boolean {
+    const listeners = this.engines.get(service) ?? 0;
+    return this.daemons !== undefined && this.daemons <= listeners;
+  }
+
   private followCache(replica: RelayReplica): void {
     const { log, tell, caches: source, clock, random } = this.parts;
     const { id } = replica;
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -13,7 +13,7 @@
 
 /** Follows kinds of objects in the store, and knows which of them the store answers for. */
 export class StoreLink {
-  private readonly followers: StateFollower<unknown>[] = [];
+  private readonly followers = new Map<string, StateFollower<unknown>>();
 
   /** Undefined until the first answer or failure. */
   private readonly reached = new Map<string, boolean | undefined>();
@@ -48,12 +48,34 @@
           log({ event: 'replica-kept', replica, until, reason: 'the store was away' }),
       },
     });
-    this.followers.push(follower);
+    this.followers.set(dependency, follower);
     follower.run().catch((error: unknown) => {
       log({ event: 'fault', step: `follow ${dependency}`, error: String(error) });
     });
   }
 
+  /** The revisions of the last changes that were heard, for other daemons. */
+  get lastChanges(): Record<string, number> {
+    const changes: Record<string, number> = {};
+    this.followers.forEach(({ lastChange }, dependency) => {
+      if (lastChange !== undefined) {
+        changes[dependency] = lastChange;
+      }
+    });
+    return changes;
+  }
+
+  /** What another daemon has heard of. */
+  noteChangesElsewhere(changes: Readonly<Record<string, number>>): void {
+    Object.entries(changes).forEach(([dependency, revision]) =>
+      this.followers.get(dependency)?.noteChangeElsewhere(revision),
+    );
+  }
+
+  setDaemons(daemons: number): void {
+    this.followers.forEach((follower) => follower.setDaemons(daemons));
+  }
+
   /** 1 for each kind of objects whose last call was answered, else 0. */
   get states(): [string, number][] {
     return [...this.reached].map(([dependency, isReached]) => [
--- a/packages/relay/src/lib/decide/CacheView/CacheView.ts
+++ b/packages/relay/src/lib/decide/CacheView/CacheView.ts
@@ -32,6 +32,13 @@
 
   private readonly expected = new Map<string, ExpectedPart>();
 
+  private isTold = false;
+
+  /** Whether the engine has said what it keeps. */
+  get isKnown(): boolean {
+    return this.isTold;
+  }
+
   /** A request with this prompt was sent to the engine. */
   expect(prompt: Prompt, now: Milliseconds): void {
     if (this.expected.size > SWEEP_SIZE) {
@@ -53,6 +60,7 @@
   }
 
   apply(changes: readonly CacheChange[]): void {
+    this.isTold = true;
     changes.forEach(({ kind, model, part, tokens }) => {
       const key = getKey(model, part);
       switch (kind) {
@@ -76,6 +84,7 @@
 
   /** The engine started again, or its events have a gap that no list fills. */
   forget(): void {
+    this.isTold = false;
     this.held.clear();
     this.expected.clear();
   }
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -3,6 +3,9 @@
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 
+/** News of attempts; breaks are counted with their replica. */
+export type AttemptNews = Exclude<SharedNews, { kind: 'broke' }>;
+
 /** An attempt as other daemons are told of it. */
 export function getShared(attempt: RunningAttempt): SharedAttempt {
   const { key, state, missingTokens, memoryTokens, pauseTarget, isAnswering, prompt } = attempt;
@@ -23,7 +26,7 @@
     private readonly findReplica: (id: string) => ReplicaState | undefined,
   ) {}
 
-  take(peer: string, news: SharedNews): void {
+  take(peer: string, news: AttemptNews): void {
     const attempts = this.getAttempts(peer);
     switch (news.kind) {
       case 'placed':
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -3,21 +3,20 @@
 import { chooseReplica } from '../chooseReplica.js';
 import type { ChosenReplica } from '../chooseReplica.js';
 import { getNextStep } from '../getNextStep.js';
-import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
+import { CancelReason, GiveUpReason, Outcome } from '../messages.js';
 import type {
   PlacementEffect,
   PlacementMessage,
   PlacementRequest,
   SharedAttempt,
-} from '../messages.js';
+ AttemptEnd} from '../messages.js';
 import { PeerAttempts, getShared } from '../PeerAttempts/PeerAttempts.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
-import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
-import type { RetryAllowanceParts } from '../RetryAllowance/RetryAllowance.js';
+import { ReplicaBook } from '../ReplicaBook/ReplicaBook.js';
 import { RequestRecord } from '../RequestRecord.js';
 import type { RunningAttempt } from '../RequestRecord.js';
-import { ServiceState } from './ServiceState.js';
+import type { ServiceState } from './ServiceState.js';
 
 /** What a core is made of. */
 export interface PlacementCoreParts {
@@ -46,7 +45,8 @@
 
   private readonly options: PlacementOptions;
 
-  private readonly services = new Map<string, ServiceState>();
+  /** What is believed of services and replicas. */
+  readonly book: ReplicaBook;
 
   private readonly records = new Map<string, RequestRecord>();
 
@@ -57,18 +57,20 @@
     this.clock = clock;
     this.emit = emit;
     this.options = { ...placementOptions, ...options };
-    this.peers = new PeerAttempts(clock, (id) => this.findReplica(id));
+    this.book = new ReplicaBook({ clock, emit, options: this.options });
+    this.peers = new PeerAttempts(clock, (id) => this.book.find(id));
   }
 
   handle(message: PlacementMessage): void {
     switch (message.kind) {
       case 'services':
         message.services.forEach((service) => {
-          this.getService(service.name).service = service;
+          this.book.getService(service.name).service = service;
         });
         break;
       case 'replicas':
-        this.setReplicas(message);
+        this.book.setReplicas(message.replicas);
+        this.drainAll();
         break;
       case 'submit':
         this.submit(message.request);
@@ -83,28 +85,30 @@
         this.end(message);
         break;
       case 'load':
-        this.findReplica(message.replica)?.noteReport(message.report, this.clock.now());
+        this.book.find(message.replica)?.noteReport(message.report, this.clock.now());
         break;
       case 'peer-news':
-        this.peers.take(message.peer, message.news);
+        this.takeNews(message);
         break;
       case 'peer-gone':
         this.peers.forget(message.peer);
         break;
       case 'health':
-        this.noteHealth(message);
+        if (this.book.noteHealth(message)) {
+          this.drainAll();
+        }
         break;
       case 'leaving':
-        this.noteLeaving(message.replica);
+        this.book.noteLeaving(message.replica);
         break;
       case 'cache-changed':
-        this.findReplica(message.replica)?.cache.apply(message.changes);
+        this.book.find(message.replica)?.cache.apply(message.changes);
         break;
       case 'cache-listed':
-        this.findReplica(message.replica)?.cache.replace(message.changes);
+        this.book.find(message.replica)?.cache.replace(message.changes);
         break;
       case 'cache-lost':
-        this.findReplica(message.replica)?.cache.forget();
+        this.book.find(message.replica)?.cache.forget();
         break;
       default:
         message satisfies never;
@@ -116,68 +120,16 @@
     return this.records.size;
   }
 
-  /** Repeats that this daemon may send now, by service. */
-  getRepeatsLeft(): [string, number][] {
-    const now = this.clock.now();
-    return [...this.services].map(([name, { allowance }]) => [name, allowance.getLeft(now)]);
-  }
-
-  /** How old the last report of each replica is that has sent one. */
-  getReportAges(): [string, Milliseconds][] {
-    const now = this.clock.now();
-    return [...this.services.values()].flatMap(({ replicas }) =>
-      [...replicas].flatMap(([id, { lastReport }]): [string, Milliseconds][] =>
-        lastReport === undefined ? [] : [[id, now - lastReport.at]],
-      ),
-    );
-  }
-
   /** All that this daemon has under way, for the others. */
   getSharedAttempts(): SharedAttempt[] {
     const running = [...this.records.values()].map((record) => record.running);
     return running.filter((attempt) => attempt !== undefined).map(getShared);
   }
 
-  /** Takes over other bounds of repeats; what was counted stays. */
-  setRetries(parts: RetryAllowanceParts): void {
-    this.options.retryRatio = parts.ratio;
-    this.options.retryWindow = parts.window;
-    this.options.retrySlack = parts.slack;
-    this.services.forEach(({ allowance }) => allowance.setParts(parts));
-  }
-
-  private getService(name: string): ServiceState {
-    const existing = this.services.get(name);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const service = new ServiceState(this.options);
-    this.services.set(name, service);
-    return service;
-  }
-
-  private findReplica(id: string): ReplicaState | undefined {
-    for (const service of this.services.values()) {
-      const state = service.replicas.get(id);
-      if (state !== undefined) {
-        return state;
-      }
-    }
-    return undefined;
-  }
-
-  private setReplicas({ replicas }: Extract<PlacementMessage, { kind: 'replicas' }>): void {
-    replicas.forEach(({ service }) => this.getService(service));
-    this.services.forEach((service, name) => {
-      service.setReplicas(replicas.filter((replica) => replica.service === name));
-      this.drainWaiting(service);
-    });
-  }
-
   private submit(request: PlacementRequest): void {
     const now = this.clock.now();
     const record = new RequestRecord(request);
-    const service = this.getService(request.service);
+    const service = this.book.getService(request.service);
     this.records.set(request.id, record);
     service.allowance.noteRequest(now);
     record.setDeadline(this.clock.setTimer(request.deadline - now, () => this.expire(record)));
@@ -190,7 +142,7 @@
 
   private placeOrWait(record: RequestRecord): void {
     if (!this.place(record)) {
-      this.getService(record.request.service).waiting.add(record);
+      this.book.getService(record.request.service).waiting.add(record);
     }
   }
 
@@ -198,7 +150,7 @@
   private place(record: RequestRecord): boolean {
     const { request } = record;
     const now = this.clock.now();
-    const service = this.getService(request.service);
+    const service = this.book.getService(request.service);
     const chosen = chooseReplica({
       request,
       service: service.service,
@@ -266,9 +218,9 @@
     }
     const now = this.clock.now();
     if (attempt.state.isDark(now)) {
-      this.suspect(attempt.state, 'nothing comes from it');
+      this.book.noteDark(attempt.state);
     }
-    const service = this.getService(request.service);
+    const service = this.book.getService(request.service);
     const others = service.getCandidates(record.tried, now);
     const hasOther = others.some(({ replica }) => !record.tried.has(replica.id));
     if (!request.repeatable || record.sent + 1 >= request.maxAttempts || !hasOther) {
@@ -316,40 +268,9 @@
     }
     this.release(record);
     record.count(end);
-    this.judge(running, end);
+    this.book.judge(running, end);
     this.goOn(record, attempt, end);
-    this.drainWaiting(this.getService(record.request.service));
-  }
-
-  /** What the end of an attempt says of its replica. */
-  private judge({ state, sentAt }: RunningAttempt, end: AttemptEnd): void {
-    const now = this.clock.now();
-    switch (end) {
-      case AttemptEnd.Completed:
-        state.noteSuccess(now - sentAt);
-        break;
-      case AttemptEnd.Failed:
-        state.noteFailure();
-        break;
-      case AttemptEnd.Refused:
-        state.noteFull(now);
-        break;
-      case AttemptEnd.Misdirected:
-        this.noteLeaving(state.replica.id);
-        break;
-      case AttemptEnd.NotSent:
-        this.suspect(state, 'no connection can be opened');
-        break;
-      case AttemptEnd.Broken:
-        if (state.noteBroken()) {
-          this.suspect(state, 'attempts break in a row');
-        }
-        break;
-      case AttemptEnd.Cancelled:
-        break;
-      default:
-        end satisfies never;
-    }
+    this.drainWaiting(this.book.getService(record.request.service));
   }
 
   private goOn(record: RequestRecord, attempt: number, end: AttemptEnd): void {
@@ -362,7 +283,7 @@
       this.giveUp(record, step.outcome, step.reason);
       return;
     }
-    const { allowance } = this.getService(record.request.service);
+    const { allowance } = this.book.getService(record.request.service);
     if (!step.isRepeat || allowance.take(this.clock.now())) {
       this.placeOrWait(record);
     } else if (step.otherwise === 'settle') {
@@ -396,7 +317,7 @@
     if (record !== undefined) {
       this.cancelRunning(record, CancelReason.CallerLeft);
       this.forget(record);
-      this.drainWaiting(this.getService(record.request.service));
+      this.drainWaiting(this.book.getService(record.request.service));
     }
   }
 
@@ -419,7 +340,7 @@
   private forget(record: RequestRecord): void {
     this.release(record);
     record.endTimers();
-    this.getService(record.request.service).waiting.remove(record);
+    this.book.getService(record.request.service).waiting.remove(record);
     this.records.delete(record.request.id);
   }
 
@@ -429,26 +350,15 @@
     }
   }
 
-  /** The replica gets nothing new until a health check clears it, while there are others. */
-  private suspect(state: ReplicaState, reason: string): void {
-    if (state.suspect(reason)) {
-      this.emit({ kind: 'suspect', replica: state.replica, reason });
-    }
+  private drainAll(): void {
+    this.book.all.forEach((service) => this.drainWaiting(service));
   }
 
-  private noteHealth({ replica, isHealthy }: { replica: string; isHealthy: boolean }): void {
-    const state = this.findReplica(replica);
-    if (state?.suspicion !== undefined && isHealthy) {
-      state.trust(this.clock.now());
-      this.emit({ kind: 'trust', replica: state.replica });
-      this.services.forEach((service) => this.drainWaiting(service));
-    }
-  }
-
-  private noteLeaving(id: string): void {
-    const state = this.findReplica(id);
-    if (state !== undefined) {
-      state.isLeaving = true;
+  private takeNews({ peer, news }: Extract<PlacementMessage, { kind: 'peer-news' }>): void {
+    if (news.kind === 'broke') {
+      this.book.noteBreak(news.replica);
+    } else {
+      this.peers.take(peer, news);
     }
   }
 }
--- a/packages/relay/src/lib/decide/PlacementCore/ServiceState.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/ServiceState.ts
@@ -45,7 +45,9 @@
    */
   getCandidates(tried: ReadonlySet<string>, now: Milliseconds): ReplicaState[] {
     const staying = this.getStaying();
-    const trusted = staying.filter(({ suspicion }) => suspicion === undefined);
+    const trusted = staying.filter(
+      ({ suspicion, breaks }) => suspicion === undefined && !breaks.isAvoided(now),
+    );
     const pool = trusted.length > 0 ? trusted : staying;
     const withRoom = pool.filter((state) => state.hasRoom(this.connections, this.service?.engine));
     const fresh = withRoom.filter(({ replica }) => !tried.has(replica.id));
--- /dev/null
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -0,0 +1,156 @@
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { AttemptEnd } from '../messages.js';
+import type { PlacementEffect, PlacementMessage } from '../messages.js';
+import type { PlacementOptions } from '../placementOptions.js';
+import { ServiceState } from '../PlacementCore/ServiceState.js';
+import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
+import type { RunningAttempt } from '../RequestRecord.js';
+import type { RetryAllowanceParts } from '../RetryAllowance/RetryAllowance.js';
+
+/** What the book is made of. */
+export interface ReplicaBookParts {
+  clock: Clock;
+  emit: (effect: PlacementEffect) => void;
+  options: PlacementOptions;
+}
+
+/**
+ * What is believed of each service and its replicas, and what changes it: lists, reports, the ends
+ * of attempts, health checks, and the word of other daemons.
+ */
+export class ReplicaBook {
+  private readonly services = new Map<string, ServiceState>();
+
+  constructor(private readonly parts: ReplicaBookParts) {}
+
+  get all(): ServiceState[] {
+    return [...this.services.values()];
+  }
+
+  /** The service of this name; one that nobody has told of yet has no replicas. */
+  getService(name: string): ServiceState {
+    const existing = this.services.get(name);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const service = new ServiceState(this.parts.options);
+    this.services.set(name, service);
+    return service;
+  }
+
+  find(id: string): ReplicaState | undefined {
+    return this.all.map(({ replicas }) => replicas.get(id)).find((state) => state !== undefined);
+  }
+
+  setReplicas(replicas: readonly RelayReplica[]): void {
+    replicas.forEach(({ service }) => this.getService(service));
+    this.services.forEach((service, name) => {
+      service.setReplicas(replicas.filter((replica) => replica.service === name));
+    });
+  }
+
+  /** Takes over other bounds of repeats; what was counted stays. */
+  setRetries(parts: RetryAllowanceParts): void {
+    const { options } = this.parts;
+    options.retryRatio = parts.ratio;
+    options.retryWindow = parts.window;
+    options.retrySlack = parts.slack;
+    this.services.forEach(({ allowance }) => allowance.setParts(parts));
+  }
+
+  /** What the end of an attempt says of its replica. */
+  judge({ state, sentAt }: RunningAttempt, end: AttemptEnd): void {
+    const now = this.parts.clock.now();
+    switch (end) {
+      case AttemptEnd.Completed:
+        state.noteSuccess(now - sentAt);
+        break;
+      case AttemptEnd.Failed:
+        state.noteFailure();
+        break;
+      case AttemptEnd.Refused:
+        state.noteFull(now);
+        break;
+      case AttemptEnd.Misdirected:
+        this.noteLeaving(state.replica.id);
+        break;
+      case AttemptEnd.NotSent:
+        this.tellBreak(state);
+        this.suspect(state, 'no connection can be opened');
+        break;
+      case AttemptEnd.Broken:
+        this.tellBreak(state);
+        if (state.noteBroken()) {
+          this.suspect(state, 'attempts break in a row');
+        }
+        break;
+      case AttemptEnd.Cancelled:
+        break;
+      default:
+        end satisfies never;
+    }
+  }
+
+  /** Nothing came from it for too long, with requests under way. */
+  noteDark(state: ReplicaState): void {
+    this.tellBreak(state);
+    this.suspect(state, 'nothing comes from it');
+  }
+
+  /** An attempt broke there, at this daemon or another. */
+  noteBreak(id: string): void {
+    const state = this.find(id);
+    const span = state?.breaks.note(this.parts.clock.now());
+    if (state !== undefined && span !== undefined) {
+      this.parts.emit({ kind: 'avoid', replica: state.replica, span });
+    }
+  }
+
+  /** @returns whether a replica is trusted again */
+  noteHealth({ replica, isHealthy }: Extract<PlacementMessage, { kind: 'health' }>): boolean {
+    const state = this.find(replica);
+    if (state?.suspicion === undefined || !isHealthy) {
+      return false;
+    }
+    state.trust(this.parts.clock.now());
+    this.parts.emit({ kind: 'trust', replica: state.replica });
+    return true;
+  }
+
+  noteLeaving(id: string): void {
+    const state = this.find(id);
+    if (state !== undefined) {
+      state.isLeaving = true;
+    }
+  }
+
+  /** Repeats that this daemon may send now, by service. */
+  getRepeatsLeft(): [string, number][] {
+    const now = this.parts.clock.now();
+    return [...this.services].map(([name, { allowance }]) => [name, allowance.getLeft(now)]);
+  }
+
+  /** How old the last report of each replica is that has sent one. */
+  getReportAges(): [string, Milliseconds][] {
+    const now = this.parts.clock.now();
+    return this.all.flatMap(({ replicas }) =>
+      [...replicas].flatMap(([id, { lastReport }]): [string, Milliseconds][] =>
+        lastReport === undefined ? [] : [[id, now - lastReport.at]],
+      ),
+    );
+  }
+
+  private tellBreak(state: ReplicaState): void {
+    const { id } = state.replica;
+    this.parts.emit({ kind: 'share', news: { kind: 'broke', replica: id } });
+    this.noteBreak(id);
+  }
+
+  /** The replica gets nothing new until a health check clears it, while there are others. */
+  private suspect(state: ReplicaState, reason: string): void {
+    if (state.suspect(reason)) {
+      this.parts.emit({ kind: 'suspect', replica: state.replica, reason });
+    }
+  }
+}
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { EngineProfile, RelayReplica } from '../../config/RelayConfiguration.js';
+import { BreakWindow } from '../BreakWindow/BreakWindow.js';
 import { CacheView } from '../CacheView/CacheView.js';
 import type { LoadReport } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
@@ -24,6 +25,9 @@
 
   readonly cache = new CacheView();
 
+  /** Attempts of all daemons that broke there. */
+  readonly breaks = new BreakWindow();
+
   readonly running = new Set<RunningAttempt>();
 
   /** Why nothing new is sent there while others will do; undefined when it is trusted. */
--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -1,6 +1,7 @@
-import { getRendezvousScore } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayService } from '../config/RelayConfiguration.js';
+import { getHoldings, getHomes, getSessionPart } from './getHoldings.js';
+import type { Holding } from './getHoldings.js';
 import type { Choice, PlacementRequest, Prompt } from './messages.js';
 import type { PlacementOptions } from './placementOptions.js';
 import { getReadingEngines, isSlowedByReading } from './readingEngines.js';
@@ -15,9 +16,17 @@
   options: PlacementOptions;
 }
 
-/** The same, with the engines that read long prompts. */
+/** An engine from which a prompt's head can be copied. */
+interface Source {
+  from: ReplicaState;
+  copyable: number;
+}
+
+/** The same, with what the engines hold and which of them read long prompts. */
 interface EngineInputs extends ChoiceInputs {
   reading: ReadonlySet<ReplicaState>;
+  holdings: ReadonlyMap<ReplicaState, Holding>;
+  sources: readonly Source[];
 }
 
 /** The replica chosen, and why. */
@@ -44,6 +53,7 @@
 const FAILURE_COST: Milliseconds = 1_000;
 
 const NO_ENGINES: ReadonlySet<ReplicaState> = new Set();
+const NO_HOLDINGS: ReadonlyMap<ReplicaState, Holding> = new Map();
 
 /**
  * Part of the failures that all replicas of a service show: faults of the requests, which say
@@ -53,36 +63,27 @@
   return Math.min(...candidates.map(({ expectedFailures }) => expectedFailures));
 }
 
-/**
- * The part by which requests of one session find each other: the last that can be shared. The last
- * of all belongs to the request alone, unless there is only one.
- */
-function getSessionPart(prompt: Prompt): string | undefined {
-  return (prompt.parts.at(-2) ?? prompt.parts.at(-1))?.id;
-}
-
 /**
  * What the engine could copy of the prompt in place of reading it: copying a token takes a third of
  * the time of reading it, and leaves the engine's steps to the requests that run.
  */
-function getCopy(
-  { candidates, service, now, options }: ChoiceInputs,
-  state: ReplicaState,
-  prompt: Prompt,
-  cached: number,
-): Copy | undefined {
+function getCopy(inputs: EngineInputs, state: ReplicaState, cached: number): Copy | undefined {
+  const { service, options, sources } = inputs;
   const copyTime = service?.engine?.copyTime;
-  if (copyTime === undefined) {
+  const source = sources.find(({ from }) => from !== state);
+  const tokens = (source?.copyable ?? 0) - cached;
+  if (copyTime === undefined || source === undefined || tokens < options.leastCopy) {
     return undefined;
   }
-  let best: Copy | undefined;
-  candidates.forEach((from) => {
-    const tokens = from === state ? 0 : from.cache.getCopyable(prompt, now) - cached;
-    if (tokens >= options.leastCopy && tokens > (best?.tokens ?? 0)) {
-      best = { from, tokens, time: tokens * copyTime };
-    }
-  });
-  return best;
+  return { from: source.from, tokens, time: tokens * copyTime };
+}
+
+/** The two engines that hold most of a prompt: whichever is chosen can copy from the other. */
+function getSources(holdings: ReadonlyMap<ReplicaState, Holding>): Source[] {
+  return [...holdings]
+    .map(([from, { copyable }]) => ({ from, copyable }))
+    .sort((left, right) => right.copyable - left.copyable)
+    .slice(0, 2);
 }
 
 /**
@@ -134,8 +135,8 @@
  */
 function getEngineOffer(inputs: EngineInputs, state: ReplicaState, prompt: Prompt): Offer {
   const { now, options } = inputs;
-  const cached = state.cache.getCached(prompt, now);
-  const copy = getCopy(inputs, state, prompt, cached);
+  const cached = inputs.holdings.get(state)?.cached ?? 0;
+  const copy = getCopy(inputs, state, cached);
   const missingTokens = Math.max(0, prompt.inputTokens - cached - (copy?.tokens ?? 0));
   const others = state.getWaiting(now) * missingTokens;
   const reading = (state.getBacklog(now) + others + missingTokens) / options.readRate;
@@ -179,13 +180,26 @@
   if (session === undefined || offers.length < 2) {
     return;
   }
-  const scored = offers.map((offer) => ({
-    offer,
-    score: getRendezvousScore(session, offer.state.replica.id),
-  }));
-  scored.sort((left, right) => right.score - left.score);
-  scored[0]!.offer.cost -= options.homePreference;
-  scored[1]!.offer.cost -= options.homePreference / 2;
+  const [first, second] = getHomes(
+    session,
+    offers.map(({ state }) => state),
+  );
+  offers
+    .filter(({ state }) => state === first || state === second)
+    .forEach((offer) => {
+      const part = offer.state === first ? 1 : 1 / 2;
+      Object.assign(offer, { cost: offer.cost - options.homePreference * part });
+    });
+}
+
+function getEngineInputs(inputs: ChoiceInputs): EngineInputs {
+  const { candidates, now, options, request } = inputs;
+  if (request.prompt === undefined) {
+    return { ...inputs, reading: NO_ENGINES, holdings: NO_HOLDINGS, sources: [] };
+  }
+  const holdings = getHoldings(request.prompt, candidates, now);
+  const reading = getReadingEngines(request.service, candidates, now, options);
+  return { ...inputs, reading, holdings, sources: getSources(holdings) };
 }
 
 /**
@@ -200,12 +214,8 @@
     return undefined;
   }
   const commonFailures = getCommonFailures(candidates);
-  const { request, options } = inputs;
-  const reading =
-    request.prompt === undefined
-      ? NO_ENGINES
-      : getReadingEngines(request.service, candidates, now, options);
-  const offers = candidates.map((state) => getOffer({ ...inputs, reading }, state, commonFailures));
+  const engineInputs = getEngineInputs(inputs);
+  const offers = candidates.map((state) => getOffer(engineInputs, state, commonFailures));
   preferHome(inputs, offers);
   offers.sort((left, right) => left.cost - right.cost);
   const [best, second] = offers as [Offer, Offer | undefined];
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -122,6 +122,8 @@
   /** The engine has read the prompt. */
   | { kind: 'answering'; key: string }
   | { kind: 'ended'; key: string }
+  /** An attempt broke at a replica. */
+  | { kind: 'broke'; replica: string }
   /** All that is under way; what was told before is forgotten. */
   | { kind: 'all'; attempts: SharedAttempt[] };
 
@@ -165,7 +167,9 @@
   /** For the other daemons. */
   | { kind: 'share'; news: SharedNews }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
-  | { kind: 'trust'; replica: RelayReplica };
+  | { kind: 'trust'; replica: RelayReplica }
+  /** Too many attempts of all daemons broke there: for a while it gets nothing. */
+  | { kind: 'avoid'; replica: RelayReplica; span: Milliseconds };
 
 /** Why an attempt is cancelled. */
 export enum CancelReason {
--- a/packages/relay/src/lib/follow/CacheFollower/CacheFollower.test.ts
+++ b/packages/relay/src/lib/follow/CacheFollower/CacheFollower.test.ts
@@ -64,8 +64,9 @@
   // starts again, its events begin anew. Cause: what was believed of its earlier life was kept.
   it('forgets an earlier life of the engine, and lists what it keeps now', async () => {
     const log = await play([NOTHING, { ...NOTHING, epoch: '2' }, NOTHING]);
-    expect(log.slice(0, 5)).toEqual([
+    expect(log.slice(0, 6)).toEqual([
       'read all',
+      'changes 0',
       'read 5',
       'lost',
       'list',
--- a/packages/relay/src/lib/follow/CacheFollower/CacheFollower.ts
+++ b/packages/relay/src/lib/follow/CacheFollower/CacheFollower.ts
@@ -118,9 +118,11 @@
       await this.list('events are missing');
       return true;
     }
+    const isFirst = this.epoch === undefined;
     this.epoch = news.epoch;
     this.next = news.next;
-    if (news.changes.length > 0) {
+    // The first word counts also where it is that the engine keeps nothing.
+    if (isFirst || news.changes.length > 0) {
       listener.onChanges(news.changes);
     }
     return true;
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -16,8 +16,9 @@
     return this.call('list') as Promise<ObjectList<string>>;
   }
 
-  watch(revision: number, wait: number): Promise<WatchResult<string>> {
+  watch(revision: number, wait: number, signal: AbortSignal): Promise<WatchResult<string>> {
     this.waits.push(wait);
+    signal.addEventListener('abort', () => this.waiting?.(new Error('aborted')));
     return this.call(`watch ${revision}`) as Promise<WatchResult<string>>;
   }
 
@@ -54,7 +55,8 @@
 }
 
 describe('StateFollower', () => {
-  async function setUp() {
+  /** Without a pace, unless a test is about it, so that the next call follows an answer at once. */
+  async function setUp(pace = 0) {
     const clock = new ManualClock();
     const source = new ScriptedSource();
     const seen: string[][] = [];
@@ -63,6 +65,7 @@
       source,
       clock,
       random: createRandom(1),
+      options: { pace },
       listener: {
         onItems: (items) => seen.push([...items.keys()].sort()),
         onLost: () => log.push('lost'),
@@ -83,6 +86,56 @@
     expect(seen).toEqual([['a'], ['b']]);
   });
 
+  // Symptom: a start of all daemons uses up the calls that the store takes. Sequence: all replicas
+  // start with them and write their entries one after the other. Cause: each entry ended a watch.
+  it('lets changes that come close together gather before it watches again', async () => {
+    const { clock, source, seen } = await setUp(followOptions.pace);
+    await source.answer(listOf(5, 'a'));
+    await source.answer(changesOf(6, ['b', 'b']));
+    expect(seen).toEqual([['a'], ['a', 'b']]);
+    expect(source.calls).toEqual(['list', 'watch 5']);
+    clock.advance(followOptions.pace);
+    await ScriptedSource.settle();
+    expect(source.calls).toEqual(['list', 'watch 5', 'watch 6']);
+    // After a quiet moment there is nothing to wait for.
+    clock.advance(followOptions.pace);
+    await source.answer(changesOf(7, ['c', 'c']));
+    expect(source.calls).toEqual(['list', 'watch 5', 'watch 6', 'watch 7']);
+  });
+
+  // Symptom: a replica that left gets requests until a watch is over, although other daemons know.
+  // Sequence: the connection of a watch goes silent. Cause: nothing was heard but the own watch.
+  it('gives a silent watch up when another daemon has heard of a change', async () => {
+    const { clock, source, follower, log } = await setUp();
+    follower.setDaemons(74);
+    await source.answer(listOf(5, 'a'));
+    clock.advance(500);
+    follower.noteChangeElsewhere(6);
+    await ScriptedSource.settle();
+    // Its answer may still be on its way.
+    expect(source.calls).toEqual(['list', 'watch 5']);
+    clock.advance(500);
+    follower.noteChangeElsewhere(5);
+    follower.noteChangeElsewhere(6);
+    await ScriptedSource.settle();
+    expect(source.calls).toEqual(['list', 'watch 5', 'watch 5']);
+    expect(source.waits.at(-1)).toBe(1);
+    await source.answer(changesOf(6, ['a', undefined]));
+    expect(source.waits.at(-1)).toBeGreaterThan(followOptions.watchWait);
+    expect(log).toEqual([]);
+  });
+
+  it('waits longer where more daemons watch, and never beyond the longest', async () => {
+    const { source, follower } = await setUp();
+    follower.setDaemons(8);
+    await source.answer(listOf(5, 'a'));
+    expect(source.waits.at(-1)).toBe(followOptions.watchWait);
+    follower.setDaemons(1_800);
+    await source.answer(changesOf(6));
+    expect(source.waits.at(-1)).toBeGreaterThan(followOptions.longestWait / 2);
+    expect(source.waits.at(-1)).toBeLessThanOrEqual(followOptions.longestWait * 1.25);
+  });
+
   // Symptom: a replica that left gets requests for minutes. Sequence: the store drops its history
   // while a replica leaves. Cause: a watch that begins after the gap never tells of it.
   it('lists again when the history is gone, and drops what left in the gap', async () => {
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -1,10 +1,14 @@
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
-import type { ObjectChange, ObjectSource } from './ObjectSource.js';
+import type { ObjectChange, ObjectSource, WatchResult } from './ObjectSource.js';
 
 /** How the store is followed. */
 export interface FollowOptions {
   /** How long one watch waits at the store. */
   watchWait: Milliseconds;
+  /** The longest wait, where other daemons would tell of what this one's watch misses. */
+  longestWait: Milliseconds;
+  /** The shortest time from one watch to the next. */
+  pace: Milliseconds;
   /** The first pause after a call that failed; it doubles up to the longest. */
   firstPause: Milliseconds;
   longestPause: Milliseconds;
@@ -22,6 +26,12 @@
  */
 export const followOptions: FollowOptions = {
   watchWait: 2_000,
+  // Each daemon makes two calls a wait: at 74 daemons and two seconds these were most of all calls.
+  longestWait: 8_000,
+  // When many replicas start at once, each of them would end a watch of its own: with 67 replicas
+  // and 74 daemons some 5,000 calls in the first seconds. A change after a quiet moment is still
+  // heard at once.
+  pace: 150,
   firstPause: 100,
   longestPause: 500,
   returnGrace: 2_500,
@@ -30,6 +40,17 @@
 /** How long the first watch after an outage waits: the shortest that the store knows. */
 const RETURN_WAIT: Milliseconds = 1;
 
+/**
+ * A second of wait for each so many daemons: one of them asks anew within a second of whatever
+ * silenced all their watches at once, and tells the others.
+ */
+const DAEMONS_PER_SECOND = 8;
+
+const SECOND: Milliseconds = 1_000;
+
+/** A watch that is given up for another daemon's word has lasted this long, or it may be on its way. */
+const LEAST_WATCH: Milliseconds = 1_000;
+
 /** What a follower tells of the objects it follows. */
 export interface FollowListener<Item> {
   /** All objects that are believed to exist, after each change. */
@@ -68,6 +89,17 @@
 
   private revision: number | undefined;
 
+  /** The revision at which the last change was heard. */
+  private changedAt: number | undefined;
+
+  /** The watch that waits. */
+  private watching: { since: Milliseconds; abort: AbortController } | undefined;
+
+  /** Another daemon has heard of a change that this one has not. */
+  private isBehind = false;
+
+  private wait: Milliseconds;
+
   private lostAt: Milliseconds | undefined;
 
   /** Deletions heard until then may be of objects that only lapsed. */
@@ -79,6 +111,7 @@
     this.parts = parts;
     this.options = { ...followOptions, ...parts.options };
     this.pause = this.options.firstPause;
+    this.wait = this.options.watchWait;
   }
 
   /** Follows until it is disposed. */
@@ -98,6 +131,35 @@
 
   dispose(): void {
     this.abort.abort();
+    this.watching?.abort.abort();
+  }
+
+  /** The revision of the last change, for other daemons. */
+  get lastChange(): number | undefined {
+    return this.changedAt;
+  }
+
+  /** The more daemons watch, the longer each may wait. */
+  setDaemons(daemons: number): void {
+    const { watchWait, longestWait } = this.options;
+    const wait = (daemons / DAEMONS_PER_SECOND) * SECOND;
+    this.wait = Math.min(longestWait, Math.max(watchWait, wait));
+  }
+
+  /**
+   * Another daemon has heard of a change. What goes wrong without this: a watch on a connection that
+   * went silent tells of nothing until its wait is over, and replicas that leave get requests for as
+   * long.
+   */
+  noteChangeElsewhere(revision: number): void {
+    const { watching } = this;
+    if (this.revision === undefined || revision <= this.revision || watching === undefined) {
+      return;
+    }
+    if (this.parts.clock.now() - watching.since >= LEAST_WATCH) {
+      this.isBehind = true;
+      watching.abort.abort();
+    }
   }
 
   /** When the objects were last known to be complete; undefined before the first list. */
@@ -116,8 +178,14 @@
     }
     // After an outage the first watch does not wait for a change: the return counts from the moment
     // of the return, or the next replica that leaves would be taken for one that lapsed.
-    const wait = this.lostAt === undefined ? this.options.watchWait : RETURN_WAIT;
-    const result = await source.watch(this.revision, wait, this.abort.signal);
+    const mayWait = this.lostAt === undefined && !this.isBehind;
+    const wait = mayWait ? this.getWait() : RETURN_WAIT;
+    this.isBehind = false;
+    const started = this.parts.clock.now();
+    const result = await this.watch(this.revision, wait);
+    if (result === undefined) {
+      return false;
+    }
     if (result.kind === 'history-gone') {
       return true;
     }
@@ -125,9 +193,37 @@
     if (result.revision >= this.revision) {
       this.takeChanges(result.changes, result.revision);
     }
+    await this.rest(started);
     return false;
   }
 
+  /** @returns undefined when it was given up for another daemon's word */
+  private async watch(
+    revision: number,
+    wait: Milliseconds,
+  ): Promise<WatchResult<Item> | undefined> {
+    const abort = new AbortController();
+    this.watching = { since: this.parts.clock.now(), abort };
+    try {
+      return await this.parts.source.watch(revision, wait, abort.signal);
+    } catch (error) {
+      if (this.isBehind) {
+        return undefined;
+      }
+      throw error;
+    } finally {
+      this.watching = undefined;
+    }
+  }
+
+  /** Long waits differ, so that the daemons' watches end one after the other. */
+  private getWait(): Milliseconds {
+    const { watchWait } = this.options;
+    return this.wait <= watchWait
+      ? watchWait
+      : Math.round(this.wait * (0.75 + this.parts.random.next() / 2));
+  }
+
   private takeList(listed: Map<string, Item>, revision: number): void {
     if (this.revision !== undefined && revision < this.revision) {
       return;
@@ -142,6 +238,9 @@
   private takeChanges(changes: ObjectChange<Item>[], revision: number, isFirst = false): void {
     this.revision = revision;
     const isChanged = changes.length > 0 || isFirst;
+    if (isChanged) {
+      this.changedAt = revision;
+    }
     changes.forEach((change) => this.takeChange(change));
     if (isChanged) {
       this.tell();
@@ -208,8 +307,20 @@
     }
     const span = this.pause * (0.5 + random.next() / 2);
     this.pause = Math.min(this.options.longestPause, this.pause * 2);
-    await new Promise<void>((resolve) => {
-      clock.setTimer(span, resolve);
+    await this.sleep(span);
+  }
+
+  /** Lets changes that come close together gather, however short the watch was. */
+  private async rest(started: Milliseconds): Promise<void> {
+    const left = started + this.options.pace - this.parts.clock.now();
+    if (left > 0) {
+      await this.sleep(left);
+    }
+  }
+
+  private sleep(span: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      this.parts.clock.setTimer(span, resolve);
     });
   }
 }
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -30,6 +30,7 @@
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
   | { event: 'replica-suspect'; replica: string; service: string; reason: string }
   | { event: 'replica-trusted'; replica: string; service: string }
+  | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
   | { event: 'peer-lost'; peer: string }
   | { event: 'cache-listed'; replica: string; parts: number; reason: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -23,6 +23,8 @@
   'replica-kept': 'a replica lapsed while the store was away, and is kept until then',
   'replica-suspect': 'a replica gets nothing while others will do, and why',
   'replica-trusted': 'a suspect replica has answered its health check',
+  'replica-avoided':
+    'three attempts of any daemons broke there: it gets nothing for that long while others will do',
   'peer-found': 'another daemon is heard',
   'peer-lost': 'another daemon has fallen silent: what it had under way is forgotten',
   'cache-listed': 'everything that an engine keeps was read, and why',
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -48,6 +48,8 @@
   /** A link, and a wait for what it hears or logs. */
   async function createLink(id: string, directory: PeerDirectory, attempts: SharedAttempt[] = []) {
     const heard: SharedNews[] = [];
+    const counts: number[] = [];
+    const seen: Readonly<Record<string, number>>[] = [];
     const events: RelayEvent[] = [];
     const waits: (() => void)[] = [];
     const wake = () => waits.splice(0).forEach((wait) => wait());
@@ -66,6 +68,15 @@
         wake();
       },
       onGone: wake,
+      getChanges: () => ({ replicas: 7 }),
+      onChanges: (changes) => {
+        seen.push(changes);
+        wake();
+      },
+      onCount: (daemons) => {
+        counts.push(daemons);
+        wake();
+      },
     });
     links.push(link);
     await link.start();
@@ -77,7 +88,7 @@
         });
       }
     };
-    return { link, heard, events, until };
+    return { link, heard, events, counts, seen, until };
   }
 
   afterEach(() => links.splice(0).forEach((link) => link.dispose()));
@@ -106,6 +117,7 @@
     await right.until(() =>
       right.heard.some((news) => news.kind === 'all' && news.attempts.length === 1),
     );
+    expect(right.seen[0]).toEqual({ replicas: 7 });
     expect(right.events.some(({ event }) => event === 'fault')).toBe(false);
   });
 
@@ -119,6 +131,36 @@
     expect([...directory.entries.keys()]).toEqual(['d-2']);
   });
 
+  // Symptom: daemons of a large fleet spend a tenth of a core on telling each other of five requests
+  // a second. Sequence: each placement, first byte and end goes to all others. Cause: what a daemon
+  // hears grows with the number of daemons.
+  it('tells a large fleet of its placements in its regular message alone', async () => {
+    const directory = new MemoryDirectory();
+    const names = Array.from({ length: 18 }, (_item, index) => `d-${index}`);
+    const fleet = await Promise.all(names.map((name) => createLink(name, directory)));
+    await Promise.all(
+      fleet.map(({ link, until }) => until(() => link.livePeers === fleet.length - 1)),
+    );
+    const [first, second] = fleet as [(typeof fleet)[0], (typeof fleet)[0]];
+    second.heard.length = 0;
+    const prompt = { model: 'm', inputTokens: 5, outputTokens: 5, parts: [{ id: 'p', tokens: 5 }] };
+    for (let index = 0; index < 100; index += 1) {
+      const key = `r-${index}/1`;
+      first.link.tell({ kind: 'placed', attempt: { ...ATTEMPT, key, prompt } });
+      first.link.tell({ kind: 'answering', key });
+      first.link.tell({ kind: 'ended', key });
+    }
+    const isPlaced = ({ kind }: SharedNews) => kind === 'placed';
+    await second.until(() => second.heard.some(isPlaced));
+    const placed = second.heard.filter(isPlaced);
+    expect(placed).toHaveLength(30);
+    expect(
+      placed.every((news) => news.kind === 'placed' && news.attempt.prompt === undefined),
+    ).toBe(true);
+    expect(second.heard.some(({ kind }) => kind === 'answering' || kind === 'ended')).toBe(false);
+    await second.until(() => second.counts.length > 0);
+  });
+
   it('takes bytes that are no news for what they are', async () => {
     const directory = new MemoryDirectory();
     const { events, until } = await createLink('d-1', directory);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -3,6 +3,8 @@
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
+import { decodeDatagram, encodeDatagram } from '../datagram/datagram.js';
+import type { Datagram } from '../datagram/datagram.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
 import { PeerTable } from '../PeerTable/PeerTable.js';
 
@@ -18,13 +20,27 @@
   pause: 500 satisfies Milliseconds,
   /** News in one datagram: it stays under the 1,500 bytes that pass in one piece. */
   newsPerDatagram: 5,
+  /**
+   * Up to so many others hear of each placement at once. Each of n daemons sends three messages for
+   * each of its requests to all others: at 74 daemons these were 1,000 datagrams a second both ways
+   * at each, 10% of a core, for 5 requests a second. Above it the regular message says all.
+   */
+  mostClose: 16,
+  /**
+   * Datagrams a second that a daemon hears from all others, which bounds what the size of the fleet
+   * costs each.
+   */
+  datagramsPerSecond: 120,
+  /** Placements that one regular message tells of; more would not fit, and the latest count most. */
+  mostPlaced: 30,
+  /** Breaks that a large fleet is told of at once, between two regular messages. */
+  mostUrgent: 5,
 };
 
-/** One datagram. */
-interface Datagram {
-  from: PeerEntry;
-  news: SharedNews[];
-}
+/** Silence of so many of its regular messages makes a daemon count as gone. */
+const SILENT_MESSAGES = 3.5;
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What the link is made of. */
 export interface PeerLinkParts {
@@ -36,6 +52,12 @@
   getAll: () => SharedAttempt[];
   onNews: (peer: string, news: SharedNews) => void;
   onGone: (peer: string) => void;
+  /** How many daemons there are, this one included; told once the directory is known. */
+  onCount: (daemons: number) => void;
+  /** The revisions of the store's last changes that this daemon has heard of, by kind. */
+  getChanges: () => Record<string, number>;
+  /** The same of another daemon. */
+  onChanges: (changes: Readonly<Record<string, number>>) => void;
 }
 
 function splitAddress(address: string): { host: string; port: number } {
@@ -43,11 +65,6 @@
   return { host: host!, port: Number(port) };
 }
 
-function isDatagram(value: unknown): value is Datagram {
-  const { from, news } = (value ?? {}) as Partial<Datagram>;
-  return typeof from?.id === 'string' && typeof from.address === 'string' && Array.isArray(news);
-}
-
 /**
  * Tells the other daemons what this one has under way, and hears the same of them, in datagrams: a
  * lost one is put right by the next refresh, and nothing ever waits for a daemon that is gone.
@@ -70,6 +87,9 @@
 
   private isRegistered = false;
 
+  /** Breaks that may be told before the next regular message. */
+  private urgentLeft = linkOptions.mostUrgent;
+
   constructor(private readonly parts: PeerLinkParts) {
     this.table = new PeerTable(parts.self.id);
     this.socket = createSocket('udp4');
@@ -88,8 +108,16 @@
 
   /** Tells the others soon; a new placement at once, since they may be choosing right now. */
   tell(news: SharedNews): void {
+    if (!this.isClose && !this.isUrgent(news)) {
+      this.tellLater(news);
+      return;
+    }
     this.pending.push(news);
-    if (news.kind === 'placed' || this.pending.length >= linkOptions.newsPerDatagram) {
+    if (
+      news.kind === 'placed' ||
+      news.kind === 'broke' ||
+      this.pending.length >= linkOptions.newsPerDatagram
+    ) {
       this.flush();
       return;
     }
@@ -117,6 +145,54 @@
     return this.table.live.length;
   }
 
+  /** Breaks are rare, and others act on them; when everything breaks they say nothing new. */
+  private isUrgent({ kind }: SharedNews): boolean {
+    if (kind !== 'broke' || this.urgentLeft === 0) {
+      return false;
+    }
+    this.urgentLeft -= 1;
+    return true;
+  }
+
+  /** Whether there are so few others that each can hear of everything at once. */
+  private get isClose(): boolean {
+    return this.table.live.length <= linkOptions.mostClose;
+  }
+
+  private get refreshSpan(): Milliseconds {
+    const spread =
+      (this.table.all.length * MILLISECONDS_PER_SECOND) / linkOptions.datagramsPerSecond;
+    return Math.max(linkOptions.refresh, spread);
+  }
+
+  /**
+   * Keeps placements for the next regular message, also of what has ended by then: the engine spent
+   * its time on reading it. What is answering by then no longer waits to be read.
+   */
+  private tellLater(news: SharedNews): void {
+    switch (news.kind) {
+      case 'placed': {
+        const attempt = { ...news.attempt, prompt: undefined };
+        this.pending = [...this.pending, { kind: 'placed' as const, attempt }];
+        this.pending = this.pending.slice(-linkOptions.mostPlaced);
+        break;
+      }
+      case 'answering':
+      case 'ended':
+        this.pending.forEach((item) => {
+          if (item.kind === 'placed' && item.attempt.key === news.key) {
+            Object.assign(item.attempt, { isAnswering: true });
+          }
+        });
+        break;
+      case 'broke':
+      case 'all':
+        break;
+      default:
+        news satisfies never;
+    }
+  }
+
   private flush(): void {
     this.gathering?.cancel();
     this.gathering = undefined;
@@ -132,22 +208,30 @@
       return;
     }
     const { clock, onGone, log } = this.parts;
+    if (!this.isClose) {
+      this.flush();
+    }
+    this.urgentLeft = linkOptions.mostUrgent;
     this.tellAll();
-    this.table.takeSilent(clock.now()).forEach((peer) => {
+    const silence = this.refreshSpan * SILENT_MESSAGES;
+    this.table.takeSilent(clock.now(), silence).forEach((peer) => {
       log({ event: 'peer-lost', peer });
       onGone(peer);
     });
-    this.refreshing = clock.setTimer(linkOptions.refresh, () => this.refresh());
+    this.refreshing = clock.setTimer(this.refreshSpan, () => this.refresh());
   }
 
   private tellAll(addresses = this.table.all): void {
     const attempts = this.parts.getAll().map((attempt) => ({ ...attempt, prompt: undefined }));
-    this.sendTo(addresses, [{ kind: 'all', attempts }]);
+    this.sendTo(addresses, [{ kind: 'all', attempts }], this.parts.getChanges());
   }
 
-  private sendTo(addresses: readonly string[], news: SharedNews[]): void {
-    const datagram: Datagram = { from: this.parts.self, news };
-    const bytes = Buffer.from(JSON.stringify(datagram));
+  private sendTo(
+    addresses: readonly string[],
+    news: SharedNews[],
+    changes?: Record<string, number>,
+  ): void {
+    const bytes = encodeDatagram({ from: this.parts.self, news, changes });
     addresses.forEach((address) => {
       const { host, port } = splitAddress(address);
       // A datagram that can't be sent is one that was lost: the refresh covers it.
@@ -156,23 +240,26 @@
   }
 
   private receive(bytes: Buffer): void {
-    let datagram: unknown;
+    let datagram: Datagram;
     try {
-      datagram = JSON.parse(bytes.toString('utf8'));
+      datagram = decodeDatagram(bytes);
     } catch (error) {
       this.fault('read', error);
       return;
     }
-    if (!isDatagram(datagram) || datagram.from.id === this.parts.self.id) {
+    if (datagram.from.id === this.parts.self.id) {
       return;
     }
-    const { from, news } = datagram;
+    const { from, news, changes } = datagram;
     const { clock, log, onNews } = this.parts;
     if (this.table.noteHeard(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
       this.tellAll([from.address]);
     }
     news.forEach((item) => onNews(from.id, item));
+    if (changes !== undefined) {
+      this.parts.onChanges(changes);
+    }
   }
 
   /** Writes the own entry, finds the others, and looks again from time to time. */
@@ -184,6 +271,7 @@
         this.fault('directory', error);
         return false;
       });
+      this.parts.onCount(this.table.all.length + 1);
       const span = isFine ? linkOptions.relist : linkOptions.pause;
       // eslint-disable-next-line no-await-in-loop
       await new Promise<void>((resolve) => {
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
@@ -1,5 +1,7 @@
 import { PeerTable, peerOptions } from './PeerTable.js';
 
+const SILENCE = 3_500;
+
 describe('PeerTable', () => {
   it('counts a listed daemon as live once it is heard, and as gone once it is silent', () => {
     const table = new PeerTable('d-1');
@@ -14,8 +16,8 @@
     expect(table.noteHeard({ id: 'd-2', address: 'a:2' }, 10)).toBe(true);
     expect(table.noteHeard({ id: 'd-2', address: 'a:2' }, 20)).toBe(false);
     expect(table.live).toEqual(['a:2']);
-    expect(table.takeSilent(20 + peerOptions.silence)).toEqual([]);
-    expect(table.takeSilent(21 + peerOptions.silence)).toEqual(['d-2']);
+    expect(table.takeSilent(20 + SILENCE, SILENCE)).toEqual([]);
+    expect(table.takeSilent(21 + SILENCE, SILENCE)).toEqual(['d-2']);
     expect([table.all, table.live]).toEqual([['a:2'], []]);
   });
 
@@ -32,7 +34,7 @@
     expect(table.isFirst).toBe(true);
     table.noteHeard({ id: 'd-1', address: 'a:1' }, 0);
     expect(table.isFirst).toBe(false);
-    table.takeSilent(peerOptions.silence + 1);
+    table.takeSilent(SILENCE + 1, SILENCE);
     expect(table.takeForgotten(peerOptions.forgetAfter)).toEqual([]);
     expect(table.takeForgotten(peerOptions.forgetAfter * 2)).toEqual(['d-1']);
     expect(table.all).toEqual([]);
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
@@ -3,8 +3,6 @@
 
 /** When a peer counts as gone, and when its entry is given up. */
 export const peerOptions = {
-  /** Three of its regular messages were missed. */
-  silence: 3_500 satisfies Milliseconds,
   /** Longer than a machine takes to be replaced under the same name. */
   forgetAfter: 120_000 satisfies Milliseconds,
 };
@@ -45,10 +43,10 @@
   }
 
   /** Peers that have fallen silent since the last call. */
-  takeSilent(now: Milliseconds): string[] {
+  takeSilent(now: Milliseconds, silence: Milliseconds): string[] {
     const silent: string[] = [];
     this.peers.forEach((peer, id) => {
-      if (peer.heardAt !== undefined && now - peer.heardAt > peerOptions.silence) {
+      if (peer.heardAt !== undefined && now - peer.heardAt > silence) {
         Object.assign(peer, { heardAt: undefined, foundAt: now });
         silent.push(id);
       }
--- /dev/null
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -0,0 +1,48 @@
+import type { SharedAttempt } from '../../decide/messages.js';
+import { decodeDatagram, encodeDatagram } from './datagram.js';
+import type { Datagram } from './datagram.js';
+
+const ATTEMPT: SharedAttempt = {
+  key: '9c41d07be2a35f68/1',
+  replica: 'i-c5d157d853',
+  missingTokens: 2_890,
+  memoryTokens: 9_240,
+  isAnswering: true,
+  pauseTarget: 250,
+  prompt: { model: 'm', inputTokens: 5, outputTokens: 7, parts: [{ id: 'p', tokens: 5 }] },
+};
+
+const FROM = { id: 'd-1', address: '10.0.0.1:7001' };
+
+describe('a datagram', () => {
+  it('comes out as it went in', () => {
+    const datagram: Datagram = {
+      from: FROM,
+      news: [
+        { kind: 'placed', attempt: ATTEMPT },
+        { kind: 'answering', key: 'k' },
+        { kind: 'ended', key: 'k' },
+        { kind: 'broke', replica: 'i-1' },
+        {
+          kind: 'all',
+          attempts: [{ ...ATTEMPT, prompt: undefined, pauseTarget: undefined, isAnswering: false }],
+        },
+      ],
+      changes: { configuration: 17, replicas: 29 },
+    };
+    expect(decodeDatagram(encodeDatagram(datagram))).toEqual(datagram);
+  });
+
+  it('tells of twenty attempts in what passes in one piece', () => {
+    const attempts = Array<SharedAttempt>(20).fill({ ...ATTEMPT, prompt: undefined });
+    const bytes = encodeDatagram({ from: FROM, news: [{ kind: 'all', attempts }] });
+    expect(bytes.length).toBeLessThan(1_472);
+  });
+
+  it.each(['nonsense', '{}', '[]', '["d","a",[["x","y"]],null]', '["d","a",[],{"r":"new"}]'])(
+    'is refused when it is none: %s',
+    (text) => {
+      expect(() => decodeDatagram(Buffer.from(text))).toThrow();
+    },
+  );
+});
