Name the store's package after what it holds

packages/platform holds the interfaces and clients of the object store and had the name of the folder that translates for the users' platform: it is packages/store now.

--- a/packages/claims/src/bench/BenchStore.ts
+++ b/packages/claims/src/bench/BenchStore.ts
@@ -1,4 +1,4 @@
-import type { PlatformStore, PutOutcome, StoreChange, StoredObject } from '@apricotrill/platform';
+import type { PlatformStore, PutOutcome, StoreChange, StoredObject } from '@apricotrill/store';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 
 /** What the store was asked for. */
--- a/packages/claims/src/lib/ClaimManager/ClaimSettings.ts
+++ b/packages/claims/src/lib/ClaimManager/ClaimSettings.ts
@@ -1,4 +1,4 @@
-import type { PlatformStore } from '@apricotrill/platform';
+import type { PlatformStore } from '@apricotrill/store';
 import type { Clock } from '@apricotrill/utils';
 import type { ClaimDecision } from '../ClaimDecision.js';
 import type { ClaimOptions } from '../ClaimOptions.js';
--- a/packages/claims/src/lib/ClaimManager/StoreGateway.ts
+++ b/packages/claims/src/lib/ClaimManager/StoreGateway.ts
@@ -1,4 +1,4 @@
-import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import type { PlatformStore, StoredObject } from '@apricotrill/store';
 import type { Clock } from '@apricotrill/utils';
 import type { ClaimCounters } from '../ClaimCounters.js';
 import type { ClaimOptions } from '../ClaimOptions.js';
--- a/packages/claims/src/lib/ClaimShard/CommitLoop.ts
+++ b/packages/claims/src/lib/ClaimShard/CommitLoop.ts
@@ -1,4 +1,4 @@
-import type { StoredObject } from '@apricotrill/platform';
+import type { StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimMember } from '../claimTypes.js';
 import { getHeadKey, getSegmentKey, parseHead } from '../ShardHead.js';
--- a/packages/claims/src/lib/ClaimShard/Takeover.ts
+++ b/packages/claims/src/lib/ClaimShard/Takeover.ts
@@ -1,4 +1,4 @@
-import type { StoredObject } from '@apricotrill/platform';
+import type { StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import { TakeoverProof } from '../ClaimDecision.js';
 import type { ClaimMember } from '../claimTypes.js';
--- a/packages/claims/src/lib/ClaimShard/loadTable.ts
+++ b/packages/claims/src/lib/ClaimShard/loadTable.ts
@@ -1,4 +1,4 @@
-import type { StoredObject } from '@apricotrill/platform';
+import type { StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimOptions } from '../ClaimOptions.js';
 import type { ClaimEntry, ClaimMutation } from '../messages.js';
--- a/packages/claims/src/lib/ClaimShard/shardMessages.ts
+++ b/packages/claims/src/lib/ClaimShard/shardMessages.ts
@@ -1,4 +1,4 @@
-import type { PutOutcome, StoredObject } from '@apricotrill/platform';
+import type { PutOutcome, StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimDecision } from '../ClaimDecision.js';
 import type { ClaimMember, ClaimOutcome, ClaimRequest } from '../claimTypes.js';
--- a/packages/claims/src/test/TestStore.ts
+++ b/packages/claims/src/test/TestStore.ts
@@ -1,5 +1,5 @@
-import type { PlatformStore, PutOutcome, StoreChange, StoredObject } from '@apricotrill/platform';
-import { StoreUnavailableError } from '@apricotrill/platform';
+import type { PlatformStore, PutOutcome, StoreChange, StoredObject } from '@apricotrill/store';
+import { StoreUnavailableError } from '@apricotrill/store';
 
 /** Decides when a message arrives; a fuzz run puts its scheduler here. */
 export type Deliver = (label: string) => Promise<void>;
--- a/packages/cli/src/bin/apricotrill.ts
+++ b/packages/cli/src/bin/apricotrill.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { userInfo } from 'node:os';
-import { HttpPlatformStore } from '@apricotrill/platform';
+import { HttpPlatformStore } from '@apricotrill/store';
 import { SystemClock } from '@apricotrill/utils';
 import { Cli } from 'clipanion';
 import { createCli } from '../lib/createCli.js';
--- a/packages/cli/src/lib/OperatorCommand.ts
+++ b/packages/cli/src/lib/OperatorCommand.ts
@@ -1,5 +1,5 @@
 import { ConfigurationError } from '@apricotrill/configuration';
-import { StoreUnavailableError, ValueTooLargeError } from '@apricotrill/platform';
+import { StoreUnavailableError, ValueTooLargeError } from '@apricotrill/store';
 import { StepError } from '@apricotrill/utils';
 import { Command, Option } from 'clipanion';
 import { DaemonUnavailableError } from './daemons/DaemonUnavailableError.js';
--- a/packages/cli/src/lib/OperatorContext.ts
+++ b/packages/cli/src/lib/OperatorContext.ts
@@ -1,4 +1,4 @@
-import type { PlatformStore } from '@apricotrill/platform';
+import type { PlatformStore } from '@apricotrill/store';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { BaseContext } from 'clipanion';
 import type { MemberList } from './daemons/MemberList.js';
--- a/packages/cli/src/lib/commands/ApplyCommand.ts
+++ b/packages/cli/src/lib/commands/ApplyCommand.ts
@@ -3,7 +3,7 @@
   ConfigurationChange,
   ConfigurationStore,
 } from '@apricotrill/configuration';
-import { StoreUnavailableError } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import { Command, Option } from 'clipanion';
 import { askAnyDaemon } from '../daemons/askAnyDaemon.js';
--- a/packages/cli/src/lib/commands/StatusCommand.ts
+++ b/packages/cli/src/lib/commands/StatusCommand.ts
@@ -1,5 +1,5 @@
 import type { Manifest } from '@apricotrill/configuration';
-import { StoreUnavailableError } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/store';
 import { Command } from 'clipanion';
 import { askAnyDaemon } from '../daemons/askAnyDaemon.js';
 import { askBehind } from '../daemons/askBehind.js';
--- a/packages/cli/src/lib/commands/commands.test.ts
+++ b/packages/cli/src/lib/commands/commands.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { MANIFEST_KEY } from '@apricotrill/configuration';
 import { getApiKeyHash } from '@apricotrill/model';
-import { MemoryPlatformStore, StoreUnavailableError } from '@apricotrill/platform';
+import { MemoryPlatformStore, StoreUnavailableError } from '@apricotrill/store';
 import { ManualClock } from '@apricotrill/utils';
 import { FILES, createOpenStore, createRunCli, getExample } from '../../test/runCli.js';
 import { ExitCode } from '../../index.js';
--- a/packages/cli/src/test/runCli.ts
+++ b/packages/cli/src/test/runCli.ts
@@ -1,5 +1,5 @@
 import { PassThrough } from 'node:stream';
-import { MemoryPlatformStore } from '@apricotrill/platform';
+import { MemoryPlatformStore } from '@apricotrill/store';
 import { ManualClock } from '@apricotrill/utils';
 import type { Clock } from '@apricotrill/utils';
 import { Cli } from 'clipanion';
--- a/packages/cluster/src/bench/Fleet.ts
+++ b/packages/cluster/src/bench/Fleet.ts
@@ -1,5 +1,5 @@
 import { MANIFEST_KEY, PART_PREFIX } from '@apricotrill/configuration';
-import { ObjectStore } from '@apricotrill/platform';
+import { ObjectStore } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { ClusterOptions } from '../lib/clusterOptions.js';
--- a/packages/cluster/src/bench/StoreLink.ts
+++ b/packages/cluster/src/bench/StoreLink.ts
@@ -1,5 +1,5 @@
 import { MANIFEST_KEY, PART_PREFIX } from '@apricotrill/configuration';
-import type { Instance, ObjectStore } from '@apricotrill/platform';
+import type { Instance, ObjectStore } from '@apricotrill/store';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import type { CoreEffect, CoreMessage } from '../lib/coreMessages.js';
--- a/packages/cluster/src/lib/ClusterManager/ClusterManager.test.ts
+++ b/packages/cluster/src/lib/ClusterManager/ClusterManager.test.ts
@@ -5,7 +5,7 @@
   MemoryInstanceList,
   MemoryPlatformStore,
   ObjectStore,
-} from '@apricotrill/platform';
+} from '@apricotrill/store';
 import { createRandom, SystemClock } from '@apricotrill/utils';
 import { MemberState } from '../Member.js';
 import { ClusterManager } from './ClusterManager.js';
--- a/packages/cluster/src/lib/ClusterManager/ClusterManager.ts
+++ b/packages/cluster/src/lib/ClusterManager/ClusterManager.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationInForce } from '@apricotrill/configuration';
 import type { Mesh } from '@apricotrill/mesh';
-import type { InstanceList, PlatformStore } from '@apricotrill/platform';
+import type { InstanceList, PlatformStore } from '@apricotrill/store';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import { ClusterCore } from '../ClusterCore/ClusterCore.js';
--- a/packages/cluster/src/lib/ClusterManager/PlatformTask.ts
+++ b/packages/cluster/src/lib/ClusterManager/PlatformTask.ts
@@ -1,5 +1,5 @@
 import { ConfigurationStore, MANIFEST_KEY } from '@apricotrill/configuration';
-import type { InstanceList, PlatformStore } from '@apricotrill/platform';
+import type { InstanceList, PlatformStore } from '@apricotrill/store';
 import type { Clock } from '@apricotrill/utils';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import type { CoreEffect, CoreMessage } from '../coreMessages.js';
--- a/packages/cluster/src/lib/ListJudge/ListJudge.test.ts
+++ b/packages/cluster/src/lib/ListJudge/ListJudge.test.ts
@@ -1,4 +1,4 @@
-import { InstanceRole, InstanceState } from '@apricotrill/platform';
+import { InstanceRole, InstanceState } from '@apricotrill/store';
 import { getDecided, TestCluster } from '../../test/TestCluster.js';
 
 function createCluster(listLag = 0) {
--- a/packages/cluster/src/lib/ListJudge/ListJudge.ts
+++ b/packages/cluster/src/lib/ListJudge/ListJudge.ts
@@ -1,5 +1,5 @@
-import type { Instance } from '@apricotrill/platform';
-import { InstanceRole, InstanceState } from '@apricotrill/platform';
+import type { Instance } from '@apricotrill/store';
+import { InstanceRole, InstanceState } from '@apricotrill/store';
 import type { Milliseconds, Timer } from '@apricotrill/utils';
 import { DeathCause } from '../ClusterDecision.js';
 import type { CoreContext } from '../CoreContext.js';
--- a/packages/cluster/src/lib/StoreWatcher/StoreWatcher.ts
+++ b/packages/cluster/src/lib/StoreWatcher/StoreWatcher.ts
@@ -1,6 +1,6 @@
 import type { Manifest } from '@apricotrill/configuration';
 import { MANIFEST_KEY, parseManifest } from '@apricotrill/configuration';
-import type { StoreChange } from '@apricotrill/platform';
+import type { StoreChange } from '@apricotrill/store';
 import type { Milliseconds, Timer } from '@apricotrill/utils';
 import { ConfigurationSource } from '../ClusterDecision.js';
 import type { CoreContext } from '../CoreContext.js';
--- a/packages/cluster/src/lib/coreMessages.ts
+++ b/packages/cluster/src/lib/coreMessages.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationInForce } from '@apricotrill/configuration';
-import type { Instance, StoreChange } from '@apricotrill/platform';
+import type { Instance, StoreChange } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClusterDecision } from './ClusterDecision.js';
 import type { PeerAnswer, PeerRequest, ServiceLoad } from './messages.js';
--- a/packages/cluster/src/test/TestCluster.ts
+++ b/packages/cluster/src/test/TestCluster.ts
@@ -1,6 +1,6 @@
 import { MANIFEST_KEY, PART_PREFIX } from '@apricotrill/configuration';
-import type { Instance } from '@apricotrill/platform';
-import { InstanceDirectory, InstanceRole, InstanceState, ObjectStore } from '@apricotrill/platform';
+import type { Instance } from '@apricotrill/store';
+import { InstanceDirectory, InstanceRole, InstanceState, ObjectStore } from '@apricotrill/store';
 import type { Milliseconds, Random } from '@apricotrill/utils';
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { Fate } from '../bench/Carrier.js';
--- a/packages/configuration/src/lib/ConfigurationStore/ConfigurationReader.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationReader.ts
@@ -1,4 +1,4 @@
-import type { PlatformStore } from '@apricotrill/platform';
+import type { PlatformStore } from '@apricotrill/store';
 import PQueue from 'p-queue';
 import { ConfigurationError } from '../ConfigurationError.js';
 import type { ConfigurationInForce } from '../InForceConfiguration/InForceConfiguration.js';
--- a/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.fuzz.test.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.fuzz.test.ts
@@ -1,6 +1,6 @@
 /* eslint-disable no-await-in-loop -- each actor does one thing after the other */
 import type { Configuration } from '@apricotrill/model';
-import { ObjectStore, StoreUnavailableError } from '@apricotrill/platform';
+import { ObjectStore, StoreUnavailableError } from '@apricotrill/store';
 import { ManualClock, createRandom } from '@apricotrill/utils';
 import * as fc from 'fast-check';
 import { ChainOracle } from '../../test/ChainOracle.js';
--- a/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.test.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.test.ts
@@ -1,4 +1,4 @@
-import { MemoryPlatformStore } from '@apricotrill/platform';
+import { MemoryPlatformStore } from '@apricotrill/store';
 import { ManualClock } from '@apricotrill/utils';
 import { createConfiguration, setWeight } from '../../test/createConfiguration.js';
 import { ConfigurationError, ConfigurationStore, MANIFEST_KEY } from '../../index.js';
--- a/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/ConfigurationStore.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from '@apricotrill/model';
-import { StoreUnavailableError } from '@apricotrill/platform';
-import type { PlatformStore } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/store';
+import type { PlatformStore } from '@apricotrill/store';
 import type { Clock } from '@apricotrill/utils';
 import type { ConfigurationDifference } from '../diff/getConfigurationDiff.js';
 import type { ConfigurationInForce } from '../InForceConfiguration/InForceConfiguration.js';
--- a/packages/configuration/src/lib/ConfigurationStore/GarbageCollector.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/GarbageCollector.ts
@@ -1,4 +1,4 @@
-import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import type { PlatformStore, StoredObject } from '@apricotrill/store';
 import PQueue from 'p-queue';
 import { ARCHIVE_PREFIX, MANIFEST_KEY, PART_PREFIX, parseManifest } from '../Manifest.js';
 import type { Manifest } from '../Manifest.js';
--- a/packages/configuration/src/lib/ConfigurationStore/PartWriter.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/PartWriter.ts
@@ -1,5 +1,5 @@
-import { StoreUnavailableError } from '@apricotrill/platform';
-import type { PlatformStore } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/store';
+import type { PlatformStore } from '@apricotrill/store';
 import PQueue from 'p-queue';
 import { PART_PREFIX } from '../Manifest.js';
 import type { ConfigurationOptions } from '../options.js';
--- a/packages/configuration/src/lib/ConfigurationStore/checkSizes.ts
+++ b/packages/configuration/src/lib/ConfigurationStore/checkSizes.ts
@@ -1,4 +1,4 @@
-import { ValueTooLargeError } from '@apricotrill/platform';
+import { ValueTooLargeError } from '@apricotrill/store';
 import { LARGEST_VALUE_BYTES } from '../options.js';
 import type { ConfigurationPart } from '../parts/getConfigurationParts.js';
 
--- a/packages/configuration/src/test/ChainOracle.ts
+++ b/packages/configuration/src/test/ChainOracle.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from '@apricotrill/platform';
+import type { ObjectStore } from '@apricotrill/store';
 import { MANIFEST_KEY, PART_PREFIX, parseManifest } from '../index.js';
 import type { Manifest } from '../index.js';
 
--- a/packages/configuration/src/test/ScheduledStore.ts
+++ b/packages/configuration/src/test/ScheduledStore.ts
@@ -1,11 +1,11 @@
-import { StoreUnavailableError } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/store';
 import type {
   ObjectStore,
   PlatformStore,
   PutOutcome,
   StoreChange,
   StoredObject,
-} from '@apricotrill/platform';
+} from '@apricotrill/store';
 import type { Scheduler } from 'fast-check';
 
 /** What becomes of one call on its way to the store and back. */
--- a/packages/demo/src/lib/DemoCommand.ts
+++ b/packages/demo/src/lib/DemoCommand.ts
@@ -1,6 +1,6 @@
 import { ConfigurationStore } from '@apricotrill/configuration';
 import type { Configuration } from '@apricotrill/model';
-import { HttpPlatformStore } from '@apricotrill/platform';
+import { HttpPlatformStore } from '@apricotrill/store';
 import { createPlatformStandin } from '@apricotrill/standins';
 import { SystemClock, createRandom } from '@apricotrill/utils';
 import type { Random } from '@apricotrill/utils';
--- a/packages/e2e/src/lib/silentStore.test.ts
+++ b/packages/e2e/src/lib/silentStore.test.ts
@@ -1,4 +1,4 @@
-import type { StoreFault } from '@apricotrill/platform';
+import type { StoreFault } from '@apricotrill/store';
 import { Fleet } from '../test/Fleet.js';
 import { FleetCaller } from '../test/FleetCaller.js';
 import { placeHolds, startShards } from '../test/shards.js';
--- a/packages/e2e/src/test/Fleet.ts
+++ b/packages/e2e/src/test/Fleet.ts
@@ -1,5 +1,5 @@
-import type { Instance } from '@apricotrill/platform';
-import { InstanceRole, InstanceState } from '@apricotrill/platform';
+import type { Instance } from '@apricotrill/store';
+import { InstanceRole, InstanceState } from '@apricotrill/store';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
--- a/packages/e2e/src/test/PlatformProcess.ts
+++ b/packages/e2e/src/test/PlatformProcess.ts
@@ -1,4 +1,4 @@
-import type { Instance, StoreFault } from '@apricotrill/platform';
+import type { Instance, StoreFault } from '@apricotrill/store';
 import { request } from 'undici';
 import { Binary, Subprocess } from './Subprocess.js';
 
--- a/packages/experiment/src/lib/capacity/measureFullSize.ts
+++ b/packages/experiment/src/lib/capacity/measureFullSize.ts
@@ -1,7 +1,7 @@
 import { ClaimManager } from '@apricotrill/claims';
 import { InForceConfiguration } from '@apricotrill/configuration';
 import type { Manifest } from '@apricotrill/configuration';
-import { MemoryPlatformStore } from '@apricotrill/platform';
+import { MemoryPlatformStore } from '@apricotrill/store';
 import { Scheduler } from '@apricotrill/policy';
 import { assert, createRandom, ManualClock } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
--- a/packages/experiment/src/lib/capacity/probes/ClaimsFleet.ts
+++ b/packages/experiment/src/lib/capacity/probes/ClaimsFleet.ts
@@ -1,6 +1,6 @@
 import { ClaimManager, DEFAULT_CLAIM_OPTIONS } from '@apricotrill/claims';
 import type { ClaimCounters, ClaimMember, ClaimMessage } from '@apricotrill/claims';
-import { MemoryPlatformStore, ObjectStore } from '@apricotrill/platform';
+import { MemoryPlatformStore, ObjectStore } from '@apricotrill/store';
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { Milliseconds, Random } from '@apricotrill/utils';
 import { advanceClock } from '../../measure/advanceClock.js';
--- a/packages/experiment/src/lib/capacity/probes/ClaimsProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/ClaimsProbe.ts
@@ -1,5 +1,5 @@
 import { ClaimManager, DEFAULT_CLAIM_OPTIONS } from '@apricotrill/claims';
-import { MemoryPlatformStore } from '@apricotrill/platform';
+import { MemoryPlatformStore } from '@apricotrill/store';
 import { ManualClock } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import { fitLine } from '../../measure/fitLine.js';
--- a/packages/experiment/src/lib/capacity/probes/ClusterFleet.ts
+++ b/packages/experiment/src/lib/capacity/probes/ClusterFleet.ts
@@ -8,7 +8,7 @@
   MemoryInstanceList,
   MemoryPlatformStore,
   ObjectStore,
-} from '@apricotrill/platform';
+} from '@apricotrill/store';
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import { advanceClock } from '../../measure/advanceClock.js';
--- a/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
@@ -2,7 +2,7 @@
 import type { EngineOrders, EngineState } from '@apricotrill/placement';
 import { EngineRole } from '@apricotrill/model';
 import type { Replica } from '@apricotrill/model';
-import { MemoryPlatformStore, ObjectStore } from '@apricotrill/platform';
+import { MemoryPlatformStore, ObjectStore } from '@apricotrill/store';
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import { advanceClock } from '../../measure/advanceClock.js';
--- a/packages/experiment/src/lib/sharedBench/processes/PlatformProcess.ts
+++ b/packages/experiment/src/lib/sharedBench/processes/PlatformProcess.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici';
-import type { CallCounters, Instance } from '@apricotrill/platform';
+import type { CallCounters, Instance } from '@apricotrill/store';
 import { StepError } from '@apricotrill/utils';
 import { BenchProcess, FleetBinary } from './BenchProcess.js';
 
--- a/packages/experiment/src/lib/sharedBench/spread/FleetSample.ts
+++ b/packages/experiment/src/lib/sharedBench/spread/FleetSample.ts
@@ -1,4 +1,4 @@
-import type { CallCounters } from '@apricotrill/platform';
+import type { CallCounters } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { DaemonProcess } from '../processes/DaemonProcess.js';
 import { groupMetric, sumMetric } from '../processes/parseMetrics.js';
--- a/packages/experiment/src/lib/sharedBench/spread/getFleetRates.ts
+++ b/packages/experiment/src/lib/sharedBench/spread/getFleetRates.ts
@@ -1,4 +1,4 @@
-import type { CallCounters } from '@apricotrill/platform';
+import type { CallCounters } from '@apricotrill/store';
 import type { DaemonSample, FleetSample } from './FleetSample.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
--- a/packages/placement/src/bench/measureHolder.ts
+++ b/packages/placement/src/bench/measureHolder.ts
@@ -1,5 +1,5 @@
 import { createRandom, ManualClock } from '@apricotrill/utils';
-import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import type { PlatformStore, StoredObject } from '@apricotrill/store';
 import { EngineRole } from '@apricotrill/model';
 import { getDesiredPlacement } from '../lib/DesiredPlacement/getDesiredPlacement.js';
 import { PlacementManager } from '../lib/PlacementManager/PlacementManager.js';
--- a/packages/placement/src/lib/Lease/Lease.test.ts
+++ b/packages/placement/src/lib/Lease/Lease.test.ts
@@ -1,4 +1,4 @@
-import type { StoredObject } from '@apricotrill/platform';
+import type { StoredObject } from '@apricotrill/store';
 import { defaultPlacementOptions } from '../placementOptions.js';
 import { Lease } from './Lease.js';
 import type { LeaseEffect } from './leaseMessages.js';
--- a/packages/placement/src/lib/Lease/Lease.ts
+++ b/packages/placement/src/lib/Lease/Lease.ts
@@ -1,5 +1,5 @@
 import { exhaustiveSwitchError } from '@apricotrill/utils';
-import type { PutOutcome, StoredObject } from '@apricotrill/platform';
+import type { PutOutcome, StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 import { LeaseCalls, NEVER } from './LeaseCalls.js';
 import { getGrantedFencingNumber, parseLeaseRecord } from './LeaseRecord.js';
--- a/packages/placement/src/lib/Lease/LeaseRecord.ts
+++ b/packages/placement/src/lib/Lease/LeaseRecord.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { StoredObject } from '@apricotrill/platform';
+import type { StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 
 /**
--- a/packages/placement/src/lib/Lease/leaseMessages.ts
+++ b/packages/placement/src/lib/Lease/leaseMessages.ts
@@ -1,4 +1,4 @@
-import type { PutOutcome, StoredObject } from '@apricotrill/platform';
+import type { PutOutcome, StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 
 /** What the lease is told. `attempt` names the call an answer belongs to. */
--- a/packages/placement/src/lib/LeaseManager/LeaseManager.test.ts
+++ b/packages/placement/src/lib/LeaseManager/LeaseManager.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@apricotrill/utils';
-import type { PlatformStore, StoredObject } from '@apricotrill/platform';
+import type { PlatformStore, StoredObject } from '@apricotrill/store';
 import { advance } from '../../test/Link.js';
 import { LeaseManager } from './LeaseManager.js';
 
--- a/packages/placement/src/lib/LeaseManager/LeaseManager.ts
+++ b/packages/placement/src/lib/LeaseManager/LeaseManager.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { exhaustiveSwitchError } from '@apricotrill/utils';
-import type { PlatformStore } from '@apricotrill/platform';
+import type { PlatformStore } from '@apricotrill/store';
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import { Lease } from '../Lease/Lease.js';
 import { defaultPlacementOptions } from '../placementOptions.js';
--- a/packages/placement/src/lib/PlacementManager/PlacementManager.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from '@apricotrill/model';
-import type { PlatformStore } from '@apricotrill/platform';
+import type { PlatformStore } from '@apricotrill/store';
 import type { Clock, Random, Timer } from '@apricotrill/utils';
 import { LeaseManager } from '../LeaseManager/LeaseManager.js';
 import { defaultPlacementOptions } from '../placementOptions.js';
--- a/packages/placement/src/test/FakeStore.ts
+++ b/packages/placement/src/test/FakeStore.ts
@@ -1,5 +1,5 @@
-import { StoreUnavailableError } from '@apricotrill/platform';
-import type { PlatformStore, PutOutcome, StoredObject } from '@apricotrill/platform';
+import { StoreUnavailableError } from '@apricotrill/store';
+import type { PlatformStore, PutOutcome, StoredObject } from '@apricotrill/store';
 import { parseLeaseRecord } from '../lib/Lease/LeaseRecord.js';
 import type { Link } from './Link.js';
 
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -9,7 +9,8 @@
   PlacementMessage,
   PlacementRequest,
   SharedAttempt,
- AttemptEnd} from '../messages.js';
+  AttemptEnd,
+} from '../messages.js';
 import { PeerAttempts, getShared } from '../PeerAttempts/PeerAttempts.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
--- a/packages/router/src/lib/observe/addControlMetrics.ts
+++ b/packages/router/src/lib/observe/addControlMetrics.ts
@@ -1,6 +1,6 @@
 import type { ClusterCounters } from '@apricotrill/cluster';
 import type { TopicTraffic } from '@apricotrill/mesh';
-import type { CallCounters } from '@apricotrill/platform';
+import type { CallCounters } from '@apricotrill/store';
 import { Counter, Gauge } from 'prom-client';
 import type { Registry } from 'prom-client';
 
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -7,7 +7,7 @@
 import { Mesh } from '@apricotrill/mesh';
 import type { Configuration, Settings } from '@apricotrill/model';
 import { HttpEngineOrders, PlacementManager } from '@apricotrill/placement';
-import { HttpInstanceList, HttpPlatformStore } from '@apricotrill/platform';
+import { HttpInstanceList, HttpPlatformStore } from '@apricotrill/store';
 import type { Clock, Random } from '@apricotrill/utils';
 import type { Registry } from 'prom-client';
 import type { DaemonPorts, SharedState, SharedStateListener } from '../daemon/SharedState.js';
--- a/packages/standins/src/lib/engine/EngineBatch.ts
+++ b/packages/standins/src/lib/engine/EngineBatch.ts
@@ -1,5 +1,5 @@
-import { LaggedValue } from '@apricotrill/platform';
-import type { Reading } from '@apricotrill/platform';
+import { LaggedValue } from '@apricotrill/store';
+import type { Reading } from '@apricotrill/store';
 import type { Clock, Timer } from '@apricotrill/utils';
 import { defaultEngineBatchOptions } from './EngineBatchOptions.js';
 import type { EngineBatchOptions } from './EngineBatchOptions.js';
--- a/packages/standins/src/lib/platform/ObjectRoutes.ts
+++ b/packages/standins/src/lib/platform/ObjectRoutes.ts
@@ -1,12 +1,12 @@
 import type { ServerResponse } from 'node:http';
-import { MAX_VALUE_BYTES } from '@apricotrill/platform';
+import { MAX_VALUE_BYTES } from '@apricotrill/store';
 import type {
   CallCounters,
   ObjectStore,
   PutOutcome,
   StoreFaultSwitch,
   StoredObject,
-} from '@apricotrill/platform';
+} from '@apricotrill/store';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { getNumberQuery } from '../http/getNumberQuery.js';
 import { readBody } from '../http/readBody.js';
--- a/packages/standins/src/lib/platform/PlatformStandin.fuzz.test.ts
+++ b/packages/standins/src/lib/platform/PlatformStandin.fuzz.test.ts
@@ -1,9 +1,5 @@
-import {
-  HttpPlatformStore,
-  MemoryPlatformStore,
-  StoreUnavailableError,
-} from '@apricotrill/platform';
-import type { PlatformStore, StoreFault, StoredObject } from '@apricotrill/platform';
+import { HttpPlatformStore, MemoryPlatformStore, StoreUnavailableError } from '@apricotrill/store';
+import type { PlatformStore, StoreFault, StoredObject } from '@apricotrill/store';
 import { ManualClock } from '@apricotrill/utils';
 import fc from 'fast-check';
 import { createPlatformStandin } from './PlatformStandin.js';
--- a/packages/standins/src/lib/platform/PlatformStandin.test.ts
+++ b/packages/standins/src/lib/platform/PlatformStandin.test.ts
@@ -6,8 +6,8 @@
   MAX_VALUE_BYTES,
   StoreUnavailableError,
   ValueTooLargeError,
-} from '@apricotrill/platform';
-import type { PlatformStore } from '@apricotrill/platform';
+} from '@apricotrill/store';
+import type { PlatformStore } from '@apricotrill/store';
 import { ManualClock } from '@apricotrill/utils';
 import { until } from '../../test/until.js';
 import { createPlatformStandin } from './PlatformStandin.js';
--- a/packages/standins/src/lib/platform/PlatformStandin.ts
+++ b/packages/standins/src/lib/platform/PlatformStandin.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
-import { InstanceDirectory, ObjectStore, StoreFaultSwitch } from '@apricotrill/platform';
-import type { Instance, StoreFault } from '@apricotrill/platform';
+import { InstanceDirectory, ObjectStore, StoreFaultSwitch } from '@apricotrill/store';
+import type { Instance, StoreFault } from '@apricotrill/store';
 import { SystemClock } from '@apricotrill/utils';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { readJson } from '../http/readBody.js';
--- a/packages/standins/src/lib/service/ServiceQueue.ts
+++ b/packages/standins/src/lib/service/ServiceQueue.ts
@@ -1,5 +1,5 @@
-import { LaggedValue } from '@apricotrill/platform';
-import type { Reading } from '@apricotrill/platform';
+import { LaggedValue } from '@apricotrill/store';
+import type { Reading } from '@apricotrill/store';
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 
 /** How busy a plain service is. */
