Give answers the engines that their slots need, and prompts the others

Cause: engines were parted by what prompts need at three tenths of an engine's time, up to all but one. Now the answers' slots decide (half of them in use), prompts get the rest; what waits for a slot has a cost; sessions whose engines don't tell what they keep live on their side. The event loop's delay is looked at each 100 ms in place of 10; 80 datagrams a second in place of 120.

--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -26,6 +26,8 @@
 interface EngineInputs extends ChoiceInputs {
   reading: ReadonlySet<ReplicaState>;
   holdings: ReadonlyMap<ReplicaState, Holding>;
+  /** The engines that the prompt's session prefers, the best first. */
+  homes: readonly ReplicaState[];
   sources: readonly Source[];
 }
 
@@ -140,7 +142,10 @@
   const missingTokens = Math.max(0, prompt.inputTokens - cached - (copy?.tokens ?? 0));
   const others = state.getWaiting(now) * missingTokens;
   const reading = (state.getBacklog(now) + others + missingTokens) / options.readRate;
-  const running = (state.running.size + state.getOthers(now)) * options.runningCost;
+  const load = state.running.size + state.getOthers(now);
+  const slots = inputs.service?.engine?.slots ?? Number.POSITIVE_INFINITY;
+  const full = (Math.max(0, load + 1 - slots) / slots) * options.slotWait;
+  const running = load * options.runningCost + full;
   const pauses = getPauseCost(inputs, state, missingTokens);
   const memory = getMemoryCost(inputs, state, prompt);
   const cost = reading + (copy?.time ?? 0) + running + pauses + memory;
@@ -175,15 +180,11 @@
  * Sessions that no engine holds yet have a home that all daemons compute alike: otherwise each
  * daemon would start the same session elsewhere.
  */
-function preferHome({ request, options }: ChoiceInputs, offers: Offer[]): void {
-  const session = request.prompt === undefined ? undefined : getSessionPart(request.prompt);
-  if (session === undefined || offers.length < 2) {
+function preferHome({ homes, options }: EngineInputs, offers: Offer[]): void {
+  if (offers.length < 2) {
     return;
   }
-  const [first, second] = getHomes(
-    session,
-    offers.map(({ state }) => state),
-  );
+  const [first, second] = homes;
   offers
     .filter(({ state }) => state === first || state === second)
     .forEach((offer) => {
@@ -192,14 +193,37 @@
     });
 }
 
+/**
+ * Where engines do not tell what they keep, sessions of long prompts live at engines that read, the
+ * others at those that answer: one whose home is on the wrong side would be sent elsewhere each
+ * time, and read anew there. Where they tell, a home is only for sessions that nobody holds.
+ */
+function getSessionHomes(
+  prompt: Prompt,
+  candidates: readonly ReplicaState[],
+  reading: ReadonlySet<ReplicaState>,
+  isAnswer: boolean,
+): ReplicaState[] {
+  const session = getSessionPart(prompt);
+  if (session === undefined) {
+    return [];
+  }
+  const isBlind = candidates.some(({ cache }) => !cache.isKnown);
+  const side = candidates.filter((state) => reading.has(state) !== isAnswer);
+  return getHomes(session, isBlind && side.length > 0 ? side : candidates);
+}
+
 function getEngineInputs(inputs: ChoiceInputs): EngineInputs {
-  const { candidates, now, options, request } = inputs;
+  const { candidates, now, options, request, service } = inputs;
   if (request.prompt === undefined) {
-    return { ...inputs, reading: NO_ENGINES, holdings: NO_HOLDINGS, sources: [] };
+    return { ...inputs, reading: NO_ENGINES, homes: [], holdings: NO_HOLDINGS, sources: [] };
   }
-  const holdings = getHoldings(request.prompt, candidates, now);
-  const reading = getReadingEngines(request.service, candidates, now, options);
-  return { ...inputs, reading, holdings, sources: getSources(holdings) };
+  const profile = service?.engine;
+  const reading = getReadingEngines(request.service, candidates, { profile, options });
+  const isAnswer = isSlowedByReading(request.pauseTarget, profile, options);
+  const homes = getSessionHomes(request.prompt, candidates, reading, isAnswer);
+  const holdings = getHoldings(request.prompt, candidates, homes[0], now);
+  return { ...inputs, reading, homes, holdings, sources: getSources(holdings) };
 }
 
 /**
@@ -216,7 +240,7 @@
   const commonFailures = getCommonFailures(candidates);
   const engineInputs = getEngineInputs(inputs);
   const offers = candidates.map((state) => getOffer(engineInputs, state, commonFailures));
-  preferHome(inputs, offers);
+  preferHome(engineInputs, offers);
   offers.sort((left, right) => left.cost - right.cost);
   const [best, second] = offers as [Offer, Offer | undefined];
   const { lastReport } = best.state;
--- a/packages/relay/src/lib/decide/getHoldings.test.ts
+++ b/packages/relay/src/lib/decide/getHoldings.test.ts
@@ -26,7 +26,7 @@
   const states = ENGINES.map((replica) => new ReplicaState(replica, placementOptions));
 
   it('takes engines that were never heard for homes of their sessions', () => {
-    const holdings = [...getHoldings(createPromptOf('s-1', 'own'), states, 0).values()];
+    const holdings = [...getHoldings(createPromptOf('s-1', 'own'), states, states[3], 0).values()];
     const cached = holdings.map((holding) => holding.cached).sort((left, right) => right - left);
     expect(cached.slice(0, 3)).toEqual([6_300, 2_500, 2_500]);
   });
@@ -34,7 +34,7 @@
   it('believes engines that tell what they keep', () => {
     const told = ENGINES.map((replica) => new ReplicaState(replica, placementOptions));
     told.forEach(({ cache }) => cache.replace([]));
-    const holdings = [...getHoldings(createPromptOf('s-1', 'own'), told, 0).values()];
+    const holdings = [...getHoldings(createPromptOf('s-1', 'own'), told, told[3], 0).values()];
     expect(holdings.every(({ cached, copyable }) => cached === 0 && copyable === 0)).toBe(true);
   });
 });
--- a/packages/relay/src/lib/decide/getHoldings.ts
+++ b/packages/relay/src/lib/decide/getHoldings.ts
@@ -38,15 +38,15 @@
  * sees too few requests to know. Taken for empty, all engines look alike, each small wait sends a
  * session to another engine, and its history is read anew there. So an engine that was never heard
  * is taken to hold the sessions that it is the home of, and the heads that all sessions share.
+ *
+ * @param home - the engine that the prompt's session prefers
  */
 export function getHoldings(
   prompt: Prompt,
   engines: readonly ReplicaState[],
+  home: ReplicaState | undefined,
   now: Milliseconds,
 ): ReadonlyMap<ReplicaState, Holding> {
-  const session = getSessionPart(prompt);
-  const isBlind = engines.some(({ cache }) => !cache.isKnown);
-  const home = isBlind && session !== undefined ? getHomes(session, engines)[0] : undefined;
   // A prompt of one part may be a session's or its own: nothing is taken for held.
   const shared = Math.max(0, prompt.parts.length - 1);
   const getAssumed = (engine: ReplicaState) => {
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -14,6 +14,12 @@
 /** Spans from a few milliseconds to the longest timeouts in use, in seconds. */
 const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 4, 8, 16];
 
+/**
+ * How often the event loop's delay is looked at, in milliseconds; the library's 10 wake an idle
+ * daemon a hundred times a second.
+ */
+const EVENT_LOOP_PRECISION = 100;
+
 /** The daemon's metrics, under names that follow the conventions of Prometheus. */
 export class RelayMetrics {
   readonly registry = new Registry();
@@ -93,7 +99,10 @@
   });
 
   constructor() {
-    collectDefaultMetrics({ register: this.registry });
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION,
+    });
   }
 
   private readonly routes = new LabelSet();
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -30,7 +30,7 @@
    * Datagrams a second that a daemon hears from all others, which bounds what the size of the fleet
    * costs each.
    */
-  datagramsPerSecond: 120,
+  datagramsPerSecond: 80,
   /** Placements that one regular message tells of; more would not fit, and the latest count most. */
   mostPlaced: 30,
   /** Breaks that a large fleet is told of at once, between two regular messages. */
