Part engines by what prompts need again; a wait for a slot keeps its cost

So the parting is reverted, and homes are over all engines again. Kept: an engine whose slots are full costs its callers the wait for a slot, by the length of a long answer (2.5 s). It alone keeps a burst of prompts from sending all short questions to one engine: test readingEngines.test.ts, 10 answers at an engine of 8 slots with a cost of one second or none, at most 8 with it.

--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -193,35 +193,14 @@
     });
 }
 
-/**
- * Where engines do not tell what they keep, sessions of long prompts live at engines that read, the
- * others at those that answer: one whose home is on the wrong side would be sent elsewhere each
- * time, and read anew there. Where they tell, a home is only for sessions that nobody holds.
- */
-function getSessionHomes(
-  prompt: Prompt,
-  candidates: readonly ReplicaState[],
-  reading: ReadonlySet<ReplicaState>,
-  isAnswer: boolean,
-): ReplicaState[] {
-  const session = getSessionPart(prompt);
-  if (session === undefined) {
-    return [];
-  }
-  const isBlind = candidates.some(({ cache }) => !cache.isKnown);
-  const side = candidates.filter((state) => reading.has(state) !== isAnswer);
-  return getHomes(session, isBlind && side.length > 0 ? side : candidates);
-}
-
 function getEngineInputs(inputs: ChoiceInputs): EngineInputs {
-  const { candidates, now, options, request, service } = inputs;
+  const { candidates, now, options, request } = inputs;
   if (request.prompt === undefined) {
     return { ...inputs, reading: NO_ENGINES, homes: [], holdings: NO_HOLDINGS, sources: [] };
   }
-  const profile = service?.engine;
-  const reading = getReadingEngines(request.service, candidates, { profile, options });
-  const isAnswer = isSlowedByReading(request.pauseTarget, profile, options);
-  const homes = getSessionHomes(request.prompt, candidates, reading, isAnswer);
+  const reading = getReadingEngines(request.service, candidates, now, options);
+  const session = getSessionPart(request.prompt);
+  const homes = session === undefined ? [] : getHomes(session, candidates);
   const holdings = getHoldings(request.prompt, candidates, homes[0], now);
   return { ...inputs, reading, homes, holdings, sources: getSources(holdings) };
 }
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -27,8 +27,8 @@
   slowedCost: Milliseconds;
   /** What it costs to send a prompt to an engine that answers, or a stream to one that reads. */
   wrongSideCost: Milliseconds;
-  /** The part of its slots that an engine that makes long answers is to use. */
-  answeringUse: number;
+  /** The part of their time that the engines that read prompts are to spend on it. */
+  readingUse: number;
   /** What it costs to wait for a slot where as many wait as run. */
   slotWait: Milliseconds;
   /** Tokens that an engine reads in one step, between the steps of running streams. */
@@ -82,10 +82,9 @@
   pressureCost: 150,
   slowedCost: 6,
   wrongSideCost: 40,
-  // Room for what other daemons place before they hear of it.
-  answeringUse: 0.5,
-  // A long answer lasts about a second.
-  slotWait: 1_000,
+  readingUse: 0.3,
+  // A long answer lasts two to three seconds.
+  slotWait: 2_500,
   // The chunk of the engines in use.
   chunkTokens: 2_048,
   // Setting a copy up takes about as long as reading a hundred tokens.
--- a/packages/relay/src/lib/decide/readingEngines.test.ts
+++ b/packages/relay/src/lib/decide/readingEngines.test.ts
@@ -22,7 +22,7 @@
   // Load pattern: a burst of long prompts beside many short questions with long answers. As many
   // engines as the prompts need were kept for reading, up to all but one: the questions of a whole
   // fleet met at that one, filled its slots, and were turned away.
-  it('leaves answers the engines that their slots need, whatever the prompts ask for', () => {
+  it('fills no engine beyond its slots with answers, whatever the prompts ask for', () => {
     const service = createEngineService('llm');
     const slots = 8;
     const harness = new CoreHarness(
