Answer once more on connections that rest at SIGTERM; pause between lists that lag

Its daemon was told to stop in the millisecond in which the caller sent on a connection that rested; resting connections were closed at that moment.

--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -63,13 +63,13 @@
   }
 
   /**
-   * From now on each connection ends with the answer it carries, and those that carry none end at
-   * once. New ones are still taken: the balancer goes on sending them for a while.
+   * From now on each connection ends with the answer it carries, also those that rest: closed while
+   * its caller is sending the next request, a connection fails that request before it was read. New
+   * ones are still taken: the balancer goes on sending them for a while.
    */
   drain(): void {
     this.isDraining = true;
     this.open.forEach((response) => Object.assign(response, { shouldKeepAlive: false }));
-    this.server.closeIdleConnections();
   }
 
   /** Takes no new connections, and ends those that carry no request. */
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -125,6 +125,18 @@
     expect(log).toEqual([]);
   });
 
+  // Symptom: a daemon asks the store as fast as it answers. Sequence: lists lag behind, and the
+  // history that a watch would need is gone. Cause: from one to the other and back without a pause.
+  it('pauses between lists that lag behind the history', async () => {
+    const { clock, source } = await setUp(followOptions.pace);
+    await source.answer(listOf(5, 'a'));
+    await source.answer({ kind: 'history-gone' });
+    expect(source.calls).toEqual(['list', 'watch 5']);
+    clock.advance(followOptions.pace);
+    await ScriptedSource.settle();
+    expect(source.calls).toEqual(['list', 'watch 5', 'list']);
+  });
+
   it('waits longer where more daemons watch, and never beyond the longest', async () => {
     const { source, follower } = await setUp();
     follower.setDaemons(8);
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -100,6 +100,9 @@
 
   private wait: Milliseconds;
 
+  /** When everything was last asked for. */
+  private listedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
   private lostAt: Milliseconds | undefined;
 
   /** Deletions heard until then may be of objects that only lapsed. */
@@ -171,6 +174,7 @@
   private async step(mustList: boolean): Promise<boolean> {
     const { source } = this.parts;
     if (mustList || this.revision === undefined) {
+      this.listedAt = this.parts.clock.now();
       const list = await source.list();
       this.markReturn();
       this.takeList(list.items, list.revision);
@@ -187,6 +191,8 @@
       return false;
     }
     if (result.kind === 'history-gone') {
+      // A list that lags behind the history leads here at once, and without a pause to the next.
+      await this.rest(this.listedAt);
       return true;
     }
     this.markReturn();
