One copy of what tests wait with, call with and find ports by

Cause: read as a newcomer, the soak and the platform's tests wrote again what stood elsewhere. An unused fixture is gone. No assertion has changed.

callerLeaves.test.ts was red once beside other suites: it took the first request that was settled for the one whose caller left. The first answer lasts 4 s there (2,000 tokens at 2 ms), and on a busy machine it was over before the queue had built.

--- a/packages/demo/src/lib/Daemons.ts
+++ b/packages/demo/src/lib/Daemons.ts
@@ -2,7 +2,7 @@
 import type { Settings } from '@apricotrill/model';
 import { createRouterDaemon } from '@apricotrill/router';
 import type { RouterDaemon } from '@apricotrill/router';
-import { getFreePort } from './getFreePort.js';
+import { getFreePort } from '@apricotrill/standins';
 
 const HOST = '127.0.0.1';
 
--- a/packages/e2e/src/lib/callerInput.test.ts
+++ b/packages/e2e/src/lib/callerInput.test.ts
@@ -1,10 +1,10 @@
+import { RawCaller } from '@apricotrill/standins';
 import type { ServerResponse } from 'node:http';
 import { createChat } from '../test/calls.js';
 import { askChat, getMessages } from '../test/chat.js';
 import { API_KEY, Deployment, MODEL } from '../test/Deployment.js';
 import type { Daemon } from '../test/Deployment.js';
 import { FakeEngine, getFinishEvent, getTokenEvent } from '../test/FakeEngine.js';
-import { RawCaller } from '../test/RawCaller.js';
 
 const MAX_BODY = 100_000;
 const LIMITS = { maxBodyBytes: MAX_BODY, bodyTimeoutMs: 1000, headersTimeoutMs: 1000 };
--- a/packages/e2e/src/lib/callerLeaves.test.ts
+++ b/packages/e2e/src/lib/callerLeaves.test.ts
@@ -72,8 +72,9 @@
     const before = await countWaiting(() => true);
     asked.push(ask(leaving));
     await haveCome(asked.length);
+    const { request } = getDecisions(log, 'identify').at(-1)!;
     leaving.abort();
-    const left = await waitForDecision(log, 'settle');
+    const left = await waitForDecision(log, 'settle', (settled) => settled.request === request);
     expect(left.kind).toBe('caller-left');
     await countWaiting((count) => count <= before);
     staying.abort();
--- a/packages/e2e/src/lib/shutdown.test.ts
+++ b/packages/e2e/src/lib/shutdown.test.ts
@@ -1,3 +1,4 @@
+import { RawCaller } from '@apricotrill/standins';
 import { connect } from 'node:net';
 import type { ServerResponse } from 'node:http';
 import { getReadiness, getStatus } from '../test/admin.js';
@@ -9,7 +10,6 @@
 import { FakeEngine, getFinishEvent, getTokenEvent } from '../test/FakeEngine.js';
 import { LocalDaemon } from '../test/LocalDaemon.js';
 import { MemoryClaims } from '../test/MemoryClaims.js';
-import { RawCaller } from '../test/RawCaller.js';
 
 const FORCED = 130;
 
--- a/packages/e2e/src/test/Deployment.ts
+++ b/packages/e2e/src/test/Deployment.ts
@@ -1,11 +1,10 @@
-import { TcpRelay } from '@apricotrill/standins';
+import { TcpRelay, getFreePort } from '@apricotrill/standins';
 import type { CallerLimits } from '@apricotrill/model';
 import { createHash } from 'node:crypto';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Backend } from './Backend.js';
-import { getFreePort } from './getFreePort.js';
 import { Binary, Subprocess } from './Subprocess.js';
 
 /** The key of the only workspace. */
--- a/packages/e2e/src/test/FakeEngine.ts
+++ b/packages/e2e/src/test/FakeEngine.ts
@@ -1,3 +1,4 @@
+import { ChangeSignal } from '@apricotrill/standins';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -20,7 +21,7 @@
 
   private count = 0;
 
-  private watchers: (() => void)[] = [];
+  private readonly called = new ChangeSignal();
 
   /** @param answer - writes the answer; told the attempt's name */
   constructor(answer: (name: string, response: ServerResponse) => void) {
@@ -34,7 +35,7 @@
       request.once('end', () => {
         answer(name, response);
         this.count += 1;
-        this.watchers.splice(0).forEach((watcher) => watcher());
+        this.called.notify();
       });
     });
   }
@@ -47,13 +48,8 @@
   }
 
   /** Waits until that many requests have come. */
-  async waitForCount(count: number): Promise<void> {
-    while (this.count < count) {
-      // eslint-disable-next-line no-await-in-loop
-      await new Promise<void>((resolve) => {
-        this.watchers.push(resolve);
-      });
-    }
+  waitForCount(count: number): Promise<void> {
+    return this.called.until(() => this.count >= count);
   }
 
   dispose(): void {
--- a/packages/relay/src/lib/decide/getHoldings.test.ts
+++ b/packages/relay/src/lib/decide/getHoldings.test.ts
@@ -1,8 +1,8 @@
 import { createRandom } from '@apricotrill/utils';
 import {
   createEngineService,
+  createEngines,
   createPrompt,
-  createReplica,
   createRequest,
 } from '../../test/fixtures.js';
 import { CoreHarness } from '../../test/CoreHarness.js';
@@ -10,9 +10,7 @@
 import { placementOptions } from './placementOptions.js';
 import { ReplicaState } from './ReplicaState/ReplicaState.js';
 
-const ENGINES = Array.from({ length: 12 }, (_item, index) =>
-  createReplica(`e-${index}`, { service: 'llm' }),
-);
+const ENGINES = createEngines(12);
 
 function createPromptOf(session: string, own: string) {
   return createPrompt([
--- a/packages/relay/src/lib/decide/readingEngines.test.ts
+++ b/packages/relay/src/lib/decide/readingEngines.test.ts
@@ -1,15 +1,13 @@
 import {
   createEngineService,
+  createEngines,
   createPrompt,
-  createReplica,
   createRequest,
 } from '../../test/fixtures.js';
 import { CoreHarness } from '../../test/CoreHarness.js';
 import { AttemptEnd } from './messages.js';
 
-const ENGINES = Array.from({ length: 12 }, (_item, index) =>
-  createReplica(`e-${index}`, { service: 'llm' }),
-);
+const ENGINES = createEngines(12);
 
 describe('the parting of engines', () => {
   /** Places a request. */
--- a/packages/relay/src/test/fixtures.ts
+++ b/packages/relay/src/test/fixtures.ts
@@ -1,10 +1,5 @@
 import { RouteKind } from '../lib/config/RelayConfiguration.js';
-import type {
-  RelayConfiguration,
-  RelayReplica,
-  RelayRoute,
-  RelayService,
-} from '../lib/config/RelayConfiguration.js';
+import type { RelayReplica, RelayRoute, RelayService } from '../lib/config/RelayConfiguration.js';
 import type { PlacementRequest, Prompt } from '../lib/decide/messages.js';
 
 export function createReplica(id: string, parts: Partial<RelayReplica> = {}): RelayReplica {
@@ -38,6 +33,13 @@
   });
 }
 
+/** Engines of one service, without a word of them yet. */
+export function createEngines(count: number): RelayReplica[] {
+  return Array.from({ length: count }, (_item, index) =>
+    createReplica(`e-${index}`, { service: 'llm' }),
+  );
+}
+
 export function createRoute(parts: Partial<RelayRoute> = {}): RelayRoute {
   return {
     name: 'r',
@@ -55,16 +57,6 @@
   };
 }
 
-export function createConfiguration(parts: Partial<RelayConfiguration> = {}): RelayConfiguration {
-  return {
-    version: 1,
-    routes: [createRoute()],
-    services: [createService('app')],
-    limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
-    ...parts,
-  };
-}
-
 export function createPrompt(parts: [string, number][], outputTokens = 100): Prompt {
   const inputTokens = parts.reduce((sum, [, tokens]) => sum + tokens, 0);
   return {
--- a/packages/e2e/src/test/RawCaller.ts
+++ b/packages/standins/src/lib/network/RawCaller.ts
@@ -1,7 +1,12 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { ChangeSignal } from './ChangeSignal.js';
 
-/** A caller that sends bytes as it likes. */
+/**
+ * A caller that sends bytes as it likes.
+ *
+ * @public
+ */
 export class RawCaller {
   received = '';
 
@@ -10,19 +15,19 @@
 
   readonly socket: Socket;
 
-  private watchers: (() => void)[] = [];
+  private readonly changed = new ChangeSignal();
 
   constructor(port: number) {
     this.socket = connect(port, '127.0.0.1');
     this.socket.on('data', (bytes) => {
       this.received += bytes.toString('latin1');
-      this.watchers.splice(0).forEach((watcher) => watcher());
+      this.changed.notify();
     });
     this.socket.on('error', () => undefined);
     this.closed = new Promise((resolve) => {
       this.socket.once('close', () => {
         resolve();
-        this.watchers.splice(0).forEach((watcher) => watcher());
+        this.changed.notify();
       });
     });
   }
@@ -45,12 +50,7 @@
 
   /** Waits until that text has come, or the connection is over. */
   async waitFor(text: string): Promise<string> {
-    while (!this.received.includes(text) && !this.socket.destroyed) {
-      // eslint-disable-next-line no-await-in-loop
-      await new Promise<void>((resolve) => {
-        this.watchers.push(resolve);
-      });
-    }
+    await this.changed.until(() => this.received.includes(text) || this.socket.destroyed);
     return this.received;
   }
 
--- a/packages/standins/src/lib/network/TcpRelay.ts
+++ b/packages/standins/src/lib/network/TcpRelay.ts
@@ -1,5 +1,7 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+import { ChangeSignal } from './ChangeSignal.js';
 
 /** What the relay does to the connections that pass through it, old and new. */
 export enum LinkFault {
@@ -39,7 +41,7 @@
 
   private count = 0;
 
-  private watchers: (() => void)[] = [];
+  private readonly opened = new ChangeSignal();
 
   /** @param target - the loopback port behind the relay */
   constructor(target: number) {
@@ -82,13 +84,8 @@
   }
 
   /** Resolves once that many connections have been opened. */
-  async waitForCount(count: number): Promise<void> {
-    while (this.count < count) {
-      // eslint-disable-next-line no-await-in-loop
-      await new Promise<void>((resolve) => {
-        this.watchers.push(resolve);
-      });
-    }
+  waitForCount(count: number): Promise<void> {
+    return this.opened.until(() => this.count >= count);
   }
 
   dispose(): void {
@@ -104,7 +101,7 @@
     const link = { near, far, isSilent: false };
     this.links.add(link);
     this.count += 1;
-    this.watchers.splice(0).forEach((watcher) => watcher());
+    this.opened.notify();
     this.pass(link, near, far);
     this.pass(link, far, near);
     this.hold(link);
@@ -124,12 +121,7 @@
     let last: Promise<void> = Promise.resolve();
     const enqueue = (act: () => void) => {
       if (this.fault === LinkFault.Slow) {
-        last = last.then(
-          () =>
-            new Promise((resolve) => {
-              setTimeout(resolve, SLOW_DELAY);
-            }),
-        );
+        last = last.then(() => wait(SLOW_DELAY));
       }
       last = last.then(act);
     };
