Log how engines are parted with each choice: rate, readers, the side taken

Cause: the three hypotheses on late chats of a large fleet differ in what a daemon believed at the moment of a choice: the rate of reading, how many engines it took for readers, whether it took the request for one that reading slows. The line 'sent' told none of it. No decision changes.

--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -2,7 +2,7 @@
 import type { RelayService } from '../config/RelayConfiguration.js';
 import { getHoldings, getHomes, getSessionPart } from './getHoldings.js';
 import type { Holding } from './getHoldings.js';
-import type { Choice, PlacementRequest, Prompt } from './messages.js';
+import type { Choice, Parting, PlacementRequest, Prompt } from './messages.js';
 import type { PlacementOptions } from './placementOptions.js';
 import { getReadingEngines, isSlowedByReading } from './readingEngines.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
@@ -232,6 +232,22 @@
   return { ...inputs, reading, homes, holdings, sources: getSources(holdings) };
 }
 
+function getParting(
+  { request, service, options, reading }: EngineInputs,
+  state: ReplicaState,
+): Parting | undefined {
+  if (request.prompt === undefined) {
+    return undefined;
+  }
+  const { readRate } = state;
+  return {
+    readRate,
+    readers: reading.size,
+    isReader: reading.has(state),
+    isSlowed: isSlowedByReading(request.pauseTarget, service?.engine, readRate, options),
+  };
+}
+
 /**
  * Chooses where a request is sent.
  *
@@ -261,6 +277,7 @@
       copyTime: best.copy?.time ?? 0,
       fetchFrom: best.copy?.from.replica,
       fetchTokens: best.copy?.tokens,
+      parting: getParting(engineInputs, best.state),
       inFlight: best.state.running.size,
       reported: lastReport?.report,
       reportAge: lastReport === undefined ? undefined : now - lastReport.at,
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -181,6 +181,18 @@
   Silent = 'silent',
 }
 
+/** How engines were parted into those that read long prompts and those that answer, for the log. */
+export interface Parting {
+  /** Tokens a millisecond that the engines are believed to read. */
+  readRate: number;
+  /** Engines that were taken for readers. */
+  readers: number;
+  /** Whether the chosen engine is one of them. */
+  isReader: boolean;
+  /** Whether the request was taken for one whose pauses suffer where prompts are read. */
+  isSlowed: boolean;
+}
+
 /** The inputs of a choice, for the log. */
 export interface Choice {
   /** What the choice weighs: the expected wait, and what it costs others. */
@@ -199,6 +211,8 @@
   fetchFrom?: RelayReplica;
   /** Tokens that it would copy. */
   fetchTokens?: number;
+  /** Present where the request has a prompt. */
+  parting?: Parting;
   /** Requests of this daemon that are under way there. */
   inFlight: number;
   /** The replica's last report. */
