--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -33,6 +33,9 @@
 /** How often callers come back after a refusal. */
 const RETURNS = 1;
 
+/** What an engine takes to say that it lives. */
+const QUESTION_TIME: Milliseconds = 5;
+
 function getRouteKind(call: SimulatedCall): RouteKind {
   if (call.prompt !== undefined) {
     return RouteKind.Stream;
@@ -110,6 +113,9 @@
       case 'share':
         this.parts.tellOthers(effect.news);
         break;
+      case 'question':
+        this.answerQuestion(effect.replica.id);
+        break;
       case 'suspect':
       case 'trust':
       case 'avoid':
@@ -226,6 +232,14 @@
     }
   }
 
+  private answerQuestion(replica: string): void {
+    const { clock, world } = this.parts;
+    clock.setTimer(QUESTION_TIME, () => {
+      const isAlive = world.findEngine(replica)?.isDown === false;
+      this.core.handle({ kind: 'questioned', replica, isAlive });
+    });
+  }
+
   /** The replica drops what is cancelled. */
   private stop(key: string): void {
     const { world } = this.parts;
--- a/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
+++ b/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
@@ -10,6 +10,9 @@
 export interface HealthSource {
   /** Resolves to false also where no answer came. */
   check(replica: RelayReplica, path: string, timeout: Milliseconds): Promise<boolean>;
+
+  /** Asks an engine in a way that needs no slot; resolves to false also where no answer came. */
+  isAlive(replica: RelayReplica, timeout: Milliseconds): Promise<boolean>;
 }
 
 /** How suspect replicas are asked. */
@@ -29,7 +32,7 @@
   tell: (message: PlacementMessage) => void;
 }
 
-/** Asks suspect replicas, and no others, until they answer that they work. */
+/** Asks suspect replicas until they answer that they work, and silent engines whether they live. */
 export class HealthChecks {
   private readonly timers = new Map<string, Timer>();
 
@@ -47,6 +50,14 @@
     }
   }
 
+  /** Asks an engine once whether it lives. */
+  question(replica: RelayReplica): void {
+    const { source, tell } = this.parts;
+    const answer = source.isAlive(replica, healthOptions.timeout).catch(() => false);
+    // A source that throws has no answer of the engine, which is what is told.
+    answer.then((isAlive) => tell({ kind: 'questioned', replica: replica.id, isAlive }));
+  }
+
   /** Asks no more after replicas that are gone. */
   retain(ids: ReadonlySet<string>): void {
     this.timers.forEach((timer, id) => {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -302,6 +302,12 @@
       case 'share':
         this.link.tell(effect.news);
         break;
+      case 'question': {
+        const { id, service } = effect.replica;
+        log({ event: 'replica-questioned', replica: id, service });
+        this.checks.question(effect.replica);
+        break;
+      }
       case 'suspect': {
         const { replica, reason } = effect;
         const { id, service } = replica;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -110,6 +110,9 @@
           this.drainAll();
         }
         break;
+      case 'questioned':
+        this.book.noteQuestioned(message);
+        break;
       case 'leaving':
         this.book.noteLeaving(message.replica);
         break;
--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -128,6 +128,19 @@
     return true;
   }
 
+  /** An engine that was silent has been asked whether it lives. */
+  noteQuestioned({ replica, isAlive }: Extract<PlacementMessage, { kind: 'questioned' }>): void {
+    const state = this.find(replica);
+    if (state === undefined) {
+      return;
+    }
+    if (isAlive) {
+      state.noteByte(this.parts.clock.now());
+    } else {
+      this.noteDark(state);
+    }
+  }
+
   noteLeaving(id: string): void {
     const state = this.find(id);
     if (state !== undefined) {
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -144,6 +144,8 @@
   | { kind: 'peer-gone'; peer: string }
   /** A replica proved, or failed to prove, that it works. */
   | { kind: 'health'; replica: string; isHealthy: boolean }
+  /** What came of the question whether an engine lives. */
+  | { kind: 'questioned'; replica: string; isAlive: boolean }
   /** A replica refuses, or says by other means, since it is about to leave. */
   | { kind: 'leaving'; replica: string }
   | { kind: 'cache-changed'; replica: string; changes: readonly CacheChange[] }
@@ -168,6 +170,8 @@
   | { kind: 'settle'; id: string; attempt: number }
   /** For the other daemons. */
   | { kind: 'share'; news: SharedNews }
+  /** Nothing comes from an engine: it is to be asked whether it lives. */
+  | { kind: 'question'; replica: RelayReplica }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'trust'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: for a while it gets nothing. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -29,6 +29,7 @@
   | { event: 'replica-draining'; replica: string; service: string; revision: number }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
+  | { event: 'replica-questioned'; replica: string; service: string }
   | { event: 'replica-suspect'; replica: string; service: string; reason: string }
   | { event: 'replica-trusted'; replica: string; service: string }
   | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -22,6 +22,8 @@
   'replica-draining': 'a replica says that it will leave: it gets nothing new',
   'replica-removed': 'a replica is gone from the list',
   'replica-kept': 'a replica lapsed while the store was away, and is kept until then',
+  'replica-questioned':
+    'nothing came from an engine with requests under way; it is asked whether it lives',
   'replica-suspect': 'a replica gets nothing while others will do, and why',
   'replica-trusted': 'a suspect replica has answered its health check',
   'replica-avoided':
--- a/packages/relay/src/test/CoreHarness.ts
+++ b/packages/relay/src/test/CoreHarness.ts
@@ -8,6 +8,9 @@
 type Kind = PlacementEffect['kind'];
 type EffectOf<K extends Kind> = Extract<PlacementEffect, { kind: K }>;
 
+/** What an engine takes to say that it lives. */
+const QUESTION_TIME = 5;
+
 /** A placement core on a clock of its own, with all that it ordered. */
 export class CoreHarness {
   readonly clock = new ManualClock();
@@ -16,6 +19,8 @@
 
   readonly core: PlacementCore;
 
+  private isAlive = true;
+
   constructor(
     services: readonly RelayService[],
     replicas: readonly RelayReplica[],
@@ -30,9 +35,21 @@
     this.core.handle({ kind: 'replicas', replicas });
   }
 
+  /** From now on engines that are asked whether they live answer so, a moment later. */
+  answerQuestions(isAlive: boolean): void {
+    this.isAlive = isAlive;
+  }
+
   /** Like a daemon, it reports the end of an attempt that it was told to cancel right after. */
   private take(effect: PlacementEffect): void {
     this.effects.push(effect);
+    if (effect.kind === 'question') {
+      const replica = effect.replica.id;
+      const { isAlive } = this;
+      this.clock.setTimer(QUESTION_TIME, () =>
+        this.core.handle({ kind: 'questioned', replica, isAlive }),
+      );
+    }
     if (effect.kind === 'cancel' && effect.reason === CancelReason.Silent) {
       const { id, attempt } = effect;
       this.clock.setTimer(0, () => this.end(id, attempt, AttemptEnd.Cancelled));
