--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -102,10 +102,22 @@
     }
   }
 
-  /** Nothing came from it for too long, with requests under way. */
-  noteDark(state: ReplicaState): void {
-    this.tellBreak(state);
-    this.suspect(state, 'nothing comes from it');
+  /**
+   * Nothing came from a replica for too long, with requests under way. An engine with a long queue is
+   * silent as well: suspected for it, busy engines are taken from all daemons one after the other,
+   * and the rest get their work. So it is asked first; a plain service is never busy for so long.
+   */
+  noteSilent(state: ReplicaState): void {
+    const { replica, isQuestioned, suspicion } = state;
+    if (isQuestioned || suspicion !== undefined) {
+      return;
+    }
+    if (this.getService(replica.service).service?.engine === undefined) {
+      this.noteDark(state);
+      return;
+    }
+    state.isQuestioned = true;
+    this.parts.emit({ kind: 'question', replica });
   }
 
   /** An attempt broke there, at this daemon or another. */
@@ -134,6 +146,7 @@
     if (state === undefined) {
       return;
     }
+    state.isQuestioned = false;
     if (isAlive) {
       state.noteByte(this.parts.clock.now());
     } else {
@@ -164,6 +177,13 @@
     );
   }
 
+  private noteDark(state: ReplicaState): void {
+    if (state.suspicion === undefined) {
+      this.tellBreak(state);
+      this.suspect(state, 'nothing comes from it');
+    }
+  }
+
   private tellBreak(state: ReplicaState): void {
     const { id } = state.replica;
     this.parts.emit({ kind: 'share', news: { kind: 'broke', replica: id } });
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -44,6 +44,9 @@
   /** Word from elsewhere than the list that it is about to leave. */
   isLeaving = false;
 
+  /** It is asked whether it lives. */
+  isQuestioned = false;
+
   fullUntil: Milliseconds = 0;
 
   private failuresInRow = 0;
--- a/packages/relay/src/lib/decide/SilenceWatch/SilenceWatch.ts
+++ b/packages/relay/src/lib/decide/SilenceWatch/SilenceWatch.ts
@@ -41,7 +41,7 @@
       return;
     }
     if (attempt.state.isDark(clock.now())) {
-      book.noteDark(attempt.state);
+      book.noteSilent(attempt.state);
     }
     if (!this.mayGoElsewhere(record)) {
       // Again later: a replica that went dark is noticed by what was sent to it.
