--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -108,16 +108,12 @@
    * and the rest get their work. So it is asked first; a plain service is never busy for so long.
    */
   noteSilent(state: ReplicaState): void {
-    const { replica, isQuestioned, suspicion } = state;
-    if (isQuestioned || suspicion !== undefined) {
-      return;
-    }
+    const { replica } = state;
     if (this.getService(replica.service).service?.engine === undefined) {
       this.noteDark(state);
-      return;
+    } else if (state.suspicion === undefined && state.question()) {
+      this.parts.emit({ kind: 'question', replica });
     }
-    state.isQuestioned = true;
-    this.parts.emit({ kind: 'question', replica });
   }
 
   /** An attempt broke there, at this daemon or another. */
@@ -146,10 +142,8 @@
     if (state === undefined) {
       return;
     }
-    state.isQuestioned = false;
-    if (isAlive) {
-      state.noteByte(this.parts.clock.now());
-    } else {
+    state.endQuestion(isAlive, this.parts.clock.now());
+    if (!isAlive) {
       this.noteDark(state);
     }
   }
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -44,11 +44,11 @@
   /** Word from elsewhere than the list that it is about to leave. */
   isLeaving = false;
 
-  /** It is asked whether it lives. */
-  isQuestioned = false;
-
   fullUntil: Milliseconds = 0;
 
+  /** It is asked whether it lives. */
+  private isQuestioned = false;
+
   private failuresInRow = 0;
 
   /** Part of its answers that were failures. */
@@ -151,6 +151,20 @@
     this.latency += NEWEST * (latency - this.latency);
   }
 
+  /** @returns whether it isn't being asked already whether it lives */
+  question(): boolean {
+    const isNew = !this.isQuestioned;
+    this.isQuestioned = true;
+    return isNew;
+  }
+
+  endQuestion(isAlive: boolean, now: Milliseconds): void {
+    this.isQuestioned = false;
+    if (isAlive) {
+      this.heardAt = now;
+    }
+  }
+
   /** @returns whether it was trusted until now */
   suspect(reason: string): boolean {
     const isNew = this.suspicion === undefined;
