Test, red: in a large fleet short chats are late, as daemons decide by what each knows alone

The model told daemons of a fleet of any size all at once; it now tells those of more than 17 what they hear in production: placements a second late and without prompts, no first tokens and ends, no cache events.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -5,6 +5,7 @@
   PlacementEffect,
   PlacementMessage,
   RelayReplica,
+  SharedAttempt,
   SharedNews,
 } from '@apricotrill/relay';
 import type { ApplicationSimulation } from './ApplicationSimulation.js';
@@ -69,6 +70,11 @@
     this.core.handle(message);
   }
 
+  /** All that it has under way, for the others. */
+  getSharedAttempts(): SharedAttempt[] {
+    return this.core.getSharedAttempts().map((attempt) => ({ ...attempt, prompt: undefined }));
+  }
+
   hear(peer: string, news: SharedNews): void {
     this.core.handle({ kind: 'peer-news', peer, news });
   }
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -7,6 +7,7 @@
   PlacementOptions,
   RelayReplica,
   RelayService,
+  SharedNews,
 } from '@apricotrill/relay';
 import { ApplicationSimulation } from './ApplicationSimulation.js';
 import { DaemonSimulation } from './DaemonSimulation.js';
@@ -19,6 +20,15 @@
 /** Cache events reach the daemons in groups, this far apart. */
 const CACHE_INTERVAL: Milliseconds = 400;
 
+/** Listeners that one engine tells of its cache. */
+const CACHE_LISTENERS = 12;
+
+/** Larger fleets don't tell each other of each placement at once. */
+const LARGEST_CLOSE_FLEET = 17;
+
+/** How often a daemon of a large fleet tells the others of what it has placed. */
+const REGULAR_MESSAGE: Milliseconds = 1_000;
+
 /** The time after the last arrival in which answers may still come. */
 const TAIL: Milliseconds = 12_000;
 
@@ -30,6 +40,10 @@
   crossingBytes: number;
 }
 
+function getDaemonName(index: number): string {
+  return `d${index}`;
+}
+
 function getZone(index: number, zones: number): string {
   return `z${index % zones}`;
 }
@@ -63,7 +77,7 @@
       engine: {
         slots: engines.slots,
         memoryTokens: engines.memoryTokens,
-        cacheListeners: 1_000,
+        cacheListeners: CACHE_LISTENERS,
         eventTokens: engines.eventTokens,
         copyTime: engines.copyTime,
       },
@@ -112,6 +126,7 @@
       this.clock.setTimer(at, () => this.crash(engines, span));
     });
     this.tellCaches();
+    this.tellAll();
     this.clock.advance(this.deployment.length + TAIL);
     const counts = [...this.engines.values()].reduce(
       (sum, { counts: of }) => ({
@@ -178,16 +193,33 @@
     return this.applications.get(id);
   }
 
-  private tellOthers(from: number, news: Parameters<DaemonSimulation['hear']>[1]): void {
-    this.clock.setTimer(this.deployment.crossing, () => {
+  private tellOthers(from: number, news: SharedNews): void {
+    // In a large fleet placements go out with the regular message, ends and first tokens not at all.
+    const isLarge = this.daemons.length > LARGEST_CLOSE_FLEET;
+    const isLate = isLarge && news.kind === 'placed';
+    if (isLarge && (news.kind === 'answering' || news.kind === 'ended')) {
+      return;
+    }
+    const told = isLate ? { ...news, attempt: { ...news.attempt, prompt: undefined } } : news;
+    this.clock.setTimer(this.deployment.crossing + (isLate ? REGULAR_MESSAGE : 0), () => {
       this.daemons.forEach((daemon, index) => {
         if (index !== from) {
-          daemon.hear(`d${from}`, news);
+          daemon.hear(getDaemonName(from), told);
         }
       });
     });
   }
 
+  /** Tells all that each daemon has under way, again and again. */
+  private tellAll(): void {
+    this.clock.setTimer(REGULAR_MESSAGE, () => {
+      this.daemons.forEach((daemon, from) => {
+        this.tellOthers(from, { kind: 'all', attempts: daemon.getSharedAttempts() });
+      });
+      this.tellAll();
+    });
+  }
+
   private noteChange(engine: string, change: CacheChange): void {
     const changes = this.pendingChanges.get(engine) ?? [];
     changes.push(change);
@@ -195,6 +227,9 @@
   }
 
   private tellCaches(): void {
+    if (this.daemons.length > CACHE_LISTENERS) {
+      return;
+    }
     this.clock.setTimer(CACHE_INTERVAL, () => {
       this.engines.forEach((_engine, replica) => {
         const changes = this.pendingChanges.get(replica) ?? [];
--- a/packages/experiment/src/lib/relay/deployments.ts
+++ b/packages/experiment/src/lib/relay/deployments.ts
@@ -202,6 +202,82 @@
   };
 }
 
+/**
+ * Summaries of long histories beside short chats, before a large fleet: each daemon has five requests
+ * a second, and none could hear of all. Prompts need half of all engines' time in the bursts.
+ */
+function createHistories(): RelayDeployment {
+  const engines = 42;
+  return {
+    ...createPapers(),
+    name: 'histories',
+    daemons: 64,
+    availabilityZones: 4,
+    engines: {
+      ...ENGINE,
+      slots: 64,
+      memoryTokens: 240_000,
+      step: 5,
+      stepPerThousand: 0.01,
+      readRate: 50,
+      setup: 30,
+      eventTokens: 5,
+      copyTime: 0.01,
+      copySetup: 4,
+    },
+    engineFactors: Array.from({ length: engines }, (_item, index) => (index % 3 === 2 ? 1.3 : 1)),
+    applications: { replicas: 4, slots: 6 },
+    kinds: [
+      {
+        name: 'history',
+        rate: 110,
+        service: 'engines',
+        rank: 1,
+        latencyTarget: 600,
+        pauseTarget: 400,
+        timeout: 5_000,
+        maxAttempts: 1,
+        repeatable: false,
+        worth: 3,
+        lateWorth: 1.5,
+        parts: [
+          { tokens: 2_500, variants: 4 },
+          { tokens: 4_000, variants: 1_000 },
+        ],
+        ownTokens: 3_000,
+        outputTokens: 50,
+        work: 0,
+      },
+      {
+        name: 'chat',
+        rate: 75,
+        service: 'engines',
+        rank: 0,
+        latencyTarget: 300,
+        pauseTarget: 250,
+        timeout: 15_000,
+        maxAttempts: 2,
+        repeatable: true,
+        worth: 1.7,
+        lateWorth: 0.25,
+        parts: [
+          { tokens: 120, variants: 16 },
+          { tokens: 80, variants: 1_600 },
+        ],
+        ownTokens: 630,
+        outputTokens: 290,
+        work: 0,
+      },
+      ...createPlainKinds(35),
+    ],
+    bursts: [
+      { at: 500, span: 9 * SECOND, factor: 2.8, kind: 'history' },
+      { at: 11 * SECOND, span: 5 * SECOND, factor: 2.6, kind: 'chat' },
+      { at: 17.5 * SECOND, span: 3.5 * SECOND, factor: 3, kind: 'history' },
+    ],
+  };
+}
+
 /** A value between two bounds, spread alike over its orders of magnitude. */
 function draw(random: Random, least: number, most: number): number {
   return least * (most / least) ** random.next();
@@ -266,4 +342,5 @@
   papers: createPapers,
   'papers-pressed': createPressedPapers,
   drafts: createDrafts,
+  histories: createHistories,
 };
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -20,6 +20,7 @@
   PlacementMessage,
   Prompt,
   PromptPart,
+  SharedAttempt,
   SharedNews,
 } from './lib/decide/messages.js';
 export { PlacementCore } from './lib/decide/PlacementCore/PlacementCore.js';
