--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -26,7 +26,8 @@
   zone: string;
   world: DaemonWorld;
   createCore: (emit: (effect: PlacementEffect) => void) => PlacementCore;
-  tellOthers: (news: SharedNews) => void;
+  /** Tells one daemon, or all where none is named. */
+  tellOthers: (news: SharedNews, to: string | undefined) => void;
 }
 
 type Send = Extract<PlacementEffect, { kind: 'send' }>;
@@ -54,6 +55,9 @@
 
   private readonly calls = new Map<string, SimulatedCall>();
 
+  /** Engines whose cache events it reads; undefined for all. */
+  private followed: ReadonlySet<string> | undefined;
+
   private readonly returns = new Map<string, number>();
 
   /** The attempt of each open call whose events still count. */
@@ -70,9 +74,16 @@
     this.core.handle(message);
   }
 
-  /** All that it has under way, for the others. */
-  getSharedAttempts(): SharedAttempt[] {
-    return this.core.getSharedAttempts().map((attempt) => ({ ...attempt, prompt: undefined }));
+  /** Whether it reads an engine's cache events. */
+  isFollowing(engine: string): boolean {
+    return this.followed === undefined || this.followed.has(engine);
+  }
+
+  /** All that it has under way, for one of the others. */
+  getSharedAttempts(peer: string): SharedAttempt[] {
+    const shared = this.core.getSharedAttempts();
+    const attempts = shared.get(peer) ?? shared.get(undefined) ?? [];
+    return attempts.map((attempt) => ({ ...attempt, prompt: undefined }));
   }
 
   hear(peer: string, news: SharedNews): void {
@@ -117,7 +128,7 @@
         this.calls.delete(effect.id);
         break;
       case 'share':
-        this.parts.tellOthers(effect.news);
+        this.parts.tellOthers(effect.news, effect.to);
         break;
       case 'question':
         this.answerQuestion(effect.replica.id);
@@ -125,6 +136,11 @@
       case 'suspect':
       case 'trust':
       case 'avoid':
+      case 'placed-for':
+      case 'placer-silent':
+        break;
+      case 'follow-caches':
+        this.followed = effect.engines;
         break;
       default:
         effect satisfies never;
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -23,10 +23,7 @@
 /** Listeners that one engine tells of its cache. */
 const CACHE_LISTENERS = 12;
 
-/** Larger fleets don't tell each other of each placement at once. */
-const LARGEST_CLOSE_FLEET = 17;
-
-/** How often a daemon of a large fleet tells the others of what it has placed. */
+/** How often a daemon tells the others of all that it has under way. */
 const REGULAR_MESSAGE: Milliseconds = 1_000;
 
 /** The time after the last arrival in which answers may still come. */
@@ -166,12 +163,16 @@
             emit,
             options: { availabilityZone: zone, ...this.options },
           }),
-        tellOthers: (news) => this.tellOthers(index, news),
+        tellOthers: (news, to) => this.tellOthers(index, news, to),
       });
       daemon.handle({ kind: 'services', services });
       daemon.handle({ kind: 'replicas', replicas: [...this.replicas.values()] });
       this.daemons.push(daemon);
     }
+    const daemons = this.daemons.map((_daemon, index) => getDaemonName(index));
+    this.daemons.forEach((daemon, index) =>
+      daemon.handle({ kind: 'fleet', self: getDaemonName(index), daemons }),
+    );
   }
 
   /** One way between a daemon and a replica. */
@@ -193,18 +194,11 @@
     return this.applications.get(id);
   }
 
-  private tellOthers(from: number, news: SharedNews): void {
-    // In a large fleet placements go out with the regular message, ends and first tokens not at all.
-    const isLarge = this.daemons.length > LARGEST_CLOSE_FLEET;
-    const isLate = isLarge && news.kind === 'placed';
-    if (isLarge && (news.kind === 'answering' || news.kind === 'ended')) {
-      return;
-    }
-    const told = isLate ? { ...news, attempt: { ...news.attempt, prompt: undefined } } : news;
-    this.clock.setTimer(this.deployment.crossing + (isLate ? REGULAR_MESSAGE : 0), () => {
+  private tellOthers(from: number, news: SharedNews, to: string | undefined): void {
+    this.clock.setTimer(this.deployment.crossing, () => {
       this.daemons.forEach((daemon, index) => {
-        if (index !== from) {
-          daemon.hear(getDaemonName(from), told);
+        if (index !== from && (to === undefined || to === getDaemonName(index))) {
+          daemon.hear(getDaemonName(from), news);
         }
       });
     });
@@ -214,7 +208,10 @@
   private tellAll(): void {
     this.clock.setTimer(REGULAR_MESSAGE, () => {
       this.daemons.forEach((daemon, from) => {
-        this.tellOthers(from, { kind: 'all', attempts: daemon.getSharedAttempts() });
+        this.daemons.forEach((_other, index) => {
+          const to = getDaemonName(index);
+          this.tellOthers(from, { kind: 'all', attempts: daemon.getSharedAttempts(to) }, to);
+        });
       });
       this.tellAll();
     });
@@ -227,15 +224,12 @@
   }
 
   private tellCaches(): void {
-    if (this.daemons.length > CACHE_LISTENERS) {
-      return;
-    }
     this.clock.setTimer(CACHE_INTERVAL, () => {
       this.engines.forEach((_engine, replica) => {
         const changes = this.pendingChanges.get(replica) ?? [];
-        this.daemons.forEach((daemon) =>
-          daemon.handle({ kind: 'cache-changed', replica, changes }),
-        );
+        this.daemons
+          .filter((daemon) => daemon.isFollowing(replica))
+          .forEach((daemon) => daemon.handle({ kind: 'cache-changed', replica, changes }));
       });
       this.pendingChanges.clear();
       this.tellCaches();
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -140,6 +140,7 @@
       getAll: () => this.core.getSharedAttempts(),
       onNews: (peer, news) => tell({ kind: 'peer-news', peer, news }),
       onGone: (peer) => tell({ kind: 'peer-gone', peer }),
+      onFleet: (daemons) => tell({ kind: 'fleet', self: settings.id, daemons }),
       onCount: (daemons) => {
         this.watch.setDaemons(daemons);
         this.store.setDaemons(daemons);
@@ -300,7 +301,18 @@
         this.intake.getTask(effect.id)?.settle();
         break;
       case 'share':
-        this.link.tell(effect.news);
+        this.link.tell(effect.news, effect.to);
+        break;
+      case 'placed-for': {
+        const { peer, key, choice } = effect;
+        log({ event: 'placed-for', peer, key, replica: effect.replica.id, choice });
+        break;
+      }
+      case 'placer-silent':
+        log({ event: 'placer-silent', peer: effect.peer, span: effect.span });
+        break;
+      case 'follow-caches':
+        this.watch.setFollowed(effect.engines);
         break;
       case 'question': {
         const { id, service } = effect.replica;
--- a/packages/relay/src/lib/daemon/ReplicaWatch.ts
+++ b/packages/relay/src/lib/daemon/ReplicaWatch.ts
@@ -24,6 +24,9 @@
   /** How many daemons there are; undefined until that is known. */
   private daemons: number | undefined;
 
+  /** Engines for which this daemon chooses; undefined where each daemon does for all. */
+  private useful: ReadonlySet<string> | undefined;
+
   private readonly followers = new Map<string, CacheFollower>();
 
   constructor(private readonly parts: ReplicaWatchParts) {}
@@ -44,6 +47,12 @@
     }
   }
 
+  /** Takes over the engines whose caches are of use; undefined for all. */
+  setFollowed(engines: ReadonlySet<string> | undefined): void {
+    this.useful = engines;
+    this.followCaches();
+  }
+
   setReplicas(replicas: readonly RelayReplica[], revision: number): void {
     const listed = new Map(replicas.map((replica) => [replica.id, replica]));
     this.logChanges(listed, revision);
@@ -98,10 +107,13 @@
   /**
    * Whether the engine's cache events are read. Where an engine takes fewer listeners than there are
    * daemons, most would ask in vain, again and again: 74 daemons made 1,300 calls a second to 63
-   * engines beside 460 requests. There a home for each session takes the place of what is cached.
+   * engines beside 460 requests. There those listen that choose for the engine.
    */
-  private isFollowed({ service }: RelayReplica): boolean {
+  private isFollowed({ id, service }: RelayReplica): boolean {
     const listeners = this.engines.get(service) ?? 0;
+    if (this.useful !== undefined) {
+      return listeners > 0 && this.useful.has(id);
+    }
     return this.daemons !== undefined && this.daemons <= listeners;
   }
 
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -1,10 +1,19 @@
-import type { Clock } from '@apricotrill/utils';
-import type { SharedAttempt, SharedNews } from '../messages.js';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { ChosenReplica } from '../chooseReplica.js';
+import { getMemoryTokens } from '../getMemoryTokens.js';
+import { AttemptEnd } from '../messages.js';
+import type { PlacementWish, SharedAttempt, SharedEnd, SharedNews } from '../messages.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 
 /** News of attempts; breaks are counted with their replica. */
-export type AttemptNews = Exclude<SharedNews, { kind: 'broke' }>;
+export type AttemptNews = Extract<SharedNews, { kind: 'placed' | 'answering' | 'ended' | 'all' }>;
+
+/**
+ * An attempt for which this daemon chose so lately may be missing in the other's list of all: that
+ * was written before it heard where the attempt goes.
+ */
+const LIST_LAG: Milliseconds = 500;
 
 /** An attempt as other daemons are told of it. */
 export function getShared(attempt: RunningAttempt): SharedAttempt {
@@ -36,6 +45,7 @@
         this.noteAnswering(attempts.get(news.key));
         break;
       case 'ended':
+        this.learn(attempts.get(news.key), news.result);
         PeerAttempts.remove(attempts, news.key);
         break;
       case 'all':
@@ -53,6 +63,32 @@
     this.byPeer.delete(peer);
   }
 
+  has(peer: string, key: string): boolean {
+    return this.byPeer.get(peer)?.has(key) === true;
+  }
+
+  /** An attempt of another daemon for which this one chose the replica. */
+  place(peer: string, key: string, wish: PlacementWish, { state, choice }: ChosenReplica): void {
+    const { prompt, pauseTarget } = wish;
+    this.begin(this.getAttempts(peer), {
+      number: 0,
+      key,
+      isOwn: false,
+      isForOther: true,
+      state,
+      sentAt: this.clock.now(),
+      missingTokens: choice.missingTokens,
+      tokensAhead: choice.tokensAhead,
+      isTelling: choice.isTelling,
+      copyTime: choice.copyTime,
+      memoryTokens: getMemoryTokens(prompt),
+      pauseTarget,
+      prompt,
+      isAnswering: false,
+      placer: undefined,
+    });
+  }
+
   private getAttempts(peer: string): Map<string, RunningAttempt> {
     const attempts = this.byPeer.get(peer) ?? new Map<string, RunningAttempt>();
     this.byPeer.set(peer, attempts);
@@ -64,14 +100,14 @@
     if (state === undefined || attempts.has(shared.key)) {
       return;
     }
-    const now = this.clock.now();
     const { key, missingTokens, memoryTokens, pauseTarget, isAnswering, prompt } = shared;
-    const attempt: RunningAttempt = {
+    this.begin(attempts, {
       number: 0,
       key,
       isOwn: false,
+      isForOther: false,
       state,
-      sentAt: now,
+      sentAt: this.clock.now(),
       missingTokens,
       tokensAhead: missingTokens,
       isTelling: false,
@@ -80,7 +116,13 @@
       pauseTarget,
       prompt,
       isAnswering,
-    };
+      placer: undefined,
+    });
+  }
+
+  private begin(attempts: Map<string, RunningAttempt>, attempt: RunningAttempt): void {
+    const { key, state, prompt } = attempt;
+    const now = this.clock.now();
     attempts.set(key, attempt);
     state.noteSent(attempt, now);
     if (prompt !== undefined) {
@@ -88,22 +130,54 @@
     }
   }
 
+  /** What the end of an attempt says of its replica. */
+  private learn(attempt: RunningAttempt | undefined, result: SharedEnd | undefined): void {
+    if (attempt === undefined || result === undefined) {
+      return;
+    }
+    const { state } = attempt;
+    switch (result.end) {
+      case AttemptEnd.Completed:
+        state.noteSuccess(result.after);
+        break;
+      case AttemptEnd.Failed:
+        state.noteFailure();
+        break;
+      case AttemptEnd.Refused:
+        state.noteFull(this.clock.now());
+        break;
+      case AttemptEnd.NotSent:
+      case AttemptEnd.Misdirected:
+      case AttemptEnd.Broken:
+      case AttemptEnd.Cancelled:
+        // Breaks are told to all by themselves.
+        break;
+      default:
+        result.end satisfies never;
+    }
+  }
+
   private noteAnswering(attempt: RunningAttempt | undefined): void {
     if (attempt === undefined || attempt.isAnswering) {
       return;
     }
+    const now = this.clock.now();
     Object.assign(attempt, { isAnswering: true });
+    attempt.state.noteByte(now);
     if (attempt.prompt !== undefined) {
-      attempt.state.cache.noteRead(attempt.prompt, this.clock.now());
+      attempt.state.noteFirstToken(attempt, now);
+      attempt.state.cache.noteRead(attempt.prompt, now);
     }
   }
 
   /** News can be lost on the way: the whole list puts right what that left behind. */
   private replace(attempts: Map<string, RunningAttempt>, shared: SharedAttempt[]): void {
     const current = new Set(shared.map(({ key }) => key));
-    [...attempts.keys()]
-      .filter((key) => !current.has(key))
-      .forEach((key) => PeerAttempts.remove(attempts, key));
+    const old = this.clock.now() - LIST_LAG;
+    [...attempts]
+      .filter(([key]) => !current.has(key))
+      .filter(([, { isForOther, sentAt }]) => !isForOther || sentAt <= old)
+      .forEach(([key]) => PeerAttempts.remove(attempts, key));
     shared.forEach((attempt) => {
       this.add(attempts, attempt);
       if (attempt.isAnswering) {
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,7 +1,6 @@
 import type { Clock } from '@apricotrill/utils';
 import { AttemptKeys } from '../AttemptKeys.js';
-import { chooseReplica } from '../chooseReplica.js';
-import type { ChosenReplica } from '../chooseReplica.js';
+import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
 import { CancelReason, GiveUpReason, Outcome } from '../messages.js';
 import type {
@@ -10,8 +9,12 @@
   PlacementMessage,
   PlacementRequest,
   SharedAttempt,
+  SharedEnd,
+  SharedNews,
 } from '../messages.js';
 import { PeerAttempts, getShared } from '../PeerAttempts/PeerAttempts.js';
+import { Placer } from '../Placer/Placer.js';
+import { Placing, PlacingResult } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { ReplicaBook } from '../ReplicaBook/ReplicaBook.js';
@@ -54,8 +57,11 @@
 
   private readonly records = new Map<string, RequestRecord>();
 
-  /** Names of attempts for the other daemons. */
-  private readonly keys: AttemptKeys;
+  private readonly fleet = new Fleet();
+
+  private readonly placing: Placing;
+
+  private readonly placer: Placer;
 
   /** What other daemons have under way. */
   private readonly peers: PeerAttempts;
@@ -63,11 +69,18 @@
   constructor({ clock, emit, options }: PlacementCoreParts) {
     this.clock = clock;
     this.emit = emit;
-    this.keys = new AttemptKeys(clock.now());
     this.options = { ...placementOptions, ...options };
     this.book = new ReplicaBook({ clock, emit, options: this.options });
     this.silence = new SilenceWatch({ clock, emit, options: this.options, book: this.book });
     this.peers = new PeerAttempts(clock, (id) => this.book.find(id));
+    const parts = { clock, emit, options: this.options, book: this.book, fleet: this.fleet };
+    this.placer = new Placer({ ...parts, peers: this.peers });
+    this.placing = new Placing({
+      ...parts,
+      keys: new AttemptKeys(clock.now()),
+      onSent: (record, attempt) => this.silence.watch(record, attempt),
+      onAgain: (record) => this.placeOrWait(record),
+    });
   }
 
   handle(message: PlacementMessage): void {
@@ -79,6 +92,7 @@
         break;
       case 'replicas':
         this.book.setReplicas(message.replicas);
+        this.placer.updateFollowed();
         this.drainAll();
         break;
       case 'submit':
@@ -99,6 +113,10 @@
       case 'daemons':
         this.book.setDaemons(message.count);
         break;
+      case 'fleet':
+        this.fleet.set(message.self, message.daemons);
+        this.placer.updateFollowed();
+        break;
       case 'peer-news':
         this.takeNews(message);
         break;
@@ -135,10 +153,19 @@
     return this.records.size;
   }
 
-  /** All that this daemon has under way, for the others. */
-  getSharedAttempts(): SharedAttempt[] {
-    const running = [...this.records.values()].map((record) => record.running);
-    return running.filter((attempt) => attempt !== undefined).map(getShared);
+  /**
+   * All that this daemon has under way, by the daemon that is told of it; undefined stands for all
+   * others.
+   */
+  getSharedAttempts(): Map<string | undefined, SharedAttempt[]> {
+    const shared = new Map<string | undefined, SharedAttempt[]>();
+    this.records.forEach(({ running }) => {
+      if (running !== undefined && running.placer !== this.fleet.self) {
+        const { placer } = running;
+        shared.set(placer, [...(shared.get(placer) ?? []), getShared(running)]);
+      }
+    });
+    return shared;
   }
 
   private submit(request: PlacementRequest): void {
@@ -156,66 +183,11 @@
   }
 
   private placeOrWait(record: RequestRecord): void {
-    if (!this.place(record)) {
+    if (this.placing.place(record) === PlacingResult.NoRoom) {
       this.book.getService(record.request.service).waiting.add(record);
     }
   }
 
-  /** @returns false when there is no room now */
-  private place(record: RequestRecord): boolean {
-    const { request } = record;
-    const now = this.clock.now();
-    const service = this.book.getService(request.service);
-    const chosen = chooseReplica({
-      request,
-      service: service.service,
-      candidates: service.getCandidates(record.tried, now),
-      now,
-      options: this.options,
-    });
-    if (chosen === undefined) {
-      return false;
-    }
-    this.send(record, chosen);
-    return true;
-  }
-
-  private send(record: RequestRecord, { state, choice }: ChosenReplica): void {
-    const { request } = record;
-    const now = this.clock.now();
-    const { prompt } = request;
-    const number = record.started + 1;
-    const attempt: RunningAttempt = {
-      number,
-      key: this.keys.next(),
-      isOwn: true,
-      state,
-      sentAt: now,
-      missingTokens: choice.missingTokens,
-      tokensAhead: choice.tokensAhead,
-      isTelling: choice.isTelling,
-      copyTime: choice.copyTime,
-      memoryTokens: prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens / 2,
-      pauseTarget: request.pauseTarget,
-      prompt,
-      isAnswering: false,
-    };
-    record.begin(attempt);
-    state.noteSent(attempt, now);
-    if (prompt !== undefined) {
-      state.cache.expect(prompt, now);
-    }
-    this.silence.watch(record, attempt);
-    this.emit({ kind: 'share', news: { kind: 'placed', attempt: getShared(attempt) } });
-    this.emit({
-      kind: 'send',
-      id: request.id,
-      attempt: attempt.number,
-      replica: state.replica,
-      choice,
-    });
-  }
-
   private noteAnswering({ id, attempt }: { id: string; attempt: number }): void {
     const record = this.records.get(id);
     if (record?.running?.number === attempt) {
@@ -227,7 +199,7 @@
         running.state.noteFirstToken(running, now);
         running.state.cache.noteRead(running.prompt, now);
       }
-      this.emit({ kind: 'share', news: { kind: 'answering', key: running.key } });
+      this.tell(running, { kind: 'answering', key: running.key });
       record.endSilence();
     }
   }
@@ -238,7 +210,7 @@
     if (record === undefined || running?.number !== attempt) {
       return;
     }
-    this.release(record);
+    this.release(record, { end, after: this.clock.now() - running.sentAt });
     record.count(end);
     this.book.judge(running, end);
     this.goOn(record, attempt, end);
@@ -301,15 +273,26 @@
     }
   }
 
-  private release(record: RequestRecord): void {
+  /** @param result - absent where the end says nothing of the replica */
+  private release(record: RequestRecord, result?: SharedEnd): void {
     const running = record.takeRunning();
     if (running !== undefined) {
       running.state.running.delete(running);
-      this.emit({ kind: 'share', news: { kind: 'ended', key: running.key } });
+      // Where all daemons hear of it, each judges by its own attempts alone.
+      const told = running.placer === undefined ? undefined : result;
+      this.tell(running, { kind: 'ended', key: running.key, result: told });
+    }
+  }
+
+  /** Tells the daemons that count an attempt what became of it. */
+  private tell({ placer }: RunningAttempt, news: SharedNews): void {
+    if (placer === undefined || placer !== this.fleet.self) {
+      this.emit({ kind: 'share', to: placer, news });
     }
   }
 
   private forget(record: RequestRecord): void {
+    this.placing.drop(record);
     this.release(record);
     record.endTimers();
     this.book.getService(record.request.service).waiting.remove(record);
@@ -318,7 +301,7 @@
 
   private drainWaiting(service: ServiceState): void {
     if (service.waiting.size > 0) {
-      service.waiting.drain((record) => this.place(record));
+      service.waiting.drain((record) => this.placing.placeHere(record));
     }
   }
 
@@ -327,10 +310,24 @@
   }
 
   private takeNews({ peer, news }: Extract<PlacementMessage, { kind: 'peer-news' }>): void {
-    if (news.kind === 'broke') {
-      this.book.noteBreak(news.replica);
-    } else {
-      this.peers.take(peer, news);
+    switch (news.kind) {
+      case 'broke':
+        this.book.noteBreak(news.replica);
+        break;
+      case 'ask':
+        this.placer.answer(peer, news.ask);
+        break;
+      case 'reply':
+        this.placing.takeReply(peer, news.reply);
+        break;
+      case 'placed':
+      case 'answering':
+      case 'ended':
+      case 'all':
+        this.peers.take(peer, news);
+        break;
+      default:
+        news satisfies never;
     }
   }
 }
--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -37,7 +37,7 @@
     if (existing !== undefined) {
       return existing;
     }
-    const service = new ServiceState(this.parts.options);
+    const service = new ServiceState(name, this.parts.options);
     service.setDaemons(this.daemons);
     this.services.set(name, service);
     return service;
--- a/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
@@ -1,6 +1,10 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import { getFleetShare } from '../fleetShare.js';
+import { getHomes, getSessionPart } from '../getHoldings.js';
+import { getReplicaGroups } from '../groups/getReplicaGroups.js';
+import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
+import type { PlacementWish } from '../messages.js';
 import { EngineSpeed } from '../EngineSpeed/EngineSpeed.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { ReadRate } from '../ReadRate/ReadRate.js';
@@ -15,6 +19,13 @@
 /** One repeat is always allowed: the first failure of a quiet hour must not be final. */
 const LEAST_SLACK = 1;
 
+/** Which replicas a request may go to. */
+interface CandidateFilter {
+  tried: ReadonlySet<string>;
+  now: Milliseconds;
+  hasRoom: (state: ReplicaState) => boolean;
+}
+
 /** What the placement core knows of one service. */
 export class ServiceState {
   service: RelayService | undefined;
@@ -32,7 +43,13 @@
 
   private daemons: number | undefined;
 
-  constructor(private readonly options: PlacementOptions) {
+  /** Undefined until they are asked for, and after each change of the list. */
+  private knownGroups: readonly ReplicaGroup[] | undefined;
+
+  constructor(
+    private readonly name: string,
+    private readonly options: PlacementOptions,
+  ) {
     this.allowance = new RetryAllowance(this.retries);
   }
 
@@ -42,9 +59,35 @@
     this.allowance.setParts(this.retries);
   }
 
+  /** The groups of its replicas, each of which has a daemon that chooses for all. */
+  get groups(): readonly ReplicaGroup[] {
+    this.knownGroups ??= getReplicaGroups(this.name, [...this.replicas.values()]);
+    return this.knownGroups;
+  }
+
+  /**
+   * The group that a request goes to: that of its session's home, so that all daemons take the same.
+   * What has no session goes to any, by its key.
+   */
+  getGroup({ prompt }: PlacementWish, key: string): ReplicaGroup | undefined {
+    const { groups } = this;
+    if (groups.length <= 1) {
+      return groups[0];
+    }
+    const session = (prompt === undefined ? undefined : getSessionPart(prompt)) ?? key;
+    const [home] = getHomes(session, [...this.replicas.values()]);
+    return groups.find(({ replicas }) => replicas.includes(home!));
+  }
+
+  /** The group of a replica. */
+  getGroupOf(state: ReplicaState): ReplicaGroup | undefined {
+    return this.groups.find(({ replicas }) => replicas.includes(state));
+  }
+
   /** Takes over the newest list; what is known of replicas that stay is kept. */
   setReplicas(replicas: readonly RelayReplica[]): void {
     const listed = new Set(replicas.map(({ id }) => id));
+    this.knownGroups = undefined;
     [...this.replicas.keys()]
       .filter((id) => !listed.has(id))
       .forEach((id) => this.replicas.delete(id));
@@ -64,12 +107,30 @@
    * were. Suspect ones come in only where there is no other.
    */
   getCandidates(tried: ReadonlySet<string>, now: Milliseconds): ReplicaState[] {
-    const staying = this.getStaying();
+    const hasRoom = (state: ReplicaState) => state.hasRoom(this.connections, this.service?.engine);
+    return ServiceState.filterCandidates(this.getStaying(), { tried, now, hasRoom });
+  }
+
+  /** The same of one group, for which this daemon chooses for all. */
+  getGroupCandidates(
+    { replicas }: ReplicaGroup,
+    tried: ReadonlySet<string>,
+    now: Milliseconds,
+  ): ReplicaState[] {
+    const hasRoom = (state: ReplicaState) => state.hasRoomForAll(this.service?.engine);
+    const staying = replicas.filter((state) => state.isStaying);
+    return ServiceState.filterCandidates(staying, { tried, now, hasRoom });
+  }
+
+  private static filterCandidates(
+    staying: readonly ReplicaState[],
+    { tried, now, hasRoom }: CandidateFilter,
+  ): ReplicaState[] {
     const trusted = staying.filter(
       ({ suspicion, breaks }) => suspicion === undefined && !breaks.isAvoided(now),
     );
     const pool = trusted.length > 0 ? trusted : staying;
-    const withRoom = pool.filter((state) => state.hasRoom(this.connections, this.service?.engine));
+    const withRoom = pool.filter(hasRoom);
     const fresh = withRoom.filter(({ replica }) => !tried.has(replica.id));
     const open = fresh.length > 0 ? fresh : withRoom;
     const free = open.filter(({ fullUntil }) => fullUntil <= now);
@@ -78,9 +139,7 @@
 
   /** Replicas that are not about to leave. */
   getStaying(): ReplicaState[] {
-    return [...this.replicas.values()].filter(
-      ({ replica, isLeaving }) => !replica.isDraining && !isLeaving,
-    );
+    return [...this.replicas.values()].filter((state) => state.isStaying);
   }
 
   private get retries(): RetryAllowanceParts {
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -76,6 +76,11 @@
     this.learned = learned;
   }
 
+  /** Whether it is not about to leave. */
+  get isStaying(): boolean {
+    return !this.replica.isDraining && !this.isLeaving;
+  }
+
   get lastReport(): StampedReport | undefined {
     return this.stamped;
   }
@@ -239,9 +244,18 @@
     return own + mean * this.getOthers(now);
   }
 
+  /** Whether this daemon may send it one more. */
   hasRoom(connections: number, profile: EngineProfile | undefined): boolean {
-    const slots = profile?.slots ?? this.replica.slots;
-    return this.ownRunning < Math.min(connections, Math.max(1, slots));
+    return this.ownRunning < Math.min(connections, this.getSlots(profile));
+  }
+
+  /** Whether all daemons together may send it one more, as far as this daemon is told. */
+  hasRoomForAll(profile: EngineProfile | undefined): boolean {
+    return this.running.size < this.getSlots(profile) * (1 + this.options.placerQueue);
+  }
+
+  private getSlots(profile: EngineProfile | undefined): number {
+    return Math.max(1, profile?.slots ?? this.replica.slots);
   }
 
   private getPressure(now: Milliseconds): number {
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -10,6 +10,8 @@
   /** Unique among the attempts of its daemon. */
   key: string;
   isOwn: boolean;
+  /** Whether this daemon chose the replica for another one. */
+  isForOther: boolean;
   state: ReplicaState;
   sentAt: Milliseconds;
   /** Prompt tokens that its engine had to read. */
@@ -27,6 +29,8 @@
   prompt: Prompt | undefined;
   /** The first byte of the answer came. */
   isAnswering: boolean;
+  /** The daemon that is told of it; undefined where all are, the own name where none need be. */
+  placer: string | undefined;
 }
 
 /** What the placement core keeps of a request until it is over. */
@@ -46,6 +50,9 @@
   /** Replicas that were tried. */
   readonly tried = new Set<string>();
 
+  /** Placers that were asked for the attempt that comes next. */
+  readonly asked = new Set<string>();
+
   running: RunningAttempt | undefined;
 
   private deadlineTimer: Timer | undefined;
@@ -58,6 +65,7 @@
     this.started = attempt.number;
     this.tried.add(attempt.state.replica.id);
     this.running = attempt;
+    this.asked.clear();
   }
 
   /** Counts an attempt by what its end proves. */
--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -2,14 +2,14 @@
 import type { RelayService } from '../config/RelayConfiguration.js';
 import { getHoldings, getHomes, getSessionPart } from './getHoldings.js';
 import type { Holding } from './getHoldings.js';
-import type { Choice, Parting, PlacementRequest, Prompt } from './messages.js';
+import type { Choice, Parting, PlacementWish, Prompt } from './messages.js';
 import type { PlacementOptions } from './placementOptions.js';
 import { getReadingEngines, isSlowedByReading } from './readingEngines.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
 /** What a choice is made from. */
 export interface ChoiceInputs {
-  request: PlacementRequest;
+  request: PlacementWish;
   service: RelayService | undefined;
   candidates: readonly ReplicaState[];
   now: Milliseconds;
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -116,12 +116,58 @@
   prompt?: Prompt;
 }
 
+/** What a choice of a replica depends on. */
+export type PlacementWish = Pick<
+  PlacementRequest,
+  'service' | 'rank' | 'latencyTarget' | 'pauseTarget' | 'prompt'
+>;
+
+/** What a daemon asks the one that chooses for a group of replicas. */
+export interface PlacementAsk {
+  /** Names the attempt among those of the daemon that asks. */
+  key: string;
+  wish: PlacementWish;
+  /** Of the daemon that asks; empty where zones don't matter. */
+  availabilityZone: string;
+  /** Replicas that are not to be chosen. */
+  tried: string[];
+}
+
+/** Where a placer sends another daemon's attempt, and what it expects there. */
+export interface Placement {
+  replica: string;
+  expected: Milliseconds;
+  missingTokens: number;
+  tokensAhead: number;
+  copyTime: Milliseconds;
+  /** The replica to copy from, and how many tokens. */
+  fetchFrom?: string;
+  fetchTokens?: number;
+}
+
+/** The answer; the placer counts the attempt as under way from then on. */
+export interface PlacementReply {
+  key: string;
+  /** Absent where no replica of the group will do. */
+  placement?: Placement;
+}
+
+/** How an attempt ended, for the daemon that chooses for its replica. */
+export interface SharedEnd {
+  end: AttemptEnd;
+  /** From the send to the end. */
+  after: Milliseconds;
+}
+
 /** What one daemon tells the others. */
 export type SharedNews =
   | { kind: 'placed'; attempt: SharedAttempt }
   /** The engine has read the prompt. */
   | { kind: 'answering'; key: string }
-  | { kind: 'ended'; key: string }
+  /** `result` is absent where the attempt says nothing of its replica. */
+  | { kind: 'ended'; key: string; result?: SharedEnd }
+  | { kind: 'ask'; ask: PlacementAsk }
+  | { kind: 'reply'; reply: PlacementReply }
   /** An attempt broke at a replica. */
   | { kind: 'broke'; replica: string }
   /** All that is under way; what was told before is forgotten. */
@@ -139,6 +185,8 @@
   | { kind: 'load'; replica: string; report: LoadReport }
   /** How many daemons there are, this one included. */
   | { kind: 'daemons'; count: number }
+  /** The daemons that are heard, this one included. */
+  | { kind: 'fleet'; self: string; daemons: readonly string[] }
   | { kind: 'peer-news'; peer: string; news: SharedNews }
   /** Nothing was heard of another daemon for long. */
   | { kind: 'peer-gone'; peer: string }
@@ -168,8 +216,14 @@
     }
   /** The answer of this attempt is final, also where it is a failure. */
   | { kind: 'settle'; id: string; attempt: number }
-  /** For the other daemons. */
-  | { kind: 'share'; news: SharedNews }
+  /** For the other daemons, or for one of them. */
+  | { kind: 'share'; news: SharedNews; to?: string }
+  /** A replica was chosen for another daemon's attempt. */
+  | { kind: 'placed-for'; peer: string; key: string; replica: RelayReplica; choice: Choice }
+  /** A placer gave no answer in time; it isn't asked for a while. */
+  | { kind: 'placer-silent'; peer: string; span: Milliseconds }
+  /** The engines whose caches this daemon needs to know; absent for all. */
+  | { kind: 'follow-caches'; engines?: ReadonlySet<string> }
   /** Nothing comes from an engine: it is to be asked whether it lives. */
   | { kind: 'question'; replica: RelayReplica }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
@@ -217,7 +271,9 @@
   fetchTokens?: number;
   /** Present where the request has a prompt. */
   parting?: Parting;
-  /** Requests of this daemon that are under way there. */
+  /** The daemon that chose, where it was another, and what its answer took. */
+  placer?: { daemon: string; key: string; waited: Milliseconds };
+  /** Requests that are under way there, as far as this daemon is told. */
   inFlight: number;
   /** The replica's last report. */
   reported?: LoadReport;
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -59,6 +59,12 @@
   darkAfter: Milliseconds;
   /** Retry-After where the service will be back soon. */
   retryAfter: Milliseconds;
+  /** How long a placer may take to answer. */
+  askTimeout: Milliseconds;
+  /** A placer that gave no answer isn't asked for so long. */
+  silentPlacer: Milliseconds;
+  /** Requests beyond its slots that a placer gives an engine, as a part of the slots. */
+  placerQueue: number;
 }
 
 /**
@@ -113,4 +119,11 @@
   // Longer than the first token of the largest prompt on a busy engine takes.
   darkAfter: 1_200,
   retryAfter: 300,
+  // A way there and back takes up to 6 ms between zones, and a placer on a third of a core has up to
+  // some 40 ms of other work before it; a quarter of the shortest latency target in use.
+  askTimeout: 80,
+  // A daemon that was killed is back, or known to be gone, in a few seconds.
+  silentPlacer: 1_000,
+  // Replicas queue a few times their slots; what waits there can't move any more.
+  placerQueue: 1,
 };
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -33,6 +33,8 @@
   | { event: 'replica-suspect'; replica: string; service: string; reason: string }
   | { event: 'replica-trusted'; replica: string; service: string }
   | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
+  | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
+  | { event: 'placer-silent'; peer: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
   | { event: 'peer-lost'; peer: string }
   | { event: 'cache-listed'; replica: string; parts: number; reason: string }
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -5,7 +5,13 @@
 /**
  * Lines that tell of a failure or a change of belief go on when routine lines are held back.
  */
-const ROUTINE = new Set<RelayEvent['event']>(['admitted', 'sent', 'first-byte', 'answered']);
+const ROUTINE = new Set<RelayEvent['event']>([
+  'admitted',
+  'placed-for',
+  'sent',
+  'first-byte',
+  'answered',
+]);
 
 const SECOND: Milliseconds = 1_000;
 
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -28,6 +28,10 @@
   'replica-trusted': 'a suspect replica has answered its health check',
   'replica-avoided':
     'three attempts of any daemons broke there: it gets nothing for that long while others will do',
+  'placed-for':
+    "a replica was chosen for another daemon's attempt; its line `sent` names this daemon and the key",
+  'placer-silent':
+    'the daemon that chooses for a group of replicas gave no answer; its deputy is asked for that long',
   'peer-found': 'another daemon is heard',
   'peer-lost': 'another daemon has fallen silent: what it had under way is forgotten',
   'cache-listed': 'everything that an engine keeps was read, and why',
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -46,7 +46,12 @@
   const links: PeerLink[] = [];
 
   /** A link, and a wait for what it hears or logs. */
-  async function createLink(id: string, directory: PeerDirectory, attempts: SharedAttempt[] = []) {
+  async function createLink(
+    id: string,
+    directory: PeerDirectory,
+    attempts: ReadonlyMap<string | undefined, SharedAttempt[]> = new Map(),
+  ) {
+    const fleets: string[][] = [];
     const heard: SharedNews[] = [];
     const counts: number[] = [];
     const seen: Readonly<Record<string, number>>[] = [];
@@ -68,6 +73,10 @@
         wake();
       },
       onGone: wake,
+      onFleet: (daemons) => {
+        fleets.push(daemons);
+        wake();
+      },
       getChanges: () => ({ replicas: 7 }),
       onChanges: (changes) => {
         seen.push(changes);
@@ -88,7 +97,7 @@
         });
       }
     };
-    return { link, heard, events, counts, seen, until };
+    return { link, heard, events, counts, fleets, seen, until };
   }
 
   afterEach(() => links.splice(0).forEach((link) => link.dispose()));
@@ -109,7 +118,7 @@
 
   it('tells news at once, and everything again to make up for what was lost', async () => {
     const directory = new MemoryDirectory();
-    const left = await createLink('d-1', directory, [ATTEMPT]);
+    const left = await createLink('d-1', directory, new Map([[undefined, [ATTEMPT]]]));
     const right = await createLink('d-2', directory);
     await left.until(() => left.link.livePeers === 1);
     left.link.tell({ kind: 'placed', attempt: ATTEMPT });
@@ -134,31 +143,42 @@
   // Symptom: daemons of a large fleet spend a tenth of a core on telling each other of five requests
   // a second. Sequence: each placement, first byte and end goes to all others. Cause: what a daemon
   // hears grows with the number of daemons.
-  it('tells a large fleet of its placements in its regular message alone', async () => {
+  it('tells one daemon what is for it alone, also in the regular message', async () => {
     const directory = new MemoryDirectory();
     const names = Array.from({ length: 18 }, (_item, index) => `d-${index}`);
-    const fleet = await Promise.all(names.map((name) => createLink(name, directory)));
+    const attempts = new Map([['d-1', [ATTEMPT]]]);
+    const fleet = await Promise.all(names.map((name) => createLink(name, directory, attempts)));
     await Promise.all(
       fleet.map(({ link, until }) => until(() => link.livePeers === fleet.length - 1)),
     );
-    const [first, second] = fleet as [(typeof fleet)[0], (typeof fleet)[0]];
-    second.heard.length = 0;
-    const prompt = { model: 'm', inputTokens: 5, outputTokens: 5, parts: [{ id: 'p', tokens: 5 }] };
+    const [first, second, third] = fleet as [
+      (typeof fleet)[0],
+      (typeof fleet)[0],
+      (typeof fleet)[0],
+    ];
+    const seenBefore = third.seen.length;
     for (let index = 0; index < 100; index += 1) {
       const key = `r-${index}/1`;
-      first.link.tell({ kind: 'placed', attempt: { ...ATTEMPT, key, prompt } });
-      first.link.tell({ kind: 'answering', key });
-      first.link.tell({ kind: 'ended', key });
+      first.link.tell({ kind: 'placed', attempt: { ...ATTEMPT, key } }, 'd-1');
+      first.link.tell({ kind: 'answering', key }, 'd-1');
+      first.link.tell({ kind: 'ended', key }, 'd-1');
     }
-    const isPlaced = ({ kind }: SharedNews) => kind === 'placed';
-    await second.until(() => second.heard.some(isPlaced));
-    const placed = second.heard.filter(isPlaced);
-    expect(placed).toHaveLength(30);
-    expect(
-      placed.every((news) => news.kind === 'placed' && news.attempt.prompt === undefined),
-    ).toBe(true);
-    expect(second.heard.some(({ kind }) => kind === 'answering' || kind === 'ended')).toBe(false);
-    await second.until(() => second.counts.length > 0);
+    const count = ({ heard }: typeof first, kind: SharedNews['kind']) =>
+      heard.filter((news) => news.kind === kind).length;
+    await second.until(() => count(second, 'placed') === 100 && count(second, 'ended') === 100);
+    await third.until(() => third.seen.length > seenBefore);
+    expect(third.heard.filter(({ kind }) => kind !== 'all')).toEqual([]);
+    const all = third.heard.flatMap((news) => (news.kind === 'all' ? news.attempts : []));
+    expect(all).toEqual([]);
+    expect(second.heard).toContainEqual({ kind: 'all', attempts: [ATTEMPT] });
+  });
+
+  it('tells of the daemons that are heard, once it has settled', async () => {
+    const directory = new MemoryDirectory();
+    const left = await createLink('d-1', directory);
+    await createLink('d-2', directory);
+    await left.until(() => left.fleets.length > 0);
+    expect(left.fleets).toEqual([['d-1', 'd-2']]);
   });
 
   it('takes bytes that are no news for what they are', async () => {
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -1,42 +1,30 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
+import { fleetOptions } from '../../decide/Fleet/Fleet.js';
 import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import { decodeDatagram, encodeDatagram } from '../datagram/datagram.js';
 import type { Datagram } from '../datagram/datagram.js';
+import { Outbox } from '../Outbox/Outbox.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
 import { PeerTable } from '../PeerTable/PeerTable.js';
 
 /** How often daemons talk. */
 export const linkOptions = {
-  /**
-   * News that can wait goes out together after this long: ends and first tokens matter to a choice
-   * by some tens of milliseconds, and each datagram goes to every other daemon.
-   */
-  gather: 60 satisfies Milliseconds,
   /** Everything that is under way is told this often, since datagrams can be lost. */
   refresh: 1_000 satisfies Milliseconds,
   /** How often the directory is asked for daemons that were never heard. */
   relist: 30_000 satisfies Milliseconds,
   /** After the directory gave no answer. */
   pause: 500 satisfies Milliseconds,
-  /** News in one datagram: it stays under the 1,500 bytes that pass in one piece. */
-  newsPerDatagram: 5,
-  /**
-   * Up to so many others hear of each placement at once. Each of n daemons sends three messages for
-   * each of its requests to all others: at 74 daemons, by calculation, 1,000 datagrams a second both
-   * ways at each, for 5 requests a second. Above it the regular message says all. With fewer calls to
-   * engines as well, a daemon of 74 took 0.044 of a core in place of 0.134 (one day each).
-   */
-  mostClose: 16,
   /**
    * Datagrams a second that a daemon hears from all others, which bounds what the size of the fleet
    * costs each.
    */
   datagramsPerSecond: 80,
-  /** Placements that one regular message tells of; more would not fit, and the latest count most. */
-  mostPlaced: 30,
+  /** Others that came or went are told of together after this long: daemons start all at once. */
+  settle: 200 satisfies Milliseconds,
   /** Breaks that a large fleet is told of at once, between two regular messages. */
   mostUrgent: 5,
 };
@@ -53,9 +41,15 @@
   random: Random;
   log: RelayLog;
   directory: PeerDirectory;
-  getAll: () => SharedAttempt[];
+  /**
+   * What is under way, by the daemon that is to be told of it; undefined stands for those that none
+   * is named for.
+   */
+  getAll: () => ReadonlyMap<string | undefined, SharedAttempt[]>;
   onNews: (peer: string, news: SharedNews) => void;
   onGone: (peer: string) => void;
+  /** The daemons that are heard, this one included. */
+  onFleet: (daemons: string[]) => void;
   /** How many daemons there are, this one included; told once the directory is known. */
   onCount: (daemons: number) => void;
   /** The revisions of the store's last changes that this daemon has heard of, by kind. */
@@ -64,6 +58,16 @@
   onChanges: (changes: Readonly<Record<string, number>>) => void;
 }
 
+/** All that is under way, without prompts: these were told of before, and caches are read. */
+function encodeAll(
+  from: PeerEntry,
+  attempts: readonly SharedAttempt[],
+  changes: Record<string, number>,
+): Buffer {
+  const told = attempts.map((attempt) => ({ ...attempt, prompt: undefined }));
+  return encodeDatagram({ from, news: [{ kind: 'all', attempts: told }], changes });
+}
+
 function splitAddress(address: string): { host: string; port: number } {
   const [host, port] = address.split(':');
   return { host: host!, port: Number(port) };
@@ -78,9 +82,9 @@
 
   private readonly socket: Socket;
 
-  private pending: SharedNews[] = [];
+  private readonly outbox: Outbox;
 
-  private gathering: Timer | undefined;
+  private settling: Timer | undefined;
 
   private refreshing: Timer | undefined;
 
@@ -96,6 +100,10 @@
 
   constructor(private readonly parts: PeerLinkParts) {
     this.table = new PeerTable(parts.self.id);
+    this.outbox = new Outbox({
+      clock: parts.clock,
+      send: (news, to) => this.sendTo(this.table.getAddresses(to), news),
+    });
     this.socket = createSocket('udp4');
     this.socket.on('message', (bytes) => this.receive(bytes));
     this.socket.on('error', (error) => this.fault('socket', error));
@@ -110,22 +118,13 @@
     this.follow().catch((error: unknown) => this.fault('follow', error));
   }
 
-  /** Tells the others soon; a new placement at once, since they may be choosing right now. */
-  tell(news: SharedNews): void {
-    if (!this.isClose && !this.isUrgent(news)) {
-      this.tellLater(news);
-      return;
-    }
-    this.pending.push(news);
-    if (
-      news.kind === 'placed' ||
-      news.kind === 'broke' ||
-      this.pending.length >= linkOptions.newsPerDatagram
-    ) {
-      this.flush();
-      return;
+  /**
+   * Tells one daemon, or all that are heard; what others may be waiting for at once, the rest soon.
+   */
+  tell(news: SharedNews, to?: string): void {
+    if (news.kind !== 'broke' || this.mayTellBreak()) {
+      this.outbox.add(news, to);
     }
-    this.gathering ??= this.parts.clock.setTimer(linkOptions.gather, () => this.flush());
   }
 
   /** Takes its entry out of the directory; while it still talks, the others know it all the same. */
@@ -136,106 +135,72 @@
 
   /** The others need not wait for its silence. */
   tellGone(): void {
-    this.sendTo(this.table.all, [{ kind: 'all', attempts: [] }]);
+    const addresses = this.table.ids.flatMap((id) => this.table.getAddresses(id));
+    this.sendTo(addresses, [{ kind: 'all', attempts: [] }]);
   }
 
   dispose(): void {
     this.isOver = true;
-    [this.gathering, this.refreshing, this.pausing].forEach((timer) => timer?.cancel());
+    [this.settling, this.refreshing, this.pausing].forEach((timer) => timer?.cancel());
+    this.outbox.dispose();
     this.socket.close();
   }
 
   get livePeers(): number {
-    return this.table.live.length;
+    return this.table.liveIds.length;
   }
 
   /** Breaks are rare, and others act on them; when everything breaks they say nothing new. */
-  private isUrgent({ kind }: SharedNews): boolean {
-    if (kind !== 'broke' || this.urgentLeft === 0) {
+  private mayTellBreak(): boolean {
+    if (this.livePeers < fleetOptions.mostClose) {
+      return true;
+    }
+    if (this.urgentLeft === 0) {
       return false;
     }
     this.urgentLeft -= 1;
     return true;
   }
 
-  /** Whether there are so few others that each can hear of everything at once. */
-  private get isClose(): boolean {
-    return this.table.live.length <= linkOptions.mostClose;
-  }
-
   private get refreshSpan(): Milliseconds {
     const spread =
-      (this.table.all.length * MILLISECONDS_PER_SECOND) / linkOptions.datagramsPerSecond;
+      (this.table.ids.length * MILLISECONDS_PER_SECOND) / linkOptions.datagramsPerSecond;
     return Math.max(linkOptions.refresh, spread);
   }
 
-  /**
-   * Keeps placements for the next regular message, also of what has ended by then: the engine spent
-   * its time on reading it. What is answering by then no longer waits to be read.
-   */
-  private tellLater(news: SharedNews): void {
-    switch (news.kind) {
-      case 'placed': {
-        const attempt = { ...news.attempt, prompt: undefined };
-        this.pending = [...this.pending, { kind: 'placed' as const, attempt }];
-        this.pending = this.pending.slice(-linkOptions.mostPlaced);
-        break;
-      }
-      case 'answering':
-      case 'ended':
-        this.pending.forEach((item) => {
-          if (item.kind === 'placed' && item.attempt.key === news.key) {
-            Object.assign(item.attempt, { isAnswering: true });
-          }
-        });
-        break;
-      case 'broke':
-      case 'all':
-        break;
-      default:
-        news satisfies never;
-    }
-  }
-
-  private flush(): void {
-    this.gathering?.cancel();
-    this.gathering = undefined;
-    const { pending } = this;
-    this.pending = [];
-    if (pending.length > 0) {
-      this.sendTo(this.table.live, pending);
-    }
-  }
-
   private refresh(): void {
     if (this.isOver) {
       return;
     }
     const { clock, onGone, log } = this.parts;
-    if (!this.isClose) {
-      this.flush();
-    }
     this.urgentLeft = linkOptions.mostUrgent;
     this.tellAll();
     const silence = this.refreshSpan * SILENT_MESSAGES;
     this.table.takeSilent(clock.now(), silence).forEach((peer) => {
       log({ event: 'peer-lost', peer });
       onGone(peer);
+      this.tellFleet();
     });
     this.refreshing = clock.setTimer(this.refreshSpan, () => this.refresh());
   }
 
-  private tellAll(addresses = this.table.all): void {
-    const attempts = this.parts.getAll().map((attempt) => ({ ...attempt, prompt: undefined }));
-    this.sendTo(addresses, [{ kind: 'all', attempts }], this.parts.getChanges());
+  /** Tells what is under way; each daemon what it is to know, and none of it is empty news. */
+  private tellAll(ids = this.table.ids): void {
+    const all = this.parts.getAll();
+    const changes = this.parts.getChanges();
+    const common = encodeAll(this.parts.self, all.get(undefined) ?? [], changes);
+    ids.forEach((id) => {
+      const own = all.get(id);
+      const bytes = own === undefined ? common : encodeAll(this.parts.self, own, changes);
+      this.sendBytes(this.table.getAddresses(id), bytes);
+    });
+  }
+
+  private sendTo(addresses: readonly string[], news: SharedNews[]): void {
+    this.sendBytes(addresses, encodeDatagram({ from: this.parts.self, news }));
   }
 
-  private sendTo(
-    addresses: readonly string[],
-    news: SharedNews[],
-    changes?: Record<string, number>,
-  ): void {
-    const bytes = encodeDatagram({ from: this.parts.self, news, changes });
+  private sendBytes(addresses: readonly string[], bytes: Buffer): void {
     addresses.forEach((address) => {
       const { host, port } = splitAddress(address);
       // A datagram that can't be sent is one that was lost: the refresh covers it.
@@ -243,6 +208,15 @@
     });
   }
 
+  /** Tells who is heard, once it has settled. */
+  private tellFleet(): void {
+    const { clock, onFleet, self } = this.parts;
+    this.settling ??= clock.setTimer(linkOptions.settle, () => {
+      this.settling = undefined;
+      onFleet([self.id, ...this.table.liveIds]);
+    });
+  }
+
   private receive(bytes: Buffer): void {
     let datagram: Datagram;
     try {
@@ -258,7 +232,8 @@
     const { clock, log, onNews } = this.parts;
     if (this.table.noteHeard(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
-      this.tellAll([from.address]);
+      this.tellAll([from.id]);
+      this.tellFleet();
     }
     news.forEach((item) => onNews(from.id, item));
     if (changes !== undefined) {
@@ -275,7 +250,7 @@
         this.fault('directory', error);
         return false;
       });
-      this.parts.onCount(this.table.all.length + 1);
+      this.parts.onCount(this.table.ids.length + 1);
       const span = isFine ? linkOptions.relist : linkOptions.pause;
       // eslint-disable-next-line no-await-in-loop
       await new Promise<void>((resolve) => {
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
@@ -12,20 +12,21 @@
       ],
       0,
     );
-    expect([table.all, table.live]).toEqual([['a:2'], []]);
+    expect([table.ids, table.getAddresses(undefined)]).toEqual([['d-2'], []]);
+    expect(table.getAddresses('d-2')).toEqual(['a:2']);
     expect(table.noteHeard({ id: 'd-2', address: 'a:2' }, 10)).toBe(true);
     expect(table.noteHeard({ id: 'd-2', address: 'a:2' }, 20)).toBe(false);
-    expect(table.live).toEqual(['a:2']);
+    expect(table.getAddresses(undefined)).toEqual(['a:2']);
     expect(table.takeSilent(20 + SILENCE, SILENCE)).toEqual([]);
     expect(table.takeSilent(21 + SILENCE, SILENCE)).toEqual(['d-2']);
-    expect([table.all, table.live]).toEqual([['a:2'], []]);
+    expect([table.ids, table.getAddresses(undefined)]).toEqual([['d-2'], []]);
   });
 
   it('takes a daemon that is back at another address', () => {
     const table = new PeerTable('d-1');
     table.noteHeard({ id: 'd-2', address: 'a:2' }, 0);
     table.noteHeard({ id: 'd-2', address: 'b:2' }, 1);
-    expect(table.live).toEqual(['b:2']);
+    expect(table.getAddresses(undefined)).toEqual(['b:2']);
   });
 
   it('gives up entries that were silent for long, and lets one daemon tidy up', () => {
@@ -37,6 +38,6 @@
     table.takeSilent(SILENCE + 1, SILENCE);
     expect(table.takeForgotten(peerOptions.forgetAfter)).toEqual([]);
     expect(table.takeForgotten(peerOptions.forgetAfter * 2)).toEqual(['d-1']);
-    expect(table.all).toEqual([]);
+    expect(table.ids).toEqual([]);
   });
 });
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
@@ -64,16 +64,20 @@
     return forgotten.map(([id]) => id);
   }
 
-  /** Addresses of the peers that are heard. */
-  get live(): string[] {
-    return [...this.peers.values()]
-      .filter(({ heardAt }) => heardAt !== undefined)
-      .map(({ address }) => address);
+  /** Names of the peers that are heard. */
+  get liveIds(): string[] {
+    return [...this.peers].filter(([, { heardAt }]) => heardAt !== undefined).map(([id]) => id);
   }
 
-  /** Addresses of all that may be there. */
-  get all(): string[] {
-    return [...this.peers.values()].map(({ address }) => address);
+  /** Names of all that may be there. */
+  get ids(): string[] {
+    return [...this.peers.keys()];
+  }
+
+  /** The address of one peer, also of one that isn't heard; those of all that are where none is named. */
+  getAddresses(id: string | undefined): string[] {
+    const ids = id === undefined ? this.liveIds : [id];
+    return ids.flatMap((peer) => this.peers.get(peer)?.address ?? []);
   }
 
   /** Whether this daemon, of those that are heard, has the first name: one of them tidies up. */
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -1,4 +1,5 @@
-import type { SharedAttempt } from '../../decide/messages.js';
+import { AttemptEnd } from '../../decide/messages.js';
+import type { PlacementAsk, SharedAttempt } from '../../decide/messages.js';
 import { decodeDatagram, encodeDatagram } from './datagram.js';
 import type { Datagram } from './datagram.js';
 
@@ -12,6 +13,27 @@
   prompt: { model: 'm', inputTokens: 5, outputTokens: 7, parts: [{ id: 'p', tokens: 5 }] },
 };
 
+const ASK: PlacementAsk = {
+  key: 'k',
+  wish: {
+    service: 'llm',
+    rank: 1,
+    latencyTarget: 300,
+    pauseTarget: 250,
+    prompt: ATTEMPT.prompt,
+  },
+  availabilityZone: 'a',
+  tried: ['i-9'],
+};
+
+const PLACEMENT = {
+  replica: 'i-1',
+  expected: 80,
+  missingTokens: 700,
+  tokensAhead: 1_400,
+  copyTime: 5,
+};
+
 const FROM = { id: 'd-1', address: '10.0.0.1:7001' };
 
 describe('a datagram', () => {
@@ -22,6 +44,15 @@
         { kind: 'placed', attempt: ATTEMPT },
         { kind: 'answering', key: 'k' },
         { kind: 'ended', key: 'k' },
+        { kind: 'ended', key: 'k', result: { end: AttemptEnd.Completed, after: 120 } },
+        { kind: 'ask', ask: ASK },
+        { kind: 'ask', ask: { ...ASK, wish: { ...ASK.wish, prompt: undefined } } },
+        { kind: 'reply', reply: { key: 'k' } },
+        { kind: 'reply', reply: { key: 'k', placement: PLACEMENT } },
+        {
+          kind: 'reply',
+          reply: { key: 'k', placement: { ...PLACEMENT, fetchFrom: 'i-2', fetchTokens: 900 } },
+        },
         { kind: 'broke', replica: 'i-1' },
         {
           kind: 'all',
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -1,5 +1,12 @@
 import { z } from 'zod';
-import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
+import { AttemptEnd } from '../../decide/messages.js';
+import type {
+  Placement,
+  PlacementAsk,
+  Prompt,
+  SharedAttempt,
+  SharedNews,
+} from '../../decide/messages.js';
 import type { PeerEntry } from '../PeerDirectory.js';
 
 /** One message between two daemons. */
@@ -10,6 +17,14 @@
   changes?: Record<string, number>;
 }
 
+/** Model, input tokens, output tokens, parts. */
+const promptForm = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(z.tuple([z.string(), z.number()])),
+]);
+
 /**
  * An attempt without the names of its fields, which would be two thirds of the bytes: key, replica,
  * missing tokens, memory tokens, whether it is answering, pause target, prompt. Each goes to every
@@ -22,15 +37,38 @@
   z.number(),
   z.union([z.literal(0), z.literal(1)]),
   z.number().nullable(),
-  z
-    .tuple([z.string(), z.number(), z.number(), z.array(z.tuple([z.string(), z.number()]))])
-    .nullable(),
+  promptForm.nullable(),
+]);
+
+/** Key, service, rank, latency target, pause target, prompt, availability zone, replicas tried. */
+const askForm = z.tuple([
+  z.string(),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number().nullable(),
+  promptForm.nullable(),
+  z.string(),
+  z.array(z.string()),
+]);
+
+/** Replica, expected wait, missing tokens, tokens ahead, copy time, and what is copied from where. */
+const placementForm = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.tuple([z.string(), z.number()]).nullable(),
 ]);
 
 const newsForm = z.union([
   z.tuple([z.literal('p'), attemptForm]),
   z.tuple([z.literal('a'), z.string()]),
   z.tuple([z.literal('e'), z.string()]),
+  z.tuple([z.literal('e'), z.string(), z.enum(AttemptEnd), z.number()]),
+  z.tuple([z.literal('q'), askForm]),
+  z.tuple([z.literal('r'), z.string(), placementForm.nullable()]),
   z.tuple([z.literal('b'), z.string()]),
   z.tuple([z.literal('l'), z.array(attemptForm)]),
 ]);
@@ -42,9 +80,30 @@
   z.record(z.string(), z.number()).nullable(),
 ]);
 
+type PromptForm = z.infer<typeof promptForm>;
 type AttemptForm = z.infer<typeof attemptForm>;
+type AskForm = z.infer<typeof askForm>;
+type PlacementForm = z.infer<typeof placementForm>;
 type NewsForm = z.infer<typeof newsForm>;
 
+function encodePrompt({ model, inputTokens, outputTokens, parts }: Prompt): PromptForm {
+  return [
+    model,
+    inputTokens,
+    outputTokens,
+    parts.map(({ id, tokens }): [string, number] => [id, tokens]),
+  ];
+}
+
+function decodePrompt([model, inputTokens, outputTokens, parts]: PromptForm): Prompt {
+  return {
+    model,
+    inputTokens,
+    outputTokens,
+    parts: parts.map(([id, tokens]) => ({ id, tokens })),
+  };
+}
+
 function encodeAttempt(attempt: SharedAttempt): AttemptForm {
   const { key, replica, missingTokens, memoryTokens, isAnswering, pauseTarget, prompt } = attempt;
   return [
@@ -54,14 +113,7 @@
     Math.round(memoryTokens),
     isAnswering ? 1 : 0,
     pauseTarget ?? null,
-    prompt === undefined
-      ? null
-      : [
-          prompt.model,
-          prompt.inputTokens,
-          prompt.outputTokens,
-          prompt.parts.map(({ id, tokens }): [string, number] => [id, tokens]),
-        ],
+    prompt === undefined ? null : encodePrompt(prompt),
   ];
 }
 
@@ -81,18 +133,70 @@
     memoryTokens,
     isAnswering: isAnswering === 1,
     pauseTarget: pauseTarget ?? undefined,
-    prompt:
-      prompt === null
-        ? undefined
-        : {
-            model: prompt[0],
-            inputTokens: prompt[1],
-            outputTokens: prompt[2],
-            parts: prompt[3].map(([id, tokens]) => ({ id, tokens })),
-          },
+    prompt: prompt === null ? undefined : decodePrompt(prompt),
   };
 }
 
+function encodeAsk({ key, wish, availabilityZone, tried }: PlacementAsk): AskForm {
+  const { service, rank, latencyTarget, pauseTarget, prompt } = wish;
+  const promptIn = prompt === undefined ? null : encodePrompt(prompt);
+  return [
+    key,
+    service,
+    rank,
+    latencyTarget,
+    pauseTarget ?? null,
+    promptIn,
+    availabilityZone,
+    tried,
+  ];
+}
+
+function decodeAsk([
+  key,
+  service,
+  rank,
+  latencyTarget,
+  pauseTarget,
+  prompt,
+  availabilityZone,
+  tried,
+]: AskForm): PlacementAsk {
+  const wish = {
+    service,
+    rank,
+    latencyTarget,
+    pauseTarget: pauseTarget ?? undefined,
+    prompt: prompt === null ? undefined : decodePrompt(prompt),
+  };
+  return { key, wish, availabilityZone, tried };
+}
+
+function encodePlacement(placement: Placement): PlacementForm {
+  const { replica, expected, missingTokens, tokensAhead, copyTime } = placement;
+  const { fetchFrom, fetchTokens } = placement;
+  return [
+    replica,
+    Math.round(expected),
+    Math.round(missingTokens),
+    Math.round(tokensAhead),
+    Math.round(copyTime),
+    fetchFrom === undefined ? null : [fetchFrom, Math.round(fetchTokens ?? 0)],
+  ];
+}
+
+function decodePlacement([
+  replica,
+  expected,
+  missingTokens,
+  tokensAhead,
+  copyTime,
+  fetch,
+]: PlacementForm): Placement {
+  const [fetchFrom, fetchTokens] = fetch ?? [];
+  return { replica, expected, missingTokens, tokensAhead, copyTime, fetchFrom, fetchTokens };
+}
+
 function encodeNews(news: SharedNews): NewsForm {
   switch (news.kind) {
     case 'placed':
@@ -100,7 +204,15 @@
     case 'answering':
       return ['a', news.key];
     case 'ended':
-      return ['e', news.key];
+      return news.result === undefined
+        ? ['e', news.key]
+        : ['e', news.key, news.result.end, Math.round(news.result.after)];
+    case 'ask':
+      return ['q', encodeAsk(news.ask)];
+    case 'reply': {
+      const { key, placement } = news.reply;
+      return ['r', key, placement === undefined ? null : encodePlacement(placement)];
+    }
     case 'broke':
       return ['b', news.replica];
     case 'all':
@@ -116,8 +228,21 @@
       return { kind: 'placed', attempt: decodeAttempt(form[1]) };
     case 'a':
       return { kind: 'answering', key: form[1] };
-    case 'e':
-      return { kind: 'ended', key: form[1] };
+    case 'e': {
+      const [, key, end, after] = form;
+      return end === undefined || after === undefined
+        ? { kind: 'ended', key }
+        : { kind: 'ended', key, result: { end, after } };
+    }
+    case 'q':
+      return { kind: 'ask', ask: decodeAsk(form[1]) };
+    case 'r': {
+      const [, key, placement] = form;
+      return {
+        kind: 'reply',
+        reply: placement === null ? { key } : { key, placement: decodePlacement(placement) },
+      };
+    }
     case 'b':
       return { kind: 'broke', replica: form[1] };
     case 'l':
