Test, red: an engine with a queue seems idle, since waiting counts as reading

Cause: the backlog of an engine was all unread tokens less what it could read since the oldest of them was sent. That one may have waited behind others all the while. After 300 ms an engine with four prompts of 3,000 tokens left seems to have none.

--- a/packages/relay/src/lib/decide/PlacementCore/busyEngines.test.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/busyEngines.test.ts
@@ -53,4 +53,27 @@
       .flatMap(({ news }) => (news.kind === 'broke' ? [news.replica] : []));
     expect(told.sort()).toEqual(['e-0', 'e-1', 'e-2']);
   });
+
+  // An engine reads one prompt after the other. The time since the oldest unread one was sent counted
+  // as reading of all that is unread, also while that one waited behind others: an engine with four of
+  // eight prompts still to read, 12,000 tokens, seemed to have nothing to do, and got the next ones as
+  // well. In a burst first tokens came after 1,200 ms where 424 were expected (median).
+  it('have still to read what was sent there, also when it has waited for long', () => {
+    const harness = new CoreHarness([createEngineService('llm')], createEngines(1));
+    const submit = (id: string) => {
+      const prompt = createPrompt([[`own-${id}`, 3_000]]);
+      harness.submit(createRequest(id, { service: 'llm', prompt, deadline: 10_000 }));
+    };
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+    ids.forEach(submit);
+    // At 40 tokens a millisecond a prompt takes 75 ms.
+    ids.slice(0, 4).forEach((id) => {
+      harness.clock.advance(75);
+      harness.core.handle({ kind: 'answering', id, attempt: 1 });
+    });
+    submit('next');
+    const { choice } = harness.get('send').at(-1)!;
+    expect(choice.tokensAhead).toBeGreaterThan(13_000);
+    expect(choice.tokensAhead).toBeLessThan(16_000);
+  });
 });
