--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,6 +1,9 @@
 export { readBody } from './lib/BodyReader/BodyReader.js';
 export type { BodyLimits, BodyResult } from './lib/BodyReader/BodyReader.js';
 export { CallerConnections } from './lib/CallerConnections/CallerConnections.js';
-export type { CallerConnectionOptions } from './lib/CallerConnections/CallerConnections.js';
+export type {
+  CallerConnectionOptions,
+  ConnectionCensus,
+} from './lib/CallerConnections/CallerConnections.js';
 export { MalformedKind, refuseConnection } from './lib/refuseConnection.js';
 export type { RefusalBody } from './lib/refuseConnection.js';
--- a/packages/callers/src/lib/CallerConnections/CallerConnections.ts
+++ b/packages/callers/src/lib/CallerConnections/CallerConnections.ts
@@ -21,9 +21,31 @@
   inFlight: Set<IncomingMessage>;
   /** What had been read when the last request was over: more means that another has begun. */
   readAtRest: number;
+  openedAt: Milliseconds;
+  /** Requests that have begun on it. */
+  requests: number;
   timer: Timer | undefined;
 }
 
+/**
+ * What a shutdown found when it closed the port. A caller whose connection is ended before its
+ * request was read sees a reset; whether that can have been one of these is told by their ages.
+ *
+ * @public
+ */
+export interface ConnectionCensus {
+  /** Connections that carried a request. */
+  busy: number;
+  /** Connections on which a request has begun to arrive. */
+  arriving: number;
+  /** Connections that rested after a request, and were ended. */
+  resting: number;
+  /** Connections that never sent a byte. */
+  unused: number;
+  /** How long the youngest unused one had been open. */
+  youngestUnused: Milliseconds | undefined;
+}
+
 /**
  * Owns the connections of callers: knows which carry a request, and ends those that don't when the
  * daemon shuts down.
@@ -53,6 +75,8 @@
     const connection: Connection = {
       inFlight: new Set(),
       readAtRest: socket.bytesRead,
+      openedAt: this.clock.now(),
+      requests: 0,
       timer: undefined,
     };
     this.connections.set(socket, connection);
@@ -73,6 +97,7 @@
       return;
     }
     connection.inFlight.add(request);
+    connection.requests += 1;
     connection.timer?.cancel();
     connection.timer = undefined;
     this.boundTail(response);
@@ -91,10 +116,32 @@
     return [...inFlight].some(({ complete }) => complete);
   }
 
-  /** From now on each connection ends as soon as it carries no request. */
-  drain(): void {
+  /**
+   * From now on each connection ends as soon as it carries no request.
+   *
+   * @returns what was open
+   */
+  drain(): ConnectionCensus {
     this.draining = true;
+    const census = this.getCensus();
     this.connections.forEach((connection, socket) => this.endIfIdle(socket, connection));
+    return census;
+  }
+
+  private getCensus(): ConnectionCensus {
+    const open = [...this.connections];
+    const idle = open.filter(([, { inFlight }]) => inFlight.size === 0);
+    const quiet = idle.filter(([socket, { readAtRest }]) => socket.bytesRead === readAtRest);
+    const unused = quiet.filter(([, { requests }]) => requests === 0);
+    const now = this.clock.now();
+    const ages = unused.map(([, { openedAt }]) => now - openedAt);
+    return {
+      busy: open.length - idle.length,
+      arriving: idle.length - quiet.length,
+      resting: quiet.length - unused.length,
+      unused: unused.length,
+      youngestUnused: ages.length === 0 ? undefined : Math.min(...ages),
+    };
   }
 
   private endIfIdle(socket: Socket, connection: Connection): void {
--- a/packages/claims/src/lib/ClaimDecision.ts
+++ b/packages/claims/src/lib/ClaimDecision.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimAnswer, RefusalReason } from './claimTypes.js';
-import type { OwnerAnswer } from './messages.js';
+import type { ClaimReply, OwnerAnswer } from './messages.js';
 
 /** What made a claim's answer final. */
 export enum AnswerSource {
@@ -37,6 +37,20 @@
   HandedOver = 'handed-over',
 }
 
+/**
+ * One daemon that was asked for a claim.
+ *
+ * @public
+ */
+export interface ClaimTry {
+  peer: string;
+  /** `none`: no answer in time. */
+  reply: ClaimReply['kind'] | 'none';
+  /** When it was asked, by the entry daemon's clock. */
+  at: Milliseconds;
+  spent: Milliseconds;
+}
+
 /**
  * Each decision of this package, for the daemon's log.
  *
@@ -52,6 +66,8 @@
       reason?: RefusalReason;
       calls: number;
       spent: Milliseconds;
+      /** Whom it asked last, where the claim failed or took several calls: which one was slow. */
+      tries?: readonly ClaimTry[];
     }
   /** An owner answered a claim. */
   | {
--- a/packages/claims/src/lib/ClaimManager/ClaimSeeker.ts
+++ b/packages/claims/src/lib/ClaimManager/ClaimSeeker.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
-import type { ClaimDecision } from '../ClaimDecision.js';
+import type { ClaimDecision, ClaimTry } from '../ClaimDecision.js';
 import type { ClaimOptions } from '../ClaimOptions.js';
 import { RefusalReason } from '../claimTypes.js';
 import type { ClaimAnswer, ClaimHandle, ClaimMember, ClaimQuery } from '../claimTypes.js';
@@ -8,6 +8,9 @@
 import type { OwnerRoute } from './OwnerRoute.js';
 import type { OwnerReply, OwnerSearch } from './OwnerSearch.js';
 
+/** A search that goes in circles must not make its log line long. */
+const MOST_TRIES_LOGGED = 8;
+
 /** What a seeker needs of the daemon around it. */
 export interface SeekerSurroundings {
   self: ClaimMember;
@@ -32,7 +35,7 @@
     const message = { kind: 'claim' as const, shard, request };
     const search = await route.ask(shard, message, until, options.callTimeout);
     const answer = this.getAnswer(search, handle, startedAt);
-    this.report(answer, handle, search.calls, startedAt);
+    this.report(answer, handle, search.tries, startedAt);
     return answer;
   }
 
@@ -69,7 +72,7 @@
       // The claim may be remembered although this daemon never uses it: give the key back.
       reporter.report(handle, { kind: 'not-run' });
     }
-    return this.getRefusal(reply, search.calls > 0 && search.isUncertain);
+    return this.getRefusal(reply, search.isUncertain);
   }
 
   private getRefusal(reply: OwnerReply | undefined, isUncertain: boolean): ClaimAnswer {
@@ -84,7 +87,7 @@
   private report(
     answer: ClaimAnswer,
     { shard, request }: ClaimHandle,
-    calls: number,
+    tries: readonly ClaimTry[],
     startedAt: Milliseconds,
   ): void {
     const { clock, onDecision } = this.around;
@@ -97,8 +100,9 @@
       requestId,
       answer: answer.kind,
       reason,
-      calls,
+      calls: tries.length,
       spent,
+      tries: tries.length > 1 || reason !== undefined ? tries.slice(-MOST_TRIES_LOGGED) : undefined,
     });
   }
 }
--- a/packages/claims/src/lib/ClaimManager/OwnerSearch.ts
+++ b/packages/claims/src/lib/ClaimManager/OwnerSearch.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { ClaimMember } from '../claimTypes.js';
+import type { ClaimTry } from '../ClaimDecision.js';
 import type { ClaimReply } from '../messages.js';
 import { delay } from './timing.js';
 
@@ -31,7 +32,8 @@
 export class OwnerSearch {
   reply: OwnerReply | undefined;
 
-  calls = 0;
+  /** The daemons asked so far, in order. */
+  readonly tries: ClaimTry[] = [];
 
   /** Some call gave no answer: its message may have been acted on. */
   isUncertain = false;
@@ -82,8 +84,14 @@
 
   private async tryPeer(peer: ClaimMember): Promise<void> {
     const { clock, until, callTimeout } = this.around;
-    this.calls += 1;
-    const reply = await this.around.call(peer, Math.min(callTimeout, until - clock.now()));
+    const askedAt = clock.now();
+    const reply = await this.around.call(peer, Math.min(callTimeout, until - askedAt));
+    this.tries.push({
+      peer: peer.id,
+      reply: reply?.kind ?? 'none',
+      at: askedAt,
+      spent: clock.now() - askedAt,
+    });
     if (reply !== undefined && reply.kind !== 'not-owner') {
       this.reply = reply;
       this.around.onFound(peer);
--- a/packages/e2e/src/test/Fleet.ts
+++ b/packages/e2e/src/test/Fleet.ts
@@ -1,7 +1,7 @@
 import { getQuietPorts } from '@apricotrill/standins';
 import type { Instance } from '@apricotrill/store';
 import { InstanceRole, InstanceState } from '@apricotrill/store';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { getDecisions } from './decisions.js';
@@ -207,13 +207,32 @@
     await this.platform.putInstance({ id, role, state, availabilityZone, host, port });
   }
 
+  /**
+   * Ends all. With `FLEET_LOGS` set to a folder, what the daemons logged is kept there: what a run
+   * shows only once can be traced no other way.
+   */
   async dispose(): Promise<void> {
     await Promise.all([...this.daemons, ...this.lost].map((daemon) => daemon.dispose()));
+    await this.keepLogs(process.env.FLEET_LOGS);
     await this.platformProcess?.process.dispose();
     await this.backends.dispose();
     await rm(this.directory, { recursive: true, force: true });
   }
 
+  private async keepLogs(folder: string | undefined): Promise<void> {
+    if (folder === undefined) {
+      return;
+    }
+    await mkdir(folder, { recursive: true });
+    const logs = [...this.daemons, ...this.lost].map(({ id, processes }) => ({
+      id,
+      lines: processes.flatMap(({ log }) => log.lines),
+    }));
+    await Promise.all(
+      logs.map(({ id, lines }) => writeFile(join(folder, `${id}.log`), lines.join('\n'))),
+    );
+  }
+
   private async write(name: string, value: unknown): Promise<string> {
     this.written += 1;
     const path = join(this.directory, `${name}-${this.written}.jsonc`);
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -1,4 +1,5 @@
 import { CallerConnections, refuseConnection } from '@apricotrill/callers';
+import type { ConnectionCensus } from '@apricotrill/callers';
 import type { Clock } from '@apricotrill/utils';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -72,10 +73,10 @@
     this.open.forEach((response) => Object.assign(response, { shouldKeepAlive: false }));
   }
 
-  /** Takes no new connections, and ends those that carry no request. */
-  stopListening(): void {
+  /** Takes no new connections, and ends those that carry no request. @returns what was open */
+  stopListening(): ConnectionCensus {
     this.server.close();
-    this.connections.drain();
+    return this.connections.drain();
   }
 
   dispose(): void {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -184,7 +184,8 @@
     this.callers.drain();
     await this.sleep(shutdownOptions.listenOn);
     this.isClosed = true;
-    this.callers.stopListening();
+    const census = this.callers.stopListening();
+    log({ event: 'port-closed', after: clock.now() - started, ...census });
     const unlisted = this.link.unlist();
     while (this.callers.openAnswers > 0 && clock.now() < end) {
       // eslint-disable-next-line no-await-in-loop
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -1,3 +1,4 @@
+import type { ConnectionCensus } from '@apricotrill/callers';
 import type { Milliseconds } from '@apricotrill/utils';
 import type {
   AttemptEnd,
@@ -18,6 +19,7 @@
   | { event: 'listening'; callers: string; status: string }
   | { event: 'reload'; changed: string[] }
   | { event: 'stopping'; signal: string; open: number }
+  | ({ event: 'port-closed'; after: Milliseconds } & ConnectionCensus)
   | { event: 'stopped'; after: Milliseconds; cutOff: number }
   | { event: 'fault'; step: string; error: string }
   | { event: 'dependency-lost'; dependency: string; error: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -11,6 +11,8 @@
   listening: 'its ports are open',
   reload: 'settings were read again, and which of them changed',
   stopping: 'it was told to stop, with the answers that are open',
+  'port-closed':
+    'told to stop, it takes no new connections: those that were open by what they carried, and the age of the youngest that was never used',
   stopped: 'it ends, with the answers it had to cut off',
   fault: 'something failed inside or at a dependency, and where',
   'dependency-lost': 'the store, or the cache events of an engine, give no answer',
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -121,7 +121,7 @@
     this.closing = true;
     return new Promise((resolve) => {
       this.server.close(() => resolve());
-      this.connections.drain();
+      this.context.log('daemon', { event: 'port-closed', ...this.connections.drain() });
     });
   }
 
