Test, red: a hold is called "not run" while it runs, as its owner gives no answer

Symptom: a shop that asks again with its key, at another daemon, is told claim-unavailable not-run while the hold of its first call is running. One who believes it asks with a new key and has two holds.

--- /dev/null
+++ b/packages/e2e/src/lib/silentOwner.test.ts
@@ -0,0 +1,48 @@
+import type { Backend } from '../test/Backend.js';
+import { Fleet } from '../test/Fleet.js';
+import { FleetCaller, getWord, isAnswered } from '../test/FleetCaller.js';
+import { createKey, startShards } from '../test/shards.js';
+
+const LONG = 60_000;
+
+// A shop places a hold, its connection breaks, and it asks again at another daemon. The owner of the
+// key's shard gives no answer in time, so that daemon can't look the key up. It told the shop that the
+// request had not run while the hold of the first call was running; a shop that believes it takes a
+// new key, and the order is frozen twice. No run of this attempt was taken for no run of the key.
+describe('a hold that is asked for again while the owner of its key gives no answer', () => {
+  const fleet = new Fleet();
+  const caller = new FleetCaller();
+  let portal: Backend;
+
+  beforeAll(async () => {
+    await fleet.prepare();
+    portal = await fleet.backends.startBackend('portal');
+    await fleet.start(3);
+  }, LONG);
+
+  afterAll(() => fleet.dispose());
+
+  it(
+    'is not called "not run", and its answer is had when the owner is back',
+    async () => {
+      const shards = await startShards(fleet.daemons, caller);
+      const [shard, { owner }] = [...shards][0]!;
+      const [entry, other] = fleet.daemons.filter((daemon) => daemon !== owner);
+      const key = createKey(shard);
+      await portal.fail({ kind: 'slow', factor: 200 });
+      const first = caller.hold(entry!, key);
+      await portal.waitForRuns((runs) => runs.some(({ idempotencyKey }) => idempotencyKey === key));
+      owner.freeze();
+      const again = await caller.hold(other!, key);
+      owner.wake();
+      expect(getWord(again)).toMatch(/ unknown$/);
+      expect(Number(again.retryAfter)).toBeGreaterThan(0);
+      expect(isAnswered(await first)).toBe(true);
+      await caller.holdUntilAnswered(other!, key);
+      const runs = await portal.getRuns();
+      expect(runs.filter(({ idempotencyKey }) => idempotencyKey === key)).toHaveLength(1);
+      expect(await fleet.checkHistory(caller.calls)).toEqual([]);
+    },
+    LONG,
+  );
+});
