Call a request of a key "not run" only where its key was granted

What callers saw: a shop asked again with its key at another daemon and was told 503 claim-unavailable not-run while its hold ran; one who believes it places the hold again under a new key.

Cause: 'unavailable' says that this attempt was not sent, and was passed on as if it said so of the key. Ruled out: a slow owner (all who lived answered within 70 ms).

Why this holds: only a grant takes effect at the store or the witness, so only it proves that no other attempt of the key runs; an owner that refuses may have lost its shard. Every other refusal of a keyed request that may not be repeated is 'unknown' with Retry-After: claims without an owner, late, failed (that error was swallowed without a log line), of daemons that leave or disagree, and refusals before the claim (no configuration, key replaced, service unknown).

What lostOwners and atMostOnce take as told for good must now have no Retry-After: a passing 'unknown' has the same word.

--- a/packages/claims/src/lib/ClaimManager/ClaimManager.ts
+++ b/packages/claims/src/lib/ClaimManager/ClaimManager.ts
@@ -119,7 +119,8 @@
   async claim(query: ClaimQuery): Promise<ClaimAnswer> {
     if (this.isDisposed || this.layout.isMismatch) {
       const reason = this.isDisposed ? RefusalReason.Leaving : RefusalReason.LayoutMismatch;
-      return { kind: 'unavailable', retryAfter: this.options.retryDelayLimit, reason };
+      const retryAfter = this.options.retryDelayLimit;
+      return { kind: 'unavailable', retryAfter, reason, isProvedNotRun: false };
     }
     return this.seeker.seek(query);
   }
--- a/packages/claims/src/lib/ClaimManager/ClaimSeeker.ts
+++ b/packages/claims/src/lib/ClaimManager/ClaimSeeker.ts
@@ -72,16 +72,24 @@
       // The claim may be remembered although this daemon never uses it: give the key back.
       reporter.report(handle, { kind: 'not-run' });
     }
-    return this.getRefusal(reply, search.isUncertain);
+    // While the deadline isn't over, the key was this try's until it gave it back just now.
+    const isOurs = reply?.kind === 'answer' && clock.now() < handle.deadline;
+    return this.getRefusal(reply, search.isUncertain, isOurs);
   }
 
-  private getRefusal(reply: OwnerReply | undefined, isUncertain: boolean): ClaimAnswer {
-    const { retryDelayLimit } = this.around.options;
+  private getRefusal(
+    reply: OwnerReply | undefined,
+    isUncertain: boolean,
+    isProvedNotRun: boolean,
+  ): ClaimAnswer {
     if (reply?.kind === 'refused') {
-      return { kind: 'unavailable', retryAfter: reply.retryAfter, reason: reply.reason };
+      const { reason, retryAfter } = reply;
+      return { kind: 'unavailable', retryAfter, reason, isProvedNotRun };
     }
-    const reason = isUncertain ? RefusalReason.Timeout : RefusalReason.NoOwner;
-    return { kind: 'unavailable', retryAfter: retryDelayLimit, reason };
+    const retryAfter = this.around.options.retryDelayLimit;
+    const hasHeardLate = isUncertain || isProvedNotRun;
+    const reason = hasHeardLate ? RefusalReason.Timeout : RefusalReason.NoOwner;
+    return { kind: 'unavailable', retryAfter, reason, isProvedNotRun };
   }
 
   private report(
--- a/packages/claims/src/lib/ClaimManager/claimFaults.test.ts
+++ b/packages/claims/src/lib/ClaimManager/claimFaults.test.ts
@@ -143,10 +143,40 @@
     await cluster.run(1000);
     getHandle(await cluster.ask(next, 'hold'));
     other.resume();
-    expect((await cluster.complete(asleep)).kind).toBe('unavailable');
+    // What the daemon can't know: the key was granted to another since, and may have run.
+    const answer = await cluster.complete(asleep);
+    expect(answer).toMatchObject({ kind: 'unavailable', isProvedNotRun: false });
     expect(owner.claims.getOwnedShards()).toEqual([0]);
   });
 
+  // Symptom: a caller is told that nobody knows whether its hold ran, though nothing ran. Sequence: the
+  // entry daemon is paused while its grant is under way, for less than keys are kept. Cause: a grant
+  // that comes too late for use is still a proof.
+  it('is proved not run when its grant came too late', async () => {
+    const { cluster, next, other } = await start();
+    const asleep = cluster.claim(other, 'hold');
+    other.pause();
+    await cluster.run(TEST_OPTIONS.claimTimeout! + 100);
+    other.resume();
+    const answer = await cluster.complete(asleep);
+    expect(answer).toMatchObject({ kind: 'unavailable', isProvedNotRun: true });
+    await cluster.run(1000);
+    expect((await cluster.ask(next, 'hold')).kind).toBe('granted');
+  });
+
+  // Symptom: a hold is called "not run" while it runs, and is placed twice. Sequence: it is granted and
+  // runs; its caller asks again at a daemon to which no owner answers. Cause: no grant of this try
+  // taken for a proof that no other try was granted.
+  it('is not called "not run" by a daemon that reaches no owner', async () => {
+    const { cluster, owner, next, other } = await start();
+    getHandle(await cluster.ask(other, 'hold'));
+    owner.pause();
+    const answer = await cluster.ask(next, 'hold');
+    expect(answer).toMatchObject({ kind: 'unavailable', isProvedNotRun: false });
+    owner.resume();
+    expect((await cluster.ask(next, 'hold')).kind).toBe('in-progress');
+  });
+
   // Symptom: a repeat is told `unknown` although the request ended well. Sequence: its outcome is
   // held by the owner and its witness, which crash before the commit. Cause: the outcome is
   // reported only once.
@@ -209,14 +239,16 @@
     expect(await cluster.ask(next, 'hold')).toEqual({ kind: 'unknown', cause: 'holder-gone' });
   });
 
-  it('is refused at once, as not run, while neither store nor witness answers', async () => {
+  it('is refused at once, without a proof, while neither store nor witness answers', async () => {
     const { cluster, owner, witness, other } = await start();
     cluster.store.fault('down');
     await cluster.run(TEST_OPTIONS.verifyInterval!);
     witness.crash();
     await cluster.ask(other, 'first');
     const before = cluster.base.now();
-    expect(await cluster.ask(other, 'second')).toMatchObject({ kind: 'unavailable' });
+    // The owner may have lost the shard to one that granted the key.
+    const answer = await cluster.ask(other, 'second');
+    expect(answer).toMatchObject({ kind: 'unavailable', isProvedNotRun: false });
     expect(cluster.base.now() - before).toBeLessThan(TEST_OPTIONS.callTimeout!);
     expect(owner.claims.getOwnedShards()).toEqual([0]);
   });
--- a/packages/claims/src/lib/claimTypes.ts
+++ b/packages/claims/src/lib/claimTypes.ts
@@ -137,8 +137,12 @@
 }
 
 /**
- * The answer to a claim. Only `granted` allows a dispatch; `unavailable` proves that this request
- * did not run.
+ * The answer to a claim. Only `granted` allows a dispatch.
+ *
+ * `unavailable` says that this try was not run, which is no word on the key: an earlier try may be
+ * running for the same caller. Only a grant proves that none is, since it takes effect at the store
+ * or the witness. A daemon that heard of no owner doesn't know, nor does an owner that may have
+ * lost the shard to another one.
  *
  * @public
  */
@@ -148,4 +152,10 @@
   | { kind: 'settled'; requestId: string; answer: StoredAnswer }
   | { kind: 'mismatch'; requestId: string }
   | { kind: 'unknown'; cause: UnknownCause }
-  | { kind: 'unavailable'; retryAfter: Milliseconds; reason: RefusalReason };
+  | {
+      kind: 'unavailable';
+      retryAfter: Milliseconds;
+      reason: RefusalReason;
+      /** The key was granted to this try, too late to be used: no other try has run under it. */
+      isProvedNotRun: boolean;
+    };
--- a/packages/e2e/src/lib/atMostOnce.test.ts
+++ b/packages/e2e/src/lib/atMostOnce.test.ts
@@ -1,5 +1,5 @@
 import { Fleet } from '../test/Fleet.js';
-import { FleetCaller, getWord } from '../test/FleetCaller.js';
+import { FleetCaller, UNKNOWN, getWord, isToldForGood } from '../test/FleetCaller.js';
 import type { Backend } from '../test/Backend.js';
 import type { FleetDaemon } from '../test/FleetDaemon.js';
 import { pollUntil } from '../test/pollUntil.js';
@@ -7,9 +7,6 @@
 
 const RUNNING = 'idempotency-key-in-progress unknown';
 
-/** The request may have run, and nobody can tell. */
-const UNKNOWN = 'claim-unavailable unknown';
-
 describe('a request that may not be repeated', () => {
   const fleet = new Fleet();
   const caller = new FleetCaller();
@@ -117,10 +114,8 @@
     await Promise.all(
       keys.map(async (key) => {
         await Promise.all(daemons.map((daemon) => caller.hold(daemon, key)));
-        const word = await pollUntil(
-          async () => getWord(await caller.hold(daemons[0], key)),
-          (heard) => heard === 'answered' || heard === UNKNOWN,
-        );
+        const told = await pollUntil(() => caller.hold(daemons[0], key), isToldForGood);
+        const word = getWord(told);
         expect(word === 'answered' ? await countRuns(key) : 1).toBe(1);
       }),
     );
--- a/packages/e2e/src/lib/lostOwners.test.ts
+++ b/packages/e2e/src/lib/lostOwners.test.ts
@@ -1,6 +1,6 @@
 import type { Backend } from '../test/Backend.js';
 import { Fleet } from '../test/Fleet.js';
-import { FleetCaller, getWord } from '../test/FleetCaller.js';
+import { FleetCaller, UNKNOWN, getWord, isToldForGood } from '../test/FleetCaller.js';
 import type { FleetDaemon } from '../test/FleetDaemon.js';
 import { pollUntil } from '../test/pollUntil.js';
 import { createKey, startShards } from '../test/shards.js';
@@ -11,9 +11,6 @@
 
 const RUNNING = 'idempotency-key-in-progress unknown';
 
-/** The request may have run, and nobody can tell. */
-const UNKNOWN = 'claim-unavailable unknown';
-
 describe('a request that may not be repeated, when daemons are lost', () => {
   const fleet = new Fleet();
   const caller = new FleetCaller();
@@ -61,11 +58,8 @@
   }
 
   /** Asks in turn until it is said for good what became of the key. */
-  function askForFate(entry: FleetDaemon, key: string): Promise<string> {
-    return pollUntil(
-      async () => getWord(await caller.hold(entry, key)),
-      (word) => word === 'answered' || word === UNKNOWN,
-    );
+  async function askForFate(entry: FleetDaemon, key: string): Promise<string> {
+    return getWord(await pollUntil(() => caller.hold(entry, key), isToldForGood));
   }
 
   // Symptom: a hold is placed twice. Sequence: its entry daemon is killed after it sent the hold on;
--- a/packages/e2e/src/lib/notRun.test.ts
+++ b/packages/e2e/src/lib/notRun.test.ts
@@ -132,9 +132,10 @@
     expect(getDecisions(log, 'choose').length).toBeLessThanOrEqual(3 + 5);
   });
 
-  // Symptom: a hold neither runs nor is refused. Sequence: whoever keeps the claims does not
-  // answer, or answers after the caller was told. Cause: a wait without a bound; and a key granted
-  // late that nobody gives back.
+  // Symptom: a hold neither runs nor is refused, or is called "not run" while an earlier one of its
+  // key runs. Sequence: whoever keeps the claims does not answer, or answers after the caller was
+  // told. Cause: a wait without a bound; a key granted late that nobody gives back; and no run of
+  // this request taken for no run of its key, which nobody has looked up.
   it('refuses a hold whose key can not be claimed in time, and gives a late grant back', async () => {
     const [portal] = await startPortals(1);
     let ended: { kind: string } | undefined;
@@ -149,7 +150,7 @@
         }),
     });
     const answer = await placeHold(port, 'hold-1', { headers: HASTY_HOLD });
-    expect(answer).toMatchObject({ status: 503, body: { outcome: 'not-run' } });
+    expect(answer).toMatchObject({ status: 503, body: { outcome: 'unknown' } });
     expect(Number(answer.retryAfter)).toBeGreaterThan(0);
     grant();
     await checkArtwork(port, '17');
@@ -159,6 +160,21 @@
     ]);
   });
 
+  // Symptom: a hold is called "not run" while it runs. Sequence: its caller asks again after its API
+  // key was replaced, or at a daemon that can't keep claims. Cause: as above.
+  it('says of no key what it did not look up', async () => {
+    await startPortals(1);
+    const failing = await startDaemon({ claim: () => Promise.reject(new Error('lost')) });
+    const other = await startDaemon();
+    const answers = [
+      await placeHold(failing.port, 'hold-1'),
+      await placeHold(other.port, 'hold-1', { headers: { authorization: 'Bearer replaced' } }),
+    ];
+    expect(answers.map(({ status }) => status)).toEqual([503, 401]);
+    expect(getOutcomes(answers)).toEqual(['unknown', 'unknown']);
+    expect(getDecisions(failing.log, 'claim')).toMatchObject([{ event: 'failed' }]);
+  });
+
   // Symptom: now and then, under faults, a hold ran twice, or one said not to have run has run.
   // Sequence: many holds at once, repeated by their callers, while portals refuse, drop and cross
   // answers. Cause: any of the above in combination.
--- a/packages/e2e/src/lib/silentOwner.test.ts
+++ b/packages/e2e/src/lib/silentOwner.test.ts
@@ -8,7 +8,10 @@
 // A shop places a hold, its connection breaks, and it asks again at another daemon. The owner of the
 // key's shard gives no answer in time, so that daemon can't look the key up. It told the shop that the
 // request had not run while the hold of the first call was running; a shop that believes it takes a
-// new key, and the order is frozen twice. No run of this attempt was taken for no run of the key.
+// new key, and the order is frozen twice. "This attempt was not sent" was passed off as "no attempt of
+// this key was sent", which only a grant of the key proves. The log of the daemon that was asked again:
+// `claim-ended answer=unavailable reason=timeout calls=21 spent=1858`, with `none` for the killed
+// owner and `not-owner` for all others, 25 ms before its caller had "claim-unavailable not-run".
 describe('a hold that is asked for again while the owner of its key gives no answer', () => {
   const fleet = new Fleet();
   const caller = new FleetCaller();
--- a/packages/e2e/src/test/FleetCaller.ts
+++ b/packages/e2e/src/test/FleetCaller.ts
@@ -46,6 +46,18 @@
   return end.kind === 'refused' ? `${end.type.split(':').at(-1)} ${end.outcome}` : end.kind;
 }
 
+/** The request may have run, and nobody will ever tell. */
+export const UNKNOWN = 'claim-unavailable unknown';
+
+/**
+ * Whether the caller was told for good what became of its key. What passes, such as an owner that
+ * gives no answer, has the same word as what nobody will ever know; but it says when to ask again.
+ */
+export function isToldForGood(answered: Answered): boolean {
+  const isLost = getWord(answered) === UNKNOWN && answered.retryAfter === undefined;
+  return isAnswered(answered) || isLost;
+}
+
 /** A caller that writes down what it got for each call, for the check of the whole history. */
 export class FleetCaller {
   readonly calls: RecordedCall[] = [];
--- a/packages/router/src/lib/daemon/SharedFiles.ts
+++ b/packages/router/src/lib/daemon/SharedFiles.ts
@@ -6,7 +6,7 @@
 
 /** Claims can't be kept without the platform: what may not be repeated is refused. */
 const NO_CLAIMS: ClaimPort = {
-  claim: () => Promise.resolve({ kind: 'unavailable', retryAfter: 60_000 }),
+  claim: () => Promise.resolve({ kind: 'unavailable', retryAfter: 60_000, isProvedNotRun: false }),
 };
 
 /**
--- a/packages/router/src/lib/pipeline/ClaimPort.ts
+++ b/packages/router/src/lib/pipeline/ClaimPort.ts
@@ -40,7 +40,8 @@
   | { kind: 'in-progress' }
   | { kind: 'mismatch' }
   | { kind: 'unknown' }
-  | { kind: 'unavailable'; retryAfter: Milliseconds };
+  /** `isProvedNotRun`: the key was this request's, so that no other one has run under it. */
+  | { kind: 'unavailable'; retryAfter: Milliseconds; isProvedNotRun: boolean };
 
 /**
  * Where claims are kept.
--- a/packages/router/src/lib/pipeline/claim.ts
+++ b/packages/router/src/lib/pipeline/claim.ts
@@ -2,6 +2,7 @@
 import { exhaustiveSwitchError } from '@apricotrill/utils';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { createHash } from 'node:crypto';
+import type { DecisionLog } from '../observe/DecisionLog.js';
 import { routerOptions } from '../options.js';
 import type { PlainAnswer } from '../upstream/runPlainAttempt.js';
 import type { ClaimEnd, ClaimPort, ClaimRequest, ClaimVerdict } from './ClaimPort.js';
@@ -19,6 +20,8 @@
 export type ClaimPass =
   { kind: 'run'; end: (end: ClaimEnd) => void } | { kind: 'answered'; answer: PlainAnswer };
 
+type Unavailable = Extract<ClaimVerdict, { kind: 'unavailable' }>;
+
 const TITLE = 'The request may not be repeated';
 
 function createClaimError(problem: Omit<Problem, 'title'>): ProblemError {
@@ -61,6 +64,23 @@
   return createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex');
 }
 
+/**
+ * This request was not run, and an earlier one of the key may be running: a caller that is told "not
+ * run" places the order again under a new key, and has two. So that is said only where it is proved.
+ */
+function getUnavailable({ retryAfter, isProvedNotRun }: Unavailable): Problem {
+  return {
+    reason: ProblemReason.NoClaim,
+    status: 503,
+    title: TITLE,
+    detail: isProvedNotRun
+      ? 'the key could not be claimed in time'
+      : 'it can not be told at the moment whether a request with this key runs; ask again with it',
+    outcome: isProvedNotRun ? Outcome.NotRun : Outcome.Unknown,
+    retryAfter,
+  };
+}
+
 function getRefusal(verdict: Exclude<ClaimVerdict, { kind: 'granted' | 'answered' }>): Problem {
   switch (verdict.kind) {
     case 'in-progress':
@@ -97,19 +117,20 @@
         outcome: Outcome.Unknown,
       };
     case 'unavailable':
-      return {
-        reason: ProblemReason.NoClaim,
-        status: 503,
-        title: TITLE,
-        detail: 'the key can not be claimed at the moment',
-        outcome: Outcome.NotRun,
-        retryAfter: verdict.retryAfter,
-      };
+      return getUnavailable(verdict);
     default:
       throw exhaustiveSwitchError(verdict);
   }
 }
 
+/** What a claim needs around it. */
+interface ClaimSurroundings {
+  clock: Clock;
+  /** How long the claim may take. */
+  patience: Milliseconds;
+  log: DecisionLog;
+}
+
 /**
  * Asks for the claim, for a bounded time. What comes later comes for nobody: a key granted then is
  * given back, since nothing was sent for it, and the caller may ask again with it.
@@ -117,13 +138,16 @@
 function getVerdict(
   claims: ClaimPort,
   request: ClaimRequest,
-  limit: { clock: Clock; patience: Milliseconds },
+  { clock, patience, log }: ClaimSurroundings,
 ): Promise<ClaimVerdict> {
+  const { requestId, key } = request;
   return new Promise((resolve) => {
-    const unavailable = { kind: 'unavailable', retryAfter: routerOptions.claimRetryAfter } as const;
+    const retryAfter = routerOptions.claimRetryAfter;
+    const unavailable = { kind: 'unavailable', retryAfter, isProvedNotRun: false } as const;
     let late = false;
-    const timer = limit.clock.setTimer(limit.patience, () => {
+    const timer = clock.setTimer(patience, () => {
       late = true;
+      log('claim', { request: requestId, key, event: 'no-verdict', after: patience });
       resolve(unavailable);
     });
     claims.claim(request).then(
@@ -134,8 +158,9 @@
         }
         resolve(verdict);
       },
-      () => {
+      (error: unknown) => {
         timer.cancel();
+        log('claim', { request: requestId, key, event: 'failed', error: String(error) });
         resolve(unavailable);
       },
     );
@@ -148,20 +173,20 @@
  *
  * @param claims - where claims are kept
  * @param request - the key and what it is for
- * @param limit - how long the claim may take, in milliseconds
+ * @param around - how long the claim may take, and where that is logged
  * @throws ProblemError when it may not run
  * @example
  * ```ts
- * const pass = await claim(claims, { workspace, key, fingerprint, requestId }, limit);
+ * const pass = await claim(claims, { workspace, key, fingerprint, requestId }, around);
  * ```
  * @internal
  */
 export async function claim(
   claims: ClaimPort,
   request: ClaimRequest,
-  limit: { clock: Clock; patience: Milliseconds },
+  around: ClaimSurroundings,
 ): Promise<ClaimPass> {
-  const verdict = await getVerdict(claims, request, limit);
+  const verdict = await getVerdict(claims, request, around);
   switch (verdict.kind) {
     case 'granted':
       return { kind: 'run', end: verdict.end };
--- a/packages/router/src/lib/pipeline/handlePlain.ts
+++ b/packages/router/src/lib/pipeline/handlePlain.ts
@@ -6,10 +6,18 @@
 import type { CallerContext } from './CallerContext.js';
 import { claim, getFingerprint, readIdempotencyKey } from './claim.js';
 import type { ClaimEnd } from './ClaimPort.js';
+import { getErrorInDoubt } from './getErrorInDoubt.js';
 import { CLASS_HEADER, identifyClass, identifyPlainService } from './identify.js';
 import { receive } from './receive.js';
 import type { ReceivedRequest } from './receive.js';
 
+/** Where a request is to go. */
+interface PlainTarget {
+  requestId: string;
+  service: string;
+  path: string;
+}
+
 /** Headers of the caller that a plain service gets. */
 const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', 'idempotency-key'];
 
@@ -22,7 +30,7 @@
 
 function identifyCall(
   received: ReceivedRequest,
-  target: { service: string; path: string },
+  target: PlainTarget,
   request: IncomingMessage,
   response: ServerResponse,
 ): CallerCall {
@@ -38,6 +46,21 @@
   return { requestId, arrived, workspace, service, serviceClass, response };
 }
 
+/** Reads a request and finds out what it is for. @throws ProblemError when it is refused */
+async function receiveCall(
+  context: CallerContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+  target: PlainTarget,
+) {
+  try {
+    const received = await receive(context, request, target.requestId);
+    return { received, call: identifyCall(received, target, request, response) };
+  } catch (error) {
+    throw getErrorInDoubt(error, request);
+  }
+}
+
 /** What a settlement proves about a claimed request. */
 function getClaimEnd(settlement: Settlement, work: PlainWork): ClaimEnd {
   const answer = work.getAnswer();
@@ -64,11 +87,10 @@
   context: CallerContext,
   request: IncomingMessage,
   response: ServerResponse,
-  target: { requestId: string; service: string; path: string },
+  target: PlainTarget,
 ): Promise<void> {
   const { requestId, path } = target;
-  const received = await receive(context, request, requestId);
-  const call = identifyCall(received, target, request, response);
+  const { received, call } = await receiveCall(context, request, response, target);
   const { repeatable } = call.serviceClass;
   const method = request.method ?? 'GET';
   context.log('identify', {
@@ -97,7 +119,7 @@
   const pass = await claim(
     context.claims,
     { workspace: call.workspace.name, key, fingerprint, requestId },
-    { clock: context.clock, patience: call.serviceClass.deadline },
+    { clock: context.clock, patience: call.serviceClass.deadline, log: context.log },
   );
   context.log('claim', { request: requestId, key, kind: pass.kind });
   if (pass.kind === 'answered') {
--- a/packages/router/src/lib/shared/ClaimAdapter.ts
+++ b/packages/router/src/lib/shared/ClaimAdapter.ts
@@ -68,7 +68,8 @@
 
   async claim(request: ClaimRequest): Promise<ClaimVerdict> {
     if (this.claims === undefined) {
-      return { kind: 'unavailable', retryAfter: routerOptions.inProgressRetryAfter };
+      const retryAfter = routerOptions.inProgressRetryAfter;
+      return { kind: 'unavailable', retryAfter, isProvedNotRun: false };
     }
     return this.getVerdict(this.claims, await this.claims.claim(request));
   }
@@ -84,7 +85,7 @@
       case 'unknown':
         return { kind: answer.kind };
       case 'unavailable':
-        return { kind: 'unavailable', retryAfter: answer.retryAfter };
+        return answer;
       default:
         throw exhaustiveSwitchError(answer);
     }
@@ -92,12 +93,12 @@
 
   /**
    * A grant that this process held through a long pause is void: the key may have been forgotten
-   * and granted again. Nothing has been dispatched yet, so it goes back as not run.
+   * and granted again, and have run. Nothing was dispatched for this one, so it goes back as not run.
    */
   private getGrant(claims: ClaimManager, handle: ClaimHandle): ClaimVerdict {
     if (this.clock.now() >= handle.deadline) {
       settleSoon(claims, handle, { kind: 'released' });
-      return { kind: 'unavailable', retryAfter: 0 };
+      return { kind: 'unavailable', retryAfter: 0, isProvedNotRun: false };
     }
     return { kind: 'granted', end: (end) => settleSoon(claims, handle, end) };
   }
