Take a shard at once that a newer owner has left, in place of resting as after a loss

Cause, by the log lines of the claims and of the shards: as the fleet came up two daemons took the shard one after the other; the first, not asked since, still took itself for the owner. The second left the shard to it at its stop, and the offer was dropped by one who 'owns' it. Its next commit met the newer epoch, and it left the shard alone for five seconds (takeBackDelay), naming the daemon that had stopped: 09.248 handed over, 09.728 conflict, 15.000 taken. Ruled out: a lost offer (it was answered), a slow store, slow daemons (each answered in 70 ms).

Why this holds: the object that the commit meets says that it was left (clean), so nobody owns it and there is nobody to take it from in turn, which is what the rest is for. The claims that wait are answered by the takeover.

ClaimShard.test.ts red before, green now.

--- a/packages/claims/src/lib/ClaimDecision.ts
+++ b/packages/claims/src/lib/ClaimDecision.ts
@@ -32,6 +32,8 @@
 export enum LossCause {
   /** A commit of ours met a newer owner's. */
   Conflict = 'conflict',
+  /** A commit of ours met a newer owner's, who has left the shard since: nobody owns it. */
+  Vacant = 'vacant',
   /** A challenger that could not reach the witness asked us to let go. */
   Challenged = 'challenged',
   HandedOver = 'handed-over',
--- a/packages/claims/src/lib/ClaimShard/ClaimShard.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.ts
@@ -207,19 +207,44 @@
     }
     const { ownership } = this.phase;
     this.phase = { kind: 'idle' };
-    this.hint.set(to, this.now);
-    const { shard, emit, createId } = this.context;
-    if (cause === LossCause.HandedOver && to !== undefined) {
-      emit({ kind: 'call-peer', id: createId(), peer: to, message: { kind: 'take', shard } });
-    } else {
-      this.rest.startAfterLoss(this.now);
-    }
+    const { shard, emit } = this.context;
     const { epoch } = ownership;
     emit({ kind: 'decision', decision: { kind: 'shard-left', shard, epoch, to: to?.id, cause } });
     this.queued.push(...ownership.drain());
+    this.followLoss(cause, to);
     this.releaseQueued();
   }
 
+  private followLoss(cause: LossCause, to: ClaimMember | undefined): void {
+    const { shard, emit, createId } = this.context;
+    switch (cause) {
+      case LossCause.HandedOver:
+        this.hint.set(to, this.now);
+        if (to === undefined) {
+          this.rest.startAfterLoss(this.now);
+        } else {
+          emit({ kind: 'call-peer', id: createId(), peer: to, message: { kind: 'take', shard } });
+        }
+        break;
+      case LossCause.Vacant:
+        // The newer owner offered it to us while we took ourselves for the owner. Left alone as after
+        // other losses, the shard would have no owner, and its claims would be refused; there is nobody
+        // to take it from us in turn.
+        this.hint.clear();
+        if (this.mayTake()) {
+          this.startTakeover();
+        }
+        break;
+      case LossCause.Conflict:
+      case LossCause.Challenged:
+        this.hint.set(to, this.now);
+        this.rest.startAfterLoss(this.now);
+        break;
+      default:
+        throw exhaustiveSwitchError(cause);
+    }
+  }
+
   /**
    * A newer owner asks us to let an epoch go. It has taken the shard at the store already, so any
    * epoch of ours up to that one is over, also one whose confirmation we still wait for.
--- a/packages/claims/src/lib/ClaimShard/CommitLoop.ts
+++ b/packages/claims/src/lib/ClaimShard/CommitLoop.ts
@@ -33,8 +33,8 @@
   createHead(commitId: string, header: CommitHeader, now: Milliseconds): ShardHead;
   /** A commit took effect. */
   onCommitted(commit: Commit, now: Milliseconds): void;
-  /** The object is another owner's. */
-  onLost(owner: ClaimMember | undefined): void;
+  /** The object is another owner's, who may have left it since. */
+  onLost(head: ShardHead | undefined): void;
 }
 
 type Pending =
@@ -269,7 +269,7 @@
     if (own !== undefined) {
       this.adopt(own, object!.version, sentAt, now);
     } else {
-      this.source.onLost(head?.owner);
+      this.source.onLost(head);
     }
   }
 
--- a/packages/claims/src/lib/ClaimShard/Ownership.ts
+++ b/packages/claims/src/lib/ClaimShard/Ownership.ts
@@ -279,7 +279,8 @@
       getSequence: () => this.sequence,
       createHead: (commit, header, now) => this.createHead(commit, header, now),
       onCommitted: (commit) => this.onCommitted(commit),
-      onLost: (owner) => this.onEnd(LossCause.Conflict, owner),
+      onLost: (head) =>
+        this.onEnd(head?.clean === true ? LossCause.Vacant : LossCause.Conflict, head?.owner),
     };
   }
 
