--- a/packages/callers/src/lib/CallerConnections/CallerConnections.ts
+++ b/packages/callers/src/lib/CallerConnections/CallerConnections.ts
@@ -70,6 +70,11 @@
     this.options = options;
   }
 
+  /** Connections that are open. */
+  get size(): number {
+    return this.connections.size;
+  }
+
   /** A caller has connected. */
   add(socket: Socket): void {
     const connection: Connection = {
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -63,6 +63,11 @@
     return this.open.size;
   }
 
+  /** Connections of callers, with a request or without. */
+  get openConnections(): number {
+    return this.connections.size;
+  }
+
   /**
    * From now on each connection ends with the answer it carries, also those that rest: closed while
    * its caller is sending the next request, a connection fails that request before it was read. New
