Give a connection that was just opened a moment for its first request when a daemon stops

Callers told to close open a connection for each call; it was accepted, and ended with all others that carried nothing.

Why this holds: a connection without a first request is ended only a second after it was opened, and the daemon waits for it, and for half-read heads, within its grace. A wait without bound would let one connection opened in advance hold the shutdown.

The router shares the code; its shutdown tests pass unchanged.

--- a/packages/callers/src/lib/CallerConnections/CallerConnections.ts
+++ b/packages/callers/src/lib/CallerConnections/CallerConnections.ts
@@ -11,6 +11,8 @@
   clock: Clock;
   /** How long a request that has begun may take to be whole when draining. */
   headersTimeout: Milliseconds;
+  /** How long after it was opened a connection may wait for its first request when draining. */
+  firstRequest: Milliseconds;
   /** How long a caller may take nothing of its answer before it counts as gone. */
   callerStall: Milliseconds;
 }
@@ -40,7 +42,7 @@
   arriving: number;
   /** Connections that rested after a request, and were ended. */
   resting: number;
-  /** Connections that never sent a byte. */
+  /** Connections that never sent a byte; those just opened get a moment for it. */
   unused: number;
   /** How long the youngest unused one had been open. */
   youngestUnused: Milliseconds | undefined;
@@ -153,14 +155,32 @@
     if (connection.inFlight.size > 0) {
       return;
     }
-    if (socket.bytesRead === connection.readAtRest) {
-      socket.destroySoon();
+    connection.timer?.cancel();
+    if (socket.bytesRead !== connection.readAtRest) {
+      // A caller is in the middle of sending a request: it gets its answer, if it comes to it.
+      this.setTimer(connection, this.options.headersTimeout, () => socket.destroy());
       return;
     }
-    // A caller is in the middle of sending a request: it gets its answer, if it comes to it.
-    Object.assign(connection, {
-      timer: this.clock.setTimer(this.options.headersTimeout, () => socket.destroy()),
-    });
+    const wait = this.getFirstRequestWait(connection);
+    if (wait > 0) {
+      this.setTimer(connection, wait, () => this.endIfIdle(socket, connection));
+    } else {
+      socket.destroySoon();
+    }
+  }
+
+  /**
+   * What is left of the wait for a connection's first request. Callers that are asked to close open
+   * a connection for each call; ended before its request is read, the call is lost with a reset, though
+   * its daemon had accepted the connection. A caller sends right after it connects, so the wait is
+   * short, and bounded: one that was opened in advance must not hold the shutdown.
+   */
+  private getFirstRequestWait({ openedAt, requests }: Connection): Milliseconds {
+    return requests > 0 ? 0 : openedAt + this.options.firstRequest - this.clock.now();
+  }
+
+  private setTimer(connection: Connection, span: Milliseconds, act: () => void): void {
+    Object.assign(connection, { timer: this.clock.setTimer(span, act) });
   }
 
   /** The last bytes of an answer that its caller never reads must not hold the process for good. */
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -39,6 +39,7 @@
     this.connections = new CallerConnections({
       clock: parts.clock,
       headersTimeout: callerOptions.headerTimeout,
+      firstRequest: callerOptions.firstRequest,
       callerStall: callerOptions.callerStall,
     });
     this.server.on('connection', (socket) => this.connections.add(socket));
@@ -78,7 +79,12 @@
     this.open.forEach((response) => Object.assign(response, { shouldKeepAlive: false }));
   }
 
-  /** Takes no new connections, and ends those that carry no request. @returns what was open */
+  /**
+   * Takes no new connections, and ends those that carry no request; just opened ones get a moment for
+   * their first.
+   *
+   * @returns what was open
+   */
   stopListening(): ConnectionCensus {
     this.server.close();
     return this.connections.drain();
--- a/packages/relay/src/lib/callers/callerOptions.ts
+++ b/packages/relay/src/lib/callers/callerOptions.ts
@@ -11,6 +11,8 @@
   /** Heads of callers may take this long before a configuration says otherwise. */
   headerTimeout: 3_000 satisfies Milliseconds,
   idleTimeout: 15_000 satisfies Milliseconds,
+  /** A caller sends right after it has connected; some are slow to be scheduled. */
+  firstRequest: 1_000 satisfies Milliseconds,
   /** How long a caller may take nothing of its answer: twice the longest timeout of a route. */
   callerStall: 30_000 satisfies Milliseconds,
   /** Retry-After where a daemon that stops takes nothing more: another one is there at once. */
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -187,7 +187,8 @@
     const census = this.callers.stopListening();
     log({ event: 'port-closed', after: clock.now() - started, ...census });
     const unlisted = this.link.unlist();
-    while (this.callers.openAnswers > 0 && clock.now() < end) {
+    // Connections whose first request is on its way are waited for as well as open answers.
+    while (this.callers.openConnections > 0 && clock.now() < end) {
       // eslint-disable-next-line no-await-in-loop
       await this.sleep(shutdownOptions.look);
     }
--- a/packages/router/src/lib/options.ts
+++ b/packages/router/src/lib/options.ts
@@ -9,6 +9,8 @@
   upstreamIdle: 10_000,
   /** How long the last bytes of an answer that needs no more reading may take. */
   answerTail: 1000,
+  /** How long a caller that just connected may take to send when the daemon stops. */
+  firstRequest: 1000,
   /** How long a caller may take nothing of its answer before it counts as gone. */
   callerStall: 30_000,
   /** How often the scheduler hears of the tokens of one attempt. */
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -78,6 +78,7 @@
     this.connections = new CallerConnections({
       clock: context.clock,
       headersTimeout: address.headersTimeout,
+      firstRequest: routerOptions.firstRequest,
       callerStall: routerOptions.callerStall,
     });
     this.server = this.createServer();
