Accept the connections that wait as the port is closed

What callers may see: a reset on a connection that the kernel had completed, as a daemon closes its port: the first request on it is lost and the daemon never knows.

Cause: the wait before the port closes ends in a timer, which runs before sockets are polled, so whatever came since the last poll is still unaccepted.

Why this holds: an immediate callback runs right after a poll, which accepts all that wait; between it and the close nothing else runs. CallerServer.test.ts red before ('reset'), green now. The router's port likewise.

--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -7,3 +7,4 @@
 } from './lib/CallerConnections/CallerConnections.js';
 export { MalformedKind, refuseConnection } from './lib/refuseConnection.js';
 export type { RefusalBody } from './lib/refuseConnection.js';
+export { waitForAccepted } from './lib/waitForAccepted.js';
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.test.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.test.ts
@@ -59,16 +59,31 @@
     const caller = await openConnection();
     const answer = readToEnd(caller);
     server.drain();
-    expect(server.stopListening()).toMatchObject({ unused: 1 });
+    expect(await server.stopListening()).toMatchObject({ unused: 1 });
     caller.write(REQUEST);
     expect(await answer).toMatch(/^HTTP\/1.1 200 OK\r\n[^]*connection: close\r\n[^]*answer/i);
     expect(server.openConnections).toBe(0);
   });
 
+  // A caller's connection is complete for the kernel before the daemon has accepted it. A port that is
+  // closed in that moment resets it, with the request that was sent on it; the daemon never knows.
+  it('answers on a connection that was waiting to be accepted', async () => {
+    const caller = connect(port, '127.0.0.1');
+    callers.push(caller);
+    const answer = readToEnd(caller);
+    caller.write(REQUEST);
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    expect(server.openConnections).toBe(0);
+    await server.stopListening();
+    expect(await answer).toMatch(/^HTTP\/1.1 200 OK\r\n/);
+  });
+
   it('waits no longer than a second for a first request', async () => {
     const caller = await openConnection();
     const answer = readToEnd(caller);
-    server.stopListening();
+    await server.stopListening();
     clock.advance(999);
     expect(server.openConnections).toBe(1);
     clock.advance(1);
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -1,4 +1,4 @@
-import { CallerConnections, refuseConnection } from '@apricotrill/callers';
+import { CallerConnections, refuseConnection, waitForAccepted } from '@apricotrill/callers';
 import type { ConnectionCensus } from '@apricotrill/callers';
 import type { Clock } from '@apricotrill/utils';
 import { createServer } from 'node:http';
@@ -85,7 +85,8 @@
    *
    * @returns what was open
    */
-  stopListening(): ConnectionCensus {
+  async stopListening(): Promise<ConnectionCensus> {
+    await waitForAccepted();
     this.server.close();
     return this.connections.drain();
   }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -184,7 +184,7 @@
     this.callers.drain();
     await this.sleep(shutdownOptions.listenOn);
     this.isClosed = true;
-    const census = this.callers.stopListening();
+    const census = await this.callers.stopListening();
     log({ event: 'port-closed', after: clock.now() - started, ...census });
     const unlisted = this.link.unlist();
     // Connections whose first request is on its way are waited for as well as open answers.
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -1,4 +1,4 @@
-import { CallerConnections, refuseConnection } from '@apricotrill/callers';
+import { CallerConnections, refuseConnection, waitForAccepted } from '@apricotrill/callers';
 import type { KeyMaterial, KeySource } from '@apricotrill/keys';
 import { Outcome } from '@apricotrill/policy';
 import { randomUUID } from 'node:crypto';
@@ -118,9 +118,10 @@
    * close, and connections without a request end, or those kept for reuse would hold the process
    * for good.
    */
-  close(): Promise<void> {
+  async close(): Promise<void> {
     this.closing = true;
-    return new Promise((resolve) => {
+    await waitForAccepted();
+    await new Promise<void>((resolve) => {
       this.server.close(() => resolve());
       this.context.log('daemon', { event: 'port-closed', ...this.connections.drain() });
     });
