--- a/packages/e2e/src/test/shards.ts
+++ b/packages/e2e/src/test/shards.ts
@@ -12,6 +12,7 @@
 export interface OwnedShard {
   owner: FleetDaemon;
   witness?: string;
+  epoch: number;
 }
 
 let lastKey = 0;
@@ -30,9 +31,10 @@
 /** The shards that a daemon's running process owns. */
 function getOwned(daemon: FleetDaemon): Map<number, OwnedShard> {
   const owned = new Map<number, OwnedShard>();
-  daemon.getDecisions('claim').forEach(({ kind, shard, witness }) => {
+  daemon.getDecisions('claim').forEach(({ kind, shard, witness, epoch }) => {
     if (kind === 'shard-taken' || kind === 'witness-changed') {
-      owned.set(Number(shard), { owner: daemon, witness: witness as string | undefined });
+      const rest = { witness: witness as string | undefined, epoch: Number(epoch) };
+      owned.set(Number(shard), { owner: daemon, ...rest });
     } else if (kind === 'shard-left') {
       owned.delete(Number(shard));
     }
@@ -40,9 +42,14 @@
   return owned;
 }
 
-/** Which of these daemons owns each shard. */
+/**
+ * Which of these daemons owns each shard: the one of the newest epoch. As a fleet starts, several may
+ * have taken a shard one after the other, and the first doesn't know until it is asked.
+ */
 export function getShards(daemons: readonly FleetDaemon[]): Map<number, OwnedShard> {
-  return new Map(daemons.flatMap((daemon) => [...getOwned(daemon)]));
+  const byEpoch = daemons.flatMap((daemon) => [...getOwned(daemon)]);
+  byEpoch.sort(([, left], [, right]) => left.epoch - right.epoch);
+  return new Map(byEpoch);
 }
 
 /** Places a hold in each shard, and is answered at once. @returns the keys, by shard */
