--- a/packages/claims/src/lib/ClaimShard/ClaimShard.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.ts
@@ -5,11 +5,9 @@
 import type { ClaimMember } from '../claimTypes.js';
 import type { ClaimReply } from '../messages.js';
 import { getOwnerOrder } from '../placement.js';
-import { Backoff } from './Backoff.js';
-import { OwnerHint } from './OwnerHint.js';
+import { OwnerOutlook } from './OwnerOutlook.js';
 import type { OwnershipEnd, OwnershipStart } from './Ownership.js';
 import { Ownership } from './Ownership.js';
-import { ShardRest } from './ShardRest.js';
 import type { ShardCall, ShardContext, ShardInput } from './shardMessages.js';
 import type { TakeoverEnd } from './Takeover.js';
 import { Takeover } from './Takeover.js';
@@ -34,12 +32,7 @@
   /** Takeovers of ours whose confirmation was lost. */
   private readonly ownCommits = new Set<string>();
 
-  /** Who owned the shard when we last looked. */
-  private readonly hint: OwnerHint;
-
-  private readonly backoff: Backoff;
-
-  private readonly rest: ShardRest;
+  private readonly outlook: OwnerOutlook;
 
   /** The last owner has left the shard to us since the takeover in progress began. */
   private isOffered = false;
@@ -52,10 +45,7 @@
   private wakeAt: Milliseconds = Number.POSITIVE_INFINITY;
 
   constructor(private readonly context: ShardContext) {
-    const { retryDelay, retryDelayLimit } = context.options;
-    this.hint = new OwnerHint(context);
-    this.rest = new ShardRest(context);
-    this.backoff = new Backoff(retryDelay, retryDelayLimit);
+    this.outlook = new OwnerOutlook(context);
   }
 
   get isOwned(): boolean {
@@ -137,7 +127,7 @@
 
   /** Whether to look at the object now, and to take the shard if nobody has it. */
   private mayTake(): boolean {
-    if (this.isLeaving || !this.rest.isOver(this.now) || this.now < this.backoff.due) {
+    if (this.isLeaving || !this.outlook.mayLook(this.now)) {
       return false;
     }
     // A takeover of ours may have taken effect unconfirmed: the others would send everyone here,
@@ -162,9 +152,7 @@
         this.startOwnership(end.start, end.proof);
         break;
       case 'owned':
-        this.backoff.succeed();
-        this.hint.set(end.owner, this.now);
-        this.rest.startAfterLook(end.owner, this.now);
+        this.outlook.noteOwner(end.owner, this.now);
         break;
       case 'failed':
         this.onTakeoverFailed();
@@ -180,8 +168,7 @@
   }
 
   private onTakeoverFailed(): void {
-    const isFirst = !this.backoff.isFailing;
-    this.backoff.fail(this.now);
+    const isFirst = this.outlook.noteFailure(this.now);
     if (isFirst && this.queued.length > 0) {
       // One lost answer is no outage: try once more before the callers are turned away.
       this.startTakeover();
@@ -193,8 +180,7 @@
     const ownership = new Ownership(this.context, start, this.now, onEnd);
     this.phase = { kind: 'owning', ownership };
     this.ownCommits.clear();
-    this.backoff.succeed();
-    this.hint.clear();
+    this.outlook.noteTaken();
     const { shard, emit } = this.context;
     const { epoch, witness } = start.header;
     const decision = { kind: 'shard-taken' as const, shard, epoch, witness: witness?.id, proof };
@@ -211,38 +197,14 @@
     const { epoch } = ownership;
     emit({ kind: 'decision', decision: { kind: 'shard-left', shard, epoch, to: to?.id, cause } });
     this.queued.push(...ownership.drain());
-    this.followLoss(cause, to);
-    this.releaseQueued();
-  }
-
-  private followLoss(cause: LossCause, to: ClaimMember | undefined): void {
-    const { shard, emit, createId } = this.context;
-    switch (cause) {
-      case LossCause.HandedOver:
-        this.hint.set(to, this.now);
-        if (to === undefined) {
-          this.rest.startAfterLoss(this.now);
-        } else {
-          emit({ kind: 'call-peer', id: createId(), peer: to, message: { kind: 'take', shard } });
-        }
-        break;
-      case LossCause.Vacant:
-        // The newer owner offered it to us while we took ourselves for the owner. Left alone as after
-        // other losses, the shard would have no owner, and its claims would be refused; there is nobody
-        // to take it from us in turn.
-        this.hint.clear();
-        if (this.mayTake()) {
-          this.startTakeover();
-        }
-        break;
-      case LossCause.Conflict:
-      case LossCause.Challenged:
-        this.hint.set(to, this.now);
-        this.rest.startAfterLoss(this.now);
-        break;
-      default:
-        throw exhaustiveSwitchError(cause);
+    this.outlook.noteLoss(cause, to, this.now);
+    if (cause === LossCause.HandedOver && to !== undefined) {
+      const { createId } = this.context;
+      emit({ kind: 'call-peer', id: createId(), peer: to, message: { kind: 'take', shard } });
+    } else if (cause === LossCause.Vacant && this.mayTake()) {
+      this.startTakeover();
     }
+    this.releaseQueued();
   }
 
   /**
@@ -310,7 +272,7 @@
 
   private redirect(input: ShardCall): void {
     const isOurs = this.isPreferred() && !this.isLeaving;
-    const owner = this.hint.get(this.now) ?? (isOurs ? undefined : this.getSuccessor());
+    const owner = this.outlook.getOwner(this.now) ?? (isOurs ? undefined : this.getSuccessor());
     this.reply(input.call, { kind: 'not-owner', owner });
   }
 
