--- a/packages/experiment/src/lib/bench/measureFirstByte.ts
+++ b/packages/experiment/src/lib/bench/measureFirstByte.ts
@@ -2,11 +2,10 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { Agent } from 'undici';
 import type { Milliseconds } from '@apricotrill/utils';
+import { MICROSECONDS } from '../measure/measureCost.js';
 import { streamChat } from './streamChat.js';
 import type { ChatTarget } from './streamChat.js';
 
-const MICROSECONDS = 1000;
-
 const PROBE_TOKENS = 2;
 
 /** Probes follow each other by this, on average. */
--- a/packages/experiment/src/lib/capacity/probes/AdmissionProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/AdmissionProbe.ts
@@ -1,19 +1,16 @@
-import { measureHeap, measureLine, measureProcessorTime } from '../../measure/measureCost.js';
+import { MICROSECONDS, measureHeap, measureLine } from '../../measure/measureCost.js';
 import { getWorkedOut, NO_STORE_COST } from '../CapacityProbe.js';
 import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
 import { createConfiguration } from '../createConfiguration.js';
 import { DAEMON_REQUESTS, twoYearSize } from '../twoYearSize.js';
+import { measureRequestTime } from './measureRequestTime.js';
 import { SchedulerLoad } from './SchedulerLoad.js';
 
 const SIZES = [10, 100, 1_000, twoYearSize.workspaces];
 
 const REPLICAS = 8;
 
-const BATCH = 50;
-
-const ROUNDS = 20;
-
-const MICROSECONDS = 1000;
+const BATCHES = { batch: 50, rounds: 20 };
 
 /** Eight replicas with all slots busy, and requests of every workspace waiting. */
 async function createBackloggedLoad(workspaces: number): Promise<SchedulerLoad> {
@@ -26,16 +23,7 @@
 /** Microseconds for one request that waits among those of all workspaces. */
 async function measureRequest(workspaces: number): Promise<number> {
   const load = await createBackloggedLoad(workspaces);
-  const span = await measureProcessorTime(async () => {
-    for (let round = 0; round < ROUNDS; round += 1) {
-      // eslint-disable-next-line no-await-in-loop
-      await load.submit(BATCH);
-      // eslint-disable-next-line no-await-in-loop
-      await load.complete(BATCH);
-    }
-  });
-  load.scheduler.dispose();
-  return (span * MICROSECONDS) / (BATCH * ROUNDS);
+  return measureRequestTime(load, BATCHES);
 }
 
 /** What waiting costs as workspaces grow. */
--- a/packages/experiment/src/lib/capacity/probes/ChoiceProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/ChoiceProbe.ts
@@ -1,17 +1,14 @@
-import { measureLine, measureProcessorTime } from '../../measure/measureCost.js';
+import { MICROSECONDS, measureLine } from '../../measure/measureCost.js';
 import { getWorkedOut, NO_STORE_COST } from '../CapacityProbe.js';
 import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
 import { createConfiguration } from '../createConfiguration.js';
 import { DAEMON_REQUESTS, twoYearSize } from '../twoYearSize.js';
+import { measureRequestTime } from './measureRequestTime.js';
 import { SchedulerLoad } from './SchedulerLoad.js';
 
 const SIZES = [10, 100, 1_000, twoYearSize.replicas];
 
-const BATCH = 100;
-
-const ROUNDS = 30;
-
-const MICROSECONDS = 1000;
+const BATCHES = { batch: 100, rounds: 30 };
 
 /** All replicas serve one model: the most that one decision can have to choose from. */
 function createLoad(replicas: number): SchedulerLoad {
@@ -21,17 +18,7 @@
 
 /** Microseconds for one request from submission to its end, at an idle fleet. */
 async function measureRequest(replicas: number): Promise<number> {
-  const load = createLoad(replicas);
-  const span = await measureProcessorTime(async () => {
-    for (let round = 0; round < ROUNDS; round += 1) {
-      // eslint-disable-next-line no-await-in-loop
-      await load.submit(BATCH);
-      // eslint-disable-next-line no-await-in-loop
-      await load.complete(BATCH);
-    }
-  });
-  load.scheduler.dispose();
-  return (span * MICROSECONDS) / (BATCH * ROUNDS);
+  return measureRequestTime(createLoad(replicas), BATCHES);
 }
 
 /** What choosing a replica costs as the fleet grows. */
--- a/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LoadViewProbe.ts
@@ -2,7 +2,12 @@
 import type { Configuration } from '@apricotrill/model';
 import { createRandom, ManualClock } from '@apricotrill/utils';
 import { fitLine } from '../../measure/fitLine.js';
-import { measureHeap, measureLine, measureProcessorTime } from '../../measure/measureCost.js';
+import {
+  MICROSECONDS,
+  measureHeap,
+  measureLine,
+  measureProcessorTime,
+} from '../../measure/measureCost.js';
 import { getWorkedOut, NO_STORE_COST } from '../CapacityProbe.js';
 import type { CapacityProbe, RoleCapacity, Slope } from '../CapacityProbe.js';
 import { createConfiguration } from '../createConfiguration.js';
@@ -18,8 +23,6 @@
 
 const QUESTIONS = [500, 1_000, 2_000];
 
-const MICROSECONDS = 1000;
-
 /** Headers of TCP and IP: a question, its answer and two acknowledgements. */
 const PACKET_BYTES = 4 * 52;
 
--- a/packages/experiment/src/lib/measure/measureCost.ts
+++ b/packages/experiment/src/lib/measure/measureCost.ts
@@ -6,7 +6,8 @@
 import { fitLine } from './fitLine.js';
 import type { Line } from './fitLine.js';
 
-const MICROSECONDS = 1000;
+/** Microseconds in a millisecond. */
+export const MICROSECONDS = 1000;
 
 const REPEATS = 5;
 
