--- a/packages/claims/src/lib/ClaimShard/ClaimShard.test.ts
+++ b/packages/claims/src/lib/ClaimShard/ClaimShard.test.ts
@@ -17,8 +17,8 @@
 
 const GONE = createMember('gone');
 
-const claim: ShardInput = {
-  kind: 'claim',
+const claim = {
+  kind: 'claim' as const,
   call: 1,
   request: {
     name: 'painotuote/hold',
@@ -183,6 +183,28 @@
     expect(core.get('reply').reply).toEqual({ kind: 'answer', answer: { kind: 'granted' } });
   });
 
+  // A hold was answered, and for two minutes each repeat was told that it runs. Its daemon had taken the
+  // shard as the fleet came up, lost it unasked to another, and ran the hold under the other's grant. As
+  // the hold ended the other was killed, so it reported the outcome to itself; it still took itself for the owner,
+  // knew no such key, and said that the store has the outcome. So it was reported no more, and the next owner
+  // knew only of the grant. In the log: `settle kind=answered` at 34.256, `shard-left epoch=1 cause=conflict` at
+  // 34.280, and from 39.332 on `claim-answered answer=in-progress`, 2,000 times.
+  it('calls an outcome stored only when the store has shown that the shard is still its own', () => {
+    const core = new CoreUnderTest();
+    core.tell({ kind: 'rebalance' }, 100);
+    core.read({ object: undefined }, 100);
+    const result = { kind: 'accepted' as const, version: 1 };
+    core.tell({ kind: 'written', id: core.get('write').id, result }, 100);
+    const { request } = claim;
+    core.tell({ kind: 'settle', call: 2, request, outcome: { kind: 'unknown' } }, 200);
+    expect(core.get('reply')).toBeUndefined();
+    core.tell({ kind: 'wake' }, 200 + options.settleDelay);
+    const { id } = core.get('write');
+    const current = Object(createRead({})).object;
+    core.tell({ kind: 'written', id, result: { kind: 'conflict', current } }, 1300);
+    expect(core.get('reply').reply).toEqual({ kind: 'not-owner', owner: GONE });
+  });
+
   // Symptom: claims of a shard go on seconds later than its owner's end was noticed. Sequence: the
   // next owner looks just before, and finds an owner that lives. Cause: it rests for the sake of an
   // owner that has since gone.
