Call an outcome stored only after a commit has shown whose shard it is

The owner was killed as the hold ended, so the outcome went to the next in order, which was itself; it knew no such claim, waited for its last commit, which was long made, and called the outcome stored. Nobody reported it again, and the next owner knew of the grant alone. Ruled out: a lost report (the shard's conflict 24 ms later is its only trace, and reports are repeated until stored), a new owner without the grant (it said 'running').

Why this holds: for a claim that isn't in the table the answer waits for a commit made after the question. If the shard is another's, the commit meets it, and the outcome goes on to the owner. The price is one commit for an outcome whose claim was released or has expired.

--- a/packages/claims/src/lib/ClaimShard/CallProcessor.ts
+++ b/packages/claims/src/lib/ClaimShard/CallProcessor.ts
@@ -22,6 +22,8 @@
   getSequence(): number;
   /** Whether the store or the witness can make a new grant safe, as far as we know. */
   canGrant(now: Milliseconds): boolean;
+  /** Has a commit made by `due` that changes nothing. @returns its sequence */
+  requireCommit(due: Milliseconds): number;
   /** Notes a change of the table; `due` is when a commit must start at the latest. */
   mutate(name: string, claim: string, entry: ClaimEntry | undefined, due: Milliseconds): void;
 }
@@ -67,10 +69,20 @@
       this.abandon(request.claim, now);
     }
     const kept = this.table.get(request.name, now);
-    const sequence = kept?.claim === request.claim ? kept.sequence : this.source.getSequence();
+    const sequence = kept?.claim === request.claim ? kept.sequence : this.getProof(now);
     this.waiting.add({ input, sequence, since: now });
   }
 
+  /**
+   * The commit that answers an outcome of a claim that is not in the table. It may have been released or
+   * have expired; or this daemon lost the shard without knowing, and another one has the claim. Called
+   * stored here, the outcome would be reported no more, and repeats of a request that was answered
+   * would be told that it runs. The commit shows whose shard it is.
+   */
+  private getProof(now: Milliseconds): number {
+    return this.source.requireCommit(now + this.context.options.settleDelay);
+  }
+
   private change(entry: ClaimEntry, outcome: ClaimOutcome, now: Milliseconds): void {
     const { options } = this.context;
     // During a long outage nothing leaves the head: keep it under the store's limit.
--- a/packages/claims/src/lib/ClaimShard/Ownership.ts
+++ b/packages/claims/src/lib/ClaimShard/Ownership.ts
@@ -222,6 +222,12 @@
     this.commits.request(due);
   }
 
+  private requireCommit(due: Milliseconds): number {
+    this.sequence += 1;
+    this.commits.request(due);
+    return this.sequence;
+  }
+
   /**
    * When the witness is to be asked: at once while the store does not answer, and otherwise when a
    * claim has waited for the store too long.
@@ -291,6 +297,7 @@
       getSequence: () => this.sequence,
       canGrant: (now) =>
         !this.commits.isDown || (this.link.isAnswering && this.commits.isTrusted(now)),
+      requireCommit: (due) => this.requireCommit(due),
       mutate: (name, claim, entry, due) => this.mutate(name, claim, entry, due),
     };
   }
