--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -12,7 +12,7 @@
 /** Makes the relay one file that starts fast: what isn't in it need not be found, read and run. */
 await build({
   entryPoints: [
-    fileURLToPath(new URL('../platform/src/bin/apricotrill-relay.ts', import.meta.url)),
+    fileURLToPath(new URL('../platform/src/bin/apricotrill-relay.bundle.ts', import.meta.url)),
   ],
   outfile: process.argv[2] ?? TARGET,
   bundle: true,
