Tell a large fleet in turn, and presume that listed daemons run

Symptom: what daemons tell each other grows with the fleet: at 195, 80 datagrams a second to each, a silent daemon noticed after 8.5 s, and n x n datagrams at a start of all, at the moment at which nobody is served. Change: the regular message goes to 20 others a second in turn (all of a fleet of up to 21), and each second to the daemons that choose for the sender's requests. Daemons that the directory lists count as running until they are silent. A placer that gives no answer is asked after 1, 2, 4 and 8 s; attempts of a daemon that told nothing for 5 s are forgotten by the placer, as silence is noticed later now.

--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -38,8 +38,8 @@
 export class Delegation {
   private readonly open = new Map<string, OpenAsk>();
 
-  /** Placers that gave no answer, and until when they aren't asked. */
-  private readonly silentUntil = new Map<string, Milliseconds>();
+  /** Placers that gave no answer: until when they aren't asked, and how long that is. */
+  private readonly silent = new Map<string, { until: Milliseconds; span: Milliseconds }>();
 
   constructor(private readonly parts: DelegationParts) {}
 
@@ -56,7 +56,7 @@
     const now = this.parts.clock.now();
     return this.parts.fleet
       .getPlacers(name)
-      .find((daemon) => !record.asked.has(daemon) && now >= (this.silentUntil.get(daemon) ?? 0));
+      .find((daemon) => !record.asked.has(daemon) && now >= (this.silent.get(daemon)?.until ?? 0));
   }
 
   ask(record: RequestRecord, placer: string): void {
@@ -74,7 +74,7 @@
 
   /** @returns undefined where nothing waits for the answer any more; then its placer is told so */
   take(placer: string, { key, placement }: PlacementReply): OpenAsk | undefined {
-    this.silentUntil.delete(placer);
+    this.silent.delete(placer);
     const ask = this.open.get(key);
     if (ask?.placer !== placer) {
       if (placement !== undefined) {
@@ -103,15 +103,25 @@
       });
   }
 
+  /** Each time that it is asked in vain costs a request the wait: a dead one is asked ever less. */
+  private getSpan(last: Milliseconds | undefined): Milliseconds {
+    const { silentPlacer, longestSilentPlacer } = this.parts.options;
+    return last === undefined ? silentPlacer : Math.min(longestSilentPlacer, last * 2);
+  }
+
   private expire(key: string): void {
     const ask = this.open.get(key);
     if (ask === undefined) {
       return;
     }
-    const { clock, emit, options, onSilent } = this.parts;
+    const { clock, emit, onSilent } = this.parts;
     this.open.delete(key);
-    const span = options.silentPlacer;
-    this.silentUntil.set(ask.placer, clock.now() + span);
+    const last = this.silent.get(ask.placer);
+    // Asks that ran out together say it once.
+    const isNew = last === undefined || ask.askedAt >= last.until;
+    const span = isNew ? this.getSpan(last?.span) : last.span;
+    const until = isNew ? clock.now() + span : last.until;
+    this.silent.set(ask.placer, { until, span });
     emit({ kind: 'placer-silent', peer: ask.placer, span });
     onSilent(ask.record);
   }
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -15,6 +15,12 @@
  */
 const LIST_LAG: Milliseconds = 500;
 
+/**
+ * A daemon tells the one that chose for its attempts of them every second, as long as there are any:
+ * where nothing came for so long, it was killed.
+ */
+const LIST_EXPIRY: Milliseconds = 5_000;
+
 /** An attempt as other daemons are told of it. */
 export function getShared(attempt: RunningAttempt): SharedAttempt {
   const { key, state, missingTokens, memoryTokens, pauseTarget, isAnswering, prompt } = attempt;
@@ -30,10 +36,17 @@
 export class PeerAttempts {
   private readonly byPeer = new Map<string, Map<string, RunningAttempt>>();
 
+  /** When a daemon last told of all its attempts. */
+  private readonly listedAt = new Map<string, Milliseconds>();
+
+  private sweptAt: Milliseconds;
+
   constructor(
     private readonly clock: Clock,
     private readonly findReplica: (id: string) => ReplicaState | undefined,
-  ) {}
+  ) {
+    this.sweptAt = clock.now();
+  }
 
   take(peer: string, news: AttemptNews): void {
     const attempts = this.getAttempts(peer);
@@ -49,7 +62,9 @@
         PeerAttempts.remove(attempts, news.key);
         break;
       case 'all':
+        this.listedAt.set(peer, this.clock.now());
         this.replace(attempts, news.attempts);
+        this.sweep();
         break;
       default:
         news satisfies never;
@@ -61,6 +76,7 @@
     const attempts = this.getAttempts(peer);
     [...attempts.keys()].forEach((key) => PeerAttempts.remove(attempts, key));
     this.byPeer.delete(peer);
+    this.listedAt.delete(peer);
   }
 
   has(peer: string, key: string): boolean {
@@ -184,6 +200,25 @@
     });
   }
 
+  /**
+   * What goes wrong without it: a large fleet takes half a minute to notice that daemons are gone, and
+   * engines seem full of their attempts all the while.
+   */
+  private sweep(): void {
+    const expired = this.clock.now() - LIST_EXPIRY;
+    if (this.sweptAt > expired) {
+      return;
+    }
+    this.sweptAt = this.clock.now();
+    this.byPeer.forEach((attempts, peer) => {
+      if ((this.listedAt.get(peer) ?? Number.NEGATIVE_INFINITY) < expired) {
+        [...attempts]
+          .filter(([, { isForOther, sentAt }]) => isForOther && sentAt < expired)
+          .forEach(([key]) => PeerAttempts.remove(attempts, key));
+      }
+    });
+  }
+
   private static remove(attempts: Map<string, RunningAttempt>, key: string): void {
     const attempt = attempts.get(key);
     if (attempt !== undefined) {
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -59,8 +59,9 @@
   retryAfter: Milliseconds;
   /** How long a placer may take to answer. */
   askTimeout: Milliseconds;
-  /** A placer that gave no answer isn't asked for so long. */
+  /** A placer that gave no answer isn't asked for so long, and twice as long each further time. */
   silentPlacer: Milliseconds;
+  longestSilentPlacer: Milliseconds;
   /** Requests beyond its slots that a placer gives an engine, as a part of the slots. */
   placerQueue: number;
 }
@@ -121,8 +122,9 @@
   // A way there and back takes up to 6 ms between zones, and a placer on a third of a core has up to
   // some 40 ms of other work before it; a quarter of the shortest latency target in use.
   askTimeout: 80,
-  // A daemon that was killed is back, or known to be gone, in a few seconds.
+  // A daemon that was killed is back in a few seconds.
   silentPlacer: 1_000,
+  longestSilentPlacer: 8_000,
   // Replicas queue a few times their slots; what waits there can't move any more.
   placerQueue: 1,
 };
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -3,7 +3,7 @@
 import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
-import { PeerLink } from './PeerLink.js';
+import { PeerLink, linkOptions } from './PeerLink.js';
 
 /** The platform's entries, in memory. */
 class MemoryDirectory implements PeerDirectory {
@@ -173,6 +173,33 @@
     expect(second.heard).toContainEqual({ kind: 'all', attempts: [ATTEMPT] });
   });
 
+  // Guards against datagrams that grow with the square of the fleet: each of hundreds of daemons told
+  // all others that it is there, and after a loss of power all did at once.
+  it('tells a part of a large fleet at a time, and knows the rest by the directory', async () => {
+    const directory = new MemoryDirectory();
+    const others = 200;
+    const socket = createSocket('udp4');
+    let arrived = 0;
+    socket.on('message', () => {
+      arrived += 1;
+    });
+    await new Promise<void>((resolve) => {
+      socket.bind(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${socket.address().port}`;
+    for (let index = 0; index < others; index += 1) {
+      const id = `e-${index}`;
+      directory.entries.set(id, { id, address, availabilityZone: 'zone-a' });
+    }
+    const { link, fleets, until } = await createLink('d-1', directory);
+    await until(() => fleets.length > 0);
+    socket.close();
+    expect(link.livePeers).toBe(others);
+    expect(fleets[0]).toHaveLength(others + 1);
+    // One refresh as it starts, and one as it has read the directory.
+    expect(arrived).toBeLessThanOrEqual(2 * linkOptions.mostTold);
+  });
+
   it('tells of the daemons that are heard, once it has settled', async () => {
     const directory = new MemoryDirectory();
     const left = await createLink('d-1', directory);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -19,10 +19,10 @@
   /** After the directory gave no answer. */
   pause: 500 satisfies Milliseconds,
   /**
-   * Datagrams a second that a daemon hears from all others, which bounds what the size of the fleet
-   * costs each.
+   * Others that are told at each refresh, in turn, which bounds what the size of the fleet costs each
+   * daemon. Those that choose replicas for this daemon's requests are told at each.
    */
-  datagramsPerSecond: 80,
+  mostTold: 20,
   /** Others that came or went are told of together after this long: daemons start all at once. */
   settle: 200 satisfies Milliseconds,
   /** Breaks that a large fleet is told of at once, between two regular messages. */
@@ -32,8 +32,6 @@
 /** Silence of so many of its regular messages makes a daemon count as gone. */
 const SILENT_MESSAGES = 3.5;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** What the link is made of. */
 export interface PeerLinkParts {
   self: PeerEntry;
@@ -95,6 +93,12 @@
 
   private isRegistered = false;
 
+  /** Where the round through all others goes on. */
+  private turn = 0;
+
+  /** Daemons that were told of attempts at the last refresh: they must hear that these are over. */
+  private lastTold: string[] = [];
+
   /** Breaks that may be told before the next regular message. */
   private urgentLeft = linkOptions.mostUrgent;
 
@@ -162,10 +166,15 @@
     return true;
   }
 
-  private get refreshSpan(): Milliseconds {
-    const spread =
-      (this.table.ids.length * MILLISECONDS_PER_SECOND) / linkOptions.datagramsPerSecond;
-    return Math.max(linkOptions.refresh, spread);
+  /** Whether others are told in turn, and not all at once. */
+  private get isLarge(): boolean {
+    return this.table.ids.length > linkOptions.mostTold;
+  }
+
+  /** How long until each other daemon was told once. */
+  private get roundSpan(): Milliseconds {
+    const rounds = this.table.ids.length / linkOptions.mostTold;
+    return Math.max(1, rounds) * linkOptions.refresh;
   }
 
   private refresh(): void {
@@ -174,19 +183,38 @@
     }
     const { clock, onGone, log } = this.parts;
     this.urgentLeft = linkOptions.mostUrgent;
-    this.tellAll();
-    const silence = this.refreshSpan * SILENT_MESSAGES;
+    this.tellSome();
+    const silence = this.roundSpan * SILENT_MESSAGES;
     this.table.takeSilent(clock.now(), silence).forEach((peer) => {
       log({ event: 'peer-lost', peer });
       onGone(peer);
       this.tellFleet();
     });
-    this.refreshing = clock.setTimer(this.refreshSpan, () => this.refresh());
+    this.refreshing = clock.setTimer(linkOptions.refresh, () => this.refresh());
   }
 
-  /** Tells what is under way; each daemon what it is to know, and none of it is empty news. */
-  private tellAll(ids = this.table.ids): void {
+  /** Tells the next others in turn, and those that choose for this daemon. */
+  private tellSome(): void {
     const all = this.parts.getAll();
+    const named = [...all.keys()].filter((id) => id !== undefined);
+    const told = new Set([...this.takeTurn(), ...named, ...this.lastTold]);
+    this.lastTold = named;
+    this.tellAll([...told], all);
+  }
+
+  private takeTurn(): string[] {
+    const { ids } = this.table;
+    const { mostTold } = linkOptions;
+    if (ids.length <= mostTold) {
+      return ids;
+    }
+    const first = this.turn % ids.length;
+    this.turn = first + mostTold;
+    return [...ids.slice(first), ...ids.slice(0, first)].slice(0, mostTold);
+  }
+
+  /** Tells what is under way; each daemon what it is to know, and none of it is empty news. */
+  private tellAll(ids: readonly string[], all = this.parts.getAll()): void {
     const changes = this.parts.getChanges();
     const common = encodeAll(this.parts.self, all.get(undefined) ?? [], changes);
     ids.forEach((id) => {
@@ -232,7 +260,9 @@
     const { clock, log, onNews } = this.parts;
     if (this.table.noteHeard(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
-      this.tellAll([from.id]);
+      if (!this.isLarge) {
+        this.tellAll([from.id]);
+      }
       this.tellFleet();
     }
     news.forEach((item) => onNews(from.id, item));
@@ -271,10 +301,13 @@
       ({ id, address }) => id === self.id && address === self.address,
     );
     const now = clock.now();
-    this.table.setListed(entries, now);
+    // What goes wrong without the presumption: after a loss of power all daemons of a large fleet tell
+    // each other at once that they are there, while nobody is served.
+    this.table.setListed(entries, now, entries.length > linkOptions.mostTold);
+    this.tellFleet();
     // A daemon that starts need not wait for the next refresh to be known, and to know the others'
     // load: after a restart of all the first second has the most to place.
-    this.tellAll();
+    this.tellSome();
     const forgotten = this.table.takeForgotten(now);
     if (this.table.isFirst) {
       await Promise.all(forgotten.map((id) => directory.remove(id)));
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
@@ -10,9 +10,11 @@
 interface Peer {
   address: string;
   availabilityZone: string;
-  /** Undefined while nothing was heard since it was found or lost. */
+  /** When it was last known to run; undefined while it isn't known to. */
   heardAt: Milliseconds | undefined;
   foundAt: Milliseconds;
+  /** Whether it was heard itself since it was found or lost. */
+  isHeard: boolean;
 }
 
 /** Which daemons there are, and which of them are heard. */
@@ -21,14 +23,26 @@
 
   constructor(private readonly self: string) {}
 
-  /** Takes over what the directory lists. */
-  setListed(entries: readonly PeerEntry[], now: Milliseconds): void {
+  /**
+   * Takes over what the directory lists.
+   *
+   * @param isPresumed - whether those that are found count as running until they are silent for too
+   *   long: where daemons are many, each is heard only after a while
+   */
+  setListed(entries: readonly PeerEntry[], now: Milliseconds, isPresumed = false): void {
+    const heardAt = isPresumed ? now : undefined;
     entries
       .filter(({ id }) => id !== this.self)
       .forEach(({ id, address, availabilityZone }) => {
         const peer = this.peers.get(id);
         if (peer === undefined) {
-          this.peers.set(id, { address, availabilityZone, heardAt: undefined, foundAt: now });
+          this.peers.set(id, {
+            address,
+            availabilityZone,
+            heardAt,
+            foundAt: now,
+            isHeard: false,
+          });
         } else if (peer.heardAt === undefined) {
           Object.assign(peer, { address, availabilityZone });
         }
@@ -38,10 +52,9 @@
   /** @returns whether the peer was not heard before */
   noteHeard({ id, address, availabilityZone }: PeerEntry, now: Milliseconds): boolean {
     const peer = this.peers.get(id);
-    const isNew = peer?.heardAt === undefined;
     const foundAt = peer?.foundAt ?? now;
-    this.peers.set(id, { address, availabilityZone, heardAt: now, foundAt });
-    return isNew;
+    this.peers.set(id, { address, availabilityZone, heardAt: now, foundAt, isHeard: true });
+    return peer?.isHeard !== true;
   }
 
   /** Peers that have fallen silent since the last call. */
@@ -49,7 +62,7 @@
     const silent: string[] = [];
     this.peers.forEach((peer, id) => {
       if (peer.heardAt !== undefined && now - peer.heardAt > silence) {
-        Object.assign(peer, { heardAt: undefined, foundAt: now });
+        Object.assign(peer, { heardAt: undefined, foundAt: now, isHeard: false });
         silent.push(id);
       }
     });
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { AttemptEnd } from '../../decide/messages.js';
 import type {
   Placement,
