Bound the age of what a reader tells; one reader a group

Cause: a reader counted as reached until its watch at the store ended, up to 10.5 s, and told the others all along that nothing had changed. A daemon that is disturbed is excused; the calm ones that ask it are not. Change: a reader tells what the store confirmed less than a wait and half a second ago, else it has no answer, and the next is asked. A wait is a quarter of the time in which changes must be in force, read from the settings. One reader a group in place of two, as shorter waits cost calls and the next in order becomes a reader when it is asked.

--- a/packages/relay/src/lib/daemon/FollowedKind.ts
+++ b/packages/relay/src/lib/daemon/FollowedKind.ts
@@ -1,9 +1,10 @@
-import type { Clock, Random } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import { StateFollower } from '../follow/StateFollower/StateFollower.js';
 import type { FollowListener } from '../follow/StateFollower/StateFollower.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { ReaderChoice } from '../readers/ReaderChoice/ReaderChoice.js';
+import { readerOptions } from '../readers/readerOptions.js';
 import { SharedObjects } from '../readers/SharedObjects/SharedObjects.js';
 import { SharedSource } from '../readers/SharedSource/SharedSource.js';
 import type { AskReader } from '../readers/SharedSource/SharedSource.js';
@@ -19,6 +20,8 @@
   clock: Clock;
   random: Random;
   log: RelayLog;
+  /** How long a call waits, at the store or at a reader. */
+  wait: Milliseconds;
   /** Differs between two lives of a daemon. */
   epoch: string;
 }
@@ -36,10 +39,11 @@
     this.follower = new StateFollower({
       ...parts,
       source: this.source,
+      options: { watchWait: parts.wait, longestWait: parts.wait },
       listener: this.createListener(),
     });
     this.objects = new SharedObjects(parts.clock, parts.epoch, () =>
-      this.isDirect && this.follower.isReached ? this.follower.knownRevision : undefined,
+      this.isFresh ? this.follower.knownRevision : undefined,
     );
   }
 
@@ -72,6 +76,16 @@
     this.follower.dispose();
   }
 
+  /**
+   * What goes wrong without a bound of its age: a reader whose connection to the store went silent
+   * tells the others all along that nothing has changed, and these send requests to replicas that left.
+   */
+  private get isFresh(): boolean {
+    const { clock, wait } = this.parts;
+    const age = clock.now() - this.source.confirmedAt;
+    return this.isDirect && this.follower.isReached && age <= wait + readerOptions.freshSlack;
+  }
+
   private get isDirect(): boolean {
     return this.source.isDirect;
   }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -107,7 +107,7 @@
       metrics.connectionsOpened.inc({ service }),
     );
     const tell = (message: PlacementMessage) => this.core.handle(message);
-    this.store = new StoreLink({ ...parts, self });
+    this.store = new StoreLink({ ...parts, self, changeBound: settings.changeBound });
     this.intake = new RequestIntake({
       ...parts,
       daemon: settings.id,
--- a/packages/relay/src/lib/daemon/RelaySettings.ts
+++ b/packages/relay/src/lib/daemon/RelaySettings.ts
@@ -25,6 +25,8 @@
   readyPaths: string[];
   /** Repeats that all daemons together may send to a service. */
   retries: { ratio: number; window: Milliseconds; slack: number };
+  /** How soon a change in the store must be in force, in every daemon. */
+  changeBound: Milliseconds;
   /** How long the process may live after it was told to stop. */
   grace: Milliseconds;
 }
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -1,5 +1,5 @@
 import { getHashHex } from '@apricotrill/utils';
-import type { Clock, Random } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { FollowListener } from '../follow/StateFollower/StateFollower.js';
 import { HttpCaller } from '../http/HttpCaller.js';
@@ -8,6 +8,7 @@
 import { createAskReader } from '../readers/createAskReader.js';
 import { ObjectServer } from '../readers/ObjectServer/ObjectServer.js';
 import { ReaderChoice } from '../readers/ReaderChoice/ReaderChoice.js';
+import { readerOptions } from '../readers/readerOptions.js';
 import { FollowedKind } from './FollowedKind.js';
 
 /** What the link is made of. */
@@ -16,6 +17,8 @@
   random: Random;
   log: RelayLog;
   self: PeerEntry;
+  /** How soon a change in the store must be in force here. */
+  changeBound: Milliseconds;
 }
 
 /**
@@ -33,10 +36,18 @@
 
   private readonly epoch: string;
 
+  /** How long a call waits, at the store or at a reader. */
+  private readonly wait: Milliseconds;
+
   constructor(private readonly parts: StoreLinkParts) {
-    const { clock, log, self } = parts;
+    const { clock, log, self, changeBound } = parts;
+    this.wait = Math.round(changeBound * readerOptions.waitShare);
     this.choice = new ReaderChoice(parts);
-    this.server = new ObjectServer({ log, onAsked: () => this.choice.noteAsked() });
+    this.server = new ObjectServer({
+      log,
+      longestWait: this.wait,
+      onAsked: () => this.choice.noteAsked(),
+    });
     this.epoch = getHashHex(`${self.id} ${clock.now()}`);
   }
 
@@ -50,9 +61,18 @@
     store: ObjectSource<Item>,
     onItems: FollowListener<Item>['onItems'],
   ): void {
-    const { choice, epoch, parts } = this;
+    const { choice, epoch, parts, wait } = this;
     const ask = createAskReader<Item>(this.caller, dependency);
-    const kind = new FollowedKind({ ...parts, dependency, store, choice, ask, onItems, epoch });
+    const kind = new FollowedKind({
+      ...parts,
+      dependency,
+      store,
+      choice,
+      ask,
+      onItems,
+      epoch,
+      wait,
+    });
     this.server.add(dependency, kind.objects);
     this.kinds.set(dependency, kind);
     kind.run().catch((error: unknown) => {
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -26,9 +26,8 @@
  */
 export const followOptions: FollowOptions = {
   watchWait: 2_000,
-  // Each daemon makes two calls a wait: at 74 daemons and two seconds most of all calls,
-  // by calculation.
-  longestWait: 8_000,
+  // Each reader makes two calls a wait. A connection that went silent may be noticed only by its end.
+  longestWait: 4_000,
   // When many replicas start at once, each of them would end a watch of its own: with 67 replicas
   // and 74 daemons some 5,000 calls in the first seconds, by calculation. A change after a quiet moment is still
   // heard at once.
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
@@ -3,7 +3,6 @@
 import polka from 'polka';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayLog } from '../../observe/RelayEvent.js';
-import { readerOptions } from '../readerOptions.js';
 import type { SharedObjects } from '../SharedObjects/SharedObjects.js';
 
 /** Names the form of the answers: daemons of another form read the store themselves. */
@@ -12,6 +11,8 @@
 /** What the server is made of. */
 export interface ObjectServerParts {
   log: RelayLog;
+  /** The longest that a call may wait. */
+  longestWait: Milliseconds;
   /** Another daemon takes this one for a reader. */
   onAsked: () => void;
 }
@@ -21,10 +22,9 @@
 const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
 
-function getWait(text: string | null): Milliseconds | undefined {
+function parseWait(text: string | null): Milliseconds | undefined {
   const wait = Number(text ?? '');
-  const isFine = Number.isFinite(wait) && wait >= 0;
-  return isFine ? Math.min(wait, readerOptions.longestWait) : undefined;
+  return Number.isFinite(wait) && wait >= 0 ? wait : undefined;
 }
 
 /** Tells other daemons what this one reads from the store. */
@@ -68,15 +68,16 @@
     response: ServerResponse,
   ): Promise<void> {
     const query = new URLSearchParams((request.url ?? '').split('?')[1]);
-    const wait = getWait(query.get('wait'));
+    const wait = parseWait(query.get('wait'));
     const objects = this.kinds.get(kind);
     if (objects === undefined || wait === undefined) {
       response.statusCode = objects === undefined ? NOT_FOUND : BAD_REQUEST;
       response.end();
       return;
     }
-    this.parts.onAsked();
-    const state = await objects.ask(query.get('since') ?? '', wait);
+    const { longestWait, onAsked } = this.parts;
+    onAsked();
+    const state = await objects.ask(query.get('since') ?? '', Math.min(wait, longestWait));
     response.statusCode = state === undefined ? UNAVAILABLE : OK;
     response.setHeader('content-type', 'application/json');
     response.end(JSON.stringify(state ?? { reason: 'the store gives this daemon no answer' }));
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
@@ -47,6 +47,7 @@
         calls.push(`ask ${since}`);
         return Promise.resolve(answer(calls.length));
       },
+      clock,
       log: (event) => log.push(event),
     });
     return { clock, source, calls, log };
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -1,5 +1,5 @@
 import { StepError } from '@apricotrill/utils';
-import type { Milliseconds } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type {
   ObjectList,
   ObjectSource,
@@ -8,7 +8,6 @@
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import type { ReaderChoice } from '../ReaderChoice/ReaderChoice.js';
-import { readerOptions } from '../readerOptions.js';
 import type { SharedState } from '../SharedObjects/SharedObjects.js';
 
 /** What came of a call to a reader. */
@@ -32,6 +31,7 @@
   store: ObjectSource<Item>;
   choice: ReaderChoice;
   ask: AskReader<Item>;
+  clock: Clock;
   log: RelayLog;
 }
 
@@ -43,8 +43,15 @@
   /** Where the last read went; undefined for the store. */
   private reader: string | undefined;
 
+  private confirmed: Milliseconds = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly parts: SharedSourceParts<Item>) {}
 
+  /** When the store last answered this daemon. */
+  get confirmedAt(): Milliseconds {
+    return this.confirmed;
+  }
+
   /** Whether the last read went to the store. */
   get isDirect(): boolean {
     return this.reader === undefined;
@@ -93,7 +100,7 @@
     signal: AbortSignal,
   ): Promise<ReaderAnswer<Item>> {
     const since = this.known?.reader === daemon.id ? this.known.token : '';
-    const query = { since, wait: Math.min(wait, readerOptions.longestWait) };
+    const query = { since, wait };
     this.note(daemon.id);
     const answer = await this.parts.ask(daemon, query, signal);
     if (answer.kind === 'state') {
@@ -143,11 +150,12 @@
   private async callStore<Result>(
     call: (store: ObjectSource<Item>) => Promise<Result>,
   ): Promise<Result> {
-    const { store, choice } = this.parts;
+    const { store, choice, clock } = this.parts;
     this.note(undefined);
     try {
       const result = await call(store);
       choice.noteStoreAnswered();
+      this.confirmed = clock.now();
       return result;
     } catch (error) {
       choice.noteStoreFailed();
--- a/packages/relay/src/lib/readers/createAskReader.ts
+++ b/packages/relay/src/lib/readers/createAskReader.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseJson } from '../http/HttpCaller.js';
 import type { HttpCaller } from '../http/HttpCaller.js';
 import { OBJECTS_PATH } from './ObjectServer/ObjectServer.js';
--- a/packages/relay/src/lib/readers/readerOptions.ts
+++ b/packages/relay/src/lib/readers/readerOptions.ts
@@ -2,14 +2,17 @@
 
 /** Which daemons read the store, and how the others ask them. */
 export const readerOptions = {
-  /** Daemons of a group that read the store for all: each is the other's stand-in. */
-  readers: 2,
+  /** Daemons of a group that read the store for all. The next in order stands in for one that fails. */
+  readers: 1,
   /** Daemons that are asked in turn before a daemon reads the store itself. */
   mostAsked: 3,
   /** Availability zones with fewer daemons have no readers of their own. */
   leastGroup: 8,
-  /** One call to a reader waits so long, so that its death is noticed soon after. */
-  longestWait: 1_000 satisfies Milliseconds,
+  /** A call that waits, at the store or at a reader, lasts this part of the time in which changes
+   * must be in force: what went silent is noticed at its end. */
+  waitShare: 1 / 4,
+  /** What a reader knows counts as fresh for so long after the end of a wait at the store. */
+  freshSlack: 500 satisfies Milliseconds,
   /** How much later than its wait an answer may come. */
   answerSlack: 300 satisfies Milliseconds,
   /** A reader that gave no answer isn't asked for so long. */
