--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -46,6 +46,10 @@
       'import-x/prefer-default-export': 'off',
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { sourceType: 'commonjs', globals: { __filename: 'readonly' } },
+  },
   {
     files: ['**/*.test.ts', '**/src/test/**'],
     languageOptions: {
