--- a/packages/relay/src/lib/daemon/FollowedKind.ts
+++ b/packages/relay/src/lib/daemon/FollowedKind.ts
@@ -20,8 +20,8 @@
   clock: Clock;
   random: Random;
   log: RelayLog;
-  /** How long a call waits, at the store or at a reader. */
-  wait: Milliseconds;
+  /** The longest that a call waits where some daemons read for others. */
+  sharedWait: Milliseconds;
   /** Differs between two lives of a daemon. */
   epoch: string;
 }
@@ -39,7 +39,6 @@
     this.follower = new StateFollower({
       ...parts,
       source: this.source,
-      options: { watchWait: parts.wait, longestWait: parts.wait },
       listener: this.createListener(),
     });
     this.objects = new SharedObjects(parts.clock, parts.epoch, () =>
@@ -81,9 +80,9 @@
    * tells the others all along that nothing has changed, and these send requests to replicas that left.
    */
   private get isFresh(): boolean {
-    const { clock, wait } = this.parts;
+    const { clock, sharedWait } = this.parts;
     const age = clock.now() - this.source.confirmedAt;
-    return this.isDirect && this.follower.isReached && age <= wait + readerOptions.freshSlack;
+    return this.isDirect && this.follower.isReached && age <= sharedWait + readerOptions.freshSlack;
   }
 
   private get isDirect(): boolean {
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -36,16 +36,16 @@
 
   private readonly epoch: string;
 
-  /** How long a call waits, at the store or at a reader. */
-  private readonly wait: Milliseconds;
+  /** The longest that a call waits where some daemons read for others. */
+  private readonly sharedWait: Milliseconds;
 
   constructor(private readonly parts: StoreLinkParts) {
     const { clock, log, self, changeBound } = parts;
-    this.wait = Math.round(changeBound * readerOptions.waitShare);
+    this.sharedWait = Math.round(changeBound * readerOptions.waitShare);
     this.choice = new ReaderChoice(parts);
     this.server = new ObjectServer({
       log,
-      longestWait: this.wait,
+      longestWait: this.sharedWait,
       onAsked: () => this.choice.noteAsked(),
     });
     this.epoch = getHashHex(`${self.id} ${clock.now()}`);
@@ -61,7 +61,7 @@
     store: ObjectSource<Item>,
     onItems: FollowListener<Item>['onItems'],
   ): void {
-    const { choice, epoch, parts, wait } = this;
+    const { choice, epoch, parts, sharedWait } = this;
     const ask = createAskReader<Item>(this.caller, dependency);
     const kind = new FollowedKind({
       ...parts,
@@ -71,7 +71,7 @@
       ask,
       onItems,
       epoch,
-      wait,
+      sharedWait,
     });
     this.server.add(dependency, kind.objects);
     this.kinds.set(dependency, kind);
--- a/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.test.ts
+++ b/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.test.ts
@@ -58,6 +58,12 @@
     expect(readers).toHaveLength(1);
   });
 
+  it('reads the store by every daemon of a small fleet', () => {
+    const daemons = createDaemons({ a: 4, b: 4 });
+    const choices = daemons.map((self) => createChoice(self, daemons));
+    expect(choices.every(({ isReader, hasReaders }) => isReader && !hasReaders)).toBe(true);
+  });
+
   it('asks the reader of its own zone', () => {
     const daemons = createDaemons({ a: 40, b: 40 });
     const asked = new Map<string, number>();
--- a/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.ts
+++ b/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.ts
@@ -54,6 +54,11 @@
 
   /** Takes over which daemons are heard, this one included. */
   setDaemons(daemons: readonly PeerEntry[]): void {
+    if (daemons.length < readerOptions.leastFleet) {
+      this.order = [];
+      this.groupSize = 1;
+      return;
+    }
     const { self } = this.parts;
     const near = daemons.filter(
       ({ availabilityZone }) => availabilityZone === self.availabilityZone,
@@ -68,7 +73,12 @@
       .map((id) => byId.get(id)!);
   }
 
-  /** Whether this daemon reads the store for itself and for others. */
+  /** Whether some daemons read the store for others. */
+  get hasReaders(): boolean {
+    return this.order.length > 0;
+  }
+
+  /** Whether this daemon reads the store itself. */
   get isReader(): boolean {
     const { self, clock } = this.parts;
     const readers = this.order.slice(0, readerOptions.readers);
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
@@ -48,6 +48,7 @@
         return Promise.resolve(answer(calls.length));
       },
       clock,
+      sharedWait: 1_000,
       log: (event) => log.push(event),
     });
     return { clock, source, calls, log };
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -33,6 +33,8 @@
   ask: AskReader<Item>;
   clock: Clock;
   log: RelayLog;
+  /** The longest that a call waits where some daemons read for others. */
+  sharedWait: Milliseconds;
 }
 
 /** One kind of objects, read from the store or from a daemon that reads the store. */
@@ -64,10 +66,11 @@
 
   async watch(
     revision: number,
-    wait: Milliseconds,
+    longestWait: Milliseconds,
     signal: AbortSignal,
   ): Promise<WatchResult<Item>> {
-    const { choice } = this.parts;
+    const { choice, sharedWait } = this.parts;
+    const wait = choice.hasReaders ? Math.min(longestWait, sharedWait) : longestWait;
     for (;;) {
       const place = choice.choose();
       switch (place.kind) {
--- a/packages/relay/src/lib/readers/readerOptions.ts
+++ b/packages/relay/src/lib/readers/readerOptions.ts
@@ -4,12 +4,16 @@
 export const readerOptions = {
   /** Daemons of a group that read the store for all. The next in order stands in for one that fails. */
   readers: 1,
+  /** In a fleet of fewer daemons each reads the store: asking a reader would take more time than it saves. */
+  leastFleet: 12,
   /** Daemons that are asked in turn before a daemon reads the store itself. */
   mostAsked: 3,
   /** Availability zones with fewer daemons have no readers of their own. */
   leastGroup: 8,
-  /** A call that waits, at the store or at a reader, lasts this part of the time in which changes
-   * must be in force: what went silent is noticed at its end. */
+  /**
+   * A call that waits, at the store or at a reader, lasts this part of the time in which changes
+   * must be in force: what went silent is noticed at its end.
+   */
   waitShare: 1 / 4,
   /** What a reader knows counts as fresh for so long after the end of a wait at the store. */
   freshSlack: 500 satisfies Milliseconds,
