Test, red: what was deleted while a reader was cut off comes back through it

Played with the logs of all daemons: b-3 logs replica-removed for i-c7acb6178f at 21.919 s, read through edge-turku-3; the first reader, edge-tampere-2, was cut off from 18.5 to 26.5 s; at 26.784 s b-3 reads from it again, and i-ab68925b2e, removed at 25.745 s, is logged as draining anew.

--- a/packages/relay/src/lib/daemon/StoreLink.test.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.test.ts
@@ -29,6 +29,14 @@
   /** Calls of its own to the store. */
   calls = 0;
 
+  /** Whether the store gives it errors in place of answers. */
+  isAway = false;
+
+  /** Objects that it knew again after they were gone. */
+  readonly returned: string[] = [];
+
+  private readonly gone = new Set<string>();
+
   /** Whether its watches get no answer, and no error either. */
   isUnheard = false;
 
@@ -43,7 +51,10 @@
     store: ObjectSource<number>,
   ) {
     const clock = new SystemClock();
-    const log = (event: RelayEvent) => this.log.push(event);
+    const log = (event: RelayEvent) => {
+      this.log.push(event);
+      this.look();
+    };
     this.link = new StoreLink({
       clock,
       random: createRandom(1),
@@ -54,10 +65,13 @@
     this.source = {
       list: () => {
         this.calls += 1;
-        return store.list();
+        return this.isAway ? Promise.reject(new Error('away')) : store.list();
       },
       watch: (revision, wait, signal) => {
         this.calls += 1;
+        if (this.isAway) {
+          return Promise.reject(new Error('away'));
+        }
         return this.isUnheard ? new Promise(() => {}) : store.watch(revision, wait, signal);
       },
     };
@@ -69,16 +83,35 @@
     const [host, port] = this.self.address.split(':');
     await this.link.listen(host!, Number(port));
     this.link.follow('replicas', this.source, (items) => {
+      [...this.known.keys()]
+        .filter((name) => !items.has(name))
+        .forEach((name) => this.gone.add(name));
+      this.returned.push(...[...items.keys()].filter((name) => this.gone.has(name)));
       this.known = new Map(items);
-      [...this.waits].forEach((look) => look());
+      this.look();
     });
   }
 
+  /** Whether it reads from a daemon, and not from this one. */
+  isServedByOther(first: string): boolean {
+    const { reader } = this.log.findLast((event) => event.event === 'reader') ?? {};
+    return reader !== undefined && reader !== 'store' && reader !== first;
+  }
+
+  private look(): void {
+    [...this.waits].forEach((look) => look());
+  }
+
   /** Resolves once it knows an object with this value, or knows that there is none. */
   knows(name: string, value: number | undefined): Promise<void> {
+    return this.until(() => this.known.get(name) === value);
+  }
+
+  /** Resolves once it is so, after a change of what it knows or a line of its log. */
+  until(isSo: () => boolean): Promise<void> {
     return new Promise((resolve) => {
       const look = () => {
-        if (this.known.get(name) === value) {
+        if (isSo()) {
           this.waits.delete(look);
           resolve();
         }
@@ -89,6 +122,10 @@
   }
 }
 
+function isReadFrom(reader: string) {
+  return (event: RelayEvent) => event.event === 'reader' && event.reader === reader;
+}
+
 describe('StoreLink', () => {
   const daemons: LinkedDaemon[] = [];
 
@@ -178,6 +215,39 @@
     await Promise.all(readers.map(({ link }) => link.dispose()));
   });
 
+  // Guards against replicas that left and are used again: a reader that was cut off holds what was
+  // deleted meanwhile for a while, as after an outage of the store, and told the others that it exists.
+  it('does not bring back what was deleted while a reader was cut off', async () => {
+    const store = new ModelStore(new SystemClock());
+    store.write('r-0', 0);
+    store.write('r-1', 1);
+    await startFleet(store);
+    store.write('r-0', 1);
+    await allKnow('r-0', 1);
+    const reader = daemons.find(({ link }) => link.isReader)!;
+    daemons.splice(daemons.indexOf(reader), 1);
+    reader.isAway = true;
+    store.cutWatches();
+    await reader.until(() => reader.log.some(({ event }) => event === 'dependency-lost'));
+    store.write('r-1', undefined);
+    await allKnow('r-1', undefined);
+    const asked = daemons.find(({ log }) => log.some(isReadFrom(reader.self.id)))!;
+    // Of the reader that stands in it has another state than the one that it knows of the first.
+    for (let value = 10; !asked.isServedByOther(reader.self.id); value += 1) {
+      store.write('r-0', value);
+      // eslint-disable-next-line no-await-in-loop -- each change leads to a further read
+      await allKnow('r-0', value);
+    }
+    const before = asked.log.filter(isReadFrom(reader.self.id)).length;
+    reader.isAway = false;
+    await reader.until(() => reader.log.some(({ event }) => event === 'replica-kept'));
+    await asked.until(() => asked.log.filter(isReadFrom(reader.self.id)).length > before);
+    store.write('r-0', 2);
+    await allKnow('r-0', 2);
+    expect(daemons.flatMap(({ returned }) => returned)).toEqual([]);
+    await reader.link.dispose();
+  });
+
   // Guards against daemons that learn of no change any more after their readers were killed.
   it('goes on without its readers', async () => {
     const store = new ModelStore(new SystemClock());
