Tell other daemons what the store holds, not what a reader keeps

Cause: after the store was away, a reader keeps what was deleted meanwhile for 2.5 s, and told the others these objects as if they were stored; daemons that had heard of the deletion elsewhere took them for new and sent them requests. Why it holds: what a reader tells is its items without the kept ones, whatever kept them; a daemon that was cut off itself keeps its own.

--- a/packages/relay/src/lib/daemon/FollowedKind.ts
+++ b/packages/relay/src/lib/daemon/FollowedKind.ts
@@ -93,7 +93,8 @@
     const { dependency, log, onItems } = this.parts;
     return {
       onItems: (items, revision) => {
-        this.objects.update(items);
+        // A daemon that was not cut off with this one knows better what was deleted meanwhile.
+        this.objects.update(this.follower.stored);
         onItems(items, revision);
       },
       onLost: (error) => log({ event: 'dependency-lost', dependency, error: error.message }),
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -165,6 +165,11 @@
     }
   }
 
+  /** The objects that the store holds, without those that are kept though they were deleted. */
+  get stored(): Map<string, Item> {
+    return new Map([...this.items].filter(([name]) => !this.kept.has(name)));
+  }
+
   /** The revision of the store up to which its objects are known; undefined before the first list. */
   get knownRevision(): number | undefined {
     return this.revision;
