Begin the round through a large fleet at another place in each daemon

Symptom, found by reading the change again: each daemon began its round with the first twenty that the directory lists. Cause: all hold the same list and begin at its start. At a start of all, these twenty would hear every other daemon within the same second. Rotation.test.ts guards it; the class is new, its test could not fail before. Also: the server of objects is made like the status server.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { getHash } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { fleetOptions } from '../../decide/Fleet/Fleet.js';
 import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
@@ -9,6 +10,7 @@
 import { Outbox } from '../Outbox/Outbox.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
 import { PeerTable } from '../PeerTable/PeerTable.js';
+import { Rotation } from '../Rotation/Rotation.js';
 
 /** How often daemons talk. */
 export const linkOptions = {
@@ -93,8 +95,7 @@
 
   private isRegistered = false;
 
-  /** Where the round through all others goes on. */
-  private turn = 0;
+  private readonly rotation: Rotation;
 
   /** Daemons that were told of attempts at the last refresh: they must hear that these are over. */
   private lastTold: string[] = [];
@@ -104,6 +105,7 @@
 
   constructor(private readonly parts: PeerLinkParts) {
     this.table = new PeerTable(parts.self.id);
+    this.rotation = new Rotation(getHash(parts.self.id));
     this.outbox = new Outbox({
       clock: parts.clock,
       send: (news, to) => this.sendTo(this.table.getAddresses(to), news),
@@ -197,22 +199,12 @@
   private tellSome(): void {
     const all = this.parts.getAll();
     const named = [...all.keys()].filter((id) => id !== undefined);
-    const told = new Set([...this.takeTurn(), ...named, ...this.lastTold]);
+    const next = this.rotation.take(this.table.ids, linkOptions.mostTold);
+    const told = new Set([...next, ...named, ...this.lastTold]);
     this.lastTold = named;
     this.tellAll([...told], all);
   }
 
-  private takeTurn(): string[] {
-    const { ids } = this.table;
-    const { mostTold } = linkOptions;
-    if (ids.length <= mostTold) {
-      return ids;
-    }
-    const first = this.turn % ids.length;
-    this.turn = first + mostTold;
-    return [...ids.slice(first), ...ids.slice(0, first)].slice(0, mostTold);
-  }
-
   /** Tells what is under way; each daemon what it is to know, and none of it is empty news. */
   private tellAll(ids: readonly string[], all = this.parts.getAll()): void {
     const changes = this.parts.getChanges();
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import polka from 'polka';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayLog } from '../../observe/RelayEvent.js';
@@ -34,15 +34,14 @@
   private readonly server: Server;
 
   constructor(private readonly parts: ObjectServerParts) {
-    this.server = createServer();
-    const app = polka({ server: this.server });
+    const app = polka({ server: createServer() });
     app.get(`${OBJECTS_PATH}/:kind`, (request, response) => {
       this.answer(String(request.params.kind), request, response).catch((error: unknown) => {
         parts.log({ event: 'fault', step: 'tell objects', error: String(error) });
         response.destroy();
       });
     });
-    this.server.on('request', app.handler.bind(app) as never);
+    this.server = createServer(app.handler.bind(app) as unknown as RequestListener);
   }
 
   add(kind: string, objects: SharedObjects<unknown>): void {
