Simplify the choice of a reader, live peers and the pause of a silent placer

One reader a group is the first in order: the count of readers, the turn among them and the hash for it are gone; the comment still spoke of two. Names of live peers come from their entries; what is told is not copied twice; asks that ran out together are told apart in one place.

--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -117,11 +117,12 @@
     const { clock, emit, onSilent } = this.parts;
     this.open.delete(key);
     const last = this.silent.get(ask.placer);
-    // Asks that ran out together say it once.
-    const isNew = last === undefined || ask.askedAt >= last.until;
-    const span = isNew ? this.getSpan(last?.span) : last.span;
-    const until = isNew ? clock.now() + span : last.until;
-    this.silent.set(ask.placer, { until, span });
+    // Asks that ran out together count once.
+    const isCounted = last !== undefined && ask.askedAt < last.until;
+    const span = isCounted ? last.span : this.getSpan(last?.span);
+    if (!isCounted) {
+      this.silent.set(ask.placer, { until: clock.now() + span, span });
+    }
     emit({ kind: 'placer-silent', peer: ask.placer, span });
     onSilent(ask.record);
   }
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
@@ -81,7 +81,7 @@
 
   /** Names of the peers that are heard. */
   get liveIds(): string[] {
-    return [...this.peers].filter(([, { heardAt }]) => heardAt !== undefined).map(([id]) => id);
+    return this.live.map(({ id }) => id);
   }
 
   /** The entries of the peers that are heard. */
--- a/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.test.ts
+++ b/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.test.ts
@@ -99,7 +99,7 @@
       asked.add(place.daemon.id);
       choice.noteFailed(place.daemon, true);
     }
-    expect(asked.size).toBeGreaterThan(readerOptions.readers);
+    expect(asked.size).toBeGreaterThan(1);
     expect(choice.choose()).toEqual({ kind: 'store' });
   });
 
--- a/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.ts
+++ b/packages/relay/src/lib/readers/ReaderChoice/ReaderChoice.ts
@@ -1,4 +1,4 @@
-import { getHash, getRendezvousOrder } from '@apricotrill/utils';
+import { getRendezvousOrder } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { readerOptions } from '../readerOptions.js';
@@ -24,9 +24,10 @@
  *
  * Load pattern: each change in the store ends a watch of every daemon, and each watch that ends
  * without one is a call as well. At 195 daemons that is most of what the platform counts, and a
- * store that returns from an outage is met by all of them at once. So two daemons of each group, an
- * availability zone where it has enough of them, read for the others. Daemons that hear the same
- * others agree on the readers without a word; where they don't, one that is asked becomes a reader,
+ * store that returns from an outage is met by all of them at once. So one daemon of each group, an
+ * availability zone where it has enough of them, reads for the others, and the next in order stands in
+ * for it. Daemons that hear the same
+ * others agree on the reader without a word; where they don't, one that is asked becomes a reader,
  * and a daemon that finds no reader reads the store itself. Too many readers cost calls, and nothing
  * else.
  *
@@ -38,7 +39,7 @@
  * ```
  */
 export class ReaderChoice {
-  /** The daemons that may be readers, in the order in which they are. */
+  /** The group's reader, and the daemons that stand in for it; none where every daemon reads. */
   private order: PeerEntry[] = [];
 
   private groupSize = 1;
@@ -81,12 +82,7 @@
   /** Whether this daemon reads the store itself. */
   get isReader(): boolean {
     const { self, clock } = this.parts;
-    const readers = this.order.slice(0, readerOptions.readers);
-    return (
-      this.groupSize <= readerOptions.readers ||
-      readers.some(({ id }) => id === self.id) ||
-      clock.now() < this.askedUntil
-    );
+    return !this.hasReaders || this.order[0]!.id === self.id || clock.now() < this.askedUntil;
   }
 
   choose(): ReadPlace {
@@ -95,12 +91,11 @@
       return { kind: 'store' };
     }
     const now = clock.now();
-    const open = this.order.filter(
+    const daemon = this.order.find(
       ({ id }) => id !== self.id && now >= (this.avoidedUntil.get(id) ?? 0),
     );
-    if (open.length > 0) {
-      const turn = getHash(self.id) % Math.min(readerOptions.readers, open.length);
-      return { kind: 'daemon', daemon: open[turn]! };
+    if (daemon !== undefined) {
+      return { kind: 'daemon', daemon };
     }
     return now < this.storeRetryAt ? { kind: 'nowhere' } : { kind: 'store' };
   }
--- a/packages/relay/src/lib/readers/SharedObjects/SharedObjects.ts
+++ b/packages/relay/src/lib/readers/SharedObjects/SharedObjects.ts
@@ -42,11 +42,15 @@
     private readonly getRevision: () => number | undefined,
   ) {}
 
-  /** Takes over what is known now, and answers the daemons that wait for a change. */
+  /**
+   * Takes over what is known now, and answers the daemons that wait for a change.
+   *
+   * @param items - not changed afterwards
+   */
   update(items: ReadonlyMap<string, Item>): void {
     const names = new Set([...items.keys(), ...this.items.keys()]);
     const changed = [...names].filter((name) => items.get(name) !== this.items.get(name));
-    this.items = new Map(items);
+    this.items = items;
     if (changed.length === 0 && this.number > 0) {
       return;
     }
--- a/packages/relay/src/lib/readers/readerOptions.ts
+++ b/packages/relay/src/lib/readers/readerOptions.ts
@@ -2,8 +2,6 @@
 
 /** Which daemons read the store, and how the others ask them. */
 export const readerOptions = {
-  /** Daemons of a group that read the store for all. The next in order stands in for one that fails. */
-  readers: 1,
   /** In a fleet of fewer daemons each reads the store: asking a reader would take more time than it saves. */
   leastFleet: 12,
   /** Daemons that are asked in turn before a daemon reads the store itself. */
