Log a content fingerprint for each admitted request

Cause: a request that a caller repeats, on the same daemon or on another, gets a new id each time. The logs cannot show whether the requests in progress on several crashed replicas were the same request.

--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -13,6 +13,7 @@
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
 import type { RelayProtocol } from '../protocol/RelayProtocol.js';
+import { getRequestFingerprint } from '../request/getRequestFingerprint.js';
 import type { ReceivedRequest } from '../request/ReceivedRequest.js';
 import { RelayTask } from '../request/RelayTask.js';
 import { writeRefusal } from '../request/writeRefusal.js';
@@ -91,10 +92,20 @@
       return;
     }
     const service = pickService(route, random);
+    const method = request.method ?? 'GET';
+    const target = request.url ?? '/';
+    const fingerprint = getRequestFingerprint({
+      method,
+      host: request.headers.host ?? '',
+      target,
+      caller: workspace?.name ?? fields.key ?? '',
+      body: read.body,
+    });
     this.relay(response, {
       id,
-      method: request.method ?? 'GET',
-      target: request.url ?? '/',
+      fingerprint,
+      method,
+      target,
       rawHeaders: getEndToEndHeaders(request.rawHeaders),
       body: read.body,
       fields,
@@ -136,10 +147,11 @@
     if (response.destroyed) {
       return;
     }
-    const { id, route, workspace, priority, rank, version } = request;
+    const { id, fingerprint, route, workspace, priority, rank, version } = request;
     log({
       event: 'admitted',
       id,
+      fingerprint,
       route: route.name,
       workspace: workspace?.name ?? '',
       priority,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -45,6 +45,8 @@
   | {
       event: 'admitted';
       id: string;
+      /** Identical for repeated requests with the same content from the same caller. */
+      fingerprint: string;
       route: string;
       workspace: string;
       priority: number;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -40,7 +40,8 @@
   'peer-found': 'another daemon is heard',
   'peer-lost': 'another daemon has fallen silent: what it had under way is forgotten',
   'cache-listed': 'everything that an engine keeps was read, and why',
-  admitted: 'a request has a route and a workspace, with the version that says so',
+  admitted:
+    'a request was assigned a route and a workspace; includes the configuration version and a content fingerprint',
   rejected: 'a request got an answer of the daemon itself before any replica was chosen',
   sent: 'an attempt goes to a replica, with the inputs of the choice and the next best',
   'first-byte': "the attempt's first byte came",
--- a/packages/relay/src/lib/request/ReceivedRequest.ts
+++ b/packages/relay/src/lib/request/ReceivedRequest.ts
@@ -6,6 +6,8 @@
 export interface ReceivedRequest {
   /** Unique over all daemons and time. */
   id: string;
+  /** Identical for repeated requests with the same content from the same caller. */
+  fingerprint: string;
   method: string;
   /** Path and query, as the caller sent them. */
   target: string;
