--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -97,6 +97,7 @@
       kind: 'submit',
       request: {
         id,
+        fingerprint: id,
         route: kind.name,
         service: kind.service,
         kind: getRouteKind(call),
@@ -138,6 +139,11 @@
       case 'avoid':
       case 'placed-for':
       case 'placer-silent':
+      case 'crashed':
+      case 'quarantined':
+        break;
+      case 'probe':
+        this.answerProbe(effect.replica.id);
         break;
       case 'follow-caches':
         this.followed = effect.engines;
@@ -262,6 +268,14 @@
     });
   }
 
+  private answerProbe(replica: string): void {
+    const { clock, world } = this.parts;
+    clock.setTimer(QUESTION_TIME, () => {
+      const isUp = world.findEngine(replica)?.isDown === false;
+      this.core.handle({ kind: 'probed', replica, isUp });
+    });
+  }
+
   /** The replica drops what is cancelled. */
   private stop(key: string): void {
     const { world } = this.parts;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,6 +11,7 @@
 } from './lib/config/RelayConfiguration.js';
 export type { HealthSource } from './lib/daemon/HealthChecks/HealthChecks.js';
 export { RelayDaemon } from './lib/daemon/RelayDaemon.js';
+export type { QuarantineStore } from './lib/daemon/QuarantineStore.js';
 export type { ListenAddress, RelaySettings } from './lib/daemon/RelaySettings.js';
 export { HttpCaller, parseJson } from './lib/http/HttpCaller.js';
 export type { HttpAnswer, HttpCall } from './lib/http/HttpCaller.js';
@@ -22,6 +23,7 @@
   PlacementMessage,
   Prompt,
   PromptPart,
+  QuarantinedRequest,
   SharedAttempt,
   SharedNews,
 } from './lib/decide/messages.js';
--- a/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
+++ b/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import type { PlacementMessage } from '../../decide/messages.js';
+import { isListening } from '../../upstream/isListening.js';
 
 /**
  * Asks a replica whether it works.
@@ -58,6 +59,12 @@
     answer.then((isAlive) => tell({ kind: 'questioned', replica: replica.id, isAlive }));
   }
 
+  /** Checks once whether a replica with broken attempts still accepts connections. */
+  async probe({ id, address }: RelayReplica): Promise<void> {
+    const isUp = await isListening(address, healthOptions.timeout);
+    this.parts.tell({ kind: 'probed', replica: id, isUp });
+  }
+
   /** Asks no more after replicas that are gone. */
   retain(ids: ReadonlySet<string>): void {
     this.timers.forEach((timer, id) => {
--- /dev/null
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
@@ -0,0 +1,85 @@
+import { ManualClock, createRandom } from '@apricotrill/utils';
+import type { PlacementMessage, QuarantinedRequest } from '../../decide/messages.js';
+import type { QuarantineStore } from '../QuarantineStore.js';
+import { QuarantineSync, syncOptions } from './QuarantineSync.js';
+
+const VALID: QuarantinedRequest = { fingerprint: 'a', remaining: 1_000, replicas: ['i-1'] };
+const EXPIRED: QuarantinedRequest = { fingerprint: 'b', remaining: 0, replicas: ['i-2'] };
+
+function create(failures: number) {
+  const clock = new ManualClock();
+  const entries = new Map([VALID, EXPIRED].map((entry) => [entry.fingerprint, entry]));
+  const calls: string[] = [];
+  let failuresLeft = failures;
+  const attempt = (call: string) => {
+    calls.push(call);
+    if (failuresLeft > 0) {
+      failuresLeft -= 1;
+      throw new Error('unavailable');
+    }
+  };
+  const store: QuarantineStore = {
+    add: async (request) => {
+      attempt('add');
+      entries.set(request.fingerprint, request);
+    },
+    list: async () => {
+      attempt('list');
+      return [...entries.values()];
+    },
+    remove: async (fingerprint) => {
+      attempt('remove');
+      entries.delete(fingerprint);
+    },
+  };
+  const told: PlacementMessage[] = [];
+  const sync = new QuarantineSync({
+    clock,
+    random: createRandom(1),
+    log: () => undefined,
+    store,
+    tell: (message) => told.push(message),
+  });
+  return { clock, entries, calls, told, sync };
+}
+
+/** Settles pending promises and advances the clock past retry delays. */
+async function advance(clock: ManualClock): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) {
+    // eslint-disable-next-line no-await-in-loop
+    await Promise.resolve();
+    clock.advance(syncOptions.longestPause / 4);
+  }
+}
+
+describe('QuarantineSync', () => {
+  it('loads valid entries and removes expired ones', async () => {
+    const { sync, told, entries } = create(0);
+    await sync.load();
+    expect(told).toEqual([{ kind: 'quarantine', requests: [VALID] }]);
+    expect([...entries.keys()]).toEqual(['a']);
+  });
+
+  // Guards against losing entries during a store outage.
+  it('retries calls until the store answers', async () => {
+    const { sync, clock, told, entries, calls } = create(2);
+    const loading = sync.load();
+    await advance(clock);
+    await loading;
+    expect(calls.slice(0, 3)).toEqual(['list', 'list', 'list']);
+    expect(told).toHaveLength(1);
+    await sync.save({ ...VALID, fingerprint: 'c' });
+    expect(entries.has('c')).toBe(true);
+  });
+
+  it('stops retrying when disposed', async () => {
+    const { sync, clock, calls, told } = create(1);
+    sync.load().catch(() => undefined);
+    await advance(clock);
+    const before = calls.length;
+    sync.dispose();
+    await advance(clock);
+    expect(calls).toHaveLength(before);
+    expect(told.length).toBeLessThanOrEqual(1);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
@@ -0,0 +1,112 @@
+import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
+import type { PlacementMessage, QuarantinedRequest } from '../../decide/messages.js';
+import type { RelayLog } from '../../observe/RelayEvent.js';
+import type { QuarantineStore } from '../QuarantineStore.js';
+
+/** Retry delays and queue limit for calls to the store. */
+export const syncOptions = {
+  firstPause: 500 satisfies Milliseconds,
+  /** Upper bound of the exponential backoff. */
+  longestPause: 8_000 satisfies Milliseconds,
+  /** Limit on concurrent writes; further entries are not stored. */
+  mostPendingWrites: 50,
+};
+
+/** Dependencies of {@link QuarantineSync}. */
+export interface QuarantineSyncParts {
+  clock: Clock;
+  random: Random;
+  log: RelayLog;
+  store: QuarantineStore;
+  tell: (message: PlacementMessage) => void;
+}
+
+/**
+ * Writes quarantined requests to the store, and loads them at startup, so that they survive a
+ * restart of all daemons.
+ */
+export class QuarantineSync {
+  private readonly timers = new Set<Timer>();
+
+  private pendingWrites = 0;
+
+  private isDisposed = false;
+
+  constructor(private readonly parts: QuarantineSyncParts) {}
+
+  /** Loads the entries, retrying until the store answers, and removes expired ones. */
+  async load(): Promise<void> {
+    const { store, tell } = this.parts;
+    const requests = await this.retry('read quarantine', () => store.list());
+    if (requests === undefined) {
+      return;
+    }
+    const expired = requests.filter(({ remaining }) => remaining <= 0);
+    tell({
+      kind: 'quarantine',
+      requests: requests.filter((request) => !expired.includes(request)),
+    });
+    await Promise.all(expired.map(({ fingerprint }) => this.remove(fingerprint)));
+  }
+
+  /** Writes an entry, retrying until the store answers. */
+  async save(request: QuarantinedRequest): Promise<void> {
+    if (this.pendingWrites >= syncOptions.mostPendingWrites) {
+      return;
+    }
+    this.pendingWrites += 1;
+    await this.retry('write quarantine', () => this.parts.store.add(request));
+    this.pendingWrites -= 1;
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.timers.forEach((timer) => timer.cancel());
+  }
+
+  private async remove(fingerprint: string): Promise<void> {
+    try {
+      await this.parts.store.remove(fingerprint);
+    } catch (error) {
+      // No retry: the next daemon to start removes the entry.
+      this.logFault('remove quarantine', error);
+    }
+  }
+
+  /** @returns the result, or undefined if disposed before a call succeeds */
+  private async retry<Result>(
+    step: string,
+    call: () => Promise<Result>,
+  ): Promise<Result | undefined> {
+    let pause = syncOptions.firstPause;
+    while (!this.isDisposed) {
+      try {
+        // Retries are sequential.
+        // eslint-disable-next-line no-await-in-loop
+        return await call();
+      } catch (error) {
+        this.logFault(step, error);
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await this.delay(pause * (0.5 + this.parts.random.next()));
+      pause = Math.min(syncOptions.longestPause, pause * 2);
+    }
+    return undefined;
+  }
+
+  private delay(span: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.parts.clock.setTimer(span, () => {
+        this.timers.delete(timer);
+        resolve();
+      });
+      this.timers.add(timer);
+    });
+  }
+
+  private logFault(step: string, error: unknown): void {
+    if (!this.isDisposed) {
+      this.parts.log({ event: 'fault', step, error: String(error) });
+    }
+  }
+}
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -17,6 +17,8 @@
 import { HealthChecks } from './HealthChecks/HealthChecks.js';
 import type { HealthSource } from './HealthChecks/HealthChecks.js';
 import type { RelaySettings } from './RelaySettings.js';
+import type { QuarantineStore } from './QuarantineStore.js';
+import { QuarantineSync } from './QuarantineSync/QuarantineSync.js';
 import { ReplicaWatch } from './ReplicaWatch.js';
 import { RequestIntake } from './RequestIntake.js';
 import { shutdownOptions } from './shutdownOptions.js';
@@ -37,10 +39,14 @@
   caches: CacheSource;
   health: HealthSource;
   peers: PeerDirectory;
+  quarantine: QuarantineStore;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Limit on fingerprints in one log line. */
+const MOST_LOGGED_FINGERPRINTS = 20;
+
 function getSeconds(span: Milliseconds): number {
   return span / MILLISECONDS_PER_SECOND;
 }
@@ -74,6 +80,8 @@
 
   private readonly intake: RequestIntake;
 
+  private readonly quarantine: QuarantineSync;
+
   private active: ActiveConfiguration | undefined;
 
   /** When the configuration came into force here. */
@@ -133,6 +141,7 @@
     });
     this.watch = new ReplicaWatch({ ...parts, tell });
     this.checks = new HealthChecks({ clock, source: parts.health, tell });
+    this.quarantine = new QuarantineSync({ ...parts, store: parts.quarantine, tell });
     this.link = new PeerLink({
       self,
       clock,
@@ -140,6 +149,7 @@
       log,
       directory: parts.peers,
       getAll: () => this.core.getSharedAttempts(),
+      getRepeated: () => this.core.quarantine.getRepeated(),
       onNews: (peer, news) => tell({ kind: 'peer-news', peer, news }),
       onGone: (peer) => tell({ kind: 'peer-gone', peer }),
       onFleet: (daemons) => {
@@ -172,6 +182,9 @@
       callers: `${settings.callers.host}:${port}`,
       status: `${settings.status.host}:${settings.status.port}`,
     });
+    this.quarantine.load().catch((error: unknown) => {
+      log({ event: 'fault', step: 'load quarantine', error: String(error) });
+    });
     this.store.follow('configuration', configurations, (items) => {
       items.forEach((configuration) => this.apply(configuration));
     });
@@ -226,6 +239,7 @@
 
   async dispose(): Promise<void> {
     const isStoreClosed = this.store.dispose();
+    this.quarantine.dispose();
     this.watch.dispose();
     this.checks.dispose();
     this.link.dispose();
@@ -249,6 +263,11 @@
     metrics.addGauge('open_requests', 'Requests under way.', () => core.openRequests);
     metrics.addGauge('upstream_connections', 'Open to replicas.', () => connections.size);
     metrics.addGauge('peers', 'Other daemons that are heard.', () => link.livePeers);
+    metrics.addGauge(
+      'quarantined_requests',
+      'Requests that are rejected.',
+      () => core.quarantine.size,
+    );
     metrics.addGauge('ready', '1 while new callers are welcome.', () => Number(this.isReady));
     metrics.addGauge('store_reader', '1 while it reads the store for others.', () =>
       Number(this.store.isReader),
@@ -298,7 +317,7 @@
   }
 
   private perform(effect: PlacementEffect): void {
-    const { log } = this.parts;
+    const { log, metrics } = this.parts;
     switch (effect.kind) {
       case 'send':
         this.intake.getTask(effect.id)?.send(effect);
@@ -332,6 +351,30 @@
         this.checks.question(effect.replica);
         break;
       }
+      case 'probe':
+        this.checks.probe(effect.replica).catch((error: unknown) => {
+          log({ event: 'fault', step: 'probe a replica', error: String(error) });
+        });
+        break;
+      case 'crashed': {
+        const { replica, fingerprints } = effect;
+        metrics.replicaCrashes.inc();
+        const first = fingerprints.slice(0, MOST_LOGGED_FINGERPRINTS);
+        const requests = fingerprints.length;
+        log({ event: 'replica-crashed', replica, requests, fingerprints: first });
+        break;
+      }
+      case 'quarantined': {
+        const { request, isOwn } = effect;
+        const { fingerprint, replicas } = request;
+        log({ event: 'request-quarantined', fingerprint, replicas, isOwn });
+        if (isOwn) {
+          this.quarantine.save(request).catch((error: unknown) => {
+            log({ event: 'fault', step: 'save quarantine', error: String(error) });
+          });
+        }
+        break;
+      }
       case 'suspect': {
         const { replica, reason } = effect;
         const { id, service } = replica;
--- a/packages/relay/src/lib/decide/Fleet/Fleet.ts
+++ b/packages/relay/src/lib/decide/Fleet/Fleet.ts
@@ -37,6 +37,11 @@
     return this.own;
   }
 
+  /** Names of all daemons, including this one. */
+  get members(): readonly string[] {
+    return this.daemons;
+  }
+
   /** Whether there are too many for each to hear of all that the others do. */
   get isLarge(): boolean {
     return this.daemons.length > fleetOptions.mostClose;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -2,9 +2,8 @@
 import { AttemptKeys } from '../AttemptKeys.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
-import { CancelReason, GiveUpReason, Outcome } from '../messages.js';
+import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
 import type {
-  AttemptEnd,
   PlacementEffect,
   PlacementMessage,
   PlacementRequest,
@@ -17,6 +16,7 @@
 import { Placing, PlacingResult } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import { ReplicaBook } from '../ReplicaBook/ReplicaBook.js';
 import type { ServiceState } from '../ReplicaBook/ServiceState.js';
 import { RequestRecord } from '../RequestRecord.js';
@@ -59,6 +59,9 @@
 
   private readonly fleet = new Fleet();
 
+  /** Rejects requests that crash replicas. */
+  readonly quarantine: Quarantine;
+
   private readonly placing: Placing;
 
   private readonly placer: Placer;
@@ -73,11 +76,19 @@
     this.book = new ReplicaBook({ clock, emit, options: this.options });
     this.silence = new SilenceWatch({ clock, emit, options: this.options, book: this.book });
     this.peers = new PeerAttempts(clock, (id) => this.book.find(id));
-    const parts = { clock, emit, options: this.options, book: this.book, fleet: this.fleet };
+    const { fleet } = this;
+    this.quarantine = new Quarantine({
+      clock,
+      emit,
+      fleet,
+      onQuarantined: (fingerprint) => this.rejectOpen(fingerprint),
+    });
+    const parts = { clock, emit, options: this.options, book: this.book, fleet };
     this.placer = new Placer({ ...parts, peers: this.peers });
     this.placing = new Placing({
       ...parts,
       keys: new AttemptKeys(clock.now()),
+      quarantine: this.quarantine,
       onSent: (record, attempt) => this.silence.watch(record, attempt),
       onAgain: (record) => this.placeOrWait(record),
     });
@@ -91,7 +102,9 @@
         });
         break;
       case 'replicas':
-        this.book.setReplicas(message.replicas);
+        this.book
+          .setReplicas(message.replicas)
+          .forEach((replica) => this.quarantine.noteGone(replica));
         this.placer.updateFollowed();
         this.drainAll();
         break;
@@ -131,6 +144,12 @@
       case 'questioned':
         this.book.noteQuestioned(message);
         break;
+      case 'probed':
+        this.quarantine.noteProbed(message.replica, message.isUp);
+        break;
+      case 'quarantine':
+        this.quarantine.restore(message.requests);
+        break;
       case 'leaving':
         this.book.noteLeaving(message.replica);
         break;
@@ -175,6 +194,14 @@
     this.records.set(request.id, record);
     service.allowance.noteRequest(now);
     record.setDeadline(this.clock.setTimer(request.deadline - now, () => this.expire(record)));
+    if (this.quarantine.renew(request.fingerprint)) {
+      this.giveUp(record, Outcome.NotRun, GiveUpReason.Quarantined);
+      return;
+    }
+    if (this.quarantine.isUnderReview(request.fingerprint)) {
+      this.giveUp(record, Outcome.NotRun, GiveUpReason.UnderReview);
+      return;
+    }
     if (service.getStaying().length === 0) {
       this.giveUp(record, Outcome.NotRun, GiveUpReason.NoReplica);
       return;
@@ -209,10 +236,37 @@
     this.release(record, { end, after: this.clock.now() - running.sentAt });
     record.count(end);
     this.book.judge(running, end);
+    this.updateQuarantine(record, running, end);
     this.goOn(record, attempt, end);
     this.drainWaiting(this.book.getService(record.request.service));
   }
 
+  /** Updates the quarantine with the result of an attempt. */
+  private updateQuarantine(
+    { request }: RequestRecord,
+    { state }: RunningAttempt,
+    end: AttemptEnd,
+  ): void {
+    switch (end) {
+      case AttemptEnd.Completed:
+      case AttemptEnd.Failed:
+        this.quarantine.noteServed(request.fingerprint);
+        break;
+      case AttemptEnd.Broken:
+        this.quarantine.noteBroken(state.replica, request.fingerprint);
+        break;
+      case AttemptEnd.Misdirected:
+        this.quarantine.noteGone(state.replica.id);
+        break;
+      case AttemptEnd.NotSent:
+      case AttemptEnd.Refused:
+      case AttemptEnd.Cancelled:
+        break;
+      default:
+        end satisfies never;
+    }
+  }
+
   private goOn(record: RequestRecord, attempt: number, end: AttemptEnd): void {
     const step = getNextStep(record, end, this.options.unsentLimit);
     if (step.kind === 'settle') {
@@ -224,6 +278,11 @@
       return;
     }
     const { allowance } = this.book.getService(record.request.service);
+    if (this.quarantine.isUnderReview(record.request.fingerprint)) {
+      const outcome = record.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+      this.giveUp(record, outcome, GiveUpReason.UnderReview);
+      return;
+    }
     if (!step.isRepeat || allowance.take(this.clock.now())) {
       this.placeOrWait(record);
     } else if (step.otherwise === 'settle') {
@@ -241,15 +300,28 @@
   private giveUp(record: RequestRecord, outcome: Outcome, reason: GiveUpReason): void {
     this.forget(record);
     const { id } = record.request;
-    const retryAfter = outcome === Outcome.NotRun ? this.options.retryAfter : undefined;
+    const isRetryable = outcome === Outcome.NotRun && reason !== GiveUpReason.Quarantined;
+    const retryAfter = isRetryable ? this.options.retryAfter : undefined;
     this.emit({ kind: 'give-up', id, outcome, reason, retryAfter });
   }
 
   private expire(record: RequestRecord): void {
+    this.stop(record, CancelReason.Deadline, GiveUpReason.Deadline);
+  }
+
+  /** Gives up all open requests with a fingerprint that has been quarantined. */
+  private rejectOpen(fingerprint: string): void {
+    [...this.records.values()]
+      .filter(({ request }) => request.fingerprint === fingerprint)
+      .forEach((record) => this.stop(record, CancelReason.Quarantined, GiveUpReason.Quarantined));
+  }
+
+  /** Cancels the running attempt of a request, if any, and gives the request up. */
+  private stop(record: RequestRecord, cancel: CancelReason, reason: GiveUpReason): void {
     const { running } = record;
     const outcome = running === undefined && !record.mayHaveRun ? Outcome.NotRun : Outcome.Unknown;
-    this.cancelRunning(record, CancelReason.Deadline);
-    this.giveUp(record, outcome, GiveUpReason.Deadline);
+    this.cancelRunning(record, cancel);
+    this.giveUp(record, outcome, reason);
   }
 
   private leave(id: string): void {
@@ -310,6 +382,11 @@
       case 'broke':
         this.book.noteBreak(news.replica);
         break;
+      case 'crashed':
+      case 'cleared':
+      case 'quarantined':
+        this.quarantine.hear(news);
+        break;
       case 'ask':
         this.placer.answer(peer, news.ask);
         break;
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -9,7 +9,9 @@
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { getShared } from '../PeerAttempts/PeerAttempts.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import type { ReplicaBook } from '../ReplicaBook/ReplicaBook.js';
+import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { RequestRecord, RunningAttempt } from '../RequestRecord.js';
 
 /** What became of the wish to send a request. */
@@ -28,6 +30,7 @@
   book: ReplicaBook;
   fleet: Fleet;
   keys: AttemptKeys;
+  quarantine: Quarantine;
   /** An attempt is under way. */
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
   /** A placer was asked in vain. */
@@ -50,9 +53,10 @@
 
   /** Sends a request to the replica that is best for it, or asks its placer for one. */
   place(record: RequestRecord): PlacingResult {
-    const { fleet, book } = this.parts;
+    const { fleet, book, quarantine } = this.parts;
     const { request } = record;
-    const group = fleet.isLarge
+    const isDelegable = fleet.isLarge && !quarantine.isSuspect(request.fingerprint);
+    const group = isDelegable
       ? book.getService(request.service).getGroup(request, request.id)
       : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
@@ -105,10 +109,13 @@
     this.delegation.drop(record);
   }
 
-  private getCandidates({ request, tried }: RequestRecord) {
-    const { book, clock, fleet } = this.parts;
+  private getCandidates({ request, tried }: RequestRecord): ReplicaState[] {
+    const { book, clock, fleet, quarantine } = this.parts;
     const now = clock.now();
     const service = book.getService(request.service);
+    if (quarantine.isSuspect(request.fingerprint)) {
+      return quarantine.restrictCandidates(request.fingerprint, service.getCandidates(tried, now));
+    }
     const group = fleet.isLarge ? service.getGroup(request, request.id) : undefined;
     // Of its own group a daemon knows all that is under way, of the others next to nothing.
     const own =
--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -47,11 +47,15 @@
     return this.all.map(({ replicas }) => replicas.get(id)).find((state) => state !== undefined);
   }
 
-  setReplicas(replicas: readonly RelayReplica[]): void {
+  /** @returns the IDs of replicas that disappeared without having announced that they leave */
+  setReplicas(replicas: readonly RelayReplica[]): string[] {
+    const before = this.all.flatMap((service) => service.getStaying());
     replicas.forEach(({ service }) => this.getService(service));
     this.services.forEach((service, name) => {
       service.setReplicas(replicas.filter((replica) => replica.service === name));
     });
+    const listed = new Set(replicas.map(({ id }) => id));
+    return before.map(({ replica }) => replica.id).filter((id) => !listed.has(id));
   }
 
   /** Takes over other bounds of repeats; what was counted stays. */
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -30,6 +30,8 @@
 export interface PlacementRequest {
   /** Unique over all daemons and time. */
   id: string;
+  /** Identical for repeated requests with the same content from the same caller. */
+  fingerprint: string;
   route: string;
   service: string;
   kind: RouteKind;
@@ -84,6 +86,10 @@
   MayHaveRun = 'may-have-run',
   /** More of its service waits than could be answered in time. */
   Overload = 'overload',
+  /** The request is quarantined because it crashes replicas. */
+  Quarantined = 'quarantined',
+  /** The request has reached the crash threshold and awaits evaluation. */
+  UnderReview = 'under-review',
 }
 
 /** A replica's own word on its load. */
@@ -159,6 +165,15 @@
   after: Milliseconds;
 }
 
+/** A request that is rejected because it crashes replicas. */
+export interface QuarantinedRequest {
+  fingerprint: string;
+  /** Time until it is accepted again. */
+  remaining: Milliseconds;
+  /** IDs of replicas that crashed with it under way; may be incomplete. */
+  replicas: string[];
+}
+
 /** What one daemon tells the others. */
 export type SharedNews =
   | { kind: 'placed'; attempt: SharedAttempt }
@@ -170,6 +185,11 @@
   | { kind: 'reply'; reply: PlacementReply }
   /** An attempt broke at a replica. */
   | { kind: 'broke'; replica: string }
+  /** Requests that were under way at a replica when it crashed. */
+  | { kind: 'crashed'; replica: string; fingerprints: string[] }
+  /** A request that was under way at crashes has been served by a replica that kept running. */
+  | { kind: 'cleared'; fingerprint: string }
+  | { kind: 'quarantined'; requests: QuarantinedRequest[] }
   /** All that is under way; what was told before is forgotten. */
   | { kind: 'all'; attempts: SharedAttempt[] };
 
@@ -194,6 +214,10 @@
   | { kind: 'health'; replica: string; isHealthy: boolean }
   /** What came of the question whether an engine lives. */
   | { kind: 'questioned'; replica: string; isAlive: boolean }
+  /** Whether a replica with broken attempts accepts connections; undefined if inconclusive. */
+  | { kind: 'probed'; replica: string; isUp: boolean | undefined }
+  /** Quarantined requests read from the store. */
+  | { kind: 'quarantine'; requests: readonly QuarantinedRequest[] }
   /** A replica refuses, or says by other means, since it is about to leave. */
   | { kind: 'leaving'; replica: string }
   | { kind: 'cache-changed'; replica: string; changes: readonly CacheChange[] }
@@ -226,6 +250,12 @@
   | { kind: 'follow-caches'; engines?: ReadonlySet<string> }
   /** Nothing comes from an engine: it is to be asked whether it lives. */
   | { kind: 'question'; replica: RelayReplica }
+  /** Attempts at a replica broke: check whether it still accepts connections. */
+  | { kind: 'probe'; replica: RelayReplica }
+  /** A replica crashed with these requests of this daemon under way. */
+  | { kind: 'crashed'; replica: string; fingerprints: readonly string[] }
+  /** A request has been quarantined; `isOwn` if this daemon reports it to the others. */
+  | { kind: 'quarantined'; request: QuarantinedRequest; isOwn: boolean }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'trust'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: for a while it gets nothing. */
@@ -237,6 +267,8 @@
   Deadline = 'deadline',
   /** The replica gave no sign for too long, and the request may run elsewhere. */
   Silent = 'silent',
+  /** The request is quarantined because it crashes replicas. */
+  Quarantined = 'quarantined',
 }
 
 /** What a choice of an engine makes of pauses between events, for the log. */
--- /dev/null
+++ b/packages/relay/src/lib/decide/quarantine/CrashLedger/CrashLedger.test.ts
@@ -0,0 +1,104 @@
+import { ManualClock } from '@apricotrill/utils';
+import { quarantineOptions } from '../quarantineOptions.js';
+import { CrashLedger } from './CrashLedger.js';
+
+const NONE_QUARANTINED = () => false;
+
+/** Records consecutive crashes, each with the given requests under way. */
+function crash(ledger: CrashLedger, clock: ManualClock, crashes: readonly string[][]): void {
+  crashes.forEach((fingerprints) => {
+    clock.advance(100);
+    ledger.add(`i-${clock.now()}`, fingerprints);
+  });
+}
+
+function create() {
+  const clock = new ManualClock();
+  return { clock, ledger: new CrashLedger(clock) };
+}
+
+describe('CrashLedger', () => {
+  it('finds a responsible request after three crashes, not earlier', () => {
+    const { clock, ledger } = create();
+    crash(ledger, clock, [['crashing', 'a'], ['crashing']]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
+    crash(ledger, clock, [['crashing', 'b']]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual(['crashing']);
+    expect(ledger.getReplicas('crashing')).toHaveLength(3);
+  });
+
+  it('counts a crash reported by several daemons once', () => {
+    const { ledger } = create();
+    expect(ledger.add('i-1', ['crashing'])).toEqual(['crashing']);
+    expect(ledger.add('i-1', ['crashing', 'a'])).toEqual(['a']);
+    expect(ledger.getReplicas('crashing')).toEqual(['i-1']);
+  });
+
+  // Guards against rejecting requests that ran alongside the responsible one.
+  it('does not attribute crashes of a responsible request to others', () => {
+    const { clock, ledger } = create();
+    crash(ledger, clock, [
+      ['crashing', 'a', 'b'],
+      ['crashing', 'a', 'c'],
+      ['crashing', 'b', 'c'],
+      ['crashing', 'a', 'd'],
+    ]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual(['crashing']);
+    expect(ledger.findResponsible((fingerprint) => fingerprint === 'crashing')).toEqual([]);
+  });
+
+  it('needs a fourth crash to distinguish two requests that shared three', () => {
+    const { clock, ledger } = create();
+    const both = ['crashing', 'a'];
+    crash(ledger, clock, [both, both, both]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
+    crash(ledger, clock, [['crashing']]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual(['crashing']);
+  });
+
+  // Guards against rejecting a request that was under way at several correlated replica failures.
+  it('holds no request responsible while more replicas crash without it', () => {
+    const { clock, ledger } = create();
+    for (let failure = 0; failure < 3; failure += 1) {
+      crash(ledger, clock, [['a'], [`x-${failure}`], [`y-${failure}`], [`z-${failure}`]]);
+      clock.advance(30_000);
+    }
+    expect(ledger.getReplicas('a')).toHaveLength(3);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
+  });
+
+  it('distinguishes requests that crash replicas at the same time', () => {
+    const { clock, ledger } = create();
+    const crashing = ['one', 'two', 'three'];
+    for (let round = 0; round < 3; round += 1) {
+      crash(
+        ledger,
+        clock,
+        crashing.map((fingerprint) => [fingerprint, `other-${round}-${fingerprint}`]),
+      );
+    }
+    expect(ledger.findResponsible(NONE_QUARANTINED).sort()).toEqual([...crashing].sort());
+  });
+
+  it('ignores a cleared request, even when its crashes are reported again', () => {
+    const { clock, ledger } = create();
+    crash(ledger, clock, [['a'], ['a'], ['a']]);
+    const replicas = ledger.getReplicas('a');
+    ledger.clear('a');
+    replicas.forEach((replica) => ledger.add(replica, ['a']));
+    expect(ledger.getReplicas('a')).toEqual([]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
+  });
+
+  it('stays within its limits with many crashes and requests', () => {
+    const { clock, ledger } = create();
+    const { mostCrashes, mostPerCrash } = quarantineOptions;
+    for (let index = 0; index < mostCrashes * 3; index += 1) {
+      const others = Array.from({ length: mostPerCrash }, (_item, item) => `${index}-${item}`);
+      crash(ledger, clock, [['crashing', ...others]]);
+    }
+    expect(ledger.getReplicas('crashing').length).toBeLessThanOrEqual(mostCrashes);
+    expect(ledger.has('i-100')).toBe(false);
+    expect(ledger.getReplicas('0-0')).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
@@ -0,0 +1,195 @@
+import { CoreHarness } from '../../../../test/CoreHarness.js';
+import { createReplica, createRequest, createService } from '../../../../test/fixtures.js';
+import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../../messages.js';
+import { quarantineOptions } from '../quarantineOptions.js';
+
+const REPLICAS = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'].map((id) => createReplica(id));
+
+function create() {
+  return new CoreHarness([createService('app')], REPLICAS, { retrySlack: 100 });
+}
+
+/** Submits a request without retries and crashes its replica. @returns the replica ID */
+function crash(harness: CoreHarness, id: string, fingerprint = 'crashing'): string {
+  harness.submit(createRequest(id, { fingerprint, maxAttempts: 1 }));
+  const [replica] = harness.getReplicas(id);
+  harness.end(id, 1, AttemptEnd.Broken);
+  harness.core.handle({ kind: 'probed', replica: replica!, isUp: false });
+  return replica!;
+}
+
+function quarantine(harness: CoreHarness): void {
+  ['a', 'b', 'c'].forEach((id) => crash(harness, id));
+  harness.clock.advance(quarantineOptions.evaluationDelay);
+}
+
+describe('Quarantine', () => {
+  it('rejects a request after three crashes, with outcome not-run and without retry-after', () => {
+    const harness = create();
+    quarantine(harness);
+    harness.submit(createRequest('d', { fingerprint: 'crashing' }));
+    expect(harness.getReplicas('d')).toEqual([]);
+    expect(harness.get('give-up').at(-1)).toEqual({
+      kind: 'give-up',
+      id: 'd',
+      outcome: Outcome.NotRun,
+      reason: GiveUpReason.Quarantined,
+      retryAfter: undefined,
+    });
+    expect(harness.get('quarantined')).toMatchObject([
+      { request: { fingerprint: 'crashing' }, isOwn: true },
+    ]);
+    harness.submit(createRequest('other'));
+    expect(harness.getReplicas('other')).toHaveLength(1);
+  });
+
+  it('rejects a request under review with retry-after', () => {
+    const harness = create();
+    ['a', 'b', 'c'].forEach((id) => crash(harness, id));
+    harness.submit(createRequest('d', { fingerprint: 'crashing' }));
+    expect(harness.getReplicas('d')).toEqual([]);
+    const [last] = harness.get('give-up').slice(-1);
+    expect(last).toMatchObject({ outcome: Outcome.NotRun, reason: GiveUpReason.UnderReview });
+    expect(last!.retryAfter).toBeGreaterThan(0);
+  });
+
+  it('cancels attempts under way, with outcome unknown', () => {
+    const harness = create();
+    harness.submit(createRequest('early', { fingerprint: 'crashing' }));
+    quarantine(harness);
+    expect(harness.get('cancel')).toMatchObject([
+      { id: 'early', reason: CancelReason.Quarantined },
+    ]);
+    expect(harness.get('give-up').find(({ id }) => id === 'early')).toMatchObject({
+      outcome: Outcome.Unknown,
+      reason: GiveUpReason.Quarantined,
+    });
+  });
+
+  // Guards against counting lost connections as crashes.
+  it('does not count broken attempts at a replica that keeps running', () => {
+    const harness = create();
+    for (let index = 0; index < 10; index += 1) {
+      const id = `r-${index}`;
+      harness.submit(createRequest(id, { fingerprint: 'same', maxAttempts: 1 }));
+      const [replica] = harness.getReplicas(id);
+      harness.end(id, 1, AttemptEnd.Broken);
+      harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+      harness.clock.advance(quarantineOptions.evaluationDelay);
+    }
+    expect(harness.get('crashed')).toEqual([]);
+    expect(harness.get('quarantined')).toEqual([]);
+  });
+
+  // Guards against missing a crash when the successor listens before the probe.
+  it('counts a crash when the replica disappears from the list', () => {
+    const harness = create();
+    harness.submit(createRequest('a', { fingerprint: 'crashing', maxAttempts: 1 }));
+    const [replica] = harness.getReplicas('a');
+    harness.end('a', 1, AttemptEnd.Broken);
+    harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+    const next = createReplica('i-7');
+    const replicas = [...REPLICAS.filter(({ id }) => id !== replica), next];
+    harness.core.handle({ kind: 'replicas', replicas });
+    expect(harness.get('crashed')).toMatchObject([{ replica, fingerprints: ['crashing'] }]);
+  });
+
+  it('does not count a crash when the replica leaves long after a broken attempt', () => {
+    const harness = create();
+    harness.submit(createRequest('a', { maxAttempts: 1 }));
+    const [replica] = harness.getReplicas('a');
+    harness.end('a', 1, AttemptEnd.Broken);
+    harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+    harness.clock.advance(quarantineOptions.possibleCrashRetention + 1);
+    const left = REPLICAS.filter(({ id }) => id !== replica);
+    harness.core.handle({ kind: 'replicas', replicas: left });
+    expect(harness.get('crashed')).toEqual([]);
+  });
+
+  it('does not count a crash when a draining replica leaves', () => {
+    const harness = create();
+    harness.submit(createRequest('a', { maxAttempts: 1 }));
+    const [replica] = harness.getReplicas('a');
+    harness.end('a', 1, AttemptEnd.Broken);
+    harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+    const draining = REPLICAS.map((item) => ({ ...item, isDraining: item.id === replica }));
+    harness.core.handle({ kind: 'replicas', replicas: draining });
+    const left = REPLICAS.filter(({ id }) => id !== replica);
+    harness.core.handle({ kind: 'replicas', replicas: left });
+    expect(harness.get('crashed')).toEqual([]);
+  });
+
+  it('clears the crashes of a request that is served later', () => {
+    const harness = create();
+    crash(harness, 'a', 'same');
+    crash(harness, 'b', 'same');
+    harness.submit(createRequest('c', { fingerprint: 'same' }));
+    harness.end('c', 1, AttemptEnd.Completed);
+    const news = harness.get('share').map((effect) => effect.news);
+    expect(news).toContainEqual({ kind: 'cleared', fingerprint: 'same' });
+    crash(harness, 'd', 'same');
+    harness.clock.advance(quarantineOptions.evaluationDelay);
+    expect(harness.get('quarantined')).toEqual([]);
+  });
+
+  it('combines crash reports from several daemons', () => {
+    const harness = create();
+    ['i-8', 'i-9'].forEach((replica) => {
+      const news = { kind: 'crashed' as const, replica, fingerprints: ['crashing'] };
+      harness.core.handle({ kind: 'peer-news', peer: replica, news });
+    });
+    crash(harness, 'a');
+    harness.clock.advance(quarantineOptions.evaluationDelay);
+    expect(harness.get('quarantined')).toHaveLength(1);
+  });
+
+  // Guards against a retried request crashing one replica per daemon.
+  it('sends a suspect request to the same replica from every daemon', () => {
+    const chosen = ['d-1', 'd-2', 'd-3'].map((peer) => {
+      const harness = create();
+      // Gives each daemon a different load.
+      harness.submit(createRequest(`load-${peer}`));
+      const news = { kind: 'crashed' as const, replica: 'i-9', fingerprints: ['crashing'] };
+      harness.core.handle({ kind: 'peer-news', peer, news });
+      harness.submit(createRequest('a', { fingerprint: 'crashing' }));
+      return harness.getReplicas('a')[0];
+    });
+    expect(new Set(chosen).size).toBe(1);
+  });
+
+  it('restores quarantined requests from repeated messages', () => {
+    const first = create();
+    quarantine(first);
+    const second = create();
+    first.core.quarantine.getRepeated().forEach((news) => {
+      second.core.handle({ kind: 'peer-news', peer: 'd-1', news });
+    });
+    second.submit(createRequest('a', { fingerprint: 'crashing' }));
+    expect(second.get('give-up')).toMatchObject([{ reason: GiveUpReason.Quarantined }]);
+  });
+
+  it('accepts a request once its term expires, and renews the term on each arrival', () => {
+    const harness = create();
+    quarantine(harness);
+    harness.clock.advance(quarantineOptions.term - 1_000);
+    harness.submit(createRequest('d', { fingerprint: 'crashing' }));
+    harness.clock.advance(quarantineOptions.term - 1_000);
+    expect(harness.core.quarantine.size).toBe(1);
+    harness.clock.advance(2_000);
+    expect(harness.core.quarantine.size).toBe(0);
+    harness.submit(createRequest('e', { fingerprint: 'crashing' }));
+    expect(harness.getReplicas('e')).toHaveLength(1);
+  });
+
+  it('stays within its limit of quarantined requests', () => {
+    const harness = create();
+    const requests = Array.from({ length: quarantineOptions.mostEntries * 2 }, (_item, index) => ({
+      fingerprint: `f-${index}`,
+      remaining: 1_000 + index,
+      replicas: [],
+    }));
+    harness.core.handle({ kind: 'quarantine', requests });
+    expect(harness.core.quarantine.size).toBe(quarantineOptions.mostEntries);
+    expect(harness.core.quarantine.has(`f-${requests.length - 1}`)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
@@ -0,0 +1,400 @@
+import { getHash, getRendezvousOrder } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { RelayReplica } from '../../../config/RelayConfiguration.js';
+import type { Fleet } from '../../Fleet/Fleet.js';
+import type { PlacementEffect, QuarantinedRequest, SharedNews } from '../../messages.js';
+import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
+import { CrashLedger } from '../CrashLedger/CrashLedger.js';
+import { quarantineOptions } from '../quarantineOptions.js';
+
+/** Dependencies of {@link Quarantine}. */
+export interface QuarantineParts {
+  clock: Clock;
+  emit: (effect: PlacementEffect) => void;
+  fleet: Fleet;
+  /** Called when a request is quarantined: its attempts must end, and no new one may start. */
+  onQuarantined: (fingerprint: string) => void;
+}
+
+/** Messages about crashes and the requests responsible for them. */
+export type QuarantineNews = Extract<SharedNews, { kind: 'crashed' | 'cleared' | 'quarantined' }>;
+
+/** A replica with broken attempts that is not known to have crashed. */
+interface PossibleCrash {
+  at: Milliseconds;
+  fingerprints: Set<string>;
+  /** Whether its address accepts connections; the listener may already be a successor. */
+  isUp: boolean;
+}
+
+/** A crash that this daemon detected itself. */
+interface OwnCrash {
+  replica: string;
+  at: Milliseconds;
+  fingerprints: string[];
+}
+
+interface Entry {
+  until: Milliseconds;
+  replicas: string[];
+}
+
+/** How many daemons of a large fleet collect the crashes of one request. */
+const COLLECTORS = 2;
+
+function chunk<Item>(items: readonly Item[], size: number): Item[][] {
+  const count = Math.ceil(items.length / size);
+  return Array.from({ length: count }, (_item, index) =>
+    items.slice(index * size, (index + 1) * size),
+  );
+}
+
+/**
+ * Rejects requests that crash the replicas that run them.
+ *
+ * Callers may repeat such a request at any daemon, and each run ends all requests on its replica.
+ * Daemons therefore share which requests were under way at crashes, and which requests they have
+ * quarantined, so that crashes are counted across the fleet. In a large fleet, two daemons selected
+ * by rendezvous hashing collect the crashes of a request, which limits the number of messages.
+ */
+export class Quarantine {
+  private readonly ledger: CrashLedger;
+
+  private readonly possibleCrashes = new Map<string, PossibleCrash>();
+
+  private readonly entries = new Map<string, Entry>();
+
+  private ownCrashes: OwnCrash[] = [];
+
+  /** IDs of replicas whose crash has been announced to all daemons of a large fleet. */
+  private announced = new Set<string>();
+
+  private evaluationTimer: Timer | undefined;
+
+  /** Index of the first entry for the next regular message. */
+  private nextRepeated = 0;
+
+  constructor(private readonly parts: QuarantineParts) {
+    this.ledger = new CrashLedger(parts.clock);
+  }
+
+  /** Number of quarantined requests. */
+  get size(): number {
+    this.expire();
+    return this.entries.size;
+  }
+
+  has(fingerprint: string): boolean {
+    const until = this.entries.get(fingerprint)?.until ?? 0;
+    return until > this.parts.clock.now();
+  }
+
+  /** Renews the term of a request that has arrived. @returns whether it is quarantined */
+  renew(fingerprint: string): boolean {
+    if (!this.has(fingerprint)) {
+      return false;
+    }
+    this.entries.get(fingerprint)!.until = this.parts.clock.now() + quarantineOptions.term;
+    return true;
+  }
+
+  /** Whether a replica crashed, or may have, with the request under way. */
+  isSuspect(fingerprint: string): boolean {
+    this.expirePossibleCrashes();
+    return (
+      this.ledger.getReplicas(fingerprint).length > 0 ||
+      [...this.possibleCrashes.values()].some(
+        ({ fingerprints, isUp }) => !isUp && fingerprints.has(fingerprint),
+      )
+    );
+  }
+
+  /**
+   * Restricts the candidates of a suspect request to the running replica that comes first in its
+   * rendezvous order. All daemons select the same one, so that the request crashes one replica at a
+   * time.
+   */
+  restrictCandidates(fingerprint: string, candidates: readonly ReplicaState[]): ReplicaState[] {
+    const running = candidates.filter(({ replica }) => !this.ledger.has(replica.id));
+    const ids = running.map(({ replica }) => replica.id);
+    const [preferred] = getRendezvousOrder(fingerprint, ids);
+    return running.filter(({ replica }) => replica.id === preferred);
+  }
+
+  /** Whether the request has reached the crash threshold and awaits evaluation. */
+  isUnderReview(fingerprint: string): boolean {
+    const { length } = this.ledger.getReplicas(fingerprint);
+    return this.evaluationTimer !== undefined && length >= quarantineOptions.crashThreshold;
+  }
+
+  /** Probes the replica of a broken attempt, unless the crash is known or the replica is tracked. */
+  noteBroken(replica: RelayReplica, fingerprint: string): void {
+    if (this.ledger.has(replica.id)) {
+      this.noteCrash(replica.id, [fingerprint]);
+      return;
+    }
+    const possible = this.possibleCrashes.get(replica.id);
+    if (possible !== undefined) {
+      possible.fingerprints.add(fingerprint);
+      return;
+    }
+    this.expirePossibleCrashes();
+    this.possibleCrashes.set(replica.id, {
+      at: this.parts.clock.now(),
+      fingerprints: new Set([fingerprint]),
+      isUp: false,
+    });
+    this.parts.emit({ kind: 'probe', replica });
+  }
+
+  /** Handles the result of a probe. */
+  noteProbed(replica: string, isUp: boolean | undefined): void {
+    const possible = this.possibleCrashes.get(replica);
+    if (isUp === false) {
+      this.noteGone(replica);
+    } else if (isUp === true && possible !== undefined) {
+      possible.isUp = true;
+    }
+  }
+
+  /** Records a crash if attempts at the replica broke before it disappeared. */
+  noteGone(replica: string): void {
+    this.expirePossibleCrashes();
+    const possible = this.possibleCrashes.get(replica);
+    this.possibleCrashes.delete(replica);
+    if (possible !== undefined) {
+      this.noteCrash(replica, [...possible.fingerprints]);
+    }
+  }
+
+  /** Clears a request that a replica has served and kept running. */
+  noteServed(fingerprint: string): void {
+    const isKnown = this.ledger.getReplicas(fingerprint).length > 0;
+    this.possibleCrashes.forEach(({ fingerprints }) => fingerprints.delete(fingerprint));
+    if (isKnown) {
+      this.ledger.clear(fingerprint);
+      this.share({ kind: 'cleared', fingerprint });
+    }
+  }
+
+  hear(news: QuarantineNews): void {
+    switch (news.kind) {
+      case 'crashed':
+        this.handleCrash(news.replica, news.fingerprints);
+        break;
+      case 'cleared':
+        this.ledger.clear(news.fingerprint);
+        break;
+      case 'quarantined':
+        this.restore(news.requests);
+        break;
+      default:
+        news satisfies never;
+    }
+  }
+
+  /** Adds requests quarantined by another daemon, or before this one started. */
+  restore(requests: readonly QuarantinedRequest[]): void {
+    const now = this.parts.clock.now();
+    requests.forEach(({ fingerprint, remaining, replicas }) => {
+      const term = Math.min(remaining, quarantineOptions.term);
+      if (term > 0) {
+        replicas.forEach((replica) => this.ledger.add(replica, [fingerprint]));
+        this.addEntry(fingerprint, { until: now + term, replicas: [...replicas] }, false);
+      }
+    });
+  }
+
+  /** Returns what each regular message repeats, since datagrams can be lost. */
+  getRepeated(): SharedNews[] {
+    const { mostRequestsPerDatagram } = quarantineOptions;
+    this.expire();
+    const now = this.parts.clock.now();
+    this.ownCrashes = this.ownCrashes.filter(({ at }) => at > now - quarantineOptions.repeatPeriod);
+    const entries = [...this.entries];
+    const first = this.nextRepeated < entries.length ? this.nextRepeated : 0;
+    const repeated = entries.slice(first, first + mostRequestsPerDatagram);
+    this.nextRepeated = first + repeated.length;
+    const news: SharedNews[] = [];
+    if (repeated.length > 0) {
+      news.push({ kind: 'quarantined', requests: repeated.map((entry) => this.toRequest(entry)) });
+    }
+    if (!this.parts.fleet.isLarge) {
+      this.ownCrashes.slice(-mostRequestsPerDatagram).forEach(({ replica, fingerprints }) => {
+        const part = fingerprints.slice(0, quarantineOptions.mostFingerprintsPerDatagram);
+        news.push({ kind: 'crashed', replica, fingerprints: part });
+      });
+    }
+    return news;
+  }
+
+  private noteCrash(replica: string, fingerprints: readonly string[]): void {
+    const { clock, emit, fleet } = this.parts;
+    const added = this.ledger.add(replica, fingerprints);
+    if (added.length === 0) {
+      return;
+    }
+    this.ownCrashes.push({ replica, at: clock.now(), fingerprints: added });
+    emit({ kind: 'crashed', replica, fingerprints: added });
+    if (fleet.isLarge) {
+      this.shareWithCollectors(replica, added);
+      this.scheduleAnnouncement(replica);
+    } else {
+      this.shareCrash(replica, added);
+    }
+    this.scheduleEvaluation();
+  }
+
+  private handleCrash(replica: string, fingerprints: readonly string[]): void {
+    this.noteAnnounced(replica);
+    const possible = this.possibleCrashes.get(replica);
+    const added = this.ledger.add(replica, fingerprints);
+    if (possible !== undefined) {
+      this.noteGone(replica);
+    }
+    if (added.length > 0) {
+      this.shareThresholdCrashes(added);
+      this.scheduleEvaluation();
+    }
+  }
+
+  private shareCrash(replica: string, fingerprints: readonly string[], to?: string): void {
+    chunk(fingerprints, quarantineOptions.mostFingerprintsPerDatagram).forEach((part) =>
+      this.share({ kind: 'crashed', replica, fingerprints: part }, to),
+    );
+  }
+
+  private getCollectors(fingerprint: string): string[] {
+    return getRendezvousOrder(fingerprint, this.parts.fleet.members).slice(0, COLLECTORS);
+  }
+
+  /** Sends a crash to the collectors of each request. */
+  private shareWithCollectors(replica: string, fingerprints: readonly string[]): void {
+    const { self } = this.parts.fleet;
+    const byCollector = new Map<string, string[]>();
+    fingerprints.forEach((fingerprint) => {
+      this.getCollectors(fingerprint).forEach((collector) => {
+        byCollector.set(collector, [...(byCollector.get(collector) ?? []), fingerprint]);
+      });
+    });
+    byCollector.forEach((collected, collector) => {
+      if (collector === self) {
+        this.shareThresholdCrashes(collected);
+      } else {
+        this.shareCrash(replica, collected, collector);
+      }
+    });
+  }
+
+  /** As a collector, shares the crashes of requests that reach the threshold with all daemons. */
+  private shareThresholdCrashes(fingerprints: readonly string[]): void {
+    const { fleet } = this.parts;
+    if (!fleet.isLarge) {
+      return;
+    }
+    fingerprints
+      .filter((fingerprint) => this.getCollectors(fingerprint).includes(fleet.self))
+      .forEach((fingerprint) => {
+        const replicas = this.ledger.getReplicas(fingerprint);
+        if (replicas.length >= quarantineOptions.crashThreshold) {
+          replicas.forEach((replica) => this.shareCrash(replica, [fingerprint]));
+        }
+      });
+  }
+
+  /** Announces a crash to all daemons after a delay, unless another daemon does so first. */
+  private scheduleAnnouncement(replica: string): void {
+    const { clock, fleet } = this.parts;
+    const delay = getHash(`${replica} ${fleet.self}`) % quarantineOptions.announcementJitter;
+    clock.setTimer(delay, () => {
+      if (!this.announced.has(replica)) {
+        this.noteAnnounced(replica);
+        this.share({ kind: 'crashed', replica, fingerprints: [] });
+      }
+    });
+  }
+
+  private noteAnnounced(replica: string): void {
+    const newest = [...this.announced].slice(-quarantineOptions.mostCrashes);
+    this.announced = new Set([...newest, replica]);
+  }
+
+  private scheduleEvaluation(): void {
+    this.evaluationTimer ??= this.parts.clock.setTimer(quarantineOptions.evaluationDelay, () => {
+      this.evaluationTimer = undefined;
+      this.evaluate();
+    });
+  }
+
+  private evaluate(): void {
+    const until = this.parts.clock.now() + quarantineOptions.term;
+    this.ledger
+      .findResponsible((fingerprint) => this.entries.has(fingerprint))
+      .forEach((fingerprint) => {
+        const replicas = this.ledger.getReplicas(fingerprint);
+        const isOwn = this.ownCrashes.some((crash) => crash.fingerprints.includes(fingerprint));
+        const isCollector =
+          this.parts.fleet.isLarge &&
+          this.getCollectors(fingerprint).includes(this.parts.fleet.self);
+        this.addEntry(fingerprint, { until, replicas }, isOwn || isCollector);
+      });
+  }
+
+  /** @param isShared - whether this daemon tells the others immediately */
+  private addEntry(fingerprint: string, entry: Entry, isShared: boolean): void {
+    const { emit, onQuarantined } = this.parts;
+    const known = this.entries.get(fingerprint);
+    if (known !== undefined) {
+      known.until = Math.max(known.until, entry.until);
+      return;
+    }
+    this.evict();
+    this.entries.set(fingerprint, entry);
+    const request = this.toRequest([fingerprint, entry]);
+    if (isShared) {
+      this.share({ kind: 'quarantined', requests: [request] });
+    }
+    emit({ kind: 'quarantined', request, isOwn: isShared });
+    onQuarantined(fingerprint);
+  }
+
+  private toRequest([fingerprint, { until, replicas }]: [string, Entry]): QuarantinedRequest {
+    const remaining = until - this.parts.clock.now();
+    return {
+      fingerprint,
+      remaining,
+      replicas: replicas.slice(0, quarantineOptions.crashThreshold),
+    };
+  }
+
+  private evict(): void {
+    this.expire();
+    if (this.entries.size >= quarantineOptions.mostEntries) {
+      const [first] = [...this.entries].sort(([, left], [, right]) => left.until - right.until);
+      this.entries.delete(first![0]);
+    }
+  }
+
+  private expire(): void {
+    const now = this.parts.clock.now();
+    this.entries.forEach(({ until }, fingerprint) => {
+      if (until <= now) {
+        this.entries.delete(fingerprint);
+        this.ledger.clear(fingerprint);
+      }
+    });
+  }
+
+  private expirePossibleCrashes(): void {
+    const oldest = this.parts.clock.now() - quarantineOptions.possibleCrashRetention;
+    this.possibleCrashes.forEach(({ at }, replica) => {
+      if (at < oldest) {
+        this.possibleCrashes.delete(replica);
+      }
+    });
+  }
+
+  private share(news: QuarantineNews, to?: string): void {
+    this.parts.emit({ kind: 'share', news, to });
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/decide/quarantine/quarantineOptions.ts
@@ -0,0 +1,32 @@
+import type { Milliseconds } from '@apricotrill/utils';
+
+/** Thresholds, durations and limits for detecting and rejecting requests that crash replicas. */
+export const quarantineOptions = {
+  /** Crashes with the request under way before it can be quarantined. */
+  crashThreshold: 3,
+  /** Crashes after which a request is quarantined regardless of other crashes. */
+  certainThreshold: 5,
+  /** Crashes this close to those of a request, but without it, count as evidence of another cause. */
+  correlationWindow: 5_000 satisfies Milliseconds,
+  /** Delay between a report and its evaluation, so that reports of the same crash can arrive. */
+  evaluationDelay: 150 satisfies Milliseconds,
+  /** Upper bound of the delay before a daemon announces a crash, to avoid duplicate announcements. */
+  announcementJitter: 100 satisfies Milliseconds,
+  /** How long a broken replica is tracked while it is unknown whether it crashed. */
+  possibleCrashRetention: 10_000 satisfies Milliseconds,
+  /** How long crash reports are repeated in regular messages. */
+  repeatPeriod: 5_000 satisfies Milliseconds,
+  /** How long crashes are kept. */
+  crashRetention: 600_000 satisfies Milliseconds,
+  /** How long a request is rejected after its last arrival. */
+  term: 900_000 satisfies Milliseconds,
+  /** Limit on stored crashes; the oldest are evicted first. */
+  mostCrashes: 64,
+  /** Limit on stored requests of one crash. */
+  mostPerCrash: 256,
+  /** Limit on quarantined requests; the one that expires first is evicted. */
+  mostEntries: 500,
+  /** Limits per datagram that keep it below an MTU of 1,500 bytes. */
+  mostRequestsPerDatagram: 8,
+  mostFingerprintsPerDatagram: 40,
+};
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -37,6 +37,8 @@
   | { event: 'replica-suspect'; replica: string; service: string; reason: string }
   | { event: 'replica-trusted'; replica: string; service: string }
   | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
+  | { event: 'replica-crashed'; replica: string; requests: number; fingerprints: readonly string[] }
+  | { event: 'request-quarantined'; fingerprint: string; replicas: string[]; isOwn: boolean }
   | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
   | { event: 'placer-silent'; peer: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -84,6 +84,12 @@
     registers: [this.registry],
   });
 
+  readonly replicaCrashes = new Counter({
+    name: 'apricotrill_relay_replica_crashes_total',
+    help: 'Crashes of replicas with requests of this daemon under way.',
+    registers: [this.registry],
+  });
+
   readonly connectionsOpened = new Counter({
     name: 'apricotrill_relay_upstream_connections_opened_total',
     help: 'Connections opened to replicas, by service.',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -33,6 +33,10 @@
   'replica-trusted': 'a suspect replica has answered its health check',
   'replica-avoided':
     'three attempts of any daemons broke there: it gets nothing for that long while others will do',
+  'replica-crashed':
+    'a replica crashed; includes the number of requests of this daemon under way there, and the first fingerprints',
+  'request-quarantined':
+    'a request is quarantined because it crashed replicas; includes their IDs, and whether this daemon reports it to the others',
   'placed-for':
     "a replica was chosen for another daemon's attempt; its line `sent` names this daemon and the key",
   'placer-silent':
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -29,6 +29,9 @@
   switch (kind) {
     case 'placed':
     case 'broke':
+    case 'crashed':
+    case 'cleared':
+    case 'quarantined':
     case 'ask':
     case 'reply':
       return true;
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -67,6 +67,7 @@
         wake();
       },
       directory,
+      getRepeated: () => [],
       getAll: () => attempts,
       onNews: (_peer, news) => {
         heard.push(news);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -46,6 +46,8 @@
    * is named for.
    */
   getAll: () => ReadonlyMap<string | undefined, SharedAttempt[]>;
+  /** Returns what each regular message repeats, since datagrams can be lost. */
+  getRepeated: () => SharedNews[];
   onNews: (peer: string, news: SharedNews) => void;
   onGone: (peer: string) => void;
   /** The daemons that are heard, this one included. */
@@ -207,12 +209,16 @@
 
   /** Tells what is under way; each daemon what it is to know, and none of it is empty news. */
   private tellAll(ids: readonly string[], all = this.parts.getAll()): void {
+    const { getRepeated, self } = this.parts;
     const changes = this.parts.getChanges();
-    const common = encodeAll(this.parts.self, all.get(undefined) ?? [], changes);
+    const common = encodeAll(self, all.get(undefined) ?? [], changes);
+    // One datagram per item, to stay below the MTU.
+    const repeated = getRepeated().map((news) => encodeDatagram({ from: self, news: [news] }));
     ids.forEach((id) => {
       const own = all.get(id);
-      const bytes = own === undefined ? common : encodeAll(this.parts.self, own, changes);
-      this.sendBytes(this.table.getAddresses(id), bytes);
+      const bytes = own === undefined ? common : encodeAll(self, own, changes);
+      const addresses = this.table.getAddresses(id);
+      [bytes, ...repeated].forEach((datagram) => this.sendBytes(addresses, datagram));
     });
   }
 
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -1,5 +1,11 @@
 import { AttemptEnd } from '../../decide/messages.js';
-import type { PlacementAsk, SharedAttempt } from '../../decide/messages.js';
+import type {
+  PlacementAsk,
+  QuarantinedRequest,
+  SharedAttempt,
+  SharedNews,
+} from '../../decide/messages.js';
+import { quarantineOptions } from '../../decide/quarantine/quarantineOptions.js';
 import { decodeDatagram, encodeDatagram } from './datagram.js';
 import type { Datagram } from './datagram.js';
 
@@ -54,6 +60,12 @@
           reply: { key: 'k', placement: { ...PLACEMENT, fetchFrom: 'i-2', fetchTokens: 900 } },
         },
         { kind: 'broke', replica: 'i-1' },
+        { kind: 'crashed', replica: 'i-1', fingerprints: ['a', 'b'] },
+        { kind: 'cleared', fingerprint: 'a' },
+        {
+          kind: 'quarantined',
+          requests: [{ fingerprint: 'b', remaining: 900_000, replicas: ['i-1', 'i-2'] }],
+        },
         {
           kind: 'all',
           attempts: [{ ...ATTEMPT, prompt: undefined, pauseTarget: undefined, isAnswering: false }],
@@ -70,6 +82,27 @@
     expect(bytes.length).toBeLessThan(1_472);
   });
 
+  it('fits crashes and quarantined requests into one unfragmented packet', () => {
+    const fingerprint = 'k2h5-9sZ_q0WcV3b';
+    const fingerprints = Array<string>(quarantineOptions.mostFingerprintsPerDatagram).fill(
+      fingerprint,
+    );
+    const replicas = Array<string>(quarantineOptions.crashThreshold).fill(
+      'i-c5d157d853@1764763200000',
+    );
+    const request = { fingerprint, remaining: quarantineOptions.term, replicas };
+    const requests = Array<QuarantinedRequest>(quarantineOptions.mostRequestsPerDatagram).fill(
+      request,
+    );
+    const news: SharedNews[] = [
+      { kind: 'crashed', replica: 'i-c5d157d853@1764763200000', fingerprints },
+      { kind: 'quarantined', requests },
+    ];
+    news.forEach((item) => {
+      expect(encodeDatagram({ from: FROM, news: [item] }).length).toBeLessThan(1_472);
+    });
+  });
+
   it.each([
     'nonsense',
     '{}',
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -62,6 +62,9 @@
   z.tuple([z.string(), z.number()]).nullable(),
 ]);
 
+/** Fingerprint, remaining time, IDs of crashed replicas. */
+const quarantinedForm = z.tuple([z.string(), z.number(), z.array(z.string())]);
+
 const newsForm = z.union([
   z.tuple([z.literal('p'), attemptForm]),
   z.tuple([z.literal('a'), z.string()]),
@@ -70,6 +73,9 @@
   z.tuple([z.literal('q'), askForm]),
   z.tuple([z.literal('r'), z.string(), placementForm.nullable()]),
   z.tuple([z.literal('b'), z.string()]),
+  z.tuple([z.literal('c'), z.string(), z.array(z.string())]),
+  z.tuple([z.literal('s'), z.string()]),
+  z.tuple([z.literal('x'), z.array(quarantinedForm)]),
   z.tuple([z.literal('l'), z.array(attemptForm)]),
 ]);
 
@@ -217,6 +223,19 @@
     }
     case 'broke':
       return ['b', news.replica];
+    case 'crashed':
+      return ['c', news.replica, news.fingerprints];
+    case 'cleared':
+      return ['s', news.fingerprint];
+    case 'quarantined':
+      return [
+        'x',
+        news.requests.map(({ fingerprint, remaining, replicas }) => [
+          fingerprint,
+          Math.round(remaining),
+          replicas,
+        ]),
+      ];
     case 'all':
       return ['l', news.attempts.map(encodeAttempt)];
     default:
@@ -247,6 +266,19 @@
     }
     case 'b':
       return { kind: 'broke', replica: form[1] };
+    case 'c':
+      return { kind: 'crashed', replica: form[1], fingerprints: form[2] };
+    case 's':
+      return { kind: 'cleared', fingerprint: form[1] };
+    case 'x':
+      return {
+        kind: 'quarantined',
+        requests: form[1].map(([fingerprint, remaining, replicas]) => ({
+          fingerprint,
+          remaining,
+          replicas,
+        })),
+      };
     case 'l':
       return { kind: 'all', attempts: form[1].map(decodeAttempt) };
     default:
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -80,6 +80,7 @@
     const { route } = request;
     return {
       id: request.id,
+      fingerprint: request.fingerprint,
       route: route.name,
       service: request.service,
       kind: route.kind,
@@ -185,9 +186,13 @@
       case GiveUpReason.NoReplica:
       case GiveUpReason.Refused:
       case GiveUpReason.Overload:
+      case GiveUpReason.UnderReview:
         return outcome === Outcome.NotRun ? 503 : 502;
       case GiveUpReason.MayHaveRun:
         return 502;
+      case GiveUpReason.Quarantined:
+        // Never 503, which callers would retry.
+        return 502;
       default:
         return reason satisfies never;
     }
--- /dev/null
+++ b/packages/relay/src/test/CrashFleet.ts
@@ -0,0 +1,340 @@
+import { createRandom } from '@apricotrill/utils';
+import type { Milliseconds, Random } from '@apricotrill/utils';
+import type { RelayReplica } from '../lib/config/RelayConfiguration.js';
+import { AttemptEnd, GiveUpReason } from '../lib/decide/messages.js';
+import type {
+  PlacementEffect,
+  QuarantinedRequest,
+  SharedAttempt,
+  SharedNews,
+} from '../lib/decide/messages.js';
+import { Rotation } from '../lib/peers/Rotation/Rotation.js';
+import { CoreHarness } from './CoreHarness.js';
+import { createEngineService, createReplica, createRequest } from './fixtures.js';
+
+/** Parameters of a simulated fleet. */
+export interface CrashFleetOptions {
+  seed: number;
+  daemons: number;
+  replicas: number;
+  /** Fraction of datagrams between daemons that are lost. */
+  loss: number;
+}
+
+interface Running {
+  daemon: number;
+  life: number;
+  id: string;
+  attempt: number;
+  fingerprint: string;
+}
+
+interface Member {
+  harness: CoreHarness;
+  /** Number of restarts of the daemon. */
+  life: number;
+  /** Effects that have not been performed yet. */
+  pending: PlacementEffect[];
+  rotation: Rotation;
+  startedAt: Milliseconds;
+}
+
+/** An attempt that a daemon sent to a replica. */
+export interface SentAttempt {
+  at: Milliseconds;
+  daemon: number;
+  /** Whether the daemon had run long enough to know the quarantined requests. */
+  isInformed: boolean;
+}
+
+const STEP: Milliseconds = 10;
+
+const REFRESH: Milliseconds = 1_000;
+
+/** Daemons that a regular message is sent to. */
+const MOST_RECIPIENTS = 20;
+
+const INFORMED_AFTER: Milliseconds = 3_000;
+
+/** Time from a crash to the removal from the list, and to the start of the next replica. */
+const DELISTING_DELAY: Milliseconds = 3_600;
+const RESTART_DELAY: Milliseconds = 2_500;
+
+/** Simulates daemons and replicas on a virtual clock, with requests that crash replicas. */
+export class CrashFleet {
+  /** Attempts of each request, by fingerprint. */
+  readonly sends = new Map<string, SentAttempt[]>();
+
+  /** Times of crashes caused by each request, by fingerprint. */
+  readonly crashes = new Map<string, Milliseconds[]>();
+
+  /** Fingerprints of requests that were rejected as quarantined. */
+  readonly rejected = new Set<string>();
+
+  /** Fingerprints of requests that were answered by a replica. */
+  readonly served = new Set<string>();
+
+  private now: Milliseconds = 0;
+
+  private readonly random: Random;
+
+  private readonly members: Member[] = [];
+
+  private readonly runningReplicas = new Map<string, RelayReplica>();
+
+  private listed: RelayReplica[] = [];
+
+  private readonly running = new Map<string, Running[]>();
+
+  private readonly scheduled: { at: Milliseconds; act: () => void }[] = [];
+
+  private readonly stored = new Map<string, QuarantinedRequest>();
+
+  private readonly fingerprints = new Map<string, string>();
+
+  private readonly crashing = new Set<string>();
+
+  private replicaCount = 0;
+
+  constructor(private readonly options: CrashFleetOptions) {
+    this.random = createRandom(options.seed);
+    for (let index = 0; index < options.replicas; index += 1) {
+      this.startReplica();
+    }
+    for (let index = 0; index < options.daemons; index += 1) {
+      this.members.push(this.createMember(index, 0));
+    }
+  }
+
+  get time(): Milliseconds {
+    return this.now;
+  }
+
+  /** Marks a request that crashes each replica that runs it. */
+  setCrashing(fingerprint: string): void {
+    this.crashing.add(fingerprint);
+  }
+
+  submit(daemon: number, id: string, fingerprint: string): void {
+    this.fingerprints.set(id, fingerprint);
+    const request = createRequest(id, {
+      fingerprint,
+      service: 'llm',
+      maxAttempts: 2,
+      deadline: 6_000,
+    });
+    this.members[daemon % this.members.length]!.harness.submit(request);
+    this.collect();
+  }
+
+  /** Crashes a fraction of the replicas, independent of any request. */
+  crashReplicas(fraction: number): void {
+    const ids = [...this.runningReplicas.keys()];
+    const count = Math.floor(ids.length * fraction);
+    for (let index = 0; index < count; index += 1) {
+      this.crash(ids.splice(this.random.integer(ids.length), 1)[0]!);
+    }
+  }
+
+  restartDaemon(daemon: number): void {
+    const index = daemon % this.members.length;
+    const before = this.members[index]!;
+    this.running.forEach((running, replica) => {
+      this.running.set(
+        replica,
+        running.filter((run) => run.daemon !== index),
+      );
+    });
+    this.members[index] = this.createMember(index, before.life + 1);
+    const requests = [...this.stored.values()];
+    this.members[index].harness.core.handle({ kind: 'quarantine', requests });
+  }
+
+  advance(span: Milliseconds): void {
+    for (let passed = 0; passed < span; passed += STEP) {
+      this.now += STEP;
+      this.members.forEach(({ harness }) => harness.clock.advance(STEP));
+      this.runScheduled();
+      this.collect();
+      if (this.now % REFRESH === 0) {
+        this.members.forEach((member, index) => this.refresh(member, index));
+      }
+    }
+  }
+
+  private createMember(index: number, life: number): Member {
+    const harness = new CoreHarness([createEngineService('llm')], this.listed, {
+      retrySlack: 1_000,
+    });
+    harness.clock.advance(this.now);
+    const daemons = Array.from({ length: this.options.daemons }, (_item, peer) => `d-${peer}`);
+    harness.core.handle({ kind: 'daemons', count: daemons.length });
+    harness.core.handle({ kind: 'fleet', self: `d-${index}`, daemons });
+    return {
+      harness,
+      life,
+      pending: harness.effects,
+      rotation: new Rotation(index * 7),
+      startedAt: this.now,
+    };
+  }
+
+  private startReplica(): void {
+    this.replicaCount += 1;
+    const replica = createReplica(`e-${this.replicaCount}`, { service: 'llm', slots: 96 });
+    this.runningReplicas.set(replica.id, replica);
+    this.running.set(replica.id, []);
+    this.list([...this.listed, replica]);
+  }
+
+  private list(replicas: RelayReplica[]): void {
+    this.listed = replicas;
+    this.members.forEach(({ harness }) => harness.core.handle({ kind: 'replicas', replicas }));
+  }
+
+  private crash(id: string): void {
+    if (!this.runningReplicas.delete(id)) {
+      return;
+    }
+    const running = this.running.get(id) ?? [];
+    this.running.delete(id);
+    running.forEach((run) => this.end(run, AttemptEnd.Broken));
+    this.schedule(RESTART_DELAY, () => this.startReplica());
+    this.schedule(DELISTING_DELAY, () =>
+      this.list(this.listed.filter((replica) => replica.id !== id)),
+    );
+  }
+
+  private end({ daemon, life, id, attempt }: Running, end: AttemptEnd): void {
+    this.schedule(STEP, () => {
+      const member = this.members[daemon]!;
+      if (member.life === life) {
+        member.harness.end(id, attempt, end);
+      }
+    });
+  }
+
+  private schedule(delay: Milliseconds, act: () => void): void {
+    this.scheduled.push({ at: this.now + delay, act });
+  }
+
+  private runScheduled(): void {
+    const scheduled = this.scheduled.filter(({ at }) => at <= this.now);
+    const left = this.scheduled.filter(({ at }) => at > this.now);
+    this.scheduled.splice(0, this.scheduled.length, ...left);
+    scheduled.forEach(({ act }) => act());
+  }
+
+  private collect(): void {
+    this.members.forEach((member, index) => {
+      member.pending.splice(0).forEach((effect) => this.perform(effect, member, index));
+    });
+  }
+
+  private perform(effect: PlacementEffect, member: Member, daemon: number): void {
+    switch (effect.kind) {
+      case 'send':
+        this.run(effect, member, daemon);
+        break;
+      case 'cancel':
+        this.running.forEach((running, replica) => {
+          const left = running.filter((run) => run.daemon !== daemon || run.id !== effect.id);
+          this.running.set(replica, left);
+        });
+        break;
+      case 'settle':
+        this.served.add(this.fingerprints.get(effect.id)!);
+        break;
+      case 'give-up':
+        if (effect.reason === GiveUpReason.Quarantined) {
+          this.rejected.add(this.fingerprints.get(effect.id)!);
+        }
+        break;
+      case 'share':
+        this.deliver(daemon, effect.to, effect.news);
+        break;
+      case 'probe': {
+        const { id } = effect.replica;
+        this.schedule(STEP, () =>
+          member.harness.core.handle({
+            kind: 'probed',
+            replica: id,
+            isUp: this.runningReplicas.has(id),
+          }),
+        );
+        break;
+      }
+      case 'quarantined':
+        if (effect.isOwn) {
+          this.stored.set(effect.request.fingerprint, effect.request);
+        }
+        break;
+      default:
+        break;
+    }
+  }
+
+  private run(
+    { id, attempt, replica }: Extract<PlacementEffect, { kind: 'send' }>,
+    { life, startedAt }: Member,
+    daemon: number,
+  ): void {
+    const fingerprint = this.fingerprints.get(id)!;
+    const run = { daemon, life, id, attempt, fingerprint };
+    if (!this.runningReplicas.has(replica.id)) {
+      this.end(run, AttemptEnd.NotSent);
+      return;
+    }
+    const sends = this.sends.get(fingerprint) ?? [];
+    sends.push({ at: this.now, daemon, isInformed: this.now - startedAt >= INFORMED_AFTER });
+    this.sends.set(fingerprint, sends);
+    this.running.get(replica.id)!.push(run);
+    const isCrashing = this.crashing.has(fingerprint);
+    const span = isCrashing ? 20 + this.random.integer(180) : 50 + this.random.integer(1_500);
+    this.schedule(span, () => {
+      const running = this.running.get(replica.id);
+      if (running?.includes(run) !== true) {
+        return;
+      }
+      if (isCrashing) {
+        this.crashes.set(fingerprint, [...(this.crashes.get(fingerprint) ?? []), this.now]);
+        this.crash(replica.id);
+      } else {
+        running.splice(running.indexOf(run), 1);
+        this.end(run, AttemptEnd.Completed);
+      }
+    });
+  }
+
+  private refresh({ harness, rotation }: Member, index: number): void {
+    const shared = harness.core.getSharedAttempts();
+    const repeated = harness.core.quarantine.getRepeated();
+    const peers = this.members.map((_member, peer) => peer).filter((peer) => peer !== index);
+    rotation.take(peers, MOST_RECIPIENTS).forEach((peer) => {
+      const attempts: SharedAttempt[] = shared.get(`d-${peer}`) ?? shared.get(undefined) ?? [];
+      const isLost = this.random.next() < this.options.loss;
+      [{ kind: 'all' as const, attempts }, ...repeated].forEach((news) => {
+        if (!isLost) {
+          this.members[peer]!.harness.core.handle({ kind: 'peer-news', peer: `d-${index}`, news });
+        }
+      });
+    });
+  }
+
+  private deliver(from: number, to: string | undefined, news: SharedNews): void {
+    this.members.forEach((_member, index) => {
+      const isFor = to === undefined || to === `d-${index}`;
+      if (index === from || !isFor || this.random.next() < this.options.loss) {
+        return;
+      }
+      // Some datagrams are delivered twice.
+      const times = this.random.next() < 0.02 ? 2 : 1;
+      for (let time = 0; time < times; time += 1) {
+        this.schedule(STEP * (1 + this.random.integer(2)), () => {
+          const { core } = this.members[index]!.harness;
+          core.handle({ kind: 'peer-news', peer: `d-${from}`, news });
+        });
+      }
+    });
+  }
+}
--- a/packages/relay/src/test/fixtures.ts
+++ b/packages/relay/src/test/fixtures.ts
@@ -71,6 +71,7 @@
 export function createRequest(id: string, parts: Partial<PlacementRequest> = {}): PlacementRequest {
   return {
     id,
+    fingerprint: id,
     route: 'r',
     service: 'app',
     kind: RouteKind.Idempotent,
