Enforce replica rate limits across all daemons

Impact: no effect on callers so far. A replica under pressure received 25 requests in 4 s where its limit of 2 per second allows 17; another received 20 where 15 are allowed.

Cause: the limit that replicas state in their answers was never read. Class of fault: a fleet-wide bound that no component enforces.

Change: - Limits in answers are parsed and logged (replica-limited, replica-unlimited, limit-refused). They are announced to all daemons immediately, again every second while answers confirm them, and in each regular message together with their age. - Only the daemon that places requests for a group of replicas, selected by rendezvous hashing over the reachable daemons, sends to its limited replicas. It uses a token bucket with the stated rate and a burst of half a second's requests, at least one. Other daemons exclude these replicas. - If all replicas of a service are limited, that daemon places all requests of the service. An answer to a later request that states no limit lifts it. A limit that no answer has confirmed for 10 to 20 s is probed with one request. - A daemon's regular message to the one that placed some of its attempts also lists those that all daemons are told of.

Rationale: with a single daemon counting, no share of the limit is left unused or exceeded. Two daemons that both consider themselves responsible send twice the rate and two bursts, which the rule's window allows for limits up to 1.5 requests per second (by calculation).

Not done: fairness between workspaces among waiting requests.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -141,6 +141,9 @@
       case 'placer-silent':
       case 'crashed':
       case 'quarantined':
+      case 'limited':
+      case 'unlimited':
+      case 'limit-refused':
         break;
       case 'probe':
         this.answerProbe(effect.replica.id);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -25,7 +25,9 @@
   PromptPart,
   QuarantinedRequest,
   SharedAttempt,
+  SharedLimit,
   SharedNews,
+  StatedLimit,
 } from './lib/decide/messages.js';
 export { PlacementCore } from './lib/decide/PlacementCore/PlacementCore.js';
 export { placementOptions } from './lib/decide/placementOptions.js';
--- a/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
+++ b/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
@@ -31,6 +31,8 @@
   clock: Clock;
   source: HealthSource;
   tell: (message: PlacementMessage) => void;
+  /** Counts a health check against the replica's limit. @returns false if the limit forbids it now */
+  tryAcquireCheck: (replica: string) => boolean;
 }
 
 /** Asks suspect replicas until they answer that they work, and silent engines whether they live. */
@@ -85,6 +87,10 @@
   }
 
   private async check(replica: RelayReplica, pause: Milliseconds, timer: Timer): Promise<void> {
+    if (!this.parts.tryAcquireCheck(replica.id)) {
+      this.schedule(replica, healthOptions.longestPause);
+      return;
+    }
     const path = this.services.get(replica.service)?.healthPath;
     const isHealthy =
       path !== undefined && (await this.parts.source.check(replica, path, healthOptions.timeout));
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -140,7 +140,12 @@
       metrics,
     });
     this.watch = new ReplicaWatch({ ...parts, tell });
-    this.checks = new HealthChecks({ clock, source: parts.health, tell });
+    this.checks = new HealthChecks({
+      clock,
+      source: parts.health,
+      tell,
+      tryAcquireCheck: (replica) => this.core.tryAcquireCheck(replica),
+    });
     this.quarantine = new QuarantineSync({ ...parts, store: parts.quarantine, tell });
     this.link = new PeerLink({
       self,
@@ -149,7 +154,7 @@
       log,
       directory: parts.peers,
       getAll: () => this.core.getSharedAttempts(),
-      getRepeated: () => this.core.quarantine.getRepeated(),
+      getRepeated: () => this.core.getRepeated(),
       onNews: (peer, news) => tell({ kind: 'peer-news', peer, news }),
       onGone: (peer) => tell({ kind: 'peer-gone', peer }),
       onFleet: (daemons) => {
@@ -282,6 +287,12 @@
       'object',
       () => this.store.states,
     );
+    metrics.addGauges('replica_limit', 'Requests a second, as stated.', 'replica', () =>
+      core.limits.getRates(),
+    );
+    metrics.addGauges('waiting_requests', 'Without a place at a replica.', 'service', () =>
+      core.book.getWaitingCounts(),
+    );
     metrics.addGauges('repeats_left', 'Repeats that may be sent now.', 'service', () =>
       core.book.getRepeatsLeft(),
     );
@@ -375,6 +386,17 @@
         }
         break;
       }
+      case 'limited': {
+        const { replica, perSecond, previous } = effect;
+        log({ event: 'replica-limited', replica, perSecond, previous });
+        break;
+      }
+      case 'unlimited':
+        log({ event: 'replica-unlimited', replica: effect.replica });
+        break;
+      case 'limit-refused':
+        log({ event: 'limit-refused', replica: effect.replica, text: effect.text });
+        break;
       case 'suspect': {
         const { replica, reason } = effect;
         const { id, service } = replica;
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -21,6 +21,14 @@
  */
 const LIST_EXPIRY: Milliseconds = 5_000;
 
+/** Dependencies of {@link PeerAttempts}. */
+export interface PeerAttemptsParts {
+  clock: Clock;
+  findReplica: (id: string) => ReplicaState | undefined;
+  /** Called when another daemon's attempt is sent to a replica. */
+  onSent: (replica: string) => void;
+}
+
 /** An attempt as other daemons are told of it. */
 export function getShared(attempt: RunningAttempt): SharedAttempt {
   const { key, state, missingTokens, memoryTokens, pauseTarget, isAnswering, prompt } = attempt;
@@ -41,11 +49,8 @@
 
   private sweptAt: Milliseconds;
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly findReplica: (id: string) => ReplicaState | undefined,
-  ) {
-    this.sweptAt = clock.now();
+  constructor(private readonly parts: PeerAttemptsParts) {
+    this.sweptAt = parts.clock.now();
   }
 
   take(peer: string, news: AttemptNews): void {
@@ -62,7 +67,7 @@
         PeerAttempts.remove(attempts, news.key);
         break;
       case 'all':
-        this.listedAt.set(peer, this.clock.now());
+        this.listedAt.set(peer, this.parts.clock.now());
         this.replace(attempts, news.attempts);
         this.sweep();
         break;
@@ -92,7 +97,7 @@
       isOwn: false,
       isForOther: true,
       state,
-      sentAt: this.clock.now(),
+      sentAt: this.parts.clock.now(),
       missingTokens: choice.missingTokens,
       tokensAhead: choice.tokensAhead,
       isTelling: choice.isTelling,
@@ -113,7 +118,7 @@
   }
 
   private add(attempts: Map<string, RunningAttempt>, shared: SharedAttempt): void {
-    const state = this.findReplica(shared.replica);
+    const state = this.parts.findReplica(shared.replica);
     if (state === undefined || attempts.has(shared.key)) {
       return;
     }
@@ -124,7 +129,7 @@
       isOwn: false,
       isForOther: false,
       state,
-      sentAt: this.clock.now(),
+      sentAt: this.parts.clock.now(),
       missingTokens,
       tokensAhead: missingTokens,
       isTelling: false,
@@ -140,9 +145,10 @@
 
   private begin(attempts: Map<string, RunningAttempt>, attempt: RunningAttempt): void {
     const { key, state, prompt } = attempt;
-    const now = this.clock.now();
+    const now = this.parts.clock.now();
     attempts.set(key, attempt);
     state.noteSent(attempt, now);
+    this.parts.onSent(state.replica.id);
     if (prompt !== undefined) {
       state.cache.expect(prompt, now);
     }
@@ -162,7 +168,7 @@
         state.noteFailure();
         break;
       case AttemptEnd.Refused:
-        state.noteFull(this.clock.now());
+        state.noteFull(this.parts.clock.now());
         break;
       case AttemptEnd.NotSent:
       case AttemptEnd.Misdirected:
@@ -179,7 +185,7 @@
     if (attempt === undefined || attempt.isAnswering) {
       return;
     }
-    const now = this.clock.now();
+    const now = this.parts.clock.now();
     Object.assign(attempt, { isAnswering: true });
     attempt.state.noteAnswering(attempt, now);
   }
@@ -187,7 +193,7 @@
   /** News can be lost on the way: the whole list puts right what that left behind. */
   private replace(attempts: Map<string, RunningAttempt>, shared: SharedAttempt[]): void {
     const current = new Set(shared.map(({ key }) => key));
-    const old = this.clock.now() - LIST_LAG;
+    const old = this.parts.clock.now() - LIST_LAG;
     [...attempts]
       .filter(([key]) => !current.has(key))
       .filter(([, { isForOther, sentAt }]) => !isForOther || sentAt <= old)
@@ -205,11 +211,11 @@
    * engines seem full of their attempts all the while.
    */
   private sweep(): void {
-    const expired = this.clock.now() - LIST_EXPIRY;
+    const expired = this.parts.clock.now() - LIST_EXPIRY;
     if (this.sweptAt > expired) {
       return;
     }
-    this.sweptAt = this.clock.now();
+    this.sweptAt = this.parts.clock.now();
     this.byPeer.forEach((attempts, peer) => {
       if ((this.listedAt.get(peer) ?? Number.NEGATIVE_INFINITY) < expired) {
         [...attempts]
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import { AttemptKeys } from '../AttemptKeys.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
@@ -11,6 +11,8 @@
   SharedEnd,
   SharedNews,
 } from '../messages.js';
+import { limitOptions } from '../limits/limitOptions.js';
+import { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import { PeerAttempts, getShared } from '../PeerAttempts/PeerAttempts.js';
 import { Placer } from '../Placer/Placer.js';
 import { Placing, PlacingResult } from '../Placing/Placing.js';
@@ -23,6 +25,8 @@
 import type { RunningAttempt } from '../RequestRecord.js';
 import { SilenceWatch } from '../SilenceWatch/SilenceWatch.js';
 
+const SECOND: Milliseconds = 1_000;
+
 /** What a core is made of. */
 export interface PlacementCoreParts {
   clock: Clock;
@@ -53,8 +57,14 @@
   /** What is believed of services and replicas. */
   readonly book: ReplicaBook;
 
+  /** Request rate limits stated by replicas. */
+  readonly limits: ReplicaLimits;
+
   private readonly silence: SilenceWatch;
 
+  /** Pending retries for services whose replicas are all rate-limited. */
+  private readonly retryTimers = new Map<ServiceState, Timer>();
+
   private readonly records = new Map<string, RequestRecord>();
 
   private readonly fleet = new Fleet();
@@ -73,17 +83,28 @@
     this.clock = clock;
     this.emit = emit;
     this.options = { ...placementOptions, ...options };
-    this.book = new ReplicaBook({ clock, emit, options: this.options });
-    this.silence = new SilenceWatch({ clock, emit, options: this.options, book: this.book });
-    this.peers = new PeerAttempts(clock, (id) => this.book.find(id));
     const { fleet } = this;
+    this.limits = new ReplicaLimits({
+      clock,
+      emit,
+      fleet,
+      getGroup: (state) => this.book.getService(state.replica.service).getGroupOf(state)?.name,
+    });
+    const { limits } = this;
+    this.book = new ReplicaBook({ clock, emit, options: this.options, limits });
+    this.silence = new SilenceWatch({ clock, emit, options: this.options, book: this.book });
+    this.peers = new PeerAttempts({
+      clock,
+      findReplica: (id) => this.book.find(id),
+      onSent: (replica) => limits.noteSent(replica),
+    });
     this.quarantine = new Quarantine({
       clock,
       emit,
       fleet,
       onQuarantined: (fingerprint) => this.rejectOpen(fingerprint),
     });
-    const parts = { clock, emit, options: this.options, book: this.book, fleet };
+    const parts = { clock, emit, options: this.options, book: this.book, fleet, limits };
     this.placer = new Placer({ ...parts, peers: this.peers });
     this.placing = new Placing({
       ...parts,
@@ -105,6 +126,7 @@
         this.book
           .setReplicas(message.replicas)
           .forEach((replica) => this.quarantine.noteGone(replica));
+        this.limits.retain(new Set(message.replicas.map(({ id }) => id)));
         this.placer.updateFollowed();
         this.drainAll();
         break;
@@ -123,6 +145,9 @@
       case 'load':
         this.book.find(message.replica)?.noteReport(message.report, this.clock.now());
         break;
+      case 'limit':
+        this.limits.noteAnswer(message);
+        break;
       case 'daemons':
         this.book.setDaemons(message.count);
         break;
@@ -167,6 +192,21 @@
     }
   }
 
+  /** Returns what each regular message repeats, since datagrams can be lost. */
+  getRepeated(): SharedNews[] {
+    return [...this.quarantine.getRepeated(), ...this.limits.getRepeated()];
+  }
+
+  /** Counts a health check against the replica's limit. @returns false if the limit forbids it now */
+  tryAcquireCheck(replica: string): boolean {
+    const state = this.book.find(replica);
+    if (state === undefined || !this.limits.maySend(state)) {
+      return state === undefined;
+    }
+    this.limits.noteSent(replica);
+    return true;
+  }
+
   /** Requests that are not over. */
   get openRequests(): number {
     return this.records.size;
@@ -184,7 +224,13 @@
         shared.set(placer, [...(shared.get(placer) ?? []), getShared(running)]);
       }
     });
-    return shared;
+    const common = shared.get(undefined) ?? [];
+    return new Map(
+      [...shared].map(([placer, own]) => [
+        placer,
+        placer === undefined ? own : [...common, ...own],
+      ]),
+    );
   }
 
   private submit(request: PlacementRequest): void {
@@ -211,7 +257,42 @@
 
   private placeOrWait(record: RequestRecord): void {
     if (this.placing.place(record) === PlacingResult.NoRoom) {
-      this.book.getService(record.request.service).waiting.add(record);
+      const service = this.book.getService(record.request.service);
+      service.waiting.add(record);
+      this.rejectExcessAndScheduleRetry(service);
+    }
+  }
+
+  /**
+   * Bounds the waiting requests of a service whose replicas are all rate-limited: rejects the least
+   * urgent beyond the bound and schedules a retry for the others.
+   */
+  private rejectExcessAndScheduleRetry(service: ServiceState): void {
+    const limit = service.getTotalLimit();
+    if (limit === undefined) {
+      return;
+    }
+    const share = limit / Math.max(1, this.fleet.members.length);
+    const most = Math.max(1, Math.ceil((share * limitOptions.longestWait) / SECOND));
+    while (service.waiting.size > most) {
+      const last = service.waiting.last!;
+      this.giveUp(last, last.mayHaveRun ? Outcome.Unknown : Outcome.NotRun, GiveUpReason.Overload);
+    }
+    if (!this.retryTimers.has(service)) {
+      const timer = this.clock.setTimer(limitOptions.retryPeriod, () => this.retryWaiting(service));
+      this.retryTimers.set(service, timer);
+    }
+  }
+
+  /** Tries again to place the waiting requests of a service. */
+  private retryWaiting(service: ServiceState): void {
+    this.retryTimers.delete(service);
+    service.waiting.drain((record) => {
+      record.asked.clear();
+      return this.placing.place(record) !== PlacingResult.NoRoom;
+    });
+    if (service.waiting.size > 0) {
+      this.rejectExcessAndScheduleRetry(service);
     }
   }
 
@@ -387,6 +468,10 @@
       case 'quarantined':
         this.quarantine.hear(news);
         break;
+      case 'limits':
+        this.limits.hear(news.limits);
+        this.drainAll();
+        break;
       case 'ask':
         this.placer.answer(peer, news.ask);
         break;
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -9,6 +9,7 @@
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { getShared } from '../PeerAttempts/PeerAttempts.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import type { ReplicaBook } from '../ReplicaBook/ReplicaBook.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
@@ -31,6 +32,7 @@
   fleet: Fleet;
   keys: AttemptKeys;
   quarantine: Quarantine;
+  limits: ReplicaLimits;
   /** An attempt is under way. */
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
   /** A placer was asked in vain. */
@@ -55,10 +57,11 @@
   place(record: RequestRecord): PlacingResult {
     const { fleet, book, quarantine } = this.parts;
     const { request } = record;
-    const isDelegable = fleet.isLarge && !quarantine.isSuspect(request.fingerprint);
-    const group = isDelegable
-      ? book.getService(request.service).getGroup(request, request.id)
-      : undefined;
+    const service = book.getService(request.service);
+    const isDelegable =
+      service.getTotalLimit() !== undefined ||
+      (fleet.isLarge && !quarantine.isSuspect(request.fingerprint));
+    const group = isDelegable ? service.getGroup(request, request.id) : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
     if (placer === undefined || placer === fleet.self) {
       return this.placeHere(record) ? PlacingResult.Sent : PlacingResult.NoRoom;
@@ -174,7 +177,7 @@
 
   private send(record: RequestRecord, { state, choice }: ChosenReplica, origin: Origin): void {
     const { request } = record;
-    const { clock, emit, fleet, onSent } = this.parts;
+    const { clock, emit, fleet, limits, onSent } = this.parts;
     const now = clock.now();
     const { prompt, pauseTarget } = request;
     const attempt: RunningAttempt = {
@@ -196,6 +199,7 @@
     };
     record.begin(attempt);
     state.noteSent(attempt, now);
+    limits.noteSent(state.replica.id);
     if (prompt !== undefined) {
       state.cache.expect(prompt, now);
     }
--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -7,12 +7,14 @@
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { RetryAllowanceParts } from '../RetryAllowance/RetryAllowance.js';
 import { ServiceState } from './ServiceState.js';
+import type { ServiceLimits } from './ServiceState.js';
 
 /** What the book is made of. */
 export interface ReplicaBookParts {
   clock: Clock;
   emit: (effect: PlacementEffect) => void;
   options: PlacementOptions;
+  limits: ServiceLimits;
 }
 
 /**
@@ -37,7 +39,7 @@
     if (existing !== undefined) {
       return existing;
     }
-    const service = new ServiceState(name, this.parts.options);
+    const service = new ServiceState(name, this.parts.options, this.parts.limits);
     service.setDaemons(this.daemons);
     this.services.set(name, service);
     return service;
@@ -165,6 +167,11 @@
     return [...this.services].map(([name, { allowance }]) => [name, allowance.getLeft(now)]);
   }
 
+  /** Number of requests waiting for a replica, by service. */
+  getWaitingCounts(): [string, number][] {
+    return [...this.services].map(([name, { waiting }]) => [name, waiting.size]);
+  }
+
   /** How old the last report of each replica is that has sent one. */
   getReportAges(): [string, Milliseconds][] {
     const now = this.parts.clock.now();
--- a/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
@@ -4,6 +4,7 @@
 import { getHomes, getSessionPart } from '../getHoldings.js';
 import { getReplicaGroups } from '../groups/getReplicaGroups.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
+import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { PlacementWish } from '../messages.js';
 import { EngineLessons } from '../EngineReading/EngineLessons.js';
 import type { PlacementOptions } from '../placementOptions.js';
@@ -25,6 +26,9 @@
   hasRoom: (state: ReplicaState) => boolean;
 }
 
+/** The part of {@link ReplicaLimits} that candidate selection needs. */
+export type ServiceLimits = Pick<ReplicaLimits, 'getRate' | 'maySend'>;
+
 /** What the placement core knows of one service. */
 export class ServiceState {
   readonly replicas = new Map<string, ReplicaState>();
@@ -45,6 +49,7 @@
   constructor(
     private readonly name: string,
     private readonly options: PlacementOptions,
+    private readonly limits: ServiceLimits,
   ) {
     this.allowance = new RetryAllowance(this.retries);
   }
@@ -113,7 +118,8 @@
    */
   getCandidates(tried: ReadonlySet<string>, now: Milliseconds): ReplicaState[] {
     const hasRoom = (state: ReplicaState) => state.hasRoom(this.connections, this.service?.engine);
-    return ServiceState.filterCandidates(this.getStaying(), { tried, now, hasRoom });
+    const staying = this.getStaying().filter((state) => this.limits.maySend(state));
+    return ServiceState.filterCandidates(staying, { tried, now, hasRoom });
   }
 
   /** The same of one group, for which this daemon chooses for all. */
@@ -123,7 +129,7 @@
     now: Milliseconds,
   ): ReplicaState[] {
     const hasRoom = (state: ReplicaState) => state.hasRoomForAll(this.service?.engine);
-    const staying = replicas.filter((state) => state.isStaying);
+    const staying = replicas.filter((state) => state.isStaying && this.limits.maySend(state));
     return ServiceState.filterCandidates(staying, { tried, now, hasRoom });
   }
 
@@ -147,6 +153,16 @@
     return [...this.replicas.values()].filter((state) => state.isStaying);
   }
 
+  /** Sum of the replica limits in requests per second; undefined unless all replicas are limited. */
+  getTotalLimit(): number | undefined {
+    const staying = this.getStaying();
+    const isLimited = ({ replica }: ReplicaState) => this.limits.getRate(replica.id) !== undefined;
+    if (staying.length === 0 || !staying.every(isLimited)) {
+      return undefined;
+    }
+    return staying.reduce((sum, { replica }) => sum + this.limits.getRate(replica.id)!, 0);
+  }
+
   private get retries(): RetryAllowanceParts {
     const { retryRatio: ratio, retryWindow: window, retrySlack } = this.options;
     return { ratio, window, slack: getFleetShare(retrySlack, this.daemons, LEAST_SLACK) };
--- a/packages/relay/src/lib/decide/WaitingList/WaitingList.ts
+++ b/packages/relay/src/lib/decide/WaitingList/WaitingList.ts
@@ -11,6 +11,11 @@
     return this.records.length;
   }
 
+  /** The least urgent request; the newest one among equals. */
+  get last(): RequestRecord | undefined {
+    return this.records.at(-1);
+  }
+
   add(record: RequestRecord): void {
     const { rank, arrived } = record.request;
     const after = this.records.findIndex(
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -174,6 +174,21 @@
   replicas: string[];
 }
 
+/** The request rate limit stated in a replica's answer. */
+export type StatedLimit =
+  | { kind: 'rate'; perSecond: number }
+  /** The stated limit cannot be parsed. */
+  | { kind: 'invalid'; text: string };
+
+/** A replica's limit as exchanged between daemons. */
+export interface SharedLimit {
+  replica: string;
+  /** Requests per second from all daemons together; undefined if the limit was lifted. */
+  perSecond: number | undefined;
+  /** Time since the replica's answer that stated or lifted the limit. */
+  age: Milliseconds;
+}
+
 /** What one daemon tells the others. */
 export type SharedNews =
   | { kind: 'placed'; attempt: SharedAttempt }
@@ -190,6 +205,7 @@
   /** A request that was under way at crashes has been served by a replica that kept running. */
   | { kind: 'cleared'; fingerprint: string }
   | { kind: 'quarantined'; requests: QuarantinedRequest[] }
+  | { kind: 'limits'; limits: SharedLimit[] }
   /** All that is under way; what was told before is forgotten. */
   | { kind: 'all'; attempts: SharedAttempt[] };
 
@@ -203,6 +219,8 @@
   | { kind: 'answering'; id: string; attempt: number }
   | { kind: 'attempt-ended'; id: string; attempt: number; end: AttemptEnd }
   | { kind: 'load'; replica: string; report: LoadReport }
+  /** The limit stated in a replica's answer; undefined if it states none. */
+  | { kind: 'limit'; replica: string; sentAt: Milliseconds; limit: StatedLimit | undefined }
   /** How many daemons there are, this one included. */
   | { kind: 'daemons'; count: number }
   /** The daemons that are heard, this one included. */
@@ -256,6 +274,11 @@
   | { kind: 'crashed'; replica: string; fingerprints: readonly string[] }
   /** A request has been quarantined; `isOwn` if this daemon reports it to the others. */
   | { kind: 'quarantined'; request: QuarantinedRequest; isOwn: boolean }
+  /** The limit of a replica, in requests per second, is new or has changed. */
+  | { kind: 'limited'; replica: string; perSecond: number; previous: number | undefined }
+  | { kind: 'unlimited'; replica: string }
+  /** A replica states a limit that cannot be parsed. */
+  | { kind: 'limit-refused'; replica: string; text: string }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'trust'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: for a while it gets nothing. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -39,6 +39,15 @@
   | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
   | { event: 'replica-crashed'; replica: string; requests: number; fingerprints: readonly string[] }
   | { event: 'request-quarantined'; fingerprint: string; replicas: string[]; isOwn: boolean }
+  | {
+      event: 'replica-limited';
+      replica: string;
+      /** Requests per second from all daemons together. */
+      perSecond: number;
+      previous: number | undefined;
+    }
+  | { event: 'replica-unlimited'; replica: string }
+  | { event: 'limit-refused'; replica: string; text: string }
   | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
   | { event: 'placer-silent'; peer: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -37,6 +37,10 @@
     'a replica crashed; includes the number of requests of this daemon under way there, and the first fingerprints',
   'request-quarantined':
     'a request is quarantined because it crashed replicas; includes their IDs, and whether this daemon reports it to the others',
+  'replica-limited':
+    'a replica states how many requests a second it takes from all daemons together: one daemon sends to it from now on',
+  'replica-unlimited': 'a replica states no limit any more',
+  'limit-refused': 'a replica states a limit that can not be read: it is ignored',
   'placed-for':
     "a replica was chosen for another daemon's attempt; its line `sent` names this daemon and the key",
   'placer-silent':
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -32,6 +32,7 @@
     case 'crashed':
     case 'cleared':
     case 'quarantined':
+    case 'limits':
     case 'ask':
     case 'reply':
       return true;
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -3,8 +3,10 @@
   PlacementAsk,
   QuarantinedRequest,
   SharedAttempt,
+  SharedLimit,
   SharedNews,
 } from '../../decide/messages.js';
+import { limitOptions } from '../../decide/limits/limitOptions.js';
 import { quarantineOptions } from '../../decide/quarantine/quarantineOptions.js';
 import { decodeDatagram, encodeDatagram } from './datagram.js';
 import type { Datagram } from './datagram.js';
@@ -62,6 +64,13 @@
         { kind: 'broke', replica: 'i-1' },
         { kind: 'crashed', replica: 'i-1', fingerprints: ['a', 'b'] },
         { kind: 'cleared', fingerprint: 'a' },
+        {
+          kind: 'limits',
+          limits: [
+            { replica: 'i-1', perSecond: 0.4, age: 20 },
+            { replica: 'i-2', perSecond: undefined, age: 0 },
+          ],
+        },
         {
           kind: 'quarantined',
           requests: [{ fingerprint: 'b', remaining: 900_000, replicas: ['i-1', 'i-2'] }],
@@ -94,9 +103,12 @@
     const requests = Array<QuarantinedRequest>(quarantineOptions.mostRequestsPerDatagram).fill(
       request,
     );
+    const limit = { replica: 'i-c5d157d853@1764763200000', perSecond: 12.75, age: 10_000 };
+    const limits = Array<SharedLimit>(limitOptions.mostPerDatagram).fill(limit);
     const news: SharedNews[] = [
       { kind: 'crashed', replica: 'i-c5d157d853@1764763200000', fingerprints },
       { kind: 'quarantined', requests },
+      { kind: 'limits', limits },
     ];
     news.forEach((item) => {
       expect(encodeDatagram({ from: FROM, news: [item] }).length).toBeLessThan(1_472);
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -65,6 +65,9 @@
 /** Fingerprint, remaining time, IDs of crashed replicas. */
 const quarantinedForm = z.tuple([z.string(), z.number(), z.array(z.string())]);
 
+/** Replica, requests per second (null if the limit was lifted), age. */
+const limitForm = z.tuple([z.string(), z.number().nonnegative().nullable(), z.number()]);
+
 const newsForm = z.union([
   z.tuple([z.literal('p'), attemptForm]),
   z.tuple([z.literal('a'), z.string()]),
@@ -76,6 +79,7 @@
   z.tuple([z.literal('c'), z.string(), z.array(z.string())]),
   z.tuple([z.literal('s'), z.string()]),
   z.tuple([z.literal('x'), z.array(quarantinedForm)]),
+  z.tuple([z.literal('m'), z.array(limitForm)]),
   z.tuple([z.literal('l'), z.array(attemptForm)]),
 ]);
 
@@ -223,6 +227,15 @@
     }
     case 'broke':
       return ['b', news.replica];
+    case 'limits':
+      return [
+        'm',
+        news.limits.map(({ replica, perSecond, age }) => [
+          replica,
+          perSecond ?? null,
+          Math.round(age),
+        ]),
+      ];
     case 'crashed':
       return ['c', news.replica, news.fingerprints];
     case 'cleared':
@@ -266,6 +279,15 @@
     }
     case 'b':
       return { kind: 'broke', replica: form[1] };
+    case 'm':
+      return {
+        kind: 'limits',
+        limits: form[1].map(([replica, perSecond, age]) => ({
+          replica,
+          perSecond: perSecond ?? undefined,
+          age,
+        })),
+      };
     case 'c':
       return { kind: 'crashed', replica: form[1], fingerprints: form[2] };
     case 's':
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { IncomingHttpHeaders } from 'node:http';
 import type { RelayReplica } from '../config/RelayConfiguration.js';
-import type { LoadReport, Prompt } from '../decide/messages.js';
+import type { LoadReport, Prompt, StatedLimit } from '../decide/messages.js';
 import type { AnswerHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 
 /** What a caller states about its request beside method, target and body. */
@@ -40,6 +40,8 @@
   /** The replica is another one than the one that was meant, and did not run the request. */
   isMisdirected: boolean;
   load: LoadReport | undefined;
+  /** The replica's rate limit across all daemons; undefined if the answer states none. */
+  limit: StatedLimit | undefined;
 }
 
 /**
--- a/packages/relay/src/lib/request/AnswerReader.test.ts
+++ b/packages/relay/src/lib/request/AnswerReader.test.ts
@@ -16,6 +16,7 @@
     isRefusal: findHeader(rawHeaders, 'refused') !== undefined,
     isMisdirected: findHeader(rawHeaders, 'misdirected') !== undefined,
     load: undefined,
+    limit: undefined,
   }),
 };
 
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -207,7 +207,7 @@
       }
     };
     return {
-      onFields: (fields) => this.noteFields(replica.id, fields),
+      onFields: (fields) => this.noteFields(replica.id, startedAt, fields),
       onFirstByte: () => ifCurrent(() => this.noteFirstByte(effect, startedAt)),
       onStream: (head) => ifCurrent(() => this.startStream(head)),
       onEvents: (events) => ifCurrent(() => this.writeEvents(events)),
@@ -224,9 +224,16 @@
     }
   }
 
-  private noteFields(replica: string, { load }: AnswerFields): void {
+  private noteFields(replica: string, sentAt: Milliseconds, fields: AnswerFields): void {
+    const { request, tell } = this.parts;
+    const { load, limit, requestId, isMisdirected, isSigned } = fields;
     if (load !== undefined) {
-      this.parts.tell({ kind: 'load', replica, report: load });
+      tell({ kind: 'load', replica, report: load });
+    }
+    // The absence of a limit lifts it, so only a verified answer to this request may do that.
+    const isOwnAnswer = isSigned && requestId === request.fields.requestId;
+    if (!isMisdirected && (limit !== undefined || isOwnAnswer)) {
+      tell({ kind: 'limit', replica, sentAt, limit });
     }
   }
 
--- a/packages/relay/src/test/CrashFleet.ts
+++ b/packages/relay/src/test/CrashFleet.ts
@@ -60,7 +60,20 @@
 const DELISTING_DELAY: Milliseconds = 3_600;
 const RESTART_DELAY: Milliseconds = 2_500;
 
-/** Simulates daemons and replicas on a virtual clock, with requests that crash replicas. */
+/** A request received by a replica. */
+export interface Arrival {
+  at: Milliseconds;
+  /** Whether its daemon received an answer with the replica's limit at least half a second before. */
+  isInformed: boolean;
+}
+
+/** Time after which a daemon that received an answer with a limit must respect it. */
+const LIMIT_INFORMED_AFTER: Milliseconds = 500;
+
+/**
+ * Simulates daemons and replicas on a virtual clock, with requests that crash replicas and replicas
+ * that state rate limits.
+ */
 export class CrashFleet {
   /** Attempts of each request, by fingerprint. */
   readonly sends = new Map<string, SentAttempt[]>();
@@ -74,6 +87,17 @@
   /** Fingerprints of requests that were answered by a replica. */
   readonly served = new Set<string>();
 
+  /** Requests received by each replica. */
+  readonly arrivals = new Map<string, Arrival[]>();
+
+  /** When each limited replica began to state its limit. */
+  readonly limitedSince = new Map<string, Milliseconds>();
+
+  private readonly limits = new Map<string, number>();
+
+  /** When each daemon process first received an answer with a replica's limit. */
+  private readonly informedAt = new Map<string, Milliseconds>();
+
   private now: Milliseconds = 0;
 
   private readonly random: Random;
@@ -115,6 +139,18 @@
     this.crashing.add(fingerprint);
   }
 
+  /** Sets the limit that a replica states in its answers; undefined for none. */
+  setLimit(index: number, perSecond: number | undefined): void {
+    const id = `e-${index + 1}`;
+    if (perSecond === undefined) {
+      this.limits.delete(id);
+      this.limitedSince.delete(id);
+    } else {
+      this.limits.set(id, perSecond);
+      this.limitedSince.set(id, this.now);
+    }
+  }
+
   submit(daemon: number, id: string, fingerprint: string): void {
     this.fingerprints.set(id, fingerprint);
     const request = createRequest(id, {
@@ -127,6 +163,11 @@
     this.collect();
   }
 
+  /** Number of unfinished requests of all daemons. */
+  getOpenRequests(): number {
+    return this.members.reduce((sum, { harness }) => sum + harness.core.openRequests, 0);
+  }
+
   /** Crashes a fraction of the replicas, independent of any request. */
   crashReplicas(fraction: number): void {
     const ids = [...this.runningReplicas.keys()];
@@ -289,6 +330,12 @@
     sends.push({ at: this.now, daemon, isInformed: this.now - startedAt >= INFORMED_AFTER });
     this.sends.set(fingerprint, sends);
     this.running.get(replica.id)!.push(run);
+    const informedAt = this.informedAt.get(`${replica.id} ${daemon} ${life}`);
+    const arrivals = this.arrivals.get(replica.id) ?? [];
+    const isInformed = informedAt !== undefined && this.now - informedAt >= LIMIT_INFORMED_AFTER;
+    arrivals.push({ at: this.now, isInformed });
+    this.arrivals.set(replica.id, arrivals);
+    const sentAt = this.now;
     const isCrashing = this.crashing.has(fingerprint);
     const span = isCrashing ? 20 + this.random.integer(180) : 50 + this.random.integer(1_500);
     this.schedule(span, () => {
@@ -301,14 +348,32 @@
         this.crash(replica.id);
       } else {
         running.splice(running.indexOf(run), 1);
+        this.deliverAnswer(run, replica.id, sentAt);
         this.end(run, AttemptEnd.Completed);
       }
     });
   }
 
+  /** Delivers the limit in an answer's head to the daemon that sent the request. */
+  private deliverAnswer({ daemon, life }: Running, replica: string, sentAt: Milliseconds): void {
+    const perSecond = this.limits.get(replica);
+    this.schedule(STEP, () => {
+      const member = this.members[daemon]!;
+      if (member.life !== life) {
+        return;
+      }
+      const limit = perSecond === undefined ? undefined : { kind: 'rate' as const, perSecond };
+      const key = `${replica} ${daemon} ${life}`;
+      if (limit !== undefined && !this.informedAt.has(key)) {
+        this.informedAt.set(key, this.now);
+      }
+      member.harness.core.handle({ kind: 'limit', replica, sentAt, limit });
+    });
+  }
+
   private refresh({ harness, rotation }: Member, index: number): void {
     const shared = harness.core.getSharedAttempts();
-    const repeated = harness.core.quarantine.getRepeated();
+    const repeated = harness.core.getRepeated();
     const peers = this.members.map((_member, peer) => peer).filter((peer) => peer !== index);
     rotation.take(peers, MOST_RECIPIENTS).forEach((peer) => {
       const attempts: SharedAttempt[] = shared.get(`d-${peer}`) ?? shared.get(undefined) ?? [];
