Do not quarantine requests that replicas serve, and release false positives

Cause: three faults in the quarantine decision. - A request that many callers send is under way on every replica, including each one that another request crashes. That it had been served a moment before was not taken into account. - The evaluation ran 150 ms after the first report. This could be a few ms after the last one, before a daemon that had served the request could clear it. - Nothing released a quarantined request: each arrival renewed its term.

Changes: - A request that a replica served in the 10 s before a crash is not held responsible for it. A daemon that receives a report of such a crash clears the request on all daemons. - The evaluation runs once no report has arrived for 150 ms, after 600 ms at most. - A cleared request is released, and removed from the store by the daemon that wrote it. A daemon that still rejects it is told that it is cleared. For 60 s after the release, reports from other daemons do not quarantine it. - The term is 15 minutes, regardless of arrivals. After it, one further crash quarantines the request again, since crashes are kept for 30 minutes. - Four crashes, previously five, quarantine a request regardless of other crashes nearby.

The test of the term asserted that each arrival renews it, which was the fault. It is replaced by a test that the term ends regardless of arrivals, and that one crash then quarantines the request again.

Open: the daemon that wrote an entry to the store may have restarted when the request is released; the entry then stays until its term ends.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -141,6 +141,7 @@
       case 'placer-silent':
       case 'crashed':
       case 'quarantined':
+      case 'released':
       case 'limited':
       case 'unlimited':
       case 'limit-refused':
--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
@@ -64,7 +64,8 @@
     this.timers.forEach((timer) => timer.cancel());
   }
 
-  private async remove(fingerprint: string): Promise<void> {
+  /** Removes an entry; a failure is logged and not retried. */
+  async remove(fingerprint: string): Promise<void> {
     try {
       await this.parts.store.remove(fingerprint);
     } catch (error) {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -386,6 +386,16 @@
         }
         break;
       }
+      case 'released': {
+        const { fingerprint, isOwn } = effect;
+        log({ event: 'request-released', fingerprint, isOwn });
+        if (isOwn) {
+          this.quarantine.remove(fingerprint).catch((error: unknown) => {
+            log({ event: 'fault', step: 'remove quarantine', error: String(error) });
+          });
+        }
+        break;
+      }
       case 'limited': {
         const { replica, perSecond, previous } = effect;
         log({ event: 'replica-limited', replica, perSecond, previous });
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -240,7 +240,7 @@
     this.records.set(request.id, record);
     service.allowance.noteRequest(now);
     record.setDeadline(this.clock.setTimer(request.deadline - now, () => this.expire(record)));
-    if (this.quarantine.renew(request.fingerprint)) {
+    if (this.quarantine.has(request.fingerprint)) {
       this.giveUp(record, Outcome.NotRun, GiveUpReason.Quarantined);
       return;
     }
@@ -466,7 +466,7 @@
       case 'crashed':
       case 'cleared':
       case 'quarantined':
-        this.quarantine.hear(news);
+        this.quarantine.hear(peer, news);
         break;
       case 'limits':
         this.limits.hear(news.limits);
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -274,6 +274,8 @@
   | { kind: 'crashed'; replica: string; fingerprints: readonly string[] }
   /** A request has been quarantined; `isOwn` if this daemon reports it to the others. */
   | { kind: 'quarantined'; request: QuarantinedRequest; isOwn: boolean }
+  /** A replica served a quarantined request, which ends its quarantine; `isOwn` as above. */
+  | { kind: 'released'; fingerprint: string; isOwn: boolean }
   /** The limit of a replica, in requests per second, is new or has changed. */
   | { kind: 'limited'; replica: string; perSecond: number; previous: number | undefined }
   | { kind: 'unlimited'; replica: string }
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.fuzz.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.fuzz.test.ts
@@ -20,6 +20,8 @@
   /** Correlated failures of a third of all replicas. */
   failures: number;
   restarts: number;
+  /** Whether some of the harmless requests share one fingerprint. */
+  isContentShared: boolean;
 }
 
 /** Regression case: correlated failures delayed the detection of a slowly repeated request. */
@@ -31,6 +33,7 @@
   interval: 1_000,
   failures: 3,
   restarts: 0,
+  isContentShared: false,
 };
 
 const DURATION = 20_000;
@@ -45,6 +48,7 @@
   interval,
   failures,
   restarts,
+  isContentShared,
 }: Scenario): CrashFleet {
   const fleet = new CrashFleet({ seed, daemons, replicas: 12, loss });
   const random = createRandom(seed + 1);
@@ -64,10 +68,11 @@
     disturbances.filter((item) => item.at >= at && item.at < at + STEP).forEach(({ act }) => act());
     // Fingerprints determine the rendezvous order, so renaming one changes the seeded scenarios.
     const harmless = `innocent-${at}`;
-    fleet.submit(random.integer(daemons), harmless, harmless);
+    const fingerprint = isContentShared && at % 100 === 0 ? 'innocent-common' : harmless;
+    fleet.submit(random.integer(daemons), harmless, fingerprint);
     // A retry by the caller.
     if (random.next() < 0.2) {
-      fleet.submit(random.integer(daemons), `${harmless}-again`, harmless);
+      fleet.submit(random.integer(daemons), `${harmless}-again`, fingerprint);
     }
     names.forEach((name, index) => {
       if ((at + index * 10) % interval < STEP && at > 1_000 * (index + 1)) {
@@ -101,6 +106,7 @@
           interval: fc.constantFrom(100, 300, 1_000),
           failures: fc.integer({ min: 0, max: 3 }),
           restarts: fc.integer({ min: 0, max: 4 }),
+          isContentShared: fc.boolean(),
         }),
         (inputs) => {
           const fleet = simulate(inputs);
@@ -117,7 +123,7 @@
 
   it('are detected by a fleet of 195 daemons', () => {
     const inputs = { seed: 7, daemons: 195, loss: 0.03, crashing: 2, interval: 300 };
-    const fleet = simulate({ ...inputs, failures: 1, restarts: 4 });
+    const fleet = simulate({ ...inputs, failures: 1, restarts: 4, isContentShared: true });
     ['deadly-0', 'deadly-1'].forEach((name) => {
       expect(fleet.crashes.get(name)!.length).toBeGreaterThanOrEqual(CRASHES);
       expect(getLateSends(fleet, name)).toBeLessThanOrEqual(MOST_RETRIES);
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
@@ -94,6 +94,22 @@
     expect(harness.get('crashed')).toMatchObject([{ replica, fingerprints: ['crashing'] }]);
   });
 
+  // Guards against rejecting a request that another daemon has cleared.
+  it('releases a request cleared by another daemon, and refutes later quarantine reports', () => {
+    const harness = create();
+    quarantine(harness);
+    const cleared = { kind: 'cleared' as const, fingerprint: 'crashing' };
+    harness.core.handle({ kind: 'peer-news', peer: 'd-1', news: cleared });
+    expect(harness.get('released')).toEqual([
+      { kind: 'released', fingerprint: 'crashing', isOwn: true },
+    ]);
+    const request = { fingerprint: 'crashing', remaining: 60_000, replicas: [] };
+    const news = { kind: 'quarantined' as const, requests: [request] };
+    harness.core.handle({ kind: 'peer-news', peer: 'd-2', news });
+    expect(harness.core.quarantine.size).toBe(0);
+    expect(harness.get('share').at(-1)).toEqual({ kind: 'share', news: cleared, to: 'd-2' });
+  });
+
   it('does not count a crash when the replica leaves long after a broken attempt', () => {
     const harness = create();
     harness.submit(createRequest('a', { maxAttempts: 1 }));
@@ -168,17 +184,40 @@
     expect(second.get('give-up')).toMatchObject([{ reason: GiveUpReason.Quarantined }]);
   });
 
-  it('accepts a request once its term expires, and renews the term on each arrival', () => {
+  // Guards against arrivals that extend the term and keep a harmless request quarantined.
+  it('accepts a request once its term expires, and quarantines it again after one crash', () => {
     const harness = create();
     quarantine(harness);
     harness.clock.advance(quarantineOptions.term - 1_000);
     harness.submit(createRequest('d', { fingerprint: 'crashing' }));
-    harness.clock.advance(quarantineOptions.term - 1_000);
-    expect(harness.core.quarantine.size).toBe(1);
-    harness.clock.advance(2_000);
+    expect(harness.getReplicas('d')).toEqual([]);
+    harness.clock.advance(1_000);
     expect(harness.core.quarantine.size).toBe(0);
-    harness.submit(createRequest('e', { fingerprint: 'crashing' }));
-    expect(harness.getReplicas('e')).toHaveLength(1);
+    crash(harness, 'e');
+    harness.clock.advance(quarantineOptions.evaluationDelay);
+    expect(harness.core.quarantine.size).toBe(1);
+    harness.submit(createRequest('f', { fingerprint: 'crashing' }));
+    expect(harness.getReplicas('f')).toEqual([]);
+  });
+
+  // Guards against quarantining content that many callers send and that is under way at each crash.
+  it('does not hold a recently served request responsible for a crash', () => {
+    const harness = create();
+    harness.submit(createRequest('served', { fingerprint: 'common' }));
+    harness.end('served', 1, AttemptEnd.Completed);
+    ['a', 'b', 'c', 'd', 'e', 'f'].forEach((id) => crash(harness, id, 'common'));
+    harness.clock.advance(quarantineOptions.evaluationDelay);
+    expect(harness.get('quarantined')).toEqual([]);
+  });
+
+  it('clears a recently served request when another daemon reports a crash with it', () => {
+    const harness = create();
+    harness.submit(createRequest('served', { fingerprint: 'common' }));
+    harness.end('served', 1, AttemptEnd.Completed);
+    const news = { kind: 'crashed' as const, replica: 'i-9', fingerprints: ['common'] };
+    harness.core.handle({ kind: 'peer-news', peer: 'd-1', news });
+    const shared = harness.get('share').map((effect) => effect.news);
+    expect(shared).toContainEqual({ kind: 'cleared', fingerprint: 'common' });
   });
 
   it('stays within its limit of quarantined requests', () => {
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
@@ -37,6 +37,8 @@
 interface Entry {
   until: Milliseconds;
   replicas: string[];
+  /** Whether this daemon reports the entry immediately and stores it. */
+  isOwn: boolean;
 }
 
 /** How many daemons of a large fleet collect the crashes of one request. */
@@ -64,6 +66,9 @@
 
   private readonly entries = new Map<string, Entry>();
 
+  /** When each request was last served, in ascending order of time. */
+  private readonly servedAt = new Map<string, Milliseconds>();
+
   private ownCrashes: OwnCrash[] = [];
 
   /** IDs of replicas whose crash has been announced to all daemons of a large fleet. */
@@ -71,6 +76,12 @@
 
   private evaluationTimer: Timer | undefined;
 
+  /** Latest time of the pending evaluation. */
+  private evaluationDeadline: Milliseconds = 0;
+
+  /** Released requests, and until when quarantine reports from other daemons are rejected. */
+  private readonly released = new Map<string, Milliseconds>();
+
   /** Index of the first entry for the next regular message. */
   private nextRepeated = 0;
 
@@ -89,15 +100,6 @@
     return until > this.parts.clock.now();
   }
 
-  /** Renews the term of a request that has arrived. @returns whether it is quarantined */
-  renew(fingerprint: string): boolean {
-    if (!this.has(fingerprint)) {
-      return false;
-    }
-    this.entries.get(fingerprint)!.until = this.parts.clock.now() + quarantineOptions.term;
-    return true;
-  }
-
   /** Whether a replica crashed, or may have, with the request under way. */
   isSuspect(fingerprint: string): boolean {
     this.expirePossibleCrashes();
@@ -169,24 +171,53 @@
 
   /** Clears a request that a replica has served and kept running. */
   noteServed(fingerprint: string): void {
+    this.servedAt.delete(fingerprint);
+    this.servedAt.set(fingerprint, this.parts.clock.now());
+    this.expireServed();
     const isKnown = this.ledger.getReplicas(fingerprint).length > 0;
     this.possibleCrashes.forEach(({ fingerprints }) => fingerprints.delete(fingerprint));
     if (isKnown) {
-      this.ledger.clear(fingerprint);
+      this.clear(fingerprint);
       this.share({ kind: 'cleared', fingerprint });
     }
   }
 
-  hear(news: QuarantineNews): void {
+  /** Deletes the crashes of a request, and releases it if it is quarantined. */
+  private clear(fingerprint: string): void {
+    const entry = this.entries.get(fingerprint);
+    this.ledger.clear(fingerprint);
+    if (entry !== undefined) {
+      this.entries.delete(fingerprint);
+      this.released.set(fingerprint, this.parts.clock.now() + quarantineOptions.releaseRetention);
+      this.parts.emit({ kind: 'released', fingerprint, isOwn: entry.isOwn });
+    }
+  }
+
+  /**
+   * Replies to a quarantine report that the request is cleared, if it was served or released
+   * recently.
+   *
+   * @returns whether the report is refuted
+   */
+  private refute(peer: string, fingerprint: string): boolean {
+    const releasedUntil = this.released.get(fingerprint) ?? 0;
+    const isRefuted = this.wasServedRecently(fingerprint) || releasedUntil > this.parts.clock.now();
+    if (isRefuted) {
+      this.share({ kind: 'cleared', fingerprint }, peer);
+    }
+    return isRefuted;
+  }
+
+  hear(peer: string, news: QuarantineNews): void {
     switch (news.kind) {
       case 'crashed':
         this.handleCrash(news.replica, news.fingerprints);
         break;
       case 'cleared':
-        this.ledger.clear(news.fingerprint);
+        this.clear(news.fingerprint);
         break;
       case 'quarantined':
-        this.restore(news.requests);
+        this.restore(news.requests.filter(({ fingerprint }) => !this.refute(peer, fingerprint)));
         break;
       default:
         news satisfies never;
@@ -200,7 +231,8 @@
       const term = Math.min(remaining, quarantineOptions.term);
       if (term > 0) {
         replicas.forEach((replica) => this.ledger.add(replica, [fingerprint]));
-        this.addEntry(fingerprint, { until: now + term, replicas: [...replicas] }, false);
+        const entry = { until: now + term, replicas: [...replicas], isOwn: false };
+        this.addEntry(fingerprint, entry);
       }
     });
   }
@@ -230,7 +262,8 @@
 
   private noteCrash(replica: string, fingerprints: readonly string[]): void {
     const { clock, emit, fleet } = this.parts;
-    const added = this.ledger.add(replica, fingerprints);
+    const unserved = fingerprints.filter((fingerprint) => !this.wasServedRecently(fingerprint));
+    const added = this.ledger.add(replica, unserved);
     if (added.length === 0) {
       return;
     }
@@ -248,10 +281,15 @@
   private handleCrash(replica: string, fingerprints: readonly string[]): void {
     this.noteAnnounced(replica);
     const possible = this.possibleCrashes.get(replica);
+    const served = fingerprints.filter((fingerprint) => this.wasServedRecently(fingerprint));
     const added = this.ledger.add(replica, fingerprints);
     if (possible !== undefined) {
       this.noteGone(replica);
     }
+    served.forEach((fingerprint) => {
+      this.clear(fingerprint);
+      this.share({ kind: 'cleared', fingerprint });
+    });
     if (added.length > 0) {
       this.shareThresholdCrashes(added);
       this.scheduleEvaluation();
@@ -319,8 +357,17 @@
     this.announced = new Set([...newest, replica]);
   }
 
+  /** Evaluates crashes after the last of a series of reports, within an upper bound. */
   private scheduleEvaluation(): void {
-    this.evaluationTimer ??= this.parts.clock.setTimer(quarantineOptions.evaluationDelay, () => {
+    const { clock } = this.parts;
+    const { evaluationDelay, longestEvaluationDelay } = quarantineOptions;
+    const now = clock.now();
+    if (this.evaluationTimer === undefined) {
+      this.evaluationDeadline = now + longestEvaluationDelay;
+    }
+    this.evaluationTimer?.cancel();
+    const delay = Math.min(evaluationDelay, this.evaluationDeadline - now);
+    this.evaluationTimer = clock.setTimer(delay, () => {
       this.evaluationTimer = undefined;
       this.evaluate();
     });
@@ -336,12 +383,11 @@
         const isCollector =
           this.parts.fleet.isLarge &&
           this.getCollectors(fingerprint).includes(this.parts.fleet.self);
-        this.addEntry(fingerprint, { until, replicas }, isOwn || isCollector);
+        this.addEntry(fingerprint, { until, replicas, isOwn: isOwn || isCollector });
       });
   }
 
-  /** @param isShared - whether this daemon tells the others immediately */
-  private addEntry(fingerprint: string, entry: Entry, isShared: boolean): void {
+  private addEntry(fingerprint: string, entry: Entry): void {
     const { emit, onQuarantined } = this.parts;
     const known = this.entries.get(fingerprint);
     if (known !== undefined) {
@@ -351,10 +397,10 @@
     this.evict();
     this.entries.set(fingerprint, entry);
     const request = this.toRequest([fingerprint, entry]);
-    if (isShared) {
+    if (entry.isOwn) {
       this.share({ kind: 'quarantined', requests: [request] });
     }
-    emit({ kind: 'quarantined', request, isOwn: isShared });
+    emit({ kind: 'quarantined', request, isOwn: entry.isOwn });
     onQuarantined(fingerprint);
   }
 
@@ -377,14 +423,35 @@
 
   private expire(): void {
     const now = this.parts.clock.now();
+    this.released.forEach((until, fingerprint) => {
+      if (until <= now) {
+        this.released.delete(fingerprint);
+      }
+    });
     this.entries.forEach(({ until }, fingerprint) => {
+      // The crashes are kept: one more quarantines the request again, and serving it clears them.
       if (until <= now) {
         this.entries.delete(fingerprint);
-        this.ledger.clear(fingerprint);
       }
     });
   }
 
+  /** Whether a replica served the request recently, which rules it out as the cause of a crash. */
+  private wasServedRecently(fingerprint: string): boolean {
+    const at = this.servedAt.get(fingerprint);
+    return at !== undefined && at > this.parts.clock.now() - quarantineOptions.servedRetention;
+  }
+
+  private expireServed(): void {
+    const oldest = this.parts.clock.now() - quarantineOptions.servedRetention;
+    for (const [fingerprint, at] of this.servedAt) {
+      if (at >= oldest && this.servedAt.size <= quarantineOptions.mostServed) {
+        return;
+      }
+      this.servedAt.delete(fingerprint);
+    }
+  }
+
   private expirePossibleCrashes(): void {
     const oldest = this.parts.clock.now() - quarantineOptions.possibleCrashRetention;
     this.possibleCrashes.forEach(({ at }, replica) => {
--- a/packages/relay/src/lib/decide/quarantine/quarantineOptions.ts
+++ b/packages/relay/src/lib/decide/quarantine/quarantineOptions.ts
@@ -5,11 +5,13 @@
   /** Crashes with the request under way before it can be quarantined. */
   crashThreshold: 3,
   /** Crashes after which a request is quarantined regardless of other crashes. */
-  certainThreshold: 5,
+  certainThreshold: 4,
   /** Crashes this close to those of a request, but without it, count as evidence of another cause. */
   correlationWindow: 5_000 satisfies Milliseconds,
   /** Delay between a report and its evaluation, so that reports of the same crash can arrive. */
   evaluationDelay: 150 satisfies Milliseconds,
+  /** Upper bound of that delay, which each further report extends. */
+  longestEvaluationDelay: 600 satisfies Milliseconds,
   /** Upper bound of the delay before a daemon announces a crash, to avoid duplicate announcements. */
   announcementJitter: 100 satisfies Milliseconds,
   /** How long a broken replica is tracked while it is unknown whether it crashed. */
@@ -17,9 +19,15 @@
   /** How long crash reports are repeated in regular messages. */
   repeatPeriod: 5_000 satisfies Milliseconds,
   /** How long crashes are kept. */
-  crashRetention: 600_000 satisfies Milliseconds,
-  /** How long a request is rejected after its last arrival. */
+  crashRetention: 1_800_000 satisfies Milliseconds,
+  /** How long a request is rejected; further arrivals do not extend it. */
   term: 900_000 satisfies Milliseconds,
+  /** How long a served request is ruled out as the cause of a crash. */
+  servedRetention: 10_000 satisfies Milliseconds,
+  /** How long quarantine reports from other daemons are rejected for a released request. */
+  releaseRetention: 60_000 satisfies Milliseconds,
+  /** Limit on stored served requests; the least recently served are evicted first. */
+  mostServed: 5_000,
   /** Limit on stored crashes; the oldest are evicted first. */
   mostCrashes: 64,
   /** Limit on stored requests of one crash. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -39,6 +39,7 @@
   | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
   | { event: 'replica-crashed'; replica: string; requests: number; fingerprints: readonly string[] }
   | { event: 'request-quarantined'; fingerprint: string; replicas: string[]; isOwn: boolean }
+  | { event: 'request-released'; fingerprint: string; isOwn: boolean }
   | {
       event: 'replica-limited';
       replica: string;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -37,6 +37,8 @@
     'a replica crashed; includes the number of requests of this daemon under way there, and the first fingerprints',
   'request-quarantined':
     'a request is quarantined because it crashed replicas; includes their IDs, and whether this daemon reports it to the others',
+  'request-released':
+    'a quarantined request is accepted again because a replica served it; includes whether this daemon had reported it',
   'replica-limited':
     'a replica states how many requests a second it takes from all daemons together: one daemon sends to it from now on',
   'replica-unlimited': 'a replica states no limit any more',
--- a/packages/standins/src/lib/network/TcpRelay.ts
+++ b/packages/standins/src/lib/network/TcpRelay.ts
@@ -78,6 +78,23 @@
     });
   }
 
+  /** Resets all connections and stops listening, as when a process exits. */
+  async close(): Promise<void> {
+    const closed = new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+    this.resetConnections();
+    await closed;
+  }
+
+  /** Listens again on the given port. */
+  async reopen(port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, '127.0.0.1', resolve);
+    });
+  }
+
   /** How many connections have been opened so far. */
   getCount(): number {
     return this.count;
