Use limited replicas from all daemons while other replicas have no limit

Cause: while some replicas of a service are limited and others are not, only one daemon sent its own requests to the limited ones. The other daemons sent everything to the rest and overloaded them, while the limited replicas were idle.

Change: as soon as one replica of a service is limited, the daemon that sends to limited replicas places the requests of all daemons, as it already did where all replicas are limited. If it does not answer, a daemon chooses among the replicas without a limit. An unused method is removed.

--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -58,9 +58,10 @@
     const { fleet, book, quarantine } = this.parts;
     const { request } = record;
     const service = book.getService(request.service);
+    const isSuspect = quarantine.isSuspect(request.fingerprint);
     const isDelegable =
       service.getTotalLimit() !== undefined ||
-      (fleet.isLarge && !quarantine.isSuspect(request.fingerprint));
+      (!isSuspect && (fleet.isLarge || service.hasLimits()));
     const group = isDelegable ? service.getGroup(request, request.id) : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
     if (placer === undefined || placer === fleet.self) {
--- a/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
@@ -153,6 +153,11 @@
     return [...this.replicas.values()].filter((state) => state.isStaying);
   }
 
+  /** Whether some of the replicas are limited. */
+  hasLimits(): boolean {
+    return this.getStaying().some(({ replica }) => this.limits.getRate(replica.id) !== undefined);
+  }
+
   /** Sum of the replica limits in requests per second; undefined unless all replicas are limited. */
   getTotalLimit(): number | undefined {
     const staying = this.getStaying();
--- a/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.fuzz.test.ts
+++ b/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.fuzz.test.ts
@@ -118,4 +118,13 @@
     expect(countLateArrivals(fleet)).toBeGreaterThan(offered * 0.6);
     expect(fleet.getOpenRequests()).toBeLessThan(200);
   });
+
+  // Guards against overloading the unlimited replicas while the limited ones are idle.
+  it.each([9, 20])('are used where some are limited, by %i daemons', (daemons) => {
+    const scenario = { seed: 9, daemons, loss: 0.03, limited: 6, perSecond: 3 };
+    const fleet = simulate({ ...scenario, isSkewed: false, restarts: 0 });
+    const offered = (scenario.limited * scenario.perSecond * DURATION) / 2 / 1_000;
+    expect(countLateArrivals(fleet)).toBeGreaterThan(offered * 0.6);
+    expect(getMaximumArrivals(fleet, true)).toBeLessThanOrEqual(getAllowed(scenario.perSecond));
+  });
 });
--- a/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.ts
+++ b/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.ts
@@ -37,8 +37,8 @@
  *
  * Fixed shares per daemon would be wrong for uneven traffic, and counts shared between daemons arrive
  * late. Therefore only the daemon that places requests for a group of replicas sends to its limited
- * replicas. The others exclude these replicas or, if all replicas of a service are limited, delegate
- * placement to that daemon.
+ * replicas. While any replica of a service is limited, the others delegate placement to that daemon;
+ * if it does not answer, they choose among the replicas without a limit.
  */
 export class ReplicaLimits {
   private readonly limits = new Map<string, KnownLimit>();
@@ -51,10 +51,6 @@
 
   constructor(private readonly parts: ReplicaLimitsParts) {}
 
-  isLimited(replica: string): boolean {
-    return this.limits.has(replica);
-  }
-
   /** The replica's limit in requests per second; undefined if it has none. */
   getRate(replica: string): number | undefined {
     return this.limits.get(replica)?.rate.perSecond;
