--- a/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.ts
+++ b/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.ts
@@ -36,8 +36,8 @@
  * Enforces the rate limits that replicas state in their answers across all daemons.
  *
  * Fixed shares per daemon would be wrong for uneven traffic, and counts shared between daemons arrive
- * late. Therefore only the daemon that places requests for a group of replicas sends to its limited
- * replicas. While any replica of a service is limited, the others delegate placement to that daemon;
+ * late. Therefore only the daemon that places requests for a group of replicas uses its limited
+ * replicas, for all daemons. While any replica of a service is limited, the others delegate placement to that daemon;
  * if it does not answer, they choose among the replicas without a limit.
  */
 export class ReplicaLimits {
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -40,7 +40,7 @@
   'request-released':
     'a quarantined request is accepted again because a replica served it; includes whether this daemon had reported it',
   'replica-limited':
-    'a replica states how many requests a second it takes from all daemons together: one daemon sends to it from now on',
+    'a replica states how many requests a second it takes from all daemons together: one daemon places the requests for it from now on',
   'replica-unlimited': 'a replica states no limit any more',
   'limit-refused': 'a replica states a limit that can not be read: it is ignored',
   'placed-for':
