--- a/packages/demo/src/lib/Daemons.ts
+++ b/packages/demo/src/lib/Daemons.ts
@@ -2,7 +2,6 @@
 import type { Settings } from '@apricotrill/model';
 import { createRouterDaemon } from '@apricotrill/router';
 import type { RouterDaemon } from '@apricotrill/router';
-import { getFreePort } from '@apricotrill/standins';
 
 const HOST = '127.0.0.1';
 
@@ -17,6 +16,16 @@
   adminPort: number;
 }
 
+/** Another daemon at which a new one joins. */
+interface Seed {
+  host: string;
+  port: number;
+}
+
+interface JoinedDaemon extends DemoDaemon {
+  meshPort: number;
+}
+
 function createSettings(values: Record<string, unknown>): Settings {
   const result = parseSettings(JSON.stringify(values), 'demo');
   if (!result.ok) {
@@ -35,33 +44,32 @@
 
   /** Starts one daemon in each of the availability zones. */
   async start(platformUrl: string, region: string, zones: string[]): Promise<DemoDaemon[]> {
-    const meshPorts = await Promise.all(zones.map(() => getFreePort(HOST)));
-    const seeds = meshPorts.map((port) => ({ host: HOST, port }));
-    return Promise.all(
-      zones.map((availabilityZone, index) =>
-        this.startOne({
-          id: `daemon-${index + 1}`,
-          region,
-          availabilityZone,
-          host: HOST,
-          port: 0,
-          adminPort: 0,
-          meshPort: meshPorts[index],
-          platformUrl,
-          seeds,
-        }),
-      ),
-    );
+    const startNext = (index: number, seeds: Seed[]) =>
+      this.startOne({
+        id: `daemon-${index + 1}`,
+        region,
+        availabilityZone: zones[index],
+        host: HOST,
+        port: 0,
+        adminPort: 0,
+        meshPort: 0,
+        platformUrl,
+        seeds,
+      });
+    const first = await startNext(0, []);
+    const seeds = [{ host: HOST, port: first.meshPort }];
+    const others = zones.slice(1).map((_zone, index) => startNext(index + 1, seeds));
+    return [first, ...(await Promise.all(others))];
   }
 
   async dispose(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.dispose()));
   }
 
-  private async startOne(values: { id: string } & Record<string, unknown>): Promise<DemoDaemon> {
+  private async startOne(values: { id: string } & Record<string, unknown>): Promise<JoinedDaemon> {
     const daemon = createRouterDaemon(createSettings(values));
     this.daemons.push(daemon);
     const ports = await daemon.start();
-    return { id: values.id, ...ports };
+    return { id: values.id, ...ports, meshPort: ports.meshPort! };
   }
 }
--- a/packages/e2e/src/test/Deployment.ts
+++ b/packages/e2e/src/test/Deployment.ts
@@ -1,4 +1,4 @@
-import { TcpRelay, getFreePort } from '@apricotrill/standins';
+import { TcpRelay } from '@apricotrill/standins';
 import type { CallerLimits } from '@apricotrill/model';
 import { createHash } from 'node:crypto';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
@@ -26,8 +26,8 @@
   port: number;
 }
 
-/** A daemon's settings, on free ports. */
-export async function getSettings(id: string, limits: Partial<CallerLimits> = {}) {
+/** A daemon's settings, on ports that the system chooses. */
+export function getSettings(id: string, limits: Partial<CallerLimits> = {}) {
   return {
     id,
     region: 'etela-suomi',
@@ -35,7 +35,7 @@
     host: '127.0.0.1',
     port: 0,
     adminPort: 0,
-    meshPort: await getFreePort(),
+    meshPort: 0,
     platformUrl: 'http://127.0.0.1:1',
     limits,
   };
@@ -135,7 +135,7 @@
     const register = await this.write('register.jsonc', this.getRegister());
     const rules = await this.write('rules.jsonc', RULES);
     const id = `daemon-${this.daemons.length + 1}`;
-    const settings = await this.write(`${id}.jsonc`, await getSettings(id, limits));
+    const settings = await this.write(`${id}.jsonc`, getSettings(id, limits));
     const args = ['--settings', settings, '--register', register, '--rules', rules];
     const process = this.start(Binary.Router, args);
     const { port, adminPort } = await process.getListening();
--- a/packages/e2e/src/test/LocalDaemon.ts
+++ b/packages/e2e/src/test/LocalDaemon.ts
@@ -67,7 +67,7 @@
     claims: ClaimPort = new MemoryClaims(),
     limits: Partial<CallerLimits> = {},
   ): Promise<LocalDaemon> {
-    const settings = JSON.stringify(await getSettings('local', limits));
+    const settings = JSON.stringify(getSettings('local', limits));
     const local = new LocalDaemon(settings, createLocalState(deployment, claims));
     Object.assign(local, await local.daemon.start());
     return local;
--- a/packages/experiment/src/lib/bench/Bench.ts
+++ b/packages/experiment/src/lib/bench/Bench.ts
@@ -2,7 +2,6 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { getApiKeyHash } from '@apricotrill/model';
-import { getFreePort } from '@apricotrill/standins';
 import { Binary, StartedProcess } from './StartedProcess.js';
 import type { ChatTarget } from './streamChat.js';
 
@@ -69,7 +68,7 @@
         host: HOST,
         port: 0,
         adminPort: 0,
-        meshPort: await getFreePort(HOST),
+        meshPort: 0,
         platformUrl: `http://${HOST}:1`,
       },
     };
--- a/packages/relay/src/lib/daemon/StoreLink.test.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.test.ts
@@ -1,6 +1,5 @@
+import { getQuietPorts } from '@apricotrill/standins';
 import { SystemClock, createRandom } from '@apricotrill/utils';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { ModelStore } from '../../test/ModelStore.js';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { RelayEvent } from '../observe/RelayEvent.js';
@@ -12,16 +11,6 @@
 
 const CHANGE_BOUND = 4_000;
 
-function getFreePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 /** A daemon's link, with what it knows and what it called. */
 class LinkedDaemon {
   readonly log: RelayEvent[] = [];
@@ -130,7 +119,7 @@
   const daemons: LinkedDaemon[] = [];
 
   async function startFleet(store: ObjectSource<number>): Promise<void> {
-    const ports = await Promise.all(Array.from({ length: DAEMONS }, () => getFreePort()));
+    const ports = await getQuietPorts(DAEMONS);
     const entries = ports.map((port, index) => ({
       id: `d-${index}`,
       address: `127.0.0.1:${port}`,
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -1,3 +1,4 @@
+import { getQuietPorts } from '@apricotrill/standins';
 import { SystemClock, createRandom } from '@apricotrill/utils';
 import { createSocket } from 'node:dgram';
 import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
@@ -24,16 +25,6 @@
   }
 }
 
-function getFreePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const socket = createSocket('udp4');
-    socket.bind(0, '127.0.0.1', () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
-}
-
 const ATTEMPT: SharedAttempt = {
   key: 'r/1',
   replica: 'e-1',
@@ -58,8 +49,9 @@
     const events: RelayEvent[] = [];
     const waits: (() => void)[] = [];
     const wake = () => waits.splice(0).forEach((wait) => wait());
+    const [port] = await getQuietPorts(1);
     const link = new PeerLink({
-      self: { id, address: `127.0.0.1:${await getFreePort()}`, availabilityZone: 'zone-a' },
+      self: { id, address: `127.0.0.1:${port}`, availabilityZone: 'zone-a' },
       clock: new SystemClock(),
       random: createRandom(1),
       log: (event) => {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -35,7 +35,6 @@
 export { WeightStore } from './lib/engine/WeightStore.js';
 export type { ListenAddress } from './lib/http/StandinServer.js';
 export { ChangeSignal } from './lib/network/ChangeSignal.js';
-export { getFreePort } from './lib/network/getFreePort.js';
 export { getQuietPorts } from './lib/network/getQuietPorts.js';
 export { RawCaller } from './lib/network/RawCaller.js';
 export { LinkFault, TcpRelay } from './lib/network/TcpRelay.js';
