--- a/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
@@ -1,4 +1,5 @@
-import { defaultPlacementOptions, LeaseManager, PlacementManager } from '@apricotrill/placement';
+import { LeaseManager } from '@apricotrill/lease';
+import { defaultPlacementOptions, PlacementManager } from '@apricotrill/placement';
 import type { EngineOrders, EngineState } from '@apricotrill/placement';
 import { EngineRole } from '@apricotrill/model';
 import type { Replica } from '@apricotrill/model';
--- a/packages/lease/src/lib/Lease/Lease.test.ts
+++ b/packages/lease/src/lib/Lease/Lease.test.ts
@@ -1,9 +1,9 @@
 import type { StoredObject } from '@apricotrill/store';
-import { defaultPlacementOptions } from '../placementOptions.js';
+import { defaultLeaseOptions } from '../leaseOptions.js';
 import { Lease } from './Lease.js';
 import type { LeaseEffect } from './leaseMessages.js';
 
-const options = defaultPlacementOptions.lease;
+const options = defaultLeaseOptions;
 
 function createLease(self = 'daemon-1'): Lease {
   return new Lease({ self, incarnation: '1', options });
--- a/packages/lease/src/lib/Lease/Lease.ts
+++ b/packages/lease/src/lib/Lease/Lease.ts
@@ -6,7 +6,7 @@
 import type { LeaseCall, LeaseWrite } from './LeaseCalls.js';
 import type { LeaseRecord } from './LeaseRecord.js';
 import type { LeaseEffect, LeaseMessage } from './leaseMessages.js';
-import type { LeaseOptions } from '../placementOptions.js';
+import type { LeaseOptions } from '../leaseOptions.js';
 
 /** The object as last seen, and since when it has been seen not to move. */
 interface Sighting {
@@ -29,7 +29,7 @@
   options: LeaseOptions;
 }
 
-const RELEASED = { holder: '', holderIncarnation: '', grantedFor: 0, fencingNumber: 0 };
+const VACANT = { holder: '', holderIncarnation: '', fencingNumber: 0 };
 
 /**
  * One lease at the platform's store, as a state machine without I/O.
@@ -61,7 +61,7 @@
 
   private releasing = false;
 
-  /** The next renewal asks for a new fencing number. */
+  /** The next renewal asks for a new fencing number; until then this daemon does not act. */
   private regrant = false;
 
   constructor(private readonly contender: Contender) {
@@ -84,7 +84,7 @@
 
   /** Whether this daemon may act as holder at this moment. */
   isHeld(now: Milliseconds): boolean {
-    return this.term !== undefined && now < this.term.until && !this.releasing;
+    return this.term !== undefined && now < this.term.until && !this.releasing && !this.regrant;
   }
 
   /** The number for orders; undefined when the lease isn't held. */
@@ -111,6 +111,10 @@
         // the number came from another lease, and a fresh grant is higher than it.
         this.regrant ||= this.term !== undefined && message.highest > this.term.fencingNumber;
         return;
+      case 'suspended':
+        // Another daemon may have taken the lease meanwhile: only a fresh grant proves otherwise.
+        this.regrant ||= this.term !== undefined;
+        return;
       case 'read-answered':
       case 'write-answered':
       case 'call-failed':
@@ -172,6 +176,7 @@
     const record = parseLeaseRecord(object);
     this.seen = { version, record, since: now };
     this.term = this.getTerm(record, version);
+    this.regrant &&= this.term !== undefined;
     this.calls.forgetWrites();
   }
 
@@ -227,7 +232,11 @@
 
   private nextOfRelease(now: Milliseconds): LeaseEffect {
     if (this.isOwn(this.seen?.record)) {
-      return this.calls.write(this.calls.writeAfter, this.getWrite(RELEASED), now);
+      return this.calls.write(
+        this.calls.writeAfter,
+        this.getWrite({ ...VACANT, grantedFor: this.contender.options.rest }),
+        now,
+      );
     }
     this.releasing = false;
     this.term = undefined;
@@ -236,7 +245,7 @@
   }
 
   private nextOfHolder(term: Term, now: Milliseconds): LeaseEffect {
-    const renewAt = Math.max(term.renewAt, this.calls.writeAfter);
+    const renewAt = Math.max(this.regrant ? NEVER : term.renewAt, this.calls.writeAfter);
     if (now < renewAt) {
       return { kind: 'wake', at: Math.min(renewAt, term.until) };
     }
@@ -277,7 +286,7 @@
    * for an expired lease; this record gets a version, which is then watched for a whole span.
    */
   private getVacancy(): LeaseWrite {
-    return this.getWrite({ ...RELEASED, grantedFor: this.contender.options.span });
+    return this.getWrite({ ...VACANT, grantedFor: this.contender.options.span });
   }
 
   private getGrant(fencingNumber: number): LeaseWrite {
--- a/packages/lease/src/lib/Lease/LeaseCalls.ts
+++ b/packages/lease/src/lib/Lease/LeaseCalls.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { LeaseRecord } from './LeaseRecord.js';
 import type { LeaseEffect } from './leaseMessages.js';
-import type { LeaseOptions } from '../placementOptions.js';
+import type { LeaseOptions } from '../leaseOptions.js';
 
 /** The call under way; a write carries its text. */
 export interface LeaseCall {
--- a/packages/lease/src/lib/Lease/LeaseRecord.ts
+++ b/packages/lease/src/lib/Lease/LeaseRecord.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { StoredObject } from '@apricotrill/store';
 import type { Milliseconds } from '@apricotrill/utils';
 
--- a/packages/lease/src/lib/Lease/leaseMessages.ts
+++ b/packages/lease/src/lib/Lease/leaseMessages.ts
@@ -11,6 +11,8 @@
   | { kind: 'call-failed'; attempt: number }
   /** An engine has seen a fencing number above ours. */
   | { kind: 'fenced'; highest: number }
+  /** This process stood still for a while that its clock did not count. */
+  | { kind: 'suspended' }
   | { kind: 'release' };
 
 /** What the lease asks for. At most one call is under way at a time. */
--- a/packages/lease/src/lib/LeaseManager/LeaseManager.test.ts
+++ b/packages/lease/src/lib/LeaseManager/LeaseManager.test.ts
@@ -1,6 +1,6 @@
+import { advance } from '@apricotrill/standins';
 import { ManualClock } from '@apricotrill/utils';
 import type { PlatformStore, StoredObject } from '@apricotrill/store';
-import { advance } from '../../test/Link.js';
 import { LeaseManager } from './LeaseManager.js';
 
 const free: StoredObject = {
--- a/packages/lease/src/lib/LeaseManager/LeaseManager.ts
+++ b/packages/lease/src/lib/LeaseManager/LeaseManager.ts
@@ -3,9 +3,16 @@
 import type { PlatformStore } from '@apricotrill/store';
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import { Lease } from '../Lease/Lease.js';
-import { defaultPlacementOptions } from '../placementOptions.js';
 import type { LeaseEffect, LeaseMessage } from '../Lease/leaseMessages.js';
-import type { LeaseOptions } from '../placementOptions.js';
+import { defaultLeaseOptions } from '../leaseOptions.js';
+import type { LeaseOptions } from '../leaseOptions.js';
+
+/**
+ * The calls to the store that a lease needs.
+ *
+ * @public
+ */
+export type LeaseStore = Pick<PlatformStore, 'get' | 'put'>;
 
 /**
  * What a lease needs around it.
@@ -16,7 +23,7 @@
   /** This daemon's id. */
   self: string;
   clock: Clock;
-  store: PlatformStore;
+  store: LeaseStore;
   /** The object is `leases/<name>`. */
   name: string;
   options?: LeaseOptions;
@@ -24,6 +31,11 @@
   incarnation?: string;
   /** This daemon's place among the lease's candidates, 0 the preferred; 0 when absent. */
   getRank?: () => number;
+  /**
+   * The time of day. A machine that is suspended stands still by `clock` and not by this; when the
+   * two part, the lease is asked for anew before this daemon acts.
+   */
+  getTimeOfDay?: () => Milliseconds;
 }
 
 /**
@@ -63,8 +75,11 @@
 
   private disposed = false;
 
+  /** The time of day less the clock's, when last looked at. */
+  private dayOffset: Milliseconds | undefined;
+
   constructor(private readonly settings: LeaseSettings) {
-    this.options = settings.options ?? defaultPlacementOptions.lease;
+    this.options = settings.options ?? defaultLeaseOptions;
     const incarnation = settings.incarnation ?? randomUUID();
     this.lease = new Lease({ self: settings.self, incarnation, options: this.options });
     this.tick();
@@ -72,11 +87,12 @@
 
   /** Whether this daemon may act as the holder at this very moment. */
   isHeld(): boolean {
-    return !this.disposed && this.lease.isHeld(this.settings.clock.now());
+    return this.getFencingNumber() !== undefined;
   }
 
   /** The number under which to give orders; undefined when the lease isn't held. */
   getFencingNumber(): number | undefined {
+    this.detectSuspension();
     return this.disposed ? undefined : this.lease.getFencingNumber(this.settings.clock.now());
   }
 
@@ -124,6 +140,19 @@
     this.settleReleases();
   }
 
+  private detectSuspension(): void {
+    const { clock, getTimeOfDay } = this.settings;
+    if (getTimeOfDay === undefined) {
+      return;
+    }
+    const offset = getTimeOfDay() - clock.now();
+    const shift = Math.abs(offset - (this.dayOffset ?? offset));
+    this.dayOffset = offset;
+    if (shift > this.options.margin / 2) {
+      this.dispatch({ kind: 'suspended' });
+    }
+  }
+
   private tick(): void {
     this.dispatch({ kind: 'tick', rank: this.settings.getRank?.() ?? 0 });
   }
--- a/packages/placement/src/bench/placementCost.ts
+++ b/packages/placement/src/bench/placementCost.ts
@@ -2,7 +2,7 @@
  * Measures what placement costs at 10 to 6,900 replicas: planning, the rounds of a holder, a look
  * over HTTP, and the ranks of 105 leases over 1,800 daemons. `node dist/bench/placementCost.js`
  */
-import { getLeaseRank } from '../lib/PlacementManager/getLeaseRank.js';
+import { getLeaseRank } from '@apricotrill/lease';
 import { defaultPlacementOptions } from '../lib/placementOptions.js';
 import { measureHolder } from './measureHolder.js';
 import { measureLooks } from './measureLooks.js';
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -13,15 +13,11 @@
   OrderOutcome,
 } from './lib/EngineOrders/EngineOrders.js';
 export { HttpEngineOrders } from './lib/HttpEngineOrders/HttpEngineOrders.js';
-export { getGrantedFencingNumber, parseLeaseRecord } from './lib/Lease/LeaseRecord.js';
-export type { LeaseRecord } from './lib/Lease/LeaseRecord.js';
-export { LeaseManager } from './lib/LeaseManager/LeaseManager.js';
-export type { LeaseListener, LeaseSettings } from './lib/LeaseManager/LeaseManager.js';
 export { DropReason } from './lib/PlacementDecision.js';
 export type { PlacementDecision, PlacementListener } from './lib/PlacementDecision.js';
 export { PlacementManager } from './lib/PlacementManager/PlacementManager.js';
 export type { PlacementSettings } from './lib/PlacementManager/PlacementManager.js';
 export { defaultPlacementOptions } from './lib/placementOptions.js';
-export type { LeaseOptions, PlacementOptions } from './lib/placementOptions.js';
+export type { PlacementOptions } from './lib/placementOptions.js';
 export { OrderReason, PlacementPlanner } from './lib/PlacementPlanner/PlacementPlanner.js';
 export type { PlanInput, PlannedOrder, Witness } from './lib/PlacementPlanner/PlacementPlanner.js';
--- a/packages/placement/src/lib/HttpEngineOrders/HttpEngineOrders.test.ts
+++ b/packages/placement/src/lib/HttpEngineOrders/HttpEngineOrders.test.ts
@@ -4,7 +4,7 @@
 import { ManualClock } from '@apricotrill/utils';
 import type { AddressInfo } from 'node:net';
 import type { Server, ServerResponse } from 'node:http';
-import { settle } from '../../test/Link.js';
+import { settle } from '@apricotrill/standins';
 import { createConfiguration } from '../../test/PlacementWorld.js';
 import { EngineUnavailableError } from '../EngineOrders/EngineOrders.js';
 import { HttpEngineOrders } from './HttpEngineOrders.js';
--- a/packages/placement/src/lib/PlacementManager/PlacementManager.fuzz.test.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.fuzz.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { createRandom } from '@apricotrill/utils';
-import { createDelays } from '../../test/Link.js';
+import { createDelays } from '@apricotrill/standins';
 import { PlacementWorld, worldOptions } from '../../test/PlacementWorld.js';
 import type { Placements } from '../../test/PlacementWorld.js';
 
--- a/packages/placement/src/lib/PlacementManager/PlacementManager.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.ts
@@ -1,11 +1,10 @@
+import { getLeaseRank, LeaseManager } from '@apricotrill/lease';
 import type { Configuration } from '@apricotrill/model';
 import type { PlatformStore } from '@apricotrill/store';
 import type { Clock, Random, Timer } from '@apricotrill/utils';
-import { LeaseManager } from '../LeaseManager/LeaseManager.js';
 import { defaultPlacementOptions } from '../placementOptions.js';
 import { ServicePlacement } from '../ServicePlacement/ServicePlacement.js';
 import { TokenBucket } from '../TokenBucket/TokenBucket.js';
-import { getLeaseRank } from './getLeaseRank.js';
 import { getLoadRates } from './getLoadRates.js';
 import type { EngineOrders } from '../EngineOrders/EngineOrders.js';
 import type { PlacementListener } from '../PlacementDecision.js';
--- a/packages/placement/src/lib/ServicePlacement/ServiceSettings.ts
+++ b/packages/placement/src/lib/ServicePlacement/ServiceSettings.ts
@@ -1,7 +1,7 @@
 import type { Configuration } from '@apricotrill/model';
 import type { Clock } from '@apricotrill/utils';
+import type { LeaseManager } from '@apricotrill/lease';
 import type { EngineOrders } from '../EngineOrders/EngineOrders.js';
-import type { LeaseManager } from '../LeaseManager/LeaseManager.js';
 import type { PlacementListener } from '../PlacementDecision.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { TokenBucket } from '../TokenBucket/TokenBucket.js';
--- a/packages/placement/src/test/Daemon.ts
+++ b/packages/placement/src/test/Daemon.ts
@@ -1,8 +1,7 @@
 import type { Configuration } from '@apricotrill/model';
 import type { ManualClock, Milliseconds, Random } from '@apricotrill/utils';
+import { Link, PausableClock } from '@apricotrill/standins';
 import { PlacementManager } from '../lib/PlacementManager/PlacementManager.js';
-import { Link } from './Link.js';
-import { PausableClock } from './PausableClock.js';
 import type { EngineOrders } from '../lib/EngineOrders/EngineOrders.js';
 import type { PlacementDecision } from '../lib/PlacementDecision.js';
 import type { PlacementOptions } from '../lib/placementOptions.js';
--- a/packages/placement/src/test/FakeStore.ts
+++ b/packages/placement/src/test/FakeStore.ts
@@ -1,7 +1,7 @@
+import { parseLeaseRecord } from '@apricotrill/lease';
 import { StoreUnavailableError } from '@apricotrill/store';
 import type { PlatformStore, PutOutcome, StoredObject } from '@apricotrill/store';
-import { parseLeaseRecord } from '../lib/Lease/LeaseRecord.js';
-import type { Link } from './Link.js';
+import type { Link } from '@apricotrill/standins';
 
 /** A lease granted, as the store saw it. */
 export interface Grant {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -57,3 +57,5 @@
   ServiceStandinOptions,
   ServiceStandinSetup,
 } from './lib/service/ServiceStandin.js';
+export { advance, createDelays, Link, settle } from './lib/process/Link.js';
+export { PausableClock } from './lib/process/PausableClock.js';
