--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -7,4 +7,5 @@
 } from './lib/CallerConnections/CallerConnections.js';
 export { MalformedKind, refuseConnection } from './lib/refuseConnection.js';
 export type { RefusalBody } from './lib/refuseConnection.js';
+export { waitForSocketEvents } from './lib/waitForSocketEvents.js';
 export { waitForAccepted } from './lib/waitForAccepted.js';
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -1,4 +1,4 @@
-import { readBody } from '@apricotrill/callers';
+import { readBody, waitForSocketEvents } from '@apricotrill/callers';
 import type { BodyResult } from '@apricotrill/callers';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -91,6 +91,8 @@
       this.endUnread(response, id, read.kind, clock.now() - arrived);
       return;
     }
+    // A caller that gave up while this daemon was busy has closed its connection by now.
+    await waitForSocketEvents();
     const service = pickService(route, random);
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
@@ -144,7 +146,9 @@
 
   private relay(response: ServerResponse, request: ReceivedRequest): void {
     const { clock, connections, log, metrics, protocol, tell } = this.parts;
+    const after = clock.now() - request.arrived;
     if (response.destroyed) {
+      log({ event: 'caller-left', id: request.id, after });
       return;
     }
     const { id, fingerprint, route, workspace, priority, rank, version } = request;
