--- /dev/null
+++ b/packages/duties/src/index.ts
@@ -0,0 +1,12 @@
+export { DutyManager } from './lib/DutyManager/DutyManager.js';
+export type { DutyManagerParts, DutySettings, DutyStatus } from './lib/DutyManager/DutyManager.js';
+export type { DutyEvent, DutyLog } from './lib/DutyEvent.js';
+export { dutyOptions } from './lib/dutyOptions.js';
+export { CallResult } from './lib/DutyPlatform.js';
+export type { Authority, DutyPlatform, ReplicaOrder, UsageReport } from './lib/DutyPlatform.js';
+export { FleetTime } from './lib/FleetTime/FleetTime.js';
+export type { ScalableService } from './lib/scaling/ScalingDuty/ScalingDuty.js';
+export type { ScalingLimits, ServiceDemand, ZoneSupply } from './lib/scaling/scalingTypes.js';
+export { UsageCounter } from './lib/usage/UsageCounter/UsageCounter.js';
+export { getWindow } from './lib/usage/UsageShare.js';
+export type { UsageShare } from './lib/usage/UsageShare.js';
--- a/packages/relay/src/lib/config/RelayConfiguration.ts
+++ b/packages/relay/src/lib/config/RelayConfiguration.ts
@@ -1,3 +1,4 @@
+import type { ScalingLimits } from '@apricotrill/duties';
 import type { Milliseconds } from '@apricotrill/utils';
 
 /** What may happen to a request more than once. */
@@ -71,6 +72,8 @@
   maxConnections: number;
   /** Present for services whose replicas are model engines. */
   engine?: EngineProfile;
+  /** Present for services whose replicas can be ordered. */
+  scaling?: ScalingLimits;
 }
 
 /** @public */
@@ -127,6 +130,8 @@
   availabilityZone: string;
   slots: number;
   isDraining: boolean;
+  /** Whether the platform may take it back at short notice; absent where it doesn't say. */
+  isPreemptible?: boolean;
   /** How much longer it works slowly after its start. */
   warmupLeft: Milliseconds;
 }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -7,11 +7,14 @@
 import { PlacementCore } from '../decide/PlacementCore/PlacementCore.js';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { CacheSource } from '../follow/CacheFollower/CacheFollower.js';
+import { FleetDuties } from '../duties/FleetDuties/FleetDuties.js';
+import type { DutyParts } from '../duties/FleetDuties/FleetDuties.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import type { RelayProtocol } from '../protocol/RelayProtocol.js';
-import type { PeerDirectory } from '../peers/PeerDirectory.js';
+import type { PeerDirectory, PeerEntry } from '../peers/PeerDirectory.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
+import type { PeerNews } from '../peers/PeerNews.js';
 import { StatusServer } from '../status/StatusServer.js';
 import { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import { HealthChecks } from './HealthChecks/HealthChecks.js';
@@ -40,6 +43,8 @@
   health: HealthSource;
   peers: PeerDirectory;
   quarantine: QuarantineStore;
+  /** Absent where the platform wants no duties carried out. */
+  duties?: DutyParts;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -82,6 +87,8 @@
 
   private readonly quarantine: QuarantineSync;
 
+  private readonly duties: FleetDuties | undefined;
+
   private active: ActiveConfiguration | undefined;
 
   /** When the configuration came into force here. */
@@ -123,6 +130,8 @@
       tell,
       getActive: () => this.active,
       isClosed: () => this.isClosed,
+      onSent: (service, tokens) => this.duties?.noteSent(service, tokens),
+      onEnded: (attempt, workspace) => this.duties?.noteEnded(attempt, workspace),
     });
     this.callers = new CallerServer({
       clock,
@@ -155,10 +164,12 @@
       directory: parts.peers,
       getAll: () => this.core.getSharedAttempts(),
       getRepeated: () => this.core.getRepeated(),
-      onNews: (peer, news) => tell({ kind: 'peer-news', peer, news }),
+      onNews: (peer, news) => this.hear(peer, news),
+      onTime: (peer, sentAt) => this.duties?.noteTime(peer, sentAt),
       onGone: (peer) => tell({ kind: 'peer-gone', peer }),
       onFleet: (daemons) => {
         this.store.setFleet(daemons);
+        this.duties?.setFleet(daemons);
         tell({ kind: 'fleet', self: id, daemons: daemons.map((daemon) => daemon.id) });
       },
       onCount: (daemons) => {
@@ -169,6 +180,7 @@
       getChanges: () => this.store.lastChanges,
       onChanges: (changes) => this.store.noteChangesElsewhere(changes),
     });
+    this.duties = this.createDuties(self);
     this.addGauges();
   }
 
@@ -210,7 +222,7 @@
     this.isClosed = true;
     const census = await this.callers.stopListening();
     log({ event: 'port-closed', after: clock.now() - started, ...census });
-    const unlisted = this.link.unlist();
+    const unlisted = Promise.all([this.link.unlist(), this.duties?.stop()]);
     // Connections whose first request is on its way are waited for as well as open answers.
     while (this.callers.openConnections > 0 && clock.now() < end) {
       // eslint-disable-next-line no-await-in-loop
@@ -245,6 +257,7 @@
   async dispose(): Promise<void> {
     const isStoreClosed = this.store.dispose();
     this.quarantine.dispose();
+    this.duties?.dispose();
     this.watch.dispose();
     this.checks.dispose();
     this.link.dispose();
@@ -254,6 +267,31 @@
     await isStoreClosed;
   }
 
+  private createDuties(self: PeerEntry): FleetDuties | undefined {
+    const { clock, duties, log } = this.parts;
+    return duties === undefined
+      ? undefined
+      : new FleetDuties({
+          ...duties,
+          self,
+          clock,
+          log,
+          tell: (news, to) => this.link.tell(news, to),
+          getServices: () => this.core.book.getScalable(),
+        });
+  }
+
+  private hear(peer: string, news: PeerNews): void {
+    switch (news.kind) {
+      case 'usage':
+      case 'demand':
+        this.duties?.hear(peer, news);
+        break;
+      default:
+        this.core.handle({ kind: 'peer-news', peer, news });
+    }
+  }
+
   private get isReady(): boolean {
     return !this.isStopping && this.active !== undefined && this.hasReplicas;
   }
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -16,6 +16,7 @@
 import { getRequestFingerprint } from '../request/getRequestFingerprint.js';
 import type { ReceivedRequest } from '../request/ReceivedRequest.js';
 import { RelayTask } from '../request/RelayTask.js';
+import type { RelayTaskParts } from '../request/RelayTask.js';
 import { writeRefusal } from '../request/writeRefusal.js';
 import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 
@@ -30,6 +31,8 @@
   protocol: RelayProtocol;
   connections: UpstreamConnections;
   tell: (message: PlacementMessage) => void;
+  onSent: RelayTaskParts['onSent'];
+  onEnded: RelayTaskParts['onEnded'];
   getActive: () => ActiveConfiguration | undefined;
   /** Whether the daemon takes no requests any more. */
   isClosed: () => boolean;
@@ -145,7 +148,7 @@
   }
 
   private relay(response: ServerResponse, request: ReceivedRequest): void {
-    const { clock, connections, log, metrics, protocol, tell } = this.parts;
+    const { clock, connections, log, metrics, protocol, tell, onSent, onEnded } = this.parts;
     const after = clock.now() - request.arrived;
     if (response.destroyed) {
       log({ event: 'caller-left', id: request.id, after });
@@ -172,6 +175,8 @@
       log,
       metrics,
       tell,
+      onSent,
+      onEnded,
       onOver: () => this.tasks.delete(id),
     });
     this.tasks.set(id, task);
--- a/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ReplicaBook.ts
@@ -1,3 +1,4 @@
+import type { ScalableService } from '@apricotrill/duties';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { AttemptEnd } from '../messages.js';
@@ -172,6 +173,11 @@
     return [...this.services].map(([name, { waiting }]) => [name, waiting.size]);
   }
 
+  /** The services whose replicas can be ordered, with what is listed of them. */
+  getScalable(): ScalableService[] {
+    return this.all.flatMap((service) => service.getScalable() ?? []);
+  }
+
   /** How old the last report of each replica is that has sent one. */
   getReportAges(): [string, Milliseconds][] {
     const now = this.parts.clock.now();
--- a/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaBook/ServiceState.ts
@@ -1,3 +1,4 @@
+import type { ScalableService, ZoneSupply } from '@apricotrill/duties';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import { getFleetShare } from '../fleetShare.js';
@@ -153,6 +154,22 @@
     return [...this.replicas.values()].filter((state) => state.isStaying);
   }
 
+  /** What is listed of the service, where its replicas can be ordered. */
+  getScalable(): ScalableService | undefined {
+    const limits = this.known?.scaling;
+    if (limits === undefined) {
+      return undefined;
+    }
+    const supply = new Map<string, ZoneSupply>();
+    this.getStaying().forEach(({ replica }) => {
+      const { availabilityZone, isPreemptible } = replica;
+      const zone = supply.get(availabilityZone) ?? { onDemand: 0, preemptible: 0 };
+      supply.set(availabilityZone, zone);
+      zone[isPreemptible === true ? 'preemptible' : 'onDemand'] += 1;
+    });
+    return { service: this.name, limits, supply, readRate: this.learned.rate.value };
+  }
+
   /** Whether some of the replicas are limited. */
   hasLimits(): boolean {
     return this.getStaying().some(({ replica }) => this.limits.getRate(replica.id) !== undefined);
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -1,4 +1,5 @@
 import type { ConnectionCensus } from '@apricotrill/callers';
+import type { DutyEvent } from '@apricotrill/duties';
 import type { Milliseconds } from '@apricotrill/utils';
 import type {
   AttemptEnd,
@@ -15,6 +16,8 @@
  * @public
  */
 export type RelayEvent =
+  | DutyEvent
+  | { event: 'duties-refused'; reason: string }
   | { event: 'start'; daemon: string; availabilityZone: string; pid: number }
   | { event: 'listening'; callers: string; status: string }
   | { event: 'reload'; changed: string[] }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -60,6 +60,15 @@
   'given-up': 'a request gets no answer of a replica: outcome, reason and what the caller was told',
   'caller-left': 'the caller closed its connection',
   answered: "a request has its answer, with its times and a stream's longest pause",
+  'duties-refused': 'the settings on duties can not be used: the daemon serves without them',
+  'lease-gained': 'this daemon carries out the duties of the fleet from now on, under this number',
+  'lease-lost': 'it does so no longer: the lease ran out, was given up or refused',
+  'usage-settled': 'what is reported for a window is decided and written to the store',
+  'usage-missed': 'nothing will be reported for a window, and why',
+  'usage-reported': 'the platform has taken the usage of a window',
+  'replicas-ordered':
+    'the platform is told how many replicas of a sort a zone is to have, with the reason and what the demand needs',
+  'duty-failed': 'a call of a duty, or one to the store for it, was refused or got no answer',
   'lines-dropped': 'so many lines were held back in the last second',
 };
 
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
-import type { SharedNews } from '../../decide/messages.js';
+import type { PeerNews } from '../PeerNews.js';
 
 /** How news is gathered. */
 export const outboxOptions = {
@@ -16,16 +16,16 @@
 export interface OutboxParts {
   clock: Clock;
   /** Sends news to one daemon; to all that are heard where none is named. */
-  send: (news: SharedNews[], to: string | undefined) => void;
+  send: (news: PeerNews[], to: string | undefined) => void;
 }
 
 interface Pending {
-  news: SharedNews[];
+  news: PeerNews[];
   timer: Timer | undefined;
 }
 
 /** Others may be choosing by it, or wait for it, right now. */
-function isUrgent({ kind }: SharedNews, to: string | undefined): boolean {
+function isUrgent({ kind }: PeerNews, to: string | undefined): boolean {
   switch (kind) {
     case 'placed':
     case 'broke':
@@ -41,6 +41,8 @@
       return to !== undefined;
     case 'ended':
     case 'all':
+    case 'usage':
+    case 'demand':
       return false;
     default:
       return kind satisfies never;
@@ -54,7 +56,7 @@
   constructor(private readonly parts: OutboxParts) {}
 
   /** @param to - the daemon that it is for; undefined for all */
-  add(news: SharedNews, to: string | undefined): void {
+  add(news: PeerNews, to: string | undefined): void {
     const pending = this.pending.get(to) ?? { news: [], timer: undefined };
     this.pending.set(to, pending);
     pending.news.push(news);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -1,9 +1,10 @@
 import { getQuietPorts } from '@apricotrill/standins';
 import { SystemClock, createRandom } from '@apricotrill/utils';
 import { createSocket } from 'node:dgram';
-import type { SharedAttempt, SharedNews } from '../../decide/messages.js';
+import type { SharedAttempt } from '../../decide/messages.js';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
+import type { PeerNews } from '../PeerNews.js';
 import { PeerLink, linkOptions } from './PeerLink.js';
 
 /** The platform's entries, in memory. */
@@ -43,7 +44,7 @@
     attempts: ReadonlyMap<string | undefined, SharedAttempt[]> = new Map(),
   ) {
     const fleets: string[][] = [];
-    const heard: SharedNews[] = [];
+    const heard: PeerNews[] = [];
     const counts: number[] = [];
     const seen: Readonly<Record<string, number>>[] = [];
     const events: RelayEvent[] = [];
@@ -75,6 +76,7 @@
         seen.push(changes);
         wake();
       },
+      onTime: () => undefined,
       onCount: (daemons) => {
         counts.push(daemons);
         wake();
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -9,6 +9,7 @@
 import type { Datagram } from '../datagram/datagram.js';
 import { Outbox } from '../Outbox/Outbox.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
+import type { PeerNews } from '../PeerNews.js';
 import { PeerTable } from '../PeerTable/PeerTable.js';
 import { Rotation } from '../Rotation/Rotation.js';
 
@@ -48,7 +49,9 @@
   getAll: () => ReadonlyMap<string | undefined, SharedAttempt[]>;
   /** Returns what each regular message repeats, since datagrams can be lost. */
   getRepeated: () => SharedNews[];
-  onNews: (peer: string, news: SharedNews) => void;
+  onNews: (peer: string, news: PeerNews) => void;
+  /** What another daemon's clock said when it sent a message. */
+  onTime: (peer: string, sentAt: Milliseconds) => void;
   onGone: (peer: string) => void;
   /** The daemons that are heard, this one included. */
   onFleet: (daemons: PeerEntry[]) => void;
@@ -62,12 +65,11 @@
 
 /** All that is under way, without prompts: these were told of before, and caches are read. */
 function encodeAll(
-  from: PeerEntry,
+  header: Pick<Datagram, 'from' | 'changes' | 'sentAt'>,
   attempts: readonly SharedAttempt[],
-  changes: Record<string, number>,
 ): Buffer {
   const told = attempts.map((attempt) => ({ ...attempt, prompt: undefined }));
-  return encodeDatagram({ from, news: [{ kind: 'all', attempts: told }], changes });
+  return encodeDatagram({ ...header, news: [{ kind: 'all', attempts: told }] });
 }
 
 function splitAddress(address: string): { host: string; port: number } {
@@ -129,7 +131,7 @@
   /**
    * Tells one daemon, or all that are heard; what others may be waiting for at once, the rest soon.
    */
-  tell(news: SharedNews, to?: string): void {
+  tell(news: PeerNews, to?: string): void {
     if (news.kind !== 'broke' || this.mayTellBreak()) {
       this.outbox.add(news, to);
     }
@@ -209,20 +211,20 @@
 
   /** Tells what is under way; each daemon what it is to know, and none of it is empty news. */
   private tellAll(ids: readonly string[], all = this.parts.getAll()): void {
-    const { getRepeated, self } = this.parts;
-    const changes = this.parts.getChanges();
-    const common = encodeAll(self, all.get(undefined) ?? [], changes);
+    const { clock, getRepeated, self } = this.parts;
+    const header = { from: self, changes: this.parts.getChanges(), sentAt: clock.now() };
+    const common = encodeAll(header, all.get(undefined) ?? []);
     // One datagram per item, to stay below the MTU.
     const repeated = getRepeated().map((news) => encodeDatagram({ from: self, news: [news] }));
     ids.forEach((id) => {
       const own = all.get(id);
-      const bytes = own === undefined ? common : encodeAll(self, own, changes);
+      const bytes = own === undefined ? common : encodeAll(header, own);
       const addresses = this.table.getAddresses(id);
       [bytes, ...repeated].forEach((datagram) => this.sendBytes(addresses, datagram));
     });
   }
 
-  private sendTo(addresses: readonly string[], news: SharedNews[]): void {
+  private sendTo(addresses: readonly string[], news: PeerNews[]): void {
     this.sendBytes(addresses, encodeDatagram({ from: this.parts.self, news }));
   }
 
@@ -254,7 +256,7 @@
     if (datagram.from.id === this.parts.self.id) {
       return;
     }
-    const { from, news, changes } = datagram;
+    const { from, news, changes, sentAt } = datagram;
     const { clock, log, onNews } = this.parts;
     if (this.table.noteHeard(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
@@ -263,6 +265,9 @@
       }
       this.tellFleet();
     }
+    if (sentAt !== undefined) {
+      this.parts.onTime(from.id, sentAt);
+    }
     news.forEach((item) => onNews(from.id, item));
     if (changes !== undefined) {
       this.parts.onChanges(changes);
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -1,20 +1,18 @@
+import type { Milliseconds } from '@apricotrill/utils';
 import * as z from 'zod';
 import { AttemptEnd } from '../../decide/messages.js';
-import type {
-  Placement,
-  PlacementAsk,
-  Prompt,
-  SharedAttempt,
-  SharedNews,
-} from '../../decide/messages.js';
+import type { Placement, PlacementAsk, Prompt, SharedAttempt } from '../../decide/messages.js';
+import type { PeerNews } from '../PeerNews.js';
 import type { PeerEntry } from '../PeerDirectory.js';
 
 /** One message between two daemons. */
 export interface Datagram {
   from: PeerEntry;
-  news: SharedNews[];
+  news: PeerNews[];
   /** The revisions of the store's last changes that the sender has heard of, by kind. */
   changes?: Record<string, number>;
+  /** The sender's clock when it sent this, in Unix milliseconds; absent where it does not say. */
+  sentAt?: Milliseconds;
 }
 
 /** Model, input tokens, output tokens, parts. */
@@ -68,7 +66,19 @@
 /** Replica, requests per second (null if the limit was lifted), age. */
 const limitForm = z.tuple([z.string(), z.number().nonnegative().nullable(), z.number()]);
 
+/** Source, window, and counts by workspace. */
+const usageForm = z.tuple([
+  z.string(),
+  z.int().nonnegative(),
+  z.array(z.tuple([z.string(), z.int().nonnegative()])),
+]);
+
+/** Service, prompt tokens a second, attempts under way. */
+const demandForm = z.tuple([z.string(), z.number().nonnegative(), z.int().nonnegative()]);
+
 const newsForm = z.union([
+  z.tuple([z.literal('u'), usageForm]),
+  z.tuple([z.literal('d'), z.array(demandForm)]),
   z.tuple([z.literal('p'), attemptForm]),
   z.tuple([z.literal('a'), z.string()]),
   z.tuple([z.literal('e'), z.string()]),
@@ -83,13 +93,14 @@
   z.tuple([z.literal('l'), z.array(attemptForm)]),
 ]);
 
-/** Name, address and availability zone of the sender; news; changes. */
+/** Name, address and availability zone of the sender; news; changes; its clock. */
 const datagramForm = z.tuple([
   z.string(),
   z.string(),
   z.string(),
   z.array(newsForm),
   z.record(z.string(), z.number()).nullable(),
+  z.number().optional(),
 ]);
 
 type PromptForm = z.infer<typeof promptForm>;
@@ -209,8 +220,21 @@
   return { replica, expected, missingTokens, tokensAhead, copyTime, fetchFrom, fetchTokens };
 }
 
-function encodeNews(news: SharedNews): NewsForm {
+function encodeNews(news: PeerNews): NewsForm {
   switch (news.kind) {
+    case 'usage': {
+      const { source, window, counts } = news.share;
+      return ['u', [source, window, counts.map(([name, count]) => [name, count])]];
+    }
+    case 'demand':
+      return [
+        'd',
+        news.demand.map(({ service, tokensPerSecond, running }) => [
+          service,
+          Math.round(tokensPerSecond),
+          running,
+        ]),
+      ];
     case 'placed':
       return ['p', encodeAttempt(news.attempt)];
     case 'answering':
@@ -256,8 +280,21 @@
   }
 }
 
-function decodeNews(form: NewsForm): SharedNews {
+function decodeNews(form: NewsForm): PeerNews {
   switch (form[0]) {
+    case 'u': {
+      const [source, window, counts] = form[1];
+      return { kind: 'usage', share: { source, window, counts } };
+    }
+    case 'd':
+      return {
+        kind: 'demand',
+        demand: form[1].map(([service, tokensPerSecond, running]) => ({
+          service,
+          tokensPerSecond,
+          running,
+        })),
+      };
     case 'p':
       return { kind: 'placed', attempt: decodeAttempt(form[1]) };
     case 'a':
@@ -309,7 +346,7 @@
 }
 
 /** Writes a message as one datagram. */
-export function encodeDatagram({ from, news, changes }: Datagram): Buffer {
+export function encodeDatagram({ from, news, changes, sentAt }: Datagram): Buffer {
   return Buffer.from(
     JSON.stringify([
       from.id,
@@ -317,6 +354,7 @@
       from.availabilityZone,
       news.map(encodeNews),
       changes ?? null,
+      ...(sentAt === undefined ? [] : [Math.round(sentAt)]),
     ]),
   );
 }
@@ -327,9 +365,9 @@
  * @throws SyntaxError or ZodError when it is none
  */
 export function decodeDatagram(bytes: Buffer): Datagram {
-  const [id, address, availabilityZone, news, changes] = datagramForm.parse(
+  const [id, address, availabilityZone, news, changes, sentAt] = datagramForm.parse(
     JSON.parse(bytes.toString('utf8')),
   );
   const from = { id, address, availabilityZone };
-  return { from, news: news.map(decodeNews), changes: changes ?? undefined };
+  return { from, news: news.map(decodeNews), changes: changes ?? undefined, sentAt };
 }
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from '../config/RelayConfiguration.js';
 import { AttemptEnd, GiveUpReason, Outcome } from '../decide/messages.js';
 import type { PlacementEffect, PlacementMessage, PlacementRequest } from '../decide/messages.js';
+import type { EndedAttempt } from '../duties/RunStarts/RunStarts.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
@@ -26,6 +27,10 @@
   log: RelayLog;
   metrics: RelayMetrics;
   tell: (message: PlacementMessage) => void;
+  /** An attempt was sent to a replica, with so many prompt tokens to read. */
+  onSent: (service: string, tokens: number) => void;
+  /** An attempt that was sent is over. */
+  onEnded: (attempt: EndedAttempt, workspace: string | undefined) => void;
   /** The task is over. */
   onOver: () => void;
 }
@@ -37,6 +42,8 @@
   attempt: number;
   exchange: UpstreamExchange;
   startedAt: Milliseconds;
+  /** When the first whole event of its stream came. */
+  firstEventAt?: Milliseconds;
 }
 
 /** The length of a stream is not known where another replica may go on with it. */
@@ -117,6 +124,7 @@
       }),
     );
     this.running = { attempt, exchange, startedAt };
+    this.parts.onSent(request.service, choice.missingTokens);
     const connection = connections.take(replica);
     const rawHeaders = protocol.getUpstreamHeaders(request.rawHeaders, {
       replica,
@@ -141,6 +149,7 @@
       return;
     }
     this.parts.log({ event: 'cancelled', id, attempt, reason });
+    this.noteEnded(running, AttemptEnd.Cancelled);
     this.running = undefined;
     running.exchange.abort();
     queueMicrotask(() => {
@@ -250,7 +259,8 @@
   }
 
   private startStream(head: AnswerHead): void {
-    const { response } = this.parts;
+    const { clock, response } = this.parts;
+    this.running!.firstEventAt = clock.now();
     // A stream that goes on at another replica keeps the head of the first.
     if (!response.headersSent) {
       response.writeHead(head.status, getEndToEndHeaders(head.rawHeaders, STREAM_DROPPED));
@@ -298,6 +308,9 @@
     const { clock, log, metrics, request, tell } = this.parts;
     const { id, attempt, replica } = effect;
     const { end, status, detail } = result;
+    if (this.running !== undefined) {
+      this.noteEnded(this.running, end);
+    }
     this.running = undefined;
     this.held = result.answer;
     const after = clock.now() - startedAt;
@@ -306,6 +319,15 @@
     tell({ kind: 'attempt-ended', id, attempt, end });
   }
 
+  private noteEnded({ startedAt, firstEventAt }: RunningExchange, end: AttemptEnd): void {
+    const { clock, onEnded, request } = this.parts;
+    const { service, route, workspace } = request;
+    const isStream = route.kind === RouteKind.Stream;
+    const endedAt = clock.now();
+    const attempt = { service, end, sentAt: startedAt, endedAt, firstEventAt, isStream };
+    onEnded(attempt, workspace?.name);
+  }
+
   private noteAnswered(status: number): void {
     const { clock, log, metrics, request } = this.parts;
     const after = clock.now() - request.arrived;
