--- a/packages/duties/src/lib/DutyManager/DutyManager.ts
+++ b/packages/duties/src/lib/DutyManager/DutyManager.ts
@@ -48,7 +48,8 @@
   fencingNumber: number | undefined;
   usageReported: number;
   usageMissed: number;
-  orders: { zone: string; count: number; isPreemptible: boolean; reason: string }[];
+  /** The last order for each sort of replicas, if this daemon gave any. */
+  orders: { service: string; zone: string; sort: string; count: number; reason: string }[];
 }
 
 /** One of the duties, as the loop sees it. */
@@ -114,10 +115,11 @@
       usageReported: reported,
       usageMissed: missed,
       orders: [...this.scaling.lastOrders.values()].map(
-        ({ availabilityZone, count, isPreemptible, reason }) => ({
+        ({ service, availabilityZone, count, isPreemptible, reason }) => ({
+          service,
           zone: availabilityZone,
+          sort: isPreemptible ? 'preemptible' : 'on-demand',
           count,
-          isPreemptible,
           reason,
         }),
       ),
--- a/packages/duties/src/lib/scaling/ReplicaPlanner/ReplicaPlanner.ts
+++ b/packages/duties/src/lib/scaling/ReplicaPlanner/ReplicaPlanner.ts
@@ -69,6 +69,12 @@
   return reading / readingUse + running / runningPerReplica;
 }
 
+/** Replicas that are kept ready while the demand is not known. */
+function getReady(initial: number, { preemptiblePrice }: ScalingLimits): number {
+  const factor = preemptiblePrice === undefined ? 1 : scalingOptions.readyPart / preemptiblePrice;
+  return Math.ceil(initial * Math.max(1, factor));
+}
+
 /**
  * Decides which replicas of one service to order, from the demand, the list and earlier orders; no
  * I/O.
@@ -124,12 +130,16 @@
     const needed = Math.ceil(Math.max(...this.samples.map((sample) => sample.needed)));
     const factor = limits.preemptiblePrice === undefined ? onDemandHeadroom : headroom;
     const isLearned = this.demandSince !== undefined && now - this.demandSince > learnSpan;
-    const least = isLearned ? 0 : this.initial;
+    const least = isLearned ? 0 : getReady(this.initial, limits);
     const wanted = Math.max(least, Math.ceil(needed * factor));
     const last = this.wanted;
     this.wanted =
       last !== undefined && wanted < last && wanted > last * (1 - shrinkBy) ? last : wanted;
-    return { least: Math.ceil(Math.min(this.initial, needed) * leastPart), wanted: this.wanted };
+    return {
+      least: Math.ceil(Math.min(this.initial, needed) * leastPart),
+      usual: this.initial,
+      wanted: this.wanted,
+    };
   }
 
   private getOrder(
--- a/packages/duties/src/lib/scaling/getTargets.ts
+++ b/packages/duties/src/lib/scaling/getTargets.ts
@@ -4,6 +4,8 @@
 export interface ScalingNeed {
   /** Replicas with which all is served, if late: never fewer, of whichever sort. */
   least: number;
+  /** Replicas that there were at the start. */
+  usual: number;
   /** Replicas that serve the demand in time, bursts and losses included. */
   wanted: number;
 }
@@ -15,6 +17,9 @@
     .map(([zone]) => zone);
 }
 
+/** Part of a zone that is given up at a time where all are full, to make room for cheaper replicas. */
+const REPLACED_PART = 0.25;
+
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
 }
@@ -26,6 +31,10 @@
   return new Map(zones.map((zone, index) => [zone, each + (index < rest ? 1 : 0)]));
 }
 
+function getSize({ onDemand, preemptible }: ZoneSupply): number {
+  return onDemand + preemptible;
+}
+
 function sum(supply: ByZone<ZoneSupply>, sort: keyof ZoneSupply): number {
   return [...supply.values()].reduce((total, zone) => total + zone[sort], 0);
 }
@@ -77,7 +86,7 @@
  * few preemptible ones are left that requests would not be served at all.
  */
 export function getTargets(
-  { least, wanted }: ScalingNeed,
+  { least, usual, wanted }: ScalingNeed,
   supply: ByZone<ZoneSupply>,
   limits: ScalingLimits,
 ): Map<string, ZoneTarget> {
@@ -89,14 +98,19 @@
   }
   const preemptible = sum(supply, 'preemptible');
   const onDemand = sum(supply, 'onDemand');
-  const missing = clamp(onDemand, least - preemptible, total - preemptible);
+  const missing = clamp(onDemand, least - preemptible, Math.min(usual, total) - preemptible);
   const kept = shiftOnDemand(supply, zones, Math.max(0, missing) - onDemand, limits);
   const shares = split(total, zones);
+  const isFull = [...supply.values()].every((zone) => getSize(zone) >= mostPerZone);
+  const isStuck = isFull && missing >= onDemand;
+  const given = Math.ceil(mostPerZone * REPLACED_PART);
   return new Map(
     zones.map((zone) => {
-      const taken = Math.max(kept.get(zone)!, supply.get(zone)?.onDemand ?? 0);
-      const room = Math.max(0, mostPerZone - taken);
-      return [zone, { onDemand: kept.get(zone)!, preemptible: Math.min(room, shares.get(zone)!) }];
+      const running = supply.get(zone)?.onDemand ?? 0;
+      const most = isStuck ? Math.max(0, running - given) : mostPerZone;
+      const target = Math.min(kept.get(zone)!, most);
+      const room = Math.max(0, mostPerZone - Math.max(target, running));
+      return [zone, { onDemand: target, preemptible: Math.min(room, shares.get(zone)!) }];
     }),
   );
 }
--- a/packages/duties/src/lib/scaling/scalingOptions.ts
+++ b/packages/duties/src/lib/scaling/scalingOptions.ts
@@ -20,6 +20,11 @@
   onDemandHeadroom: 1.25,
   /** Part of the replicas that the demand needs below which others are ordered at any price. */
   leastPart: 0.5,
+  /**
+   * Preemptible replicas are kept ready for this part of what those cost that were there at the
+   * start, until the demand is known.
+   */
+  readyPart: 0.4,
   /** Fewer replicas are ordered only if they are fewer by this part. */
   shrinkBy: 0.25,
   /** After an order, the list is given the boot time and this to show it. */
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -131,7 +131,8 @@
       getActive: () => this.active,
       isClosed: () => this.isClosed,
       onSent: (service, tokens) => this.duties?.noteSent(service, tokens),
-      onEnded: (attempt, workspace) => this.duties?.noteEnded(attempt, workspace),
+      onEnded: (attempt) => this.duties?.noteEnded(attempt),
+      onRun: (workspace, at) => this.duties?.noteRun(workspace, at),
     });
     this.callers = new CallerServer({
       clock,
@@ -147,6 +148,7 @@
       isReady: () => this.isReady,
       readyPaths: settings.readyPaths,
       metrics,
+      getDuties: () => this.duties?.status,
     });
     this.watch = new ReplicaWatch({ ...parts, tell });
     this.checks = new HealthChecks({
@@ -182,6 +184,9 @@
     });
     this.duties = this.createDuties(self);
     this.addGauges();
+    if (this.duties !== undefined) {
+      this.addDutyGauges(this.duties);
+    }
   }
 
   /** Opens the ports and starts to follow the store. @returns the port for callers */
@@ -277,7 +282,7 @@
           clock,
           log,
           tell: (news, to) => this.link.tell(news, to),
-          getServices: () => this.core.book.getScalable(),
+          getServices: () => [],
         });
   }
 
@@ -339,6 +344,28 @@
     );
   }
 
+  private addDutyGauges(duties: FleetDuties): void {
+    const { metrics } = this.parts;
+    metrics.addGauge('duty_holder', '1 while it carries out the duties of the fleet.', () =>
+      Number(duties.status.isHolder),
+    );
+    metrics.addGauges(
+      'usage_windows',
+      'Windows of usage, by what became of them.',
+      'outcome',
+      () => [
+        ['reported', duties.status.usageReported],
+        ['missed', duties.status.usageMissed],
+      ],
+    );
+    metrics.addGauges('replicas_ordered', 'Replicas last ordered.', 'order', () =>
+      duties.status.orders.map(({ service, zone, sort, count }) => [
+        `${service} ${zone} ${sort}`,
+        count,
+      ]),
+    );
+  }
+
   /** Versions only go forward, whatever order they are heard in. */
   private apply(configuration: RelayConfiguration): void {
     const previous = this.version;
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -33,6 +33,7 @@
   tell: (message: PlacementMessage) => void;
   onSent: RelayTaskParts['onSent'];
   onEnded: RelayTaskParts['onEnded'];
+  onRun: RelayTaskParts['onRun'];
   getActive: () => ActiveConfiguration | undefined;
   /** Whether the daemon takes no requests any more. */
   isClosed: () => boolean;
@@ -148,7 +149,7 @@
   }
 
   private relay(response: ServerResponse, request: ReceivedRequest): void {
-    const { clock, connections, log, metrics, protocol, tell, onSent, onEnded } = this.parts;
+    const { clock, connections, log, metrics, protocol, tell, onSent, onEnded, onRun } = this.parts;
     const after = clock.now() - request.arrived;
     if (response.destroyed) {
       log({ event: 'caller-left', id: request.id, after });
@@ -177,6 +178,7 @@
       tell,
       onSent,
       onEnded,
+      onRun,
       onOver: () => this.tasks.delete(id),
     });
     this.tasks.set(id, task);
--- a/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
+++ b/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
@@ -135,14 +135,20 @@
     this.schedule();
   }
 
-  /** An attempt of a workspace's request is over. */
-  noteEnded(attempt: EndedAttempt, workspace: string | undefined): void {
+  /**
+   * An attempt is over.
+   *
+   * @returns when its replica began to run it; undefined where nothing shows that it did
+   */
+  noteEnded(attempt: EndedAttempt): Milliseconds | undefined {
     this.demand.noteEnded(attempt.service);
-    const start = this.starts.getStart(attempt);
-    if (start !== undefined && workspace !== undefined) {
-      this.counter.count(workspace, this.time.correct(start));
-      this.schedule();
-    }
+    return this.starts.getStart(attempt);
+  }
+
+  /** A replica began to run a request, for the first time. */
+  noteRun(workspace: string, at: Milliseconds): void {
+    this.counter.count(workspace, this.time.correct(at));
+    this.schedule();
   }
 
   /** Tells what it has counted, and gives the lease up if it holds it. */
--- a/packages/relay/src/lib/duties/RunStarts/RunStarts.ts
+++ b/packages/relay/src/lib/duties/RunStarts/RunStarts.ts
@@ -13,25 +13,23 @@
   end: AttemptEnd;
   sentAt: Milliseconds;
   endedAt: Milliseconds;
-  /** When its first event came; absent for plain answers, and for streams without any. */
-  firstEventAt: Milliseconds | undefined;
   isStream: boolean;
 }
 
 /**
  * Estimates when replicas began to run requests, which they do not tell.
  *
- * A stream runs from its first event on. A plain answer comes when the run is over, so its duration
- * without a queue, as learned from the quickest answers, is taken off.
+ * A stream runs from its first event on, so its end shows nothing. A plain answer comes when the run
+ * is over, so its duration without a queue, as learned from the quickest answers, is taken off.
  */
 export class RunStarts {
   private readonly durations = new Map<string, Milliseconds[]>();
 
   /** @returns undefined where nothing shows that the replica began */
   getStart(attempt: EndedAttempt): Milliseconds | undefined {
-    const { end, firstEventAt, isStream } = attempt;
+    const { end, isStream } = attempt;
     if (isStream && end !== AttemptEnd.Failed) {
-      return firstEventAt;
+      return undefined;
     }
     switch (end) {
       case AttemptEnd.Completed:
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -158,7 +158,7 @@
       first.link.tell({ kind: 'answering', key }, 'd-1');
       first.link.tell({ kind: 'ended', key }, 'd-1');
     }
-    const count = ({ heard }: typeof first, kind: SharedNews['kind']) =>
+    const count = ({ heard }: typeof first, kind: PeerNews['kind']) =>
       heard.filter((news) => news.kind === kind).length;
     await second.until(() => count(second, 'placed') === 100 && count(second, 'ended') === 100);
     await third.until(() => third.seen.length > seenBefore);
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -48,6 +48,7 @@
   it('comes out as it went in', () => {
     const datagram: Datagram = {
       from: FROM,
+      sentAt: 1_770_436_976_235,
       news: [
         { kind: 'placed', attempt: ATTEMPT },
         { kind: 'answering', key: 'k' },
@@ -61,6 +62,11 @@
           kind: 'reply',
           reply: { key: 'k', placement: { ...PLACEMENT, fetchFrom: 'i-2', fetchTokens: 900 } },
         },
+        {
+          kind: 'usage',
+          share: { source: 'd-1/17', window: 354_087_399, counts: [['shop', 4]] },
+        },
+        { kind: 'demand', demand: [{ service: 'llm', tokensPerSecond: 900, running: 3 }] },
         { kind: 'broke', replica: 'i-1' },
         { kind: 'crashed', replica: 'i-1', fingerprints: ['a', 'b'] },
         { kind: 'cleared', fingerprint: 'a' },
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -29,8 +29,14 @@
   tell: (message: PlacementMessage) => void;
   /** An attempt was sent to a replica, with so many prompt tokens to read. */
   onSent: (service: string, tokens: number) => void;
-  /** An attempt that was sent is over. */
-  onEnded: (attempt: EndedAttempt, workspace: string | undefined) => void;
+  /**
+   * An attempt that was sent is over.
+   *
+   * @returns when its replica began to run it; undefined where nothing shows that it did
+   */
+  onEnded: (attempt: EndedAttempt) => Milliseconds | undefined;
+  /** A replica began to run the request, for the first time. */
+  onRun: (workspace: string, at: Milliseconds) => void;
   /** The task is over. */
   onOver: () => void;
 }
@@ -42,8 +48,6 @@
   attempt: number;
   exchange: UpstreamExchange;
   startedAt: Milliseconds;
-  /** When the first whole event of its stream came. */
-  firstEventAt?: Milliseconds;
 }
 
 /** The length of a stream is not known where another replica may go on with it. */
@@ -72,6 +76,9 @@
 
   private attempts = 0;
 
+  /** Whether a replica began to run it: a request counts once, however often it is run. */
+  private hasRun = false;
+
   private replica = '';
 
   private isOver = false;
@@ -260,7 +267,7 @@
 
   private startStream(head: AnswerHead): void {
     const { clock, response } = this.parts;
-    this.running!.firstEventAt = clock.now();
+    this.noteRun(clock.now());
     // A stream that goes on at another replica keeps the head of the first.
     if (!response.headersSent) {
       response.writeHead(head.status, getEndToEndHeaders(head.rawHeaders, STREAM_DROPPED));
@@ -319,13 +326,23 @@
     tell({ kind: 'attempt-ended', id, attempt, end });
   }
 
-  private noteEnded({ startedAt, firstEventAt }: RunningExchange, end: AttemptEnd): void {
+  private noteEnded({ startedAt }: RunningExchange, end: AttemptEnd): void {
     const { clock, onEnded, request } = this.parts;
-    const { service, route, workspace } = request;
+    const { service, route } = request;
     const isStream = route.kind === RouteKind.Stream;
-    const endedAt = clock.now();
-    const attempt = { service, end, sentAt: startedAt, endedAt, firstEventAt, isStream };
-    onEnded(attempt, workspace?.name);
+    const attempt = { service, end, sentAt: startedAt, endedAt: clock.now(), isStream };
+    const start = onEnded(attempt);
+    if (start !== undefined) {
+      this.noteRun(start);
+    }
+  }
+
+  private noteRun(at: Milliseconds): void {
+    const { onRun, request } = this.parts;
+    if (!this.hasRun && request.workspace !== undefined) {
+      onRun(request.workspace.name, at);
+    }
+    this.hasRun = true;
   }
 
   private noteAnswered(status: number): void {
--- a/packages/relay/src/lib/status/StatusServer.ts
+++ b/packages/relay/src/lib/status/StatusServer.ts
@@ -10,6 +10,8 @@
   /** Further paths at which readiness is asked for. */
   readyPaths: readonly string[];
   metrics: RelayMetrics;
+  /** What operators are shown of duties; undefined where there are none. */
+  getDuties: () => unknown;
 }
 
 /** Answers the balancer's question for readiness, and serves metrics. */
@@ -23,6 +25,7 @@
     ['/ready', ...view.readyPaths].forEach((path) => {
       app.get(path, (_request, response) => this.writeReady(response));
     });
+    app.get('/duties', (_request, response) => this.writeDuties(response));
     app.get('/metrics', (_request, response) => this.writeMetrics(response));
     this.handler = app.handler.bind(app) as unknown as typeof this.handler;
   }
@@ -51,6 +54,13 @@
     response.end(JSON.stringify({ ready: isReady }));
   }
 
+  private writeDuties(response: ServerResponse): void {
+    const duties = this.view.getDuties();
+    response.statusCode = duties === undefined ? 404 : 200;
+    response.setHeader('content-type', 'application/json');
+    response.end(JSON.stringify(duties ?? { reason: 'the platform wants no duties' }));
+  }
+
   private async writeMetrics(response: ServerResponse): Promise<void> {
     const { registry } = this.view.metrics;
     const text = await registry.metrics();
