--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -282,7 +282,7 @@
           clock,
           log,
           tell: (news, to) => this.link.tell(news, to),
-          getServices: () => [],
+          getServices: () => this.core.book.getScalable(),
         });
   }
 
