--- /dev/null
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -0,0 +1,133 @@
+import type { PlacementEffect } from '../decide/messages.js';
+import type { RelayLog } from '../observe/RelayEvent.js';
+import type { RelayMetrics } from '../observe/RelayMetrics.js';
+import type { PeerLink } from '../peers/PeerLink/PeerLink.js';
+import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
+import type { HealthChecks } from './HealthChecks/HealthChecks.js';
+import type { QuarantineSync } from './QuarantineSync/QuarantineSync.js';
+import type { ReplicaWatch } from './ReplicaWatch.js';
+import type { RequestIntake } from './RequestIntake.js';
+
+/** What effects are performed with. */
+export interface EffectPerformerParts {
+  log: RelayLog;
+  metrics: RelayMetrics;
+  intake: RequestIntake;
+  link: PeerLink;
+  watch: ReplicaWatch;
+  checks: HealthChecks;
+  quarantine: QuarantineSync;
+  connections: UpstreamConnections;
+}
+
+/** Limit on fingerprints in one log line. */
+const MOST_LOGGED_FINGERPRINTS = 20;
+
+/** Does what the placement core decides, and logs it. */
+export class EffectPerformer {
+  constructor(private readonly parts: EffectPerformerParts) {}
+
+  perform(effect: PlacementEffect): void {
+    const { checks, connections, intake, link, log, metrics, quarantine, watch } = this.parts;
+    switch (effect.kind) {
+      case 'send':
+        intake.getTask(effect.id)?.send(effect);
+        break;
+      case 'cancel':
+        intake.getTask(effect.id)?.cancel(effect);
+        break;
+      case 'give-up':
+        intake.getTask(effect.id)?.giveUp(effect);
+        break;
+      case 'settle':
+        intake.getTask(effect.id)?.settle();
+        break;
+      case 'share':
+        link.tell(effect.news, effect.to);
+        break;
+      case 'placed-for': {
+        const { peer, key, choice } = effect;
+        log({ event: 'placed-for', peer, key, replica: effect.replica.id, choice });
+        break;
+      }
+      case 'placer-silent':
+        log({ event: 'placer-silent', peer: effect.peer, span: effect.span });
+        break;
+      case 'follow-caches':
+        watch.setFollowed(effect.engines);
+        break;
+      case 'question': {
+        const { id, service } = effect.replica;
+        log({ event: 'replica-questioned', replica: id, service });
+        checks.question(effect.replica);
+        break;
+      }
+      case 'probe':
+        checks.probe(effect.replica).catch((error: unknown) => {
+          log({ event: 'fault', step: 'probe a replica', error: String(error) });
+        });
+        break;
+      case 'crashed': {
+        const { replica, fingerprints } = effect;
+        metrics.replicaCrashes.inc();
+        const first = fingerprints.slice(0, MOST_LOGGED_FINGERPRINTS);
+        const requests = fingerprints.length;
+        log({ event: 'replica-crashed', replica, requests, fingerprints: first });
+        break;
+      }
+      case 'quarantined': {
+        const { request, isOwn } = effect;
+        const { fingerprint, replicas } = request;
+        log({ event: 'request-quarantined', fingerprint, replicas, isOwn });
+        if (isOwn) {
+          quarantine.save(request).catch((error: unknown) => {
+            log({ event: 'fault', step: 'save quarantine', error: String(error) });
+          });
+        }
+        break;
+      }
+      case 'released': {
+        const { fingerprint, isOwn } = effect;
+        log({ event: 'request-released', fingerprint, isOwn });
+        if (isOwn) {
+          quarantine.remove(fingerprint).catch((error: unknown) => {
+            log({ event: 'fault', step: 'remove quarantine', error: String(error) });
+          });
+        }
+        break;
+      }
+      case 'limited': {
+        const { replica, perSecond, previous } = effect;
+        log({ event: 'replica-limited', replica, perSecond, previous });
+        break;
+      }
+      case 'unlimited':
+        log({ event: 'replica-unlimited', replica: effect.replica });
+        break;
+      case 'limit-refused':
+        log({ event: 'limit-refused', replica: effect.replica, text: effect.text });
+        break;
+      case 'suspect': {
+        const { replica, reason } = effect;
+        const { id, service } = replica;
+        log({ event: 'replica-suspect', replica: id, service, reason });
+        connections.closeResting(replica);
+        checks.add(replica);
+        break;
+      }
+      case 'trust': {
+        const { id, service } = effect.replica;
+        log({ event: 'replica-trusted', replica: id, service });
+        break;
+      }
+      case 'avoid': {
+        const { replica, span } = effect;
+        const { id, service } = replica;
+        log({ event: 'replica-avoided', replica: id, service, span });
+        break;
+      }
+      default:
+        effect satisfies never;
+    }
+  }
+}
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -3,7 +3,7 @@
 import { createActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { RelayConfiguration, RelayReplica } from '../config/RelayConfiguration.js';
-import type { PlacementEffect, PlacementMessage } from '../decide/messages.js';
+import type { PlacementMessage } from '../decide/messages.js';
 import { PlacementCore } from '../decide/PlacementCore/PlacementCore.js';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { CacheSource } from '../follow/CacheFollower/CacheFollower.js';
@@ -17,6 +17,8 @@
 import type { PeerNews } from '../peers/PeerNews.js';
 import { StatusServer } from '../status/StatusServer.js';
 import { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
+import { addDaemonGauges, addDutyGauges } from './addDaemonGauges.js';
+import { EffectPerformer } from './EffectPerformer.js';
 import { HealthChecks } from './HealthChecks/HealthChecks.js';
 import type { HealthSource } from './HealthChecks/HealthChecks.js';
 import type { RelaySettings } from './RelaySettings.js';
@@ -47,15 +49,6 @@
   duties?: DutyParts;
 }
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
-/** Limit on fingerprints in one log line. */
-const MOST_LOGGED_FINGERPRINTS = 20;
-
-function getSeconds(span: Milliseconds): number {
-  return span / MILLISECONDS_PER_SECOND;
-}
-
 /**
  * The relay's process: follows the store, takes callers' requests, and performs what the placement
  * core decides.
@@ -89,6 +82,8 @@
 
   private readonly duties: FleetDuties | undefined;
 
+  private readonly performer: EffectPerformer;
+
   private active: ActiveConfiguration | undefined;
 
   /** When the configuration came into force here. */
@@ -110,7 +105,7 @@
     const { ratio, window, slack } = settings.retries;
     this.core = new PlacementCore({
       clock,
-      emit: (effect) => this.perform(effect),
+      emit: (effect) => this.performer.perform(effect),
       options: {
         retryRatio: ratio,
         retryWindow: window,
@@ -183,10 +178,8 @@
       onChanges: (changes) => this.store.noteChangesElsewhere(changes),
     });
     this.duties = this.createDuties(self);
+    this.performer = this.createPerformer();
     this.addGauges();
-    if (this.duties !== undefined) {
-      this.addDutyGauges(this.duties);
-    }
   }
 
   /** Opens the ports and starts to follow the store. @returns the port for callers */
@@ -272,6 +265,38 @@
     await isStoreClosed;
   }
 
+  private createPerformer(): EffectPerformer {
+    const { log, metrics } = this.parts;
+    const { checks, connections, intake, link, quarantine, watch } = this;
+    return new EffectPerformer({
+      log,
+      metrics,
+      checks,
+      connections,
+      intake,
+      link,
+      quarantine,
+      watch,
+    });
+  }
+
+  private addGauges(): void {
+    const { clock, metrics } = this.parts;
+    const { core, connections, link, store } = this;
+    addDaemonGauges(metrics, {
+      core,
+      connections,
+      link,
+      store,
+      isReady: () => this.isReady,
+      getVersion: () => this.version,
+      getVersionAge: () => (this.activeSince === undefined ? 0 : clock.now() - this.activeSince),
+    });
+    if (this.duties !== undefined) {
+      addDutyGauges(metrics, this.duties);
+    }
+  }
+
   private createDuties(self: PeerEntry): FleetDuties | undefined {
     const { clock, duties, log } = this.parts;
     return duties === undefined
@@ -305,67 +330,6 @@
     return this.active?.configuration.version;
   }
 
-  private addGauges(): void {
-    const { clock, metrics } = this.parts;
-    const { core, connections, link } = this;
-    metrics.addGauge('open_requests', 'Requests under way.', () => core.openRequests);
-    metrics.addGauge('upstream_connections', 'Open to replicas.', () => connections.size);
-    metrics.addGauge('peers', 'Other daemons that are heard.', () => link.livePeers);
-    metrics.addGauge(
-      'quarantined_requests',
-      'Requests that are rejected.',
-      () => core.quarantine.size,
-    );
-    metrics.addGauge('ready', '1 while new callers are welcome.', () => Number(this.isReady));
-    metrics.addGauge('store_reader', '1 while it reads the store for others.', () =>
-      Number(this.store.isReader),
-    );
-    metrics.addGauge('configuration_version', 'In force here.', () => this.version ?? 0);
-    metrics.addGauge('configuration_age_seconds', 'Since it came into force here.', () =>
-      getSeconds(this.activeSince === undefined ? 0 : clock.now() - this.activeSince),
-    );
-    metrics.addGauges(
-      'store_reached',
-      '1 where the last call was answered.',
-      'object',
-      () => this.store.states,
-    );
-    metrics.addGauges('replica_limit', 'Requests a second, as stated.', 'replica', () =>
-      core.limits.getRates(),
-    );
-    metrics.addGauges('waiting_requests', 'Without a place at a replica.', 'service', () =>
-      core.book.getWaitingCounts(),
-    );
-    metrics.addGauges('repeats_left', 'Repeats that may be sent now.', 'service', () =>
-      core.book.getRepeatsLeft(),
-    );
-    metrics.addGauges('report_age_seconds', "Of a replica's last word.", 'replica', () =>
-      core.book.getReportAges().map(([id, age]) => [id, getSeconds(age)] as const),
-    );
-  }
-
-  private addDutyGauges(duties: FleetDuties): void {
-    const { metrics } = this.parts;
-    metrics.addGauge('duty_holder', '1 while it carries out the duties of the fleet.', () =>
-      Number(duties.status.isHolder),
-    );
-    metrics.addGauges(
-      'usage_windows',
-      'Windows of usage, by what became of them.',
-      'outcome',
-      () => [
-        ['reported', duties.status.usageReported],
-        ['missed', duties.status.usageMissed],
-      ],
-    );
-    metrics.addGauges('replicas_ordered', 'Replicas last ordered.', 'order', () =>
-      duties.status.orders.map(({ service, zone, sort, count }) => [
-        `${service} ${zone} ${sort}`,
-        count,
-      ]),
-    );
-  }
-
   /** Versions only go forward, whatever order they are heard in. */
   private apply(configuration: RelayConfiguration): void {
     const previous = this.version;
@@ -392,110 +356,6 @@
     this.checks.retain(ids);
   }
 
-  private perform(effect: PlacementEffect): void {
-    const { log, metrics } = this.parts;
-    switch (effect.kind) {
-      case 'send':
-        this.intake.getTask(effect.id)?.send(effect);
-        break;
-      case 'cancel':
-        this.intake.getTask(effect.id)?.cancel(effect);
-        break;
-      case 'give-up':
-        this.intake.getTask(effect.id)?.giveUp(effect);
-        break;
-      case 'settle':
-        this.intake.getTask(effect.id)?.settle();
-        break;
-      case 'share':
-        this.link.tell(effect.news, effect.to);
-        break;
-      case 'placed-for': {
-        const { peer, key, choice } = effect;
-        log({ event: 'placed-for', peer, key, replica: effect.replica.id, choice });
-        break;
-      }
-      case 'placer-silent':
-        log({ event: 'placer-silent', peer: effect.peer, span: effect.span });
-        break;
-      case 'follow-caches':
-        this.watch.setFollowed(effect.engines);
-        break;
-      case 'question': {
-        const { id, service } = effect.replica;
-        log({ event: 'replica-questioned', replica: id, service });
-        this.checks.question(effect.replica);
-        break;
-      }
-      case 'probe':
-        this.checks.probe(effect.replica).catch((error: unknown) => {
-          log({ event: 'fault', step: 'probe a replica', error: String(error) });
-        });
-        break;
-      case 'crashed': {
-        const { replica, fingerprints } = effect;
-        metrics.replicaCrashes.inc();
-        const first = fingerprints.slice(0, MOST_LOGGED_FINGERPRINTS);
-        const requests = fingerprints.length;
-        log({ event: 'replica-crashed', replica, requests, fingerprints: first });
-        break;
-      }
-      case 'quarantined': {
-        const { request, isOwn } = effect;
-        const { fingerprint, replicas } = request;
-        log({ event: 'request-quarantined', fingerprint, replicas, isOwn });
-        if (isOwn) {
-          this.quarantine.save(request).catch((error: unknown) => {
-            log({ event: 'fault', step: 'save quarantine', error: String(error) });
-          });
-        }
-        break;
-      }
-      case 'released': {
-        const { fingerprint, isOwn } = effect;
-        log({ event: 'request-released', fingerprint, isOwn });
-        if (isOwn) {
-          this.quarantine.remove(fingerprint).catch((error: unknown) => {
-            log({ event: 'fault', step: 'remove quarantine', error: String(error) });
-          });
-        }
-        break;
-      }
-      case 'limited': {
-        const { replica, perSecond, previous } = effect;
-        log({ event: 'replica-limited', replica, perSecond, previous });
-        break;
-      }
-      case 'unlimited':
-        log({ event: 'replica-unlimited', replica: effect.replica });
-        break;
-      case 'limit-refused':
-        log({ event: 'limit-refused', replica: effect.replica, text: effect.text });
-        break;
-      case 'suspect': {
-        const { replica, reason } = effect;
-        const { id, service } = replica;
-        log({ event: 'replica-suspect', replica: id, service, reason });
-        this.connections.closeResting(replica);
-        this.checks.add(replica);
-        break;
-      }
-      case 'trust': {
-        const { id, service } = effect.replica;
-        log({ event: 'replica-trusted', replica: id, service });
-        break;
-      }
-      case 'avoid': {
-        const { replica, span } = effect;
-        const { id, service } = replica;
-        log({ event: 'replica-avoided', replica: id, service, span });
-        break;
-      }
-      default:
-        effect satisfies never;
-    }
-  }
-
   private sleep(span: number): Promise<void> {
     return new Promise((resolve) => {
       this.parts.clock.setTimer(span, resolve);
