--- a/packages/relay/src/lib/http/HttpCaller.ts
+++ b/packages/relay/src/lib/http/HttpCaller.ts
@@ -1,6 +1,9 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import { StepError } from '@apricotrill/utils';
+import { gunzipSync } from 'node:zlib';
 import { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
+import { Watchdog } from './Watchdog.js';
 
 /** A whole answer. */
 export interface HttpAnswer {
@@ -18,7 +21,7 @@
   path: string;
   headers?: Record<string, string>;
   body?: string;
-  /** The whole call ends by then. */
+  /** The call fails when no byte of the answer came for so long. */
   timeout: Milliseconds;
   signal?: AbortSignal;
 }
@@ -29,6 +32,19 @@
 /** Shorter than any of the peers keeps a connection that rests. */
 const IDLE_TIMEOUT: Milliseconds = 3_000;
 
+async function readBody(
+  { headers, body }: Dispatcher.ResponseData,
+  onProgress: () => void,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body) {
+    onProgress();
+    chunks.push(chunk as Buffer);
+  }
+  const bytes = Buffer.concat(chunks);
+  return (headers['content-encoding'] === 'gzip' ? gunzipSync(bytes) : bytes).toString('utf8');
+}
+
 /**
  * Calls over HTTP; each ends in a whole answer or in an error, and in time. A call that got no
  * answer takes its connection with it, since that may have gone silent for good.
@@ -45,7 +61,7 @@
   /** @throws StepError when no whole answer came in time */
   async call(call: HttpCall): Promise<HttpAnswer> {
     const { step, method, address, path, headers, body, timeout, signal } = call;
-    const late = AbortSignal.timeout(timeout);
+    const watchdog = new Watchdog(timeout);
     try {
       const response = await this.agent.request({
         origin: `http://${address}`,
@@ -56,12 +72,16 @@
           ...headers,
           ...(body === undefined ? {} : { 'content-type': 'application/json' }),
         },
-        signal: signal === undefined ? late : AbortSignal.any([late, signal]),
+        signal: signal === undefined ? watchdog.signal : AbortSignal.any([watchdog.signal, signal]),
       });
-      return { status: response.statusCode, text: await response.body.text() };
+      watchdog.noteProgress();
+      const text = await readBody(response, () => watchdog.noteProgress());
+      return { status: response.statusCode, text };
     } catch (cause) {
       const message = cause instanceof Error ? cause.message : String(cause);
       throw new StepError(message, { step, peer: address, cause });
+    } finally {
+      watchdog.end();
     }
   }
 
--- /dev/null
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
@@ -0,0 +1,58 @@
+import { getQuietPorts } from '@apricotrill/standins';
+import { ManualClock } from '@apricotrill/utils';
+import { Agent } from 'undici';
+import { HttpCaller } from '../../http/HttpCaller.js';
+import { createAskReader } from '../createAskReader.js';
+import { SharedObjects } from '../SharedObjects/SharedObjects.js';
+import { OBJECTS_PATH, ObjectServer } from './ObjectServer.js';
+
+/** A configuration that grew by many routes, as one object. */
+const LARGE = Array.from({ length: 1_700 }, (_item, index) => ({
+  name: `r-${index}`,
+  host: 'a.example',
+  pathPrefix: `/path-${index}/`,
+  timeout: 5_000,
+}));
+
+const HOST = '127.0.0.1';
+
+describe('ObjectServer', () => {
+  const server = new ObjectServer({
+    log: () => undefined,
+    longestWait: 1_000,
+    onAsked: () => undefined,
+  });
+
+  const caller = new HttpCaller();
+
+  const agent = new Agent();
+
+  afterAll(async () => {
+    server.dispose();
+    await caller.dispose();
+    await agent.destroy();
+  });
+
+  // Guards against a large configuration that a reader's link takes seconds to tell to all.
+  it('tells a large state in a tenth of its bytes', async () => {
+    const objects = new SharedObjects<unknown>(new ManualClock(), 'epoch', () => 7);
+    objects.update(new Map([['main', LARGE]]));
+    server.add('configuration', objects);
+    const [port] = await getQuietPorts(1);
+    await server.listen(HOST, port!);
+    const address = `${HOST}:${port}`;
+    const ask = createAskReader(caller, 'configuration');
+    const peer = { id: 'd-1', address, availabilityZone: 'a' };
+    const answer = await ask(peer, { since: '', wait: 0 }, new AbortController().signal);
+    expect(answer).toMatchObject({ kind: 'state', state: { revision: 7, isWhole: true } });
+    expect(answer.kind === 'state' && answer.state.changes).toEqual([['main', LARGE]]);
+    const { body } = await agent.request({
+      origin: `http://${address}`,
+      path: `${OBJECTS_PATH}/configuration?since=&wait=0`,
+      method: 'GET',
+      headers: { 'accept-encoding': 'gzip' },
+    });
+    const { byteLength } = await body.arrayBuffer();
+    expect(byteLength).toBeLessThan(JSON.stringify(LARGE).length / 10);
+  });
+});
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import { constants, gzipSync } from 'node:zlib';
 import polka from 'polka';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayLog } from '../../observe/RelayEvent.js';
@@ -17,6 +18,9 @@
   onAsked: () => void;
 }
 
+/** Characters from which on an answer is compressed: daemons have slow links and little time. */
+const LEAST_COMPRESSED = 16_384;
+
 const OK = 200;
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
@@ -33,6 +37,9 @@
 
   private readonly server: Server;
 
+  /** What was compressed last. */
+  private last: { text: string; bytes: Buffer } | undefined;
+
   constructor(private readonly parts: ObjectServerParts) {
     const app = polka({ server: createServer() });
     app.get(`${OBJECTS_PATH}/:kind`, (request, response) => {
@@ -77,8 +84,27 @@
     const { longestWait, onAsked } = this.parts;
     onAsked();
     const state = await objects.ask(query.get('since') ?? '', Math.min(wait, longestWait));
-    response.statusCode = state === undefined ? UNAVAILABLE : OK;
     response.setHeader('content-type', 'application/json');
-    response.end(JSON.stringify(state ?? { reason: 'the store gives this daemon no answer' }));
+    if (state === undefined) {
+      response.statusCode = UNAVAILABLE;
+      response.end(JSON.stringify({ reason: 'the store gives this daemon no answer' }));
+      return;
+    }
+    response.statusCode = OK;
+    const isCompressed = request.headers['accept-encoding'] === 'gzip';
+    this.writeState(response, JSON.stringify(state), isCompressed);
+  }
+
+  /** All daemons of a group ask for the same at the same moment. */
+  private writeState(response: ServerResponse, text: string, isCompressed: boolean): void {
+    if (!isCompressed || text.length < LEAST_COMPRESSED) {
+      response.end(text);
+      return;
+    }
+    if (this.last?.text !== text) {
+      this.last = { text, bytes: gzipSync(text, { level: constants.Z_BEST_SPEED }) };
+    }
+    response.setHeader('content-encoding', 'gzip');
+    response.end(this.last.bytes);
   }
 }
--- a/packages/relay/src/lib/readers/createAskReader.ts
+++ b/packages/relay/src/lib/readers/createAskReader.ts
@@ -26,6 +26,7 @@
         method: 'GET',
         address,
         path: `${OBJECTS_PATH}/${kind}?since=${encodeURIComponent(since)}&wait=${Math.round(wait)}`,
+        headers: { 'accept-encoding': 'gzip' },
         timeout: wait + readerOptions.answerSlack,
         signal,
       });
