--- a/packages/duties/src/lib/FleetTime/FleetTime.ts
+++ b/packages/duties/src/lib/FleetTime/FleetTime.ts
@@ -26,7 +26,7 @@
    * @param said - Unix milliseconds by its clock when it sent the message
    * @param now - Unix milliseconds by this daemon's own clock
    */
-  note(daemon: string, said: Milliseconds, now: Milliseconds): void {
+  record(daemon: string, said: Milliseconds, now: Milliseconds): void {
     this.readings.set(daemon, { offset: said - now, heardAt: now });
   }
 
--- a/packages/duties/src/lib/scaling/DemandMeter/DemandMeter.ts
+++ b/packages/duties/src/lib/scaling/DemandMeter/DemandMeter.ts
@@ -2,7 +2,7 @@
 import { scalingOptions } from '../scalingOptions.js';
 import type { ServiceDemand } from '../scalingTypes.js';
 
-interface Word {
+interface DemandReport {
   demand: readonly ServiceDemand[];
   heardAt: Milliseconds;
 }
@@ -13,19 +13,19 @@
  * @public
  */
 export class DemandMeter {
-  private readonly words = new Map<string, Word>();
+  private readonly reports = new Map<string, DemandReport>();
 
   /** @param daemon - who told it */
-  hear(daemon: string, demand: readonly ServiceDemand[], now: Milliseconds): void {
-    this.words.set(daemon, { demand, heardAt: now });
+  record(daemon: string, demand: readonly ServiceDemand[], now: Milliseconds): void {
+    this.reports.set(daemon, { demand, heardAt: now });
   }
 
   /** The sum over all daemons for one service. */
   getDemand(service: string, now: Milliseconds): ServiceDemand {
     const sum: ServiceDemand = { service, tokensPerSecond: 0, running: 0 };
-    this.words.forEach(({ demand, heardAt }, daemon) => {
+    this.reports.forEach(({ demand, heardAt }, daemon) => {
       if (now - heardAt > scalingOptions.demandExpiry) {
-        this.words.delete(daemon);
+        this.reports.delete(daemon);
         return;
       }
       demand
--- a/packages/duties/src/lib/usage/FleetUsage/FleetUsage.ts
+++ b/packages/duties/src/lib/usage/FleetUsage/FleetUsage.ts
@@ -13,7 +13,8 @@
 
   private oldest = 0;
 
-  hear({ source, window, counts }: UsageShare): void {
+  /** Takes in the counts of one daemon; the order and repeats do not matter. */
+  merge({ source, window, counts }: UsageShare): void {
     if (window < this.oldest) {
       return;
     }
--- a/packages/duties/src/test/DutyFleet.ts
+++ b/packages/duties/src/test/DutyFleet.ts
@@ -115,7 +115,7 @@
       .forEach((share) =>
         this.daemons
           .filter(({ isRunning }) => isRunning)
-          .forEach(({ clock, manager }) => clock.run(() => manager.usage.hear(share))),
+          .forEach(({ clock, manager }) => clock.run(() => manager.usage.merge(share))),
       );
   }
 
--- a/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
+++ b/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
@@ -76,7 +76,7 @@
   private fleet: readonly PeerEntry[];
 
   /** The daemons that stand by, the preferred first. */
-  private standBys: readonly string[] = [];
+  private candidates: readonly string[] = [];
 
   private timer: Timer | undefined;
 
@@ -107,22 +107,22 @@
   setFleet(daemons: readonly PeerEntry[]): void {
     this.fleet = daemons;
     const { candidates } = dutyOptions.lease;
-    this.standBys = getLeaseCandidates('duties', daemons, candidates);
+    this.candidates = getLeaseCandidates('duties', daemons, candidates);
   }
 
   /** What another daemon's clock said when it sent a message. */
   noteTime(daemon: string, said: Milliseconds): void {
-    this.time.note(daemon, said, this.parts.clock.now());
+    this.time.record(daemon, said, this.parts.clock.now());
   }
 
   /** Another daemon tells of its counts. */
   hear(daemon: string, news: DutyNews): void {
     switch (news.kind) {
       case 'usage':
-        this.manager.usage.hear(news.share);
+        this.manager.usage.merge(news.share);
         break;
       case 'demand':
-        this.manager.demand.hear(daemon, news.demand, this.parts.clock.now());
+        this.manager.demand.record(daemon, news.demand, this.parts.clock.now());
         break;
       default:
         news satisfies never;
@@ -167,7 +167,7 @@
   }
 
   private get rank(): number {
-    const rank = this.standBys.indexOf(this.parts.self.id);
+    const rank = this.candidates.indexOf(this.parts.self.id);
     return rank < 0 ? Number.POSITIVE_INFINITY : rank;
   }
 
@@ -203,7 +203,7 @@
     if (demand.length > 0) {
       news.push({ kind: 'demand', demand });
     }
-    this.standBys.forEach((id) =>
+    this.candidates.forEach((id) =>
       news.forEach((one) => (id === self.id ? this.hear(id, one) : tell(one, id))),
     );
   }
