--- /dev/null
+++ b/packages/lease/src/lib/getLeaseCandidates.test.ts
@@ -0,0 +1,31 @@
+import { getLeaseCandidates } from './getLeaseCandidates.js';
+
+const ZONES = ['a', 'b', 'c', 'd'];
+
+const MEMBERS = Array.from({ length: 40 }, (_item, index) => ({
+  id: `d-${index}`,
+  availabilityZone: ZONES[index % ZONES.length]!,
+}));
+
+function getZone(id: string): string {
+  return MEMBERS.find((member) => member.id === id)!.availabilityZone;
+}
+
+describe('getLeaseCandidates', () => {
+  // Guards against a lease that nobody can take when one availability zone is lost.
+  it('takes daemons of different availability zones', () => {
+    const candidates = getLeaseCandidates('duties', MEMBERS, 3);
+    expect(new Set(candidates.map(getZone)).size).toBe(3);
+  });
+
+  it('fills up from one zone where there is no other', () => {
+    const alone = MEMBERS.filter(({ availabilityZone }) => availabilityZone === 'a');
+    expect(getLeaseCandidates('duties', alone, 3)).toHaveLength(3);
+  });
+
+  it('keeps those that stay when one of them leaves', () => {
+    const [first, ...others] = getLeaseCandidates('duties', MEMBERS, 3);
+    const rest = MEMBERS.filter(({ id }) => id !== first);
+    expect(getLeaseCandidates('duties', rest, 4)).toEqual(expect.arrayContaining(others));
+  });
+});
