Log the priorities of route and workspace; command that shows unanswered requests by priority

The incident of starved urgent requests left four hypotheses that the log could not tell apart: a request's line named its rank, but neither the priority of its route nor the size of its prompt, and nothing showed what began at the same replica while it went unanswered.

`admitted` now names service, both priorities and the prompt's tokens. `apricotrill tiers LOG...` adds up, by window and by both priorities, what was not sent, got no first byte or was cut, the less urgent tokens that began, and the unanswered requests that a less urgent one overtook at the same replica: by a lower rank (the order is wrong), an equal one (ranks are too coarse) or a higher one (the engine did not go by rank, or runs more than it can).

No decision changes. Tests: packages/cli/src/lib/tiers.

--- a/packages/cli/src/lib/createCli.ts
+++ b/packages/cli/src/lib/createCli.ts
@@ -8,6 +8,7 @@
 import { MembersCommand } from './commands/MembersCommand.js';
 import { ShowCommand } from './commands/ShowCommand.js';
 import { StatusCommand } from './commands/StatusCommand.js';
+import { TiersCommand } from './commands/TiersCommand.js';
 import { TraceCommand } from './commands/TraceCommand.js';
 import { ValidateCommand } from './commands/ValidateCommand.js';
 import type { OperatorContext } from './OperatorContext.js';
@@ -25,6 +26,7 @@
   ShowCommand,
   TraceCommand,
   IncidentCommand,
+  TiersCommand,
 ];
 
 /** Creates the operators' command line. */
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -172,14 +172,18 @@
       log({ event: 'caller-left', id: request.id, after });
       return;
     }
-    const { id, fingerprint, route, workspace, priority, rank, version } = request;
+    const { id, fingerprint, route, service, workspace, priority, rank, version } = request;
     log({
       event: 'admitted',
       id,
       fingerprint,
       route: route.name,
+      service,
       workspace: workspace?.name ?? '',
       priority,
+      routePriority: route.priority,
+      workspacePriority: workspace?.priority,
+      promptTokens: request.fields.prompt?.inputTokens,
       rank,
       timeLeft: request.deadline - clock.now(),
       version,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -63,8 +63,12 @@
       /** Identical for repeated requests with the same content from the same caller. */
       fingerprint: string;
       route: string;
+      service: string;
       workspace: string;
       priority: number;
+      routePriority: number;
+      workspacePriority: number | undefined;
+      promptTokens: number | undefined;
       /** Urgency among the requests of its service; 0 is the most urgent. */
       rank: number;
       timeLeft: Milliseconds;
