Test, red: urgent requests starve behind less urgent ones of preferred workspaces

- PriorityRanks: a summary of a workspace of priority 0 ranks before help of a workspace of priority 1.

The model had one workspace and ranks written by hand.

--- a/packages/experiment/src/bin/RelayCommand.ts
+++ b/packages/experiment/src/bin/RelayCommand.ts
@@ -20,6 +20,7 @@
   'tokens read',
   'copied',
   'preempted',
+  'inverted',
   'correlation',
   'error',
 ];
@@ -65,7 +66,9 @@
     name,
     String(seed),
     ...[day.worth, day.worstWindows, day.worstKind].map((value) => value.toFixed(3)),
-    ...[day.prefilledTokens, day.copiedTokens, day.preemptions].map((value) => value.toFixed(0)),
+    ...[day.prefilledTokens, day.copiedTokens, day.preemptions, day.invertedPreemptions].map(
+      (value) => value.toFixed(0),
+    ),
     ...[day.correlation, day.predictionError].map((value) => value.toFixed(2)),
   ];
 }
--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -103,7 +103,7 @@
         kind: getRouteKind(call),
         isRetryable: kind.repeatable,
         workspace: 'w',
-        rank: kind.rank,
+        rank: call.rank,
         maxAttempts: kind.maxAttempts,
         latencyTarget: kind.latencyTarget,
         pauseTarget: kind.pauseTarget,
@@ -202,7 +202,8 @@
     const { fetchFrom } = effect.choice;
     const request = {
       key: getKey(effect),
-      rank: call.kind.rank,
+      rank: call.rank,
+      priority: call.kind.priority,
       prompt: call.prompt!,
       outputTokens: call.outputTokens,
       onEvent: () =>
--- a/packages/experiment/src/lib/relay/EngineSimulation.ts
+++ b/packages/experiment/src/lib/relay/EngineSimulation.ts
@@ -7,6 +7,8 @@
 export interface EngineRequest {
   key: string;
   rank: number;
+  /** Priority of its route. The engine does not see it. */
+  priority: number;
   prompt: Prompt;
   /** Length of the response; the engine stops after it. */
   outputTokens: number;
@@ -28,6 +30,8 @@
   prefilledTokens: number;
   copiedTokens: number;
   preemptions: number;
+  /** Preemptions while a request of a less urgent route ran on. */
+  invertedPreemptions: number;
 }
 
 const TOKENS_PER_THOUSAND = 1_000;
@@ -44,7 +48,12 @@
 export class EngineSimulation {
   readonly cache: PrefixCache;
 
-  readonly counts: EngineCounts = { prefilledTokens: 0, copiedTokens: 0, preemptions: 0 };
+  readonly counts: EngineCounts = {
+    prefilledTokens: 0,
+    copiedTokens: 0,
+    preemptions: 0,
+    invertedPreemptions: 0,
+  };
 
   isDown = false;
 
@@ -265,6 +274,8 @@
       )[0]!;
       this.counts.preemptions += 1;
       this.running = this.running.filter((request) => request !== victim);
+      const isInverted = this.running.some(({ priority }) => priority > victim.priority);
+      this.counts.invertedPreemptions += isInverted ? 1 : 0;
       this.cache.unpin(victim.prompt, victim.key);
       this.waiting.unshift(victim);
     }
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -130,8 +130,9 @@
         prefilledTokens: sum.prefilledTokens + counts.prefilledTokens,
         copiedTokens: sum.copiedTokens + counts.copiedTokens,
         preemptions: sum.preemptions + counts.preemptions,
+        invertedPreemptions: sum.invertedPreemptions + counts.invertedPreemptions,
       }),
-      { prefilledTokens: 0, copiedTokens: 0, preemptions: 0 },
+      { prefilledTokens: 0, copiedTokens: 0, preemptions: 0, invertedPreemptions: 0 },
     );
     return { calls, counts: totals, crossZoneTokens: this.crossZoneTokens };
   }
--- a/packages/experiment/src/lib/relay/RelayDeployment.ts
+++ b/packages/experiment/src/lib/relay/RelayDeployment.ts
@@ -14,8 +14,8 @@
   /** Requests per second, summed over all daemons. */
   rate: number;
   service: 'engines' | 'application';
-  /** 0 is the most urgent. */
-  rank: number;
+  /** Priority of its route; 0 is the most urgent. */
+  priority: number;
   latencyTarget: Milliseconds;
   /** Longest acceptable inter-token pause; absent for responses that are not streamed. */
   pauseTarget?: Milliseconds;
@@ -59,6 +59,14 @@
   copySetupTime: Milliseconds;
 }
 
+/** Workspaces with a common priority. */
+export interface WorkspaceGroup {
+  /** 0 is the most urgent; undefined if the workspaces state none. */
+  priority: number | undefined;
+  /** Share of all requests that these workspaces send. */
+  share: number;
+}
+
 /** A period in which more requests arrive. */
 export interface Burst {
   startsAt: Milliseconds;
@@ -87,6 +95,8 @@
   engineSlowdowns: number[];
   applications: { replicas: number; slots: number };
   kinds: RequestKind[];
+  /** The shares add up to 1. */
+  workspaces: WorkspaceGroup[];
   bursts: Burst[];
   crashes: Crash[];
   duration: Milliseconds;
--- a/packages/experiment/src/lib/relay/SimulatedCall.ts
+++ b/packages/experiment/src/lib/relay/SimulatedCall.ts
@@ -6,6 +6,8 @@
 export interface SimulatedCall {
   id: string;
   kind: RequestKind;
+  /** Urgency among the calls to its service; 0 is the most urgent. */
+  rank: number;
   daemon: number;
   arrivedAt: Milliseconds;
   prompt: Prompt | undefined;
--- a/packages/experiment/src/lib/relay/createSimulatedCalls.ts
+++ b/packages/experiment/src/lib/relay/createSimulatedCalls.ts
@@ -1,7 +1,8 @@
 import { createRandom, getHash } from '@apricotrill/utils';
 import type { Random } from '@apricotrill/utils';
 import type { Prompt, PromptPart } from '@apricotrill/relay';
-import type { RelayDeployment, RequestKind } from './RelayDeployment.js';
+import { createCallRanks } from './createCallRanks.js';
+import type { RelayDeployment, RequestKind, WorkspaceGroup } from './RelayDeployment.js';
 import type { SimulatedCall } from './SimulatedCall.js';
 
 /** Standard deviation of the logarithm of lengths; prompts and responses are log-normal in length. */
@@ -68,13 +69,26 @@
     .reduce((factor, burst) => factor * burst.rateFactor, 1);
 }
 
+/** Assigns a call to a group of workspaces; the same id is always assigned to the same group. */
+function pickWorkspaces(workspaces: readonly WorkspaceGroup[], id: string): WorkspaceGroup {
+  const random = createRandom(getHash(id));
+  random.next();
+  let remaining = random.next();
+  return (
+    workspaces.find(({ share }) => {
+      remaining -= share;
+      return remaining < 0;
+    }) ?? workspaces.at(-1)!
+  );
+}
+
 function createCall(
   kind: RequestKind,
   id: string,
   arrivedAt: number,
   daemon: number,
   random: Random,
-) {
+): Omit<SimulatedCall, 'rank'> {
   const outputTokens = sampleLength(kind.outputTokens, random);
   const prompt =
     kind.service === 'engines' ? createPrompt(kind, id, outputTokens * 2, random) : undefined;
@@ -82,7 +96,7 @@
     prompt === undefined
       ? 1
       : (prompt.inputTokens + OUTPUT_WEIGHT * outputTokens) / getMeanSize(kind);
-  const call: SimulatedCall = {
+  return {
     id,
     kind,
     daemon,
@@ -95,7 +109,6 @@
     isComplete: false,
     attempts: 0,
   };
-  return call;
 }
 
 /**
@@ -104,6 +117,7 @@
  */
 export function createSimulatedCalls(deployment: RelayDeployment, seed: number): SimulatedCall[] {
   const random = createRandom(seed);
+  const getRank = createCallRanks(deployment);
   const calls = deployment.kinds.flatMap((kind) => {
     const callsOfKind: SimulatedCall[] = [];
     const maxRate =
@@ -119,7 +133,9 @@
         random.next() < (getRateFactor(deployment, kind.name, time) * kind.rate) / maxRate;
       if (isAccepted) {
         const id = `${kind.name}/${callsOfKind.length}`;
-        callsOfKind.push(createCall(kind, id, time, random.integer(deployment.daemons), random));
+        const call = createCall(kind, id, time, random.integer(deployment.daemons), random);
+        const { priority } = pickWorkspaces(deployment.workspaces, id);
+        callsOfKind.push({ ...call, rank: getRank(kind, priority) });
       }
     }
   });
--- a/packages/experiment/src/lib/relay/summariseDay.ts
+++ b/packages/experiment/src/lib/relay/summariseDay.ts
@@ -39,6 +39,8 @@
   prefilledTokens: number;
   copiedTokens: number;
   preemptions: number;
+  /** Preemptions while a request of a less urgent route ran on. */
+  invertedPreemptions: number;
   /** Prompt tokens that were sent to another availability zone. */
   crossZoneTokens: number;
   /** Correlation between the predicted and the actual time to the first event, over all streams. */
@@ -145,6 +147,7 @@
     prefilledTokens: counts.prefilledTokens,
     copiedTokens: counts.copiedTokens,
     preemptions: counts.preemptions,
+    invertedPreemptions: counts.invertedPreemptions,
     crossZoneTokens,
     ...getPredictionQuality(calls),
   };
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,3 +1,4 @@
+export { PriorityRanks } from './lib/config/PriorityRanks.js';
 export { RouteKind } from './lib/config/RelayConfiguration.js';
 export type {
   CallerLimits,
--- a/packages/relay/src/lib/config/PriorityRanks.test.ts
+++ b/packages/relay/src/lib/config/PriorityRanks.test.ts
@@ -41,6 +41,24 @@
     expect(ranks.get(fast, 'app', calm)).toBeLessThan(ranks.get(slow, 'app', calm));
   });
 
+  // Guards against urgent requests that wait behind less urgent ones of preferred workspaces.
+  it('ranks every request before those of less urgent routes', () => {
+    const help = createRoute({ name: 'help', priority: 0, latencyTarget: 400 });
+    const question = createRoute({ name: 'question', priority: 1, latencyTarget: 600 });
+    const summary = createRoute({ name: 'summary', priority: 2, latencyTarget: 1_500 });
+    const routes = [help, question, summary];
+    const workspaces = [undefined, 0, 1, 5].map((priority) => createWorkspace('w', priority));
+    const ranks = new PriorityRanks(createConfiguration(routes, workspaces));
+    const calls = routes.flatMap((route) =>
+      workspaces.map((workspace) => ({ route, rank: ranks.get(route, 'app', workspace) })),
+    );
+    calls.forEach((left) =>
+      calls
+        .filter(({ route }) => route.priority > left.route.priority)
+        .forEach(({ rank }) => expect(left.rank).toBeLessThan(rank)),
+    );
+  });
+
   it('ranks the requests of each service separately', () => {
     const other = createRoute({ priority: 0, targets: [{ service: 'other', weight: 1 }] });
     const own = createRoute({ priority: 4 });
