Rank requests by the priority of the route before that of the workspace

What callers saw: requests of urgent kinds were stopped in the middle of their answers, or got none at all, while less urgent ones began and ran on at the same engines.

Cause: PriorityRanks compared the workspace's priority first. The rank is the only order that an engine knows: it admits by it, reads prompts by it and preempts by it. A summary (17,000 tokens) of a workspace of priority 0 was told as more urgent than help (1,500 tokens) of every workspace of priority 1, which are nine in ten requests.

Why this holds: an engine's order now never puts a request behind one of a less urgent route, whatever the workspaces; the workspace decides within a route's priority.

Not changed by this: engines that run more than they can.

--- a/packages/relay/src/lib/config/PriorityRanks.ts
+++ b/packages/relay/src/lib/config/PriorityRanks.ts
@@ -2,10 +2,10 @@
 
 /** The urgency of a request; elements are compared in order, lower is more urgent. */
 type Urgency = readonly [
-  /** Priority of the workspace, or of the route if the workspace has none. */
-  stated: number,
-  /** Priority of the route, for workspaces of equal priority. */
+  /** Priority of the route. */
   route: number,
+  /** Priority of the workspace, or of the route if the workspace has none. */
+  workspace: number,
   /** 0 for the shortest latency target among the service's routes, else 1. */
   latency: number,
 ];
@@ -26,12 +26,11 @@
 /**
  * Ranks the requests of each service by urgency. The rank is sent to the engines.
  *
- * The priority of the workspace decides first, then the priority of the route, then the latency target.
- * The priority of the workspace alone is not sufficient: if all workspaces have the same one, an engine
- * that runs out of memory preempts the latest request, even if it belongs to an urgent route while
- * requests of a less urgent route keep running. The latency target decides last because a short prompt
- * that waits behind a long one misses its target, while the long one is delayed by only a few
- * milliseconds if the short one runs first.
+ * The priority of the route decides first, then the priority of the workspace, then the latency target.
+ * If the workspace decided first, an engine would admit long prompts of a preferred workspace before the
+ * urgent requests of all others, and would preempt these while the long ones keep running. The latency
+ * target decides last because a short prompt that waits behind a long one misses its target, while the
+ * long one is delayed by only a few milliseconds if the short one runs first.
  *
  * @example
  * ```ts
@@ -79,6 +78,6 @@
     const hasShorterTarget = route.targets.some(
       ({ service }) => this.minLatencyTargets.get(service)! < route.latencyTarget,
     );
-    return [priority ?? route.priority, route.priority, hasShorterTarget ? 1 : 0];
+    return [route.priority, priority ?? route.priority, hasShorterTarget ? 1 : 0];
   }
 }
--- a/packages/relay/src/lib/config/RelayConfiguration.ts
+++ b/packages/relay/src/lib/config/RelayConfiguration.ts
@@ -80,7 +80,7 @@
 export interface RelayWorkspace {
   name: string;
   keys: string[];
-  /** Takes precedence over the priority of the route; 0 is the most urgent. */
+  /** Order among requests of equal route priority; 0 is the most urgent. */
   priority?: number;
 }
 
