Keep route priorities apart where replicas know fewer levels than there are ranks

Engines know ten levels, and every rank from 9 on was sent as 9. With six route priorities and four priorities of workspaces there are 24 ranks, so that the three least urgent routes and more shared a level: an engine could not tell them apart.

PriorityRanks is given the number of levels by the protocol. Where a service needs more, the latency target and then the priority of the workspace are left out, so that the order of routes stays. The test was red before (a rank of 24 where 9 is the last level).

--- a/packages/relay/src/lib/config/ActiveConfiguration.ts
+++ b/packages/relay/src/lib/config/ActiveConfiguration.ts
@@ -12,13 +12,20 @@
   keys: KeyTable | undefined;
 }
 
-/** Builds the lookup tables of a configuration. */
-export function createActiveConfiguration(configuration: RelayConfiguration): ActiveConfiguration {
+/**
+ * Builds the lookup tables of a configuration.
+ *
+ * @param rankLevels - the number of different ranks that replicas distinguish
+ */
+export function createActiveConfiguration(
+  configuration: RelayConfiguration,
+  rankLevels: number,
+): ActiveConfiguration {
   const { routes, workspaces } = configuration;
   return {
     configuration,
     routes: new RouteTable(routes),
-    ranks: new PriorityRanks(configuration),
+    ranks: new PriorityRanks(configuration, rankLevels),
     keys: workspaces === undefined ? undefined : new KeyTable(workspaces),
   };
 }
--- a/packages/relay/src/lib/config/PriorityRanks.test.ts
+++ b/packages/relay/src/lib/config/PriorityRanks.test.ts
@@ -59,6 +59,29 @@
     );
   });
 
+  // Guards against urgent requests that engines cannot tell from less urgent ones: engines know ten
+  // levels, and all ranks beyond them were sent as the last level.
+  it('keeps routes of different priorities apart if there are fewer levels than ranks', () => {
+    const routes = [0, 1, 2, 3, 4, 5].map((priority) => createRoute({ priority }));
+    const workspaces = [0, 1, 2, 3].map((priority) => createWorkspace('w', priority));
+    const ranks = new PriorityRanks(createConfiguration(routes, workspaces), 10);
+    const levels = routes.map((route) => workspaces.map((item) => ranks.get(route, 'app', item)));
+    levels.slice(1).forEach((own, index) => {
+      expect(Math.min(...own)).toBeGreaterThan(Math.max(...levels[index]!));
+    });
+    expect(Math.max(...levels.flat())).toBeLessThan(10);
+  });
+
+  it('keeps the priorities of workspaces apart while the levels suffice', () => {
+    const routes = [0, 1, 2].map((priority) => createRoute({ priority }));
+    const workspaces = [0, 1, 2].map((priority) => createWorkspace('w', priority));
+    const ranks = new PriorityRanks(createConfiguration(routes, workspaces), 10);
+    const levels = routes.flatMap((route) =>
+      workspaces.map((item) => ranks.get(route, 'app', item)),
+    );
+    expect(levels).toEqual([0, 1, 2, 3, 4, 5, 6, 7, 8]);
+  });
+
   it('ranks the requests of each service separately', () => {
     const other = createRoute({ priority: 0, targets: [{ service: 'other', weight: 1 }] });
     const own = createRoute({ priority: 4 });
--- a/packages/relay/src/lib/config/PriorityRanks.ts
+++ b/packages/relay/src/lib/config/PriorityRanks.ts
@@ -1,14 +1,13 @@
 import type { RelayConfiguration, RelayRoute, RelayWorkspace } from './RelayConfiguration.js';
 
-/** The urgency of a request; elements are compared in order, lower is more urgent. */
-type Urgency = readonly [
-  /** Priority of the route. */
-  route: number,
-  /** Priority of the workspace, or of the route if the workspace has none. */
-  workspace: number,
-  /** 0 for the shortest latency target among the service's routes, else 1. */
-  latency: number,
-];
+/**
+ * The urgency of a request; elements are compared in order, lower is more urgent: the priority of the
+ * route; the priority of the workspace, or of the route if the workspace has none; 0 for the shortest
+ * latency target among the service's routes, else 1. The last ones can be missing.
+ */
+type Urgency = readonly number[];
+
+const URGENCY_LENGTH = 3;
 
 function compareUrgencies(left: Urgency, right: Urgency): number {
   const index = left.findIndex((value, at) => value !== right[at]);
@@ -23,6 +22,20 @@
   );
 }
 
+/**
+ * Returns the distinct urgencies, the most urgent first, without the last elements as long as there
+ * are more of them than levels.
+ */
+function getLeveledUrgencies(urgencies: readonly Urgency[], levels: number): Urgency[] {
+  for (let length = URGENCY_LENGTH; length > 1; length -= 1) {
+    const distinct = getDistinctUrgencies(urgencies.map((urgency) => urgency.slice(0, length)));
+    if (distinct.length <= levels) {
+      return distinct;
+    }
+  }
+  return getDistinctUrgencies(urgencies.map((urgency) => urgency.slice(0, 1)));
+}
+
 /**
  * Ranks the requests of each service by urgency. The rank is sent to the engines.
  *
@@ -32,6 +45,10 @@
  * target decides last because a short prompt that waits behind a long one misses its target, while the
  * long one is delayed by only a few milliseconds if the short one runs first.
  *
+ * If a service needs more ranks than there are levels, the latency target and then the priority of the
+ * workspace are disregarded. Cutting off the last ranks instead would put routes of different
+ * priorities on the same level.
+ *
  * @example
  * ```ts
  * const ranks = new PriorityRanks(configuration);
@@ -43,7 +60,11 @@
 
   private readonly minLatencyTargets = new Map<string, number>();
 
-  constructor({ routes, workspaces }: RelayConfiguration) {
+  /** @param levels - the number of different ranks that replicas distinguish */
+  constructor(
+    { routes, workspaces }: RelayConfiguration,
+    private readonly levels = Number.POSITIVE_INFINITY,
+  ) {
     routes.forEach((route) => this.recordLatencyTarget(route));
     const priorities = new Set((workspaces ?? []).map(({ priority }) => priority));
     priorities.add(undefined);
@@ -55,7 +76,7 @@
       });
     });
     urgencies.forEach((serviceUrgencies, service) =>
-      this.byService.set(service, getDistinctUrgencies(serviceUrgencies)),
+      this.byService.set(service, getLeveledUrgencies(serviceUrgencies, levels)),
     );
   }
 
@@ -63,8 +84,9 @@
   get(route: RelayRoute, service: string, workspace: RelayWorkspace | undefined): number {
     const urgency = this.getUrgency(route, workspace?.priority);
     const urgencies = this.byService.get(service) ?? [];
-    const rank = urgencies.findIndex((other) => compareUrgencies(other, urgency) === 0);
-    return rank === -1 ? urgencies.length : rank;
+    const found = urgencies.findIndex((other) => compareUrgencies(other, urgency) === 0);
+    const rank = found === -1 ? urgencies.length : found;
+    return Math.min(rank, this.levels - 1);
   }
 
   private recordLatencyTarget({ targets, latencyTarget }: RelayRoute): void {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -339,7 +339,7 @@
     if (previous !== undefined && configuration.version <= previous) {
       return;
     }
-    this.active = createActiveConfiguration(configuration);
+    this.active = createActiveConfiguration(configuration, this.parts.protocol.rankLevels);
     this.activeSince = this.parts.clock.now();
     this.callerServer.setLimits(configuration.limits);
     this.core.handle({ kind: 'services', services: configuration.services });
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -51,6 +51,8 @@
  * @public
  */
 export interface RelayProtocol {
+  /** Number of different ranks that replicas distinguish. */
+  readonly rankLevels: number;
   readRequest(headers: IncomingHttpHeaders): RequestFields;
   /**
    * @param rawHeaders - the caller's headers as alternating names and values, without hop-by-hop headers
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -6,6 +6,7 @@
 
 /** Uses its own headers, so that the test does not depend on those of a platform. */
 const PROTOCOL: RelayProtocol = {
+  rankLevels: 10,
   readRequest: () => {
     throw new Error('not used');
   },
