Test, red: an urgent kind starves while the most urgent one fills the slots; what the logs showed

The second cause of the incident, not fixed here.

Cause: engines are given more than they can run, and each keeps the order among its own requests alone. A summary that is queued at an engine without urgent requests begins there while a check waits at another whose slots are full.

--- a/packages/experiment/src/lib/relay/urgentKinds.test.ts
+++ b/packages/experiment/src/lib/relay/urgentKinds.test.ts
@@ -37,3 +37,19 @@
     expect(invertedPreemptions).toBe(0);
   });
 });
+
+describe('engines whose slots are filled by the most urgent requests', () => {
+  // Guards against urgent requests that wait at full engines while less urgent ones, which were queued at
+  // other engines before, begin.
+  it('starve no urgent kind in favor of a less urgent one', () => {
+    const papers = namedDeployments.papers!();
+    const burst = { startsAt: 2 * SECOND, duration: 12 * SECOND };
+    const bursts = [
+      { ...burst, rateFactor: 2.5 },
+      { ...burst, rateFactor: 3, kind: 'help' },
+    ];
+    const deployment = { ...papers, bursts, duration: 15 * SECOND };
+    const { calls } = new FleetSimulation(deployment, 2).run();
+    expect(getStarvedKinds(calls)).toEqual([]);
+  });
+});
