Count and log requests by the priority of their route

requests_total named the workspace's priority where the workspace has one, so that an urgent route that went unanswered was hidden behind the priority of its callers: the outcome by route priority, which the incident turned on, could not be read from metrics. `priority` is the route's now; the log has both priorities already, its mixed one goes.

--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -125,7 +125,6 @@
       route,
       service,
       workspace,
-      priority: workspace?.priority ?? route.priority,
       rank: active.ranks.get(route, service, workspace),
       arrivedAt,
       deadline: arrivedAt + Math.min(route.timeout, fields.timeout ?? Number.POSITIVE_INFINITY),
@@ -172,7 +171,7 @@
       log({ event: 'caller-left', id: request.id, after });
       return;
     }
-    const { id, fingerprint, route, service, workspace, priority, rank, version } = request;
+    const { id, fingerprint, route, service, workspace, rank, version } = request;
     log({
       event: 'admitted',
       id,
@@ -180,7 +179,6 @@
       route: route.name,
       service,
       workspace: workspace?.name ?? '',
-      priority,
       routePriority: route.priority,
       workspacePriority: workspace?.priority,
       promptTokens: request.fields.prompt?.inputTokens,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -65,7 +65,6 @@
       route: string;
       service: string;
       workspace: string;
-      priority: number;
       routePriority: number;
       workspacePriority: number | undefined;
       promptTokens: number | undefined;
--- a/packages/relay/src/lib/request/ReceivedRequest.ts
+++ b/packages/relay/src/lib/request/ReceivedRequest.ts
@@ -19,8 +19,6 @@
   service: string;
   /** Undefined if callers need no keys. */
   workspace: RelayWorkspace | undefined;
-  /** The priority of its workspace if there is one, else of its route. */
-  priority: number;
   /** Urgency among the requests of its service; 0 is the most urgent. */
   rank: number;
   arrivedAt: Milliseconds;
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -381,7 +381,7 @@
         route: request.route.name,
         workspace: request.workspace?.name ?? '',
         kind: request.route.kind,
-        priority: request.priority,
+        priority: request.route.priority,
         outcome,
         reason,
       });
