--- a/packages/relay/src/lib/config/PriorityRanks.test.ts
+++ b/packages/relay/src/lib/config/PriorityRanks.test.ts
@@ -72,6 +72,29 @@
     expect(Math.max(...levels.flat())).toBeLessThan(10);
   });
 
+  it('never inverts the order of routes, however few the levels', () => {
+    const priority = fc.integer({ min: 0, max: 12 });
+    const priorities = fc.array(priority, { minLength: 1, maxLength: 8 });
+    const levelCounts = fc.integer({ min: 1, max: 20 });
+    fc.assert(
+      fc.property(priorities, priorities, levelCounts, (ofRoutes, ofWorkspaces, levels) => {
+        const routes = ofRoutes.map((item) => createRoute({ priority: item }));
+        const workspaces = ofWorkspaces.map((item) => createWorkspace('w', item));
+        const ranks = new PriorityRanks(createConfiguration(routes, workspaces), levels);
+        const calls = routes.flatMap((route) =>
+          workspaces.map((item) => ({ route, rank: ranks.get(route, 'app', item) })),
+        );
+        calls.forEach(({ rank }) => expect(rank).toBeLessThan(levels));
+        calls.forEach((left) =>
+          calls
+            .filter(({ route }) => route.priority > left.route.priority)
+            .forEach((right) => expect(left.rank).toBeLessThanOrEqual(right.rank)),
+        );
+      }),
+      { seed: 12 },
+    );
+  });
+
   it('keeps the priorities of workspaces apart while the levels suffice', () => {
     const routes = [0, 1, 2].map((priority) => createRoute({ priority }));
     const workspaces = [0, 1, 2].map((priority) => createWorkspace('w', priority));
