Log responses in which a replica announces that it leaves

Each response that carries it is now logged with its request, attempt and replica (replica-notice), and counted (replica_notices_total). Nothing is decided by it yet.

--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -34,6 +34,7 @@
   | { event: 'entry-refused'; object: string; name: string; reason: string }
   | { event: 'replica-added'; replica: string; service: string; address: string; revision: number }
   | { event: 'replica-draining'; replica: string; service: string; revision: number }
+  | { event: 'replica-notice'; id: string; attempt: number; replica: string; isLeaving: boolean }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
   | { event: 'replica-questioned'; replica: string; service: string }
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -84,6 +84,13 @@
     registers: [this.registry],
   });
 
+  readonly replicaNotices = new Counter({
+    name: 'apricotrill_relay_replica_notices_total',
+    help: 'Responses in which a replica announces something about itself, by service and notice.',
+    labelNames: ['service', 'notice'],
+    registers: [this.registry],
+  });
+
   readonly replicaCrashes = new Counter({
     name: 'apricotrill_relay_replica_crashes_total',
     help: 'Crashes of replicas with requests of this daemon in flight.',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -26,6 +26,7 @@
   'entry-refused': 'an entry in the store is invalid and is ignored',
   'replica-added': 'a replica was added to the list; includes the revision of the store',
   'replica-draining': 'a replica is about to leave and receives no new requests',
+  'replica-notice': 'the response to an attempt announces that its replica is about to leave',
   'replica-removed': 'a replica was removed from the list',
   'replica-kept':
     'the entry of a replica expired while the store was unavailable; the replica is kept until the given time',
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -42,6 +42,8 @@
   load: LoadReport | undefined;
   /** The replica's rate limit across all daemons; undefined if the response states none. */
   limit: StatedLimit | undefined;
+  /** Whether the replica states that it is about to leave. */
+  isLeaving: boolean;
 }
 
 /**
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -215,7 +215,7 @@
   }
 
   private createListener(effect: SendEffect, startedAt: Milliseconds): ResponseListener {
-    const { attempt, replica } = effect;
+    const { attempt } = effect;
     const isCurrent = () => this.current?.attempt === attempt;
     const runIfCurrent = (action: () => void) => {
       if (isCurrent()) {
@@ -223,7 +223,7 @@
       }
     };
     return {
-      onFields: (fields) => this.handleFields(replica.id, startedAt, fields),
+      onFields: (fields) => this.handleFields(effect, startedAt, fields),
       onFirstByte: () => runIfCurrent(() => this.recordFirstByte(effect, startedAt)),
       onStream: (head) => runIfCurrent(() => this.startStream(head)),
       onEvents: (events) => runIfCurrent(() => this.writeEvents(events)),
@@ -240,12 +240,16 @@
     }
   }
 
-  private handleFields(replicaId: string, sentAt: Milliseconds, fields: ResponseFields): void {
+  private handleFields(effect: SendEffect, sentAt: Milliseconds, fields: ResponseFields): void {
     const { request, dispatch } = this.parts;
     const { load, limit, requestId, isMisdirected, isSigned } = fields;
+    const replicaId = effect.replica.id;
     if (load !== undefined) {
       dispatch({ kind: 'load', replica: replicaId, report: load });
     }
+    if (!isMisdirected) {
+      this.handleNotice(effect, fields);
+    }
     // The absence of a limit lifts it, so only a verified response to this request may do that.
     const isVerified = isSigned && requestId === request.fields.requestId;
     if (!isMisdirected && (limit !== undefined || isVerified)) {
@@ -253,6 +257,15 @@
     }
   }
 
+  /** Records what a response announces about its replica. */
+  private handleNotice({ id, attempt, replica }: SendEffect, { isLeaving }: ResponseFields): void {
+    const { log, metrics } = this.parts;
+    if (isLeaving) {
+      log({ event: 'replica-notice', id, attempt, replica: replica.id, isLeaving });
+      metrics.replicaNotices.inc({ service: replica.service, notice: 'leaving' });
+    }
+  }
+
   private recordFirstByte({ id, attempt, replica }: SendEffect, startedAt: Milliseconds): void {
     const { clock, log, metrics, request, dispatch } = this.parts;
     const now = clock.now();
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -18,6 +18,7 @@
     isMisdirected: findHeader(rawHeaders, 'misdirected') !== undefined,
     load: undefined,
     limit: undefined,
+    isLeaving: false,
   }),
 };
 
