Send nothing more to a replica that announced that it leaves

Callers saw nothing: the replica still answered. What they risked is a replica that ends under their request.

Cause: the replica list was the only source for a replica that leaves, and it can't change while the store is away. Class: a fact that reaches the daemon on two ways, of which one was never read, and a mark that lived in state which the other way discards: even the core's own mark ('leaving') was lost when the entry disappeared and came back.

The core remembers it by the ID of the replica's process, apart from the list (LeavingReplicas), so that it outlives an entry that expires. It is never withdrawn, since the next process has another ID. Daemons tell each other, at once and with each regular message, so that a placer doesn't choose for others what they know to be leaving. Responses of another replica at the address (421, other X-Replica-Id) say nothing about this one.

Why it holds: a request is chosen from replicas in service only, and whatever was chosen before the response reached the replica before it, or was sent by a caller before it, which the rule excuses.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -134,6 +134,7 @@
       case 'check-liveness':
         this.answerLivenessCheck(effect.replica.id);
         break;
+      case 'replica-leaving':
       case 'suspect':
       case 'mark-healthy':
       case 'start-cooldown':
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -50,6 +50,7 @@
 export { RelayMetrics } from './lib/observe/RelayMetrics.js';
 export { findHeader, getEndToEndHeaders } from './lib/protocol/connectionHeaders.js';
 export type {
+  ReplicaNotice,
   ResponseFields,
   RequestFields,
   RelayProtocol,
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -116,6 +116,11 @@
       case 'limit-refused':
         log({ event: 'limit-refused', replica: effect.replica, text: effect.text });
         break;
+      case 'replica-leaving': {
+        const { replica, source } = effect;
+        log({ event: 'replica-leaving', replica, source });
+        break;
+      }
       case 'suspect': {
         const { replica, reason } = effect;
         const { id, service } = replica;
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -11,7 +11,7 @@
 import type { DutyDependencies } from '../duties/FleetDuties/FleetDuties.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
-import type { RelayProtocol } from '../protocol/RelayProtocol.js';
+import type { RelayProtocol, ReplicaNotice } from '../protocol/RelayProtocol.js';
 import type { PeerDirectory, PeerEntry } from '../peers/PeerDirectory.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import type { PeerUpdate } from '../peers/PeerUpdate.js';
@@ -254,6 +254,13 @@
     return changed;
   }
 
+  /** Handles what a replica announces in a response to a call that is not a caller's request. */
+  handleNotice({ id }: RelayReplica, source: string, { isLeaving }: ReplicaNotice): void {
+    if (isLeaving) {
+      this.core.handle({ kind: 'leaving', replica: id, source });
+    }
+  }
+
   async dispose(): Promise<void> {
     const storeDisposal = this.storeLink.dispose();
     this.quarantineSync.dispose();
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.test.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.test.ts
@@ -149,13 +149,13 @@
     const first = createReplica('i-1@5', { name: 'i-1', startedAt: 5 });
     const next = createReplica('i-1@9', { name: 'i-1', startedAt: 9 });
     const harness = new CoreHarness(APP, [first, TWO[1]!]);
-    harness.core.handle({ kind: 'leaving', replica: first.id });
+    harness.core.handle({ kind: 'leaving', replica: first.id, source: 'response' });
     harness.core.handle({ kind: 'replicas', replicas: [next, TWO[1]!] });
     // A peer that does not know of the restart yet reports a broken attempt at the predecessor.
     const update = { kind: 'attempt-broken', replica: first.id } as const;
     for (let index = 0; index < 5; index += 1) {
       harness.core.handle({ kind: 'peer-update', peer: 'd-2', update });
-      harness.core.handle({ kind: 'leaving', replica: first.id });
+      harness.core.handle({ kind: 'leaving', replica: first.id, source: 'response' });
     }
     expect(harness.getEffects('start-cooldown')).toHaveLength(0);
     ['a', 'b', 'c'].forEach((id) => harness.submit(createRequest(id)));
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -184,7 +184,9 @@
         this.quarantine.restore(message.requests);
         break;
       case 'leaving':
-        this.registry.recordLeaving(message.replica);
+        if (this.recordLeaving(message.replica, message.source)) {
+          this.emit({ kind: 'share', update: { kind: 'leaving', replicas: [message.replica] } });
+        }
         break;
       case 'cache-changed':
         this.registry.findReplica(message.replica)?.cache.apply(message.changes);
@@ -202,7 +204,12 @@
 
   /** Returns what each regular message repeats, since datagrams can be lost. */
   getPeriodicUpdates(): PlacementUpdate[] {
-    return [...this.quarantine.getPeriodicUpdates(), ...this.limits.getPeriodicUpdates()];
+    const leaving = this.registry.getLeavingReplicas();
+    return [
+      ...this.quarantine.getPeriodicUpdates(),
+      ...this.limits.getPeriodicUpdates(),
+      ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
+    ];
   }
 
   /** Counts a health check against the replica's limit. @returns false if the limit forbids it now */
@@ -387,6 +394,29 @@
     }
   }
 
+  /** @returns whether it was not known that the replica leaves */
+  private recordLeaving(replica: string, source: string): boolean {
+    const isNew = this.registry.recordLeaving(replica);
+    if (isNew) {
+      this.emit({ kind: 'replica-leaving', replica, source });
+      this.rejectUnplaceable(this.registry.findReplica(replica)?.replica.service);
+    }
+    return isNew;
+  }
+
+  /** Gives up the waiting requests of a service that has no replica in service. */
+  private rejectUnplaceable(name: string | undefined): void {
+    const service = name === undefined ? undefined : this.registry.getService(name);
+    if (service === undefined || service.getReplicasInService().length > 0) {
+      return;
+    }
+    while (service.waiting.last !== undefined) {
+      const record = service.waiting.last;
+      const outcome = record.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+      this.giveUp(record, outcome, GiveUpReason.NoReplica);
+    }
+  }
+
   private settle(record: RequestRecord, attempt: number): void {
     this.removeRecord(record);
     this.emit({ kind: 'settle', id: record.request.id, attempt });
@@ -489,6 +519,9 @@
         this.limits.applyPeerLimits(update.limits);
         this.drainAll();
         break;
+      case 'leaving':
+        update.replicas.forEach((replica) => this.recordLeaving(replica, peer));
+        break;
       case 'ask':
         this.placer.handleQuery(peer, update.query);
         break;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -1,6 +1,7 @@
 import type { ScalableService } from '@apricotrill/duties';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { LeavingReplicas } from '../LeavingReplicas/LeavingReplicas.js';
 import { AttemptEnd } from '../messages.js';
 import type { PlacementEffect, PlacementMessage } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
@@ -25,6 +26,8 @@
 export class ReplicaRegistry {
   private readonly services = new Map<string, ServiceState>();
 
+  private readonly leaving = new LeavingReplicas();
+
   /** The number of daemons; undefined while unknown. */
   private daemons: number | undefined;
 
@@ -58,6 +61,9 @@
     replicas.forEach(({ service }) => this.getService(service));
     this.services.forEach((service, name) => {
       service.setReplicas(replicas.filter((replica) => replica.service === name));
+      service.replicas.forEach((state, id) => {
+        Object.assign(state, { isLeaving: state.isLeaving || this.leaving.has(id) });
+      });
     });
     const listed = new Set(replicas.map(({ id }) => id));
     return before.map(({ replica }) => replica.id).filter((id) => !listed.has(id));
@@ -92,7 +98,7 @@
         state.recordRefusal(now);
         break;
       case AttemptEnd.Misdirected:
-        this.recordLeaving(state.replica.id);
+        Object.assign(state, { isLeaving: true });
         break;
       case AttemptEnd.NotSent:
         this.announceBrokenAttempt(state);
@@ -164,11 +170,22 @@
     }
   }
 
-  recordLeaving(id: string): void {
+  /**
+   * Records that a replica announced that it is about to leave.
+   *
+   * @returns whether this is new
+   */
+  recordLeaving(id: string): boolean {
     const state = this.findReplica(id);
     if (state !== undefined) {
       state.isLeaving = true;
     }
+    return this.leaving.add(id);
+  }
+
+  /** The newest announcements that the replica list does not show yet. */
+  getLeavingReplicas(): string[] {
+    return this.leaving.getNewest((id) => this.findReplica(id)?.replica.isDraining === false);
   }
 
   /** Retries that this daemon may send now, by service. */
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -207,6 +207,8 @@
   | { kind: 'cleared'; fingerprint: string }
   | { kind: 'quarantined'; requests: QuarantinedRequest[] }
   | { kind: 'limits'; limits: SharedLimit[] }
+  /** IDs of replicas that announced that they are about to leave. */
+  | { kind: 'leaving'; replicas: string[] }
   /** All attempts in flight; replaces everything announced before. */
   | { kind: 'attempt-list'; attempts: SharedAttempt[] };
 
@@ -237,8 +239,8 @@
   | { kind: 'probed'; replica: string; isUp: boolean | undefined }
   /** Quarantined requests read from the store. */
   | { kind: 'quarantine'; requests: readonly QuarantinedRequest[] }
-  /** A replica announces that it is shutting down, by refusing a request or by other means. */
-  | { kind: 'leaving'; replica: string }
+  /** A replica announces that it is about to leave; `source` names the response, for the log. */
+  | { kind: 'leaving'; replica: string; source: string }
   | { kind: 'cache-changed'; replica: string; changes: readonly CacheChange[] }
   /** The complete cache of an engine; replaces everything known before. */
   | { kind: 'cache-listed'; replica: string; changes: readonly CacheChange[] }
@@ -282,6 +284,8 @@
   | { kind: 'unlimited'; replica: string }
   /** A replica states a limit that cannot be parsed. */
   | { kind: 'limit-refused'; replica: string; text: string }
+  /** A replica announced that it is about to leave, in the given response or to the given peer. */
+  | { kind: 'replica-leaving'; replica: string; source: string }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'mark-healthy'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: it gets no requests for `span`. */
--- a/packages/relay/src/lib/http/HttpClient.ts
+++ b/packages/relay/src/lib/http/HttpClient.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import { StepError } from '@apricotrill/utils';
+import type { IncomingHttpHeaders } from 'node:http';
 import { gunzipSync } from 'node:zlib';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -8,6 +9,7 @@
 /** A complete response. */
 export interface HttpResponse {
   status: number;
+  headers: IncomingHttpHeaders;
   text: string;
 }
 
@@ -76,7 +78,7 @@
       });
       watchdog.recordProgress();
       const text = await readBody(response, () => watchdog.recordProgress());
-      return { status: response.statusCode, text };
+      return { status: response.statusCode, headers: response.headers, text };
     } catch (cause) {
       const message = cause instanceof Error ? cause.message : String(cause);
       throw new StepError(message, { step, peer: address, cause });
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -35,6 +35,7 @@
   | { event: 'replica-added'; replica: string; service: string; address: string; revision: number }
   | { event: 'replica-draining'; replica: string; service: string; revision: number }
   | { event: 'replica-notice'; id: string; attempt: number; replica: string; isLeaving: boolean }
+  | { event: 'replica-leaving'; replica: string; source: string }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
   | { event: 'replica-questioned'; replica: string; service: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -27,6 +27,8 @@
   'replica-added': 'a replica was added to the list; includes the revision of the store',
   'replica-draining': 'a replica is about to leave and receives no new requests',
   'replica-notice': 'the response to an attempt announces that its replica is about to leave',
+  'replica-leaving':
+    'a replica announced that it is about to leave and receives no new requests; includes the kind of response, or the daemon that reported it',
   'replica-removed': 'a replica was removed from the list',
   'replica-kept':
     'the entry of a replica expired while the store was unavailable; the replica is kept until the given time',
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -33,6 +33,7 @@
     case 'cleared':
     case 'quarantined':
     case 'limits':
+    case 'leaving':
     case 'ask':
     case 'reply':
       return true;
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -6,6 +6,7 @@
   SharedLimit,
   PlacementUpdate,
 } from '../../decide/messages.js';
+import { leavingOptions } from '../../decide/LeavingReplicas/LeavingReplicas.js';
 import { limitOptions } from '../../decide/limits/limitOptions.js';
 import { quarantineOptions } from '../../decide/quarantine/quarantineOptions.js';
 import { decodeDatagram, encodeDatagram } from './datagram.js';
@@ -77,6 +78,7 @@
             { replica: 'i-2', perSecond: undefined, age: 0 },
           ],
         },
+        { kind: 'leaving', replicas: ['i-1', 'i-2'] },
         {
           kind: 'quarantined',
           requests: [{ fingerprint: 'b', remaining: 900_000, replicas: ['i-1', 'i-2'] }],
@@ -113,10 +115,12 @@
     );
     const limit = { replica: 'i-c5d157d853@1764763200000', perSecond: 12.75, age: 10_000 };
     const limits = Array<SharedLimit>(limitOptions.maxPerDatagram).fill(limit);
+    const leaving = Array<string>(leavingOptions.maxPerDatagram).fill(limit.replica);
     const updates: PlacementUpdate[] = [
       { kind: 'crashed', replica: 'i-c5d157d853@1764763200000', fingerprints },
       { kind: 'quarantined', requests },
       { kind: 'limits', limits },
+      { kind: 'leaving', replicas: leaving },
     ];
     updates.forEach((update) => {
       expect(encodeDatagram({ from: FROM, updates: [update] }).length).toBeLessThan(1_472);
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -93,6 +93,7 @@
   z.tuple([z.literal('s'), z.string()]),
   z.tuple([z.literal('x'), z.array(quarantinedRequestSchema)]),
   z.tuple([z.literal('m'), z.array(limitSchema)]),
+  z.tuple([z.literal('v'), z.array(z.string())]),
   z.tuple([z.literal('l'), z.array(attemptSchema)]),
 ]);
 
@@ -281,6 +282,8 @@
           replicas,
         ]),
       ];
+    case 'leaving':
+      return ['v', update.replicas];
     case 'attempt-list':
       return ['l', update.attempts.map(encodeAttempt)];
     default:
@@ -346,6 +349,8 @@
           replicas,
         })),
       };
+    case 'v':
+      return { kind: 'leaving', replicas: encoded[1] };
     case 'l':
       return { kind: 'attempt-list', attempts: encoded[1].map(decodeAttempt) };
     default:
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -29,8 +29,14 @@
   resumeAfter: string | undefined;
 }
 
+/** What a replica announces about itself in the headers of its responses. */
+export interface ReplicaNotice {
+  /** Whether it is about to leave. */
+  isLeaving: boolean;
+}
+
 /** Fields of a response that a replica states in its headers. */
-export interface ResponseFields {
+export interface ResponseFields extends ReplicaNotice {
   /** The id of the request; undefined if it is not stated. */
   requestId: string | undefined;
   /** Whether the replica signed the response as its own. */
@@ -42,8 +48,6 @@
   load: LoadReport | undefined;
   /** The replica's rate limit across all daemons; undefined if the response states none. */
   limit: StatedLimit | undefined;
-  /** Whether the replica states that it is about to leave. */
-  isLeaving: boolean;
 }
 
 /**
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -259,10 +259,11 @@
 
   /** Records what a response announces about its replica. */
   private handleNotice({ id, attempt, replica }: SendEffect, { isLeaving }: ResponseFields): void {
-    const { log, metrics } = this.parts;
+    const { dispatch, log, metrics } = this.parts;
     if (isLeaving) {
       log({ event: 'replica-notice', id, attempt, replica: replica.id, isLeaving });
       metrics.replicaNotices.inc({ service: replica.service, notice: 'leaving' });
+      dispatch({ kind: 'leaving', replica: replica.id, source: 'response' });
     }
   }
 
