--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -51,6 +51,7 @@
 export { findHeader, getEndToEndHeaders } from './lib/protocol/connectionHeaders.js';
 export type {
   ReplicaNotice,
+  RequestedRest,
   ResponseFields,
   RequestFields,
   RelayProtocol,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -8,6 +8,7 @@
   GiveUpReason,
   Outcome,
 } from '../decide/messages.js';
+import type { RequestedRest } from '../protocol/RelayProtocol.js';
 
 /**
  * The events in the log: decisions about requests, changes of the daemon's view of its environment, and
@@ -34,7 +35,14 @@
   | { event: 'entry-refused'; object: string; name: string; reason: string }
   | { event: 'replica-added'; replica: string; service: string; address: string; revision: number }
   | { event: 'replica-draining'; replica: string; service: string; revision: number }
-  | { event: 'replica-notice'; id: string; attempt: number; replica: string; isLeaving: boolean }
+  | {
+      event: 'replica-notice';
+      id: string;
+      attempt: number;
+      replica: string;
+      isLeaving: boolean;
+      rest: RequestedRest | undefined;
+    }
   | { event: 'replica-leaving'; replica: string; source: string }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -26,7 +26,8 @@
   'entry-refused': 'an entry in the store is invalid and is ignored',
   'replica-added': 'a replica was added to the list; includes the revision of the store',
   'replica-draining': 'a replica is about to leave and receives no new requests',
-  'replica-notice': 'the response to an attempt announces that its replica is about to leave',
+  'replica-notice':
+    'the response to an attempt announces that its replica is about to leave, or asks for a rest; includes the time it asked for',
   'replica-leaving':
     'a replica announced that it is about to leave and receives no new requests; includes the kind of response, or the daemon that reported it',
   'replica-removed': 'a replica was removed from the list',
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -29,10 +29,18 @@
   resumeAfter: string | undefined;
 }
 
+/** The rest that a replica asks for when it turns a request away. */
+export type RequestedRest =
+  | { kind: 'span'; span: Milliseconds }
+  /** The stated time cannot be parsed. */
+  | { kind: 'invalid'; text: string };
+
 /** What a replica announces about itself in the headers of its responses. */
 export interface ReplicaNotice {
   /** Whether it is about to leave. */
   isLeaving: boolean;
+  /** The time for which it wants no requests from this daemon; undefined if it asks for none. */
+  rest: RequestedRest | undefined;
 }
 
 /** Fields of a response that a replica states in its headers. */
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -7,7 +7,7 @@
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
-import type { ResponseFields, RelayProtocol } from '../protocol/RelayProtocol.js';
+import type { ReplicaNotice, ResponseFields, RelayProtocol } from '../protocol/RelayProtocol.js';
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
 import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import { UpstreamExchange } from '../upstream/UpstreamExchange/UpstreamExchange.js';
@@ -258,10 +258,16 @@
   }
 
   /** Records what a response announces about its replica. */
-  private handleNotice({ id, attempt, replica }: SendEffect, { isLeaving }: ResponseFields): void {
+  private handleNotice(effect: SendEffect, { isLeaving, rest }: ReplicaNotice): void {
     const { dispatch, log, metrics } = this.parts;
+    const { id, attempt, replica } = effect;
+    if (isLeaving || rest !== undefined) {
+      log({ event: 'replica-notice', id, attempt, replica: replica.id, isLeaving, rest });
+    }
+    if (rest !== undefined) {
+      metrics.replicaNotices.inc({ service: replica.service, notice: 'rest' });
+    }
     if (isLeaving) {
-      log({ event: 'replica-notice', id, attempt, replica: replica.id, isLeaving });
       metrics.replicaNotices.inc({ service: replica.service, notice: 'leaving' });
       dispatch({ kind: 'leaving', replica: replica.id, source: 'response' });
     }
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -19,6 +19,7 @@
     load: undefined,
     limit: undefined,
     isLeaving: false,
+    rest: undefined,
   }),
 };
 
