Send nothing to a replica during the rest that it asked for

Callers saw 503: in the record two of eight replicas turned away every request for nine seconds, and 56 requests of a route with one attempt were refused while six replicas had slots free.

Cause: nobody read Retry-After of a replica. A refusal made it less attractive for 100 ms, and since a replica that refuses has nothing under way it looked cheaper than before: its share of arrivals doubled. Class: a wish of a replica that was reduced to 'full for a moment', with a time of our own in place of the stated one.

Change: ReplicaRests keeps the end of the rest by the ID of the replica's process, apart from the list. The other daemons are told, and prefer other replicas, but may use it where there are none. Placement queries exclude it, and the choice of a placer is not used if it rests. A request whose connection is being opened meanwhile is withdrawn before its first byte (AttemptEnd.Withdrawn) and placed elsewhere. Where all replicas rest, requests wait if they can still be on time after the first rest, else they are refused at once with its end as Retry-After; a failure that could be retried nowhere is passed on.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -135,6 +135,7 @@
         this.answerLivenessCheck(effect.replica.id);
         break;
       case 'replica-leaving':
+      case 'replica-resting':
       case 'suspect':
       case 'mark-healthy':
       case 'start-cooldown':
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -121,6 +121,11 @@
         log({ event: 'replica-leaving', replica, source });
         break;
       }
+      case 'replica-resting': {
+        const { replica, span, source } = effect;
+        log({ event: 'replica-resting', replica, span, source });
+        break;
+      }
       case 'suspect': {
         const { replica, reason } = effect;
         const { id, service } = replica;
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -123,6 +123,7 @@
       daemonId: settings.id,
       connections: this.connections,
       dispatch,
+      maySend: (replica) => this.core.maySend(replica),
       getActive: () => this.active,
       isRejecting: () => this.isRejecting,
       onAttemptSent: (service, tokens) => this.duties?.recordSent(service, tokens),
@@ -255,7 +256,10 @@
   }
 
   /** Handles what a replica announces in a response to a call that is not a caller's request. */
-  handleNotice({ id }: RelayReplica, source: string, { isLeaving }: ReplicaNotice): void {
+  handleNotice({ id }: RelayReplica, source: string, { isLeaving, rest }: ReplicaNotice): void {
+    if (rest?.kind === 'span') {
+      this.core.handle({ kind: 'rest', replica: id, span: rest.span, source });
+    }
     if (isLeaving) {
       this.core.handle({ kind: 'leaving', replica: id, source });
     }
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -31,6 +31,7 @@
   protocol: RelayProtocol;
   connections: UpstreamConnections;
   dispatch: (message: PlacementMessage) => void;
+  maySend: RelayTaskParts['maySend'];
   onAttemptSent: RelayTaskParts['onAttemptSent'];
   onAttemptEnded: RelayTaskParts['onAttemptEnded'];
   onRunStarted: RelayTaskParts['onRunStarted'];
@@ -162,6 +163,7 @@
       metrics,
       protocol,
       dispatch,
+      maySend,
       onAttemptSent,
       onAttemptEnded,
       onRunStarted,
@@ -195,6 +197,7 @@
       log,
       metrics,
       dispatch,
+      maySend,
       onAttemptSent,
       onAttemptEnded,
       onRunStarted,
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -191,6 +191,7 @@
       case AttemptEnd.NotSent:
       case AttemptEnd.Misdirected:
       case AttemptEnd.Broken:
+      case AttemptEnd.Withdrawn:
       case AttemptEnd.Cancelled:
         // Broken attempts are announced to all daemons by a separate update.
         break;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.fuzz.test.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.fuzz.test.ts
@@ -112,7 +112,10 @@
 
   private end(index: number, end: AttemptEnd): void {
     this.withRunning(index, (id, attempt, request) => {
-      const isCounted = end !== AttemptEnd.NotSent && end !== AttemptEnd.Misdirected;
+      const isCounted =
+        end !== AttemptEnd.NotSent &&
+        end !== AttemptEnd.Withdrawn &&
+        end !== AttemptEnd.Misdirected;
       const mayHaveRun = isCounted && end !== AttemptEnd.Refused;
       Object.assign(request, {
         running: undefined,
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -19,6 +19,7 @@
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
+import { ReplicaRests } from '../ReplicaRests/ReplicaRests.js';
 import { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
 import { RequestRecord } from '../RequestRecord.js';
@@ -27,6 +28,16 @@
 
 const SECOND: Milliseconds = 1_000;
 
+/** Whether a request that is sent at the given time can still meet its latency target. */
+function isOnTimeAt({ request }: RequestRecord, at: Milliseconds): boolean {
+  return at < request.arrivedAt + request.latencyTarget;
+}
+
+/** The outcome of a request that is given up without a running attempt. */
+function getOutcome({ mayHaveRun }: RequestRecord): Outcome {
+  return mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+}
+
 /** Dependencies of {@link PlacementCore}. */
 export interface PlacementCoreParts {
   clock: Clock;
@@ -60,6 +71,9 @@
   /** Request rate limits stated by replicas. */
   readonly limits: ReplicaLimits;
 
+  /** Rests that replicas asked for. */
+  private readonly rests: ReplicaRests;
+
   private readonly responseTimeouts: ResponseTimeouts;
 
   /** Pending retries for services whose replicas are all rate-limited. */
@@ -91,8 +105,9 @@
       getGroup: (state) =>
         this.registry.getService(state.replica.service).getReplicaGroup(state)?.name,
     });
-    const { limits } = this;
-    this.registry = new ReplicaRegistry({ clock, emit, options: this.options, limits });
+    this.rests = new ReplicaRests({ clock, emit });
+    const { limits, rests } = this;
+    this.registry = new ReplicaRegistry({ clock, emit, options: this.options, limits, rests });
     this.responseTimeouts = new ResponseTimeouts({
       clock,
       emit,
@@ -110,7 +125,8 @@
       fleet,
       onQuarantined: (fingerprint) => this.rejectQuarantined(fingerprint),
     });
-    const parts = { clock, emit, options: this.options, registry: this.registry, fleet, limits };
+    const { registry } = this;
+    const parts = { clock, emit, options: this.options, registry, fleet, limits, rests };
     this.placer = new Placer({ ...parts, peerAttempts: this.peerAttempts });
     this.placing = new Placing({
       ...parts,
@@ -188,6 +204,10 @@
           this.emit({ kind: 'share', update: { kind: 'leaving', replicas: [message.replica] } });
         }
         break;
+      case 'rest':
+        this.rests.record(message.replica, message.span, message.source);
+        this.reviewWaiting(this.registry.findReplica(message.replica)?.replica.service);
+        break;
       case 'cache-changed':
         this.registry.findReplica(message.replica)?.cache.apply(message.changes);
         break;
@@ -208,13 +228,27 @@
     return [
       ...this.quarantine.getPeriodicUpdates(),
       ...this.limits.getPeriodicUpdates(),
+      ...this.rests.getPeriodicUpdates(),
       ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
     ];
   }
 
-  /** Counts a health check against the replica's limit. @returns false if the limit forbids it now */
+  /** Whether this daemon may still send a request that it placed at a replica. */
+  maySend(replica: string): boolean {
+    const state = this.registry.findReplica(replica);
+    return (state === undefined || state.isInService) && !this.rests.isResting(replica);
+  }
+
+  /**
+   * Counts a health check against the replica's limit.
+   *
+   * @returns false if the limit or a rest forbids it now
+   */
   tryAcquireCheck(replica: string): boolean {
     const state = this.registry.findReplica(replica);
+    if (this.rests.isResting(replica)) {
+      return false;
+    }
     if (state === undefined || !this.limits.maySend(state)) {
       return state === undefined;
     }
@@ -277,6 +311,33 @@
       const service = this.registry.getService(record.request.service);
       service.waiting.add(record);
       this.rejectExcessAndScheduleRetry(service);
+      this.reviewWaiting(service.name);
+    }
+  }
+
+  /**
+   * If all replicas of a service rest, refuses the waiting requests that would be late after the first
+   * of these rests, and schedules a retry for the others.
+   */
+  private reviewWaiting(name: string | undefined): void {
+    const service = name === undefined ? undefined : this.registry.getService(name);
+    const end = service?.getRestEnd();
+    if (service === undefined || end === undefined) {
+      return;
+    }
+    service.waiting
+      .getAll()
+      .filter((record) => !isOnTimeAt(record, end))
+      .forEach((record) => this.giveUp(record, getOutcome(record), GiveUpReason.Resting));
+    if (service.waiting.size > 0) {
+      this.scheduleRetry(service, end - this.clock.now());
+    }
+  }
+
+  private scheduleRetry(service: ServiceState, delay: Milliseconds): void {
+    if (!this.retryTimers.has(service)) {
+      const timer = this.clock.setTimer(delay, () => this.retryWaiting(service));
+      this.retryTimers.set(service, timer);
     }
   }
 
@@ -293,12 +354,9 @@
     const maxWaiting = Math.max(1, Math.ceil((share * limitOptions.maxWait) / SECOND));
     while (service.waiting.size > maxWaiting) {
       const last = service.waiting.last!;
-      this.giveUp(last, last.mayHaveRun ? Outcome.Unknown : Outcome.NotRun, GiveUpReason.Overload);
-    }
-    if (!this.retryTimers.has(service)) {
-      const timer = this.clock.setTimer(limitOptions.retryPeriod, () => this.retryWaiting(service));
-      this.retryTimers.set(service, timer);
+      this.giveUp(last, getOutcome(last), GiveUpReason.Overload);
     }
+    this.scheduleRetry(service, limitOptions.retryPeriod);
   }
 
   /** Tries again to place the waiting requests of a service. */
@@ -310,6 +368,7 @@
     });
     if (service.waiting.size > 0) {
       this.rejectExcessAndScheduleRetry(service);
+      this.reviewWaiting(service.name);
     }
   }
 
@@ -361,6 +420,7 @@
         this.quarantine.recordGone(state.replica.id);
         break;
       case AttemptEnd.NotSent:
+      case AttemptEnd.Withdrawn:
       case AttemptEnd.Refused:
       case AttemptEnd.Cancelled:
         break;
@@ -379,13 +439,14 @@
       this.giveUp(record, step.outcome, step.reason);
       return;
     }
-    const { retryBudget } = this.registry.getService(record.request.service);
+    const service = this.registry.getService(record.request.service);
+    const restEnd = service.getRestEnd();
+    const mayPlace = restEnd === undefined || isOnTimeAt(record, restEnd);
     if (this.quarantine.isUnderReview(record.request.fingerprint)) {
-      const outcome = record.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
-      this.giveUp(record, outcome, GiveUpReason.UnderReview);
+      this.giveUp(record, getOutcome(record), GiveUpReason.UnderReview);
       return;
     }
-    if (!step.isRetry || retryBudget.tryTake(this.clock.now())) {
+    if (mayPlace && (!step.isRetry || service.retryBudget.tryTake(this.clock.now()))) {
       this.placeOrWait(record);
     } else if (step.fallback === 'settle') {
       this.settle(record, attempt);
@@ -412,8 +473,7 @@
     }
     while (service.waiting.last !== undefined) {
       const record = service.waiting.last;
-      const outcome = record.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
-      this.giveUp(record, outcome, GiveUpReason.NoReplica);
+      this.giveUp(record, getOutcome(record), GiveUpReason.NoReplica);
     }
   }
 
@@ -426,10 +486,15 @@
     this.removeRecord(record);
     const { id } = record.request;
     const isRetryable = outcome === Outcome.NotRun && reason !== GiveUpReason.Quarantined;
-    const retryAfter = isRetryable ? this.options.retryAfter : undefined;
+    const retryAfter = isRetryable ? this.getRetryAfter(record) : undefined;
     this.emit({ kind: 'give-up', id, outcome, reason, retryAfter });
   }
 
+  private getRetryAfter({ request }: RequestRecord): Milliseconds {
+    const restEnd = this.registry.getService(request.service).getRestEnd() ?? 0;
+    return Math.max(this.options.retryAfter, restEnd - this.clock.now());
+  }
+
   private handleDeadline(record: RequestRecord): void {
     this.abort(record, CancelReason.Deadline, GiveUpReason.Deadline);
   }
@@ -522,6 +587,9 @@
       case 'leaving':
         update.replicas.forEach((replica) => this.recordLeaving(replica, peer));
         break;
+      case 'rests':
+        this.rests.recordPeerRests(update.rests);
+        break;
       case 'ask':
         this.placer.handleQuery(peer, update.query);
         break;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -9,7 +9,7 @@
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { RetryLimits } from '../RetryBudget/RetryBudget.js';
 import { ServiceState } from './ServiceState.js';
-import type { ServiceLimits } from './ServiceState.js';
+import type { ServiceLimits, ServiceRests } from './ServiceState.js';
 
 /** Constructor arguments of {@link ReplicaRegistry}. */
 export interface ReplicaRegistrySettings {
@@ -17,6 +17,7 @@
   emit: (effect: PlacementEffect) => void;
   options: PlacementOptions;
   limits: ServiceLimits;
+  rests: ServiceRests;
 }
 
 /**
@@ -43,7 +44,8 @@
     if (existing !== undefined) {
       return existing;
     }
-    const service = new ServiceState(name, this.settings.options, this.settings.limits);
+    const { options, limits, rests } = this.settings;
+    const service = new ServiceState(name, options, limits, rests);
     service.setDaemonCount(this.daemons);
     this.services.set(name, service);
     return service;
@@ -111,6 +113,7 @@
         }
         break;
       case AttemptEnd.Cancelled:
+      case AttemptEnd.Withdrawn:
         break;
       default:
         end satisfies never;
@@ -125,6 +128,9 @@
    */
   recordSilence(state: ReplicaState): void {
     const { replica } = state;
+    if (this.settings.rests.isResting(replica.id)) {
+      return;
+    }
     if (this.getService(replica.service).service?.engine === undefined) {
       this.suspectUnresponsive(state);
     } else if (state.suspectReason === undefined && state.beginLivenessCheck()) {
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -5,6 +5,7 @@
 import { getHomeEngines, getSessionPartId } from '../getCachedPrefixes.js';
 import { getReplicaGroups } from '../groups/getReplicaGroups.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
+import type { ReplicaRests } from '../ReplicaRests/ReplicaRests.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
@@ -30,6 +31,9 @@
 /** The part of {@link ReplicaLimits} that candidate selection needs. */
 export type ServiceLimits = Pick<ReplicaLimits, 'getRate' | 'maySend'>;
 
+/** The part of {@link ReplicaRests} that candidate selection needs. */
+export type ServiceRests = Pick<ReplicaRests, 'getEnd' | 'isResting' | 'isSpared'>;
+
 /** The state of one service as known to the placement core. */
 export class ServiceState {
   readonly replicas = new Map<string, ReplicaState>();
@@ -48,9 +52,10 @@
   private cachedGroups: readonly ReplicaGroup[] | undefined;
 
   constructor(
-    private readonly name: string,
+    readonly name: string,
     private readonly options: PlacementOptions,
     private readonly limits: ServiceLimits,
+    private readonly rests: ServiceRests,
   ) {
     this.retryBudget = new RetryBudget(this.retryLimits);
   }
@@ -115,14 +120,14 @@
 
   /**
    * The replicas that a request may be sent to now: in service, with free capacity, and not tried
-   * yet unless all were. Suspect replicas and those in a cooldown are included only if there are no
-   * others.
+   * yet unless all were. Suspect replicas, those in a cooldown and those that asked another daemon
+   * for a rest are included only if there are no others.
    */
   getCandidates(triedReplicas: ReadonlySet<string>, now: Milliseconds): ReplicaState[] {
     const hasRoom = (state: ReplicaState) =>
       state.hasRoom(this.maxOwnConnections, this.service?.engine);
-    const sendable = this.getReplicasInService().filter((state) => this.limits.maySend(state));
-    return ServiceState.filterCandidates(sendable, { triedReplicas, now, hasRoom });
+    const sendable = this.getReplicasInService().filter((state) => this.maySend(state));
+    return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
   }
 
   /** The candidates within one group, of which this daemon is the placer. */
@@ -132,16 +137,29 @@
     now: Milliseconds,
   ): ReplicaState[] {
     const hasRoom = (state: ReplicaState) => state.hasRoomForAll(this.service?.engine);
-    const sendable = replicas.filter((state) => state.isInService && this.limits.maySend(state));
-    return ServiceState.filterCandidates(sendable, { triedReplicas, now, hasRoom });
+    const sendable = replicas.filter((state) => state.isInService && this.maySend(state));
+    return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
+  }
+
+  /** Whether this daemon may send a replica a request now, by the replica's own statements. */
+  maySend(state: ReplicaState): boolean {
+    return !this.rests.isResting(state.replica.id) && this.limits.maySend(state);
+  }
+
+  /** When the first replica may be used again, if all replicas in service rest; else undefined. */
+  getRestEnd(): Milliseconds | undefined {
+    const ends = this.getReplicasInService().map(({ replica }) => this.rests.getEnd(replica.id));
+    const resting = ends.filter((end) => end !== undefined);
+    return ends.length > 0 && resting.length === ends.length ? Math.min(...resting) : undefined;
   }
 
-  private static filterCandidates(
+  private filterCandidates(
     inService: readonly ReplicaState[],
     { triedReplicas, now, hasRoom }: CandidateFilter,
   ): ReplicaState[] {
     const trusted = inService.filter(
-      ({ suspectReason, cooldown }) => suspectReason === undefined && !cooldown.isActive(now),
+      ({ suspectReason, cooldown, replica }) =>
+        suspectReason === undefined && !cooldown.isActive(now) && !this.rests.isSpared(replica.id),
     );
     const pool = trusted.length > 0 ? trusted : inService;
     const withRoom = pool.filter(hasRoom);
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -3,6 +3,13 @@
 import type { PlacementRequest, Prompt } from './messages.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
+/** Ends of attempts of which no byte reached the intended replica. */
+const UNSENT_ENDS: ReadonlySet<AttemptEnd> = new Set([
+  AttemptEnd.NotSent,
+  AttemptEnd.Withdrawn,
+  AttemptEnd.Misdirected,
+]);
+
 /** An attempt in flight, of this daemon or a peer. */
 export interface RunningAttempt {
   /** Number of the attempt within its request; 0 for attempts of peers. */
@@ -78,7 +85,7 @@
 
   /** Counts an attempt by what its end proves. */
   countAttempt(end: AttemptEnd): void {
-    if (end === AttemptEnd.NotSent || end === AttemptEnd.Misdirected) {
+    if (UNSENT_ENDS.has(end)) {
       this.unsentAttempts += 1;
       return;
     }
--- a/packages/relay/src/lib/decide/WaitingList/WaitingList.ts
+++ b/packages/relay/src/lib/decide/WaitingList/WaitingList.ts
@@ -8,6 +8,11 @@
     return this.records.length;
   }
 
+  /** Returns the requests in order. */
+  getAll(): readonly RequestRecord[] {
+    return [...this.records];
+  }
+
   /** The least urgent request, and the newest one among equals. */
   get last(): RequestRecord | undefined {
     return this.records.at(-1);
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -64,6 +64,8 @@
   Misdirected = 'misdirected',
   /** The connection broke or the response is incomplete; the request may have run. */
   Broken = 'broken',
+  /** Not sent, because the replica announced meanwhile that it wants no requests. */
+  Withdrawn = 'withdrawn',
   /** Cancelled by the core. */
   Cancelled = 'cancelled',
 }
@@ -84,6 +86,8 @@
   Refused = 'refused',
   /** It may have run, and must not run again. */
   MayHaveRun = 'may-have-run',
+  /** Every replica of the service rests for longer than the request can wait. */
+  Resting = 'resting',
   /** Its service has more waiting requests than can be served in time. */
   Overload = 'overload',
   /** The request is quarantined because it crashes replicas. */
@@ -190,6 +194,13 @@
   age: Milliseconds;
 }
 
+/** A rest that a replica asked a daemon for, as exchanged between daemons. */
+export interface SharedRest {
+  replica: string;
+  /** Time until it ends. */
+  remaining: Milliseconds;
+}
+
 /** An update that one daemon sends to others. */
 export type PlacementUpdate =
   | { kind: 'placed'; attempt: SharedAttempt }
@@ -209,6 +220,7 @@
   | { kind: 'limits'; limits: SharedLimit[] }
   /** IDs of replicas that announced that they are about to leave. */
   | { kind: 'leaving'; replicas: string[] }
+  | { kind: 'rests'; rests: SharedRest[] }
   /** All attempts in flight; replaces everything announced before. */
   | { kind: 'attempt-list'; attempts: SharedAttempt[] };
 
@@ -241,6 +253,8 @@
   | { kind: 'quarantine'; requests: readonly QuarantinedRequest[] }
   /** A replica announces that it is about to leave; `source` names the response, for the log. */
   | { kind: 'leaving'; replica: string; source: string }
+  /** A replica turned a request away and wants nothing from this daemon for `span`. */
+  | { kind: 'rest'; replica: string; span: Milliseconds; source: string }
   | { kind: 'cache-changed'; replica: string; changes: readonly CacheChange[] }
   /** The complete cache of an engine; replaces everything known before. */
   | { kind: 'cache-listed'; replica: string; changes: readonly CacheChange[] }
@@ -286,6 +300,8 @@
   | { kind: 'limit-refused'; replica: string; text: string }
   /** A replica announced that it is about to leave, in the given response or to the given peer. */
   | { kind: 'replica-leaving'; replica: string; source: string }
+  /** This daemon sends a replica nothing for `span`, as the replica asked in the given response. */
+  | { kind: 'replica-resting'; replica: string; span: Milliseconds; source: string }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'mark-healthy'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: it gets no requests for `span`. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -44,6 +44,7 @@
       rest: RequestedRest | undefined;
     }
   | { event: 'replica-leaving'; replica: string; source: string }
+  | { event: 'replica-resting'; replica: string; span: Milliseconds; source: string }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
   | { event: 'replica-questioned'; replica: string; service: string }
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -27,6 +27,8 @@
   log: RelayLog;
   metrics: RelayMetrics;
   dispatch: (message: PlacementMessage) => void;
+  /** Whether a request that was placed at a replica may still be sent to it. */
+  maySend: (replica: string) => boolean;
   /** Called when an attempt is sent to a replica, with the number of prompt tokens to prefill. */
   onAttemptSent: (service: string, tokens: number) => void;
   /**
@@ -144,7 +146,10 @@
     exchange.run(
       connection,
       { method: request.method, target: request.target, rawHeaders, body: request.body },
-      () => connections.release(replica, connection),
+      {
+        maySend: () => this.parts.maySend(replica.id),
+        onReleased: () => connections.release(replica, connection),
+      },
     );
   }
 
@@ -202,6 +207,7 @@
       case GiveUpReason.NoReplica:
       case GiveUpReason.Refused:
       case GiveUpReason.Overload:
+      case GiveUpReason.Resting:
       case GiveUpReason.UnderReview:
         return outcome === Outcome.NotRun ? 503 : 502;
       case GiveUpReason.MayHaveRun:
@@ -267,6 +273,9 @@
     if (rest !== undefined) {
       metrics.replicaNotices.inc({ service: replica.service, notice: 'rest' });
     }
+    if (rest?.kind === 'span') {
+      dispatch({ kind: 'rest', replica: replica.id, span: rest.span, source: 'response' });
+    }
     if (isLeaving) {
       metrics.replicaNotices.inc({ service: replica.service, notice: 'leaving' });
       dispatch({ kind: 'leaving', replica: replica.id, source: 'response' });
--- a/packages/relay/src/lib/request/ResponseReader.ts
+++ b/packages/relay/src/lib/request/ResponseReader.ts
@@ -4,6 +4,7 @@
 import { EventSplitter } from '../upstream/EventSplitter/EventSplitter.js';
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
 import { upstreamOptions } from '../upstream/upstreamOptions.js';
+import { RequestWithdrawnError } from '../upstream/UpstreamExchange/RequestWithdrawnError.js';
 import type {
   ResponseHead,
   ExchangeListener,
@@ -130,7 +131,9 @@
     }
     const { head } = this;
     const fields = head === undefined ? undefined : this.parts.protocol.readResponse(head);
-    if (!isSent) {
+    if (error instanceof RequestWithdrawnError) {
+      this.finish(AttemptEnd.Withdrawn, error.message);
+    } else if (!isSent) {
       this.finish(AttemptEnd.NotSent, error.message);
     } else if (fields?.isMisdirected) {
       this.finish(AttemptEnd.Misdirected, error.message);
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -38,6 +38,9 @@
 
 describe('UpstreamExchange', () => {
   let server: Server | undefined;
+
+  /** Whether the replica still wants the request when its connection is open. */
+  let maySend = true;
   const connections = new UpstreamConnections(() => undefined);
 
   function listen(onSocket: (socket: Socket) => void): Promise<number> {
@@ -67,10 +70,17 @@
         },
         onEnd: () => finish('end', true),
         onError: (_error, isSent) => finish('error', isSent),
-      }).run(connection, REQUEST, () => connections.release(replica, connection));
+      }).run(connection, REQUEST, {
+        maySend: () => maySend,
+        onReleased: () => connections.release(replica, connection),
+      });
     });
   }
 
+  beforeEach(() => {
+    maySend = true;
+  });
+
   afterEach(async () => {
     await connections.dispose();
     server?.close();
@@ -87,6 +97,22 @@
     await expect(run(port)).resolves.toMatchObject({ kind: 'error', isSent: false });
   });
 
+  // Guards against sending a request to a replica that asked for a rest while the connection was opened.
+  it('sends nothing if the replica wants no requests once the connection is open', async () => {
+    let received = '';
+    const port = await listen((socket) => {
+      socket.on('data', (bytes) => {
+        received += bytes.toString();
+        socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole');
+      });
+    });
+    maySend = false;
+    await expect(run(port)).resolves.toMatchObject({ kind: 'error', isSent: false });
+    maySend = true;
+    await expect(run(port)).resolves.toMatchObject({ kind: 'end', body: 'whole' });
+    expect(received.match(/HTTP\/1\.1/g)).toHaveLength(1);
+  });
+
   // Guards against a truncated response that is reported as a success: a replica crashed during a response
   // without a length, and the HTTP client treats a reset as the end of such a response.
   it('does not treat a reset as the end of a response without a length', async () => {
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
@@ -1,6 +1,7 @@
 import type { Clock, Timer } from '@apricotrill/utils';
 import type { Dispatcher } from 'undici';
 import { upstreamOptions } from '../upstreamOptions.js';
+import { RequestWithdrawnError } from './RequestWithdrawnError.js';
 import type { UpstreamConnection } from '../UpstreamConnections/UpstreamConnections.js';
 
 /** Status and headers of a response. */
@@ -29,6 +30,14 @@
   body: Buffer | undefined;
 }
 
+/** Callbacks of an exchange about its request. */
+export interface ExchangeCallbacks {
+  /** Called immediately before the first byte is sent, which can be long after the start. */
+  maySend: () => boolean;
+  /** Called once, when the request no longer uses its connection. */
+  onReleased: () => void;
+}
+
 /** Lower statuses are informational responses, which precede the final one. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -44,7 +53,9 @@
 
   private connection: UpstreamConnection | undefined;
 
-  private onReleased: (() => void) | undefined;
+  private callbacks: ExchangeCallbacks | undefined;
+
+  private isReleased = false;
 
   private tailTimer: Timer | undefined;
 
@@ -53,9 +64,12 @@
     private readonly listener: ExchangeListener,
   ) {}
 
-  /** @param onReleased - called once, when this request no longer uses the connection */
-  run(connection: UpstreamConnection, request: UpstreamRequest, onReleased: () => void): void {
-    this.onReleased = onReleased;
+  run(
+    connection: UpstreamConnection,
+    request: UpstreamRequest,
+    callbacks: ExchangeCallbacks,
+  ): void {
+    this.callbacks = callbacks;
     this.connection = connection;
     connection.client.dispatch(
       {
@@ -103,6 +117,10 @@
       controller.abort(new Error('request already aborted or sent'));
       return;
     }
+    if (this.callbacks?.maySend() === false) {
+      controller.abort(new RequestWithdrawnError());
+      return;
+    }
     this.controller = controller;
   }
 
@@ -145,8 +163,9 @@
 
   private release(): void {
     this.tailTimer?.cancel();
-    const { onReleased } = this;
-    this.onReleased = undefined;
-    onReleased?.();
+    if (!this.isReleased) {
+      this.isReleased = true;
+      this.callbacks?.onReleased();
+    }
   }
 }
