Follow a store that comes back from an older copy

Cause: all that a daemon compares with what it hears is a revision, which was taken to grow for ever. Lists below it were ignored, and the watch after them was answered 410, which asks for a list: 27 calls a second from each daemon. Where the known revision had been given out again there was no 410, and what came before it was missed for good. Class: a number that orders states within one history is used across two.

Change: a position in the store is its era and a revision (StorePosition). A list of a later era is applied whatever its revision; changes of a later era, or of a reader that went into one, are not applied but followed by a list; a response of an earlier era is a failure, one without an era belongs to the known one. Daemons tell each other positions, and readers hand them on.

Datagrams of daemons with and without this change can't be read by each other where the store states an era: mixed versions are not supported.

--- a/packages/relay/src/lib/daemon/ObjectFollower.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
-import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
+import type { ObjectSource, StorePosition } from '../follow/StateFollower/ObjectSource.js';
 import { StateFollower } from '../follow/StateFollower/StateFollower.js';
 import type { StateListener } from '../follow/StateFollower/StateFollower.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
@@ -42,7 +42,7 @@
       listener: this.createListener(),
     });
     this.objects = new SharedObjects(parts.clock, parts.epoch, () =>
-      this.isFresh ? this.follower.knownRevision : undefined,
+      this.isFresh ? this.follower.knownPosition : undefined,
     );
   }
 
@@ -50,9 +50,9 @@
     await this.follower.run();
   }
 
-  /** The revision of the last change that this daemon received from the store itself. */
-  get lastChangeRevision(): number | undefined {
-    return this.isDirect ? this.follower.lastChangeRevision : undefined;
+  /** The position of the last change that this daemon received from the store itself. */
+  get lastChangePosition(): StorePosition | undefined {
+    return this.isDirect ? this.follower.lastChangePosition : undefined;
   }
 
   /** Whether the last call to the store or to a reader succeeded. */
@@ -61,12 +61,12 @@
   }
 
   /**
-   * Records the revision of a change that a peer has received. Ignored if this daemon uses a reader,
+   * Records the position of a change that a peer has received. Ignored if this daemon uses a reader,
    * which handles it instead.
    */
-  recordPeerRevision(revision: number): void {
+  recordPeerPosition(position: StorePosition): void {
     if (this.isDirect) {
-      this.follower.recordPeerRevision(revision);
+      this.follower.recordPeerPosition(position);
     }
   }
 
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -175,8 +175,8 @@
         this.storeLink.setDaemonCount(count);
         dispatch({ kind: 'daemons', count });
       },
-      getStoreRevisions: () => this.storeLink.lastChangeRevisions,
-      onStoreRevisions: (revisions) => this.storeLink.recordPeerRevisions(revisions),
+      getStorePositions: () => this.storeLink.lastChangePositions,
+      onStorePositions: (positions) => this.storeLink.recordPeerPositions(positions),
     });
     this.duties = this.createDuties(self);
     this.effectPerformer = this.createEffectPerformer();
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -1,6 +1,6 @@
 import { getHashHex } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
-import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
+import type { ObjectSource, StorePosition } from '../follow/StateFollower/ObjectSource.js';
 import type { StateListener } from '../follow/StateFollower/StateFollower.js';
 import { HttpClient } from '../http/HttpClient.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
@@ -80,21 +80,21 @@
     });
   }
 
-  /** The revision of the last change received from the store itself, by kind; sent to other daemons. */
-  get lastChangeRevisions(): Record<string, number> {
-    const revisions: Record<string, number> = {};
-    this.followers.forEach(({ lastChangeRevision }, dependency) => {
-      if (lastChangeRevision !== undefined) {
-        revisions[dependency] = lastChangeRevision;
+  /** The position of the last change received from the store itself, by kind; sent to other daemons. */
+  get lastChangePositions(): Record<string, StorePosition> {
+    const positions: Record<string, StorePosition> = {};
+    this.followers.forEach(({ lastChangePosition }, dependency) => {
+      if (lastChangePosition !== undefined) {
+        positions[dependency] = lastChangePosition;
       }
     });
-    return revisions;
+    return positions;
   }
 
-  /** Records the revisions of the last changes that a peer received from the store. */
-  recordPeerRevisions(revisions: Readonly<Record<string, number>>): void {
-    Object.entries(revisions).forEach(([dependency, revision]) =>
-      this.followers.get(dependency)?.recordPeerRevision(revision),
+  /** Records the positions of the last changes that a peer received from the store. */
+  recordPeerPositions(positions: Readonly<Record<string, StorePosition>>): void {
+    Object.entries(positions).forEach(([dependency, position]) =>
+      this.followers.get(dependency)?.recordPeerPosition(position),
     );
   }
 
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -60,7 +60,12 @@
   /** @returns the IDs of replicas that were removed without having announced that they leave */
   setReplicas(replicas: readonly RelayReplica[]): string[] {
     const before = this.allServices.flatMap((service) => service.getReplicasInService());
-    replicas.forEach(({ service }) => this.getService(service));
+    replicas.forEach(({ id, isDraining, service }) => {
+      this.getService(service);
+      if (isDraining) {
+        this.leaving.add(id);
+      }
+    });
     this.services.forEach((service, name) => {
       service.setReplicas(replicas.filter((replica) => replica.service === name));
       service.replicas.forEach((state, id) => {
--- a/packages/relay/src/lib/follow/StateFollower/ObjectSource.ts
+++ b/packages/relay/src/lib/follow/StateFollower/ObjectSource.ts
@@ -6,6 +6,19 @@
  */
 export type StoreEra = number | undefined;
 
+/** A point in the history of the store. */
+export interface StorePosition {
+  era?: StoreEra;
+  revision: number;
+}
+
+/** Whether a position is later than another one; a position without an era is in the other's era. */
+export function isLater(position: StorePosition, other: StorePosition): boolean {
+  const era = position.era ?? other.era ?? 0;
+  const otherEra = other.era ?? position.era ?? 0;
+  return era > otherEra || (era === otherEra && position.revision > other.revision);
+}
+
 /** A change of one object in the store. */
 export interface ObjectChange<Item> {
   name: string;
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
@@ -9,6 +9,8 @@
   /** A change that no watch reports, followed by the loss of the history that contains it. */
   | { kind: 'gap'; item: number }
   | { kind: 'availability'; isUnavailable: boolean }
+  /** The store comes back from a copy that lacks some changes. */
+  | { kind: 'restore'; lostChanges: number }
   | { kind: 'lag'; lag: number }
   | { kind: 'advance'; duration: number };
 
@@ -21,6 +23,10 @@
   fc.record({ kind: fc.constantFrom('compact', 'silence', 'cut', 'peer-revision') }),
   fc.record({ kind: fc.constant('gap' as const), item: fc.integer({ min: 0, max: 9 }) }),
   fc.record({ kind: fc.constant('availability' as const), isUnavailable: fc.boolean() }),
+  fc.record({
+    kind: fc.constant('restore' as const),
+    lostChanges: fc.integer({ min: 0, max: 8 }),
+  }),
   fc.record({ kind: fc.constant('lag' as const), lag: fc.integer({ min: 0, max: 3 }) }),
   fc.record({
     kind: fc.constant('advance' as const),
@@ -43,10 +49,12 @@
 
   readonly store = new ModelStore(this.clock);
 
-  readonly revisions: number[] = [];
+  readonly positions: [number, number][] = [];
 
   items: ReadonlyMap<string, number> = new Map();
 
+  private era = 0;
+
   private readonly follower: StateFollower<number>;
 
   private readonly following: Promise<void>;
@@ -59,11 +67,13 @@
       listener: {
         onObjects: (items, revision) => {
           this.items = new Map(items);
-          this.revisions.push(revision);
+          this.positions.push([this.era, revision]);
         },
         onLost: () => undefined,
         onReconnected: () => undefined,
-        onEraChanged: () => undefined,
+        onEraChanged: ({ era }) => {
+          this.era = era;
+        },
         onRetained: () => undefined,
       },
     });
@@ -91,11 +101,14 @@
         this.store.compact();
         break;
       case 'peer-revision':
-        this.follower.recordPeerRevision(this.store.revision);
+        this.follower.recordPeerPosition({ era: this.store.era, revision: this.store.revision });
         break;
       case 'availability':
         this.store.isUnavailable = action.isUnavailable;
         break;
+      case 'restore':
+        this.store.restore(action.lostChanges);
+        break;
       case 'lag':
         this.store.lag = action.lag;
         break;
@@ -144,10 +157,15 @@
           await run.advance(
             defaultStateFollowerOptions.maxWatchWait * 1.25 +
               WATCH_TIMEOUT +
-              defaultStateFollowerOptions.reconnectGrace * 2,
+              defaultStateFollowerOptions.reconnectGrace * 2 +
+              defaultStateFollowerOptions.restoredObjectDelay,
           );
           expect(Object.fromEntries(run.items)).toEqual(Object.fromEntries(run.store.objects));
-          expect(run.revisions).toEqual([...run.revisions].sort((left, right) => left - right));
+          const sorted = [...run.positions].sort(
+            ([era, revision], [otherEra, otherRevision]) =>
+              era - otherEra || revision - otherRevision,
+          );
+          expect(run.positions).toEqual(sorted);
           await run.end();
         },
       ),
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -43,8 +43,16 @@
   }
 }
 
+function createEraList(
+  era: number | undefined,
+  revision: number,
+  ...names: string[]
+): ObjectList<string> {
+  return { era, revision, items: new Map(names.map((name) => [name, name])) };
+}
+
 function createList(revision: number, ...names: string[]): ObjectList<string> {
-  return { revision, items: new Map(names.map((name) => [name, name])) };
+  return createEraList(undefined, revision, ...names);
 }
 
 function createChanges(revision: number, ...changes: [string, string | undefined][]) {
@@ -112,13 +120,13 @@
     follower.setDaemonCount(74);
     await source.respond(createList(5, 'a'));
     clock.advance(500);
-    follower.recordPeerRevision(6);
+    follower.recordPeerPosition({ revision: 6 });
     await ScriptedSource.settle();
     // The response to the watch may still arrive.
     expect(source.calls).toEqual(['list', 'watch 5']);
     clock.advance(500);
-    follower.recordPeerRevision(5);
-    follower.recordPeerRevision(6);
+    follower.recordPeerPosition({ revision: 5 });
+    follower.recordPeerPosition({ revision: 6 });
     await ScriptedSource.settle();
     expect(source.calls).toEqual(['list', 'watch 5', 'watch 5']);
     expect(source.waits.at(-1)).toBe(1);
@@ -224,4 +232,96 @@
     expect(seen.at(-1)).toEqual([]);
     expect(log).toEqual([]);
   });
+
+  // Guards against ignoring a store that came back from an older copy until its revision has grown.
+  it('lists again and applies the list if a watch reports a later era, whatever its revision', async () => {
+    const { source, seen, log } = await setUp();
+    await source.respond(createEraList(1, 50, 'a'));
+    await source.respond({ ...createChanges(60, ['c', 'c']), era: 2 });
+    expect(source.calls).toEqual(['list', 'watch 50', 'list']);
+    await source.respond(createEraList(2, 20, 'a', 'b'));
+    expect(seen).toEqual([['a'], ['a', 'b']]);
+    expect(source.calls.at(-1)).toBe('watch 20');
+    await source.respond({ ...createChanges(21, ['b', undefined]), era: 2 });
+    expect(log).toEqual(['era undefined to 1', 'era 1 to 2', 'retained b']);
+  });
+
+  it('applies the list of a later era after its history has expired', async () => {
+    const { source, seen } = await setUp();
+    await source.respond(createEraList(1, 50, 'a'));
+    await source.respond({ kind: 'history-expired', era: 2 });
+    await source.respond(createEraList(2, 3, 'b', 'a'));
+    expect(seen.at(-1)).toEqual(['a', 'b']);
+  });
+
+  it('treats a response without an era as one of the known era', async () => {
+    const { source, seen } = await setUp();
+    await source.respond(createEraList(2, 50, 'a'));
+    await source.respond({ kind: 'history-expired' });
+    await source.respond(createList(40, 'b'));
+    expect(seen).toEqual([['a']]);
+    await source.respond(createChanges(51, ['c', 'c']));
+    expect(seen.at(-1)).toEqual(['a', 'c']);
+  });
+
+  it('reports a response of an earlier era as a failure', async () => {
+    const { clock, source, seen, log } = await setUp();
+    await source.respond(createEraList(2, 50, 'a'));
+    await source.respond({ ...createChanges(60, ['b', 'b']), era: 1 });
+    expect(seen).toEqual([['a']]);
+    expect(log).toContain('lost');
+    clock.advance(defaultStateFollowerOptions.maxRetryDelay);
+    await ScriptedSource.settle();
+    await source.respond({ ...createChanges(51, ['c', 'c']), era: 2 });
+    expect(seen.at(-1)).toEqual(['a', 'c']);
+  });
+
+  // Guards against refusing requests because the copy is from before the replicas registered.
+  it('retains objects that a restored store lacks, until they can have been written again', async () => {
+    const { clock, source, seen, log } = await setUp();
+    await source.respond(createEraList(1, 50, 'a', 'b'));
+    await source.respond({ kind: 'history-expired', era: 2 });
+    await source.respond(createEraList(2, 3, 'a'));
+    expect(seen.at(-1)).toEqual(['a', 'b']);
+    expect(log).toContain('retained b');
+    clock.advance(defaultStateFollowerOptions.reconnectGrace);
+    expect(seen.at(-1)).toEqual(['a']);
+  });
+
+  // Guards against requests to a replica that was gone before the restore, since the copy is older.
+  it('ignores an object of the copy that was deleted before, until it is written again', async () => {
+    const { source, seen } = await setUp();
+    await source.respond(createEraList(1, 50, 'a', 'b'));
+    await source.respond({ ...createChanges(51, ['b', undefined]), era: 1 });
+    await source.respond({ kind: 'history-expired', era: 2 });
+    await source.respond(createEraList(2, 40, 'a', 'b'));
+    expect(seen.at(-1)).toEqual(['a']);
+    await source.respond({ ...createChanges(41, ['b', 'b']), era: 2 });
+    expect(seen.at(-1)).toEqual(['a', 'b']);
+  });
+
+  it('uses such an object if it still exists after a while, and not if the store deletes it', async () => {
+    const { clock, source, seen } = await setUp();
+    await source.respond(createEraList(1, 50, 'a', 'b', 'c'));
+    await source.respond({ ...createChanges(51, ['b', undefined], ['c', undefined]), era: 1 });
+    await source.respond({ kind: 'history-expired', era: 2 });
+    await source.respond(createEraList(2, 40, 'a', 'b', 'c'));
+    await source.respond({ ...createChanges(41, ['c', undefined]), era: 2 });
+    expect(seen.at(-1)).toEqual(['a']);
+    clock.advance(defaultStateFollowerOptions.restoredObjectDelay);
+    expect(seen.at(-1)).toEqual(['a', 'b']);
+  });
+
+  it('aborts a watch when another daemon knows a later era, and not for an earlier one', async () => {
+    const { clock, source, follower } = await setUp();
+    await source.respond(createEraList(2, 50, 'a'));
+    clock.advance(2_000);
+    follower.recordPeerPosition({ era: 1, revision: 90 });
+    await ScriptedSource.settle();
+    expect(source.calls).toEqual(['list', 'watch 50']);
+    follower.recordPeerPosition({ era: 3, revision: 7 });
+    await ScriptedSource.settle();
+    expect(source.calls).toEqual(['list', 'watch 50', 'watch 50']);
+    expect(source.waits.at(-1)).toBe(1);
+  });
 });
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -1,5 +1,14 @@
+import { StepError } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
-import type { ObjectChange, ObjectSource, StoreEra, WatchResult } from './ObjectSource.js';
+import { isLater } from './ObjectSource.js';
+import type {
+  ObjectChange,
+  ObjectList,
+  ObjectSource,
+  StoreEra,
+  StorePosition,
+  WatchResult,
+} from './ObjectSource.js';
 
 /** Options of a state follower. */
 export interface StateFollowerOptions {
@@ -17,6 +26,14 @@
    * owners of objects that still exist write them again within two seconds.
    */
   reconnectGrace: Milliseconds;
+  /**
+   * How long an object that was deleted before the store came back from an older copy is ignored
+   * after that, unless it is written again. The store deletes the entries of replicas that are gone
+   * once they have missed three heartbeats.
+   */
+  restoredObjectDelay: Milliseconds;
+  /** How long deletions are remembered, which exceeds the age of a copy of the store. */
+  deletionRetention: Milliseconds;
 }
 
 /**
@@ -35,6 +52,8 @@
   minRetryDelay: 100,
   maxRetryDelay: 500,
   reconnectGrace: 2_500,
+  restoredObjectDelay: 5_000,
+  deletionRetention: 120_000,
 };
 
 /** Wait of a watch that is to return at once; this is the shortest that the store supports. */
@@ -54,6 +73,9 @@
  */
 const MIN_ABORTED_WATCH_AGE: Milliseconds = 1_000;
 
+/** The same if the other daemon knows a later era, of which the watch may report nothing. */
+const MIN_OUTDATED_WATCH_AGE: Milliseconds = 200;
+
 /** A change of the store's era, and how far the objects of the previous era were known. */
 export interface EraChange {
   era: number;
@@ -86,7 +108,8 @@
 /**
  * Follows the objects of one kind: lists them once, then watches for changes, and lists them again
  * if the store has dropped its history. The known objects are kept during an outage of the store.
- * Revisions never decrease: responses that are older than the known state are ignored.
+ * Responses that are older than the known state are ignored. Revisions are compared within an era of
+ * the store: the first response of a later era is followed by a list, whatever its revision.
  */
 export class StateFollower<Item> {
   private readonly settings: StateFollowerSettings<Item>;
@@ -107,6 +130,12 @@
   /** Revision of the last response that contained a change. */
   private lastChange: number | undefined;
 
+  /** When objects were deleted, by name. */
+  private readonly deletedAt = new Map<string, Milliseconds>();
+
+  /** Objects of an older copy of the store that were deleted before, and are ignored for a while. */
+  private readonly suppressed = new Map<string, Item>();
+
   /** The watch in flight. */
   private activeWatch: { since: Milliseconds; abort: AbortController } | undefined;
 
@@ -152,9 +181,9 @@
     this.activeWatch?.abort.abort();
   }
 
-  /** Revision of the last change, which this daemon announces to its peers. */
-  get lastChangeRevision(): number | undefined {
-    return this.lastChange;
+  /** Position of the last change, which this daemon announces to its peers. */
+  get lastChangePosition(): StorePosition | undefined {
+    return this.lastChange === undefined ? undefined : { era: this.era, revision: this.lastChange };
   }
 
   /** Adapts the wait of watches to the number of daemons that follow the store. */
@@ -165,16 +194,21 @@
   }
 
   /**
-   * Records the revision of a change that another daemon knows of, and aborts the watch if it should
+   * Records the position of a change that another daemon knows of, and aborts the watch if it should
    * have reported that change. Otherwise a watch on a dead connection would report nothing until its
    * wait is over, and replicas that leave would be sent requests until then.
    */
-  recordPeerRevision(revision: number): void {
-    const { activeWatch } = this;
-    if (this.revision === undefined || revision <= this.revision || activeWatch === undefined) {
+  recordPeerPosition(position: StorePosition): void {
+    const { activeWatch, era, revision } = this;
+    if (revision === undefined || activeWatch === undefined) {
       return;
     }
-    if (this.settings.clock.now() - activeWatch.since >= MIN_ABORTED_WATCH_AGE) {
+    if (!isLater(position, { era, revision })) {
+      return;
+    }
+    const isLaterEra = this.isLaterEra(position.era);
+    const minAge = isLaterEra ? MIN_OUTDATED_WATCH_AGE : MIN_ABORTED_WATCH_AGE;
+    if (this.settings.clock.now() - activeWatch.since >= minAge) {
       this.isBehind = true;
       activeWatch.abort.abort();
     }
@@ -185,9 +219,9 @@
     return new Map([...this.items].filter(([name]) => !this.retained.has(name)));
   }
 
-  /** Revision up to which the objects of the store are known; undefined before the first list. */
-  get knownRevision(): number | undefined {
-    return this.revision;
+  /** Position up to which the objects of the store are known; undefined before the first list. */
+  get knownPosition(): StorePosition | undefined {
+    return this.revision === undefined ? undefined : { era: this.era, revision: this.revision };
   }
 
   /** Whether the last call to the store succeeded. */
@@ -201,9 +235,8 @@
     if (mustList || this.revision === undefined) {
       this.listedAt = this.settings.clock.now();
       const list = await source.list();
-      this.recordEra(list.era);
       this.startReconnectGrace();
-      this.applyList(list.items, list.revision);
+      this.applyList(list);
       return false;
     }
     // The first watch after an outage does not wait for a change, so that the end of the outage is
@@ -217,8 +250,7 @@
     if (result === undefined) {
       return false;
     }
-    this.recordEra(result.kind === 'list' ? result.list.era : result.era);
-    if (result.kind === 'history-expired') {
+    if (result.kind === 'history-expired' || this.isOutdatedBy(result)) {
       // If lists lag behind the history, the watch after a list expires at once; without this pause,
       // lists and watches would alternate as fast as the store responds.
       await this.waitForInterval(this.listedAt);
@@ -230,19 +262,43 @@
     return false;
   }
 
-  private recordEra(era: StoreEra): void {
-    if (era === undefined || era === this.era) {
-      return;
+  private isLaterEra(era: StoreEra): boolean {
+    return era !== undefined && this.era !== undefined && era > this.era;
+  }
+
+  /**
+   * Whether the store was restored since the known state. Its changes are then relative to a state that
+   * may differ from the known one, even if the store has given out the known revision again.
+   */
+  private isOutdatedBy(result: Exclude<WatchResult<Item>, { kind: 'history-expired' }>): boolean {
+    return result.kind === 'changes' && this.isLaterEra(result.era);
+  }
+
+  /** @throws StepError for a response of an earlier era, which may come from another part of the store */
+  private checkEra(era: StoreEra): void {
+    if (era !== undefined && this.era !== undefined && era < this.era) {
+      const message = `response of era ${era}, after era ${this.era}`;
+      throw new StepError(message, { step: 'read', peer: 'store' });
     }
+  }
+
+  /** Starts a new era, in which objects can be missing until they have been written again. */
+  private startEra(era: number): void {
     const { era: previous, revision: knownRevision } = this;
     this.era = era;
+    if (previous !== undefined) {
+      this.graceUntil = this.settings.clock.now() + this.options.reconnectGrace;
+    }
     this.settings.listener.onEraChanged({ era, previous, knownRevision });
   }
 
   private applyResult(result: Exclude<WatchResult<Item>, { kind: 'history-expired' }>): void {
     if (result.kind === 'list') {
-      this.applyList(result.list.items, result.list.revision);
-    } else if (result.revision >= (this.revision ?? 0)) {
+      this.applyList(result.list);
+      return;
+    }
+    this.checkEra(result.era);
+    if (result.revision >= (this.revision ?? 0)) {
       this.applyChanges(result.changes, result.revision);
     }
   }
@@ -274,15 +330,55 @@
       : Math.round(this.watchWait * (0.75 + this.settings.random.next() / 2));
   }
 
-  private applyList(listed: Map<string, Item>, revision: number): void {
-    if (this.revision !== undefined && revision < this.revision) {
+  private applyList({ items: listed, revision, era }: ObjectList<Item>): void {
+    this.checkEra(era);
+    const isFirst = this.revision === undefined;
+    const isRestored = this.isLaterEra(era);
+    if (!isFirst && !isRestored && revision < this.revision!) {
       return;
     }
-    const deleted = [...this.items.keys()].filter((name) => !listed.has(name));
+    if (era !== undefined && era !== this.era) {
+      this.startEra(era);
+    }
+    const current = isRestored ? this.suppressDeleted(listed) : listed;
+    const deleted = [...this.items.keys()].filter((name) => !current.has(name));
     const changes: ObjectChange<Item>[] = deleted.map((name) => ({ name, item: undefined }));
-    listed.forEach((item, name) => changes.push({ name, item }));
-    const isFirst = this.revision === undefined;
-    this.applyChanges(changes, revision, isFirst);
+    current.forEach((item, name) => {
+      if (!this.suppressed.has(name)) {
+        changes.push({ name, item });
+      }
+    });
+    this.applyChanges(changes, revision, isFirst || isRestored);
+  }
+
+  /**
+   * Takes the objects out of the list of a restored store that were deleted before. They are used
+   * only if they still exist after a while.
+   */
+  private suppressDeleted(listed: Map<string, Item>): Map<string, Item> {
+    const { clock } = this.settings;
+    const { deletionRetention, restoredObjectDelay } = this.options;
+    const cutoff = clock.now() - deletionRetention;
+    this.suppressed.clear();
+    const isDeleted = (name: string) =>
+      !this.items.has(name) && (this.deletedAt.get(name) ?? Number.NEGATIVE_INFINITY) >= cutoff;
+    listed.forEach((item, name) => {
+      if (isDeleted(name)) {
+        this.suppressed.set(name, item);
+      }
+    });
+    if (this.suppressed.size > 0) {
+      clock.setTimer(restoredObjectDelay, () => this.endSuppression());
+    }
+    return new Map([...listed].filter(([name]) => !this.suppressed.has(name)));
+  }
+
+  private endSuppression(): void {
+    if (this.suppressed.size > 0) {
+      this.suppressed.forEach((item, name) => this.items.set(name, item));
+      this.suppressed.clear();
+      this.notifyListener();
+    }
   }
 
   private applyChanges(changes: ObjectChange<Item>[], revision: number, isFirst = false): void {
@@ -298,7 +394,9 @@
   }
 
   private applyChange({ name, item }: ObjectChange<Item>): void {
+    this.suppressed.delete(name);
     if (item !== undefined) {
+      this.deletedAt.delete(name);
       this.retained.delete(name);
       this.items.set(name, item);
       return;
@@ -308,7 +406,19 @@
       this.retain(name, this.graceUntil);
       return;
     }
-    this.items.delete(name);
+    this.delete(name);
+  }
+
+  private delete(name: string): void {
+    const now = this.settings.clock.now();
+    if (this.items.delete(name)) {
+      this.deletedAt.set(name, now);
+      this.deletedAt.forEach((at, other) => {
+        if (at < now - this.options.deletionRetention) {
+          this.deletedAt.delete(other);
+        }
+      });
+    }
   }
 
   private retain(name: string, until: Milliseconds): void {
@@ -318,7 +428,7 @@
     clock.setTimer(until - clock.now(), () => {
       if (this.retained.get(name) === until) {
         this.retained.delete(name);
-        this.items.delete(name);
+        this.delete(name);
         this.notifyListener();
       }
     });
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -1,6 +1,7 @@
 import { reservePorts } from '@apricotrill/standins';
 import { SystemClock, createRandom } from '@apricotrill/utils';
 import { createSocket } from 'node:dgram';
+import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { SharedAttempt } from '../../decide/messages.js';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
@@ -46,7 +47,7 @@
     const fleets: string[][] = [];
     const received: PeerUpdate[] = [];
     const daemonCounts: number[] = [];
-    const revisions: Readonly<Record<string, number>>[] = [];
+    const positions: Readonly<Record<string, StorePosition>>[] = [];
     const events: RelayEvent[] = [];
     const waiters: (() => void)[] = [];
     const wake = () => waiters.splice(0).forEach((resolve) => resolve());
@@ -71,9 +72,9 @@
         fleets.push(daemons.map((daemon) => daemon.id));
         wake();
       },
-      getStoreRevisions: () => ({ replicas: 7 }),
-      onStoreRevisions: (peerRevisions) => {
-        revisions.push(peerRevisions);
+      getStorePositions: () => ({ replicas: { era: 2, revision: 7 } }),
+      onStorePositions: (peerPositions) => {
+        positions.push(peerPositions);
         wake();
       },
       onClockReading: () => undefined,
@@ -92,7 +93,7 @@
         });
       }
     };
-    return { link, received, events, daemonCounts, fleets, revisions, until };
+    return { link, received, events, daemonCounts, fleets, positions, until };
   }
 
   afterEach(() => links.splice(0).forEach((link) => link.dispose()));
@@ -122,7 +123,7 @@
         (update) => update.kind === 'attempt-list' && update.attempts.length === 1,
       ),
     );
-    expect(right.revisions[0]).toEqual({ replicas: 7 });
+    expect(right.positions[0]).toEqual({ replicas: { era: 2, revision: 7 } });
     expect(right.events.some(({ event }) => event === 'fault')).toBe(false);
   });
 
@@ -151,7 +152,7 @@
       (typeof fleet)[0],
       (typeof fleet)[0],
     ];
-    const refreshesBefore = third.revisions.length;
+    const refreshesBefore = third.positions.length;
     for (let index = 0; index < 100; index += 1) {
       const key = `r-${index}/1`;
       first.link.send({ kind: 'placed', attempt: { ...ATTEMPT, key } }, 'd-1');
@@ -161,7 +162,7 @@
     const count = ({ received }: typeof first, kind: PeerUpdate['kind']) =>
       received.filter((update) => update.kind === kind).length;
     await second.until(() => count(second, 'placed') === 100 && count(second, 'ended') === 100);
-    await third.until(() => third.revisions.length > refreshesBefore);
+    await third.until(() => third.positions.length > refreshesBefore);
     expect(third.received.filter(({ kind }) => kind !== 'attempt-list')).toEqual([]);
     const attemptsOfThird = third.received.flatMap((update) =>
       update.kind === 'attempt-list' ? update.attempts : [],
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -4,6 +4,7 @@
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { fleetOptions } from '../../decide/Fleet/Fleet.js';
 import type { SharedAttempt, PlacementUpdate } from '../../decide/messages.js';
+import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import { decodeDatagram, encodeDatagram } from '../datagram/datagram.js';
 import type { Datagram } from '../datagram/datagram.js';
@@ -57,10 +58,10 @@
   onFleetChanged: (daemons: PeerEntry[]) => void;
   /** Called with the number of known daemons, including this one, after each read of the directory. */
   onDaemonCount: (daemons: number) => void;
-  /** Returns the store revisions of the last changes known to this daemon, by kind of object. */
-  getStoreRevisions: () => Record<string, number>;
-  /** Called with the store revisions that another daemon has sent. */
-  onStoreRevisions: (revisions: Readonly<Record<string, number>>) => void;
+  /** Returns the store positions of the last changes known to this daemon, by kind of object. */
+  getStorePositions: () => Record<string, StorePosition>;
+  /** Called with the store positions that another daemon has sent. */
+  onStorePositions: (positions: Readonly<Record<string, StorePosition>>) => void;
 }
 
 /**
@@ -229,7 +230,7 @@
     const { clock, getPeriodicUpdates, self } = this.settings;
     const header = {
       from: self,
-      changes: this.settings.getStoreRevisions(),
+      changes: this.settings.getStorePositions(),
       sentAt: clock.now(),
     };
     const common = encodeAttemptList(header, attempts.get(undefined) ?? []);
@@ -277,7 +278,7 @@
     if (datagram.from.id === this.settings.self.id) {
       return;
     }
-    const { from, updates, changes: storeRevisions, sentAt } = datagram;
+    const { from, updates, changes: storePositions, sentAt } = datagram;
     const { clock, log, onUpdate } = this.settings;
     if (this.table.recordMessage(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
@@ -290,8 +291,8 @@
       this.settings.onClockReading(from.id, sentAt);
     }
     updates.forEach((update) => onUpdate(from.id, update));
-    if (storeRevisions !== undefined) {
-      this.settings.onStoreRevisions(storeRevisions);
+    if (storePositions !== undefined) {
+      this.settings.onStorePositions(storePositions);
     }
   }
 
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -92,7 +92,7 @@
           ],
         },
       ],
-      changes: { configuration: 17, replicas: 29 },
+      changes: { configuration: { era: 3, revision: 17 }, replicas: { revision: 29 } },
     };
     expect(decodeDatagram(encodeDatagram(datagram))).toEqual(datagram);
   });
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import { AttemptEnd } from '../../decide/messages.js';
 import type { Placement, PlacementQuery, Prompt, SharedAttempt } from '../../decide/messages.js';
+import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { PeerUpdate } from '../PeerUpdate.js';
 import type { PeerEntry } from '../PeerDirectory.js';
 
@@ -9,8 +10,8 @@
 export interface Datagram {
   from: PeerEntry;
   updates: PeerUpdate[];
-  /** Store revisions of the last changes known to the sender, by kind of object. */
-  changes?: Record<string, number>;
+  /** Store positions of the last changes known to the sender, by kind of object. */
+  changes?: Record<string, StorePosition>;
   /** The sender's clock at the time of sending, in Unix milliseconds. */
   sentAt?: Milliseconds;
 }
@@ -101,13 +102,16 @@
   z.tuple([z.literal('l'), z.array(attemptSchema)]),
 ]);
 
-/** ID, address and availability zone of the sender; updates; store revisions; time of sending. */
+/** Revision, or era and revision. */
+const positionSchema = z.union([z.number(), z.tuple([z.number(), z.number()])]);
+
+/** ID, address and availability zone of the sender; updates; store positions; time of sending. */
 const datagramSchema = z.tuple([
   z.string(),
   z.string(),
   z.string(),
   z.array(updateSchema),
-  z.record(z.string(), z.number()).nullable(),
+  z.record(z.string(), positionSchema).nullable(),
   z.number().optional(),
 ]);
 
@@ -369,11 +373,32 @@
   }
 }
 
+type EncodedPosition = z.infer<typeof positionSchema>;
+
+function encodePosition({ era, revision }: StorePosition): EncodedPosition {
+  return era === undefined ? revision : [era, revision];
+}
+
+function decodePosition(encoded: EncodedPosition): StorePosition {
+  if (typeof encoded === 'number') {
+    return { revision: encoded };
+  }
+  const [era, revision] = encoded;
+  return { era, revision };
+}
+
+function mapValues<From, To>(
+  record: Readonly<Record<string, From>>,
+  map: (value: From) => To,
+): Record<string, To> {
+  return Object.fromEntries(Object.entries(record).map(([key, value]) => [key, map(value)]));
+}
+
 /** Encodes a message as one datagram. */
 export function encodeDatagram({
   from,
   updates,
-  changes: storeRevisions,
+  changes: storePositions,
   sentAt,
 }: Datagram): Buffer {
   return Buffer.from(
@@ -382,7 +407,7 @@
       from.address,
       from.availabilityZone,
       updates.map(encodeUpdate),
-      storeRevisions ?? null,
+      storePositions === undefined ? null : mapValues(storePositions, encodePosition),
       ...(sentAt === undefined ? [] : [Math.round(sentAt)]),
     ]),
   );
@@ -394,14 +419,14 @@
  * @throws SyntaxError or ZodError if the bytes are not a valid datagram
  */
 export function decodeDatagram(bytes: Buffer): Datagram {
-  const [id, address, availabilityZone, updates, storeRevisions, sentAt] = datagramSchema.parse(
+  const [id, address, availabilityZone, updates, storePositions, sentAt] = datagramSchema.parse(
     JSON.parse(bytes.toString('utf8')),
   );
   const from = { id, address, availabilityZone };
   return {
     from,
     updates: updates.map(decodeUpdate),
-    changes: storeRevisions ?? undefined,
+    changes: storePositions === null ? undefined : mapValues(storePositions, decodePosition),
     sentAt,
   };
 }
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
@@ -35,7 +35,10 @@
 
   // Guards against a large configuration that takes seconds to transfer from a reader to its group.
   it('compresses a large state to less than a tenth of its size', async () => {
-    const objects = new SharedObjects<unknown>(new ManualClock(), 'epoch', () => 7);
+    const objects = new SharedObjects<unknown>(new ManualClock(), 'epoch', () => ({
+      era: 2,
+      revision: 7,
+    }));
     objects.update(new Map([['main', LARGE]]));
     server.add('configuration', objects);
     const [port] = await reservePorts(1);
@@ -44,7 +47,7 @@
     const read = createPeerReader(client, 'configuration');
     const peer = { id: 'd-1', address, availabilityZone: 'a' };
     const result = await read(peer, { since: '', wait: 0 }, new AbortController().signal);
-    expect(result).toMatchObject({ kind: 'state', state: { revision: 7, isWhole: true } });
+    expect(result).toMatchObject({ kind: 'state', state: { era: 2, revision: 7, isWhole: true } });
     expect(result.kind === 'state' && result.state.changes).toEqual([['main', LARGE]]);
     const { body } = await agent.request({
       origin: `http://${address}`,
--- a/packages/relay/src/lib/readers/SharedObjects/SharedObjects.test.ts
+++ b/packages/relay/src/lib/readers/SharedObjects/SharedObjects.test.ts
@@ -4,8 +4,11 @@
 describe('SharedObjects', () => {
   function setUp() {
     const clock = new ManualClock();
-    const store: { revision: number | undefined } = { revision: 5 };
-    const objects = new SharedObjects<string>(clock, 'epoch-1', () => store.revision);
+    const store: { revision: number | undefined; era: number } = { revision: 5, era: 2 };
+    const objects = new SharedObjects<string>(clock, 'epoch-1', () => {
+      const { revision, era } = store;
+      return revision === undefined ? undefined : { revision, era };
+    });
     return { clock, store, objects };
   }
 
@@ -15,6 +18,7 @@
     expect(await objects.getState('', 0)).toEqual({
       token: 'epoch-1.1',
       revision: 5,
+      era: 2,
       isWhole: true,
       changes: [['a', 'one']],
     });
@@ -52,6 +56,7 @@
     expect(await pending).toEqual({
       token: 'epoch-1.1',
       revision: 9,
+      era: 2,
       isWhole: false,
       changes: [],
     });
--- a/packages/relay/src/lib/readers/SharedObjects/SharedObjects.ts
+++ b/packages/relay/src/lib/readers/SharedObjects/SharedObjects.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { StoreEra, StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 
 /** Response of a reader: the objects of one kind, or the changes since an earlier response. */
 export interface SharedState<Item> {
@@ -6,6 +7,8 @@
   token: string;
   /** Revision of the store up to which the objects are known. */
   revision: number;
+  /** Era of that revision. */
+  era?: StoreEra;
   /** Whether `changes` contains all objects, rather than those changed since the given token. */
   isWhole: boolean;
   /** Names and objects; null for deleted ones. */
@@ -33,13 +36,13 @@
 
   /**
    * @param epoch - differs after each restart of a daemon, so that tokens from before are invalid
-   * @param getRevision - returns the revision up to which the objects are known; undefined if this
+   * @param getPosition - returns the position up to which the objects are known; undefined if this
    *   daemon cannot reach the store
    */
   constructor(
     private readonly clock: Clock,
     private readonly epoch: string,
-    private readonly getRevision: () => number | undefined,
+    private readonly getPosition: () => StorePosition | undefined,
   ) {}
 
   /**
@@ -68,18 +71,18 @@
    * @returns undefined if this daemon cannot reach the store, so that its state may be outdated
    */
   async getState(since: string, wait: Milliseconds): Promise<SharedState<Item> | undefined> {
-    if (since === this.token && this.getRevision() !== undefined) {
+    if (since === this.token && this.getPosition() !== undefined) {
       await this.waitForChange(wait);
     }
-    const revision = this.getRevision();
-    if (revision === undefined || this.version === 0) {
+    const position = this.getPosition();
+    if (position === undefined || this.version === 0) {
       return undefined;
     }
     const names = this.getNamesSince(since);
     const sent = names ?? [...this.items.keys()];
     return {
       token: this.token,
-      revision,
+      ...position,
       isWhole: names === undefined,
       changes: sent.map((name) => [name, this.items.get(name) ?? null]),
     };
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
@@ -76,6 +76,41 @@
     expect(source.isDirect).toBe(false);
   });
 
+  // Guards against changes of a restored store that are applied to a state of before.
+  it('reads the whole state again when a reader reports a later era', async () => {
+    const { source, calls } = setUp((callCount) => ({
+      kind: 'state',
+      state: {
+        token: `t.${callCount}`,
+        revision: callCount === 1 ? 70 : 7,
+        era: callCount === 1 ? 1 : 2,
+        isWhole: callCount !== 2,
+        changes: [['a', 'two']],
+      },
+    }));
+    await source.watch(5, 8_000, NEVER);
+    const second = await source.watch(70, 8_000, NEVER);
+    expect(second).toMatchObject({ kind: 'list', list: { era: 2, revision: 7 } });
+    expect(calls).toEqual(['read ', 'read t.1', 'read ']);
+  });
+
+  // Guards against following a reader that has not noticed the restore of the store.
+  it('does not use a reader that is an era behind', async () => {
+    const { source, calls } = setUp((callCount) => ({
+      kind: 'state',
+      state: {
+        token: 't',
+        revision: 70,
+        era: callCount === 1 ? 2 : 1,
+        isWhole: true,
+        changes: [['a', 'two']],
+      },
+    }));
+    await source.watch(5, 8_000, NEVER);
+    expect(await source.watch(70, 8_000, NEVER)).toMatchObject({ kind: 'changes', revision: 6 });
+    expect(calls.at(-1)).toBe('watch');
+  });
+
   // Guards against a daemon that waits for one dead reader after the other, while changes take effect
   // elsewhere.
   it('reads the store at once when a reader does not respond', async () => {
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -3,6 +3,7 @@
 import type {
   ObjectList,
   ObjectSource,
+  StoreEra,
   WatchResult,
 } from '../../follow/StateFollower/ObjectSource.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
@@ -45,6 +46,9 @@
   /** ID of the reader that the last call went to; undefined for the store. */
   private reader: string | undefined;
 
+  /** The latest era of the store in any response. */
+  private latestEra: StoreEra;
+
   private lastConfirmedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly settings: SharedSourceSettings<Item>) {}
@@ -106,13 +110,35 @@
     const query = { since, wait };
     this.recordReader(daemon.id);
     const result = await this.settings.readPeer(daemon, query, signal);
-    if (result.kind === 'state') {
-      this.lastState = { reader: daemon.id, token: result.state.token };
-    }
     signal.throwIfAborted();
+    if (result.kind !== 'state') {
+      return result;
+    }
+    const { era, isWhole, token } = result.state;
+    if (era !== undefined && this.latestEra !== undefined && era < this.latestEra) {
+      return { kind: 'refused' };
+    }
+    const isRestored = this.recordEra(era);
+    this.lastState = { reader: daemon.id, token };
+    if (isRestored && !isWhole) {
+      // Changes across a restore can't be applied to a state of the previous era.
+      this.lastState = undefined;
+      return this.queryReader(daemon, 0, signal);
+    }
     return result;
   }
 
+  private recordStoreEra(result: ObjectList<Item> | WatchResult<Item>): void {
+    this.recordEra('kind' in result && result.kind === 'list' ? result.list.era : result.era);
+  }
+
+  /** @returns whether the era is later than that of all responses before */
+  private recordEra(era: StoreEra): boolean {
+    const isLater = era !== undefined && this.latestEra !== undefined && era > this.latestEra;
+    this.latestEra = era ?? this.latestEra;
+    return isLater;
+  }
+
   private handleReaderFailure(
     daemon: PeerEntry,
     failure: Exclude<ReaderResult<Item>, { kind: 'state' }>,
@@ -140,19 +166,20 @@
   }
 
   private static getWatchResult<Item>(state: SharedState<Item>): WatchResult<Item> {
-    const { revision, isWhole, changes } = state;
+    const { revision, era, isWhole, changes } = state;
     if (isWhole) {
       const items = new Map(changes as [string, Item][]);
-      return { kind: 'list', list: { items, revision } };
+      return { kind: 'list', list: { items, revision, era } };
     }
     return {
       kind: 'changes',
       revision,
+      era,
       changes: changes.map(([name, item]) => ({ name, item: item ?? undefined })),
     };
   }
 
-  private async callStore<Result>(
+  private async callStore<Result extends ObjectList<Item> | WatchResult<Item>>(
     call: (store: ObjectSource<Item>) => Promise<Result>,
   ): Promise<Result> {
     const { store, selector, clock } = this.settings;
@@ -161,6 +188,7 @@
       const result = await call(store);
       selector.recordStoreSuccess();
       this.lastConfirmedAt = clock.now();
+      this.recordStoreEra(result);
       return result;
     } catch (error) {
       selector.recordStoreFailure();
--- a/packages/relay/src/lib/readers/createPeerReader.ts
+++ b/packages/relay/src/lib/readers/createPeerReader.ts
@@ -12,6 +12,7 @@
 const stateSchema = z.object({
   token: z.string(),
   revision: z.number(),
+  era: z.number().optional(),
   isWhole: z.boolean(),
   changes: z.array(z.tuple([z.string(), z.unknown()])),
 });
--- a/packages/relay/src/test/ModelStore.ts
+++ b/packages/relay/src/test/ModelStore.ts
@@ -23,6 +23,8 @@
 
   revision = 1;
 
+  era = 1;
+
   isUnavailable = false;
 
   /** Number of changes by which lists lag behind. */
@@ -53,6 +55,20 @@
     [...this.watches].filter(({ isSilent }) => !isSilent).forEach((watch) => this.respond(watch));
   }
 
+  /** Goes back to the state before the last changes; their revisions are given out again. */
+  restore(lostChanges: number): void {
+    const kept = Math.max(1, this.snapshots.length - lostChanges);
+    this.snapshots = this.snapshots.slice(0, kept);
+    const { items, revision } = this.snapshots.at(-1)!;
+    this.objects.clear();
+    items.forEach((item, name) => this.objects.set(name, item));
+    this.revision = revision;
+    this.history = this.history.filter((entry) => entry.revision <= revision);
+    this.historyStart = Math.min(this.historyStart, revision);
+    this.era += 1;
+    this.cutWatches();
+  }
+
   compact(): void {
     this.history = [];
     this.historyStart = this.revision;
@@ -71,7 +87,7 @@
       return Promise.reject(new Error('store unavailable'));
     }
     const { items, revision } = this.snapshots.at(-1 - this.lag) ?? this.snapshots[0]!;
-    return Promise.resolve({ items: new Map(items), revision });
+    return Promise.resolve({ items: new Map(items), revision, era: this.era });
   }
 
   watch(revision: number, wait: number, signal: AbortSignal): Promise<WatchResult<number>> {
@@ -103,16 +119,16 @@
   }
 
   private respond(watch: Watch, isOver = false): void {
-    if (watch.revision < this.historyStart) {
-      watch.finish(() => watch.resolve({ kind: 'history-expired' }));
+    if (watch.revision < this.historyStart || watch.revision > this.revision) {
+      watch.finish(() => watch.resolve({ kind: 'history-expired', era: this.era }));
       return;
     }
     const changes = this.history
       .filter(({ revision }) => revision > watch.revision)
       .map(({ change }) => change);
     if (changes.length > 0 || isOver) {
-      const { revision } = this;
-      watch.finish(() => watch.resolve({ kind: 'changes', changes, revision }));
+      const { era, revision } = this;
+      watch.finish(() => watch.resolve({ kind: 'changes', changes, revision, era }));
     }
   }
 }
