Fencing numbers and the ledger of usage across a restore of the store

Second matter, the same cause elsewhere: a number that is taken to grow for ever. The fencing number of the duties is the version of the write that granted the lease, and versions were revisions, which are given out again: two holders could act under one number, or a new holder under a lower one, which the platform refuses. A conditional write could replace another holder's lease whose revision happened to be the known one.

The ledger of usage goes back too, and a window that had been settled was settled again with other counts. The daemon that settled it keeps the entry and uses it where the ledger lacks it. Another daemon that takes over the lease right after the restore does not know it: open.

--- a/packages/duties/src/lib/DutyManager/DutyManager.fuzz.test.ts
+++ b/packages/duties/src/lib/DutyManager/DutyManager.fuzz.test.ts
@@ -128,6 +128,19 @@
     });
   });
 
+  // Guards against a window that is settled again, with other counts, because the store lost the ledger.
+  it('reports the same counts after the store came back from a copy without the ledger', async () => {
+    const fleet = new DutyFleet(3, 4);
+    await fleet.run(20_000);
+    fleet.loseLedger();
+    await fleet.run(30_000);
+    fleet.dispose();
+    expect(fleet.platform.violations).toEqual([]);
+    const reported = fleet.platform.reports.map(({ window }) => window);
+    expect(new Set(reported).size).toBe(reported.length);
+    expect(reported).toEqual(expect.arrayContaining([...fleet.actualCounts.keys()].slice(1, -2)));
+  });
+
   // Guards against a platform outage that lasts longer than a window.
   it('reports all windows after a platform outage, those within their deadline first', async () => {
     const fleet = new DutyFleet(3, 3);
--- a/packages/duties/src/lib/usage/UsageDuty/UsageDuty.ts
+++ b/packages/duties/src/lib/usage/UsageDuty/UsageDuty.ts
@@ -8,7 +8,7 @@
 import { getUsageStep } from '../getUsageStep.js';
 import type { UsageStep } from '../getUsageStep.js';
 import { parseLedger } from '../UsageLedger.js';
-import type { UsageLedger } from '../UsageLedger.js';
+import type { UsageEntry, UsageLedger } from '../UsageLedger.js';
 import { getWindowEnd } from '../SourceUsage.js';
 
 export interface UsageDutySettings {
@@ -35,8 +35,6 @@
 
 const LEDGER_KEY = 'usage/ledger';
 
-const EMPTY_LEDGER: UsageLedger = { entries: [] };
-
 /** The ledger as last read from or written to the store. */
 interface StoredLedger {
   ledger: UsageLedger;
@@ -61,6 +59,12 @@
    */
   private readonly reportedWindows = new Set<number>();
 
+  /**
+   * The windows that this daemon has settled. They are reported with the same counts even if the store
+   * comes back from a copy that is older than the ledger.
+   */
+  private readonly settledEntries = new Map<number, UsageEntry>();
+
   constructor(private readonly settings: UsageDutySettings) {
     this.startedAt = settings.getFleetTime();
   }
@@ -110,14 +114,17 @@
 
   private async readLedger(): Promise<StoredLedger> {
     const object = await this.settings.store.get(LEDGER_KEY);
-    if (object === undefined) {
-      return { ledger: EMPTY_LEDGER, version: 0 };
-    }
-    const entries = parseLedger(object.value).entries.map((entry) => ({
-      ...entry,
-      isReported: entry.isReported || this.reportedWindows.has(entry.window),
-    }));
-    return { ledger: { entries }, version: object.version };
+    const stored = object === undefined ? [] : parseLedger(object.value).entries;
+    const missing = [...this.settledEntries.values()].filter(
+      ({ window }) => !stored.some((entry) => entry.window === window),
+    );
+    const entries = [...stored, ...missing]
+      .sort((left, right) => left.window - right.window)
+      .map((entry) => ({
+        ...entry,
+        isReported: entry.isReported || this.reportedWindows.has(entry.window),
+      }));
+    return { ledger: { entries }, version: object?.version ?? 0 };
   }
 
   private async settleWindows(
@@ -132,7 +139,9 @@
       return;
     }
     this.stored = { ledger, version: putResult.version };
-    settled.forEach(({ window, counts }) => {
+    settled.forEach((entry) => {
+      const { window, counts } = entry;
+      this.settledEntries.set(window, entry);
       const requests = Object.values(counts).reduce((sum, count) => sum + count, 0);
       const workspaces = Object.keys(counts).length;
       log({ event: 'usage-settled', window, requests, workspaces });
@@ -145,6 +154,9 @@
     [...this.reportedWindows]
       .filter((window) => window < oldestWindow)
       .forEach((window) => this.reportedWindows.delete(window));
+    [...this.settledEntries.keys()]
+      .filter((window) => window < oldestWindow)
+      .forEach((window) => this.settledEntries.delete(window));
     usage.evictBefore(Math.min(...settled.map(({ window }) => window)));
   }
 
--- a/packages/duties/src/test/DutyFleet.ts
+++ b/packages/duties/src/test/DutyFleet.ts
@@ -76,6 +76,11 @@
     this.daemons[index] = this.createDaemon(index);
   }
 
+  /** Deletes the ledger of usage, as if the store came back from a copy from before it. */
+  loseLedger(): void {
+    this.objects.list('usage/').forEach(({ key, version }) => this.objects.delete(key, version));
+  }
+
   /** Cuts a daemon off from the store and the platform, or reconnects it. */
   setPartitioned(index: number, isPartitioned: boolean): void {
     this.daemons[index]!.isPartitioned = isPartitioned;
--- a/packages/lease/src/lib/Lease/LeaseRecord.ts
+++ b/packages/lease/src/lib/Lease/LeaseRecord.ts
@@ -57,7 +57,7 @@
 
 /**
  * Returns the fencing number (fencing token) of a lease record. Versions of the store only
- * increase, so a later grant has a higher number. This also holds after the object was deleted, and
+ * increase, also when it comes back from an older copy, so a later grant has a higher number. This also holds after the object was deleted, and
  * across leases when a replica moves from one service to another.
  *
  * @param record - the lease record
