Model: engines that ask for a rest or announce that they leave

The fleet model's engines turn all requests away for a period with the rest that they ask for, or state that they leave.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -23,6 +23,7 @@
 /** Settings of a simulated daemon. */
 export interface DaemonSettings {
   clock: ManualClock;
+  name: string;
   zone: string;
   environment: DaemonEnvironment;
   createCore: (emit: (effect: PlacementEffect) => void) => PlacementCore;
@@ -201,6 +202,17 @@
       this.endAfterNetworkDelay(effect, AttemptEnd.NotSent);
       return true;
     }
+    const { clock, name: daemon } = this.settings;
+    engine.arrivals.push({ at: clock.now(), daemon, submittedAt: call.arrivedAt });
+    const { requestedRest: span } = engine;
+    if (span !== undefined) {
+      const { id: replica } = effect.replica;
+      this.afterNetworkDelay(effect, () => {
+        this.core.handle({ kind: 'rest', replica, span, source: 'response' });
+        this.reportAttemptEnd(effect, AttemptEnd.Refused);
+      });
+      return true;
+    }
     const { fetchFrom } = effect.choice;
     const request = {
       key: getKey(effect),
@@ -209,7 +221,13 @@
       prompt: call.prompt!,
       outputTokens: call.outputTokens,
       onEvent: () =>
-        this.afterNetworkDelay(effect, () => this.recordEvent(effect, call, engine.load)),
+        this.afterNetworkDelay(effect, () => {
+          if (engine.isLeaving) {
+            const { id: replica } = effect.replica;
+            this.core.handle({ kind: 'leaving', replica, source: 'response' });
+          }
+          this.recordEvent(effect, call, engine.load);
+        }),
       onEnd: (isComplete: boolean) =>
         this.afterNetworkDelay(effect, () => this.endAttempt(effect, call, isComplete)),
     };
--- a/packages/experiment/src/lib/relay/EngineSimulation.ts
+++ b/packages/experiment/src/lib/relay/EngineSimulation.ts
@@ -57,6 +57,15 @@
 
   isDown = false;
 
+  /** The rest that it asks for when it turns a request away; undefined while it serves requests. */
+  requestedRest: Milliseconds | undefined;
+
+  /** Whether it states in its responses that it is about to leave. */
+  isLeaving = false;
+
+  /** The requests that reached it, with the daemon that sent them and the time of their submission. */
+  readonly arrivals: { at: Milliseconds; daemon: string; submittedAt: Milliseconds }[] = [];
+
   private waiting: ActiveRequest[] = [];
 
   private running: ActiveRequest[] = [];
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -111,6 +111,8 @@
     private readonly deployment: RelayDeployment,
     private readonly seed: number,
     private readonly options: Partial<PlacementOptions> = {},
+    /** Kinds of updates between daemons that are lost. */
+    private readonly lostUpdates: ReadonlySet<PlacementUpdate['kind']> = new Set(),
   ) {}
 
   run(): FleetResult {
@@ -122,6 +124,7 @@
     this.deployment.crashes.forEach(({ startsAt, duration, engines }) => {
       this.clock.setTimer(startsAt, () => this.crashEngines(engines, duration));
     });
+    this.scheduleNotices();
     this.scheduleCacheEvents();
     this.scheduleAttemptLists();
     this.clock.advance(this.deployment.duration + DRAIN_TIME);
@@ -156,6 +159,7 @@
       const zone = getZone(index, availabilityZones);
       const daemon = new DaemonSimulation({
         clock,
+        name: getDaemonName(index),
         zone,
         environment: this,
         createCore: (emit: (effect: PlacementEffect) => void) =>
@@ -196,6 +200,9 @@
   }
 
   private sendUpdate(from: number, update: PlacementUpdate, to: string | undefined): void {
+    if (this.lostUpdates.has(update.kind)) {
+      return;
+    }
     this.clock.setTimer(this.deployment.crossZoneDelay, () => {
       this.daemons.forEach((daemon, index) => {
         if (index !== from && (to === undefined || to === getDaemonName(index))) {
@@ -242,6 +249,24 @@
     });
   }
 
+  /** Lets engines ask for rests, and the first one announce that it leaves. */
+  private scheduleNotices(): void {
+    const { rests = [], firstEngineLeavesAt } = this.deployment;
+    const engines = [...this.engines.values()];
+    rests.forEach(({ startsAt, duration, engines: count, span }) => {
+      const resting = engines.slice(0, count);
+      const setRest = (requestedRest: Milliseconds | undefined) =>
+        resting.forEach((engine) => Object.assign(engine, { requestedRest }));
+      this.clock.setTimer(startsAt, () => setRest(span));
+      this.clock.setTimer(startsAt + duration, () => setRest(undefined));
+    });
+    if (firstEngineLeavesAt !== undefined) {
+      this.clock.setTimer(firstEngineLeavesAt, () =>
+        Object.assign(engines[0]!, { isLeaving: true }),
+      );
+    }
+  }
+
   private crashEngines(count: number, duration: Milliseconds): void {
     const ids = [...this.engines.keys()].slice(0, count);
     ids.forEach((id) => {
--- a/packages/experiment/src/lib/relay/RelayDeployment.ts
+++ b/packages/experiment/src/lib/relay/RelayDeployment.ts
@@ -85,6 +85,16 @@
   engines: number;
 }
 
+/** A period in which several engines turn all requests away and ask the daemons for a rest. */
+export interface RestPeriod {
+  startsAt: Milliseconds;
+  duration: Milliseconds;
+  /** Number of engines. */
+  engines: number;
+  /** The rest that they ask for. */
+  span: Milliseconds;
+}
+
 /** A deployment and the load of one simulated day. */
 export interface RelayDeployment {
   name: string;
@@ -99,6 +109,10 @@
   workspaces: WorkspaceGroup[];
   bursts: Burst[];
   crashes: Crash[];
+  /** Absent if engines never ask for a rest. */
+  rests?: RestPeriod[];
+  /** When the first engine starts to state in its responses that it leaves; absent if none does. */
+  firstEngineLeavesAt?: Milliseconds;
   duration: Milliseconds;
   /** One-way network delay between availability zones. */
   crossZoneDelay: Milliseconds;
