Forget a suppressed object that the store has deleted

If the store deleted it meanwhile and the deletion came as a list that lacks it, it was used all the same: callers would have been sent to a replica that is gone. A list now ends the wait of what it lacks, and a further restore begins it anew. The new test of StateFollower.test.ts failed before.

--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -312,6 +312,19 @@
     expect(seen.at(-1)).toEqual(['a', 'b']);
   });
 
+  // Guards against a replica that is used again because its entry vanished between two lists.
+  it('forgets such an object if a later list lacks it', async () => {
+    const { clock, source, seen } = await setUp();
+    await source.respond(createEraList(1, 50, 'a', 'b'));
+    await source.respond({ ...createChanges(51, ['b', undefined]), era: 1 });
+    await source.respond({ kind: 'history-expired', era: 2 });
+    await source.respond(createEraList(2, 40, 'a', 'b'));
+    await source.respond({ kind: 'history-expired', era: 2 });
+    await source.respond(createEraList(2, 45, 'a'));
+    clock.advance(defaultStateFollowerOptions.restoredObjectDelay);
+    expect(seen.at(-1)).toEqual(['a']);
+  });
+
   it('aborts a watch when another daemon knows a later era, and not for an earlier one', async () => {
     const { clock, source, follower } = await setUp();
     await source.respond(createEraList(2, 50, 'a'));
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -340,10 +340,10 @@
     if (era !== undefined && era !== this.era) {
       this.startEra(era);
     }
-    const current = isRestored ? this.suppressDeleted(listed) : listed;
-    const deleted = [...this.items.keys()].filter((name) => !current.has(name));
+    this.updateSuppressed(listed, isRestored);
+    const deleted = [...this.items.keys()].filter((name) => !listed.has(name));
     const changes: ObjectChange<Item>[] = deleted.map((name) => ({ name, item: undefined }));
-    current.forEach((item, name) => {
+    listed.forEach((item, name) => {
       if (!this.suppressed.has(name)) {
         changes.push({ name, item });
       }
@@ -352,25 +352,34 @@
   }
 
   /**
-   * Takes the objects out of the list of a restored store that were deleted before. They are used
-   * only if they still exist after a while.
+   * Suppresses objects of a restored store that were deleted before. They are used only if they still
+   * exist after a while.
    */
-  private suppressDeleted(listed: Map<string, Item>): Map<string, Item> {
+  private updateSuppressed(listed: ReadonlyMap<string, Item>, isRestored: boolean): void {
+    if (!isRestored) {
+      this.suppressed.forEach((_item, name) => {
+        if (!listed.has(name)) {
+          this.suppressed.delete(name);
+        }
+      });
+      return;
+    }
     const { clock } = this.settings;
     const { deletionRetention, restoredObjectDelay } = this.options;
     const cutoff = clock.now() - deletionRetention;
     this.suppressed.clear();
-    const isDeleted = (name: string) =>
-      !this.items.has(name) && (this.deletedAt.get(name) ?? Number.NEGATIVE_INFINITY) >= cutoff;
     listed.forEach((item, name) => {
-      if (isDeleted(name)) {
+      const deletedAt = this.deletedAt.get(name);
+      if (!this.items.has(name) && deletedAt !== undefined && deletedAt >= cutoff) {
         this.suppressed.set(name, item);
       }
     });
-    if (this.suppressed.size > 0) {
-      clock.setTimer(restoredObjectDelay, () => this.endSuppression());
-    }
-    return new Map([...listed].filter(([name]) => !this.suppressed.has(name)));
+    const { era } = this;
+    clock.setTimer(restoredObjectDelay, () => {
+      if (this.era === era) {
+        this.endSuppression();
+      }
+    });
   }
 
   private endSuppression(): void {
