Write the own entries again after a restore of the store

A daemon's entry in the directory came back only with the next reading, 15 to 45 s later, and a quarantined request never; daemons that start meanwhile find nobody, or run a request that crashes replicas.

--- a/packages/relay/src/lib/daemon/ObjectFollower.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.ts
@@ -17,6 +17,8 @@
   selector: ReaderSelector;
   readPeer: PeerReader<Item>;
   onObjects: StateListener<Item>['onObjects'];
+  /** Called when the objects have been read from a store that came back from an older copy. */
+  onRestored: (dependency: string) => void;
   clock: Clock;
   random: Random;
   log: RelayLog;
@@ -96,7 +98,7 @@
   }
 
   private createListener(): StateListener<Item> {
-    const { dependency, log, onObjects } = this.parts;
+    const { dependency, log, onObjects, onRestored } = this.parts;
     return {
       onObjects: (items, revision) => {
         // Shares only stored objects, without those retained after an outage: a daemon that stayed
@@ -106,7 +108,12 @@
       },
       onLost: (error) => log({ event: 'dependency-lost', dependency, error: error.message }),
       onReconnected: (after) => log({ event: 'dependency-regained', dependency, after }),
-      onEraChanged: (change) => log({ event: 'store-era', dependency, ...change }),
+      onEraChanged: (change) => {
+        log({ event: 'store-era', dependency, ...change });
+        if (change.previous !== undefined) {
+          onRestored(dependency);
+        }
+      },
       onRetained: (replica, until) =>
         log({ event: 'replica-kept', replica, until, reason: 'the store was unavailable' }),
     };
--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
@@ -60,6 +60,22 @@
     expect([...entries.keys()]).toEqual(['a']);
   });
 
+  // Guards against losing entries with a store that came back from an older copy.
+  it('writes its entries again with the time that is left, and not those that are over', async () => {
+    const { sync, clock, entries } = createSync(0);
+    entries.clear();
+    await sync.save({ fingerprint: 'c', remaining: 5_000, replicas: ['i-1'] });
+    await sync.save({ fingerprint: 'd', remaining: 1_000, replicas: ['i-1'] });
+    await sync.save({ fingerprint: 'e', remaining: 5_000, replicas: ['i-1'] });
+    await sync.remove('e');
+    entries.clear();
+    clock.advance(2_000);
+    await sync.saveAgain();
+    expect([...entries.values()]).toEqual([
+      { fingerprint: 'c', remaining: 3_000, replicas: ['i-1'] },
+    ]);
+  });
+
   // Guards against losing entries during a store outage.
   it('retries calls until the store responds', async () => {
     const { sync, clock, messages, entries, calls } = createSync(2);
--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
@@ -28,6 +28,9 @@
 export class QuarantineSync {
   private readonly timers = new Set<Timer>();
 
+  /** Entries that this daemon has written, with the times at which they expire. */
+  private readonly saved = new Map<string, { request: QuarantinedRequest; until: Milliseconds }>();
+
   private pendingWrites = 0;
 
   private isDisposed = false;
@@ -54,11 +57,25 @@
     if (this.pendingWrites >= syncOptions.maxPendingWrites) {
       return;
     }
+    const until = this.parts.clock.now() + request.remaining;
+    this.saved.set(request.fingerprint, { request, until });
     this.pendingWrites += 1;
     await this.retry('write quarantine', () => this.parts.store.add(request));
     this.pendingWrites -= 1;
   }
 
+  /** Writes the entries of this daemon again, since the store has come back from an older copy. */
+  async saveAgain(): Promise<void> {
+    const now = this.parts.clock.now();
+    const entries = [...this.saved];
+    this.saved.clear();
+    await Promise.all(
+      entries
+        .filter(([, { until }]) => until > now)
+        .map(([, { request, until }]) => this.save({ ...request, remaining: until - now })),
+    );
+  }
+
   dispose(): void {
     this.isDisposed = true;
     this.timers.forEach((timer) => timer.cancel());
@@ -66,6 +83,7 @@
 
   /** Removes an entry; a failure is logged and not retried. */
   async remove(fingerprint: string): Promise<void> {
+    this.saved.delete(fingerprint);
     try {
       await this.parts.store.remove(fingerprint);
     } catch (error) {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -49,6 +49,9 @@
   duties?: DutyDependencies;
 }
 
+/** Name of the replicas among the kinds of objects that are followed. */
+const REPLICAS = 'replicas';
+
 /**
  * The relay process: follows the store, accepts requests from callers, and carries out the decisions
  * of the placement core.
@@ -117,7 +120,12 @@
       metrics.connectionsOpened.inc({ service }),
     );
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
-    this.storeLink = new StoreLink({ ...parts, self, changeBound: settings.changeBound });
+    this.storeLink = new StoreLink({
+      ...parts,
+      self,
+      changeBound: settings.changeBound,
+      onRestored: (dependency) => this.handleStoreRestored(dependency),
+    });
     this.intake = new RequestIntake({
       ...parts,
       daemonId: settings.id,
@@ -204,7 +212,7 @@
     this.storeLink.follow('configuration', configurations, (items) => {
       items.forEach((configuration) => this.applyConfiguration(configuration));
     });
-    this.storeLink.follow('replicas', replicas, (items, revision) =>
+    this.storeLink.follow(REPLICAS, replicas, (items, revision) =>
       this.setReplicas(items, revision),
     );
     return port;
@@ -344,6 +352,17 @@
     return this.active?.configuration.version;
   }
 
+  /** Writes again what this daemon wrote to the store, once for all kinds of objects. */
+  private handleStoreRestored(dependency: string): void {
+    if (dependency !== REPLICAS) {
+      return;
+    }
+    this.peerLink.registerAgain();
+    this.quarantineSync.saveAgain().catch((error: unknown) => {
+      this.parts.log({ event: 'fault', step: 'save quarantine', error: String(error) });
+    });
+  }
+
   /** Applies a version if it is newer than the active one; versions can arrive out of order. */
   private applyConfiguration(configuration: RelayConfiguration): void {
     const previous = this.version;
--- a/packages/relay/src/lib/daemon/StoreLink.test.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.test.ts
@@ -50,6 +50,7 @@
       log,
       self,
       changeBound: CHANGE_BOUND,
+      onRestored: () => undefined,
     });
     this.source = {
       list: () => {
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -19,6 +19,8 @@
   self: PeerEntry;
   /** Maximum time until this daemon has applied a change in the store. */
   changeBound: Milliseconds;
+  /** Called when a kind of objects has been read from a store that came back from an older copy. */
+  onRestored: (dependency: string) => void;
 }
 
 /**
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -98,6 +98,17 @@
 
   afterEach(() => links.splice(0).forEach((link) => link.dispose()));
 
+  // Guards against daemons that are not found by those that start after a restore of the store.
+  it('registers again when the directory has lost its entry', async () => {
+    const directory = new MemoryDirectory();
+    const left = await createLink('left', directory);
+    await left.until(() => left.daemonCounts.length > 0);
+    directory.entries.clear();
+    left.link.registerAgain();
+    await left.until(() => left.daemonCounts.length > 1);
+    expect([...directory.entries.keys()]).toEqual(['left']);
+  });
+
   // Guards against daemons that do not know of each other for half a minute after a common start:
   // each read the list before any of them had written its entry.
   it('lets daemons that start together find each other', async () => {
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -102,6 +102,9 @@
   /** Timer of the next read of the directory. */
   private directoryTimer: Timer | undefined;
 
+  /** Ends the wait until the next read of the directory. */
+  private wakeDirectory: (() => void) | undefined;
+
   private isDisposed = false;
 
   private isRegistered = false;
@@ -154,6 +157,19 @@
     await directory.remove(self.id).catch((error: unknown) => this.logFault('deregister', error));
   }
 
+  /**
+   * Adds this daemon's entry to the directory again, since the store has come back from an older copy.
+   * The delay is random, so that the daemons of a fleet don't write at the same moment.
+   */
+  registerAgain(): void {
+    const { clock, random } = this.settings;
+    this.isRegistered = false;
+    this.directoryTimer?.cancel();
+    this.directoryTimer = clock.setTimer(peerLinkOptions.refreshInterval * random.next(), () =>
+      this.wakeDirectory?.(),
+    );
+  }
+
   /** Sends an empty list of attempts, so that peers need not wait until this daemon counts as lost. */
   announceDeparture(): void {
     const addresses = this.table.ids.flatMap((id) => this.table.getAddresses(id));
@@ -311,6 +327,7 @@
         : peerLinkOptions.directoryRetryDelay;
       // eslint-disable-next-line no-await-in-loop
       await new Promise<void>((resolve) => {
+        this.wakeDirectory = resolve;
         this.directoryTimer = clock.setTimer(interval * (0.5 + random.next()), resolve);
       });
     }
