--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -1,5 +1,6 @@
 import { StepError } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import { DeletedObjects } from './DeletedObjects.js';
 import { isLater } from './ObjectSource.js';
 import type {
   ObjectChange,
@@ -130,11 +131,7 @@
   /** Revision of the last response that contained a change. */
   private lastChange: number | undefined;
 
-  /** When objects were deleted, by name. */
-  private readonly deletedAt = new Map<string, Milliseconds>();
-
-  /** Objects of an older copy of the store that were deleted before, and are ignored for a while. */
-  private readonly suppressed = new Map<string, Item>();
+  private readonly deletedObjects: DeletedObjects<Item>;
 
   /** The watch in flight. */
   private activeWatch: { since: Milliseconds; abort: AbortController } | undefined;
@@ -157,6 +154,7 @@
   constructor(settings: StateFollowerSettings<Item>) {
     this.settings = settings;
     this.options = { ...defaultStateFollowerOptions, ...settings.options };
+    this.deletedObjects = new DeletedObjects(this.options.deletionRetention);
     this.retryDelay = this.options.minRetryDelay;
     this.watchWait = this.options.minWatchWait;
   }
@@ -344,7 +342,7 @@
     const deleted = [...this.items.keys()].filter((name) => !listed.has(name));
     const changes: ObjectChange<Item>[] = deleted.map((name) => ({ name, item: undefined }));
     listed.forEach((item, name) => {
-      if (!this.suppressed.has(name)) {
+      if (!this.deletedObjects.isSuppressed(name)) {
         changes.push({ name, item });
       }
     });
@@ -357,35 +355,23 @@
    */
   private updateSuppressed(listed: ReadonlyMap<string, Item>, isRestored: boolean): void {
     if (!isRestored) {
-      this.suppressed.forEach((_item, name) => {
-        if (!listed.has(name)) {
-          this.suppressed.delete(name);
-        }
-      });
+      this.deletedObjects.retain(listed);
       return;
     }
     const { clock } = this.settings;
-    const { deletionRetention, restoredObjectDelay } = this.options;
-    const cutoff = clock.now() - deletionRetention;
-    this.suppressed.clear();
-    listed.forEach((item, name) => {
-      const deletedAt = this.deletedAt.get(name);
-      if (!this.items.has(name) && deletedAt !== undefined && deletedAt >= cutoff) {
-        this.suppressed.set(name, item);
-      }
-    });
     const { era } = this;
-    clock.setTimer(restoredObjectDelay, () => {
+    this.deletedObjects.suppress(listed, clock.now());
+    clock.setTimer(this.options.restoredObjectDelay, () => {
       if (this.era === era) {
-        this.endSuppression();
+        this.releaseSuppressed();
       }
     });
   }
 
-  private endSuppression(): void {
-    if (this.suppressed.size > 0) {
-      this.suppressed.forEach((item, name) => this.items.set(name, item));
-      this.suppressed.clear();
+  private releaseSuppressed(): void {
+    const released = this.deletedObjects.release();
+    if (released.length > 0) {
+      released.forEach(([name, item]) => this.items.set(name, item));
       this.notifyListener();
     }
   }
@@ -403,9 +389,8 @@
   }
 
   private applyChange({ name, item }: ObjectChange<Item>): void {
-    this.suppressed.delete(name);
+    this.deletedObjects.recordChange(name, item === undefined);
     if (item !== undefined) {
-      this.deletedAt.delete(name);
       this.retained.delete(name);
       this.items.set(name, item);
       return;
@@ -419,14 +404,8 @@
   }
 
   private delete(name: string): void {
-    const now = this.settings.clock.now();
     if (this.items.delete(name)) {
-      this.deletedAt.set(name, now);
-      this.deletedAt.forEach((at, other) => {
-        if (at < now - this.options.deletionRetention) {
-          this.deletedAt.delete(other);
-        }
-      });
+      this.deletedObjects.recordDeletion(name, this.settings.clock.now());
     }
   }
 
