Call the time that a replica asks for a backoff

ReplicaRests becomes ReplicaBackoffs, the event replica-resting replica-backed-off, the reason resting backed-off, the notice rest backoff.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -136,7 +136,7 @@
         this.answerLivenessCheck(effect.replica.id);
         break;
       case 'replica-leaving':
-      case 'replica-resting':
+      case 'replica-backed-off':
       case 'suspect':
       case 'mark-healthy':
       case 'start-cooldown':
@@ -204,11 +204,11 @@
     }
     const { clock, name: daemon } = this.settings;
     engine.arrivals.push({ at: clock.now(), daemon, submittedAt: call.arrivedAt });
-    const { requestedRest: span } = engine;
+    const { requestedBackoff: span } = engine;
     if (span !== undefined) {
       const { id: replica } = effect.replica;
       this.afterNetworkDelay(effect, () => {
-        this.core.handle({ kind: 'rest', replica, span, source: 'response' });
+        this.core.handle({ kind: 'backoff', replica, span, source: 'response' });
         this.reportAttemptEnd(effect, AttemptEnd.Refused);
       });
       return true;
--- a/packages/experiment/src/lib/relay/EngineSimulation.ts
+++ b/packages/experiment/src/lib/relay/EngineSimulation.ts
@@ -57,8 +57,8 @@
 
   isDown = false;
 
-  /** The rest that it asks for when it turns a request away; undefined while it serves requests. */
-  requestedRest: Milliseconds | undefined;
+  /** The backoff that it asks for when it turns a request away; undefined while it serves requests. */
+  requestedBackoff: Milliseconds | undefined;
 
   /** Whether it states in its responses that it is about to leave. */
   isLeaving = false;
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -249,16 +249,16 @@
     });
   }
 
-  /** Lets engines ask for rests, and the first one announce that it leaves. */
+  /** Lets engines ask for backoffs, and the first one announce that it leaves. */
   private scheduleNotices(): void {
-    const { rests = [], firstEngineLeavesAt } = this.deployment;
+    const { backoffs = [], firstEngineLeavesAt } = this.deployment;
     const engines = [...this.engines.values()];
-    rests.forEach(({ startsAt, duration, engines: count, span }) => {
-      const resting = engines.slice(0, count);
-      const setRest = (requestedRest: Milliseconds | undefined) =>
-        resting.forEach((engine) => Object.assign(engine, { requestedRest }));
-      this.clock.setTimer(startsAt, () => setRest(span));
-      this.clock.setTimer(startsAt + duration, () => setRest(undefined));
+    backoffs.forEach(({ startsAt, duration, engines: count, span }) => {
+      const backedOff = engines.slice(0, count);
+      const setBackoff = (requestedBackoff: Milliseconds | undefined) =>
+        backedOff.forEach((engine) => Object.assign(engine, { requestedBackoff }));
+      this.clock.setTimer(startsAt, () => setBackoff(span));
+      this.clock.setTimer(startsAt + duration, () => setBackoff(undefined));
     });
     if (firstEngineLeavesAt !== undefined) {
       this.clock.setTimer(firstEngineLeavesAt, () =>
--- a/packages/experiment/src/lib/relay/RelayDeployment.ts
+++ b/packages/experiment/src/lib/relay/RelayDeployment.ts
@@ -85,13 +85,13 @@
   engines: number;
 }
 
-/** A period in which several engines turn all requests away and ask the daemons for a rest. */
-export interface RestPeriod {
+/** A period in which several engines turn all requests away and ask the daemons for a backoff. */
+export interface BackoffPeriod {
   startsAt: Milliseconds;
   duration: Milliseconds;
   /** Number of engines. */
   engines: number;
-  /** The rest that they ask for. */
+  /** The backoff that they ask for. */
   span: Milliseconds;
 }
 
@@ -109,8 +109,8 @@
   workspaces: WorkspaceGroup[];
   bursts: Burst[];
   crashes: Crash[];
-  /** Absent if engines never ask for a rest. */
-  rests?: RestPeriod[];
+  /** Absent if engines never ask for a backoff. */
+  backoffs?: BackoffPeriod[];
   /** When the first engine starts to state in its responses that it leaves; absent if none does. */
   firstEngineLeavesAt?: Milliseconds;
   duration: Milliseconds;
--- a/packages/experiment/src/lib/relay/replicaNotices.test.ts
+++ b/packages/experiment/src/lib/relay/replicaNotices.test.ts
@@ -5,41 +5,41 @@
 
 const SECOND = 1_000;
 
-const REST = { startsAt: 3 * SECOND, duration: 9 * SECOND, engines: 2, span: 3 * SECOND };
+const BACKOFF = { startsAt: 3 * SECOND, duration: 9 * SECOND, engines: 2, span: 3 * SECOND };
 
 const LEAVES_AT = 5 * SECOND;
 
 /** Time from a response to the moment at which its daemon must have reacted to it. */
 const REACTION_TIME = 500;
 
-/** Requests that a platform tolerates in a rest. */
+/** Requests that a platform tolerates in a backoff. */
 const TOLERATED = 2;
 
 const NONE: ReadonlySet<PlacementUpdate['kind']> = new Set();
 
-function simulateRests(seed: number, lostUpdates = NONE) {
-  const deployment = { ...namedDeployments.drafts!(), rests: [REST] };
+function simulateBackoffs(seed: number, lostUpdates = NONE) {
+  const deployment = { ...namedDeployments.drafts!(), backoffs: [BACKOFF] };
   const simulation = new FleetSimulation(deployment, seed, {}, lostUpdates);
   const { worth } = summariseDay(simulation.run());
   const engines = [0, 1].map((index) => simulation.findEngine(`engines-${index}`)!);
   const refused = engines.flatMap(({ arrivals }) =>
-    arrivals.filter(({ at }) => at >= REST.startsAt && at < REST.startsAt + REST.duration),
+    arrivals.filter(({ at }) => at >= BACKOFF.startsAt && at < BACKOFF.startsAt + BACKOFF.duration),
   );
   return { worth, engines, refused };
 }
 
-describe('a fleet with engines that ask for a rest', () => {
+describe('a fleet with engines that ask for a backoff', () => {
   // Guards against a daemon that keeps sending requests to an engine which turned it away.
   it('sends an engine next to nothing from a daemon that it turned away', () => {
     [1, 2, 3].forEach((seed) => {
-      simulateRests(seed).engines.forEach(({ arrivals }) => {
+      simulateBackoffs(seed).engines.forEach(({ arrivals }) => {
         const refusals = arrivals.filter(
-          ({ at }) => at >= REST.startsAt && at < REST.startsAt + REST.duration,
+          ({ at }) => at >= BACKOFF.startsAt && at < BACKOFF.startsAt + BACKOFF.duration,
         );
         refusals.forEach(({ at: from, daemon }) => {
           const received = arrivals.filter(
             ({ at, daemon: sender }) =>
-              sender === daemon && at > from + REACTION_TIME && at < from + REST.span,
+              sender === daemon && at > from + REACTION_TIME && at < from + BACKOFF.span,
           );
           expect(received.length).toBeLessThanOrEqual(TOLERATED);
         });
@@ -50,8 +50,8 @@
   // Guards against each daemon being turned away by itself.
   it('has fewer requests turned away if the daemons tell each other', () => {
     [1, 2, 3].forEach((seed) => {
-      const told = simulateRests(seed);
-      const untold = simulateRests(seed, new Set(['rests']));
+      const told = simulateBackoffs(seed);
+      const untold = simulateBackoffs(seed, new Set(['backoffs']));
       expect(told.refused.length).toBeLessThan(untold.refused.length);
     });
   });
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -52,7 +52,7 @@
 export { findHeader, getEndToEndHeaders } from './lib/protocol/connectionHeaders.js';
 export type {
   ReplicaNotice,
-  RequestedRest,
+  RequestedBackoff,
   ResponseFields,
   RequestFields,
   RelayProtocol,
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -121,9 +121,9 @@
         log({ event: 'replica-leaving', replica, source });
         break;
       }
-      case 'replica-resting': {
+      case 'replica-backed-off': {
         const { replica, span, source } = effect;
-        log({ event: 'replica-resting', replica, span, source });
+        log({ event: 'replica-backed-off', replica, span, source });
         break;
       }
       case 'suspect': {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -264,9 +264,9 @@
   }
 
   /** Handles what a replica announces in a response to a call that is not a caller's request. */
-  handleNotice({ id }: RelayReplica, source: string, { isLeaving, rest }: ReplicaNotice): void {
-    if (rest?.kind === 'span') {
-      this.core.handle({ kind: 'rest', replica: id, span: rest.span, source });
+  handleNotice({ id }: RelayReplica, source: string, { isLeaving, backoff }: ReplicaNotice): void {
+    if (backoff?.kind === 'span') {
+      this.core.handle({ kind: 'backoff', replica: id, span: backoff.span, source });
     }
     if (isLeaving) {
       this.core.handle({ kind: 'leaving', replica: id, source });
--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -4,7 +4,7 @@
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import type { PlacementEffect, PlacementResponse } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
-import type { ReplicaRests } from '../ReplicaRests/ReplicaRests.js';
+import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { RequestRecord } from '../RequestRecord.js';
 
 /** Dependencies of {@link Delegation}. */
@@ -14,7 +14,7 @@
   options: PlacementOptions;
   fleet: Fleet;
   keys: AttemptKeys;
-  rests: Pick<ReplicaRests, 'resting'>;
+  backoffs: Pick<ReplicaBackoffs, 'backedOff'>;
   /** Called when a placer did not respond in time. */
   onTimeout: (record: RequestRecord) => void;
 }
@@ -73,7 +73,9 @@
     const timer = clock.setTimer(options.askTimeout, () => this.handleTimeout(key));
     this.pending.set(key, { record, placer, sentAt: clock.now(), timer });
     const criteria = { service, rank, latencyTarget, pauseTarget, prompt };
-    const excludedReplicas = [...new Set([...record.triedReplicas, ...this.parts.rests.resting])];
+    const excludedReplicas = [
+      ...new Set([...record.triedReplicas, ...this.parts.backoffs.backedOff]),
+    ];
     const query = {
       key,
       criteria,
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -19,7 +19,7 @@
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
-import { ReplicaRests } from '../ReplicaRests/ReplicaRests.js';
+import { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
 import { RequestRecord } from '../RequestRecord.js';
@@ -71,8 +71,8 @@
   /** Request rate limits stated by replicas. */
   readonly limits: ReplicaLimits;
 
-  /** Rests that replicas asked for. */
-  private readonly rests: ReplicaRests;
+  /** Backoffs that replicas asked for. */
+  private readonly backoffs: ReplicaBackoffs;
 
   private readonly responseTimeouts: ResponseTimeouts;
 
@@ -105,9 +105,9 @@
       getGroup: (state) =>
         this.registry.getService(state.replica.service).getReplicaGroup(state)?.name,
     });
-    this.rests = new ReplicaRests({ clock, emit });
-    const { limits, rests } = this;
-    this.registry = new ReplicaRegistry({ clock, emit, options: this.options, limits, rests });
+    this.backoffs = new ReplicaBackoffs({ clock, emit });
+    const { limits, backoffs } = this;
+    this.registry = new ReplicaRegistry({ clock, emit, options: this.options, limits, backoffs });
     this.responseTimeouts = new ResponseTimeouts({
       clock,
       emit,
@@ -126,7 +126,7 @@
       onQuarantined: (fingerprint) => this.rejectQuarantined(fingerprint),
     });
     const { registry } = this;
-    const parts = { clock, emit, options: this.options, registry, fleet, limits, rests };
+    const parts = { clock, emit, options: this.options, registry, fleet, limits, backoffs };
     this.placer = new Placer({ ...parts, peerAttempts: this.peerAttempts });
     this.placing = new Placing({
       ...parts,
@@ -204,8 +204,8 @@
           this.emit({ kind: 'share', update: { kind: 'leaving', replicas: [message.replica] } });
         }
         break;
-      case 'rest':
-        this.rests.record(message.replica, message.span, message.source);
+      case 'backoff':
+        this.backoffs.record(message.replica, message.span, message.source);
         this.reviewWaiting(this.registry.findReplica(message.replica)?.replica.service);
         break;
       case 'cache-changed':
@@ -228,7 +228,7 @@
     return [
       ...this.quarantine.getPeriodicUpdates(),
       ...this.limits.getPeriodicUpdates(),
-      ...this.rests.getPeriodicUpdates(),
+      ...this.backoffs.getPeriodicUpdates(),
       ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
     ];
   }
@@ -236,17 +236,17 @@
   /** Whether this daemon may still send a request that it placed at a replica. */
   maySend(replica: string): boolean {
     const state = this.registry.findReplica(replica);
-    return (state === undefined || state.isInService) && !this.rests.isResting(replica);
+    return (state === undefined || state.isInService) && !this.backoffs.isBackedOff(replica);
   }
 
   /**
    * Counts a health check against the replica's limit.
    *
-   * @returns false if the limit or a rest forbids it now
+   * @returns false if the limit or a backoff forbids it now
    */
   tryAcquireCheck(replica: string): boolean {
     const state = this.registry.findReplica(replica);
-    if (this.rests.isResting(replica)) {
+    if (this.backoffs.isBackedOff(replica)) {
       return false;
     }
     if (state === undefined || !this.limits.maySend(state)) {
@@ -316,19 +316,19 @@
   }
 
   /**
-   * If all replicas of a service rest, refuses the waiting requests that would be late after the first
-   * of these rests, and schedules a retry for the others.
+   * If all replicas of a service are backed off, refuses the waiting requests that would be late after the first
+   * of these backoffs, and schedules a retry for the others.
    */
   private reviewWaiting(name: string | undefined): void {
     const service = name === undefined ? undefined : this.registry.getService(name);
-    const end = service?.getRestEnd();
+    const end = service?.getBackoffEnd();
     if (service === undefined || end === undefined) {
       return;
     }
     service.waiting
       .getAll()
       .filter((record) => !isOnTimeAt(record, end))
-      .forEach((record) => this.giveUp(record, getOutcome(record), GiveUpReason.Resting));
+      .forEach((record) => this.giveUp(record, getOutcome(record), GiveUpReason.BackedOff));
     if (service.waiting.size > 0) {
       this.scheduleRetry(service, end - this.clock.now());
     }
@@ -440,8 +440,8 @@
       return;
     }
     const service = this.registry.getService(record.request.service);
-    const restEnd = service.getRestEnd();
-    const mayPlace = restEnd === undefined || isOnTimeAt(record, restEnd);
+    const backoffEnd = service.getBackoffEnd();
+    const mayPlace = backoffEnd === undefined || isOnTimeAt(record, backoffEnd);
     if (this.quarantine.isUnderReview(record.request.fingerprint)) {
       this.giveUp(record, getOutcome(record), GiveUpReason.UnderReview);
       return;
@@ -491,8 +491,8 @@
   }
 
   private getRetryAfter({ request }: RequestRecord): Milliseconds {
-    const restEnd = this.registry.getService(request.service).getRestEnd() ?? 0;
-    return Math.max(this.options.retryAfter, restEnd - this.clock.now());
+    const backoffEnd = this.registry.getService(request.service).getBackoffEnd() ?? 0;
+    return Math.max(this.options.retryAfter, backoffEnd - this.clock.now());
   }
 
   private handleDeadline(record: RequestRecord): void {
@@ -587,8 +587,8 @@
       case 'leaving':
         update.replicas.forEach((replica) => this.recordLeaving(replica, peer));
         break;
-      case 'rests':
-        this.rests.recordPeerRests(update.rests);
+      case 'backoffs':
+        this.backoffs.recordPeerBackoffs(update.backoffs);
         break;
       case 'ask':
         this.placer.handleQuery(peer, update.query);
--- a/packages/relay/src/lib/decide/PlacementCore/replicaNotices.fuzz.test.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/replicaNotices.fuzz.test.ts
@@ -17,7 +17,7 @@
   | { kind: 'submit'; latencyTarget: number }
   | { kind: 'end'; index: number; end: AttemptEnd }
   | { kind: 'leaving' | 'peer-leaving'; id: string }
-  | { kind: 'rest' | 'peer-rest'; id: string; span: number }
+  | { kind: 'backoff' | 'peer-backoff'; id: string; span: number }
   | { kind: 'list'; listed: boolean[] }
   | { kind: 'advance'; span: number };
 
@@ -31,7 +31,11 @@
     ),
   }),
   fc.record({ kind: fc.constantFrom('leaving' as const, 'peer-leaving' as const), id: replica }),
-  fc.record({ kind: fc.constantFrom('rest' as const, 'peer-rest' as const), id: replica, span }),
+  fc.record({
+    kind: fc.constantFrom('backoff' as const, 'peer-backoff' as const),
+    id: replica,
+    span,
+  }),
   fc.record({
     kind: fc.constant('list' as const),
     listed: fc.array(fc.boolean(), { minLength: 4, maxLength: 4 }),
@@ -45,7 +49,7 @@
 
   private readonly leaving = new Set<string>();
 
-  private readonly restEnds = new Map<string, number>();
+  private readonly backoffEnds = new Map<string, number>();
 
   private seenSends = 0;
 
@@ -96,15 +100,15 @@
         core.handle({ kind: 'peer-update', peer: 'd-2', update: { kind: 'leaving', replicas } });
         break;
       }
-      case 'rest': {
+      case 'backoff': {
         const end = clock.now() + action.span;
-        this.restEnds.set(action.id, Math.max(end, this.restEnds.get(action.id) ?? 0));
-        core.handle({ kind: 'rest', replica: action.id, span: action.span, source: 'response' });
+        this.backoffEnds.set(action.id, Math.max(end, this.backoffEnds.get(action.id) ?? 0));
+        core.handle({ kind: 'backoff', replica: action.id, span: action.span, source: 'response' });
         break;
       }
-      case 'peer-rest': {
-        const rests = [{ replica: action.id, remaining: action.span }];
-        core.handle({ kind: 'peer-update', peer: 'd-2', update: { kind: 'rests', rests } });
+      case 'peer-backoff': {
+        const backoffs = [{ replica: action.id, remaining: action.span }];
+        core.handle({ kind: 'peer-update', peer: 'd-2', update: { kind: 'backoffs', backoffs } });
         break;
       }
       case 'list':
@@ -134,13 +138,13 @@
     const now = this.harness.clock.now();
     sends.slice(this.seenSends).forEach(({ replica: { id } }) => {
       expect(this.leaving.has(id)).toBe(false);
-      expect(this.restEnds.get(id) ?? 0).toBeLessThanOrEqual(now);
+      expect(this.backoffEnds.get(id) ?? 0).toBeLessThanOrEqual(now);
     });
     this.seenSends = sends.length;
   }
 }
 
-describe('PlacementCore with replicas that leave and rest in any order', () => {
+describe('PlacementCore with replicas that leave and ask for backoffs in any order', () => {
   it('sends nothing to them, whatever the list and the other daemons say, and ends each request', () => {
     fc.assert(
       fc.property(fc.array(step, { maxLength: 50 }), (steps) => new NoticeObserver().run(steps)),
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -13,7 +13,7 @@
 import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
-import type { ReplicaRests } from '../ReplicaRests/ReplicaRests.js';
+import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { RequestRecord, RunningAttempt } from '../RequestRecord.js';
 
 /** Result of placing a request. */
@@ -35,7 +35,7 @@
   keys: AttemptKeys;
   quarantine: Quarantine;
   limits: ReplicaLimits;
-  rests: ReplicaRests;
+  backoffs: ReplicaBackoffs;
   /** Called when an attempt is sent. */
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
   /** Called when a placer did not respond or provided no usable replica. */
@@ -150,12 +150,12 @@
     { record, placer, sentAt }: PendingQuery,
     { key, placement }: PlacementResponse,
   ): ChosenReplica | undefined {
-    const { registry, clock, rests } = this.parts;
+    const { registry, clock, backoffs } = this.parts;
     const state = placement === undefined ? undefined : registry.findReplica(placement.replica);
     const isUsable =
       state !== undefined &&
       state.isInService &&
-      !rests.isResting(state.replica.id) &&
+      !backoffs.isBackedOff(state.replica.id) &&
       state.replica.service === record.request.service &&
       !record.triedReplicas.has(state.replica.id);
     if (!isUsable) {
--- a/packages/relay/src/lib/decide/ReplicaRests/ReplicaRests.test.ts
+++ b/packages/relay/src/lib/decide/ReplicaBackoffs/ReplicaBackoffs.test.ts
@@ -2,7 +2,7 @@
 import { createReplica, createRequest, createService } from '../../../test/fixtures.js';
 import { AttemptEnd, GiveUpReason, Outcome } from '../messages.js';
 import type { PlacementUpdate } from '../messages.js';
-import { restOptions } from './ReplicaRests.js';
+import { backoffOptions } from './ReplicaBackoffs.js';
 
 const APP = [createService('app')];
 const ONE = createReplica('i-1');
@@ -14,8 +14,8 @@
   return harness;
 }
 
-function rest(harness: CoreHarness, replica: string, span: number): void {
-  harness.core.handle({ kind: 'rest', replica, span, source: 'response' });
+function backoff(harness: CoreHarness, replica: string, span: number): void {
+  harness.core.handle({ kind: 'backoff', replica, span, source: 'response' });
 }
 
 let count = 0;
@@ -32,58 +32,58 @@
   return replicas;
 }
 
-function getRests(harness: CoreHarness): PlacementUpdate[] {
+function getBackoffs(harness: CoreHarness): PlacementUpdate[] {
   return harness
     .getEffects('share')
     .map(({ update }) => update)
-    .filter(({ kind }) => kind === 'rests');
+    .filter(({ kind }) => kind === 'backoffs');
 }
 
-describe('PlacementCore with a resting replica', () => {
-  it('sends it nothing until the end of the rest', () => {
+describe('PlacementCore with a replica that asked for a backoff', () => {
+  it('sends it nothing until the end of the backoff', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
     harness.clock.advance(2_999);
     expect(submit(harness, 6)).not.toContain(ONE.id);
     harness.clock.advance(1);
     expect(submit(harness, 6)).toContain(ONE.id);
   });
 
-  // Guards against a shorter second rest that ends the first one early.
-  it('lengthens a rest, and never shortens it', () => {
+  // Guards against a shorter second backoff that ends the first one early.
+  it('lengthens a backoff, and never shortens it', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 3_000);
-    rest(harness, ONE.id, 1_000);
+    backoff(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 1_000);
     harness.clock.advance(2_000);
     expect(submit(harness, 6)).not.toContain(ONE.id);
-    rest(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
     harness.clock.advance(2_999);
     expect(submit(harness, 6)).not.toContain(ONE.id);
     harness.clock.advance(1);
     expect(submit(harness, 6)).toContain(ONE.id);
   });
 
-  it.each([0, Number.MAX_SAFE_INTEGER])('bounds a rest of %p ms', (span) => {
+  it.each([0, Number.MAX_SAFE_INTEGER])('bounds a backoff of %p ms', (span) => {
     const harness = createHarness();
-    rest(harness, ONE.id, span);
-    const isResting = !submit(harness, 6).includes(ONE.id);
-    expect(isResting).toBe(span > 0);
-    harness.clock.advance(restOptions.maxSpan);
+    backoff(harness, ONE.id, span);
+    const isBackedOff = !submit(harness, 6).includes(ONE.id);
+    expect(isBackedOff).toBe(span > 0);
+    harness.clock.advance(backoffOptions.maxSpan);
     expect(submit(harness, 6)).toContain(ONE.id);
   });
 
-  it('keeps the rest of a replica whose entry was missing for a while', () => {
+  it('keeps the backoff of a replica whose entry was missing for a while', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
     harness.core.handle({ kind: 'replicas', replicas: [TWO] });
     harness.core.handle({ kind: 'replicas', replicas: [ONE, TWO] });
     expect(submit(harness, 6)).not.toContain(ONE.id);
   });
 
-  // Guards against requests to a resting replica instead of one that is merely suspect.
+  // Guards against requests to such a replica instead of one that is merely suspect.
   it('prefers a suspect replica', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
     harness.submit(createRequest('broken'));
     harness.end('broken', 1, AttemptEnd.NotSent);
     expect(harness.getEffects('suspect')).toHaveLength(1);
@@ -92,7 +92,7 @@
 
   it('sends no health checks to it', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
     expect(harness.core.tryAcquireCheck(ONE.id)).toBe(false);
     expect(harness.core.tryAcquireCheck(TWO.id)).toBe(true);
   });
@@ -102,49 +102,49 @@
     harness.submit(createRequest('r'));
     const [first] = harness.getAttemptedReplicas('r');
     expect(harness.core.maySend(first!)).toBe(true);
-    rest(harness, first!, 3_000);
+    backoff(harness, first!, 3_000);
     expect(harness.core.maySend(first!)).toBe(false);
     harness.end('r', 1, AttemptEnd.Withdrawn);
     expect(harness.getAttemptedReplicas('r')[1]).not.toBe(first);
     expect(harness.getEffects('suspect')).toEqual([]);
   });
 
-  // Guards against holding callers, or telling them to come back while all replicas still rest.
-  it('refuses a request at once if all rest for longer than its latency target', () => {
+  // Guards against holding callers, or telling them to come back while all replicas are still backed off.
+  it('refuses a request at once if all are backed off for longer than its latency target', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 5_000);
-    rest(harness, TWO.id, 3_000);
+    backoff(harness, ONE.id, 5_000);
+    backoff(harness, TWO.id, 3_000);
     harness.submit(createRequest('r', { latencyTarget: 300 }));
     expect(harness.getEffects('send')).toEqual([]);
     expect(harness.getEffects('give-up')).toMatchObject([
-      { id: 'r', outcome: Outcome.NotRun, reason: GiveUpReason.Resting, retryAfter: 3_000 },
+      { id: 'r', outcome: Outcome.NotRun, reason: GiveUpReason.BackedOff, retryAfter: 3_000 },
     ]);
   });
 
-  it('lets a request wait for a rest that ends in time', () => {
+  it('lets a request wait for a backoff that ends in time', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 5_000);
-    rest(harness, TWO.id, 200);
+    backoff(harness, ONE.id, 5_000);
+    backoff(harness, TWO.id, 200);
     harness.submit(createRequest('r', { latencyTarget: 300 }));
     expect(harness.getEffects('give-up')).toEqual([]);
     harness.clock.advance(200);
     expect(harness.getAttemptedReplicas('r')).toEqual([TWO.id]);
   });
 
-  it('refuses waiting requests once the rest is lengthened beyond their latency target', () => {
+  it('refuses waiting requests once the backoff is lengthened beyond their latency target', () => {
     const harness = createHarness();
-    rest(harness, ONE.id, 200);
-    rest(harness, TWO.id, 200);
+    backoff(harness, ONE.id, 200);
+    backoff(harness, TWO.id, 200);
     harness.submit(createRequest('r', { latencyTarget: 300 }));
-    rest(harness, ONE.id, 2_000);
-    rest(harness, TWO.id, 2_000);
+    backoff(harness, ONE.id, 2_000);
+    backoff(harness, TWO.id, 2_000);
     expect(harness.getEffects('give-up')).toMatchObject([{ id: 'r', retryAfter: 2_000 }]);
   });
 
-  it('tells the caller of a refused request when the first rest ends', () => {
+  it('tells the caller of a refused request when the first backoff ends', () => {
     const harness = createHarness([ONE]);
     harness.submit(createRequest('r', { maxAttempts: 1 }));
-    rest(harness, ONE.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
     harness.end('r', 1, AttemptEnd.Refused);
     expect(harness.getEffects('give-up')).toMatchObject([
       { outcome: Outcome.NotRun, reason: GiveUpReason.Refused, retryAfter: 3_000 },
@@ -155,21 +155,24 @@
   it('passes a failure on if it can be retried nowhere', () => {
     const harness = createHarness();
     harness.submit(createRequest('r'));
-    rest(harness, ONE.id, 3_000);
-    rest(harness, TWO.id, 3_000);
+    backoff(harness, ONE.id, 3_000);
+    backoff(harness, TWO.id, 3_000);
     harness.end('r', 1, AttemptEnd.Failed);
     expect(harness.getEffects('settle')).toMatchObject([{ id: 'r', attempt: 1 }]);
   });
 
   it('tells the others, who prefer other replicas and use it if there are none', () => {
     const first = createHarness();
-    rest(first, ONE.id, 3_000);
-    rest(first, ONE.id, 3_100);
-    const rests = [{ replica: ONE.id, remaining: 3_000 }];
-    expect(getRests(first)).toEqual([{ kind: 'rests', rests }]);
+    backoff(first, ONE.id, 3_000);
+    backoff(first, ONE.id, 3_100);
+    const backoffs = [{ replica: ONE.id, remaining: 3_000 }];
+    expect(getBackoffs(first)).toEqual([{ kind: 'backoffs', backoffs }]);
     first.clock.advance(1_100);
     const [repeated] = first.core.getPeriodicUpdates();
-    expect(repeated).toEqual({ kind: 'rests', rests: [{ replica: ONE.id, remaining: 2_000 }] });
+    expect(repeated).toEqual({
+      kind: 'backoffs',
+      backoffs: [{ replica: ONE.id, remaining: 2_000 }],
+    });
     const second = createHarness();
     second.core.handle({ kind: 'peer-update', peer: 'd-1', update: repeated! });
     expect(submit(second, 6)).not.toContain(ONE.id);
@@ -180,12 +183,12 @@
     expect(submit(second, 6)).toContain(ONE.id);
   });
 
-  // Guards against sending a request to the replica that a placer chose without knowing of the rest.
+  // Guards against sending a request to the replica that a placer chose without knowing of the backoff.
   it('excludes it from placement queries and does not use it on the response of a placer', () => {
     const daemons = Array.from({ length: 20 }, (_item, index) => `d-${index}`);
     const queried = daemons.flatMap((self) => {
       const harness = createHarness();
-      rest(harness, ONE.id, 3_000);
+      backoff(harness, ONE.id, 3_000);
       harness.core.handle({ kind: 'fleet', self, daemons });
       harness.submit(createRequest('r'));
       return harness
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -9,7 +9,7 @@
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { RetryLimits } from '../RetryBudget/RetryBudget.js';
 import { ServiceState } from './ServiceState.js';
-import type { ServiceLimits, ServiceRests } from './ServiceState.js';
+import type { ServiceLimits, ServiceBackoffs } from './ServiceState.js';
 
 /** Constructor arguments of {@link ReplicaRegistry}. */
 export interface ReplicaRegistrySettings {
@@ -17,7 +17,7 @@
   emit: (effect: PlacementEffect) => void;
   options: PlacementOptions;
   limits: ServiceLimits;
-  rests: ServiceRests;
+  backoffs: ServiceBackoffs;
 }
 
 /**
@@ -44,8 +44,8 @@
     if (existing !== undefined) {
       return existing;
     }
-    const { options, limits, rests } = this.settings;
-    const service = new ServiceState(name, options, limits, rests);
+    const { options, limits, backoffs } = this.settings;
+    const service = new ServiceState(name, options, limits, backoffs);
     service.setDaemonCount(this.daemons);
     this.services.set(name, service);
     return service;
@@ -133,7 +133,7 @@
    */
   recordSilence(state: ReplicaState): void {
     const { replica } = state;
-    if (this.settings.rests.isResting(replica.id)) {
+    if (this.settings.backoffs.isBackedOff(replica.id)) {
       return;
     }
     if (this.getService(replica.service).service?.engine === undefined) {
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -5,7 +5,7 @@
 import { getHomeEngines, getSessionPartId } from '../getCachedPrefixes.js';
 import { getReplicaGroups } from '../groups/getReplicaGroups.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
-import type { ReplicaRests } from '../ReplicaRests/ReplicaRests.js';
+import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
@@ -31,8 +31,8 @@
 /** The part of {@link ReplicaLimits} that candidate selection needs. */
 export type ServiceLimits = Pick<ReplicaLimits, 'getRate' | 'maySend'>;
 
-/** The part of {@link ReplicaRests} that candidate selection needs. */
-export type ServiceRests = Pick<ReplicaRests, 'getEnd' | 'isResting' | 'isSpared'>;
+/** The part of {@link ReplicaBackoffs} that candidate selection needs. */
+export type ServiceBackoffs = Pick<ReplicaBackoffs, 'getEnd' | 'isBackedOff' | 'isSpared'>;
 
 /** The state of one service as known to the placement core. */
 export class ServiceState {
@@ -55,7 +55,7 @@
     readonly name: string,
     private readonly options: PlacementOptions,
     private readonly limits: ServiceLimits,
-    private readonly rests: ServiceRests,
+    private readonly backoffs: ServiceBackoffs,
   ) {
     this.retryBudget = new RetryBudget(this.retryLimits);
   }
@@ -121,7 +121,7 @@
   /**
    * The replicas that a request may be sent to now: in service, with free capacity, and not tried
    * yet unless all were. Suspect replicas, those in a cooldown and those that asked another daemon
-   * for a rest are included only if there are no others.
+   * for a backoff are included only if there are no others.
    */
   getCandidates(triedReplicas: ReadonlySet<string>, now: Milliseconds): ReplicaState[] {
     const hasRoom = (state: ReplicaState) =>
@@ -143,14 +143,14 @@
 
   /** Whether this daemon may send a replica a request now, by the replica's own statements. */
   maySend(state: ReplicaState): boolean {
-    return !this.rests.isResting(state.replica.id) && this.limits.maySend(state);
+    return !this.backoffs.isBackedOff(state.replica.id) && this.limits.maySend(state);
   }
 
-  /** When the first replica may be used again, if all replicas in service rest; else undefined. */
-  getRestEnd(): Milliseconds | undefined {
-    const ends = this.getReplicasInService().map(({ replica }) => this.rests.getEnd(replica.id));
-    const resting = ends.filter((end) => end !== undefined);
-    return ends.length > 0 && resting.length === ends.length ? Math.min(...resting) : undefined;
+  /** When the first replica may be used again, if all replicas in service are backed off; else undefined. */
+  getBackoffEnd(): Milliseconds | undefined {
+    const ends = this.getReplicasInService().map(({ replica }) => this.backoffs.getEnd(replica.id));
+    const backedOff = ends.filter((end) => end !== undefined);
+    return ends.length > 0 && backedOff.length === ends.length ? Math.min(...backedOff) : undefined;
   }
 
   private filterCandidates(
@@ -159,7 +159,9 @@
   ): ReplicaState[] {
     const trusted = inService.filter(
       ({ suspectReason, cooldown, replica }) =>
-        suspectReason === undefined && !cooldown.isActive(now) && !this.rests.isSpared(replica.id),
+        suspectReason === undefined &&
+        !cooldown.isActive(now) &&
+        !this.backoffs.isSpared(replica.id),
     );
     const pool = trusted.length > 0 ? trusted : inService;
     const withRoom = pool.filter(hasRoom);
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -86,8 +86,8 @@
   Refused = 'refused',
   /** It may have run, and must not run again. */
   MayHaveRun = 'may-have-run',
-  /** Every replica of the service rests for longer than the request can wait. */
-  Resting = 'resting',
+  /** Every replica of the service is backed off for longer than the request can wait. */
+  BackedOff = 'backed-off',
   /** Its service has more waiting requests than can be served in time. */
   Overload = 'overload',
   /** The request is quarantined because it crashes replicas. */
@@ -194,8 +194,8 @@
   age: Milliseconds;
 }
 
-/** A rest that a replica asked a daemon for, as exchanged between daemons. */
-export interface SharedRest {
+/** A backoff that a replica asked a daemon for, as exchanged between daemons. */
+export interface SharedBackoff {
   replica: string;
   /** Time until it ends. */
   remaining: Milliseconds;
@@ -220,7 +220,7 @@
   | { kind: 'limits'; limits: SharedLimit[] }
   /** IDs of replicas that announced that they are about to leave. */
   | { kind: 'leaving'; replicas: string[] }
-  | { kind: 'rests'; rests: SharedRest[] }
+  | { kind: 'backoffs'; backoffs: SharedBackoff[] }
   /** All attempts in flight; replaces everything announced before. */
   | { kind: 'attempt-list'; attempts: SharedAttempt[] };
 
@@ -254,7 +254,7 @@
   /** A replica announces that it is about to leave; `source` names the response, for the log. */
   | { kind: 'leaving'; replica: string; source: string }
   /** A replica turned a request away and wants nothing from this daemon for `span`. */
-  | { kind: 'rest'; replica: string; span: Milliseconds; source: string }
+  | { kind: 'backoff'; replica: string; span: Milliseconds; source: string }
   | { kind: 'cache-changed'; replica: string; changes: readonly CacheChange[] }
   /** The complete cache of an engine; replaces everything known before. */
   | { kind: 'cache-listed'; replica: string; changes: readonly CacheChange[] }
@@ -301,7 +301,7 @@
   /** A replica announced that it is about to leave, in the given response or to the given peer. */
   | { kind: 'replica-leaving'; replica: string; source: string }
   /** This daemon sends a replica nothing for `span`, as the replica asked in the given response. */
-  | { kind: 'replica-resting'; replica: string; span: Milliseconds; source: string }
+  | { kind: 'replica-backed-off'; replica: string; span: Milliseconds; source: string }
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'mark-healthy'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: it gets no requests for `span`. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -8,7 +8,7 @@
   GiveUpReason,
   Outcome,
 } from '../decide/messages.js';
-import type { RequestedRest } from '../protocol/RelayProtocol.js';
+import type { RequestedBackoff } from '../protocol/RelayProtocol.js';
 
 /**
  * The events in the log: decisions about requests, changes of the daemon's view of its environment, and
@@ -48,10 +48,10 @@
       attempt: number;
       replica: string;
       isLeaving: boolean;
-      rest: RequestedRest | undefined;
+      backoff: RequestedBackoff | undefined;
     }
   | { event: 'replica-leaving'; replica: string; source: string }
-  | { event: 'replica-resting'; replica: string; span: Milliseconds; source: string }
+  | { event: 'replica-backed-off'; replica: string; span: Milliseconds; source: string }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
   | { event: 'replica-questioned'; replica: string; service: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -29,11 +29,11 @@
   'replica-added': 'a replica was added to the list; includes the revision of the store',
   'replica-draining': 'a replica is about to leave and receives no new requests',
   'replica-notice':
-    'the response to an attempt announces that its replica is about to leave, or asks for a rest; includes the time it asked for',
+    'the response to an attempt announces that its replica is about to leave, or asks for a backoff; includes the time it asked for',
   'replica-leaving':
     'a replica announced that it is about to leave and receives no new requests; includes the kind of response, or the daemon that reported it',
-  'replica-resting':
-    'a replica asked for a rest and receives no requests of this daemon for the given time; includes the kind of response',
+  'replica-backed-off':
+    'a replica asked for a backoff and receives no requests of this daemon for the given time; includes the kind of response',
   'replica-removed': 'a replica was removed from the list',
   'replica-kept':
     'the entry of a replica expired while the store was unavailable; the replica is kept until the given time',
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -34,7 +34,7 @@
     case 'quarantined':
     case 'limits':
     case 'leaving':
-    case 'rests':
+    case 'backoffs':
     case 'ask':
     case 'reply':
       return true;
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -7,7 +7,7 @@
   PlacementUpdate,
 } from '../../decide/messages.js';
 import { leavingOptions } from '../../decide/LeavingReplicas/LeavingReplicas.js';
-import { restOptions } from '../../decide/ReplicaRests/ReplicaRests.js';
+import { backoffOptions } from '../../decide/ReplicaBackoffs/ReplicaBackoffs.js';
 import { limitOptions } from '../../decide/limits/limitOptions.js';
 import { quarantineOptions } from '../../decide/quarantine/quarantineOptions.js';
 import { decodeDatagram, encodeDatagram } from './datagram.js';
@@ -80,7 +80,7 @@
           ],
         },
         { kind: 'leaving', replicas: ['i-1', 'i-2'] },
-        { kind: 'rests', rests: [{ replica: 'i-1', remaining: 2_500 }] },
+        { kind: 'backoffs', backoffs: [{ replica: 'i-1', remaining: 2_500 }] },
         {
           kind: 'quarantined',
           requests: [{ fingerprint: 'b', remaining: 900_000, replicas: ['i-1', 'i-2'] }],
@@ -118,13 +118,13 @@
     const limit = { replica: 'i-c5d157d853@1764763200000', perSecond: 12.75, age: 10_000 };
     const limits = Array<SharedLimit>(limitOptions.maxPerDatagram).fill(limit);
     const leaving = Array<string>(leavingOptions.maxPerDatagram).fill(limit.replica);
-    const rests = leaving.map((replica) => ({ replica, remaining: restOptions.maxSpan }));
+    const backoffs = leaving.map((replica) => ({ replica, remaining: backoffOptions.maxSpan }));
     const updates: PlacementUpdate[] = [
       { kind: 'crashed', replica: 'i-c5d157d853@1764763200000', fingerprints },
       { kind: 'quarantined', requests },
       { kind: 'limits', limits },
       { kind: 'leaving', replicas: leaving },
-      { kind: 'rests', rests },
+      { kind: 'backoffs', backoffs },
     ];
     updates.forEach((update) => {
       expect(encodeDatagram({ from: FROM, updates: [update] }).length).toBeLessThan(1_472);
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -71,7 +71,7 @@
 const limitSchema = z.tuple([z.string(), z.number().nonnegative().nullable(), z.number()]);
 
 /** Replica, remaining time. */
-const restSchema = z.tuple([z.string(), z.number().nonnegative()]);
+const backoffSchema = z.tuple([z.string(), z.number().nonnegative()]);
 
 /** Source, window, counts by workspace. */
 const usageSchema = z.tuple([
@@ -98,7 +98,7 @@
   z.tuple([z.literal('x'), z.array(quarantinedRequestSchema)]),
   z.tuple([z.literal('m'), z.array(limitSchema)]),
   z.tuple([z.literal('v'), z.array(z.string())]),
-  z.tuple([z.literal('t'), z.array(restSchema)]),
+  z.tuple([z.literal('t'), z.array(backoffSchema)]),
   z.tuple([z.literal('l'), z.array(attemptSchema)]),
 ]);
 
@@ -292,8 +292,11 @@
       ];
     case 'leaving':
       return ['v', update.replicas];
-    case 'rests':
-      return ['t', update.rests.map(({ replica, remaining }) => [replica, Math.round(remaining)])];
+    case 'backoffs':
+      return [
+        't',
+        update.backoffs.map(({ replica, remaining }) => [replica, Math.round(remaining)]),
+      ];
     case 'attempt-list':
       return ['l', update.attempts.map(encodeAttempt)];
     default:
@@ -363,8 +366,8 @@
       return { kind: 'leaving', replicas: encoded[1] };
     case 't':
       return {
-        kind: 'rests',
-        rests: encoded[1].map(([replica, remaining]) => ({ replica, remaining })),
+        kind: 'backoffs',
+        backoffs: encoded[1].map(([replica, remaining]) => ({ replica, remaining })),
       };
     case 'l':
       return { kind: 'attempt-list', attempts: encoded[1].map(decodeAttempt) };
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -29,8 +29,8 @@
   resumeAfter: string | undefined;
 }
 
-/** The rest that a replica asks for when it turns a request away. */
-export type RequestedRest =
+/** The backoff that a replica asks for when it turns a request away. */
+export type RequestedBackoff =
   | { kind: 'span'; span: Milliseconds }
   /** The stated time cannot be parsed. */
   | { kind: 'invalid'; text: string };
@@ -40,7 +40,7 @@
   /** Whether it is about to leave. */
   isLeaving: boolean;
   /** The time for which it wants no requests from this daemon; undefined if it asks for none. */
-  rest: RequestedRest | undefined;
+  backoff: RequestedBackoff | undefined;
 }
 
 /** Fields of a response that a replica states in its headers. */
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -207,7 +207,7 @@
       case GiveUpReason.NoReplica:
       case GiveUpReason.Refused:
       case GiveUpReason.Overload:
-      case GiveUpReason.Resting:
+      case GiveUpReason.BackedOff:
       case GiveUpReason.UnderReview:
         return outcome === Outcome.NotRun ? 503 : 502;
       case GiveUpReason.MayHaveRun:
@@ -264,17 +264,17 @@
   }
 
   /** Records what a response announces about its replica. */
-  private handleNotice(effect: SendEffect, { isLeaving, rest }: ReplicaNotice): void {
+  private handleNotice(effect: SendEffect, { isLeaving, backoff }: ReplicaNotice): void {
     const { dispatch, log, metrics } = this.parts;
     const { id, attempt, replica } = effect;
-    if (isLeaving || rest !== undefined) {
-      log({ event: 'replica-notice', id, attempt, replica: replica.id, isLeaving, rest });
+    if (isLeaving || backoff !== undefined) {
+      log({ event: 'replica-notice', id, attempt, replica: replica.id, isLeaving, backoff });
     }
-    if (rest !== undefined) {
-      metrics.replicaNotices.inc({ service: replica.service, notice: 'rest' });
+    if (backoff !== undefined) {
+      metrics.replicaNotices.inc({ service: replica.service, notice: 'backoff' });
     }
-    if (rest?.kind === 'span') {
-      dispatch({ kind: 'rest', replica: replica.id, span: rest.span, source: 'response' });
+    if (backoff?.kind === 'span') {
+      dispatch({ kind: 'backoff', replica: replica.id, span: backoff.span, source: 'response' });
     }
     if (isLeaving) {
       metrics.replicaNotices.inc({ service: replica.service, notice: 'leaving' });
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -19,7 +19,7 @@
     load: undefined,
     limit: undefined,
     isLeaving: false,
-    rest: undefined,
+    backoff: undefined,
   }),
 };
 
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -97,7 +97,7 @@
     await expect(run(port)).resolves.toMatchObject({ kind: 'error', isSent: false });
   });
 
-  // Guards against sending a request to a replica that asked for a rest while the connection was opened.
+  // Guards against sending a request to a replica that asked for a backoff while the connection was opened.
   it('sends nothing if the replica wants no requests once the connection is open', async () => {
     let received = '';
     const port = await listen((socket) => {
