Withdraw requests to a leaving replica whose entry is missing as well

A request whose connection is still being opened is withdrawn when its replica announces that it leaves; where the entry had gone from the list meanwhile it was sent. The memory apart from the list decides now. The new test of LeavingReplicas.test.ts covers it (it fails on the code before in its last line). Comments wrapped.

--- a/packages/relay/src/lib/decide/LeavingReplicas/LeavingReplicas.test.ts
+++ b/packages/relay/src/lib/decide/LeavingReplicas/LeavingReplicas.test.ts
@@ -41,6 +41,15 @@
     expect(submit(harness, 20)).not.toContain(ONE.id);
   });
 
+  it('withdraws requests that were placed there and not sent yet, listed or not', () => {
+    const harness = new CoreHarness(APP, [ONE, TWO]);
+    expect(harness.core.maySend(ONE.id)).toBe(true);
+    harness.core.handle(LEAVING);
+    expect(harness.core.maySend(ONE.id)).toBe(false);
+    harness.core.handle({ kind: 'replicas', replicas: [TWO] });
+    expect(harness.core.maySend(ONE.id)).toBe(false);
+  });
+
   // Guards against requests to a replica whose announcement arrives before its entry.
   it('sends nothing to a replica that announced it before it was listed', () => {
     const harness = new CoreHarness(APP, [TWO]);
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -235,8 +235,7 @@
 
   /** Whether this daemon may still send a request that it placed at a replica. */
   maySend(replica: string): boolean {
-    const state = this.registry.findReplica(replica);
-    return (state === undefined || state.isInService) && !this.backoffs.isBackedOff(replica);
+    return !this.registry.isLeaving(replica) && !this.backoffs.isBackedOff(replica);
   }
 
   /**
@@ -316,8 +315,8 @@
   }
 
   /**
-   * If all replicas of a service are backed off, refuses the waiting requests that would be late after the first
-   * of these backoffs, and schedules a retry for the others.
+   * If all replicas of a service are backed off, refuses the waiting requests that would be late after
+   * the first of these backoffs, and schedules a retry for the others.
    */
   private reviewWaiting(name: string | undefined): void {
     const service = name === undefined ? undefined : this.registry.getService(name);
--- a/packages/relay/src/lib/decide/ReplicaBackoffs/ReplicaBackoffs.ts
+++ b/packages/relay/src/lib/decide/ReplicaBackoffs/ReplicaBackoffs.ts
@@ -44,7 +44,7 @@
   constructor(private readonly parts: ReplicaBackoffsParts) {}
 
   /**
-   * Records that a replica asked this daemon for a backoff. A further request can lengthen a backoff, but not
+   * Records that a replica asked this daemon for a backoff. A further one can lengthen it, but not
    * shorten it.
    *
    * @param source - names the response, for the log
@@ -76,7 +76,7 @@
     });
   }
 
-  /** Returns the end of the backoff during which this daemon must send nothing; undefined if there is none. */
+  /** Returns until when this daemon must send the replica nothing; undefined if it may send. */
   getEnd(replica: string): Milliseconds | undefined {
     const end = this.ownEnds.get(replica);
     return end !== undefined && end > this.parts.clock.now() ? end : undefined;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -194,6 +194,11 @@
     return this.leaving.add(id);
   }
 
+  /** Whether a replica is known to leave, even if it is not listed at the moment. */
+  isLeaving(id: string): boolean {
+    return this.leaving.has(id) || this.findReplica(id)?.isInService === false;
+  }
+
   /** The newest announcements that the replica list does not show yet. */
   getLeavingReplicas(): string[] {
     return this.leaving.getNewest((id) => this.findReplica(id)?.replica.isDraining === false);
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -146,7 +146,7 @@
     return !this.backoffs.isBackedOff(state.replica.id) && this.limits.maySend(state);
   }
 
-  /** When the first replica may be used again, if all replicas in service are backed off; else undefined. */
+  /** When the first backoff ends, if all replicas in service are backed off; else undefined. */
   getBackoffEnd(): Milliseconds | undefined {
     const ends = this.getReplicasInService().map(({ replica }) => this.backoffs.getEnd(replica.id));
     const backedOff = ends.filter((end) => end !== undefined);
