--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
@@ -153,12 +153,13 @@
             await run.perform(action);
           }
           Object.assign(run.store, { isUnavailable: false, lag: 0 });
+          const hasRestore = steps.some(({ kind }) => kind === 'restore');
           // Long enough for a silenced watch to time out and for retained objects to expire.
           await run.advance(
             defaultStateFollowerOptions.maxWatchWait * 1.25 +
               WATCH_TIMEOUT +
               defaultStateFollowerOptions.reconnectGrace * 2 +
-              defaultStateFollowerOptions.restoredObjectDelay,
+              (hasRestore ? defaultStateFollowerOptions.restoredObjectDelay : 0),
           );
           expect(Object.fromEntries(run.items)).toEqual(Object.fromEntries(run.store.objects));
           const sorted = [...run.positions].sort(
