Log connections to replicas that can't be opened, and how long no replica sent anything

An attempt whose connection can't be opened looked the same whether its replica is down or this daemon reaches no replica at all. Counter upstream_connection_failures_total by service and failure; gauges unreachable_replicas and replica_silence_seconds. Set beside each other by replica and second, the lines of two daemons show whether another one reaches the same replica. No logic is changed.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -13,6 +13,7 @@
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import type { RelayProtocol, ReplicaNotice } from '../protocol/RelayProtocol.js';
 import type { PeerDirectory, PeerEntry } from '../peers/PeerDirectory.js';
+import { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import type { PeerUpdate } from '../peers/PeerUpdate.js';
 import { StatusServer } from '../status/StatusServer.js';
@@ -71,6 +72,8 @@
 
   private readonly connections: UpstreamConnections;
 
+  private readonly paths: PathMonitor;
+
   private readonly replicaWatch: ReplicaWatch;
 
   private readonly healthChecks: HealthChecks;
@@ -116,9 +119,8 @@
         availabilityZone: settings.availabilityZone,
       },
     });
-    this.connections = new UpstreamConnections(({ service }) =>
-      metrics.connectionsOpened.inc({ service }),
-    );
+    this.paths = new PathMonitor({ clock, log, metrics });
+    this.connections = new UpstreamConnections(this.paths);
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
     this.storeLink = new StoreLink({
       ...parts,
@@ -131,6 +133,7 @@
       daemonId: settings.id,
       connections: this.connections,
       dispatch,
+      onContact: () => this.paths.recordContact(),
       maySend: (replica) => this.core.maySend(replica),
       getActive: () => this.active,
       isRejecting: () => this.isRejecting,
@@ -303,10 +306,11 @@
 
   private addGauges(): void {
     const { clock, metrics } = this.parts;
-    const { core, connections, peerLink, storeLink } = this;
+    const { core, connections, paths, peerLink, storeLink } = this;
     addDaemonGauges(metrics, {
       core,
       connections,
+      paths,
       peerLink,
       storeLink,
       isReady: () => this.isReady,
@@ -386,6 +390,7 @@
     this.core.handle({ kind: 'replicas', replicas });
     const ids = new Set(replicas.map(({ id }) => id));
     this.connections.retain(ids);
+    this.paths.retain(ids);
     this.healthChecks.retain(ids);
   }
 
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -31,6 +31,7 @@
   protocol: RelayProtocol;
   connections: UpstreamConnections;
   dispatch: (message: PlacementMessage) => void;
+  onContact: RelayTaskParts['onContact'];
   maySend: RelayTaskParts['maySend'];
   onAttemptSent: RelayTaskParts['onAttemptSent'];
   onAttemptEnded: RelayTaskParts['onAttemptEnded'];
@@ -163,6 +164,7 @@
       metrics,
       protocol,
       dispatch,
+      onContact,
       maySend,
       onAttemptSent,
       onAttemptEnded,
@@ -197,6 +199,7 @@
       log,
       metrics,
       dispatch,
+      onContact,
       maySend,
       onAttemptSent,
       onAttemptEnded,
--- a/packages/relay/src/lib/daemon/addDaemonGauges.ts
+++ b/packages/relay/src/lib/daemon/addDaemonGauges.ts
@@ -2,6 +2,7 @@
 import type { PlacementCore } from '../decide/PlacementCore/PlacementCore.js';
 import type { FleetDuties } from '../duties/FleetDuties/FleetDuties.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
+import type { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
 import type { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import type { StoreLink } from './StoreLink.js';
@@ -10,6 +11,7 @@
 export interface DaemonGaugeSources {
   core: PlacementCore;
   connections: UpstreamConnections;
+  paths: PathMonitor;
   peerLink: PeerLink;
   storeLink: StoreLink;
   isReady: () => boolean;
@@ -26,9 +28,19 @@
 
 /** Adds the gauges that show the state of a daemon. */
 export function addDaemonGauges(metrics: RelayMetrics, sources: DaemonGaugeSources): void {
-  const { core, connections, peerLink, storeLink } = sources;
+  const { core, connections, paths, peerLink, storeLink } = sources;
   metrics.addGauge('open_requests', 'Requests in flight.', () => core.openRequests);
   metrics.addGauge('upstream_connections', 'Open connections to replicas.', () => connections.size);
+  metrics.addGauge(
+    'unreachable_replicas',
+    'Replicas to which the last connection could not be opened.',
+    () => paths.failingCount,
+  );
+  metrics.addGauge(
+    'replica_silence_seconds',
+    'Time since any replica last sent something to this daemon.',
+    () => getSeconds(paths.silence),
+  );
   metrics.addGauge('peers', 'Peers that are alive.', () => peerLink.livePeerCount);
   metrics.addGauge('quarantined_requests', 'Quarantined requests.', () => core.quarantine.size);
   metrics.addGauge('ready', '1 if the daemon is ready for requests.', () =>
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -8,6 +8,7 @@
   GiveUpReason,
   Outcome,
 } from '../decide/messages.js';
+import type { ConnectionFailure } from '../paths/ConnectionFailure.js';
 import type { RequestedBackoff } from '../protocol/RelayProtocol.js';
 
 /**
@@ -52,6 +53,19 @@
     }
   | { event: 'replica-leaving'; replica: string; source: string }
   | { event: 'replica-backed-off'; replica: string; span: Milliseconds; source: string }
+  | {
+      event: 'connections-failing';
+      replica: string;
+      service: string;
+      failure: ConnectionFailure;
+      error: string;
+      /** Time since any replica last sent something to this daemon. */
+      silence: Milliseconds;
+      /** Replicas to which the last connection could not be opened, of all that are listed. */
+      failing: number;
+      listed: number;
+    }
+  | { event: 'connections-restored'; replica: string; service: string; after: Milliseconds }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
   | { event: 'replica-questioned'; replica: string; service: string }
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -104,6 +104,13 @@
     registers: [this.registry],
   });
 
+  readonly connectionFailures = new Counter({
+    name: 'apricotrill_relay_upstream_connection_failures_total',
+    help: 'Connections to replicas that could not be opened, by service and failure.',
+    labelNames: ['service', 'failure'],
+    registers: [this.registry],
+  });
+
   readonly storeCalls = new Counter({
     name: 'apricotrill_relay_store_calls_total',
     help: "Calls to the platform's store, by kind of object and outcome.",
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -34,6 +34,10 @@
     'a replica announced that it is about to leave and receives no new requests; includes the kind of response, or the daemon that reported it',
   'replica-backed-off':
     'a replica asked for a backoff and receives no requests of this daemon for the given time; includes the kind of response',
+  'connections-failing':
+    'a connection to a replica could not be opened, unlike the previous one; includes the time since any replica last sent something, and to how many replicas connections fail',
+  'connections-restored':
+    'a connection to a replica was opened again; includes the time for which none could be',
   'replica-removed': 'a replica was removed from the list',
   'replica-kept':
     'the entry of a replica expired while the store was unavailable; the replica is kept until the given time',
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -27,6 +27,8 @@
   log: RelayLog;
   metrics: RelayMetrics;
   dispatch: (message: PlacementMessage) => void;
+  /** Called when a replica has sent something. */
+  onContact: () => void;
   /** Whether a request that was placed at a replica may still be sent to it. */
   maySend: (replica: string) => boolean;
   /** Called when an attempt is sent to a replica, with the number of prompt tokens to prefill. */
@@ -247,9 +249,10 @@
   }
 
   private handleFields(effect: SendEffect, sentAt: Milliseconds, fields: ResponseFields): void {
-    const { request, dispatch } = this.parts;
+    const { request, dispatch, onContact } = this.parts;
     const { load, limit, requestId, isMisdirected, isSigned } = fields;
     const replicaId = effect.replica.id;
+    onContact();
     if (load !== undefined) {
       dispatch({ kind: 'load', replica: replicaId, report: load });
     }
@@ -304,6 +307,7 @@
   }
 
   private writeEvents(events: StreamEvent[]): void {
+    this.parts.onContact();
     const newEvents = events.filter(({ id }) => !this.wasSent(id));
     newEvents.forEach(({ id }) => {
       this.lastEventId = id ?? this.lastEventId;
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -39,6 +39,12 @@
   });
 }
 
+/** Receives the results of opening connections. */
+export interface ConnectionListener {
+  onOpened(replica: RelayReplica): void;
+  onFailed(replica: RelayReplica, error: Error): void;
+}
+
 const connect = buildConnector({ timeout: upstreamOptions.connectTimeout });
 
 /**
@@ -49,12 +55,7 @@
 export class UpstreamConnections {
   private readonly byReplica = new Map<string, UpstreamConnection[]>();
 
-  private readonly onOpened: (replica: RelayReplica) => void;
-
-  /** @param onOpened - called for each connection that is opened */
-  constructor(onOpened: (replica: RelayReplica) => void) {
-    this.onOpened = onOpened;
-  }
+  constructor(private readonly listener: ConnectionListener) {}
 
   /** Returns an idle or new connection, reserved until it is released. */
   acquire(replica: RelayReplica): UpstreamConnection {
@@ -129,7 +130,9 @@
       connect: (options, callback) => {
         connect(options, (error, socket) => {
           if (error !== null || !socket) {
-            callback(error ?? new Error('connection failed'), null);
+            const failure = error ?? new Error('connection failed');
+            this.listener.onFailed(replica, failure);
+            callback(failure, null);
             return;
           }
           // Errors of an earlier socket do not apply to this one.
@@ -150,7 +153,7 @@
   private trackState(replica: RelayReplica, connection: UpstreamConnection): void {
     connection.client.on('connect', () => {
       Object.assign(connection, { isOpen: true });
-      this.onOpened(replica);
+      this.listener.onOpened(replica);
     });
     connection.client.on('disconnect', () => {
       Object.assign(connection, { isOpen: false });
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -41,7 +41,10 @@
 
   /** Whether the replica still wants the request when its connection is open. */
   let maySend = true;
-  const connections = new UpstreamConnections(() => undefined);
+  const connections = new UpstreamConnections({
+    onOpened: () => undefined,
+    onFailed: () => undefined,
+  });
 
   function listen(onSocket: (socket: Socket) => void): Promise<number> {
     const listening = createServer(onSocket);
