--- a/packages/standins/src/lib/network/TcpProxy.ts
+++ b/packages/standins/src/lib/network/TcpProxy.ts
@@ -86,6 +86,15 @@
     await closed;
   }
 
+  get isListening(): boolean {
+    return this.server.listening;
+  }
+
+  /** Stops listening, so that new connections are refused; the open ones live on. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   /** Listens again on the given port. */
   async reopen(port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
