Blame a replica only once its failures are not those of this daemon's path

Callers of daemons that reach every replica were served late while others were partitioned: all eight daemons logged replica-avoided 23 times each in ten seconds, for all twelve replicas, which were sound. Cause: a failed attempt counted against its replica at once, at all daemons. A daemon that reaches no replica fails at each of them, and three failures of any daemons within two seconds take a replica out of service everywhere. The same for crashes: the port was probed from this daemon alone, so that a reset of its connections looked like crashes, with every request under way as a suspect. Change: UnverifiedFailures holds failures back until a probe has ended. PathProber connects itself and, where that fails, asks up to three peers in different zones (ReachabilityServer, at the port between daemons). Only if none of them reaches the replica either do the failures count; otherwise they are forgiven, here and elsewhere. The probe for crashes uses the same result. A peer's answer counts only as far as it proves something: silence, an unknown replica and a peer that is cut off itself prove nothing. PeerServer takes over the port from ObjectServer. Why it holds: what an isolated daemon sees never leaves it unconfirmed.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -1,5 +1,5 @@
 import type { ManualClock, Milliseconds } from '@apricotrill/utils';
-import { AttemptEnd, CancelReason, Outcome, RouteKind } from '@apricotrill/relay';
+import { AttemptEnd, CancelReason, Outcome, ProbeResult, RouteKind } from '@apricotrill/relay';
 import type {
   PlacementCore,
   PlacementEffect,
@@ -302,7 +302,8 @@
     const { clock, environment } = this.settings;
     clock.setTimer(LIVENESS_CHECK_TIME, () => {
       const isUp = environment.findEngine(replica)?.isDown === false;
-      this.core.handle({ kind: 'probed', replica, isUp });
+      const result = isUp ? ProbeResult.Up : ProbeResult.Down;
+      this.core.handle({ kind: 'probed', replica, result });
     });
   }
 
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,7 +16,7 @@
 export type { ListenAddress, RelaySettings } from './lib/daemon/RelaySettings.js';
 export { HttpClient, parseJson } from './lib/http/HttpClient.js';
 export type { HttpResponse, HttpRequest } from './lib/http/HttpClient.js';
-export { AttemptEnd, CancelReason, Outcome } from './lib/decide/messages.js';
+export { AttemptEnd, CancelReason, Outcome, ProbeResult } from './lib/decide/messages.js';
 export type {
   CacheChange,
   LoadReport,
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -1,6 +1,8 @@
-import type { PlacementEffect } from '../decide/messages.js';
+import type { RelayReplica } from '../config/RelayConfiguration.js';
+import type { PlacementEffect, PlacementMessage } from '../decide/messages.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
+import type { PathProber } from '../paths/PathProber/PathProber.js';
 import type { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import type { HealthChecks } from './HealthChecks/HealthChecks.js';
@@ -18,6 +20,8 @@
   healthChecks: HealthChecks;
   quarantineSync: QuarantineSync;
   connections: UpstreamConnections;
+  pathProber: PathProber;
+  dispatch: (message: PlacementMessage) => void;
 }
 
 /** Limit on fingerprints in one log line. */
@@ -72,7 +76,7 @@
         break;
       }
       case 'probe':
-        healthChecks.probePort(effect.replica).catch((error: unknown) => {
+        this.probe(effect.replica).catch((error: unknown) => {
           log({ event: 'fault', step: 'probe a replica', error: String(error) });
         });
         break;
@@ -136,6 +140,7 @@
       }
       case 'mark-healthy': {
         const { id, service } = effect.replica;
+        healthChecks.stop(id);
         log({ event: 'replica-trusted', replica: id, service });
         break;
       }
@@ -149,4 +154,10 @@
         effect satisfies never;
     }
   }
+
+  private async probe(replica: RelayReplica): Promise<void> {
+    const { dispatch, pathProber } = this.parts;
+    const result = await pathProber.probe(replica);
+    dispatch({ kind: 'probed', replica: replica.id, result });
+  }
 }
--- a/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
+++ b/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
@@ -1,7 +1,6 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import type { PlacementMessage } from '../../decide/messages.js';
-import { isListening } from '../../upstream/isListening.js';
 
 /**
  * Checks the health of replicas.
@@ -61,10 +60,10 @@
     result.then((isAlive) => dispatch({ kind: 'liveness-checked', replica: replica.id, isAlive }));
   }
 
-  /** Checks once whether a replica with broken attempts still accepts connections. */
-  async probePort({ id, address }: RelayReplica): Promise<void> {
-    const isUp = await isListening(address, healthOptions.timeout);
-    this.parts.dispatch({ kind: 'probed', replica: id, isUp });
+  /** Cancels the checks of a replica that is no longer suspect. */
+  stop(id: string): void {
+    this.timers.get(id)?.cancel();
+    this.timers.delete(id);
   }
 
   /** Cancels the checks of replicas that are not in the set. */
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -14,7 +14,13 @@
 import type { RelayProtocol, ReplicaNotice } from '../protocol/RelayProtocol.js';
 import type { PeerDirectory, PeerEntry } from '../peers/PeerDirectory.js';
 import { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
+import { PathProber } from '../paths/PathProber/PathProber.js';
+import {
+  REACHABILITY_PATH,
+  ReachabilityServer,
+} from '../paths/ReachabilityServer/ReachabilityServer.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
+import { PeerServer } from '../peers/PeerServer/PeerServer.js';
 import type { PeerUpdate } from '../peers/PeerUpdate.js';
 import { StatusServer } from '../status/StatusServer.js';
 import { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
@@ -80,6 +86,10 @@
 
   private readonly peerLink: PeerLink;
 
+  private readonly peerServer = new PeerServer();
+
+  private readonly pathProber: PathProber;
+
   private readonly storeLink: StoreLink;
 
   private readonly intake: RequestIntake;
@@ -122,9 +132,20 @@
     this.paths = new PathMonitor({ clock, log, metrics });
     this.connections = new UpstreamConnections(this.paths);
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
+    this.pathProber = new PathProber({
+      clock,
+      log,
+      getPeers: (count) => this.peerLink.getPeers(count),
+    });
+    const reachability = new ReachabilityServer({
+      findReplica: (replica) => this.core.registry.findReplica(replica)?.replica,
+      isIsolated: () => false,
+    });
+    this.peerServer.addHandler(REACHABILITY_PATH, reachability.handler);
     this.storeLink = new StoreLink({
       ...parts,
       self,
+      peerServer: this.peerServer,
       changeBound: settings.changeBound,
       onRestored: (dependency) => this.handleStoreRestored(dependency),
     });
@@ -202,7 +223,7 @@
       await this.statusServer.listen(settings.metrics.host, settings.metrics.port);
     }
     await this.peerLink.start();
-    await this.storeLink.listen(settings.peers.host, settings.peers.port);
+    await this.peerServer.listen(settings.peers.host, settings.peers.port);
     const port = await this.callerServer.listen(settings.callers.host, settings.callers.port);
     log({
       event: 'listening',
@@ -285,6 +306,8 @@
     this.peerLink.dispose();
     this.callerServer.dispose();
     this.statusServer.dispose();
+    this.peerServer.dispose();
+    await this.pathProber.dispose();
     await this.connections.dispose();
     await storeDisposal;
   }
@@ -292,6 +315,7 @@
   private createEffectPerformer(): EffectPerformer {
     const { log, metrics } = this.parts;
     const { healthChecks, connections, intake, peerLink, quarantineSync, replicaWatch } = this;
+    const { pathProber } = this;
     return new EffectPerformer({
       log,
       metrics,
@@ -301,6 +325,8 @@
       peerLink,
       quarantineSync,
       replicaWatch,
+      pathProber,
+      dispatch: (message) => this.core.handle(message),
     });
   }
 
--- a/packages/relay/src/lib/daemon/StoreLink.test.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.test.ts
@@ -4,6 +4,7 @@
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
 import type { RelayEvent } from '../observe/RelayEvent.js';
 import type { PeerEntry } from '../peers/PeerDirectory.js';
+import { PeerServer } from '../peers/PeerServer/PeerServer.js';
 import { readerOptions } from '../readers/readerOptions.js';
 import { StoreLink } from './StoreLink.js';
 
@@ -35,6 +36,8 @@
 
   readonly link: StoreLink;
 
+  readonly peerServer = new PeerServer();
+
   constructor(
     readonly self: PeerEntry,
     store: ObjectSource<number>,
@@ -49,6 +52,7 @@
       random: createRandom(1),
       log,
       self,
+      peerServer: this.peerServer,
       changeBound: CHANGE_BOUND,
       onRestored: () => undefined,
     });
@@ -67,11 +71,16 @@
     };
   }
 
+  async dispose(): Promise<void> {
+    this.peerServer.dispose();
+    await this.link.dispose();
+  }
+
   private readonly source: ObjectSource<number>;
 
   async start(): Promise<void> {
     const [host, port] = this.self.address.split(':');
-    await this.link.listen(host!, Number(port));
+    await this.peerServer.listen(host!, Number(port));
     this.link.follow('replicas', this.source, (items) => {
       [...this.objects.keys()]
         .filter((name) => !items.has(name))
@@ -141,7 +150,7 @@
   }
 
   afterEach(async () => {
-    await Promise.all(daemons.splice(0).map(({ link }) => link.dispose()));
+    await Promise.all(daemons.splice(0).map((daemon) => daemon.dispose()));
   });
 
   // Guards against a number of store calls that grows with the fleet: each change ended the watch of
@@ -204,7 +213,7 @@
     expect(daemons.flatMap(({ log }) => log)).toContainEqual(
       expect.objectContaining({ event: 'reader-failed' }),
     );
-    await Promise.all(readers.map(({ link }) => link.dispose()));
+    await Promise.all(readers.map((daemon) => daemon.dispose()));
   });
 
   // Guards against requests to replicas that have left: a reader that lost its connection retains deleted
@@ -237,7 +246,7 @@
     store.write('r-0', 2);
     await waitForAll('r-0', 2);
     expect(daemons.flatMap(({ restored }) => restored)).toEqual([]);
-    await reader.link.dispose();
+    await reader.dispose();
   });
 
   // Guards against daemons that receive no more changes after their readers were killed.
@@ -248,7 +257,7 @@
     store.write('r-0', 1);
     await waitForAll('r-0', 1);
     const readers = daemons.filter(({ link }) => link.isReader);
-    await Promise.all(readers.map(({ link }) => link.dispose()));
+    await Promise.all(readers.map((daemon) => daemon.dispose()));
     readers.forEach((reader) => daemons.splice(daemons.indexOf(reader), 1));
     store.write('r-0', 2);
     await waitForAll('r-0', 2);
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -4,9 +4,10 @@
 import type { StateListener } from '../follow/StateFollower/StateFollower.js';
 import { HttpClient } from '../http/HttpClient.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
+import type { PeerServer } from '../peers/PeerServer/PeerServer.js';
 import type { PeerEntry } from '../peers/PeerDirectory.js';
 import { createPeerReader } from '../readers/createPeerReader.js';
-import { ObjectServer } from '../readers/ObjectServer/ObjectServer.js';
+import { OBJECTS_PATH, ObjectServer } from '../readers/ObjectServer/ObjectServer.js';
 import { ReaderSelector } from '../readers/ReaderSelector/ReaderSelector.js';
 import { readerOptions } from '../readers/readerOptions.js';
 import { ObjectFollower } from './ObjectFollower.js';
@@ -17,6 +18,7 @@
   random: Random;
   log: RelayLog;
   self: PeerEntry;
+  peerServer: PeerServer;
   /** Maximum time until this daemon has applied a change in the store. */
   changeBound: Milliseconds;
   /** Called when a kind of objects has been read from a store that came back from an older copy. */
@@ -50,14 +52,10 @@
       maxWait: this.sharedWait,
       onRequest: () => this.readerSelector.recordReaderRequest(),
     });
+    parts.peerServer.addHandler(OBJECTS_PATH, this.objectServer.handler);
     this.epoch = getHashHex(`${self.id} ${clock.now()}`);
   }
 
-  /** Opens the port for requests of other daemons. */
-  async listen(host: string, port: number): Promise<void> {
-    await this.objectServer.listen(host, port);
-  }
-
   follow<Item>(
     dependency: string,
     store: ObjectSource<Item>,
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -194,7 +194,9 @@
         this.registry.recordLivenessCheck(message);
         break;
       case 'probed':
-        this.quarantine.recordProbe(message.replica, message.isUp);
+        this.quarantine.recordProbe(message.replica, message.result);
+        this.registry.recordProbe(message.replica, message.result);
+        this.drainAll();
         break;
       case 'quarantine':
         this.quarantine.restore(message.requests);
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -2,12 +2,13 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { LeavingReplicas } from '../LeavingReplicas/LeavingReplicas.js';
-import { AttemptEnd } from '../messages.js';
+import { AttemptEnd, ProbeResult } from '../messages.js';
 import type { PlacementEffect, PlacementMessage } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { RetryLimits } from '../RetryBudget/RetryBudget.js';
+import { UnverifiedFailures } from '../UnverifiedFailures/UnverifiedFailures.js';
 import { ServiceState } from './ServiceState.js';
 import type { ServiceLimits, ServiceBackoffs } from './ServiceState.js';
 
@@ -32,7 +33,14 @@
   /** The number of daemons; undefined while unknown. */
   private daemons: number | undefined;
 
-  constructor(private readonly settings: ReplicaRegistrySettings) {}
+  private readonly unverified: UnverifiedFailures;
+
+  constructor(private readonly settings: ReplicaRegistrySettings) {
+    this.unverified = new UnverifiedFailures({
+      emit: settings.emit,
+      onAttributed: (replica, count) => this.announceFailures(replica, count),
+    });
+  }
 
   get allServices(): ServiceState[] {
     return [...this.services.values()];
@@ -94,6 +102,7 @@
   /** Updates the state of a replica with the result of an attempt. */
   recordAttemptEnd({ state, sentAt }: RunningAttempt, end: AttemptEnd): void {
     const now = this.settings.clock.now();
+    const { expectedFailureRate } = state;
     switch (end) {
       case AttemptEnd.Completed:
         state.recordSuccess(now - sentAt);
@@ -108,14 +117,14 @@
         Object.assign(state, { isLeaving: true });
         break;
       case AttemptEnd.NotSent:
-        this.announceBrokenAttempt(state);
         this.suspect(state, 'cannot open a connection');
+        this.unverified.add(state, expectedFailureRate);
         break;
       case AttemptEnd.Broken:
-        this.announceBrokenAttempt(state);
         if (state.recordBrokenAttempt()) {
           this.suspect(state, 'consecutive attempts broke');
         }
+        this.unverified.add(state, expectedFailureRate);
         break;
       case AttemptEnd.Cancelled:
       case AttemptEnd.Withdrawn:
@@ -166,6 +175,17 @@
     return true;
   }
 
+  /** Attributes failures at a replica to it, or ends its suspicion if only the path is at fault. */
+  recordProbe(replica: string, result: ProbeResult): void {
+    const state = this.findReplica(replica);
+    const isSuspect = state?.suspectReason !== undefined;
+    this.unverified.handleProbeResult(replica, result);
+    if (state !== undefined && isSuspect && result === ProbeResult.PathLost) {
+      state.clearSuspicion(this.settings.clock.now());
+      this.settings.emit({ kind: 'mark-healthy', replica: state.replica });
+    }
+  }
+
   /** Records the result of the liveness check of a silent engine. */
   recordLivenessCheck({
     replica,
@@ -235,15 +255,17 @@
 
   private suspectUnresponsive(state: ReplicaState): void {
     if (state.suspectReason === undefined) {
-      this.announceBrokenAttempt(state);
       this.suspect(state, 'no response for too long');
+      this.unverified.add(state, state.expectedFailureRate);
     }
   }
 
-  private announceBrokenAttempt(state: ReplicaState): void {
-    const { id } = state.replica;
-    this.settings.emit({ kind: 'share', update: { kind: 'attempt-broken', replica: id } });
-    this.recordBrokenAttempt(id);
+  /** Counts failures for which a replica is responsible, here and at all other daemons. */
+  private announceFailures(replica: string, count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.settings.emit({ kind: 'share', update: { kind: 'attempt-broken', replica } });
+      this.recordBrokenAttempt(replica);
+    }
   }
 
   /**
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -228,6 +228,12 @@
     return this.consecutiveBroken >= this.options.suspectAfter;
   }
 
+  /** Withdraws failures for which the replica was not responsible. */
+  forgiveFailures(failureRate: number): void {
+    this.consecutiveBroken = 0;
+    this.failureRate = Math.min(this.failureRate, failureRate);
+  }
+
   /** Whether it has sent nothing for too long although requests of this daemon are in flight. */
   isUnresponsive(now: Milliseconds): boolean {
     const limit = now - this.options.darkAfter;
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -70,6 +70,18 @@
   Cancelled = 'cancelled',
 }
 
+/** What attempts to connect to a replica show, from this daemon and from others. */
+export enum ProbeResult {
+  /** It accepts connections of this daemon. */
+  Up = 'up',
+  /** It accepts connections of another daemon, but none of this one. */
+  PathLost = 'path-lost',
+  /** It refuses connections. */
+  Down = 'down',
+  /** It doesn't answer, which a slow network would explain as well. */
+  Unknown = 'unknown',
+}
+
 /** For a request that ends without a response from a replica: whether it ran. */
 export enum Outcome {
   NotRun = 'not-run',
@@ -247,8 +259,7 @@
   | { kind: 'health'; replica: string; isHealthy: boolean }
   /** Result of a liveness check. */
   | { kind: 'liveness-checked'; replica: string; isAlive: boolean }
-  /** Whether a replica with broken attempts accepts connections; undefined if inconclusive. */
-  | { kind: 'probed'; replica: string; isUp: boolean | undefined }
+  | { kind: 'probed'; replica: string; result: ProbeResult }
   /** Quarantined requests read from the store. */
   | { kind: 'quarantine'; requests: readonly QuarantinedRequest[] }
   /** A replica announces that it is about to leave; `source` names the response, for the log. */
@@ -285,7 +296,7 @@
   | { kind: 'follow-caches'; engines?: ReadonlySet<string> }
   /** An engine has sent nothing for a while: check whether it is alive. */
   | { kind: 'check-liveness'; replica: RelayReplica }
-  /** Attempts at a replica broke: check whether it still accepts connections. */
+  /** Attempts at a replica failed: probe whether it or only the path to it is at fault. */
   | { kind: 'probe'; replica: RelayReplica }
   /** A replica crashed while these requests of this daemon were in flight. */
   | { kind: 'crashed'; replica: string; fingerprints: readonly string[] }
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
@@ -1,6 +1,6 @@
 import { CoreHarness } from '../../../../test/CoreHarness.js';
 import { createReplica, createRequest, createService } from '../../../../test/fixtures.js';
-import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../../messages.js';
+import { AttemptEnd, CancelReason, GiveUpReason, Outcome, ProbeResult } from '../../messages.js';
 import { quarantineOptions } from '../quarantineOptions.js';
 
 const REPLICAS = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'].map((id) => createReplica(id));
@@ -14,7 +14,7 @@
   harness.submit(createRequest(id, { fingerprint, maxAttempts: 1 }));
   const [replica] = harness.getAttemptedReplicas(id);
   harness.end(id, 1, AttemptEnd.Broken);
-  harness.core.handle({ kind: 'probed', replica: replica!, isUp: false });
+  harness.core.handle({ kind: 'probed', replica: replica!, result: ProbeResult.Down });
   return replica!;
 }
 
@@ -74,7 +74,7 @@
       harness.submit(createRequest(id, { fingerprint: 'same', maxAttempts: 1 }));
       const [replica] = harness.getAttemptedReplicas(id);
       harness.end(id, 1, AttemptEnd.Broken);
-      harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+      harness.core.handle({ kind: 'probed', replica: replica!, result: ProbeResult.Up });
       harness.clock.advance(quarantineOptions.evaluationDelay);
     }
     expect(harness.getEffects('crashed')).toEqual([]);
@@ -87,7 +87,7 @@
     harness.submit(createRequest('a', { fingerprint: 'crashing', maxAttempts: 1 }));
     const [replica] = harness.getAttemptedReplicas('a');
     harness.end('a', 1, AttemptEnd.Broken);
-    harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+    harness.core.handle({ kind: 'probed', replica: replica!, result: ProbeResult.Up });
     const next = createReplica('i-7');
     const replicas = [...REPLICAS.filter(({ id }) => id !== replica), next];
     harness.core.handle({ kind: 'replicas', replicas });
@@ -119,7 +119,7 @@
     harness.submit(createRequest('a', { maxAttempts: 1 }));
     const [replica] = harness.getAttemptedReplicas('a');
     harness.end('a', 1, AttemptEnd.Broken);
-    harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+    harness.core.handle({ kind: 'probed', replica: replica!, result: ProbeResult.Up });
     harness.clock.advance(quarantineOptions.possibleCrashRetention + 1);
     const left = REPLICAS.filter(({ id }) => id !== replica);
     harness.core.handle({ kind: 'replicas', replicas: left });
@@ -131,7 +131,7 @@
     harness.submit(createRequest('a', { maxAttempts: 1 }));
     const [replica] = harness.getAttemptedReplicas('a');
     harness.end('a', 1, AttemptEnd.Broken);
-    harness.core.handle({ kind: 'probed', replica: replica!, isUp: true });
+    harness.core.handle({ kind: 'probed', replica: replica!, result: ProbeResult.Up });
     const draining = REPLICAS.map((item) => ({ ...item, isDraining: item.id === replica }));
     harness.core.handle({ kind: 'replicas', replicas: draining });
     const left = REPLICAS.filter(({ id }) => id !== replica);
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { RelayReplica } from '../../../config/RelayConfiguration.js';
 import type { Fleet } from '../../Fleet/Fleet.js';
+import { ProbeResult } from '../../messages.js';
 import type { PlacementEffect, QuarantinedRequest, PlacementUpdate } from '../../messages.js';
 import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
 import { CrashLedger } from '../CrashLedger/CrashLedger.js';
@@ -153,12 +154,22 @@
   }
 
   /** Records the result of a probe. */
-  recordProbe(replica: string, isUp: boolean | undefined): void {
+  recordProbe(replica: string, result: ProbeResult): void {
     const possible = this.possibleCrashes.get(replica);
-    if (isUp === false) {
-      this.recordGone(replica);
-    } else if (isUp === true && possible !== undefined) {
-      possible.isUp = true;
+    switch (result) {
+      case ProbeResult.Down:
+        this.recordGone(replica);
+        break;
+      case ProbeResult.Up:
+      case ProbeResult.PathLost:
+        if (possible !== undefined) {
+          possible.isUp = true;
+        }
+        break;
+      case ProbeResult.Unknown:
+        break;
+      default:
+        result satisfies never;
     }
   }
 
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -7,6 +7,7 @@
   Choice,
   GiveUpReason,
   Outcome,
+  ProbeResult,
 } from '../decide/messages.js';
 import type { ConnectionFailure } from '../paths/ConnectionFailure.js';
 import type { RequestedBackoff } from '../protocol/RelayProtocol.js';
@@ -65,6 +66,18 @@
       failing: number;
       listed: number;
     }
+  | {
+      event: 'replica-probed';
+      replica: string;
+      service: string;
+      /** Whether it accepts connections of this daemon; undefined if it didn't answer. */
+      own: boolean | undefined;
+      /** The daemons that were asked, and what each of them observed. */
+      asked: string[];
+      answers: (boolean | undefined)[];
+      result: ProbeResult;
+      after: Milliseconds;
+    }
   | { event: 'connections-restored'; replica: string; service: string; after: Milliseconds }
   | { event: 'replica-removed'; replica: string; service: string; revision: number }
   | { event: 'replica-kept'; replica: string; until: Milliseconds; reason: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -36,6 +36,8 @@
     'a replica asked for a backoff and receives no requests of this daemon for the given time; includes the kind of response',
   'connections-failing':
     'a connection to a replica could not be opened, unlike the previous one; includes the time since any replica last sent something, and to how many replicas connections fail',
+  'replica-probed':
+    'a replica at which attempts failed accepts no connections of this daemon; includes which other daemons were asked and what they observe, and whether the replica or only the path of this daemon is at fault',
   'connections-restored':
     'a connection to a replica was opened again; includes the time for which none could be',
   'replica-removed': 'a replica was removed from the list',
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -1,6 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
-import { getHash } from '@apricotrill/utils';
+import { getHash, getRendezvousOrder } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { fleetOptions } from '../../decide/Fleet/Fleet.js';
 import type { SharedAttempt, PlacementUpdate } from '../../decide/messages.js';
@@ -189,6 +189,23 @@
     return this.table.liveIds.length;
   }
 
+  /**
+   * Returns some live peers, from different availability zones as far as possible. Daemons choose
+   * different ones.
+   */
+  getPeers(count: number): PeerEntry[] {
+    const peers = new Map(this.table.liveEntries.map((peer) => [peer.id, peer]));
+    const ordered = getRendezvousOrder(this.settings.self.id, [...peers.keys()]);
+    const zones = new Set<string>();
+    const [first, rest]: [PeerEntry[], PeerEntry[]] = [[], []];
+    ordered.forEach((id) => {
+      const peer = peers.get(id)!;
+      (zones.has(peer.availabilityZone) ? rest : first).push(peer);
+      zones.add(peer.availabilityZone);
+    });
+    return [...first, ...rest].slice(0, count);
+  }
+
   /**
    * Limits announcements of broken attempts in a large fleet. Peers act on them while they are rare;
    * when many attempts break at once, further ones add no information.
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from '@apricotrill/utils';
 import { Agent } from 'undici';
 import { HttpClient } from '../../http/HttpClient.js';
+import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
 import { createPeerReader } from '../createPeerReader.js';
 import { SharedObjects } from '../SharedObjects/SharedObjects.js';
 import { OBJECTS_PATH, ObjectServer } from './ObjectServer.js';
@@ -23,12 +24,15 @@
     onRequest: () => undefined,
   });
 
+  const peerServer = new PeerServer();
+
   const client = new HttpClient();
 
   const agent = new Agent();
 
   afterAll(async () => {
     server.dispose();
+    peerServer.dispose();
     await client.dispose();
     await agent.destroy();
   });
@@ -42,7 +46,8 @@
     objects.update(new Map([['main', LARGE]]));
     server.add('configuration', objects);
     const [port] = await reservePorts(1);
-    await server.listen(HOST, port!);
+    peerServer.addHandler(OBJECTS_PATH, server.handler);
+    await peerServer.listen(HOST, port!);
     const address = `${HOST}:${port}`;
     const read = createPeerReader(client, 'configuration');
     const peer = { id: 'd-1', address, availabilityZone: 'a' };
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { constants, gzipSync } from 'node:zlib';
 import polka from 'polka';
 import type { Milliseconds } from '@apricotrill/utils';
@@ -31,11 +31,12 @@
   return Number.isFinite(wait) && wait >= 0 ? wait : undefined;
 }
 
-/** HTTP server from which other daemons read the objects that this daemon reads from the store. */
+/** Serves other daemons the objects that this daemon reads from the store. */
 export class ObjectServer {
   private readonly kinds = new Map<string, SharedObjects<unknown>>();
 
-  private readonly server: Server;
+  /** Handles the requests below {@link OBJECTS_PATH}. */
+  readonly handler: RequestListener;
 
   /** The last compressed response. */
   private lastCompressed: { text: string; bytes: Buffer } | undefined;
@@ -48,24 +49,15 @@
         response.destroy();
       });
     });
-    this.server = createServer(app.handler.bind(app) as unknown as RequestListener);
+    this.handler = app.handler.bind(app) as unknown as RequestListener;
   }
 
   add(kind: string, objects: SharedObjects<unknown>): void {
     this.kinds.set(kind, objects);
   }
 
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-  }
-
   dispose(): void {
     this.kinds.forEach((objects) => objects.finishPendingQueries());
-    this.server.close();
-    this.server.closeAllConnections();
   }
 
   private async handleRequest(
--- a/packages/relay/src/test/CoreHarness.ts
+++ b/packages/relay/src/test/CoreHarness.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../lib/config/RelayConfiguration.js';
-import { AttemptEnd, CancelReason } from '../lib/decide/messages.js';
+import { AttemptEnd, CancelReason, ProbeResult } from '../lib/decide/messages.js';
 import type { PlacementEffect, PlacementRequest } from '../lib/decide/messages.js';
 import { PlacementCore } from '../lib/decide/PlacementCore/PlacementCore.js';
 import type { PlacementOptions } from '../lib/decide/placementOptions.js';
@@ -21,6 +21,9 @@
 
   private isAlive = true;
 
+  /** The result of probes. Inconclusive by default: failures count against their replica. */
+  probeResult = ProbeResult.Unknown;
+
   constructor(
     services: readonly RelayService[],
     replicas: readonly RelayReplica[],
@@ -50,6 +53,10 @@
         this.core.handle({ kind: 'liveness-checked', replica, isAlive }),
       );
     }
+    if (effect.kind === 'probe') {
+      const replica = effect.replica.id;
+      this.core.handle({ kind: 'probed', replica, result: this.probeResult });
+    }
     if (effect.kind === 'cancel' && effect.reason === CancelReason.Silent) {
       const { id, attempt } = effect;
       this.clock.setTimer(0, () => this.end(id, attempt, AttemptEnd.Cancelled));
--- a/packages/relay/src/test/CrashFleet.ts
+++ b/packages/relay/src/test/CrashFleet.ts
@@ -1,7 +1,7 @@
 import { createRandom } from '@apricotrill/utils';
 import type { Milliseconds, Random } from '@apricotrill/utils';
 import type { RelayReplica } from '../lib/config/RelayConfiguration.js';
-import { AttemptEnd, GiveUpReason } from '../lib/decide/messages.js';
+import { AttemptEnd, GiveUpReason, ProbeResult } from '../lib/decide/messages.js';
 import type {
   PlacementEffect,
   QuarantinedRequest,
@@ -300,7 +300,7 @@
           member.harness.core.handle({
             kind: 'probed',
             replica: id,
-            isUp: this.runningReplicas.has(id),
+            result: this.runningReplicas.has(id) ? ProbeResult.Up : ProbeResult.Down,
           }),
         );
         break;
