--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -12,6 +12,7 @@
 } from './lib/config/RelayConfiguration.js';
 export type { HealthSource } from './lib/daemon/HealthChecks/HealthChecks.js';
 export { RelayDaemon } from './lib/daemon/RelayDaemon.js';
+export type { ReplicaEndpoint } from './lib/daemon/ReplicaPaths.js';
 export type { QuarantineStore } from './lib/daemon/QuarantineStore.js';
 export type { ListenAddress, RelaySettings } from './lib/daemon/RelaySettings.js';
 export { HttpClient, parseJson } from './lib/http/HttpClient.js';
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -2,7 +2,7 @@
 import type { PlacementEffect, PlacementMessage } from '../decide/messages.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
-import type { PathProber } from '../paths/PathProber/PathProber.js';
+import type { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
 import type { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import type { HealthChecks } from './HealthChecks/HealthChecks.js';
@@ -20,7 +20,7 @@
   healthChecks: HealthChecks;
   quarantineSync: QuarantineSync;
   connections: UpstreamConnections;
-  pathProber: PathProber;
+  paths: PathMonitor;
   dispatch: (message: PlacementMessage) => void;
 }
 
@@ -134,7 +134,7 @@
         const { replica, reason } = effect;
         const { id, service } = replica;
         log({ event: 'replica-suspect', replica: id, service, reason });
-        connections.closeIdle(replica);
+        connections.closeIdle(replica.id);
         healthChecks.start(replica);
         break;
       }
@@ -156,8 +156,8 @@
   }
 
   private async probe(replica: RelayReplica): Promise<void> {
-    const { dispatch, pathProber } = this.parts;
-    const result = await pathProber.probe(replica);
+    const { dispatch, paths } = this.parts;
+    const result = await paths.probe(replica);
     dispatch({ kind: 'probed', replica: replica.id, result });
   }
 }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -13,17 +13,10 @@
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import type { RelayProtocol, ReplicaNotice } from '../protocol/RelayProtocol.js';
 import type { PeerDirectory, PeerEntry } from '../peers/PeerDirectory.js';
-import { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
-import { PathProber } from '../paths/PathProber/PathProber.js';
-import {
-  REACHABILITY_PATH,
-  ReachabilityServer,
-} from '../paths/ReachabilityServer/ReachabilityServer.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import { PeerServer } from '../peers/PeerServer/PeerServer.js';
 import type { PeerUpdate } from '../peers/PeerUpdate.js';
 import { StatusServer } from '../status/StatusServer.js';
-import { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 import { addDaemonGauges, addDutyGauges } from './addDaemonGauges.js';
 import { EffectPerformer } from './EffectPerformer.js';
 import { HealthChecks } from './HealthChecks/HealthChecks.js';
@@ -31,6 +24,8 @@
 import type { RelaySettings } from './RelaySettings.js';
 import type { QuarantineStore } from './QuarantineStore.js';
 import { QuarantineSync } from './QuarantineSync/QuarantineSync.js';
+import { ReplicaPaths } from './ReplicaPaths.js';
+import type { ReplicaEndpoint } from './ReplicaPaths.js';
 import { ReplicaWatch } from './ReplicaWatch.js';
 import { RequestIntake } from './RequestIntake.js';
 import { shutdownOptions } from './shutdownOptions.js';
@@ -76,9 +71,7 @@
 
   private readonly statusServer: StatusServer;
 
-  private readonly connections: UpstreamConnections;
-
-  private readonly paths: PathMonitor;
+  private readonly replicaPaths: ReplicaPaths;
 
   private readonly replicaWatch: ReplicaWatch;
 
@@ -88,8 +81,6 @@
 
   private readonly peerServer = new PeerServer();
 
-  private readonly pathProber: PathProber;
-
   private readonly storeLink: StoreLink;
 
   private readonly intake: RequestIntake;
@@ -129,19 +120,19 @@
         availabilityZone: settings.availabilityZone,
       },
     });
-    this.paths = new PathMonitor({ clock, log, metrics });
-    this.connections = new UpstreamConnections(this.paths);
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
-    this.pathProber = new PathProber({
-      clock,
-      log,
-      getPeers: (count) => this.peerLink.getPeers(count),
-    });
-    const reachability = new ReachabilityServer({
+    this.replicaPaths = new ReplicaPaths({
+      ...parts,
+      self,
+      peerServer: this.peerServer,
       findReplica: (replica) => this.core.registry.findReplica(replica)?.replica,
-      isIsolated: () => false,
+      maySend: (replica) => this.core.maySend(replica),
+      getMaxBodyBytes: () => this.active?.configuration.limits.bodyBytes,
+      isStopping: () => this.isRejecting,
+      onNotice: (replica, source, notice) => this.handleNotice(replica, source, notice),
+      onSilent: (replicas) => this.intake.handleSilentReplicas(replicas),
+      share: (update) => this.peerLink.send(update),
     });
-    this.peerServer.addHandler(REACHABILITY_PATH, reachability.handler);
     this.storeLink = new StoreLink({
       ...parts,
       self,
@@ -152,9 +143,8 @@
     this.intake = new RequestIntake({
       ...parts,
       daemonId: settings.id,
-      connections: this.connections,
+      sender: this.replicaPaths.sender,
       dispatch,
-      onContact: () => this.paths.recordContact(),
       maySend: (replica) => this.core.maySend(replica),
       getActive: () => this.active,
       isRejecting: () => this.isRejecting,
@@ -193,12 +183,16 @@
       log,
       directory: parts.peers,
       getSharedAttempts: () => this.core.getSharedAttempts(),
-      getPeriodicUpdates: () => this.core.getPeriodicUpdates(),
+      getPeriodicUpdates: () => [
+        ...this.core.getPeriodicUpdates(),
+        ...this.replicaPaths.getPeriodicUpdates(),
+      ],
       onUpdate: (peer, update) => this.handlePeerUpdate(peer, update),
       onClockReading: (peer, sentAt) => this.duties?.recordClockReading(peer, sentAt),
       onPeerLost: (peer) => dispatch({ kind: 'peer-removed', peer }),
       onFleetChanged: (daemons) => {
         this.storeLink.setFleet(daemons);
+        this.replicaPaths.setFleet(daemons);
         this.duties?.setFleet(daemons);
         dispatch({ kind: 'fleet', self: id, daemons: daemons.map((daemon) => daemon.id) });
       },
@@ -257,7 +251,9 @@
     log({ event: 'port-closed', after: clock.now() - startedAt, ...connectionCounts });
     const departure = Promise.all([this.peerLink.deregister(), this.duties?.stop()]);
     // Besides responses in flight, waits for connections whose first request has yet to arrive.
-    while (this.callerServer.openConnectionCount > 0 && clock.now() < deadline) {
+    const hasOpen = () =>
+      this.callerServer.openConnectionCount > 0 || this.replicaPaths.forwardedCount > 0;
+    while (hasOpen() && clock.now() < deadline) {
       // eslint-disable-next-line no-await-in-loop
       await this.sleep(shutdownOptions.pollInterval);
     }
@@ -287,6 +283,11 @@
     return changed;
   }
 
+  /** Where to call an API of a replica itself: at the replica, or through another daemon. */
+  getReplicaEndpoint(replica: RelayReplica, path: string): ReplicaEndpoint {
+    return this.replicaPaths.getEndpoint(replica, path);
+  }
+
   /** Handles what a replica announces in a response to a call that is not a caller's request. */
   handleNotice({ id }: RelayReplica, source: string, { isLeaving, backoff }: ReplicaNotice): void {
     if (backoff?.kind === 'span') {
@@ -307,15 +308,14 @@
     this.callerServer.dispose();
     this.statusServer.dispose();
     this.peerServer.dispose();
-    await this.pathProber.dispose();
-    await this.connections.dispose();
+    await this.replicaPaths.dispose();
     await storeDisposal;
   }
 
   private createEffectPerformer(): EffectPerformer {
     const { log, metrics } = this.parts;
-    const { healthChecks, connections, intake, peerLink, quarantineSync, replicaWatch } = this;
-    const { pathProber } = this;
+    const { healthChecks, intake, peerLink, quarantineSync, replicaWatch } = this;
+    const { connections, paths } = this.replicaPaths;
     return new EffectPerformer({
       log,
       metrics,
@@ -325,14 +325,15 @@
       peerLink,
       quarantineSync,
       replicaWatch,
-      pathProber,
+      paths,
       dispatch: (message) => this.core.handle(message),
     });
   }
 
   private addGauges(): void {
     const { clock, metrics } = this.parts;
-    const { core, connections, paths, peerLink, storeLink } = this;
+    const { core, peerLink, storeLink } = this;
+    const { connections, paths } = this.replicaPaths;
     addDaemonGauges(metrics, {
       core,
       connections,
@@ -369,13 +370,17 @@
       case 'demand':
         this.duties?.handleUpdate(peer, update);
         break;
+      case 'isolation':
+        this.replicaPaths.recordPeerIsolation(peer, update.isIsolated);
+        break;
       default:
         this.core.handle({ kind: 'peer-update', peer, update });
     }
   }
 
   private get isReady(): boolean {
-    return !this.isStopping && this.active !== undefined && this.hasReplicas;
+    const canServe = this.active !== undefined && this.hasReplicas && this.replicaPaths.isUsable;
+    return !this.isStopping && canServe;
   }
 
   private get version(): number | undefined {
@@ -415,8 +420,7 @@
     this.replicaWatch.setReplicas(replicas, revision);
     this.core.handle({ kind: 'replicas', replicas });
     const ids = new Set(replicas.map(({ id }) => id));
-    this.connections.retain(ids);
-    this.paths.retain(ids);
+    this.replicaPaths.setReplicas(replicas);
     this.healthChecks.retain(ids);
   }
 
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -18,7 +18,7 @@
 import { RelayTask } from '../request/RelayTask.js';
 import type { RelayTaskParts } from '../request/RelayTask.js';
 import { writeErrorResponse } from '../request/writeErrorResponse.js';
-import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
+import type { AttemptSender } from '../transport/AttemptSender.js';
 
 /** Dependencies of {@link RequestIntake}. */
 export interface RequestIntakeParts {
@@ -29,9 +29,8 @@
   log: RelayLog;
   metrics: RelayMetrics;
   protocol: RelayProtocol;
-  connections: UpstreamConnections;
+  sender: AttemptSender;
   dispatch: (message: PlacementMessage) => void;
-  onContact: RelayTaskParts['onContact'];
   maySend: RelayTaskParts['maySend'];
   onAttemptSent: RelayTaskParts['onAttemptSent'];
   onAttemptEnded: RelayTaskParts['onAttemptEnded'];
@@ -77,6 +76,11 @@
     return this.tasks.get(id);
   }
 
+  /** Reports attempts on connections to these replicas that carry nothing any more. */
+  handleSilentReplicas(replicas: ReadonlySet<string>): void {
+    this.tasks.forEach((task) => task.handleSilentReplicas(replicas));
+  }
+
   async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, protocol, random } = this.parts;
     const arrivedAt = clock.now();
@@ -159,12 +163,11 @@
   private relay(response: ServerResponse, request: ReceivedRequest): void {
     const {
       clock,
-      connections,
+      sender,
       log,
       metrics,
       protocol,
       dispatch,
-      onContact,
       maySend,
       onAttemptSent,
       onAttemptEnded,
@@ -194,12 +197,11 @@
       request,
       response,
       protocol,
-      connections,
+      sender,
       clock,
       log,
       metrics,
       dispatch,
-      onContact,
       maySend,
       onAttemptSent,
       onAttemptEnded,
--- a/packages/relay/src/lib/daemon/addDaemonGauges.ts
+++ b/packages/relay/src/lib/daemon/addDaemonGauges.ts
@@ -36,6 +36,14 @@
     'Replicas to which the last connection could not be opened.',
     () => paths.failingCount,
   );
+  metrics.addGauge(
+    'lost_paths',
+    'Replicas that other daemons reach and this one does not.',
+    () => paths.lostCount,
+  );
+  metrics.addGauge('isolated', '1 if this daemon reaches no replica, though others do.', () =>
+    Number(paths.isIsolated),
+  );
   metrics.addGauge(
     'replica_silence_seconds',
     'Time since any replica last sent something to this daemon.',
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -189,6 +189,7 @@
         state.recordRefusal(this.parts.clock.now());
         break;
       case AttemptEnd.NotSent:
+      case AttemptEnd.NoPath:
       case AttemptEnd.Misdirected:
       case AttemptEnd.Broken:
       case AttemptEnd.Withdrawn:
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.fuzz.test.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.fuzz.test.ts
@@ -114,6 +114,7 @@
     this.withRunning(index, (id, attempt, request) => {
       const isCounted =
         end !== AttemptEnd.NotSent &&
+        end !== AttemptEnd.NoPath &&
         end !== AttemptEnd.Withdrawn &&
         end !== AttemptEnd.Misdirected;
       const mayHaveRun = isCounted && end !== AttemptEnd.Refused;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -161,6 +161,9 @@
       case 'first-byte-received':
         this.handleFirstByte(message);
         break;
+      case 'attempt-stranded':
+        this.handleStranded(message);
+        break;
       case 'attempt-ended':
         this.handleAttemptEnd(message);
         break;
@@ -385,6 +388,23 @@
     }
   }
 
+  /** Ends an attempt whose connection carries nothing any more if the request may run elsewhere. */
+  private handleStranded({ id, attempt }: { id: string; attempt: number }): void {
+    const record = this.records.get(id);
+    if (record?.running?.number === attempt && this.mayRetry(record)) {
+      this.emit({ kind: 'cancel', id, attempt, reason: CancelReason.PathLost });
+    }
+  }
+
+  private mayRetry({ request, sentAttempts }: RequestRecord): boolean {
+    const { retryBudget } = this.registry.getService(request.service);
+    return (
+      request.isRetryable &&
+      sentAttempts + 1 < request.maxAttempts &&
+      retryBudget.getRemaining(this.clock.now()) >= 1
+    );
+  }
+
   private handleAttemptEnd({
     id,
     attempt,
@@ -421,6 +441,7 @@
         this.quarantine.recordGone(state.replica.id);
         break;
       case AttemptEnd.NotSent:
+      case AttemptEnd.NoPath:
       case AttemptEnd.Withdrawn:
       case AttemptEnd.Refused:
       case AttemptEnd.Cancelled:
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -126,6 +126,7 @@
         }
         this.unverified.add(state, expectedFailureRate);
         break;
+      case AttemptEnd.NoPath:
       case AttemptEnd.Cancelled:
       case AttemptEnd.Withdrawn:
         break;
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -6,6 +6,7 @@
 /** Ends of attempts of which no byte reached the intended replica. */
 const UNSENT_ENDS: ReadonlySet<AttemptEnd> = new Set([
   AttemptEnd.NotSent,
+  AttemptEnd.NoPath,
   AttemptEnd.Withdrawn,
   AttemptEnd.Misdirected,
 ]);
--- a/packages/relay/src/lib/decide/UnverifiedFailures/UnverifiedFailures.test.ts
+++ b/packages/relay/src/lib/decide/UnverifiedFailures/UnverifiedFailures.test.ts
@@ -49,6 +49,7 @@
   it('counts the failures during a probe together, and requests a single one', () => {
     const harness = createHarness(ProbeResult.Up);
     const probes: string[] = [];
+    const attributed: [string, number][] = [];
     const failures = new UnverifiedFailures({
       emit: (effect) => {
         if (effect.kind === 'probe') {
@@ -57,7 +58,6 @@
       },
       onAttributed: (replica, count) => attributed.push([replica, count]),
     });
-    const attributed: [string, number][] = [];
     const state = harness.core.registry.findReplica('a')!;
     failures.add(state, 0);
     failures.add(state, 0);
--- a/packages/relay/src/lib/decide/getNextStep.ts
+++ b/packages/relay/src/lib/decide/getNextStep.ts
@@ -60,6 +60,7 @@
         ? { kind: 'place', isRetry: true, fallback: 'settle' }
         : { kind: 'settle' };
     case AttemptEnd.NotSent:
+    case AttemptEnd.NoPath:
     case AttemptEnd.Withdrawn:
     case AttemptEnd.Misdirected:
       return record.unsentAttempts < unsentLimit
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -58,6 +58,8 @@
   Failed = 'failed',
   /** No byte of the request was sent. */
   NotSent = 'not-sent',
+  /** No byte of the request was sent: neither this daemon nor a peer has a path to the replica. */
+  NoPath = 'no-path',
   /** The replica states that it did not run the request. */
   Refused = 'refused',
   /** A different replica responded at this address; the request did not run. */
@@ -244,6 +246,8 @@
   | { kind: 'caller-left'; id: string }
   /** The first byte of a response arrived. */
   | { kind: 'first-byte-received'; id: string; attempt: number }
+  /** The connection of an attempt carries nothing any more, because its path is lost. */
+  | { kind: 'attempt-stranded'; id: string; attempt: number }
   | { kind: 'attempt-ended'; id: string; attempt: number; end: AttemptEnd }
   | { kind: 'load'; replica: string; report: LoadReport }
   /** The limit stated in a replica's response; undefined if it states none. */
@@ -326,6 +330,8 @@
   Silent = 'silent',
   /** The request is quarantined because it crashes replicas. */
   Quarantined = 'quarantined',
+  /** Its connection carries nothing any more, and the request may run elsewhere. */
+  PathLost = 'path-lost',
 }
 
 /** Estimates of inter-token pauses behind the choice of an engine, for the log. */
--- a/packages/relay/src/lib/duties/RunStartEstimator/RunStartEstimator.ts
+++ b/packages/relay/src/lib/duties/RunStartEstimator/RunStartEstimator.ts
@@ -41,6 +41,7 @@
       case AttemptEnd.Cancelled:
         return this.estimateNonStreamedStart(attempt);
       case AttemptEnd.NotSent:
+      case AttemptEnd.NoPath:
       case AttemptEnd.Withdrawn:
       case AttemptEnd.Refused:
       case AttemptEnd.Misdirected:
--- /dev/null
+++ b/packages/relay/src/lib/forwarding/ForwardingServer/ForwardedExchange.ts
@@ -0,0 +1,91 @@
+import type { ServerResponse } from 'node:http';
+import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
+import { RequestWithdrawnError } from '../../upstream/UpstreamExchange/RequestWithdrawnError.js';
+import type {
+  ExchangeListener,
+  ResponseHead,
+  UpstreamExchange,
+} from '../../upstream/UpstreamExchange/UpstreamExchange.js';
+import { ForwardingResult, RESULT_HEADER } from '../forwardingProtocol.js';
+
+const BAD_GATEWAY = 502;
+
+/** Responds that an attempt was not forwarded, or that it broke. */
+export function writeForwardingResult(response: ServerResponse, result: ForwardingResult): void {
+  if (!response.destroyed) {
+    response.writeHead(BAD_GATEWAY, { [RESULT_HEADER]: result, 'content-length': 0 });
+    response.end();
+  }
+}
+
+/** Passes the response of a replica on to the daemon whose attempt is forwarded. */
+export class ForwardedExchange implements ExchangeListener {
+  exchange: UpstreamExchange | undefined;
+
+  private hasEnded = false;
+
+  /** @param onHead - called with the head of the replica's response */
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly parts: {
+      onHead: (head: ResponseHead) => void;
+      onEnd: (result: ForwardingResult, detail: string | undefined) => void;
+    },
+  ) {
+    response.once('close', () => this.handleClosed());
+  }
+
+  onHead(head: ResponseHead): void {
+    this.parts.onHead(head);
+    const headers = getEndToEndHeaders(head.rawHeaders, new Set([RESULT_HEADER]));
+    headers.push(RESULT_HEADER, ForwardingResult.Response);
+    this.response.sendDate = false;
+    this.response.writeHead(head.status, headers);
+    this.response.flushHeaders();
+  }
+
+  onBody(bytes: Buffer): void {
+    if (!this.response.write(bytes)) {
+      this.exchange?.pause();
+      this.response.once('drain', () => this.exchange?.resume());
+    }
+  }
+
+  onEnd(): void {
+    this.response.end();
+    this.finish(ForwardingResult.Response, undefined);
+  }
+
+  onError(error: Error, isSent: boolean): void {
+    const result = ForwardedExchange.getResult(error, isSent);
+    if (this.response.headersSent) {
+      // An incomplete response must not appear to be complete.
+      this.response.destroy();
+    } else {
+      writeForwardingResult(this.response, result);
+    }
+    this.finish(result, error.message);
+  }
+
+  private static getResult(error: Error, isSent: boolean): ForwardingResult {
+    if (error instanceof RequestWithdrawnError) {
+      return ForwardingResult.Withdrawn;
+    }
+    return isSent ? ForwardingResult.Broken : ForwardingResult.Unreachable;
+  }
+
+  /** The other daemon no longer waits, so the replica must stop working on the request. */
+  private handleClosed(): void {
+    if (!this.hasEnded) {
+      this.exchange?.abort();
+      this.finish(ForwardingResult.Broken, 'closed by the daemon that sent it');
+    }
+  }
+
+  private finish(result: ForwardingResult, detail: string | undefined): void {
+    if (!this.hasEnded) {
+      this.hasEnded = true;
+      this.parts.onEnd(result, detail);
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/forwarding/forwardingProtocol.ts
@@ -0,0 +1,70 @@
+import { findHeader } from '../protocol/connectionHeaders.js';
+
+/** Contains the version of the format. */
+export const FORWARDING_PATH = '/attempts/v1';
+
+/** Header of each response of a forwarder, with the {@link ForwardingResult}. */
+export const RESULT_HEADER = 'apricotrill-forwarded';
+
+/** What became of a forwarded attempt. */
+export enum ForwardingResult {
+  /** The response is the replica's. */
+  Response = 'response',
+  /** The request was sent, and no complete response was received. */
+  Broken = 'broken',
+  /** Not sent: the forwarder could not open a connection to the replica. */
+  Unreachable = 'unreachable',
+  /** Not sent: the forwarder reaches no replicas itself. */
+  Isolated = 'isolated',
+  /** Not sent: the replica announced to the forwarder that it wants no requests. */
+  Withdrawn = 'withdrawn',
+  /** Not sent: the forwarder doesn't list the replica. */
+  UnknownReplica = 'unknown-replica',
+  /** Not sent: the forwarder forwards too many attempts already. */
+  Busy = 'busy',
+  /** Not sent: the forwarder is stopping. */
+  Stopping = 'stopping',
+  /** Not sent: the forwarder could not read the request. */
+  Malformed = 'malformed',
+}
+
+const RESULTS: ReadonlySet<string> = new Set(Object.values(ForwardingResult));
+
+/** The address of a request at a replica, as another daemon is asked to forward it. */
+export interface ForwardedTarget {
+  replica: string;
+  /** Path and query for the replica. */
+  target: string;
+}
+
+/**
+ * Returns the path at a forwarder that stands for a path at a replica.
+ *
+ * @example
+ * ```ts
+ * formatForwardedTarget({ replica: 'i-7', target: '/check?a=1' }); // '/attempts/v1/i-7/check?a=1'
+ * ```
+ */
+export function formatForwardedTarget({ replica, target }: ForwardedTarget): string {
+  return `${FORWARDING_PATH}/${encodeURIComponent(replica)}${target}`;
+}
+
+/** @returns undefined if the path does not name a replica and a path there */
+export function parseForwardedTarget(url: string): ForwardedTarget | undefined {
+  const match = /^\/([^/?]+)(\/.*)$/.exec(url.slice(FORWARDING_PATH.length));
+  if (match === null) {
+    return undefined;
+  }
+  try {
+    return { replica: decodeURIComponent(match[1]!), target: match[2]! };
+  } catch {
+    // The replica is not a valid URI component.
+    return undefined;
+  }
+}
+
+/** @returns undefined if the response does not come from a forwarder */
+export function readForwardingResult(rawHeaders: readonly string[]): ForwardingResult | undefined {
+  const text = findHeader(rawHeaders, RESULT_HEADER);
+  return text !== undefined && RESULTS.has(text) ? (text as ForwardingResult) : undefined;
+}
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -9,6 +9,7 @@
   Outcome,
   ProbeResult,
 } from '../decide/messages.js';
+import type { ForwardingResult } from '../forwarding/forwardingProtocol.js';
 import type { ConnectionFailure } from '../paths/ConnectionFailure.js';
 import type { RequestedBackoff } from '../protocol/RelayProtocol.js';
 
@@ -66,6 +67,36 @@
       failing: number;
       listed: number;
     }
+  | { event: 'path-lost'; replica: string; service: string; failure: ConnectionFailure }
+  | { event: 'path-restored'; replica: string; service: string; after: Milliseconds }
+  | { event: 'isolated'; lost: number; listed: number; silence: Milliseconds }
+  | { event: 'isolation-ended'; after: Milliseconds }
+  | { event: 'peer-isolated'; peer: string; isIsolated: boolean }
+  | {
+      event: 'attempt-forwarded';
+      id: string;
+      attempt: number;
+      replica: string;
+      forwarder: string;
+      /** Why it could not be sent directly; undefined if the path was known to be lost. */
+      cause: string | undefined;
+    }
+  | {
+      event: 'forwarder-refused';
+      id: string;
+      attempt: number;
+      forwarder: string;
+      /** Undefined if the other daemon does not support forwarding. */
+      result: ForwardingResult | undefined;
+    }
+  | { event: 'forwarder-failed'; id: string; attempt: number; forwarder: string; error: string }
+  | {
+      event: 'forwarded';
+      replica: string;
+      result: ForwardingResult;
+      after: Milliseconds;
+      detail: string | undefined;
+    }
   | {
       event: 'replica-probed';
       replica: string;
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -111,6 +111,27 @@
     registers: [this.registry],
   });
 
+  readonly pathsLost = new Counter({
+    name: 'apricotrill_relay_paths_lost_total',
+    help: 'Replicas that other daemons reached and this one did not, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  readonly forwardedAttempts = new Counter({
+    name: 'apricotrill_relay_forwarded_attempts_total',
+    help: 'Attempts of this daemon that were sent through another one, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  readonly forwardedForPeers = new Counter({
+    name: 'apricotrill_relay_forwarded_for_peers_total',
+    help: 'Attempts of other daemons that this one was to forward, by result.',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
+
   readonly storeCalls = new Counter({
     name: 'apricotrill_relay_store_calls_total',
     help: "Calls to the platform's store, by kind of object and outcome.",
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -38,6 +38,20 @@
     'a connection to a replica could not be opened, unlike the previous one; includes the time since any replica last sent something, and to how many replicas connections fail',
   'replica-probed':
     'a replica at which attempts failed accepts no connections of this daemon; includes which other daemons were asked and what they observe, and whether the replica or only the path of this daemon is at fault',
+  'path-lost':
+    'another daemon reaches a replica that this one cannot connect to; from now on, attempts at it are forwarded by other daemons',
+  'path-restored':
+    'a replica whose path was lost accepts connections of this daemon again; attempts are sent directly',
+  isolated:
+    'this daemon reaches no replica, though other daemons do; it has all attempts forwarded, and tells the others not to send it theirs',
+  'isolation-ended': 'this daemon reaches replicas again; includes for how long it did not',
+  'peer-isolated': 'another daemon reports that it reaches no replica, or that it does again',
+  'attempt-forwarded':
+    'an attempt is sent through another daemon; includes why it could not be sent directly',
+  'forwarder-refused': 'another daemon did not send an attempt; includes the reason',
+  'forwarder-failed': 'another daemon that was to forward an attempt could not be reached',
+  forwarded:
+    'this daemon has sent an attempt of another daemon to a replica, or refused to; includes how it ended',
   'connections-restored':
     'a connection to a replica was opened again; includes the time for which none could be',
   'replica-removed': 'a replica was removed from the list',
--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -1,36 +1,87 @@
-import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { ProbeResult } from '../../decide/messages.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { RelayMetrics } from '../../observe/RelayMetrics.js';
 import type { ConnectionListener } from '../../upstream/UpstreamConnections/UpstreamConnections.js';
-import { getConnectionFailure } from '../ConnectionFailure.js';
+import { ConnectionFailure, getConnectionFailure } from '../ConnectionFailure.js';
+import { pathOptions } from '../pathOptions.js';
+import type { ProbeOutcome } from '../PathProber/PathProber.js';
 import { PathTable } from '../PathTable/PathTable.js';
+import { SilenceWatch } from '../SilenceWatch/SilenceWatch.js';
+import type { WatchedAttempt } from '../SilenceWatch/SilenceWatch.js';
 
 /** Dependencies of {@link PathMonitor}. */
 export interface PathMonitorParts {
   clock: Clock;
   log: RelayLog;
   metrics: RelayMetrics;
+  /** Whether a replica accepts a connection of this daemon. */
+  isListening: (replica: RelayReplica) => Promise<boolean | undefined>;
+  /** Finds out whether a replica or only the path to it is at fault. */
+  probe: (replica: RelayReplica) => Promise<ProbeOutcome>;
+  /** Called when the open connections to these replicas carry nothing any more. */
+  onSilent: (replicas: ReadonlySet<string>) => void;
+  onIsolationChanged: (isIsolated: boolean) => void;
 }
 
-/** Observes the paths from this daemon to the replicas. */
+/** Observes the paths from this daemon to the replicas, and finds out which of them are lost. */
 export class PathMonitor implements ConnectionListener {
   private readonly table = new PathTable();
 
-  private listedCount = 0;
+  private readonly silenceWatch: SilenceWatch;
 
-  constructor(private readonly parts: PathMonitorParts) {}
+  private replicas = new Map<string, RelayReplica>();
+
+  private recoveryTimer: Timer | undefined;
+
+  /** Position in the list of lost replicas from which the next probes are taken. */
+  private nextProbe = 0;
+
+  private isDisposed = false;
+
+  constructor(private readonly parts: PathMonitorParts) {
+    this.silenceWatch = new SilenceWatch({
+      clock: parts.clock,
+      getSilence: () => this.silence,
+      probe: (replica) => this.probe(replica),
+    });
+  }
 
   /** Number of replicas to which the last connection could not be opened. */
   get failingCount(): number {
     return this.table.failingCount;
   }
 
+  /** Number of replicas that other daemons reach and this one does not. */
+  get lostCount(): number {
+    return this.table.lostCount;
+  }
+
   /** Time since any replica last sent something; 0 before the first time. */
   get silence(): Milliseconds {
     return this.table.getSilence(this.parts.clock.now()) ?? 0;
   }
 
+  /** Whether this daemon reaches no replica, though others do. */
+  get isIsolated(): boolean {
+    return this.table.isIsolated;
+  }
+
+  isLost(replica: string): boolean {
+    return this.table.isLost(replica);
+  }
+
+  /**
+   * Whether a replica may be reachable for other daemons although this one can't open a connection. A
+   * replica that doesn't answer while others do is more likely to be down.
+   */
+  isDoubtful({ id }: RelayReplica, error: Error): boolean {
+    const hasContact = this.silence < pathOptions.maxSilence;
+    const hasTimedOut = getConnectionFailure(error) === ConnectionFailure.Timeout;
+    return this.isLost(id) || !hasTimedOut || !hasContact;
+  }
+
   onOpened({ id, service }: RelayReplica): void {
     const { clock, log, metrics } = this.parts;
     metrics.connectionsOpened.inc({ service });
@@ -45,8 +96,9 @@
     const failure = getConnectionFailure(error);
     metrics.connectionFailures.inc({ service, failure });
     if (this.table.recordFailure(id, clock.now())) {
-      const { failingCount: failing, listedCount: listed, silence } = this;
       const { message } = error;
+      const { silence } = this;
+      const { failingCount: failing, listedCount: listed } = this.table;
       log({
         event: 'connections-failing',
         replica: id,
@@ -60,13 +112,115 @@
     }
   }
 
-  /** Records that a replica has sent something. */
+  /** Records that a replica has sent something over a connection of this daemon. */
   recordContact(): void {
     this.table.recordContact(this.parts.clock.now());
   }
 
-  retain(replicas: ReadonlySet<string>): void {
-    this.listedCount = replicas.size;
-    this.table.retain(replicas);
+  /** Records that a replica could not be connected to, but responded through another daemon. */
+  recordLost(replica: RelayReplica, error: Error): void {
+    this.handleLoss(replica, getConnectionFailure(error));
+  }
+
+  /** Watches an attempt for silence until it has ended. */
+  watch(attempt: WatchedAttempt): void {
+    this.silenceWatch.add(attempt);
+  }
+
+  unwatch(attempt: WatchedAttempt): void {
+    this.silenceWatch.remove(attempt);
+  }
+
+  /** Finds out whether a replica or only the path to it is at fault. */
+  async probe(replica: RelayReplica): Promise<ProbeResult> {
+    const { result, own } = await this.parts.probe(replica);
+    if (result === ProbeResult.PathLost && !this.isDisposed) {
+      this.handleLoss(
+        replica,
+        own === false ? ConnectionFailure.Refused : ConnectionFailure.Timeout,
+      );
+    }
+    return result;
+  }
+
+  setReplicas(replicas: readonly RelayReplica[]): void {
+    this.replicas = new Map(replicas.map((replica) => [replica.id, replica]));
+    this.table.retain(new Set(this.replicas.keys()));
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.recoveryTimer?.cancel();
+    this.silenceWatch.dispose();
+  }
+
+  private handleLoss({ id, service }: RelayReplica, failure: ConnectionFailure): void {
+    const { clock, log, metrics, onIsolationChanged, onSilent } = this.parts;
+    const { isNew, hasIsolated } = this.table.recordLost(id, clock.now());
+    if (!isNew) {
+      return;
+    }
+    const { lostCount: lost, listedCount: listed } = this.table;
+    metrics.pathsLost.inc({ service });
+    log({ event: 'path-lost', replica: id, service, failure });
+    if (hasIsolated) {
+      log({ event: 'isolated', lost, listed, silence: this.silence });
+      onIsolationChanged(true);
+    }
+    // A connection that neither opens nor fails shows that open connections carry nothing either.
+    if (failure === ConnectionFailure.Timeout) {
+      onSilent(hasIsolated ? new Set(this.replicas.keys()) : new Set([id]));
+    }
+    this.scheduleRecovery();
+  }
+
+  private scheduleRecovery(): void {
+    if (this.isDisposed) {
+      return;
+    }
+    this.recoveryTimer ??= this.parts.clock.setTimer(pathOptions.recoveryInterval, () => {
+      this.recover()
+        .catch((error: unknown) => {
+          this.parts.log({ event: 'fault', step: 'probe lost paths', error: String(error) });
+        })
+        .finally(() => {
+          this.recoveryTimer = undefined;
+          if (this.table.lostReplicas.length > 0 || this.isIsolated) {
+            this.scheduleRecovery();
+          }
+        });
+    });
+  }
+
+  /** Probes some of the replicas whose paths are lost; a single one while this daemon is isolated. */
+  private async recover(): Promise<void> {
+    const { lostReplicas } = this.table;
+    const known = lostReplicas.length > 0 ? lostReplicas : [...this.replicas.keys()];
+    const count = Math.min(known.length, this.isIsolated ? 1 : pathOptions.recoveryProbes);
+    const ids = Array.from(
+      { length: count },
+      (_item, index) => known[(this.nextProbe + index) % known.length]!,
+    );
+    this.nextProbe += count;
+    await Promise.all(
+      ids
+        .flatMap((id) => this.replicas.get(id) ?? [])
+        .map(async (replica) => {
+          const isUp = (await this.parts.isListening(replica)) === true;
+          this.handleRecoveryProbe(replica, isUp);
+        }),
+    );
+  }
+
+  private handleRecoveryProbe({ id, service }: RelayReplica, isUp: boolean): void {
+    const { clock, log, onIsolationChanged } = this.parts;
+    const { restoredAfter, isolatedFor } = this.table.recordProbe(id, isUp, clock.now());
+    if (restoredAfter !== undefined) {
+      log({ event: 'path-restored', replica: id, service, after: restoredAfter });
+    }
+    if (isolatedFor !== undefined) {
+      log({ event: 'isolation-ended', after: isolatedFor });
+      onIsolationChanged(false);
+    }
   }
 }
--- a/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
@@ -48,7 +48,7 @@
     return `${HOST}:${port}`;
   }
 
-  function probe(address: string, peers: readonly string[]): Promise<ProbeResult> {
+  async function probe(address: string, peers: readonly string[]): Promise<ProbeResult> {
     const prober = new PathProber({
       clock: new SystemClock(),
       log: () => undefined,
@@ -58,7 +58,8 @@
           .slice(0, count),
     });
     disposals.push(() => prober.dispose());
-    return prober.probe(createReplica('i/1', { address }));
+    const { result } = await prober.probe(createReplica('i/1', { address }));
+    return result;
   }
 
   it('asks nobody about a replica that accepts connections', async () => {
--- a/packages/relay/src/lib/paths/PathProber/PathProber.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { Clock } from '@apricotrill/utils';
 import * as z from 'zod';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { ProbeResult } from '../../decide/messages.js';
@@ -17,6 +17,13 @@
   getPeers: (count: number) => PeerEntry[];
 }
 
+/** The result of a probe. */
+export interface ProbeOutcome {
+  result: ProbeResult;
+  /** Whether the replica accepts connections of this daemon; undefined if it didn't answer. */
+  own: boolean | undefined;
+}
+
 const OK = 200;
 
 const responseSchema = z.object({ isUp: z.boolean().nullable() });
@@ -25,31 +32,31 @@
 export class PathProber {
   private readonly client = new HttpClient();
 
-  private readonly pending = new Map<string, Promise<ProbeResult>>();
+  private readonly pending = new Map<string, Promise<ProbeOutcome>>();
 
   constructor(private readonly parts: PathProberParts) {}
 
   /** Probes a replica. Concurrent probes of the same replica share their result. */
-  probe(replica: RelayReplica): Promise<ProbeResult> {
+  probe(replica: RelayReplica): Promise<ProbeOutcome> {
     const known = this.pending.get(replica.id);
     if (known !== undefined) {
       return known;
     }
-    const result = this.run(replica).finally(() => this.pending.delete(replica.id));
-    this.pending.set(replica.id, result);
-    return result;
+    const outcome = this.run(replica).finally(() => this.pending.delete(replica.id));
+    this.pending.set(replica.id, outcome);
+    return outcome;
   }
 
   async dispose(): Promise<void> {
     await this.client.dispose();
   }
 
-  private async run(replica: RelayReplica): Promise<ProbeResult> {
+  private async run(replica: RelayReplica): Promise<ProbeOutcome> {
     const { clock, log, getPeers } = this.parts;
     const startedAt = clock.now();
     const own = await isListening(replica.address, pathOptions.probeTimeout);
     if (own === true) {
-      return ProbeResult.Up;
+      return { result: ProbeResult.Up, own };
     }
     const peers = getPeers(pathOptions.askedPeers);
     const answers = await Promise.all(peers.map((peer) => this.ask(peer, replica)));
@@ -58,7 +65,7 @@
     const after = clock.now() - startedAt;
     const asked = peers.map((peer) => peer.id);
     log({ event: 'replica-probed', replica: id, service, own, asked, answers, result, after });
-    return result;
+    return { result, own };
   }
 
   /** @param own - this daemon's own observation, which is not that the replica is up */
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -35,6 +35,7 @@
     case 'limits':
     case 'leaving':
     case 'backoffs':
+    case 'isolation':
     case 'ask':
     case 'reply':
       return true;
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -1,9 +1,9 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
-import { getHash, getRendezvousOrder } from '@apricotrill/utils';
+import { getHash } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { fleetOptions } from '../../decide/Fleet/Fleet.js';
-import type { SharedAttempt, PlacementUpdate } from '../../decide/messages.js';
+import type { SharedAttempt } from '../../decide/messages.js';
 import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import { decodeDatagram, encodeDatagram } from '../datagram/datagram.js';
@@ -49,7 +49,7 @@
    */
   getSharedAttempts: () => ReadonlyMap<string | undefined, SharedAttempt[]>;
   /** Returns the updates that are repeated with each refresh, since datagrams can be lost. */
-  getPeriodicUpdates: () => PlacementUpdate[];
+  getPeriodicUpdates: () => PeerUpdate[];
   onUpdate: (peer: string, update: PeerUpdate) => void;
   /** Called with the reading of another daemon's clock at the time it sent a message. */
   onClockReading: (peer: string, sentAt: Milliseconds) => void;
@@ -189,23 +189,6 @@
     return this.table.liveIds.length;
   }
 
-  /**
-   * Returns some live peers, from different availability zones as far as possible. Daemons choose
-   * different ones.
-   */
-  getPeers(count: number): PeerEntry[] {
-    const peers = new Map(this.table.liveEntries.map((peer) => [peer.id, peer]));
-    const ordered = getRendezvousOrder(this.settings.self.id, [...peers.keys()]);
-    const zones = new Set<string>();
-    const [first, rest]: [PeerEntry[], PeerEntry[]] = [[], []];
-    ordered.forEach((id) => {
-      const peer = peers.get(id)!;
-      (zones.has(peer.availabilityZone) ? rest : first).push(peer);
-      zones.add(peer.availabilityZone);
-    });
-    return [...first, ...rest].slice(0, count);
-  }
-
   /**
    * Limits announcements of broken attempts in a large fleet. Peers act on them while they are rare;
    * when many attempts break at once, further ones add no information.
--- a/packages/relay/src/lib/peers/PeerUpdate.ts
+++ b/packages/relay/src/lib/peers/PeerUpdate.ts
@@ -1,5 +1,6 @@
 import type { PlacementUpdate } from '../decide/messages.js';
+import type { PathUpdate } from '../paths/PathUpdate.js';
 import type { DutyUpdate } from '../duties/DutyUpdate.js';
 
 /** An update that one daemon sends to another. */
-export type PeerUpdate = PlacementUpdate | DutyUpdate;
+export type PeerUpdate = PlacementUpdate | DutyUpdate | PathUpdate;
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -99,6 +99,7 @@
   z.tuple([z.literal('m'), z.array(limitSchema)]),
   z.tuple([z.literal('v'), z.array(z.string())]),
   z.tuple([z.literal('t'), z.array(backoffSchema)]),
+  z.tuple([z.literal('i'), z.union([z.literal(0), z.literal(1)])]),
   z.tuple([z.literal('l'), z.array(attemptSchema)]),
 ]);
 
@@ -297,6 +298,8 @@
         't',
         update.backoffs.map(({ replica, remaining }) => [replica, Math.round(remaining)]),
       ];
+    case 'isolation':
+      return ['i', update.isIsolated ? 1 : 0];
     case 'attempt-list':
       return ['l', update.attempts.map(encodeAttempt)];
     default:
@@ -369,6 +372,8 @@
         kind: 'backoffs',
         backoffs: encoded[1].map(([replica, remaining]) => ({ replica, remaining })),
       };
+    case 'i':
+      return { kind: 'isolation', isIsolated: encoded[1] === 1 };
     case 'l':
       return { kind: 'attempt-list', attempts: encoded[1].map(decodeAttempt) };
     default:
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -8,9 +8,10 @@
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
 import type { ReplicaNotice, ResponseFields, RelayProtocol } from '../protocol/RelayProtocol.js';
+import { pathOptions } from '../paths/pathOptions.js';
+import type { AttemptSender } from '../transport/AttemptSender.js';
+import type { SentAttempt } from '../transport/SentAttempt/SentAttempt.js';
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
-import type { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
-import { UpstreamExchange } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 import type { ResponseHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 import { ResponseReader } from './ResponseReader.js';
 import type { ResponseListener, AttemptResult, BufferedResponse } from './ResponseReader.js';
@@ -22,13 +23,11 @@
   request: ReceivedRequest;
   response: ServerResponse;
   protocol: RelayProtocol;
-  connections: UpstreamConnections;
+  sender: AttemptSender;
   clock: Clock;
   log: RelayLog;
   metrics: RelayMetrics;
   dispatch: (message: PlacementMessage) => void;
-  /** Called when a replica has sent something. */
-  onContact: () => void;
   /** Whether a request that was placed at a replica may still be sent to it. */
   maySend: (replica: string) => boolean;
   /** Called when an attempt is sent to a replica, with the number of prompt tokens to prefill. */
@@ -50,7 +49,7 @@
 
 interface CurrentAttempt {
   attempt: number;
-  exchange: UpstreamExchange;
+  sent: SentAttempt;
   startedAt: Milliseconds;
 }
 
@@ -117,42 +116,57 @@
 
   /** Starts an attempt. */
   send(effect: SendEffect): void {
-    const { clock, connections, log, protocol, request } = this.parts;
+    const { clock, log, protocol, request, sender } = this.parts;
     const { id, attempt, replica, choice } = effect;
     log({ event: 'sent', id, attempt, replica: replica.id, service: request.service, choice });
     this.attemptCount += 1;
     this.replicaId = replica.id;
     const startedAt = clock.now();
     this.recordAdmissionWait(startedAt);
-    const exchange: UpstreamExchange = new UpstreamExchange(
-      clock,
-      new ResponseReader({
+    this.parts.onAttemptSent(request.service, choice.missingTokens);
+    const sent: SentAttempt = sender.send({
+      id,
+      attempt,
+      replica,
+      method: request.method,
+      target: request.target,
+      createHeaders: () => this.createHeaders(effect),
+      body: request.body,
+      listener: new ResponseReader({
         requestId: request.fields.requestId,
         isStream: request.route.kind === RouteKind.Stream,
         protocol,
         listener: this.createListener(effect, startedAt),
-        abort: () => exchange.abort(),
+        abort: () => sent.abort(),
       }),
-    );
-    this.current = { attempt, exchange, startedAt };
-    this.parts.onAttemptSent(request.service, choice.missingTokens);
-    const connection = connections.acquire(replica);
-    const rawHeaders = protocol.getUpstreamHeaders(request.rawHeaders, {
+      maySend: () => this.parts.maySend(replica.id),
+    });
+    this.current = { attempt, sent, startedAt };
+  }
+
+  private createHeaders({ replica, choice }: SendEffect): string[] {
+    const { clock, protocol, request } = this.parts;
+    return protocol.getUpstreamHeaders(request.rawHeaders, {
       replica,
       workspace: request.workspace?.name,
-      timeLeft: Math.max(1, Math.round(request.deadline - startedAt)),
+      timeLeft: Math.max(1, Math.round(request.deadline - clock.now())),
       rank: request.rank,
       fetchFrom: choice.fetchFrom,
       resumeAfter: this.lastEventId,
     });
-    exchange.run(
-      connection,
-      { method: request.method, target: request.target, rawHeaders, body: request.body },
-      {
-        maySend: () => this.parts.maySend(replica.id),
-        onReleased: () => connections.release(replica, connection),
-      },
-    );
+  }
+
+  /** Reports the current attempt if its connection is silent and goes to one of these replicas. */
+  handleSilentReplicas(replicas: ReadonlySet<string>): void {
+    const { clock, dispatch, request } = this.parts;
+    const { current } = this;
+    const isStranded =
+      current !== undefined &&
+      replicas.has(current.sent.replica.id) &&
+      current.sent.getDirectSilence(clock.now()) >= pathOptions.maxSilence;
+    if (isStranded) {
+      dispatch({ kind: 'attempt-stranded', id: request.id, attempt: current.attempt });
+    }
   }
 
   /** Cancels an attempt, and reports its end to the core unless the attempt has already ended. */
@@ -165,7 +179,7 @@
     this.parts.log({ event: 'cancelled', id, attempt, reason });
     this.recordAttemptEnd(current, AttemptEnd.Cancelled);
     this.current = undefined;
-    current.exchange.abort();
+    current.sent.abort();
     queueMicrotask(() => {
       this.parts.dispatch({ kind: 'attempt-ended', id, attempt, end: AttemptEnd.Cancelled });
     });
@@ -249,10 +263,9 @@
   }
 
   private handleFields(effect: SendEffect, sentAt: Milliseconds, fields: ResponseFields): void {
-    const { request, dispatch, onContact } = this.parts;
+    const { request, dispatch } = this.parts;
     const { load, limit, requestId, isMisdirected, isSigned } = fields;
     const replicaId = effect.replica.id;
-    onContact();
     if (load !== undefined) {
       dispatch({ kind: 'load', replica: replicaId, report: load });
     }
@@ -307,7 +320,6 @@
   }
 
   private writeEvents(events: StreamEvent[]): void {
-    this.parts.onContact();
     const newEvents = events.filter(({ id }) => !this.wasSent(id));
     newEvents.forEach(({ id }) => {
       this.lastEventId = id ?? this.lastEventId;
@@ -338,9 +350,9 @@
   private write(bytes: Buffer): void {
     const { response } = this.parts;
     if (!response.write(bytes)) {
-      const exchange = this.current?.exchange;
-      exchange?.pause();
-      response.once('drain', () => exchange?.resume());
+      const sent = this.current?.sent;
+      sent?.pause();
+      response.once('drain', () => sent?.resume());
     }
   }
 
--- a/packages/relay/src/lib/request/ResponseReader.ts
+++ b/packages/relay/src/lib/request/ResponseReader.ts
@@ -1,6 +1,7 @@
 import { AttemptEnd } from '../decide/messages.js';
 import { findHeader } from '../protocol/connectionHeaders.js';
 import type { ResponseFields, RelayProtocol } from '../protocol/RelayProtocol.js';
+import { NoPathError } from '../transport/SentAttempt/NoPathError.js';
 import { EventSplitter } from '../upstream/EventSplitter/EventSplitter.js';
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
 import { upstreamOptions } from '../upstream/upstreamOptions.js';
@@ -133,6 +134,8 @@
     const fields = head === undefined ? undefined : this.parts.protocol.readResponse(head);
     if (error instanceof RequestWithdrawnError) {
       this.finish(AttemptEnd.Withdrawn, error.message);
+    } else if (error instanceof NoPathError) {
+      this.finish(AttemptEnd.NoPath, error.message);
     } else if (!isSent) {
       this.finish(AttemptEnd.NotSent, error.message);
     } else if (fields?.isMisdirected) {
--- /dev/null
+++ b/packages/relay/src/lib/transport/SentAttempt/ForwardedListener.ts
@@ -0,0 +1,72 @@
+import {
+  ForwardingResult,
+  RESULT_HEADER,
+  readForwardingResult,
+} from '../../forwarding/forwardingProtocol.js';
+import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
+import type {
+  ExchangeListener,
+  ResponseHead,
+} from '../../upstream/UpstreamExchange/UpstreamExchange.js';
+
+const RESULT_HEADERS = new Set([RESULT_HEADER]);
+
+/** Receives the end of a forwarded attempt that has no response from the replica. */
+export interface ForwardingListener {
+  /** The replica has responded through the forwarder. */
+  onReached(): void;
+  /** The forwarder did not send the attempt. */
+  onRefused(result: ForwardingResult | undefined): void;
+  /** The connection to the forwarder failed before anything was sent. */
+  onForwarderUnreachable(error: Error): void;
+}
+
+/** Reads the response of a forwarder, and passes the replica's response in it on. */
+export class ForwardedListener implements ExchangeListener {
+  private result: ForwardingResult | undefined;
+
+  private hasHead = false;
+
+  constructor(
+    private readonly replica: ExchangeListener,
+    private readonly listener: ForwardingListener,
+  ) {}
+
+  onHead({ status, rawHeaders }: ResponseHead): void {
+    this.hasHead = true;
+    this.result = readForwardingResult(rawHeaders);
+    if (this.result === ForwardingResult.Response) {
+      this.listener.onReached();
+      this.replica.onHead({ status, rawHeaders: getEndToEndHeaders(rawHeaders, RESULT_HEADERS) });
+    }
+  }
+
+  onBody(bytes: Buffer): void {
+    if (this.result === ForwardingResult.Response) {
+      this.replica.onBody(bytes);
+    }
+  }
+
+  onEnd(): void {
+    switch (this.result) {
+      case ForwardingResult.Response:
+        this.replica.onEnd();
+        break;
+      case ForwardingResult.Broken:
+        this.replica.onError(new Error('the attempt broke at the forwarder'), true);
+        break;
+      default:
+        this.listener.onRefused(this.result);
+    }
+  }
+
+  onError(error: Error, isSent: boolean): void {
+    if (this.hasHead && this.result !== ForwardingResult.Response) {
+      this.onEnd();
+    } else if (isSent) {
+      this.replica.onError(error, true);
+    } else {
+      this.listener.onForwarderUnreachable(error);
+    }
+  }
+}
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -39,30 +39,35 @@
   });
 }
 
+/** What connections are opened to: a replica or another daemon. */
+export interface ConnectionTarget {
+  id: string;
+  /** IP address and port. */
+  address: string;
+}
+
 /** Receives the results of opening connections. */
-export interface ConnectionListener {
-  onOpened(replica: RelayReplica): void;
-  onFailed(replica: RelayReplica, error: Error): void;
+export interface ConnectionListener<Target = RelayReplica> {
+  onOpened(target: Target): void;
+  onFailed(target: Target, error: Error): void;
 }
 
 const connect = buildConnector({ timeout: upstreamOptions.connectTimeout });
 
 /**
- * Pools the connections to all replicas. The most recently used connection is reused first, so that the
+ * Pools the connections to all replicas, or to all other daemons. The most recently used connection is reused first, so that the
  * others stay idle and eventually close: opening a connection is expensive, and a replica's connections
  * are limited across all daemons.
  */
-export class UpstreamConnections {
-  private readonly byReplica = new Map<string, UpstreamConnection[]>();
+export class UpstreamConnections<Target extends ConnectionTarget = RelayReplica> {
+  private readonly byTarget = new Map<string, UpstreamConnection[]>();
 
-  constructor(private readonly listener: ConnectionListener) {}
+  constructor(private readonly listener: ConnectionListener<Target>) {}
 
   /** Returns an idle or new connection, reserved until it is released. */
-  acquire(replica: RelayReplica): UpstreamConnection {
-    const idle = this.byReplica
-      .get(replica.id)
-      ?.findLast(({ isBusy, isOpen }) => !isBusy && isOpen);
-    const connection = idle ?? this.create(replica);
+  acquire(target: Target): UpstreamConnection {
+    const idle = this.byTarget.get(target.id)?.findLast(({ isBusy, isOpen }) => !isBusy && isOpen);
+    const connection = idle ?? this.create(target);
     connection.isBusy = true;
     return connection;
   }
@@ -72,13 +77,18 @@
    * the last bytes of the response has been processed: a second response closes the connection, and
    * must not be matched to the next request.
    */
-  release(replica: RelayReplica, connection: UpstreamConnection): void {
-    setImmediate(() => this.markIdle(replica, connection));
+  release(target: Target, connection: UpstreamConnection): void {
+    setImmediate(() => this.markIdle(target, connection));
+  }
+
+  /** Whether there is an open connection that carries no request. */
+  hasIdle(id: string): boolean {
+    return this.byTarget.get(id)?.some(({ isBusy, isOpen }) => !isBusy && isOpen) ?? false;
   }
 
-  /** Closes idle connections to replicas that are not in the set; requests in flight continue. */
+  /** Closes idle connections to targets that are not in the set; requests in flight continue. */
   retain(ids: ReadonlySet<string>): void {
-    this.byReplica.forEach((connections, id) => {
+    this.byTarget.forEach((connections, id) => {
       if (!ids.has(id)) {
         connections
           .filter(({ isBusy }) => !isBusy)
@@ -91,31 +101,31 @@
    * Closes idle connections to a replica that did not respond to a request: a network device in between
    * may have lost the state of all of them, and the next request would not get a response either.
    */
-  closeIdle({ id }: RelayReplica): void {
-    (this.byReplica.get(id) ?? [])
+  closeIdle(id: string): void {
+    (this.byTarget.get(id) ?? [])
       .filter(({ isBusy }) => !isBusy)
       .forEach((connection) => this.removeById(id, connection));
   }
 
   get size(): number {
     let size = 0;
-    this.byReplica.forEach((connections) => {
+    this.byTarget.forEach((connections) => {
       size += connections.length;
     });
     return size;
   }
 
   async dispose(): Promise<void> {
-    const all = [...this.byReplica.values()].flat();
-    this.byReplica.clear();
+    const all = [...this.byTarget.values()].flat();
+    this.byTarget.clear();
     await Promise.allSettled(all.map(({ client }) => client.destroy()));
   }
 
-  private markIdle(replica: RelayReplica, connection: UpstreamConnection): void {
+  private markIdle(target: Target, connection: UpstreamConnection): void {
     Object.assign(connection, { isBusy: false });
-    const connections = this.byReplica.get(replica.id) ?? [];
+    const connections = this.byTarget.get(target.id) ?? [];
     if (!connection.isOpen) {
-      this.remove(replica, connection);
+      this.remove(target, connection);
       return;
     }
     // The most recently used connection is last.
@@ -123,15 +133,15 @@
     connections.push(connection);
   }
 
-  private create(replica: RelayReplica): UpstreamConnection {
+  private create(target: Target): UpstreamConnection {
     let connection: UpstreamConnection | undefined;
-    const client = new Client(`http://${replica.address}`, {
+    const client = new Client(`http://${target.address}`, {
       ...CLIENT_OPTIONS,
       connect: (options, callback) => {
         connect(options, (error, socket) => {
           if (error !== null || !socket) {
             const failure = error ?? new Error('connection failed');
-            this.listener.onFailed(replica, failure);
+            this.listener.onFailed(target, failure);
             callback(failure, null);
             return;
           }
@@ -143,39 +153,39 @@
       },
     });
     connection = { client, isBusy: false, isOpen: false, error: undefined };
-    this.trackState(replica, connection);
-    const connections = this.byReplica.get(replica.id) ?? [];
-    this.byReplica.set(replica.id, connections);
+    this.trackState(target, connection);
+    const connections = this.byTarget.get(target.id) ?? [];
+    this.byTarget.set(target.id, connections);
     connections.push(connection);
     return connection;
   }
 
-  private trackState(replica: RelayReplica, connection: UpstreamConnection): void {
+  private trackState(target: Target, connection: UpstreamConnection): void {
     connection.client.on('connect', () => {
       Object.assign(connection, { isOpen: true });
-      this.listener.onOpened(replica);
+      this.listener.onOpened(target);
     });
     connection.client.on('disconnect', () => {
       Object.assign(connection, { isOpen: false });
       if (!connection.isBusy) {
-        this.remove(replica, connection);
+        this.remove(target, connection);
       }
     });
   }
 
-  private remove(replica: RelayReplica, connection: UpstreamConnection): void {
-    this.removeById(replica.id, connection);
+  private remove(target: Target, connection: UpstreamConnection): void {
+    this.removeById(target.id, connection);
   }
 
   private removeById(id: string, connection: UpstreamConnection): void {
-    const connections = this.byReplica.get(id);
+    const connections = this.byTarget.get(id);
     const index = connections?.indexOf(connection) ?? -1;
     if (connections === undefined || index === -1) {
       return;
     }
     connections.splice(index, 1);
     if (connections.length === 0) {
-      this.byReplica.delete(id);
+      this.byTarget.delete(id);
     }
     // Closes immediately, since no request is in flight.
     connection.client.destroy().catch(() => undefined);
