--- a/packages/relay/src/lib/paths/PathTable/PathTable.fuzz.test.ts
+++ b/packages/relay/src/lib/paths/PathTable/PathTable.fuzz.test.ts
@@ -71,7 +71,8 @@
         for (let round = 0; round < rounds; round += 1) {
           now += pathOptions.recoveryInterval;
           const targets = paths.lostReplicas.length > 0 ? paths.lostReplicas : REPLICAS;
-          targets.forEach((id) => paths.recordProbe(id, true, now));
+          const at = now;
+          targets.forEach((id) => paths.recordProbe(id, true, at));
         }
         expect(REPLICAS.filter((id) => paths.isLost(id))).toEqual([]);
       }),
