Let requests wait at the daemons while replicas fall over when pressed

Cause: nobody read the header, and each daemon fills the slots and the queue of each replica by itself. When the queue shrinks, what all of them have under way is turned away, and a fall moves the load to the others, which fall in turn. While any replica of a service states it (ReplicaFragility), one daemon, the placer of its group, fills the slots of its replicas and no more; the rest waits at the daemons, by urgency, bounded by twice the slots, the least urgent beyond that get 503 with Retry-After. A replica that turned away half of its number within a second, counted over all daemons, gets nothing till the second is over. The end of an attempt is told the placer at once, so that its slot isn't idle. A placer that doesn't respond is replaced by its deputy, and if that doesn't either, each daemon sends by what it knows. The statement ends with a later response without it, or unconfirmed for 10 s.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -148,6 +148,10 @@
       case 'limited':
       case 'unlimited':
       case 'limit-refused':
+      case 'fragile':
+      case 'robust':
+      case 'threshold-refused':
+      case 'replica-held':
         break;
       case 'probe':
         this.answerProbe(effect.replica.id);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -30,6 +30,7 @@
   SharedLimit,
   PlacementUpdate,
   StatedLimit,
+  StatedThreshold,
 } from './lib/decide/messages.js';
 export { PlacementCore } from './lib/decide/PlacementCore/PlacementCore.js';
 export { placementOptions } from './lib/decide/placementOptions.js';
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -120,6 +120,20 @@
       case 'limit-refused':
         log({ event: 'limit-refused', replica: effect.replica, text: effect.text });
         break;
+      case 'fragile':
+        log({ event: 'replica-fragile', replica: effect.replica, threshold: effect.threshold });
+        break;
+      case 'robust':
+        log({ event: 'replica-robust', replica: effect.replica });
+        break;
+      case 'threshold-refused':
+        log({ event: 'threshold-refused', replica: effect.replica, text: effect.text });
+        break;
+      case 'replica-held': {
+        const { replica, rejections, span } = effect;
+        log({ event: 'replica-held', replica, rejections, span });
+        break;
+      }
       case 'replica-leaving': {
         const { replica, source } = effect;
         log({ event: 'replica-leaving', replica, source });
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -289,7 +289,12 @@
   }
 
   /** Handles what a replica announces in a response to a call that is not a caller's request. */
-  handleNotice({ id }: RelayReplica, source: string, { isLeaving, backoff }: ReplicaNotice): void {
+  handleNotice({ id }: RelayReplica, source: string, notice: ReplicaNotice): void {
+    const { isLeaving, backoff, threshold } = notice;
+    if (threshold !== undefined) {
+      const sentAt = this.parts.clock.now();
+      this.core.handle({ kind: 'threshold', replica: id, sentAt, threshold });
+    }
     if (backoff?.kind === 'span') {
       this.core.handle({ kind: 'backoff', replica: id, span: backoff.span, source });
     }
--- a/packages/relay/src/lib/daemon/addDaemonGauges.ts
+++ b/packages/relay/src/lib/daemon/addDaemonGauges.ts
@@ -79,6 +79,12 @@
     'replica',
     () => core.limits.getRates(),
   );
+  metrics.addGauges(
+    'replica_rejection_threshold',
+    'Requests that the replica can turn away within a second without falling over, as it states.',
+    'replica',
+    () => core.fragility.getThresholds(),
+  );
   metrics.addGauges('waiting_requests', 'Requests waiting for a replica.', 'service', () =>
     core.registry.getWaitingCounts(),
   );
--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -65,6 +65,11 @@
       );
   }
 
+  /** Whether a placer did not respond recently, and is not queried for a while. */
+  isUnresponsive(daemon: string): boolean {
+    return this.parts.clock.now() < (this.unresponsive.get(daemon)?.until ?? 0);
+  }
+
   sendQuery(record: RequestRecord, placer: string): void {
     const { clock, emit, keys, options } = this.parts;
     const { service, rank, latencyTarget, pauseTarget, prompt } = record.request;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -11,6 +11,8 @@
   SharedAttemptResult,
   PlacementUpdate,
 } from '../messages.js';
+import { fragilityOptions } from '../fragility/fragilityOptions.js';
+import { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import { limitOptions } from '../limits/limitOptions.js';
 import { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import { PeerAttempts, createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
@@ -71,6 +73,9 @@
   /** Request rate limits stated by replicas. */
   readonly limits: ReplicaLimits;
 
+  /** Replicas that fall over when they turn too many requests away. */
+  readonly fragility: ReplicaFragility;
+
   /** Backoffs that replicas asked for. */
   private readonly backoffs: ReplicaBackoffs;
 
@@ -106,8 +111,23 @@
         this.registry.getService(state.replica.service).getReplicaGroup(state)?.name,
     });
     this.backoffs = new ReplicaBackoffs({ clock, emit });
-    const { limits, backoffs } = this;
-    this.registry = new ReplicaRegistry({ clock, emit, options: this.options, limits, backoffs });
+    this.fragility = new ReplicaFragility({
+      clock,
+      emit,
+      fleet,
+      getGroup: (state) =>
+        this.registry.getService(state.replica.service).getReplicaGroup(state)?.name,
+      isUnresponsive: (daemon) => this.placing.isUnresponsive(daemon),
+    });
+    const { limits, backoffs, fragility } = this;
+    this.registry = new ReplicaRegistry({
+      clock,
+      emit,
+      options: this.options,
+      limits,
+      backoffs,
+      fragility,
+    });
     this.responseTimeouts = new ResponseTimeouts({
       clock,
       emit,
@@ -149,6 +169,7 @@
           .setReplicas(message.replicas)
           .forEach((replica) => this.quarantine.recordGone(replica));
         this.limits.retain(new Set(message.replicas.map(({ id }) => id)));
+        this.fragility.retain(new Set(message.replicas.map(({ id }) => id)));
         this.placer.updateFollowedEngines();
         this.drainAll();
         break;
@@ -175,6 +196,9 @@
       case 'limit':
         this.limits.recordResponse(message);
         break;
+      case 'threshold':
+        this.fragility.recordResponse(message);
+        break;
       case 'daemons':
         this.registry.setDaemonCount(message.count);
         break;
@@ -233,6 +257,7 @@
     return [
       ...this.quarantine.getPeriodicUpdates(),
       ...this.limits.getPeriodicUpdates(),
+      ...this.fragility.getPeriodicUpdates(),
       ...this.backoffs.getPeriodicUpdates(),
       ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
     ];
@@ -253,7 +278,7 @@
     if (this.backoffs.isBackedOff(replica)) {
       return false;
     }
-    if (state === undefined || !this.limits.maySend(state)) {
+    if (state === undefined || !this.limits.maySend(state) || this.fragility.isHeld(replica)) {
       return state === undefined;
     }
     this.limits.recordSent(replica);
@@ -346,16 +371,15 @@
   }
 
   /**
-   * Bounds the waiting requests of a service whose replicas are all rate-limited: rejects the least
-   * urgent beyond the bound and schedules a retry for the others.
+   * Bounds the waiting requests of a service whose replicas are all rate-limited or fragile: rejects the
+   * least urgent beyond the bound and schedules a retry for the others.
    */
   private rejectExcessAndScheduleRetry(service: ServiceState): void {
-    const limit = service.getTotalLimit();
-    if (limit === undefined) {
+    const room = this.getWaitingRoom(service);
+    if (room === undefined) {
       return;
     }
-    const share = limit / Math.max(1, this.fleet.members.length);
-    const maxWaiting = Math.max(1, Math.ceil((share * limitOptions.maxWait) / SECOND));
+    const maxWaiting = Math.max(1, Math.ceil(room / Math.max(1, this.fleet.members.length)));
     while (service.waiting.size > maxWaiting) {
       const last = service.waiting.last!;
       this.giveUp(last, getOutcome(last), GiveUpReason.Overload);
@@ -363,8 +387,19 @@
     this.scheduleRetry(service, limitOptions.retryPeriod);
   }
 
+  /** Requests of all daemons that may wait for a service; undefined if there is no bound. */
+  // eslint-disable-next-line class-methods-use-this
+  private getWaitingRoom(service: ServiceState): number | undefined {
+    const limit = service.getTotalLimit();
+    if (limit !== undefined) {
+      return (limit * limitOptions.maxWait) / SECOND;
+    }
+    return service.isFragile ? service.totalSlots * fragilityOptions.waitingRatio : undefined;
+  }
+
   /** Tries again to place the waiting requests of a service. */
   private retryWaiting(service: ServiceState): void {
+    this.retryTimers.get(service)?.cancel();
     this.retryTimers.delete(service);
     service.waiting.drain((record) => {
       record.queriedPlacers.clear();
@@ -560,7 +595,14 @@
       running.state.running.delete(running);
       // If all daemons are notified, each evaluates the replica by its own attempts only.
       const sharedResult = running.placer === undefined ? undefined : result;
-      this.announceUpdate(running, { kind: 'ended', key: running.key, result: sharedResult });
+      const { isFragile } = this.registry.getService(record.request.service);
+      const isUrgent = isFragile || undefined;
+      this.announceUpdate(running, {
+        kind: 'ended',
+        key: running.key,
+        result: sharedResult,
+        isUrgent,
+      });
     }
   }
 
@@ -580,7 +622,12 @@
   }
 
   private drainWaiting(service: ServiceState): void {
-    if (service.waiting.size > 0) {
+    if (service.waiting.size === 0) {
+      return;
+    }
+    if (service.isFragile) {
+      this.retryWaiting(service);
+    } else {
       service.waiting.drain((record) => this.placing.placeLocally(record));
     }
   }
@@ -606,6 +653,12 @@
         this.limits.applyPeerLimits(update.limits);
         this.drainAll();
         break;
+      case 'fragile':
+        this.fragility.applyPeerStatements(update.replicas);
+        break;
+      case 'turned-away':
+        this.fragility.recordPeerRejection(update.replica);
+        break;
       case 'leaving':
         update.replicas.forEach((replica) => this.recordLeaving(replica, peer));
         break;
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -64,6 +64,7 @@
     const isSuspect = quarantine.isSuspect(request.fingerprint);
     const isDelegable =
       service.getTotalLimit() !== undefined ||
+      service.isFragile ||
       (!isSuspect && (fleet.isLarge || service.hasLimits()));
     const group = isDelegable ? service.getRequestGroup(request, request.id) : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
@@ -94,6 +95,11 @@
     return true;
   }
 
+  /** Whether a placer did not respond recently. */
+  isUnresponsive(daemon: string): boolean {
+    return this.delegation.isUnresponsive(daemon);
+  }
+
   /** Handles the response of a placer. */
   handleResponse(peer: string, response: PlacementResponse): void {
     const query = this.delegation.handleResponse(peer, response);
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -1,6 +1,7 @@
 import type { ScalableService } from '@apricotrill/duties';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import { LeavingReplicas } from '../LeavingReplicas/LeavingReplicas.js';
 import { AttemptEnd, ProbeResult } from '../messages.js';
 import type { PlacementEffect, PlacementMessage } from '../messages.js';
@@ -10,7 +11,7 @@
 import type { RetryLimits } from '../RetryBudget/RetryBudget.js';
 import { UnverifiedFailures } from '../UnverifiedFailures/UnverifiedFailures.js';
 import { ServiceState } from './ServiceState.js';
-import type { ServiceLimits, ServiceBackoffs } from './ServiceState.js';
+import type { ServiceBackoffs, ServiceFragility, ServiceLimits } from './ServiceState.js';
 
 /** Constructor arguments of {@link ReplicaRegistry}. */
 export interface ReplicaRegistrySettings {
@@ -19,6 +20,7 @@
   options: PlacementOptions;
   limits: ServiceLimits;
   backoffs: ServiceBackoffs;
+  fragility: ServiceFragility & Pick<ReplicaFragility, 'recordRejection'>;
 }
 
 /**
@@ -52,8 +54,8 @@
     if (existing !== undefined) {
       return existing;
     }
-    const { options, limits, backoffs } = this.settings;
-    const service = new ServiceState(name, options, limits, backoffs);
+    const { options, limits, backoffs, fragility } = this.settings;
+    const service = new ServiceState(name, options, limits, backoffs, fragility);
     service.setDaemonCount(this.daemons);
     this.services.set(name, service);
     return service;
@@ -112,6 +114,7 @@
         break;
       case AttemptEnd.Refused:
         state.recordRefusal(now);
+        this.settings.fragility.recordRejection(state.replica.id);
         break;
       case AttemptEnd.Misdirected:
         Object.assign(state, { isLeaving: true });
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -6,6 +6,7 @@
 import { getReplicaGroups } from '../groups/getReplicaGroups.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
+import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
@@ -34,6 +35,9 @@
 /** The part of {@link ReplicaBackoffs} that candidate selection needs. */
 export type ServiceBackoffs = Pick<ReplicaBackoffs, 'getEnd' | 'isBackedOff' | 'isSpared'>;
 
+/** The part of {@link ReplicaFragility} that candidate selection needs. */
+export type ServiceFragility = Pick<ReplicaFragility, 'getThreshold' | 'isActive' | 'maySend'>;
+
 /** The state of one service as known to the placement core. */
 export class ServiceState {
   readonly replicas = new Map<string, ReplicaState>();
@@ -56,6 +60,7 @@
     private readonly options: PlacementOptions,
     private readonly limits: ServiceLimits,
     private readonly backoffs: ServiceBackoffs,
+    private readonly fragility: ServiceFragility,
   ) {
     this.retryBudget = new RetryBudget(this.retryLimits);
   }
@@ -124,9 +129,12 @@
    * for a backoff are included only if there are no others.
    */
   getCandidates(triedReplicas: ReadonlySet<string>, now: Milliseconds): ReplicaState[] {
+    const { isFragile } = this;
+    const profile = this.service?.engine;
     const hasRoom = (state: ReplicaState) =>
-      state.hasRoom(this.maxOwnConnections, this.service?.engine);
-    const sendable = this.getReplicasInService().filter((state) => this.maySend(state));
+      state.hasRoom(this.maxOwnConnections, profile) &&
+      (!isFragile || state.hasFreeSlot(profile, now));
+    const sendable = this.getReplicasInService().filter((state) => this.maySend(state, isFragile));
     return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
   }
 
@@ -136,14 +144,23 @@
     triedReplicas: ReadonlySet<string>,
     now: Milliseconds,
   ): ReplicaState[] {
-    const hasRoom = (state: ReplicaState) => state.hasRoomForAll(this.service?.engine);
-    const sendable = replicas.filter((state) => state.isInService && this.maySend(state));
+    const { isFragile } = this;
+    const profile = this.service?.engine;
+    const hasRoom = (state: ReplicaState) =>
+      isFragile ? state.hasFreeSlot(profile, now) : state.hasRoomForAll(profile);
+    const sendable = replicas.filter(
+      (state) => state.isInService && this.maySend(state, isFragile),
+    );
     return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
   }
 
   /** Whether this daemon may send a replica a request now, by the replica's own statements. */
-  maySend(state: ReplicaState): boolean {
-    return !this.backoffs.isBackedOff(state.replica.id) && this.limits.maySend(state);
+  private maySend(state: ReplicaState, isFragile: boolean): boolean {
+    return (
+      !this.backoffs.isBackedOff(state.replica.id) &&
+      this.limits.maySend(state) &&
+      (!isFragile || this.fragility.maySend(state))
+    );
   }
 
   /** When the first backoff ends, if all replicas in service are backed off; else undefined. */
@@ -192,6 +209,25 @@
     return { service: this.name, limits, supply, readRate: this.statistics.prefillRate.value };
   }
 
+  /**
+   * Whether its replicas fall over when they turn too many requests away. One that says so speaks for
+   * all, since the others have the same load.
+   */
+  get isFragile(): boolean {
+    return (
+      this.fragility.isActive &&
+      [...this.replicas.keys()].some((id) => this.fragility.getThreshold(id) !== undefined)
+    );
+  }
+
+  /** Requests that all its replicas in service can run at the same time. */
+  get totalSlots(): number {
+    return this.getReplicasInService().reduce(
+      (sum, state) => sum + state.getSlots(this.service?.engine),
+      0,
+    );
+  }
+
   /** Whether any replica has a rate limit. */
   hasLimits(): boolean {
     return this.getReplicasInService().some(
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -287,7 +287,12 @@
     return this.running.size < this.getSlots(profile) * (1 + this.options.placerQueue);
   }
 
-  private getSlots(profile: EngineProfile | undefined): number {
+  /** Whether one of its slots is free, as far as this daemon knows of the requests of all daemons. */
+  hasFreeSlot(profile: EngineProfile | undefined, now: Milliseconds): boolean {
+    return this.running.size + this.getUnannouncedInFlight(now) < this.getSlots(profile);
+  }
+
+  getSlots(profile: EngineProfile | undefined): number {
     return Math.max(1, profile?.slots ?? this.replica.slots);
   }
 
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -199,6 +199,20 @@
   /** The stated limit cannot be parsed. */
   | { kind: 'invalid'; text: string };
 
+/** The number of requests that a replica can turn away within a second without falling over. */
+export type StatedThreshold =
+  | { kind: 'count'; count: number }
+  /** The stated number cannot be parsed. */
+  | { kind: 'invalid'; text: string };
+
+/** The threshold that a replica states, as exchanged between daemons. */
+export interface SharedFragility {
+  replica: string;
+  threshold: number;
+  /** Time since the response that stated it. */
+  age: Milliseconds;
+}
+
 /** A replica's limit as exchanged between daemons. */
 export interface SharedLimit {
   replica: string;
@@ -221,7 +235,13 @@
   /** The first byte of the response arrived, so the engine has completed prefill. */
   | { kind: 'first-byte-received'; key: string }
   /** `result` is absent if the attempt provides no information about its replica. */
-  | { kind: 'ended'; key: string; result?: SharedAttemptResult }
+  | {
+      kind: 'ended';
+      key: string;
+      result?: SharedAttemptResult;
+      /** Whether the recipient has requests that wait for the slot of this attempt. */
+      isUrgent?: boolean;
+    }
   | { kind: 'ask'; query: PlacementQuery }
   | { kind: 'reply'; response: PlacementResponse }
   /** An attempt at a replica broke, or a liveness check of the replica failed. */
@@ -232,6 +252,9 @@
   | { kind: 'cleared'; fingerprint: string }
   | { kind: 'quarantined'; requests: QuarantinedRequest[] }
   | { kind: 'limits'; limits: SharedLimit[] }
+  | { kind: 'fragile'; replicas: SharedFragility[] }
+  /** A fragile replica turned a request away. */
+  | { kind: 'turned-away'; replica: string }
   /** IDs of replicas that announced that they are about to leave. */
   | { kind: 'leaving'; replicas: string[] }
   | { kind: 'backoffs'; backoffs: SharedBackoff[] }
@@ -252,6 +275,13 @@
   | { kind: 'load'; replica: string; report: LoadReport }
   /** The limit stated in a replica's response; undefined if it states none. */
   | { kind: 'limit'; replica: string; sentAt: Milliseconds; limit: StatedLimit | undefined }
+  /** The threshold stated in a replica's response; undefined if it states none. */
+  | {
+      kind: 'threshold';
+      replica: string;
+      sentAt: Milliseconds;
+      threshold: StatedThreshold | undefined;
+    }
   /** Number of daemons, including this one. */
   | { kind: 'daemons'; count: number }
   /** The reachable daemons, including this one. */
@@ -313,6 +343,13 @@
   | { kind: 'unlimited'; replica: string }
   /** A replica states a limit that cannot be parsed. */
   | { kind: 'limit-refused'; replica: string; text: string }
+  /** A replica states that it falls over when it turns more than `threshold` requests away in a second. */
+  | { kind: 'fragile'; replica: string; threshold: number }
+  | { kind: 'robust'; replica: string }
+  /** A replica states a threshold that cannot be parsed. */
+  | { kind: 'threshold-refused'; replica: string; text: string }
+  /** A fragile replica turned requests away, and gets nothing for `span`. */
+  | { kind: 'replica-held'; replica: string; rejections: number; span: Milliseconds }
   /** A replica announced that it is about to leave, in the given response or to the given peer. */
   | { kind: 'replica-leaving'; replica: string; source: string }
   /** This daemon sends a replica nothing for `span`, as the replica asked in the given response. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -127,6 +127,10 @@
       previous: number | undefined;
     }
   | { event: 'replica-unlimited'; replica: string }
+  | { event: 'replica-fragile'; replica: string; threshold: number }
+  | { event: 'replica-robust'; replica: string }
+  | { event: 'threshold-refused'; replica: string; text: string }
+  | { event: 'replica-held'; replica: string; rejections: number; span: Milliseconds }
   | { event: 'limit-refused'; replica: string; text: string }
   | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
   | { event: 'placer-silent'; peer: string; span: Milliseconds }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -73,6 +73,12 @@
   'replica-limited':
     'a replica states a limit on requests per second from all daemons together; from now on, a single daemon places its requests',
   'replica-unlimited': 'a replica no longer states a limit',
+  'replica-fragile':
+    'a replica states that it falls over when it turns more than the given number of requests away within a second; from now on, a single daemon fills its slots, and further requests wait at the daemons',
+  'replica-robust': 'a replica no longer states that it is fragile',
+  'threshold-refused':
+    'a replica states an invalid number of requests to turn away, which is ignored',
+  'replica-held': 'a fragile replica turned requests away and receives nothing for the given time',
   'limit-refused': 'a replica states an invalid limit, which is ignored',
   'placed-for':
     "a replica was chosen for another daemon's attempt; that daemon's `sent` event names this daemon and the key",
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -25,14 +25,16 @@
 }
 
 /** Whether other daemons may need the update for a placement in progress, or are waiting for it. */
-function isUrgent({ kind }: PeerUpdate, recipient: string | undefined): boolean {
-  switch (kind) {
+function isUrgent(update: PeerUpdate, recipient: string | undefined): boolean {
+  switch (update.kind) {
     case 'placed':
     case 'attempt-broken':
     case 'crashed':
     case 'cleared':
     case 'quarantined':
     case 'limits':
+    case 'fragile':
+    case 'turned-away':
     case 'leaving':
     case 'backoffs':
     case 'isolation':
@@ -43,12 +45,13 @@
       // A placer learns the prefill rate of an engine from the time at which this arrives.
       return recipient !== undefined;
     case 'ended':
+      return update.isUrgent === true;
     case 'attempt-list':
     case 'usage':
     case 'demand':
       return false;
     default:
-      return kind satisfies never;
+      return update satisfies never;
   }
 }
 
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -70,6 +70,9 @@
 /** Replica, requests per second (null if the limit was lifted), age. */
 const limitSchema = z.tuple([z.string(), z.number().nonnegative().nullable(), z.number()]);
 
+/** Replica, threshold, age. */
+const fragilitySchema = z.tuple([z.string(), z.number().nonnegative(), z.number()]);
+
 /** Replica, remaining time. */
 const backoffSchema = z.tuple([z.string(), z.number().nonnegative()]);
 
@@ -99,6 +102,8 @@
   z.tuple([z.literal('m'), z.array(limitSchema)]),
   z.tuple([z.literal('v'), z.array(z.string())]),
   z.tuple([z.literal('t'), z.array(backoffSchema)]),
+  z.tuple([z.literal('f'), z.array(fragilitySchema)]),
+  z.tuple([z.literal('w'), z.string()]),
   z.tuple([z.literal('i'), z.union([z.literal(0), z.literal(1)])]),
   z.tuple([z.literal('l'), z.array(attemptSchema)]),
 ]);
@@ -298,6 +303,13 @@
         't',
         update.backoffs.map(({ replica, remaining }) => [replica, Math.round(remaining)]),
       ];
+    case 'fragile':
+      return [
+        'f',
+        update.replicas.map(({ replica, threshold, age }) => [replica, threshold, Math.round(age)]),
+      ];
+    case 'turned-away':
+      return ['w', update.replica];
     case 'isolation':
       return ['i', update.isIsolated ? 1 : 0];
     case 'attempt-list':
@@ -372,6 +384,13 @@
         kind: 'backoffs',
         backoffs: encoded[1].map(([replica, remaining]) => ({ replica, remaining })),
       };
+    case 'f':
+      return {
+        kind: 'fragile',
+        replicas: encoded[1].map(([replica, threshold, age]) => ({ replica, threshold, age })),
+      };
+    case 'w':
+      return { kind: 'turned-away', replica: encoded[1] };
     case 'i':
       return { kind: 'isolation', isIsolated: encoded[1] === 1 };
     case 'l':
--- a/packages/relay/src/lib/protocol/RelayProtocol.ts
+++ b/packages/relay/src/lib/protocol/RelayProtocol.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { IncomingHttpHeaders } from 'node:http';
 import type { RelayReplica } from '../config/RelayConfiguration.js';
-import type { LoadReport, Prompt, StatedLimit } from '../decide/messages.js';
+import type { LoadReport, Prompt, StatedLimit, StatedThreshold } from '../decide/messages.js';
 import type { ResponseHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 
 /** Fields of a request that a caller states in its headers. */
@@ -41,6 +41,8 @@
   isLeaving: boolean;
   /** The time for which it wants no requests from this daemon; undefined if it asks for none. */
   backoff: RequestedBackoff | undefined;
+  /** Requests that it can turn away within a second without falling over; undefined if not stated. */
+  threshold: StatedThreshold | undefined;
 }
 
 /** Fields of a response that a replica states in its headers. */
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -272,11 +272,15 @@
     if (!isMisdirected) {
       this.handleNotice(effect, fields);
     }
-    // The absence of a limit lifts it, so only a verified response to this request may do that.
+    // The absence of a statement lifts it, so only a verified response to this request may do that.
     const isVerified = isSigned && requestId === request.fields.requestId;
     if (!isMisdirected && (limit !== undefined || isVerified)) {
       dispatch({ kind: 'limit', replica: replicaId, sentAt, limit });
     }
+    const { threshold } = fields;
+    if (!isMisdirected && (threshold !== undefined || isVerified)) {
+      dispatch({ kind: 'threshold', replica: replicaId, sentAt, threshold });
+    }
   }
 
   /** Records what a response announces about its replica. */
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -20,6 +20,7 @@
     limit: undefined,
     isLeaving: false,
     backoff: undefined,
+    threshold: undefined,
   }),
 };
 
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -66,6 +66,7 @@
     limit: undefined,
     isLeaving: false,
     backoff: undefined,
+    threshold: undefined,
   }),
 };
 
