--- a/packages/relay/src/lib/http/HttpClient.ts
+++ b/packages/relay/src/lib/http/HttpClient.ts
@@ -4,6 +4,7 @@
 import { gunzipSync } from 'node:zlib';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { connectInTime } from '../upstream/connectInTime.js';
 import { Watchdog } from './Watchdog.js';
 
 /** A complete response. */
@@ -57,7 +58,7 @@
     bodyTimeout: 0,
     pipelining: 1,
     keepAliveTimeout: IDLE_TIMEOUT,
-    connect: { timeout: CONNECT_TIMEOUT },
+    connect: connectInTime(CONNECT_TIMEOUT),
   });
 
   /** @throws StepError if no complete response is received in time */
--- a/packages/relay/src/lib/paths/ConnectionFailure.ts
+++ b/packages/relay/src/lib/paths/ConnectionFailure.ts
@@ -10,7 +10,6 @@
 }
 
 const FAILURES: Readonly<Record<string, ConnectionFailure>> = {
-  UND_ERR_CONNECT_TIMEOUT: ConnectionFailure.Timeout,
   ETIMEDOUT: ConnectionFailure.Timeout,
   ECONNREFUSED: ConnectionFailure.Refused,
   ECONNRESET: ConnectionFailure.Reset,
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
-import { Client, buildConnector } from 'undici';
+import { Client } from 'undici';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { connectInTime } from '../connectInTime.js';
 import { upstreamOptions } from '../upstreamOptions.js';
 
 /** A connection to a replica, which carries one request at a time. */
@@ -52,7 +53,7 @@
   onFailed(target: Target, error: Error): void;
 }
 
-const connect = buildConnector({ timeout: upstreamOptions.connectTimeout });
+const connect = connectInTime(upstreamOptions.connectTimeout);
 
 /**
  * Pools the connections to all replicas, or to all other daemons. The most recently used connection is reused first, so that the
