Probe other replicas before a daemon counts as isolated

A daemon that is partitioned from two of three replicas counted as isolated and sent the requests for the third through other daemons as well. Cause: two losses without an opened connection were taken for a loss of all, but idle connections are reused, so that none may be opened for long. Now up to three other replicas are probed first. Found by partitionRecovery.test.ts, 'keep the direct paths that work', red before and green now.

The same file, green at once: all daemons partitioned (503 as not run, with Retry-After, nothing runs); return after each kind of partition, no request forwarded any more; the forwarder killed; SIGTERM at the partitioned daemon and at forwarders (every answer whole, exit code 0); nothing that may run once ran twice. PathTable's tests: the confirmation is a step of its own, with the same expectations around it.

--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -10,7 +10,7 @@
   PlacementUpdate,
 } from '@apricotrill/relay';
 import { ApplicationSimulation } from './ApplicationSimulation.js';
-import { DaemonSimulation } from './DaemonSimulation.js';
+import { DaemonSimulation, SimulatedPath } from './DaemonSimulation.js';
 import { EngineSimulation } from './EngineSimulation.js';
 import type { EngineCounts } from './EngineSimulation.js';
 import type { RelayDeployment } from './RelayDeployment.js';
@@ -107,6 +107,9 @@
 
   private crossZoneTokens = 0;
 
+  /** Number of updates between daemons, by kind. */
+  readonly sentUpdates = new Map<PlacementUpdate['kind'], number>();
+
   constructor(
     private readonly deployment: RelayDeployment,
     private readonly seed: number,
@@ -185,6 +188,21 @@
     return zone === availabilityZone ? 0.1 : this.deployment.crossZoneDelay;
   }
 
+  /** How attempts of a daemon get to the replicas at the moment. */
+  getPath(daemon: string): SimulatedPath {
+    const { partition } = this.deployment;
+    const isPartitioned =
+      partition !== undefined &&
+      this.daemons.findIndex(({ name }) => name === daemon) < partition.daemons;
+    const since = this.clock.now() - (partition?.startsAt ?? 0);
+    if (!isPartitioned || since < 0 || since >= partition.duration) {
+      return SimulatedPath.Direct;
+    }
+    return partition.detection !== undefined && since >= partition.detection
+      ? SimulatedPath.Forwarded
+      : SimulatedPath.None;
+  }
+
   recordSend(zone: string, { availabilityZone }: RelayReplica, call: SimulatedCall): void {
     if (zone !== availabilityZone) {
       this.crossZoneTokens += call.prompt?.inputTokens ?? 0;
@@ -203,6 +221,7 @@
     if (this.lostUpdates.has(update.kind)) {
       return;
     }
+    this.sentUpdates.set(update.kind, (this.sentUpdates.get(update.kind) ?? 0) + 1);
     this.clock.setTimer(this.deployment.crossZoneDelay, () => {
       this.daemons.forEach((daemon, index) => {
         if (index !== from && (to === undefined || to === getDaemonName(index))) {
--- a/packages/experiment/src/lib/relay/RelayDeployment.ts
+++ b/packages/experiment/src/lib/relay/RelayDeployment.ts
@@ -95,6 +95,16 @@
   span: Milliseconds;
 }
 
+/** A period in which some daemons are partitioned from all replicas, and still reach the others. */
+export interface Partition {
+  startsAt: Milliseconds;
+  duration: Milliseconds;
+  /** Number of daemons. */
+  daemons: number;
+  /** Time until a partitioned daemon has its attempts forwarded by others; undefined if it never does. */
+  detection: Milliseconds | undefined;
+}
+
 /** A deployment and the load of one simulated day. */
 export interface RelayDeployment {
   name: string;
@@ -109,6 +119,8 @@
   workspaces: WorkspaceGroup[];
   bursts: Burst[];
   crashes: Crash[];
+  /** Absent if daemons are never partitioned from the replicas. */
+  partition?: Partition;
   /** Absent if engines never ask for a backoff. */
   backoffs?: BackoffPeriod[];
   /** When the first engine starts to state in its responses that it leaves; absent if none does. */
--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -155,25 +155,49 @@
   }
 
   private handleLoss({ id, service }: RelayReplica, failure: ConnectionFailure): void {
-    const { clock, log, metrics, onIsolationChanged, onSilent } = this.parts;
-    const { isNew, hasIsolated } = this.table.recordLost(id, clock.now());
+    const { clock, log, metrics, onSilent } = this.parts;
+    const { isNew, isIsolationLikely } = this.table.recordLost(id, clock.now());
     if (!isNew) {
       return;
     }
-    const { lostCount: lost, listedCount: listed } = this.table;
     metrics.pathsLost.inc({ service });
     log({ event: 'path-lost', replica: id, service, failure });
-    if (hasIsolated) {
-      log({ event: 'isolated', lost, listed, silence: this.silence });
-      onIsolationChanged(true);
-    }
     // A connection that neither opens nor fails shows that open connections carry nothing either.
     if (failure === ConnectionFailure.Timeout) {
-      onSilent(hasIsolated ? new Set(this.replicas.keys()) : new Set([id]));
+      onSilent(new Set([id]));
+    }
+    if (isIsolationLikely) {
+      this.confirmIsolation(failure).catch((error: unknown) => {
+        log({ event: 'fault', step: 'probe for isolation', error: String(error) });
+      });
     }
     this.scheduleRecovery();
   }
 
+  /** Probes some of the other replicas, and counts this daemon as isolated if it reaches none. */
+  private async confirmIsolation(failure: ConnectionFailure): Promise<void> {
+    const { clock, isListening, log, onIsolationChanged, onSilent } = this.parts;
+    const others = [...this.replicas.values()].filter(({ id }) => !this.table.isLost(id));
+    const reached = await Promise.all(
+      others.slice(0, pathOptions.isolationProbes).map(async (replica) => {
+        const isUp = (await isListening(replica)) === true;
+        if (isUp) {
+          this.table.recordOpened(replica.id, clock.now());
+        }
+        return isUp;
+      }),
+    );
+    if (this.isDisposed || reached.includes(true) || !this.table.confirmIsolation(clock.now())) {
+      return;
+    }
+    const { lostCount: lost, listedCount: listed } = this.table;
+    log({ event: 'isolated', lost, listed, silence: this.silence });
+    onIsolationChanged(true);
+    if (failure === ConnectionFailure.Timeout) {
+      onSilent(new Set(this.replicas.keys()));
+    }
+  }
+
   private scheduleRecovery(): void {
     if (this.isDisposed) {
       return;
--- a/packages/relay/src/lib/paths/PathTable/PathTable.ts
+++ b/packages/relay/src/lib/paths/PathTable/PathTable.ts
@@ -11,8 +11,8 @@
 /** What the loss of a path changes. */
 export interface PathLoss {
   isNew: boolean;
-  /** Whether this daemon now counts as isolated from all replicas. */
-  hasIsolated: boolean;
+  /** Whether this daemon is likely to be isolated from all replicas, unless it reaches another one. */
+  isIsolationLikely: boolean;
 }
 
 /** What a probe of a lost path changes. */
@@ -28,8 +28,8 @@
  * any replica.
  *
  * A path is lost only if another daemon reaches the replica at the same time. Once two paths are lost
- * and no connection to any replica could be opened since, the daemon counts as isolated: it is more
- * likely to be partitioned from all replicas than from just these two. A path is restored by several
+ * and no connection to any replica could be opened since, not even by probes, the daemon counts as
+ * isolated: it is more likely to be partitioned from all replicas than from just these. A path is restored by several
  * successful probes in a row, more of them after a relapse, so that a partition that comes and goes
  * does not move requests back and forth.
  */
@@ -111,7 +111,7 @@
   /** Records that another daemon reaches a replica that this daemon can't connect to. */
   recordLost(replica: string, now: Milliseconds): PathLoss {
     if (!this.listed.has(replica) || this.lost.has(replica)) {
-      return { isNew: false, hasIsolated: false };
+      return { isNew: false, isIsolationLikely: false };
     }
     const hasRelapsed = now - this.lastRestoredAt < pathOptions.relapsePeriod;
     if (this.lost.size === 0 && !this.isIsolated) {
@@ -120,12 +120,21 @@
         : pathOptions.requiredSuccesses;
     }
     this.lost.set(replica, { since: now, successes: 0 });
-    const hasIsolated = !this.isIsolated && this.hasLostAll();
-    if (hasIsolated) {
-      this.isolatedSince = now;
-      this.isolationSuccesses = 0;
+    return { isNew: true, isIsolationLikely: !this.isIsolated && this.hasLostAll() };
+  }
+
+  /**
+   * Records that the other replicas were probed, and none of them could be connected to.
+   *
+   * @returns whether this daemon now counts as isolated, unlike before
+   */
+  confirmIsolation(now: Milliseconds): boolean {
+    if (this.isIsolated || !this.hasLostAll()) {
+      return false;
     }
-    return { isNew: true, hasIsolated };
+    this.isolatedSince = now;
+    this.isolationSuccesses = 0;
+    return true;
   }
 
   /** Records the result of a probe of a replica whose path is lost. */
--- a/packages/relay/src/lib/paths/pathOptions.ts
+++ b/packages/relay/src/lib/paths/pathOptions.ts
@@ -10,6 +10,8 @@
   askedPeers: 3,
   /** Lost paths without an opened connection in between after which a daemon counts as isolated. */
   isolationEvidence: 2,
+  /** Other replicas that are probed before a daemon counts as isolated. */
+  isolationProbes: 3,
   /** How often lost paths are probed, and the number of replicas that are probed each time. */
   recoveryInterval: 500 satisfies Milliseconds,
   recoveryProbes: 3,
