Split waiting requests out of the placement core

PlacementCore held the placement of waiting requests as well: retries, bounds while replicas are limited or fragile, backoffs.

--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { AttemptKeys } from '../AttemptKeys.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
@@ -11,13 +11,11 @@
   SharedAttemptResult,
   PlacementUpdate,
 } from '../messages.js';
-import { fragilityOptions } from '../fragility/fragilityOptions.js';
 import { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
-import { limitOptions } from '../limits/limitOptions.js';
 import { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import { PeerAttempts, createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
 import { Placer } from '../Placer/Placer.js';
-import { Placing, PlacingResult } from '../Placing/Placing.js';
+import { Placing } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
@@ -27,13 +25,7 @@
 import { RequestRecord } from '../RequestRecord.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import { ResponseTimeouts } from '../ResponseTimeouts/ResponseTimeouts.js';
-
-const SECOND: Milliseconds = 1_000;
-
-/** Whether a request that is sent at the given time can still meet its latency target. */
-function isOnTimeAt({ request }: RequestRecord, at: Milliseconds): boolean {
-  return at < request.arrivedAt + request.latencyTarget;
-}
+import { WaitingRequests, isOnTimeAt } from '../WaitingRequests/WaitingRequests.js';
 
 /** The outcome of a request that is given up without a running attempt. */
 function getOutcome({ mayHaveRun }: RequestRecord): Outcome {
@@ -81,9 +73,6 @@
 
   private readonly responseTimeouts: ResponseTimeouts;
 
-  /** Pending retries for services whose replicas are all rate-limited. */
-  private readonly retryTimers = new Map<ServiceState, Timer>();
-
   private readonly records = new Map<string, RequestRecord>();
 
   private readonly fleet = new Fleet();
@@ -93,6 +82,8 @@
 
   private readonly placing: Placing;
 
+  private readonly waiting: WaitingRequests;
+
   private readonly placer: Placer;
 
   /** Attempts that other daemons have in flight. */
@@ -153,7 +144,14 @@
       keys: new AttemptKeys(clock.now()),
       quarantine: this.quarantine,
       onSent: (record, attempt) => this.responseTimeouts.start(record, attempt),
-      onQueryFailed: (record) => this.placeOrWait(record),
+      onQueryFailed: (record) => this.waiting.placeOrWait(record),
+    });
+    this.waiting = new WaitingRequests({
+      clock,
+      fleet,
+      registry,
+      placing: this.placing,
+      giveUp: (record, reason) => this.giveUp(record, getOutcome(record), reason),
     });
   }
 
@@ -171,7 +169,7 @@
         this.limits.retain(new Set(message.replicas.map(({ id }) => id)));
         this.fragility.retain(new Set(message.replicas.map(({ id }) => id)));
         this.placer.updateFollowedEngines();
-        this.drainAll();
+        this.waiting.drainAll();
         break;
       case 'submit':
         this.submit(message.request);
@@ -214,7 +212,7 @@
         break;
       case 'health':
         if (this.registry.recordHealthCheck(message)) {
-          this.drainAll();
+          this.waiting.drainAll();
         }
         break;
       case 'liveness-checked':
@@ -223,7 +221,7 @@
       case 'probed':
         this.quarantine.recordProbe(message.replica, message.result);
         this.registry.recordProbe(message.replica, message.result);
-        this.drainAll();
+        this.waiting.drainAll();
         break;
       case 'quarantine':
         this.quarantine.restore(message.requests);
@@ -235,7 +233,7 @@
         break;
       case 'backoff':
         this.backoffs.record(message.replica, message.span, message.source);
-        this.reviewWaiting(this.registry.findReplica(message.replica)?.replica.service);
+        this.reviewWaiting(message.replica);
         break;
       case 'cache-changed':
         this.registry.findReplica(message.replica)?.cache.apply(message.changes);
@@ -332,83 +330,7 @@
       this.giveUp(record, Outcome.NotRun, GiveUpReason.NoReplica);
       return;
     }
-    this.placeOrWait(record);
-  }
-
-  private placeOrWait(record: RequestRecord): void {
-    if (this.placing.place(record) === PlacingResult.NoRoom) {
-      const service = this.registry.getService(record.request.service);
-      service.waiting.add(record);
-      this.rejectExcessAndScheduleRetry(service);
-      this.reviewWaiting(service.name);
-    }
-  }
-
-  /**
-   * If all replicas of a service are backed off, refuses the waiting requests that would be late after
-   * the first of these backoffs, and schedules a retry for the others.
-   */
-  private reviewWaiting(name: string | undefined): void {
-    const service = name === undefined ? undefined : this.registry.getService(name);
-    const end = service?.getBackoffEnd();
-    if (service === undefined || end === undefined) {
-      return;
-    }
-    service.waiting
-      .getAll()
-      .filter((record) => !isOnTimeAt(record, end))
-      .forEach((record) => this.giveUp(record, getOutcome(record), GiveUpReason.BackedOff));
-    if (service.waiting.size > 0) {
-      this.scheduleRetry(service, end - this.clock.now());
-    }
-  }
-
-  private scheduleRetry(service: ServiceState, delay: Milliseconds): void {
-    if (!this.retryTimers.has(service)) {
-      const timer = this.clock.setTimer(delay, () => this.retryWaiting(service));
-      this.retryTimers.set(service, timer);
-    }
-  }
-
-  /**
-   * Bounds the waiting requests of a service whose replicas are all rate-limited or fragile: rejects the
-   * least urgent beyond the bound and schedules a retry for the others.
-   */
-  private rejectExcessAndScheduleRetry(service: ServiceState): void {
-    const room = this.getWaitingRoom(service);
-    if (room === undefined) {
-      return;
-    }
-    const maxWaiting = Math.max(1, Math.ceil(room / Math.max(1, this.fleet.members.length)));
-    while (service.waiting.size > maxWaiting) {
-      const last = service.waiting.last!;
-      this.giveUp(last, getOutcome(last), GiveUpReason.Overload);
-    }
-    this.scheduleRetry(service, limitOptions.retryPeriod);
-  }
-
-  /** Requests of all daemons that may wait for a service; undefined if there is no bound. */
-  // eslint-disable-next-line class-methods-use-this
-  private getWaitingRoom(service: ServiceState): number | undefined {
-    const limit = service.getTotalLimit();
-    if (limit !== undefined) {
-      return (limit * limitOptions.maxWait) / SECOND;
-    }
-    return service.isFragile ? service.totalSlots * fragilityOptions.waitingRatio : undefined;
-  }
-
-  /** Tries again to place the waiting requests of a service. */
-  private retryWaiting(service: ServiceState): void {
-    this.retryTimers.get(service)?.cancel();
-    this.retryTimers.delete(service);
-    service.waiting.drain((record) => {
-      record.queriedPlacers.clear();
-      return this.placing.place(record) !== PlacingResult.NoRoom;
-    });
-    if (service.waiting.size > 0) {
-      this.rejectExcessAndScheduleRetry(service);
-      this.reviewWaiting(service.name);
-    }
+    this.waiting.placeOrWait(record);
   }
 
   private handleFirstByte({ id, attempt }: { id: string; attempt: number }): void {
@@ -455,7 +377,7 @@
     this.registry.recordAttemptEnd(running, end);
     this.updateQuarantine(record, running, end);
     this.continueRequest(record, attempt, end);
-    this.drainWaiting(this.registry.getService(record.request.service));
+    this.waiting.drain(this.registry.getService(record.request.service));
   }
 
   /** Updates the quarantine with the result of an attempt. */
@@ -504,7 +426,7 @@
       return;
     }
     if (mayPlace && (!step.isRetry || service.retryBudget.tryTake(this.clock.now()))) {
-      this.placeOrWait(record);
+      this.waiting.placeOrWait(record);
     } else if (step.fallback === 'settle') {
       this.settle(record, attempt);
     } else {
@@ -517,20 +439,24 @@
     const isNew = this.registry.recordLeaving(replica);
     if (isNew) {
       this.emit({ kind: 'replica-leaving', replica, source });
-      this.rejectUnplaceable(this.registry.findReplica(replica)?.replica.service);
+      const service = this.findService(replica);
+      if (service !== undefined) {
+        this.waiting.rejectUnplaceable(service);
+      }
     }
     return isNew;
   }
 
-  /** Gives up the waiting requests of a service that has no replica in service. */
-  private rejectUnplaceable(name: string | undefined): void {
-    const service = name === undefined ? undefined : this.registry.getService(name);
-    if (service === undefined || service.getReplicasInService().length > 0) {
-      return;
-    }
-    while (service.waiting.last !== undefined) {
-      const record = service.waiting.last;
-      this.giveUp(record, getOutcome(record), GiveUpReason.NoReplica);
+  private findService(replica: string): ServiceState | undefined {
+    const state = this.registry.findReplica(replica);
+    return state === undefined ? undefined : this.registry.getService(state.replica.service);
+  }
+
+  /** Reviews the waiting requests of a replica's service after the replica asked for a backoff. */
+  private reviewWaiting(replica: string): void {
+    const service = this.findService(replica);
+    if (service !== undefined) {
+      this.waiting.review(service);
     }
   }
 
@@ -576,7 +502,7 @@
     if (record !== undefined) {
       this.cancelRunning(record, CancelReason.CallerLeft);
       this.removeRecord(record);
-      this.drainWaiting(this.registry.getService(record.request.service));
+      this.waiting.drain(this.registry.getService(record.request.service));
     }
   }
 
@@ -621,21 +547,6 @@
     this.records.delete(record.request.id);
   }
 
-  private drainWaiting(service: ServiceState): void {
-    if (service.waiting.size === 0) {
-      return;
-    }
-    if (service.isFragile) {
-      this.retryWaiting(service);
-    } else {
-      service.waiting.drain((record) => this.placing.placeLocally(record));
-    }
-  }
-
-  private drainAll(): void {
-    this.registry.allServices.forEach((service) => this.drainWaiting(service));
-  }
-
   private handlePeerUpdate({
     peer,
     update,
@@ -651,7 +562,7 @@
         break;
       case 'limits':
         this.limits.applyPeerLimits(update.limits);
-        this.drainAll();
+        this.waiting.drainAll();
         break;
       case 'fragile':
         this.fragility.applyPeerStatements(update.replicas);
--- /dev/null
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -0,0 +1,135 @@
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { Fleet } from '../Fleet/Fleet.js';
+import { fragilityOptions } from '../fragility/fragilityOptions.js';
+import { limitOptions } from '../limits/limitOptions.js';
+import { GiveUpReason } from '../messages.js';
+import type { Placing } from '../Placing/Placing.js';
+import { PlacingResult } from '../Placing/Placing.js';
+import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
+import type { RequestRecord } from '../RequestRecord.js';
+
+const SECOND: Milliseconds = 1_000;
+
+/** Dependencies of {@link WaitingRequests}. */
+export interface WaitingRequestsParts {
+  clock: Clock;
+  fleet: Fleet;
+  registry: ReplicaRegistry;
+  placing: Pick<Placing, 'place' | 'placeLocally'>;
+  giveUp: (record: RequestRecord, reason: GiveUpReason) => void;
+}
+
+/** Whether a request that is sent at the given time can still meet its latency target. */
+export function isOnTimeAt({ request }: RequestRecord, at: Milliseconds): boolean {
+  return at < request.arrivedAt + request.latencyTarget;
+}
+
+/** Places requests, and keeps those for which no replica has room until one has. */
+export class WaitingRequests {
+  /** Pending retries for services whose replicas all restrict what they take. */
+  private readonly retryTimers = new Map<ServiceState, Timer>();
+
+  constructor(private readonly parts: WaitingRequestsParts) {}
+
+  placeOrWait(record: RequestRecord): void {
+    const { placing, registry } = this.parts;
+    if (placing.place(record) === PlacingResult.NoRoom) {
+      const service = registry.getService(record.request.service);
+      service.waiting.add(record);
+      this.rejectExcessAndScheduleRetry(service);
+      this.review(service);
+    }
+  }
+
+  /**
+   * If all replicas of a service are backed off, refuses the waiting requests that would be late after
+   * the first of these backoffs, and schedules a retry for the others.
+   */
+  review(service: ServiceState): void {
+    const end = service.getBackoffEnd();
+    if (end === undefined) {
+      return;
+    }
+    service.waiting
+      .getAll()
+      .filter((record) => !isOnTimeAt(record, end))
+      .forEach((record) => this.parts.giveUp(record, GiveUpReason.BackedOff));
+    if (service.waiting.size > 0) {
+      this.scheduleRetry(service, end - this.parts.clock.now());
+    }
+  }
+
+  /** Gives up the waiting requests of a service that has no replica in service. */
+  rejectUnplaceable(service: ServiceState): void {
+    if (service.getReplicasInService().length > 0) {
+      return;
+    }
+    while (service.waiting.last !== undefined) {
+      this.parts.giveUp(service.waiting.last, GiveUpReason.NoReplica);
+    }
+  }
+
+  /** Sends what can be sent now, after an attempt of this daemon at the service has ended. */
+  drain(service: ServiceState): void {
+    if (service.waiting.size === 0) {
+      return;
+    }
+    if (service.isFragile) {
+      this.retry(service);
+    } else {
+      service.waiting.drain((record) => this.parts.placing.placeLocally(record));
+    }
+  }
+
+  drainAll(): void {
+    this.parts.registry.allServices.forEach((service) => this.drain(service));
+  }
+
+  private scheduleRetry(service: ServiceState, delay: Milliseconds): void {
+    if (!this.retryTimers.has(service)) {
+      const timer = this.parts.clock.setTimer(delay, () => this.retry(service));
+      this.retryTimers.set(service, timer);
+    }
+  }
+
+  /**
+   * Bounds the waiting requests of a service whose replicas are all rate-limited or fragile: rejects the
+   * least urgent beyond the bound and schedules a retry for the others.
+   */
+  private rejectExcessAndScheduleRetry(service: ServiceState): void {
+    const { fleet, giveUp } = this.parts;
+    const room = WaitingRequests.getRoom(service);
+    if (room === undefined) {
+      return;
+    }
+    const maxWaiting = Math.max(1, Math.ceil(room / Math.max(1, fleet.members.length)));
+    while (service.waiting.size > maxWaiting) {
+      giveUp(service.waiting.last!, GiveUpReason.Overload);
+    }
+    this.scheduleRetry(service, limitOptions.retryPeriod);
+  }
+
+  /** Requests of all daemons that may wait for a service; undefined if there is no bound. */
+  private static getRoom(service: ServiceState): number | undefined {
+    const limit = service.getTotalLimit();
+    if (limit !== undefined) {
+      return (limit * limitOptions.maxWait) / SECOND;
+    }
+    return service.isFragile ? service.totalSlots * fragilityOptions.waitingRatio : undefined;
+  }
+
+  /** Tries again to place the waiting requests of a service. */
+  private retry(service: ServiceState): void {
+    this.retryTimers.get(service)?.cancel();
+    this.retryTimers.delete(service);
+    service.waiting.drain((record) => {
+      record.queriedPlacers.clear();
+      return this.parts.placing.place(record) !== PlacingResult.NoRoom;
+    });
+    if (service.waiting.size > 0) {
+      this.rejectExcessAndScheduleRetry(service);
+      this.review(service);
+    }
+  }
+}
