TcpProxy: listen on a reserved port, which no other process gets during a partition

The proxy in front of a replica took any free port, and stops listening while a partition refuses connections or the replica is down. Meanwhile the system gives that port to whichever process asks next: another test's server, or a connection. The proxy then can't listen again (EADDRINUSE), or daemons send their requests to a foreign server, which may have run them: 502. Ports below the system's range, reserved among our processes, existed for daemons (reservePorts); the proxies did not use them.

The run in which the 502 was seen left no logs, so that it is traced by its symptom, not by its own record. The other way to a 502, a hop that breaks after the request was sent, was looked for in ForwardingServer and SentAttempt by reading: an isolated forwarder refuses before anything is sent. That way is not excluded by a run.

TcpProxy.listen reserves its port.

--- a/packages/standins/src/lib/network/TcpProxy.ts
+++ b/packages/standins/src/lib/network/TcpProxy.ts
@@ -1,7 +1,8 @@
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { ChangeSignal } from './ChangeSignal.js';
+import { reservePorts } from './reservePorts.js';
 
 /** A fault that the proxy applies to all its connections, existing and new. */
 export enum LinkFault {
@@ -48,14 +49,15 @@
     this.server = createServer((client) => this.accept(client));
   }
 
-  /** @returns the port on which the proxy listens */
-  listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(0, '127.0.0.1', () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+  /**
+   * Listens on a reserved port, which nothing else uses while the proxy does not listen.
+   *
+   * @returns the port on which the proxy listens
+   */
+  async listen(): Promise<number> {
+    const [port] = (await reservePorts(1)) as [number];
+    await this.reopen(port);
+    return port;
   }
 
   /** Applies a fault to all connections; `None` ends it, and held data is delivered. */
