Try replicas that seem slow again after they have missed 16 fair shares

A replica's mean latency and an engine's prefill rate are corrected by its own requests only, and it gets none while others look faster: a belief without a way back.

ReplicaTrial counts the choices in which a replica was a candidate and another one was preferred. After 16 fair shares it counts as fast as the fastest (plain) or the mean of its service (an engine that seems less than half as fast), once: the next request that load alone would send there goes there. What is measured then replaces what was known. Trials take at most one request in 16, however many replicas are slow; a count, not a time, since a daemon of a large fleet sends a replica one request in seconds anyway. `choice` in the log has isTrial.

Tried and given up: old measurements fade with time toward what is typical, by age and by idle time. With age, "engines under four times the usual load" starved urgent requests (its test went red): engines that answer late aren't measured for a second either.

Not changed: the failure rate of a replica has the same shape (it falls with its own successes only). A trial there costs callers failures; no test shows harm yet.

--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -5,6 +5,7 @@
 import type { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import { recordChoice } from '../ReplicaTrial/recordChoice.js';
 
 /** Dependencies of {@link Placer}. */
 export interface PlacerParts {
@@ -49,13 +50,12 @@
     const now = clock.now();
     const service = registry.getService(criteria.service);
     const group = service.getRequestGroup(criteria, key);
+    const candidates =
+      group === undefined ? [] : service.getGroupCandidates(group, new Set(excludedReplicas), now);
     const chosen = chooseReplica({
       request: criteria,
       service: service.service,
-      candidates:
-        group === undefined
-          ? []
-          : service.getGroupCandidates(group, new Set(excludedReplicas), now),
+      candidates,
       now,
       options: { ...options, availabilityZone },
     });
@@ -64,6 +64,7 @@
       return;
     }
     const { state, choice } = chosen;
+    recordChoice(state, candidates);
     peerAttempts.addPlaced(peer, key, criteria, chosen);
     const placement = getPlacement(state.replica.id, choice);
     emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key, placement } } });
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -14,6 +14,7 @@
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
+import { recordChoice } from '../ReplicaTrial/recordChoice.js';
 import type { RequestRecord, RunningAttempt } from '../RequestRecord.js';
 
 /** Result of placing a request. */
@@ -81,16 +82,12 @@
     const { request } = record;
     const now = clock.now();
     const service = registry.getService(request.service);
-    const chosen = chooseReplica({
-      request,
-      service: service.service,
-      candidates: this.getCandidates(record),
-      now,
-      options,
-    });
+    const candidates = this.getCandidates(record);
+    const chosen = chooseReplica({ request, service: service.service, candidates, now, options });
     if (chosen === undefined) {
       return false;
     }
+    recordChoice(chosen.state, candidates);
     this.send(record, chosen, { key: keys.next(), placer: this.getPlacerForReplica(chosen) });
     return true;
   }
--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { EngineProfile } from '../../config/RelayConfiguration.js';
 import { PrefillRate } from '../PrefillRate/PrefillRate.js';
+import type { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { EngineStatistics } from './EngineStatistics.js';
 
@@ -10,6 +11,9 @@
  */
 const MIN_RATE_SAMPLE_TOKENS = 1_500;
 
+/** Ratio of an engine's prefill rate to the mean of its service up to which the engine seems slow. */
+const MAX_SLOW_RATIO = 0.5;
+
 /** Estimates the prefill rate of one engine and its progress with the prompts sent to it. */
 export class PrefillEstimator {
   /** Starts at the mean of the service; engines of one service differ in speed. */
@@ -18,13 +22,19 @@
   /** When the engine last finished the prefill of a prompt. */
   private lastPrefillAt: Milliseconds = 0;
 
-  constructor(private readonly statistics: EngineStatistics) {
+  /** The trial of the engine in which its rate was last measured. */
+  private round = 0;
+
+  constructor(
+    private readonly statistics: EngineStatistics,
+    private readonly trial: ReplicaTrial,
+  ) {
     this.rate = new PrefillRate(() => statistics.prefillRate.value);
   }
 
   /** Prompt tokens that the engine prefills per millisecond while it also decodes. */
   get prefillRate(): number {
-    return this.rate.value;
+    return this.trial.isDue && this.seemsSlow ? this.servicePrefillRate : this.rate.value;
   }
 
   /** Mean prefill rate of all engines of the service. */
@@ -68,6 +78,10 @@
     return Math.max(0, tokens - elapsed * this.prefillRate);
   }
 
+  private get seemsSlow(): boolean {
+    return this.rate.value < this.servicePrefillRate * MAX_SLOW_RATIO;
+  }
+
   /** When an idle engine would start the prefill of an attempt. */
   private getEarliestStart({ sentAt, copyTime }: RunningAttempt): Milliseconds {
     return sentAt + copyTime + this.statistics.setupTime.value;
@@ -84,7 +98,16 @@
       return;
     }
     const time = wait - setupTime.value;
+    this.discardOutdated();
     this.rate.record(tokensAhead, time);
     prefillRate.record(tokensAhead, time);
   }
+
+  private discardOutdated(): void {
+    const { round } = this.trial;
+    if (this.round !== round && this.seemsSlow) {
+      this.rate.reset();
+    }
+    this.round = round;
+  }
 }
--- a/packages/relay/src/lib/decide/PrefillRate/PrefillRate.ts
+++ b/packages/relay/src/lib/decide/PrefillRate/PrefillRate.ts
@@ -53,6 +53,13 @@
     this.priorWeight *= retained;
   }
 
+  /** Discards all measurements. */
+  reset(): void {
+    this.tokens = 0;
+    this.time = 0;
+    this.priorWeight = prefillRateOptions.initialWeight;
+  }
+
   /** Tokens per millisecond. */
   get value(): number {
     const { min, max } = prefillRateOptions;
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -7,6 +7,7 @@
 import type { LoadReport } from '../messages.js';
 import { getHarmProbability, getPauseSlack } from '../pauses.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 
 /** Weight of the newest measurement in a moving average. */
@@ -31,6 +32,8 @@
   /** Cooldown after broken attempts of all daemons. */
   readonly cooldown = new ReplicaCooldown();
 
+  readonly trial = new ReplicaTrial();
+
   readonly running = new Set<RunningAttempt>();
 
   /**
@@ -54,6 +57,9 @@
 
   private latency = INITIAL_LATENCY;
 
+  /** The trial in which the latency was last measured. */
+  private latencyRound = 0;
+
   private lastReceivedAt: Milliseconds = 0;
 
   private receivedReport: ReceivedReport | undefined;
@@ -70,7 +76,7 @@
   constructor(replica: RelayReplica, options: PlacementOptions, statistics: EngineStatistics) {
     this.replica = replica;
     this.options = options;
-    this.prefill = new PrefillEstimator(statistics);
+    this.prefill = new PrefillEstimator(statistics, this.trial);
   }
 
   /** Whether it is not about to leave. */
@@ -86,10 +92,16 @@
     return this.failureRate;
   }
 
-  get expectedLatency(): Milliseconds {
+  /** Moving average of the latency of its requests. */
+  get measuredLatency(): Milliseconds {
     return this.latency;
   }
 
+  /** @param least - the lowest latency that was measured at a replica of its service */
+  getExpectedLatency(least: Milliseconds): Milliseconds {
+    return this.trial.isDue ? least : this.latency;
+  }
+
   /** Prompt tokens that the engine prefills per millisecond. */
   get prefillRate(): number {
     return this.prefill.prefillRate;
@@ -177,7 +189,9 @@
   recordSuccess(latency: Milliseconds): void {
     this.consecutiveBroken = 0;
     this.failureRate += NEWEST_WEIGHT * (0 - this.failureRate);
-    this.latency += NEWEST_WEIGHT * (latency - this.latency);
+    const isOutdated = this.latencyRound !== this.trial.round;
+    this.latencyRound = this.trial.round;
+    this.latency += (isOutdated ? 1 : NEWEST_WEIGHT) * (latency - this.latency);
   }
 
   /** @returns false if a liveness check is already pending */
--- a/packages/relay/src/lib/decide/chooseReplica.ts
+++ b/packages/relay/src/lib/decide/chooseReplica.ts
@@ -18,6 +18,12 @@
   choice: Choice;
 }
 
+/** What was measured at the candidates for a request. */
+interface CommonMeasurements {
+  commonFailureRate: number;
+  leastLatency: Milliseconds;
+}
+
 /**
  * Cost of a replica at a failure rate of 1. It is high enough that a failing replica is chosen only
  * if every other replica is far more expensive.
@@ -34,6 +40,10 @@
   return Math.min(...candidates.map(({ expectedFailureRate }) => expectedFailureRate));
 }
 
+function getLeastLatency(candidates: readonly ReplicaState[]): Milliseconds {
+  return Math.min(...candidates.map(({ measuredLatency }) => measuredLatency));
+}
+
 /**
  * The two engines with the longest cached prefixes of a prompt. If one of them is chosen, it can
  * copy from the other.
@@ -59,13 +69,13 @@
 function getReplicaEstimate(
   inputs: EngineChoiceInputs,
   state: ReplicaState,
-  commonFailureRate: number,
+  { commonFailureRate, leastLatency }: CommonMeasurements,
 ): ReplicaEstimate {
   const { request, now } = inputs;
   const { prompt } = request;
   const estimate =
     prompt === undefined
-      ? getPlainEstimate(inputs, state)
+      ? getPlainEstimate(inputs, state, leastLatency)
       : getEngineEstimate(inputs, state, prompt);
   const failureRate = Math.max(0, state.expectedFailureRate - commonFailureRate);
   const fullCost = state.fullUntil > now ? request.latencyTarget : 0;
@@ -116,6 +126,7 @@
     inFlight: state.running.size,
     reported: lastReport?.report,
     reportAge: lastReport === undefined ? undefined : now - lastReport.receivedAt,
+    isTrial: state.trial.isDue || undefined,
     runnerUp:
       second === undefined ? undefined : { replica: second.state.replica.id, cost: second.cost },
   };
@@ -132,11 +143,12 @@
   if (candidates.length === 0) {
     return undefined;
   }
-  const commonFailureRate = getCommonFailureRate(candidates);
+  const common = {
+    commonFailureRate: getCommonFailureRate(candidates),
+    leastLatency: getLeastLatency(candidates),
+  };
   const engineInputs = getEngineInputs(inputs);
-  const estimates = candidates.map((state) =>
-    getReplicaEstimate(engineInputs, state, commonFailureRate),
-  );
+  const estimates = candidates.map((state) => getReplicaEstimate(engineInputs, state, common));
   applyHomePreference(engineInputs, estimates);
   estimates.sort((left, right) => left.cost - right.cost);
   const [best, second] = estimates as [ReplicaEstimate, ReplicaEstimate | undefined];
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -411,6 +411,8 @@
   reported?: LoadReport;
   /** Age of that report. */
   reportAge?: Milliseconds;
+  /** Whether the replica seemed slow, and is tried again without regard to that. */
+  isTrial?: boolean;
   /** The second-best replica. */
   runnerUp?: { replica: string; cost: Milliseconds };
 }
