Mesh test: a proxy that doesn't hold pings back, and a call that outlasts several pings

Both sockets of the test's proxy wrote with Nagle's algorithm. A ping and its acknowledgment are small, so that the system held them back for up to 40 ms, and the test's keep-alive timeout was 20 ms: any call through this proxy that lasted over 20 ms was dropped, silence or not. The calls of the test take a few milliseconds, on a busy machine more.

The proxy forwards without delay; the same in TcpProxy, which the other tests use. The test calls a handler of 300 ms on the new connection as well, so that several pings must be answered there; before, none was due. Its keep-alive timeout is 500 ms in place of 20: how soon the silence is noticed was never asserted, and a stall of 20 ms is usual beside other tests.

The mesh sets no TCP_USER_TIMEOUT and relies on HTTP/2 pings, not on keep-alive probes of TCP; the relay doesn't use the mesh.

--- a/packages/mesh/src/lib/Mesh/Mesh.test.ts
+++ b/packages/mesh/src/lib/Mesh/Mesh.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events';
+import { setTimeout as wait } from 'node:timers/promises';
 import { Client, credentials, status } from '@grpc/grpc-js';
 import { ManualClock } from '@apricotrill/utils';
 import { MeshError, MeshFailure } from '../MeshError.js';
@@ -7,6 +8,9 @@
 import { FreezableProxy } from '../../test/FreezableProxy.js';
 import { Mesh } from './Mesh.js';
 
+/** Duration of a handler that outlasts several pings, in milliseconds. */
+const SLOW_HANDLER_TIME = 300;
+
 const disposables: { dispose(): void }[] = [];
 
 afterEach(() => disposables.splice(0).forEach((disposable) => disposable.dispose()));
@@ -136,15 +140,18 @@
   it('detects a silent connection by pings while a call with a long timeout waits', async () => {
     // A call with a long timeout waited for all of it after its connection had become silent,
     // because TCP alone does not detect a peer that no longer responds.
-    const alpha = await createMesh('alpha', { keepaliveInterval: 20, keepaliveTimeout: 20 });
+    const alpha = await createMesh('alpha', { keepaliveInterval: 20, keepaliveTimeout: 500 });
     const beta = await createMesh('beta');
     beta.mesh.handle('ping', () => 'pong');
+    beta.mesh.handle('slow', () => wait(SLOW_HANDLER_TIME, 'pong'));
     const { proxy, address } = await createProxy(beta.address);
     await alpha.mesh.call(address, 'ping', null);
     proxy.freeze();
     const lost = await getFailure(alpha.mesh.call(address, 'ping', null, { timeout: 60_000 }));
     expect(lost.failure).toBe(MeshFailure.Unreachable);
     expect(await alpha.mesh.call(address, 'ping', null)).toBe('pong');
+    // Several pings are due while this call waits on the new connection.
+    expect(await alpha.mesh.call(address, 'slow', null)).toBe('pong');
   });
 
   it('connects immediately to a peer that restarted at the same address', async () => {
--- a/packages/mesh/src/test/FreezableProxy.ts
+++ b/packages/mesh/src/test/FreezableProxy.ts
@@ -12,7 +12,8 @@
 
   private readonly clients = new Set<Socket>();
 
-  private readonly server = createServer((client) => this.forward(client));
+  // Without a delay of its own: pings are small, and the system holds small writes back for 40 ms.
+  private readonly server = createServer({ noDelay: true }, (client) => this.forward(client));
 
   private target = 0;
 
@@ -38,7 +39,7 @@
   private forward(client: Socket): void {
     this.acceptedConnections += 1;
     this.clients.add(client);
-    const upstream = connect(this.target, '127.0.0.1');
+    const upstream = connect({ port: this.target, host: '127.0.0.1', noDelay: true });
     const forwardTo = (to: Socket) => (bytes: Buffer) => {
       if (this.frozenClients.has(client)) {
         this.emit('dropped');
--- a/packages/standins/src/lib/network/TcpProxy.ts
+++ b/packages/standins/src/lib/network/TcpProxy.ts
@@ -46,7 +46,7 @@
   /** @param targetPort - the loopback port to which connections are forwarded */
   constructor(targetPort: number) {
     this.targetPort = targetPort;
-    this.server = createServer((client) => this.accept(client));
+    this.server = createServer({ noDelay: true }, (client) => this.accept(client));
   }
 
   /**
@@ -124,7 +124,7 @@
   }
 
   private accept(client: Socket): void {
-    const target = connect(this.targetPort, '127.0.0.1');
+    const target = connect({ port: this.targetPort, host: '127.0.0.1', noDelay: true });
     const connection = { client, target, isSilenced: false };
     this.connections.add(connection);
     this.connectionCount += 1;
