--- a/packages/mesh/src/lib/Mesh/Mesh.test.ts
+++ b/packages/mesh/src/lib/Mesh/Mesh.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { setTimeout as wait } from 'node:timers/promises';
 import { Client, credentials, status } from '@grpc/grpc-js';
+import { reservePorts } from '@apricotrill/standins';
 import { ManualClock } from '@apricotrill/utils';
 import { MeshError, MeshFailure } from '../MeshError.js';
 import { callMethod } from '../meshService.js';
@@ -15,9 +16,9 @@
 
 afterEach(() => disposables.splice(0).forEach((disposable) => disposable.dispose()));
 
-async function createMesh(self: string, options: Partial<MeshOptions> = {}) {
+async function createMesh(self: string, options: Partial<MeshOptions> = {}, port = 0) {
   const clock = new ManualClock();
-  const mesh = new Mesh({ self, host: '127.0.0.1', port: 0, clock, options });
+  const mesh = new Mesh({ self, host: '127.0.0.1', port, clock, options });
   disposables.push(mesh);
   const address = `127.0.0.1:${await mesh.listen()}`;
   return { mesh, clock, address };
@@ -158,11 +159,11 @@
     // A restarted daemon was unreachable for its peers for minutes: calls had failed while it was
     // down, and gRPC increases its backoff after each failed attempt to connect.
     const alpha = await createMesh('alpha');
-    const beta = await createMesh('beta');
+    const [port] = (await reservePorts(1)) as [number];
+    const beta = await createMesh('beta', {}, port);
     beta.mesh.dispose();
     await getFailure(alpha.mesh.call(beta.address, 'ping', null));
     await getFailure(alpha.mesh.call(beta.address, 'ping', null));
-    const port = Number(beta.address.split(':')[1]);
     const again = new Mesh({ self: 'beta', host: '127.0.0.1', port, clock: beta.clock });
     disposables.push(again);
     again.handle('ping', () => 'pong');
