SentAttempt test: a peer of the release before, which knows no path for attempts

Not tested until now: during a rolling update the peer answers 404 without the header of a forwarder, which counts as not sent, and another peer is tried.

--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -138,8 +138,17 @@
     return { entry: { id, address: `${HOST}:${port}`, availabilityZone: 'a' }, server, dispose };
   }
 
+  /** Starts a peer whose port knows no path for forwarded attempts. */
+  async function startOldPeer(id: string): Promise<Pick<Peer, 'entry'>> {
+    const [port] = await reservePorts(1);
+    const peerServer = new PeerServer();
+    await peerServer.listen(HOST, port!);
+    disposals.push(() => peerServer.dispose());
+    return { entry: { id, address: `${HOST}:${port}`, availabilityZone: 'a' } };
+  }
+
   /** Sends an attempt to a replica at an address that this daemon can't connect to. */
-  async function send(peers: readonly Peer[], body = 'body') {
+  async function send(peers: readonly Pick<Peer, 'entry'>[], body = 'body') {
     const clock = new SystemClock();
     const metrics = new RelayMetrics();
     const paths = new PathMonitor({
@@ -231,6 +240,15 @@
     expect(observed.received).toHaveLength(1);
   });
 
+  // Guards against a rolling update: daemons of the release before don't know the path for attempts.
+  it('tries another peer after one that does not forward attempts at all', async () => {
+    const replicaAddress = await startReplica((socket) => socket.write(RESPONSE));
+    const peers = [await startOldPeer('d-1'), await startPeer('d-2', { replicaAddress })];
+    const { kind } = await (await send(peers)).result;
+    expect(kind).toBe('end');
+    expect(observed.received).toHaveLength(1);
+  });
+
   it('blames the replica if two peers can’t connect to it either', async () => {
     const peers = [
       await startPeer('d-1', {}),
