--- a/packages/experiment/src/lib/relay/partitionedDaemons.test.ts
+++ b/packages/experiment/src/lib/relay/partitionedDaemons.test.ts
@@ -18,15 +18,24 @@
 /** Least rate at which partitioned daemons serve, compared with the others. */
 const LEAST_RATE = 2 / 3;
 
-function simulate(seed: number, partition?: Partition) {
-  const simulation = new FleetSimulation({ ...namedDeployments.drafts!(), partition }, seed);
+const SMALL_FLEET = namedDeployments.drafts!();
+
+/** A fleet in which each group of replicas has a daemon that chooses for all others. */
+const LARGE_FLEET = { ...namedDeployments.histories!(), duration: 15 * SECOND };
+
+function simulate(seed: number, partition?: Partition, deployment = SMALL_FLEET) {
+  const simulation = new FleetSimulation({ ...deployment, partition }, seed);
   const result = simulation.run();
   return { simulation, calls: result.calls, worth: summariseDay(result).worth };
 }
 
 /** Share of the calls that are complete, among those that arrive while they must be served. */
-function getServedRates(seed: number, partition: Partition): { own: number; others: number } {
-  const { calls } = simulate(seed, partition);
+function getServedRates(
+  seed: number,
+  partition: Partition,
+  deployment = SMALL_FLEET,
+): { own: number; others: number } {
+  const { calls } = simulate(seed, partition, deployment);
   const observed = calls.filter(
     ({ arrivedAt }) =>
       arrivedAt >= partition.startsAt + CONTACT_TIME &&
@@ -48,6 +57,12 @@
     });
   });
 
+  // Guards against daemons that choose for others in a large fleet and are partitioned themselves.
+  it.each([16, 32])('serves them in a large fleet as well: %d of 64 daemons', (daemons) => {
+    const { own, others } = getServedRates(1, { ...PARTITION, daemons }, LARGE_FLEET);
+    expect(own).toBeGreaterThanOrEqual(LEAST_RATE * others);
+  });
+
   it('does not serve them without forwarding, which shows that the model has the fault', () => {
     const { own, others } = getServedRates(1, { ...PARTITION, detection: undefined });
     expect(own).toBeLessThan(LEAST_RATE * others);
