Divide the slots of fragile replicas between the daemons

A daemon asks for a slot when one of its own attempts ends, and got the slot that it had just freed; one that held few waited 100 ms and found none.

SlotShares, at the daemon that places for all: it remembers for 150 ms which daemons got no slot, and keeps a free one for a daemon that holds fewer slots and serves a smaller part of its requests, or whose request is more urgent. That daemon asks again each 100 ms anyway; no new messages. Applies to fragile replicas only, where requests wait at the daemons. Why it works: a slot no longer goes back to where it came from while somebody with less waits, and the test of slots held keeps daemons that are within one slot of each other from leaving slots empty in turn.

--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -94,6 +94,11 @@
     this.lastListAt.delete(peer);
   }
 
+  countInFlight(peer: string, service: string): number {
+    const attempts = [...(this.byPeer.get(peer)?.values() ?? [])];
+    return attempts.filter(({ state }) => state.replica.service === service).length;
+  }
+
   has(peer: string, key: string): boolean {
     return this.byPeer.get(peer)?.has(key) === true;
   }
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -18,6 +18,7 @@
 import { Placing } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
@@ -137,7 +138,20 @@
       onQuarantined: (fingerprint) => this.rejectQuarantined(fingerprint),
     });
     const { registry } = this;
-    const parts = { clock, emit, options: this.options, registry, fleet, limits, backoffs };
+    const slotShares = new SlotShares({
+      clock,
+      countInFlight: (daemon, service) => this.countInFlight(daemon, service),
+    });
+    const parts = {
+      clock,
+      emit,
+      options: this.options,
+      registry,
+      fleet,
+      limits,
+      backoffs,
+      slotShares,
+    };
     this.placer = new Placer({ ...parts, peerAttempts: this.peerAttempts });
     this.placing = new Placing({
       ...parts,
@@ -309,6 +323,12 @@
     );
   }
 
+  private countInFlight(daemon: string, service: string): number {
+    return daemon === this.fleet.self
+      ? this.registry.getService(service).ownInFlight
+      : this.peerAttempts.countInFlight(daemon, service);
+  }
+
   private submit(request: PlacementRequest): void {
     const now = this.clock.now();
     const record = new RequestRecord(request);
--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@apricotrill/utils';
 import { chooseReplica } from '../chooseReplica.js';
 import type { Fleet } from '../Fleet/Fleet.js';
+import type { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import type { Choice, Placement, PlacementQuery, PlacementEffect } from '../messages.js';
 import type { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
 import type { PlacementOptions } from '../placementOptions.js';
@@ -16,6 +17,7 @@
   fleet: Fleet;
   /** Attempts that other daemons have in flight. */
   peerAttempts: PeerAttempts;
+  slotShares: SlotShares;
 }
 
 function getPlacement(replica: string, choice: Choice): Placement {
@@ -40,7 +42,7 @@
 
   /** Responds to a peer's placement query. */
   handleQuery(peer: string, query: PlacementQuery): void {
-    const { registry, clock, emit, options, peerAttempts } = this.parts;
+    const { registry, clock, emit, options, peerAttempts, slotShares } = this.parts;
     const { key, criteria, availabilityZone, excludedReplicas } = query;
     if (peerAttempts.has(peer, key)) {
       // Datagrams can be duplicated. A second attempt with this key would replace the first, which
@@ -50,8 +52,12 @@
     const now = clock.now();
     const service = registry.getService(criteria.service);
     const group = service.getRequestGroup(criteria, key);
+    const { rank } = criteria;
+    const mayTake = !service.isFragile || slotShares.mayTake(peer, service.name, rank);
     const candidates =
-      group === undefined ? [] : service.getGroupCandidates(group, new Set(excludedReplicas), now);
+      group !== undefined && mayTake
+        ? service.getGroupCandidates(group, new Set(excludedReplicas), now)
+        : [];
     const chosen = chooseReplica({
       request: criteria,
       service: service.service,
@@ -60,11 +66,15 @@
       options: { ...options, availabilityZone },
     });
     if (chosen === undefined) {
+      if (service.isFragile) {
+        slotShares.recordRefusal(peer, service.name, rank);
+      }
       emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key } } });
       return;
     }
     const { state, choice } = chosen;
     recordChoice(state, candidates);
+    slotShares.recordTaken(peer, service.name);
     peerAttempts.addPlaced(peer, key, criteria, chosen);
     const placement = getPlacement(state.replica.id, choice);
     emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key, placement } } });
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -8,6 +8,7 @@
 import type { Choice, Placement, PlacementEffect, PlacementResponse } from '../messages.js';
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
+import type { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
@@ -41,6 +42,7 @@
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
   /** Called when a placer did not respond or provided no usable replica. */
   onQueryFailed: (record: RequestRecord) => void;
+  slotShares: SlotShares;
 }
 
 /** The key of an attempt, and the daemon that counts it. */
@@ -78,15 +80,21 @@
 
   /** Chooses a replica without a placer. @returns false if none can take the request now */
   placeLocally(record: RequestRecord): boolean {
-    const { registry, clock, keys, options } = this.parts;
+    const { registry, clock, fleet, keys, options, slotShares } = this.parts;
     const { request } = record;
     const now = clock.now();
     const service = registry.getService(request.service);
-    const candidates = this.getCandidates(record);
+    const mayTake =
+      !service.isFragile || slotShares.mayTake(fleet.self, service.name, request.rank);
+    const candidates = mayTake ? this.getCandidates(record) : [];
     const chosen = chooseReplica({ request, service: service.service, candidates, now, options });
     if (chosen === undefined) {
+      if (service.isFragile) {
+        slotShares.recordRefusal(fleet.self, service.name, request.rank);
+      }
       return false;
     }
+    slotShares.recordTaken(fleet.self, service.name);
     recordChoice(chosen.state, candidates);
     this.send(record, chosen, { key: keys.next(), placer: this.getPlacerForReplica(chosen) });
     return true;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -220,6 +220,11 @@
     );
   }
 
+  /** Number of this daemon's requests in flight. */
+  get ownInFlight(): number {
+    return [...this.replicas.values()].reduce((sum, { ownInFlight }) => sum + ownInFlight, 0);
+  }
+
   /** Requests that all its replicas in service can run at the same time. */
   get totalSlots(): number {
     return this.getReplicasInService().reduce(
--- a/packages/relay/src/lib/decide/fragility/fragilityOptions.ts
+++ b/packages/relay/src/lib/decide/fragility/fragilityOptions.ts
@@ -15,6 +15,11 @@
   announcementPeriod: 1_000 satisfies Milliseconds,
   /** Waiting requests of all daemons, as a ratio of the slots of a service; excess ones are rejected. */
   waitingRatio: 2,
+  /**
+   * Time for which a slot is kept for a daemon that got none; a little longer than daemons wait until
+   * they ask again.
+   */
+  claimSpan: 150 satisfies Milliseconds,
   /** Statements per datagram that keep it below an MTU of 1,500 bytes. */
   maxPerDatagram: 24,
 };
