--- /dev/null
+++ b/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
@@ -0,0 +1,88 @@
+import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
+import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
+import type { PlacementUpdate } from '../messages.js';
+import type { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
+import type { Placer } from '../Placer/Placer.js';
+import type { Placing } from '../Placing/Placing.js';
+import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
+import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
+import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import type { WaitingRequests } from '../WaitingRequests/WaitingRequests.js';
+
+/** Dependencies of {@link PeerUpdates}. */
+export interface PeerUpdatesParts {
+  registry: ReplicaRegistry;
+  quarantine: Quarantine;
+  limits: ReplicaLimits;
+  fragility: ReplicaFragility;
+  backoffs: ReplicaBackoffs;
+  placer: Placer;
+  placing: Placing;
+  peerAttempts: PeerAttempts;
+  waiting: WaitingRequests;
+  /** Called when a peer reports that a replica is about to leave. */
+  onLeaving: (replica: string, peer: string) => void;
+}
+
+/** Passes what other daemons announce to the parts that it concerns, and collects what they are told. */
+export class PeerUpdates {
+  constructor(private readonly parts: PeerUpdatesParts) {}
+
+  /** Returns what each regular message repeats, since datagrams can be lost. */
+  getPeriodicUpdates(): PlacementUpdate[] {
+    const { registry, quarantine, limits, fragility, backoffs } = this.parts;
+    const leaving = registry.getLeavingReplicas();
+    return [
+      ...quarantine.getPeriodicUpdates(),
+      ...limits.getPeriodicUpdates(),
+      ...fragility.getPeriodicUpdates(),
+      ...backoffs.getPeriodicUpdates(),
+      ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
+    ];
+  }
+
+  handle(peer: string, update: PlacementUpdate): void {
+    const { registry, quarantine, limits, fragility, backoffs } = this.parts;
+    const { placer, placing, peerAttempts, waiting, onLeaving } = this.parts;
+    switch (update.kind) {
+      case 'attempt-broken':
+        registry.recordBrokenAttempt(update.replica);
+        break;
+      case 'crashed':
+      case 'cleared':
+      case 'quarantined':
+        quarantine.handlePeerUpdate(peer, update);
+        break;
+      case 'limits':
+        limits.applyPeerLimits(update.limits);
+        waiting.drainAll();
+        break;
+      case 'fragile':
+        fragility.applyPeerStatements(update.replicas);
+        break;
+      case 'turned-away':
+        fragility.recordPeerRejection(update.replica);
+        break;
+      case 'leaving':
+        update.replicas.forEach((replica) => onLeaving(replica, peer));
+        break;
+      case 'backoffs':
+        backoffs.recordPeerBackoffs(update.backoffs);
+        break;
+      case 'ask':
+        placer.handleQuery(peer, update.query);
+        break;
+      case 'reply':
+        placing.handleResponse(peer, update.response);
+        break;
+      case 'placed':
+      case 'first-byte-received':
+      case 'ended':
+      case 'attempt-list':
+        peerAttempts.handleUpdate(peer, update);
+        break;
+      default:
+        update satisfies never;
+    }
+  }
+}
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -14,6 +14,7 @@
 import { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import { PeerAttempts, createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
+import { PeerUpdates } from '../PeerUpdates/PeerUpdates.js';
 import { Placer } from '../Placer/Placer.js';
 import { Placing } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
@@ -90,6 +91,8 @@
   /** Attempts that other daemons have in flight. */
   private readonly peerAttempts: PeerAttempts;
 
+  private readonly peerUpdates: PeerUpdates;
+
   constructor({ clock, emit, options }: PlacementCoreParts) {
     this.clock = clock;
     this.emit = emit;
@@ -167,6 +170,19 @@
       placing: this.placing,
       giveUp: (record, reason) => this.giveUp(record, getOutcome(record), reason),
     });
+    const { quarantine, peerAttempts, placer, placing, waiting } = this;
+    this.peerUpdates = new PeerUpdates({
+      registry,
+      quarantine,
+      limits,
+      fragility,
+      backoffs,
+      placer,
+      placing,
+      peerAttempts,
+      waiting,
+      onLeaving: (replica, peer) => this.recordLeaving(replica, peer),
+    });
   }
 
   handle(message: PlacementMessage): void {
@@ -219,7 +235,7 @@
         this.placer.updateFollowedEngines();
         break;
       case 'peer-update':
-        this.handlePeerUpdate(message);
+        this.peerUpdates.handle(message.peer, message.update);
         break;
       case 'peer-removed':
         this.peerAttempts.removePeer(message.peer);
@@ -265,14 +281,7 @@
 
   /** Returns what each regular message repeats, since datagrams can be lost. */
   getPeriodicUpdates(): PlacementUpdate[] {
-    const leaving = this.registry.getLeavingReplicas();
-    return [
-      ...this.quarantine.getPeriodicUpdates(),
-      ...this.limits.getPeriodicUpdates(),
-      ...this.fragility.getPeriodicUpdates(),
-      ...this.backoffs.getPeriodicUpdates(),
-      ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
-    ];
+    return this.peerUpdates.getPeriodicUpdates();
   }
 
   /** Whether this daemon may still send a request that it placed at a replica. */
@@ -566,50 +575,4 @@
     this.registry.getService(record.request.service).waiting.remove(record);
     this.records.delete(record.request.id);
   }
-
-  private handlePeerUpdate({
-    peer,
-    update,
-  }: Extract<PlacementMessage, { kind: 'peer-update' }>): void {
-    switch (update.kind) {
-      case 'attempt-broken':
-        this.registry.recordBrokenAttempt(update.replica);
-        break;
-      case 'crashed':
-      case 'cleared':
-      case 'quarantined':
-        this.quarantine.handlePeerUpdate(peer, update);
-        break;
-      case 'limits':
-        this.limits.applyPeerLimits(update.limits);
-        this.waiting.drainAll();
-        break;
-      case 'fragile':
-        this.fragility.applyPeerStatements(update.replicas);
-        break;
-      case 'turned-away':
-        this.fragility.recordPeerRejection(update.replica);
-        break;
-      case 'leaving':
-        update.replicas.forEach((replica) => this.recordLeaving(replica, peer));
-        break;
-      case 'backoffs':
-        this.backoffs.recordPeerBackoffs(update.backoffs);
-        break;
-      case 'ask':
-        this.placer.handleQuery(peer, update.query);
-        break;
-      case 'reply':
-        this.placing.handleResponse(peer, update.response);
-        break;
-      case 'placed':
-      case 'first-byte-received':
-      case 'ended':
-      case 'attempt-list':
-        this.peerAttempts.handleUpdate(peer, update);
-        break;
-      default:
-        update satisfies never;
-    }
-  }
 }
