--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -42,7 +42,7 @@
 
   /** Responds to a peer's placement query. */
   handleQuery(peer: string, query: PlacementQuery): void {
-    const { registry, clock, emit, options, peerAttempts, slotShares } = this.parts;
+    const { registry, clock, emit, options, peerAttempts } = this.parts;
     const { key, criteria, availabilityZone, excludedReplicas } = query;
     if (peerAttempts.has(peer, key)) {
       // Datagrams can be duplicated. A second attempt with this key would replace the first, which
@@ -53,7 +53,8 @@
     const service = registry.getService(criteria.service);
     const group = service.getRequestGroup(criteria, key);
     const { rank } = criteria;
-    const mayTake = !service.isFragile || slotShares.mayTake(peer, service.name, rank);
+    const slotShares = service.isFragile ? this.parts.slotShares : undefined;
+    const mayTake = slotShares?.mayTake(peer, service.name, rank) ?? true;
     const candidates =
       group !== undefined && mayTake
         ? service.getGroupCandidates(group, new Set(excludedReplicas), now)
@@ -66,15 +67,13 @@
       options: { ...options, availabilityZone },
     });
     if (chosen === undefined) {
-      if (service.isFragile) {
-        slotShares.recordRefusal(peer, service.name, rank);
-      }
+      slotShares?.recordRefusal(peer, service.name, rank);
       emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key } } });
       return;
     }
     const { state, choice } = chosen;
     recordChoice(state, candidates);
-    slotShares.recordTaken(peer, service.name);
+    slotShares?.recordTaken(peer, service.name);
     peerAttempts.addPlaced(peer, key, criteria, chosen);
     const placement = getPlacement(state.replica.id, choice);
     emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key, placement } } });
--- a/packages/relay/src/lib/decide/fragility/SlotShares/SlotShares.ts
+++ b/packages/relay/src/lib/decide/fragility/SlotShares/SlotShares.ts
@@ -19,9 +19,9 @@
  * Divides the slots of fragile replicas between daemons, at the daemon that places for all of them.
  *
  * A daemon asks for a slot when one of its own attempts ends, so that it would always get the slot that it
- * has just freed, and a daemon that holds none would never get one. Therefore a slot stays free until the
- * daemon asks again that holds fewer slots and serves a smaller part of its requests, or whose request is
- * more urgent.
+ * has just freed, and a daemon that holds none would never get one. Therefore a free slot is kept for a
+ * daemon that holds fewer slots and serves a smaller part of its requests, or whose request is more urgent,
+ * until that daemon asks again.
  */
 export class SlotShares {
   private readonly claims = new Map<string, Claim[]>();
