--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -80,21 +80,19 @@
 
   /** Chooses a replica without a placer. @returns false if none can take the request now */
   placeLocally(record: RequestRecord): boolean {
-    const { registry, clock, fleet, keys, options, slotShares } = this.parts;
+    const { registry, clock, fleet, keys, options } = this.parts;
     const { request } = record;
     const now = clock.now();
     const service = registry.getService(request.service);
-    const mayTake =
-      !service.isFragile || slotShares.mayTake(fleet.self, service.name, request.rank);
+    const slotShares = service.isFragile ? this.parts.slotShares : undefined;
+    const mayTake = slotShares?.mayTake(fleet.self, service.name, request.rank) ?? true;
     const candidates = mayTake ? this.getCandidates(record) : [];
     const chosen = chooseReplica({ request, service: service.service, candidates, now, options });
     if (chosen === undefined) {
-      if (service.isFragile) {
-        slotShares.recordRefusal(fleet.self, service.name, request.rank);
-      }
+      slotShares?.recordRefusal(fleet.self, service.name, request.rank);
       return false;
     }
-    slotShares.recordTaken(fleet.self, service.name);
+    slotShares?.recordTaken(fleet.self, service.name);
     recordChoice(chosen.state, candidates);
     this.send(record, chosen, { key: keys.next(), placer: this.getPlacerForReplica(chosen) });
     return true;
