Log the parts of a prompt with each admitted request

`admitted` names the first eight. With `attempt-ended` and `replica-crashed`, which have the request's ID and the replica, the parts that were in flight at a crash can be counted.

--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -10,7 +10,7 @@
 import type { RelayRoute } from '../config/RelayConfiguration.js';
 import { pickService } from '../config/pickService.js';
 import { Outcome } from '../decide/messages.js';
-import type { PlacementMessage } from '../decide/messages.js';
+import type { PlacementMessage, Prompt } from '../decide/messages.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
@@ -74,6 +74,13 @@
   retryAfter: callerOptions.stoppingRetryAfter,
 };
 
+/** Limit on parts of a prompt in one log line. */
+const MAX_LOGGED_PARTS = 8;
+
+function getLoggedParts(prompt: Prompt | undefined): string[] | undefined {
+  return prompt?.parts.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id);
+}
+
 /** Receives requests from callers: admits or rejects them, reads them, and creates a task for each. */
 export class RequestIntake {
   private readonly tasks = new Map<string, RelayTask>();
@@ -224,6 +231,7 @@
       routePriority: route.priority,
       workspacePriority: workspace?.priority,
       promptTokens: request.fields.prompt?.inputTokens,
+      promptParts: getLoggedParts(request.fields.prompt),
       rank,
       timeLeft: request.deadline - clock.now(),
       resumeAfter: request.fields.resumeAfter,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -158,6 +158,8 @@
       routePriority: number;
       workspacePriority: number | undefined;
       promptTokens: number | undefined;
+      /** IDs of the first parts of the prompt. */
+      promptParts: string[] | undefined;
       /** Urgency among the requests of its service; 0 is the most urgent. */
       rank: number;
       timeLeft: Milliseconds;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -90,7 +90,7 @@
     'another daemon no longer sends updates; its requests in flight are no longer counted',
   'cache-listed': 'the complete cache content of an engine was read; includes the reason',
   admitted:
-    'a request was assigned a route and a workspace; includes their priorities, the rank that replicas are told, the configuration version, a content fingerprint, and the stream that it resumes',
+    'a request was assigned a route and a workspace; includes their priorities, the rank that replicas are told, the configuration version, a content fingerprint, the first parts of the prompt, and the stream that it resumes',
   rejected: 'the daemon responded to a request itself, before a replica was chosen',
   sent: 'an attempt was sent to a replica; includes the inputs of the choice and the second-best replica',
   'first-byte':
