Tests, red: prompt parts that crash replicas

Reproduced: three daemon processes send 20 requests, no two alike but with one prompt part that crashes replicas, on to 40 replicas (8 allowed), while requests that share the first part are served. A fuzz test plays 1, 2, 9, 20 and 195 daemons with one or two such parts, first or in the middle, lost datagrams, restarts and correlated failures; the oracle knows the responsible part. It finds 133 sends after the detection time with one daemon (3 allowed), 69 with 195 daemons.

--- a/packages/relay/src/test/CrashFleet.ts
+++ b/packages/relay/src/test/CrashFleet.ts
@@ -10,7 +10,7 @@
 } from '../lib/decide/messages.js';
 import { Rotation } from '../lib/peers/Rotation/Rotation.js';
 import { CoreHarness } from './CoreHarness.js';
-import { createEngineService, createReplica, createRequest } from './fixtures.js';
+import { createEngineService, createPrompt, createReplica, createRequest } from './fixtures.js';
 
 /** Parameters of a simulated fleet. */
 export interface CrashFleetOptions {
@@ -75,10 +75,10 @@
  * that state rate limits.
  */
 export class CrashFleet {
-  /** Attempts of each request, by fingerprint. */
+  /** Attempts of each request, by fingerprint or the part that crashes replicas. */
   readonly sends = new Map<string, SentAttempt[]>();
 
-  /** Times of crashes caused by each request, by fingerprint. */
+  /** Times of crashes caused by each request, by the same. */
   readonly crashes = new Map<string, Milliseconds[]>();
 
   /** Fingerprints of requests that were rejected as quarantined. */
@@ -116,6 +116,9 @@
 
   private readonly fingerprints = new Map<string, string>();
 
+  /** What each request is counted under: the part that crashes replicas, or its fingerprint. */
+  private readonly subjects = new Map<string, string>();
+
   private readonly crashing = new Set<string>();
 
   private replicaCount = 0;
@@ -134,9 +137,14 @@
     return this.now;
   }
 
-  /** Marks a request that crashes each replica that runs it. */
-  setCrashing(fingerprint: string): void {
-    this.crashing.add(fingerprint);
+  /** Marks a request, or a part of prompts, that crashes each replica that runs it. */
+  setCrashing(name: string): void {
+    this.crashing.add(name);
+  }
+
+  /** Ends the fault of a request or a part: replicas can run it from now on. */
+  mend(name: string): void {
+    this.crashing.delete(name);
   }
 
   /** Sets the limit that a replica states in its responses; undefined for none. */
@@ -151,13 +159,17 @@
     }
   }
 
-  submit(daemon: number, id: string, fingerprint: string): void {
+  /** @param parts - IDs of the parts of its prompt; absent if it has no prompt */
+  submit(daemon: number, id: string, fingerprint: string, parts?: readonly string[]): void {
     this.fingerprints.set(id, fingerprint);
+    const guilty = parts?.slice(0, -1).find((part) => this.crashing.has(part));
+    this.subjects.set(id, guilty ?? fingerprint);
     const request = createRequest(id, {
       fingerprint,
       service: 'llm',
       maxAttempts: 2,
       deadline: 6_000,
+      prompt: parts === undefined ? undefined : createPrompt(parts.map((part) => [part, 50])),
     });
     this.members[daemon % this.members.length]!.harness.submit(request);
     this.performPendingEffects();
@@ -320,7 +332,7 @@
     { restarts, startedAt }: Member,
     daemon: number,
   ): void {
-    const fingerprint = this.fingerprints.get(id)!;
+    const fingerprint = this.subjects.get(id)!;
     const run = { daemon, restarts, id, attempt, fingerprint };
     if (!this.runningReplicas.has(replica.id)) {
       this.end(run, AttemptEnd.NotSent);
