Quarantine parts of prompts that crash replicas

Requests that caused it got 502 and came again, no two alike.

Cause: crashes were counted by one identity alone, the content of the whole request. Requests that merely share a part of their prompts were strangers to each other, and each began with a clean count. Class: a bound for "the same request" that requests meet which only share something.

Why it works: the part is in every crash that it causes, is never served, and so has the most crashes after a few; all else that was there is served at other times.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -169,6 +169,7 @@
       case 'crashed':
       case 'quarantined':
       case 'released':
+      case 'trial':
       case 'limited':
       case 'unlimited':
       case 'limit-refused':
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -25,7 +25,7 @@
   PlacementMessage,
   Prompt,
   PromptPart,
-  QuarantinedRequest,
+  QuarantinedContent,
   SharedAttempt,
   SharedLimit,
   PlacementUpdate,
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -1,5 +1,6 @@
 import type { RelayReplica } from '../config/RelayConfiguration.js';
 import type { PlacementEffect, PlacementMessage } from '../decide/messages.js';
+import { isPartFingerprint } from '../decide/quarantine/getFingerprints/getFingerprints.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import type { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
@@ -84,24 +85,30 @@
         const { replica, fingerprints } = effect;
         metrics.replicaCrashes.inc();
         const first = fingerprints.slice(0, MAX_LOGGED_FINGERPRINTS);
-        const requests = fingerprints.length;
-        log({ event: 'replica-crashed', replica, requests, fingerprints: first });
+        const suspects = fingerprints.length;
+        log({ event: 'replica-crashed', replica, suspects, fingerprints: first });
         break;
       }
       case 'quarantined': {
-        const { request, isOwn } = effect;
-        const { fingerprint, replicas } = request;
-        log({ event: 'request-quarantined', fingerprint, replicas, isOwn });
+        const { content, isOwn } = effect;
+        const { fingerprint, replicas } = content;
+        const event = isPartFingerprint(fingerprint) ? 'part-quarantined' : 'request-quarantined';
+        metrics.quarantines.inc();
+        log({ event, fingerprint, replicas, isOwn });
         if (isOwn) {
-          quarantineSync.save(request).catch((error: unknown) => {
+          quarantineSync.save(content).catch((error: unknown) => {
             log({ event: 'fault', step: 'save quarantine', error: String(error) });
           });
         }
         break;
       }
+      case 'trial':
+        log({ event: 'part-tried', fingerprint: effect.fingerprint });
+        break;
       case 'released': {
         const { fingerprint, isOwn } = effect;
-        log({ event: 'request-released', fingerprint, isOwn });
+        const event = isPartFingerprint(fingerprint) ? 'part-released' : 'request-released';
+        log({ event, fingerprint, isOwn });
         if (isOwn) {
           quarantineSync.remove(fingerprint).catch((error: unknown) => {
             log({ event: 'fault', step: 'remove quarantine', error: String(error) });
--- a/packages/relay/src/lib/daemon/QuarantineStore.ts
+++ b/packages/relay/src/lib/daemon/QuarantineStore.ts
@@ -1,4 +1,4 @@
-import type { QuarantinedRequest } from '../decide/messages.js';
+import type { QuarantinedContent } from '../decide/messages.js';
 
 /**
  * Persistent storage for quarantined requests, which survives restarts of the daemons.
@@ -7,9 +7,9 @@
  */
 export interface QuarantineStore {
   /** Writes an entry, replacing an existing one. @throws StepError */
-  add(request: QuarantinedRequest): Promise<void>;
+  add(request: QuarantinedContent): Promise<void>;
   /** Returns all entries, including expired ones, whose `remaining` is not positive. @throws StepError */
-  list(): Promise<QuarantinedRequest[]>;
+  list(): Promise<QuarantinedContent[]>;
   /** @throws StepError */
   remove(fingerprint: string): Promise<void>;
 }
--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
@@ -1,10 +1,10 @@
 import { ManualClock, createRandom } from '@apricotrill/utils';
-import type { PlacementMessage, QuarantinedRequest } from '../../decide/messages.js';
+import type { PlacementMessage, QuarantinedContent } from '../../decide/messages.js';
 import type { QuarantineStore } from '../QuarantineStore.js';
 import { QuarantineSync, syncOptions } from './QuarantineSync.js';
 
-const VALID: QuarantinedRequest = { fingerprint: 'a', remaining: 1_000, replicas: ['i-1'] };
-const EXPIRED: QuarantinedRequest = { fingerprint: 'b', remaining: 0, replicas: ['i-2'] };
+const VALID: QuarantinedContent = { fingerprint: 'a', remaining: 1_000, replicas: ['i-1'] };
+const EXPIRED: QuarantinedContent = { fingerprint: 'b', remaining: 0, replicas: ['i-2'] };
 
 function createSync(failures: number) {
   const clock = new ManualClock();
@@ -56,7 +56,7 @@
   it('loads valid entries and removes expired ones', async () => {
     const { sync, messages, entries } = createSync(0);
     await sync.load();
-    expect(messages).toEqual([{ kind: 'quarantine', requests: [VALID] }]);
+    expect(messages).toEqual([{ kind: 'quarantine', contents: [VALID] }]);
     expect([...entries.keys()]).toEqual(['a']);
   });
 
--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
-import type { PlacementMessage, QuarantinedRequest } from '../../decide/messages.js';
+import type { PlacementMessage, QuarantinedContent } from '../../decide/messages.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { QuarantineStore } from '../QuarantineStore.js';
 
@@ -22,14 +22,14 @@
 }
 
 /**
- * Writes quarantined requests to the store, and loads them at startup, so that they survive a
+ * Writes quarantined content to the store, and loads them at startup, so that they survive a
  * restart of all daemons.
  */
 export class QuarantineSync {
   private readonly timers = new Set<Timer>();
 
   /** Entries that this daemon has written, with the times at which they expire. */
-  private readonly saved = new Map<string, { request: QuarantinedRequest; until: Milliseconds }>();
+  private readonly saved = new Map<string, { content: QuarantinedContent; until: Milliseconds }>();
 
   private pendingWrites = 0;
 
@@ -40,27 +40,27 @@
   /** Loads the entries, retrying until the store responds, and removes expired ones. */
   async load(): Promise<void> {
     const { store, dispatch } = this.parts;
-    const requests = await this.retry('read quarantine', () => store.list());
-    if (requests === undefined) {
+    const contents = await this.retry('read quarantine', () => store.list());
+    if (contents === undefined) {
       return;
     }
-    const expired = requests.filter(({ remaining }) => remaining <= 0);
+    const expired = contents.filter(({ remaining }) => remaining <= 0);
     dispatch({
       kind: 'quarantine',
-      requests: requests.filter((request) => !expired.includes(request)),
+      contents: contents.filter((content) => !expired.includes(content)),
     });
     await Promise.all(expired.map(({ fingerprint }) => this.remove(fingerprint)));
   }
 
   /** Writes an entry, retrying until the store responds. */
-  async save(request: QuarantinedRequest): Promise<void> {
+  async save(content: QuarantinedContent): Promise<void> {
     if (this.pendingWrites >= syncOptions.maxPendingWrites) {
       return;
     }
-    const until = this.parts.clock.now() + request.remaining;
-    this.saved.set(request.fingerprint, { request, until });
+    const until = this.parts.clock.now() + content.remaining;
+    this.saved.set(content.fingerprint, { content, until });
     this.pendingWrites += 1;
-    await this.retry('write quarantine', () => this.parts.store.add(request));
+    await this.retry('write quarantine', () => this.parts.store.add(content));
     this.pendingWrites -= 1;
   }
 
@@ -72,7 +72,7 @@
     await Promise.all(
       entries
         .filter(([, { until }]) => until > now)
-        .map(([, { request, until }]) => this.save({ ...request, remaining: until - now })),
+        .map(([, { content, until }]) => this.save({ ...content, remaining: until - now })),
     );
   }
 
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -20,7 +20,7 @@
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { SlotShares } from '../fragility/SlotShares/SlotShares.js';
-import { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
+import { Admission, Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
@@ -34,6 +34,21 @@
   return mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
 }
 
+/** Returns why a request is not sent; undefined if it is. */
+function getRefusal(admission: Admission): GiveUpReason | undefined {
+  switch (admission) {
+    case Admission.Accepted:
+    case Admission.Trial:
+      return undefined;
+    case Admission.Quarantined:
+      return GiveUpReason.Quarantined;
+    case Admission.UnderReview:
+      return GiveUpReason.UnderReview;
+    default:
+      return admission satisfies never;
+  }
+}
+
 /** Dependencies of {@link PlacementCore}. */
 export interface PlacementCoreParts {
   clock: Clock;
@@ -79,7 +94,7 @@
 
   private readonly fleet = new Fleet();
 
-  /** Rejects requests that crash replicas. */
+  /** Rejects content that crashes replicas. */
   readonly quarantine: Quarantine;
 
   private readonly placing: Placing;
@@ -258,7 +273,7 @@
         this.waiting.drainAll();
         break;
       case 'quarantine':
-        this.quarantine.restore(message.requests);
+        this.quarantine.restore(message.contents);
         break;
       case 'leaving':
         if (this.recordLeaving(message.replica, message.source)) {
@@ -351,14 +366,13 @@
     record.setDeadlineTimer(
       this.clock.setTimer(request.deadline - now, () => this.handleDeadline(record)),
     );
-    if (this.quarantine.has(request.fingerprint)) {
-      this.giveUp(record, Outcome.NotRun, GiveUpReason.Quarantined);
-      return;
-    }
-    if (this.quarantine.isUnderReview(request.fingerprint)) {
-      this.giveUp(record, Outcome.NotRun, GiveUpReason.UnderReview);
+    const admission = this.quarantine.admit(record.fingerprints);
+    const refusal = getRefusal(admission);
+    if (refusal !== undefined) {
+      this.giveUp(record, Outcome.NotRun, refusal);
       return;
     }
+    record.isTrial = admission === Admission.Trial;
     if (service.getReplicasInService().length === 0) {
       this.giveUp(record, Outcome.NotRun, GiveUpReason.NoReplica);
       return;
@@ -423,17 +437,17 @@
 
   /** Updates the quarantine with the result of an attempt. */
   private updateQuarantine(
-    { request }: RequestRecord,
+    { fingerprints }: RequestRecord,
     { state }: RunningAttempt,
     end: AttemptEnd,
   ): void {
     switch (end) {
       case AttemptEnd.Completed:
       case AttemptEnd.Failed:
-        this.quarantine.recordServed(request.fingerprint);
+        this.quarantine.recordServed(fingerprints);
         break;
       case AttemptEnd.Broken:
-        this.quarantine.recordBrokenAttempt(state.replica, request.fingerprint);
+        this.quarantine.recordBrokenAttempt(state.replica, fingerprints);
         break;
       case AttemptEnd.Misdirected:
         this.quarantine.recordGone(state.replica.id);
@@ -462,7 +476,13 @@
     const service = this.registry.getService(record.request.service);
     const backoffEnd = service.getBackoffEnd();
     const mayPlace = backoffEnd === undefined || isOnTimeAt(record, backoffEnd);
-    if (this.quarantine.isUnderReview(record.request.fingerprint)) {
+    const hasResult = end !== AttemptEnd.Cancelled;
+    const isOpenTrial = record.isTrial && !hasResult;
+    if (step.isRetry && !this.quarantine.mayRepeat(record.fingerprints, isOpenTrial)) {
+      this.giveUp(record, getOutcome(record), GiveUpReason.Quarantined);
+      return;
+    }
+    if (this.quarantine.isUnderReview(record.fingerprints)) {
       this.giveUp(record, getOutcome(record), GiveUpReason.UnderReview);
       return;
     }
@@ -511,7 +531,8 @@
     const { id } = record.request;
     const isRetryable = outcome === Outcome.NotRun && reason !== GiveUpReason.Quarantined;
     const retryAfter = isRetryable ? this.getRetryAfter(record) : undefined;
-    this.emit({ kind: 'give-up', id, outcome, reason, retryAfter });
+    const [quarantined] = this.quarantine.findQuarantined(record.fingerprints);
+    this.emit({ kind: 'give-up', id, outcome, reason, retryAfter, quarantined });
   }
 
   private getRetryAfter({ request }: RequestRecord): Milliseconds {
@@ -523,10 +544,14 @@
     this.abort(record, CancelReason.Deadline, GiveUpReason.Deadline);
   }
 
-  /** Gives up all open requests with a fingerprint that has been quarantined. */
+  /**
+   * Gives up open requests with quarantined content. A response that has begun may go on: if the
+   * replica completes it, the content is not responsible.
+   */
   private rejectQuarantined(fingerprint: string): void {
     [...this.records.values()]
-      .filter(({ request }) => request.fingerprint === fingerprint)
+      .filter(({ fingerprints }) => fingerprints.includes(fingerprint))
+      .filter(({ running }) => running?.isResponding !== true)
       .forEach((record) => this.abort(record, CancelReason.Quarantined, GiveUpReason.Quarantined));
   }
 
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -64,7 +64,7 @@
     const { fleet, registry, quarantine } = this.parts;
     const { request } = record;
     const service = registry.getService(request.service);
-    const isSuspect = quarantine.isSuspect(request.fingerprint);
+    const isSuspect = quarantine.isSuspect(record.fingerprints);
     const isDelegable =
       service.getTotalLimit() !== undefined ||
       service.isFragile ||
@@ -132,9 +132,9 @@
     const { registry, clock, fleet, quarantine } = this.parts;
     const now = clock.now();
     const service = registry.getService(request.service);
-    if (quarantine.isSuspect(request.fingerprint)) {
+    if (quarantine.isSuspect(record.fingerprints)) {
       return quarantine.restrictCandidates(
-        request.fingerprint,
+        record.fingerprints,
         service.getCandidates(triedReplicas, now, softwareVersion),
       );
     }
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds, Timer } from '@apricotrill/utils';
 import { AttemptEnd } from './messages.js';
 import type { PlacementRequest, Prompt } from './messages.js';
+import { getFingerprints } from './quarantine/getFingerprints/getFingerprints.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
 /** Ends of attempts of which no byte reached the intended replica. */
@@ -69,6 +70,9 @@
   /** Placers that were queried for the next attempt. */
   readonly queriedPlacers = new Set<string>();
 
+  /** Whether it was let through to find out whether replicas can serve a quarantined part. */
+  isTrial = false;
+
   running: RunningAttempt | undefined;
 
   /** The software version that began its stream; undefined until a version has. */
@@ -78,7 +82,11 @@
 
   private silenceTimer: Timer | undefined;
 
+  /** Fingerprints of the content that may be responsible if a replica crashes with the request. */
+  readonly fingerprints: readonly string[];
+
   constructor(readonly request: PlacementRequest) {
+    this.fingerprints = getFingerprints(request);
     this.softwareVersion = request.softwareVersion;
   }
 
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -188,8 +188,9 @@
   duration: Milliseconds;
 }
 
-/** A request that is rejected because it crashes replicas. */
-export interface QuarantinedRequest {
+/** A request, or a part of prompts, that is rejected because it crashes replicas. */
+export interface QuarantinedContent {
+  /** Of the request or the part. */
   fingerprint: string;
   /** Time until it is accepted again. */
   remaining: Milliseconds;
@@ -250,11 +251,11 @@
   | { kind: 'reply'; response: PlacementResponse }
   /** An attempt at a replica broke, or a liveness check of the replica failed. */
   | { kind: 'attempt-broken'; replica: string }
-  /** Requests that were in flight at a replica when it crashed. */
+  /** Requests, and parts of their prompts, that were in flight at a replica when it crashed. */
   | { kind: 'crashed'; replica: string; fingerprints: string[] }
-  /** A request that was in flight at crashes has been served by a replica that kept running. */
+  /** Content that was in flight at crashes has been served by a replica that kept running. */
   | { kind: 'cleared'; fingerprint: string }
-  | { kind: 'quarantined'; requests: QuarantinedRequest[] }
+  | { kind: 'quarantined'; contents: QuarantinedContent[] }
   | { kind: 'limits'; limits: SharedLimit[] }
   | { kind: 'fragile'; replicas: SharedFragility[] }
   /** A fragile replica turned a request away. */
@@ -300,8 +301,8 @@
   /** Result of a liveness check. */
   | { kind: 'liveness-checked'; replica: string; isAlive: boolean }
   | { kind: 'probed'; replica: string; result: ProbeResult }
-  /** Quarantined requests read from the store. */
-  | { kind: 'quarantine'; requests: readonly QuarantinedRequest[] }
+  /** Quarantined content read from the store. */
+  | { kind: 'quarantine'; contents: readonly QuarantinedContent[] }
   /** A replica announces that it is about to leave; `source` names the response, for the log. */
   | { kind: 'leaving'; replica: string; source: string }
   /** A replica turned a request away and wants nothing from this daemon for `span`. */
@@ -323,6 +324,8 @@
       reason: GiveUpReason;
       /** When a retry makes sense; absent if it does not. */
       retryAfter?: Milliseconds;
+      /** Fingerprint of the quarantined content, if that is the reason. */
+      quarantined?: string;
     }
   /** The response of this attempt is final, even if it is a failure. */
   | { kind: 'settle'; id: string; attempt: number }
@@ -338,11 +341,13 @@
   | { kind: 'check-liveness'; replica: RelayReplica }
   /** Attempts at a replica failed: probe whether it or only the path to it is at fault. */
   | { kind: 'probe'; replica: RelayReplica }
-  /** A replica crashed while these requests of this daemon were in flight. */
+  /** A replica crashed while this content of this daemon's requests was in flight. */
   | { kind: 'crashed'; replica: string; fingerprints: readonly string[] }
-  /** A request has been quarantined; `isOwn` if this daemon reports it to the others. */
-  | { kind: 'quarantined'; request: QuarantinedRequest; isOwn: boolean }
-  /** A replica served a quarantined request, which ends its quarantine; `isOwn` as above. */
+  /** Content has been quarantined; `isOwn` if this daemon reports it to the others. */
+  | { kind: 'quarantined'; content: QuarantinedContent; isOwn: boolean }
+  /** A request with a quarantined part is let through, to find out whether replicas can serve it. */
+  | { kind: 'trial'; fingerprint: string }
+  /** The quarantine of content ends before its term; `isOwn` as above. */
   | { kind: 'released'; fingerprint: string; isOwn: boolean }
   /** The limit of a replica, in requests per second, is new or has changed. */
   | { kind: 'limited'; replica: string; perSecond: number; previous: number | undefined }
--- a/packages/relay/src/lib/decide/quarantine/CrashLedger/CrashLedger.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/CrashLedger/CrashLedger.test.ts
@@ -92,10 +92,10 @@
 
   it('stays within its limits with many crashes and requests', () => {
     const { clock, ledger } = create();
-    const { maxCrashes, maxRequestsPerCrash } = quarantineOptions;
+    const { maxCrashes, maxFingerprintsPerCrash } = quarantineOptions;
     for (let index = 0; index < maxCrashes * 3; index += 1) {
       const others = Array.from(
-        { length: maxRequestsPerCrash },
+        { length: maxFingerprintsPerCrash },
         (_item, item) => `${index}-${item}`,
       );
       crash(ledger, clock, [['crashing', ...others]]);
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
@@ -35,9 +35,10 @@
       outcome: Outcome.NotRun,
       reason: GiveUpReason.Quarantined,
       retryAfter: undefined,
+      quarantined: 'crashing',
     });
     expect(harness.getEffects('quarantined')).toMatchObject([
-      { request: { fingerprint: 'crashing' }, isOwn: true },
+      { content: { fingerprint: 'crashing' }, isOwn: true },
     ]);
     harness.submit(createRequest('other'));
     expect(harness.getAttemptedReplicas('other')).toHaveLength(1);
@@ -104,7 +105,7 @@
       { kind: 'released', fingerprint: 'crashing', isOwn: true },
     ]);
     const request = { fingerprint: 'crashing', remaining: 60_000, replicas: [] };
-    const update = { kind: 'quarantined' as const, requests: [request] };
+    const update = { kind: 'quarantined' as const, contents: [request] };
     harness.core.handle({ kind: 'peer-update', peer: 'd-2', update });
     expect(harness.core.quarantine.size).toBe(0);
     expect(harness.getEffects('share').at(-1)).toEqual({
@@ -231,7 +232,7 @@
       remaining: 1_000 + index,
       replicas: [],
     }));
-    harness.core.handle({ kind: 'quarantine', requests });
+    harness.core.handle({ kind: 'quarantine', contents: requests });
     expect(harness.core.quarantine.size).toBe(quarantineOptions.maxEntries);
     expect(harness.core.quarantine.has(`f-${requests.length - 1}`)).toBe(true);
   });
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -126,9 +126,15 @@
   | { event: 'replica-suspect'; replica: string; service: string; reason: string }
   | { event: 'replica-trusted'; replica: string; service: string }
   | { event: 'replica-avoided'; replica: string; service: string; span: Milliseconds }
-  | { event: 'replica-crashed'; replica: string; requests: number; fingerprints: readonly string[] }
-  | { event: 'request-quarantined'; fingerprint: string; replicas: string[]; isOwn: boolean }
-  | { event: 'request-released'; fingerprint: string; isOwn: boolean }
+  | { event: 'replica-crashed'; replica: string; suspects: number; fingerprints: readonly string[] }
+  | {
+      event: 'request-quarantined' | 'part-quarantined';
+      fingerprint: string;
+      replicas: string[];
+      isOwn: boolean;
+    }
+  | { event: 'request-released' | 'part-released'; fingerprint: string; isOwn: boolean }
+  | { event: 'part-tried'; fingerprint: string }
   | {
       event: 'replica-limited';
       replica: string;
@@ -202,6 +208,8 @@
       reason: GiveUpReason;
       status: number;
       retryAfter: Milliseconds | undefined;
+      /** ID of the quarantined part of its prompt. */
+      part: string | undefined;
       after: Milliseconds;
     }
   | { event: 'versions-mixed'; service: string; versions: string[]; streams: number }
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -104,6 +104,12 @@
     registers: [this.registry],
   });
 
+  readonly quarantines = new Counter({
+    name: 'apricotrill_relay_quarantines_total',
+    help: 'Requests and parts of prompts that were quarantined because they crash replicas.',
+    registers: [this.registry],
+  });
+
   readonly connectionsOpened = new Counter({
     name: 'apricotrill_relay_upstream_connections_opened_total',
     help: 'Connections opened to replicas, by service.',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -66,11 +66,17 @@
   'replica-avoided':
     'three attempts of any daemons at a replica broke; it receives no requests for the given time while others are available',
   'replica-crashed':
-    'a replica crashed; includes the number of requests of this daemon in flight there, and the first fingerprints',
+    'a replica crashed; includes how many requests and parts of prompts were in flight there for this daemon without having been served recently, and their first fingerprints',
   'request-quarantined':
     'a request is quarantined because it crashed replicas; includes their IDs, and whether this daemon reports it to the others',
   'request-released':
-    'a quarantined request is accepted again because a replica served it; includes whether this daemon had reported it',
+    'a quarantined request is accepted again because a replica served it, or a part explains its crashes; includes whether this daemon had reported it',
+  'part-quarantined':
+    'all requests with a part in their prompts are rejected because it crashed replicas; includes the IDs of the replicas, and whether this daemon reports it to the others; `given-up` names the ID of the part',
+  'part-tried':
+    'one request with a quarantined part is let through, to find out whether replicas can serve it',
+  'part-released':
+    'requests with a quarantined part are accepted again because a replica served one; includes whether this daemon had reported it',
   'replica-limited':
     'a replica states a limit on requests per second from all daemons together; from now on, a single daemon places its requests',
   'replica-unlimited': 'a replica no longer states a limit',
@@ -99,7 +105,7 @@
     'an attempt ended; includes how, what determined the end of the response, and the bytes after the last complete event of a stream',
   cancelled: 'the daemon cancelled an attempt; includes the reason',
   'given-up':
-    "a request failed without a replica's response; includes the outcome, the reason and the status sent to the caller",
+    "a request failed without a replica's response; includes the outcome, the reason, the status sent to the caller, and the quarantined part of its prompt",
   'versions-mixed':
     'streams of a service that can be resumed may be of several software versions from now on; includes how many streams other daemons were told of',
   'stream-returned':
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -1,7 +1,7 @@
 import { AttemptEnd } from '../../decide/messages.js';
 import type {
   PlacementQuery,
-  QuarantinedRequest,
+  QuarantinedContent,
   SharedAttempt,
   SharedLimit,
   PlacementUpdate,
@@ -83,7 +83,7 @@
         { kind: 'backoffs', backoffs: [{ replica: 'i-1', remaining: 2_500 }] },
         {
           kind: 'quarantined',
-          requests: [{ fingerprint: 'b', remaining: 900_000, replicas: ['i-1', 'i-2'] }],
+          contents: [{ fingerprint: 'b', remaining: 900_000, replicas: ['i-1', 'i-2'] }],
         },
         {
           kind: 'attempt-list',
@@ -104,7 +104,7 @@
   });
 
   it('fits crashes and quarantined requests into one unfragmented packet', () => {
-    const fingerprint = 'k2h5-9sZ_q0WcV3b';
+    const fingerprint = 'part:k2h5-9sZ_q0WcV3b';
     const fingerprints = Array<string>(quarantineOptions.maxFingerprintsPerDatagram).fill(
       fingerprint,
     );
@@ -112,7 +112,7 @@
       'i-c5d157d853@1764763200000',
     );
     const request = { fingerprint, remaining: quarantineOptions.duration, replicas };
-    const requests = Array<QuarantinedRequest>(quarantineOptions.maxRequestsPerDatagram).fill(
+    const requests = Array<QuarantinedContent>(quarantineOptions.maxEntriesPerDatagram).fill(
       request,
     );
     const limit = { replica: 'i-c5d157d853@1764763200000', perSecond: 12.75, age: 10_000 };
@@ -121,7 +121,7 @@
     const backoffs = leaving.map((replica) => ({ replica, remaining: backoffOptions.maxSpan }));
     const updates: PlacementUpdate[] = [
       { kind: 'crashed', replica: 'i-c5d157d853@1764763200000', fingerprints },
-      { kind: 'quarantined', requests },
+      { kind: 'quarantined', contents: requests },
       { kind: 'limits', limits },
       { kind: 'leaving', replicas: leaving },
       { kind: 'backoffs', backoffs },
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -290,7 +290,7 @@
     case 'quarantined':
       return [
         'x',
-        update.requests.map(({ fingerprint, remaining, replicas }) => [
+        update.contents.map(({ fingerprint, remaining, replicas }) => [
           fingerprint,
           Math.round(remaining),
           replicas,
@@ -371,7 +371,7 @@
     case 'x':
       return {
         kind: 'quarantined',
-        requests: encoded[1].map(([fingerprint, remaining, replicas]) => ({
+        contents: encoded[1].map(([fingerprint, remaining, replicas]) => ({
           fingerprint,
           remaining,
           replicas,
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -16,6 +16,7 @@
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
 import type { ResponseHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 import { CallerResponse, ResponseEnd } from './CallerResponse.js';
+import { findQuarantinedPart } from './findQuarantinedPart.js';
 import { ResponseReader } from './ResponseReader.js';
 import type { ResponseListener, AttemptResult, BufferedResponse } from './ResponseReader.js';
 import type { ReceivedRequest } from './ReceivedRequest.js';
@@ -206,17 +207,19 @@
   }
 
   /** Responds with an error, which states whether the request may have run. */
-  giveUp({ outcome, reason, retryAfter }: GiveUpEffect): void {
+  giveUp({ outcome, reason, retryAfter, quarantined }: GiveUpEffect): void {
     const { clock, log, request, response } = this.parts;
     const status = this.getStatus(outcome, reason);
     const after = clock.now() - request.arrivedAt;
-    log({ event: 'given-up', id: request.id, outcome, reason, status, retryAfter, after });
+    const part = findQuarantinedPart(request, quarantined);
+    log({ event: 'given-up', id: request.id, outcome, reason, status, retryAfter, part, after });
     this.finish(outcome, reason);
     if (this.callerResponse.isStarted) {
       this.callerResponse.breakOff();
       return;
     }
-    writeErrorResponse(response, { status, reason, outcome, retryAfter });
+    const detail = part === undefined ? undefined : `part ${part} of the prompt crashes replicas`;
+    writeErrorResponse(response, { status, reason, outcome, retryAfter, detail });
   }
 
   // eslint-disable-next-line class-methods-use-this
--- a/packages/relay/src/lib/request/writeErrorResponse.ts
+++ b/packages/relay/src/lib/request/writeErrorResponse.ts
@@ -8,14 +8,16 @@
   reason: string;
   outcome: Outcome;
   retryAfter?: Milliseconds;
+  /** Explains the reason for this request. */
+  detail?: string;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Writes an error response as problem details (RFC 9457), with `Retry-After` if it is known. */
 export function writeErrorResponse(response: ServerResponse, error: ErrorResponse): void {
-  const { status, reason, outcome, retryAfter } = error;
-  const body = JSON.stringify({ type: 'about:blank', status, title: reason, outcome });
+  const { status, reason, outcome, retryAfter, detail } = error;
+  const body = JSON.stringify({ type: 'about:blank', status, title: reason, detail, outcome });
   response.statusCode = status;
   response.setHeader('content-type', 'application/problem+json');
   response.setHeader('content-length', Buffer.byteLength(body));
--- a/packages/relay/src/test/CrashFleet.ts
+++ b/packages/relay/src/test/CrashFleet.ts
@@ -4,7 +4,7 @@
 import { AttemptEnd, GiveUpReason, ProbeResult } from '../lib/decide/messages.js';
 import type {
   PlacementEffect,
-  QuarantinedRequest,
+  QuarantinedContent,
   SharedAttempt,
   PlacementUpdate,
 } from '../lib/decide/messages.js';
@@ -112,7 +112,7 @@
 
   private readonly scheduled: { at: Milliseconds; act: () => void }[] = [];
 
-  private readonly stored = new Map<string, QuarantinedRequest>();
+  private readonly stored = new Map<string, QuarantinedContent>();
 
   private readonly fingerprints = new Map<string, string>();
 
@@ -199,8 +199,8 @@
       );
     });
     this.members[index] = this.createMember(index, before.restarts + 1);
-    const requests = [...this.stored.values()];
-    this.members[index].harness.core.handle({ kind: 'quarantine', requests });
+    const contents = [...this.stored.values()];
+    this.members[index].harness.core.handle({ kind: 'quarantine', contents });
   }
 
   advance(span: Milliseconds): void {
@@ -319,7 +319,12 @@
       }
       case 'quarantined':
         if (effect.isOwn) {
-          this.stored.set(effect.request.fingerprint, effect.request);
+          this.stored.set(effect.content.fingerprint, effect.content);
+        }
+        break;
+      case 'released':
+        if (effect.isOwn) {
+          this.stored.delete(effect.fingerprint);
         }
         break;
       default:
