--- a/packages/relay/src/lib/decide/quarantine/CrashLedger/CrashLedger.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/CrashLedger/CrashLedger.test.ts
@@ -90,6 +90,58 @@
     expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
   });
 
+  it('finds a part that different requests share', () => {
+    const { clock, ledger } = create();
+    crash(ledger, clock, [
+      ['part:bad', 'a', 'part:x'],
+      ['part:bad', 'b'],
+      ['part:bad', 'c', 'part:y'],
+    ]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual(['part:bad']);
+  });
+
+  it('prefers a request to a part of its prompt', () => {
+    const { clock, ledger } = create();
+    const both = ['part:a', 'crashing'];
+    crash(ledger, clock, [both, both, both]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual(['crashing']);
+  });
+
+  // Guards against a quarantined request that hides the crashes of the part that is responsible.
+  it('finds a part that explains the crashes of a quarantined request and another one', () => {
+    const { clock, ledger } = create();
+    const both = ['part:bad', 'a'];
+    crash(ledger, clock, [both, both, both, ['part:bad', 'b']]);
+    const isQuarantined = (fingerprint: string) => fingerprint === 'a';
+    expect(ledger.findResponsible(isQuarantined)).toEqual(['part:bad']);
+    expect(ledger.isExplainedBy('a', 'part:bad')).toBe(true);
+    expect(ledger.isExplainedBy('part:bad', 'a')).toBe(false);
+  });
+
+  it('needs further crashes to distinguish two parts, up to a limit', () => {
+    const { clock, ledger } = create();
+    const both = ['part:bad', 'part:a'];
+    for (let count = 1; count < quarantineOptions.distinctThreshold; count += 1) {
+      crash(ledger, clock, [both]);
+      expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
+    }
+    crash(ledger, clock, [both]);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toHaveLength(1);
+  });
+
+  // Guards against a verdict on a part of most prompts when power is lost at many replicas.
+  it('counts crashes of a part at the same moment once', () => {
+    const { clock, ledger } = create();
+    for (let failure = 0; failure < 2; failure += 1) {
+      for (let index = 0; index < 4; index += 1) {
+        ledger.add(`i-${failure}-${index}`, ['part:common', `f-${failure}-${index}`]);
+      }
+      clock.advance(30_000);
+    }
+    expect(ledger.getReplicas('part:common')).toHaveLength(8);
+    expect(ledger.findResponsible(NONE_QUARANTINED)).toEqual([]);
+  });
+
   it('stays within its limits with many crashes and requests', () => {
     const { clock, ledger } = create();
     const { maxCrashes, maxFingerprintsPerCrash } = quarantineOptions;
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
@@ -1,6 +1,12 @@
 import { CoreHarness } from '../../../../test/CoreHarness.js';
-import { createReplica, createRequest, createService } from '../../../../test/fixtures.js';
+import {
+  createPrompt,
+  createReplica,
+  createRequest,
+  createService,
+} from '../../../../test/fixtures.js';
 import { AttemptEnd, CancelReason, GiveUpReason, Outcome, ProbeResult } from '../../messages.js';
+import { getPartFingerprint } from '../getFingerprints/getFingerprints.js';
 import { quarantineOptions } from '../quarantineOptions.js';
 
 const REPLICAS = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'].map((id) => createReplica(id));
@@ -23,6 +29,25 @@
   harness.clock.advance(quarantineOptions.evaluationDelay);
 }
 
+/** Submits a request with a prompt and crashes its replica. */
+function crashPrompt(harness: CoreHarness, id: string, parts: string[]): void {
+  const prompt = createPrompt(parts.map((part) => [part, 10]));
+  harness.submit(createRequest(id, { prompt, maxAttempts: 1 }));
+  const [replica] = harness.getAttemptedReplicas(id);
+  harness.end(id, 1, AttemptEnd.Broken);
+  harness.core.handle({ kind: 'probed', replica: replica!, result: ProbeResult.Down });
+  harness.clock.advance(quarantineOptions.simultaneousWindow);
+}
+
+function submitPrompt(harness: CoreHarness, id: string, parts: string[]): void {
+  harness.submit(createRequest(id, { prompt: createPrompt(parts.map((part) => [part, 10])) }));
+}
+
+function quarantinePart(harness: CoreHarness): void {
+  ['a', 'b', 'c', 'd'].forEach((id) => crashPrompt(harness, id, ['common', 'bad', id]));
+  harness.clock.advance(quarantineOptions.maxEvaluationDelay);
+}
+
 describe('Quarantine', () => {
   it('rejects a request after three crashes, with outcome not-run and without retry-after', () => {
     const harness = create();
@@ -225,6 +250,69 @@
     expect(shared).toContainEqual({ kind: 'cleared', fingerprint: 'common' });
   });
 
+  it('rejects different requests with a part that crashes replicas, and serves others', () => {
+    const harness = create();
+    submitPrompt(harness, 'served', ['common', 'good', 's']);
+    harness.end('served', 1, AttemptEnd.Completed);
+    quarantinePart(harness);
+    submitPrompt(harness, 'e', ['bad', 'other', 'e']);
+    expect(harness.getAttemptedReplicas('e')).toEqual([]);
+    expect(harness.getEffects('give-up').at(-1)).toMatchObject({
+      outcome: Outcome.NotRun,
+      reason: GiveUpReason.Quarantined,
+      quarantined: getPartFingerprint('app', { id: 'bad', tokens: 10 }),
+    });
+    submitPrompt(harness, 'f', ['common', 'good', 'f']);
+    // The last part of a prompt is not shared.
+    submitPrompt(harness, 'g', ['common', 'bad']);
+    expect(['f', 'g'].flatMap((id) => harness.getAttemptedReplicas(id))).toHaveLength(2);
+  });
+
+  // Guards against a response that proves a part sound and is cut when the part is quarantined.
+  it('lets a response go on that has begun, and releases the part when it is complete', () => {
+    const harness = create();
+    submitPrompt(harness, 'early', ['common', 'bad', 'early']);
+    harness.core.handle({ kind: 'first-byte-received', id: 'early', attempt: 1 });
+    // Refutes that the other part is responsible.
+    submitPrompt(harness, 'served', ['common', 'good', 's']);
+    harness.end('served', 1, AttemptEnd.Completed);
+    quarantinePart(harness);
+    expect(harness.core.quarantine.size).toBe(1);
+    expect(harness.getEffects('cancel')).toEqual([]);
+    harness.end('early', 1, AttemptEnd.Completed);
+    expect(harness.core.quarantine.size).toBe(0);
+  });
+
+  // Guards against a sound part that stays quarantined, since nothing with it is served any more.
+  it('lets one request through as a trial, and releases the part if it is served', () => {
+    const harness = create();
+    submitPrompt(harness, 'served', ['common', 'good', 's']);
+    harness.end('served', 1, AttemptEnd.Completed);
+    quarantinePart(harness);
+    harness.clock.advance(quarantineOptions.trialDelay);
+    submitPrompt(harness, 'trial', ['common', 'bad', 't']);
+    submitPrompt(harness, 'next', ['common', 'bad', 'n']);
+    expect(harness.getAttemptedReplicas('trial')).toHaveLength(1);
+    expect(harness.getAttemptedReplicas('next')).toEqual([]);
+    harness.end('trial', 1, AttemptEnd.Completed);
+    submitPrompt(harness, 'last', ['common', 'bad', 'l']);
+    expect(harness.getAttemptedReplicas('last')).toHaveLength(1);
+  });
+
+  it('keeps the part without further trials if the trial crashes its replica', () => {
+    const harness = create();
+    submitPrompt(harness, 'served', ['common', 'good', 's']);
+    harness.end('served', 1, AttemptEnd.Completed);
+    quarantinePart(harness);
+    harness.clock.advance(quarantineOptions.trialDelay);
+    crashPrompt(harness, 'trial', ['common', 'bad', 't']);
+    for (let index = 0; index < 5; index += 1) {
+      harness.clock.advance(quarantineOptions.trialDelay);
+      submitPrompt(harness, `late-${index}`, ['common', 'bad', `l-${index}`]);
+      expect(harness.getAttemptedReplicas(`late-${index}`)).toEqual([]);
+    }
+  });
+
   it('stays within its limit of quarantined requests', () => {
     const harness = create();
     const requests = Array.from({ length: quarantineOptions.maxEntries * 2 }, (_item, index) => ({
