Let operators release quarantined content

A part of prompts that is mended, or was quarantined by mistake, was rejected for up to 15 minutes unless its trial freed it: operators could delete the entry in the store, but running daemons did not notice. Now they set `expiresAt` of the entry to 0 and send SIGHUP to any daemon: it releases the content, tells the others, and removes the entry. An entry that is merely missing releases nothing, since a store may come back from an older copy. Tests: QuarantineSync (entries that were ended), Quarantine (the others are told).

--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.test.ts
@@ -60,6 +60,13 @@
     expect([...entries.keys()]).toEqual(['a']);
   });
 
+  it('releases entries whose term was ended in the store, and removes them', async () => {
+    const { sync, messages, entries } = createSync(0);
+    await sync.release();
+    expect(messages).toEqual([{ kind: 'release', fingerprint: 'b' }]);
+    expect([...entries.keys()]).toEqual(['a']);
+  });
+
   // Guards against losing entries with a store that came back from an older copy.
   it('writes its entries again with the time that is left, and not those that are over', async () => {
     const { sync, clock, entries } = createSync(0);
--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
@@ -52,6 +52,15 @@
     await Promise.all(expired.map(({ fingerprint }) => this.remove(fingerprint)));
   }
 
+  /** Releases entries whose term an operator has ended in the store. */
+  async release(): Promise<void> {
+    const { store, dispatch } = this.parts;
+    const contents = await this.retry('read quarantine', () => store.list());
+    const ended = contents?.filter(({ remaining }) => remaining <= 0) ?? [];
+    ended.forEach(({ fingerprint }) => dispatch({ kind: 'release', fingerprint }));
+    await Promise.all(ended.map(({ fingerprint }) => this.remove(fingerprint)));
+  }
+
   /** Writes an entry, retrying until the store responds. */
   async save(content: QuarantinedContent): Promise<void> {
     if (this.pendingWrites >= syncOptions.maxPendingWrites) {
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -287,6 +287,9 @@
    * @returns the names of the settings that changed
    */
   reload(settings: RelaySettings): string[] {
+    this.quarantineSync.release().catch((error: unknown) => {
+      this.parts.log({ event: 'fault', step: 'release quarantined content', error: String(error) });
+    });
     const names = Object.keys(settings) as (keyof RelaySettings)[];
     const changed = names.filter(
       (name) => JSON.stringify(settings[name]) !== JSON.stringify(this.settings[name]),
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -183,6 +183,7 @@
       fleet,
       registry,
       placing: this.placing,
+      countInFlight: (daemon, service) => this.countInFlight(daemon, service),
       giveUp: (record, reason) => this.giveUp(record, getOutcome(record), reason),
     });
     const { quarantine, peerAttempts, placer, placing, waiting } = this;
@@ -275,6 +276,9 @@
       case 'quarantine':
         this.quarantine.restore(message.contents);
         break;
+      case 'release':
+        this.quarantine.release(message.fingerprint);
+        break;
       case 'leaving':
         if (this.recordLeaving(message.replica, message.source)) {
           this.emit({ kind: 'share', update: { kind: 'leaving', replicas: [message.replica] } });
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -303,6 +303,8 @@
   | { kind: 'probed'; replica: string; result: ProbeResult }
   /** Quarantined content read from the store. */
   | { kind: 'quarantine'; contents: readonly QuarantinedContent[] }
+  /** An operator has released quarantined content. */
+  | { kind: 'release'; fingerprint: string }
   /** A replica announces that it is about to leave; `source` names the response, for the log. */
   | { kind: 'leaving'; replica: string; source: string }
   /** A replica turned a request away and wants nothing from this daemon for `span`. */
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.test.ts
@@ -299,6 +299,18 @@
     expect(harness.getAttemptedReplicas('last')).toHaveLength(1);
   });
 
+  it('releases a part at all daemons when an operator does', () => {
+    const harness = create();
+    submitPrompt(harness, 'served', ['common', 'good', 's']);
+    harness.end('served', 1, AttemptEnd.Completed);
+    quarantinePart(harness);
+    const fingerprint = getPartFingerprint('app', { id: 'bad', tokens: 10 });
+    harness.core.handle({ kind: 'release', fingerprint });
+    expect(harness.getEffects('share').at(-1)?.update).toEqual({ kind: 'cleared', fingerprint });
+    submitPrompt(harness, 'next', ['common', 'bad', 'n']);
+    expect(harness.getAttemptedReplicas('next')).toHaveLength(1);
+  });
+
   it('keeps the part without further trials if the trial crashes its replica', () => {
     const harness = create();
     submitPrompt(harness, 'served', ['common', 'good', 's']);
--- a/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
+++ b/packages/relay/src/lib/decide/quarantine/Quarantine/Quarantine.ts
@@ -211,6 +211,12 @@
     this.addReported(contents, EntryOrigin.Restored);
   }
 
+  /** Releases content, and tells the other daemons. */
+  release(fingerprint: string): void {
+    this.clear(fingerprint);
+    this.exchange.shareCleared(fingerprint);
+  }
+
   /** Returns what each regular message repeats, since datagrams can be lost. */
   getPeriodicUpdates(): PlacementUpdate[] {
     const contents = this.entries.takeRepeated();
