Let requests wait at the daemon that most callers are connected to

Where replicas state limits or are fragile, each daemon let one of n parts of the allowed requests wait, and rejected the rest as overload. A load balancer that hands most new connections to one daemon leaves the parts of the others unused while that one rejects: of 20 requests that may wait for two limited replicas, one of eight daemons rejected 17 although the others had none (test, red before). The share now follows demand: the daemon's part of the attempts in flight and waiting, at least an even part. Daemons of large fleets don't know each other's demand and keep even parts. Also looked at: connections to a replica (even parts of seven tenths: 43 of 500 at eight daemons for each of eight engines, more than a favorite needs there), slack of the retry budget (the ratio follows demand).

--- a/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -17,6 +17,8 @@
   fleet: Fleet;
   registry: ReplicaRegistry;
   placing: Pick<Placing, 'place' | 'placeLocally'>;
+  /** Number of attempts that a daemon has in flight at a service. */
+  countInFlight: (daemon: string, service: string) => number;
   giveUp: (record: RequestRecord, reason: GiveUpReason) => void;
 }
 
@@ -114,18 +116,36 @@
    * least urgent beyond the bound and schedules a retry for the others.
    */
   private rejectExcessAndScheduleRetry(service: ServiceState): void {
-    const { fleet, giveUp } = this.parts;
+    const { giveUp } = this.parts;
     const room = WaitingRequests.getRoom(service);
     if (room === undefined) {
       return;
     }
-    const maxWaiting = Math.max(1, Math.ceil(room / Math.max(1, fleet.members.length)));
+    const maxWaiting = Math.max(1, Math.ceil(room * this.getShare(service)));
     while (service.waiting.size > maxWaiting) {
       giveUp(service.waiting.last!, GiveUpReason.Overload);
     }
     this.scheduleRetry(service, limitOptions.retryPeriod);
   }
 
+  /**
+   * This daemon's share of the requests that may wait for a service. It follows demand, since a load
+   * balancer may hand most callers to one daemon. The daemons of a large fleet do not know each
+   * other's demand.
+   */
+  private getShare(service: ServiceState): number {
+    const { fleet, countInFlight } = this.parts;
+    const evenShare = 1 / Math.max(1, fleet.members.length);
+    if (fleet.isLarge) {
+      return evenShare;
+    }
+    const own = service.ownInFlight + service.waiting.size;
+    const others = fleet.members
+      .filter((daemon) => daemon !== fleet.self)
+      .reduce((sum, daemon) => sum + countInFlight(daemon, service.name), 0);
+    return own === 0 ? evenShare : Math.max(evenShare, own / (own + others));
+  }
+
   /** Requests of all daemons that may wait for a service; undefined if there is no bound. */
   private static getRoom(service: ServiceState): number | undefined {
     const limit = service.getTotalLimit();
--- a/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.test.ts
+++ b/packages/relay/src/lib/decide/limits/ReplicaLimits/ReplicaLimits.test.ts
@@ -160,4 +160,18 @@
     expect(harness.getAttemptedReplicas('urgent-1')).toHaveLength(1);
     expect(harness.getAttemptedReplicas('urgent-2')).toHaveLength(1);
   });
+
+  // Guards against rejections at the one daemon that most callers are connected to.
+  it('lets as many requests wait at one of several daemons as the others leave room for', () => {
+    const harness = createHarness();
+    const daemons = Array.from({ length: 8 }, (_item, index) => `d-${index}`);
+    harness.core.handle({ kind: 'fleet', self: 'd-0', daemons });
+    const perSecond = 10;
+    REPLICAS.forEach(({ id }) => stateLimit(harness, id, perSecond));
+    const room = (REPLICAS.length * perSecond * limitOptions.maxWait) / 1_000;
+    for (let index = 0; index < room; index += 1) {
+      harness.submit(createRequest(`r-${index}`));
+    }
+    expect(harness.getEffects('give-up')).toEqual([]);
+  });
 });
