Model: engines that crash on a prompt part, and a balancer that prefers one daemon

The fleet simulation runs the placement core of production; its engines can crash as they begin a response to a prompt with a given part and come back under another ID, and its calls can be handed to one daemon for a while.

--- a/packages/experiment/src/lib/relay/EngineSimulation.ts
+++ b/packages/experiment/src/lib/relay/EngineSimulation.ts
@@ -63,6 +63,9 @@
   /** Whether it states in its responses that it is about to leave. */
   isLeaving = false;
 
+  /** Called with the prompt when a response begins. @returns whether the engine crashes on it */
+  crashesOn: (prompt: Prompt) => boolean = () => false;
+
   /** The requests that reached it, with the daemon that sent them and the time of their submission. */
   readonly arrivals: { at: Milliseconds; daemon: string; submittedAt: Milliseconds }[] = [];
 
@@ -257,6 +260,9 @@
     if (!this.running.includes(request)) {
       return;
     }
+    if (request.generated === 0 && this.crashesOn(request.prompt)) {
+      return;
+    }
     if (request.generated === 0) {
       this.cache.recordComputed(request.prompt, this.clock.now());
     }
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from '@apricotrill/utils';
+import { ManualClock, createRandom } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import { PlacementCore } from '@apricotrill/relay';
 import type {
@@ -15,6 +15,7 @@
 import type { EngineCounts } from './EngineSimulation.js';
 import type { RelayDeployment } from './RelayDeployment.js';
 import type { SimulatedCall } from './SimulatedCall.js';
+import { createCrashingCalls, hasCrashingPart } from './createCrashingCalls.js';
 import { createSimulatedCalls } from './createSimulatedCalls.js';
 
 /** Cache events reach the daemons in batches, one per interval. */
@@ -113,6 +114,12 @@
 
   private crossZoneTokens = 0;
 
+  /** Times at which engines crashed on a part of a prompt. */
+  readonly crashTimes: Milliseconds[] = [];
+
+  /** Times at which calls with that part were sent to engines. */
+  readonly crashingSends: Milliseconds[] = [];
+
   /** Number of updates between daemons, by kind. */
   readonly sentUpdates = new Map<PlacementUpdate['kind'], number>();
 
@@ -126,7 +133,7 @@
 
   run(): FleetResult {
     this.createFleet();
-    const calls = createSimulatedCalls(this.deployment, this.seed);
+    const calls = this.createCalls();
     calls.forEach((call) => {
       this.clock.setTimer(call.arrivedAt, () => this.daemons[call.daemon]!.submit(call));
     });
@@ -149,15 +156,44 @@
     return { calls, counts: totals, crossZoneTokens: this.crossZoneTokens };
   }
 
+  private createCalls(): SimulatedCall[] {
+    const { crashingPart, preference } = this.deployment;
+    const sound = createSimulatedCalls(this.deployment, this.seed);
+    const crashing =
+      crashingPart === undefined ? [] : createCrashingCalls(crashingPart, this.deployment, sound);
+    const calls = [...sound, ...crashing];
+    if (preference === undefined) {
+      return calls;
+    }
+    const { startsAt, duration, share, daemon } = preference;
+    const random = createRandom(this.seed + 1);
+    return calls.map((call) => {
+      const isPreferred = random.next() < share;
+      const isDuring = call.arrivedAt >= startsAt && call.arrivedAt < startsAt + duration;
+      return isPreferred && isDuring ? Object.assign(call, { daemon }) : call;
+    });
+  }
+
   private createFleet(): void {
     const { deployment, clock } = this;
     const { engines: parameters, engineSlowdowns, applications, availabilityZones } = deployment;
     const replicas = createReplicas(deployment);
     replicas.engines(parameters.slots).forEach((replica, index) => {
       this.replicas.set(replica.id, replica);
-      const onChange = (change: CacheChange) => this.recordCacheChange(replica.id, change);
       const slowdown = engineSlowdowns[index]!;
-      this.engines.set(replica.id, new EngineSimulation(clock, parameters, slowdown, onChange));
+      let current = replica;
+      const onChange = (change: CacheChange) => this.recordCacheChange(current.id, change);
+      const engine = new EngineSimulation(clock, parameters, slowdown, onChange);
+      engine.crashesOn = (prompt) => {
+        if (!hasCrashingPart({ prompt })) {
+          return false;
+        }
+        this.crashOnPart(current, (successor) => {
+          current = successor;
+        });
+        return true;
+      };
+      this.engines.set(replica.id, engine);
     });
     replicas.applications.forEach((replica) => {
       this.replicas.set(replica.id, replica);
@@ -210,6 +246,9 @@
   }
 
   recordSend(zone: string, { availabilityZone }: RelayReplica, call: SimulatedCall): void {
+    if (hasCrashingPart(call)) {
+      this.crashingSends.push(this.clock.now());
+    }
     if (zone !== availabilityZone) {
       this.crossZoneTokens += call.prompt?.inputTokens ?? 0;
     }
@@ -292,6 +331,25 @@
     }
   }
 
+  /** Crashes an engine; another one starts at its address some seconds later. */
+  private crashOnPart(replica: RelayReplica, onReplaced: (successor: RelayReplica) => void): void {
+    const engine = this.engines.get(replica.id)!;
+    const successor = { ...replica, id: `${replica.name}.${this.crashTimes.length}` };
+    this.crashTimes.push(this.clock.now());
+    engine.crash();
+    this.pendingChanges.delete(replica.id);
+    this.clock.setTimer(this.deployment.crashingPart!.restartTime, () => {
+      onReplaced(successor);
+      this.engines.set(successor.id, engine);
+      Object.assign(engine, { isDown: false });
+      this.replicas.delete(replica.id);
+      this.replicas.set(successor.id, successor);
+      this.daemons.forEach((daemon) =>
+        daemon.handle({ kind: 'replicas', replicas: [...this.replicas.values()] }),
+      );
+    });
+  }
+
   private crashEngines(count: number, duration: Milliseconds): void {
     const ids = [...this.engines.keys()].slice(0, count);
     ids.forEach((id) => {
--- a/packages/experiment/src/lib/relay/RelayDeployment.ts
+++ b/packages/experiment/src/lib/relay/RelayDeployment.ts
@@ -105,6 +105,27 @@
   detection: Milliseconds | undefined;
 }
 
+/** A period in which requests arrive whose prompts have a part that crashes engines. */
+export interface CrashingPart {
+  startsAt: Milliseconds;
+  duration: Milliseconds;
+  /** Index of the part in the prompts, in place of a shared part of sound requests. */
+  position: number;
+  /** Requests per second, no two of which are alike. */
+  rate: number;
+  /** Time from a crash until a new engine starts at the same address. */
+  restartTime: Milliseconds;
+}
+
+/** A period in which a load balancer hands most requests to one daemon. */
+export interface DaemonPreference {
+  startsAt: Milliseconds;
+  duration: Milliseconds;
+  daemon: number;
+  /** Share of all requests. */
+  share: number;
+}
+
 /** A deployment and the load of one simulated day. */
 export interface RelayDeployment {
   name: string;
@@ -123,6 +144,10 @@
   crashes: Crash[];
   /** Absent if daemons are never partitioned from the replicas. */
   partition?: Partition;
+  /** Absent if no part of a prompt crashes engines. */
+  crashingPart?: CrashingPart;
+  /** Absent if the load balancer spreads requests evenly. */
+  preference?: DaemonPreference;
   /** Absent if engines never ask for a backoff. */
   backoffs?: BackoffPeriod[];
   /** When the first engine starts to state in its responses that it leaves; absent if none does. */
