--- a/packages/experiment/src/lib/relay/EngineSimulation.ts
+++ b/packages/experiment/src/lib/relay/EngineSimulation.ts
@@ -64,7 +64,7 @@
   isLeaving = false;
 
   /** Called with the prompt when a response begins. @returns whether the engine crashes on it */
-  crashesOn: (prompt: Prompt) => boolean = () => false;
+  crashesOn: ((prompt: Prompt) => boolean) | undefined;
 
   /** The requests that reached it, with the daemon that sent them and the time of their submission. */
   readonly arrivals: { at: Milliseconds; daemon: string; submittedAt: Milliseconds }[] = [];
@@ -260,7 +260,7 @@
     if (!this.running.includes(request)) {
       return;
     }
-    if (request.generated === 0 && this.crashesOn(request.prompt)) {
+    if (request.generated === 0 && this.crashesOn?.(request.prompt) === true) {
       return;
     }
     if (request.generated === 0) {
