Close new connections unread at a daemon that is overloaded while others are not

What callers would see (rule RECOVER, a balancer that hands most new connections to one daemon): that daemon reads all of them, and each waits until it is late; meanwhile the other daemons are idle.

Change: a daemon measures one iteration of its event loop whenever connections arrive (no timers while idle). It tells the others, and refuses nothing while half of the others say the same: callers would find none, and daemons must not refuse in turn. It stays in the balancer's rotation: leaving it would only move the favorite to the next daemon.

Not measured end to end: no stand-in here saturates a daemon's processor on demand.

--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.test.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.test.ts
@@ -22,11 +22,13 @@
   const clock = new ManualClock();
   let server: CallerServer;
   let port: number;
+  let isOverloaded = false;
   const callers: Socket[] = [];
 
   beforeEach(async () => {
     server = new CallerServer({
       clock,
+      shouldRefuse: () => isOverloaded,
       onRequest: (_request, response) => response.end('answer'),
       onMalformed: () => undefined,
     });
@@ -49,6 +51,23 @@
     return caller;
   }
 
+  // Guards against requests that wait in an overloaded daemon while their callers could try another one.
+  it('closes new connections unread while it has to refuse them, and serves those that are open', async () => {
+    const kept = await openConnection();
+    isOverloaded = true;
+    const refused = connect(port, '127.0.0.1');
+    refused.on('error', () => undefined);
+    const closed = once(refused, 'close');
+    refused.write(REQUEST);
+    await closed;
+    expect(refused.bytesRead).toBe(0);
+    isOverloaded = false;
+    const received = readToEnd(kept);
+    server.drain();
+    kept.write(REQUEST);
+    expect(await received).toMatch(/answer/);
+  });
+
   // Guards against a connection reset while the first request is on its way. A stopping daemon makes
   // callers open a connection for each request. When it closed its port, it closed every connection
   // without a request, including one opened 24 ms before; its request failed 25 ms after it was sent.
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -15,6 +15,8 @@
 /** Dependencies of {@link CallerServer}. */
 export interface CallerServerParts {
   clock: Clock;
+  /** Whether to close a new connection before anything is read from it. */
+  shouldRefuse: () => boolean;
   onRequest: (request: IncomingMessage, response: ServerResponse) => void;
   /** Called with the error message when input is not valid HTTP. */
   onMalformed: (reason: string) => void;
@@ -47,7 +49,7 @@
       firstRequestTimeout: callerOptions.firstRequestTimeout,
       callerStallTimeout: callerOptions.stallTimeout,
     });
-    this.server.on('connection', (socket) => this.connections.add(socket));
+    this.server.on('connection', (socket) => this.handleConnection(socket));
     this.server.on('clientError', (error, socket) =>
       this.handleClientError(socket as Socket, error),
     );
@@ -104,6 +106,14 @@
     this.server.closeAllConnections();
   }
 
+  private handleConnection(socket: Socket): void {
+    if (this.parts.shouldRefuse()) {
+      socket.destroy();
+    } else {
+      this.connections.add(socket);
+    }
+  }
+
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
     if (this.isDraining) {
       response.shouldKeepAlive = false;
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -1,6 +1,8 @@
 import { abortResponse } from '@apricotrill/callers';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { CallerServer } from '../callers/CallerServer/CallerServer.js';
+import { OverloadGuard } from '../callers/OverloadGuard/OverloadGuard.js';
+import { waitForIteration } from '../callers/OverloadGuard/waitForIteration.js';
 import { createActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { RelayConfiguration, RelayReplica } from '../config/RelayConfiguration.js';
@@ -92,6 +94,8 @@
 
   private readonly quarantineSync: QuarantineSync;
 
+  private readonly overloadGuard: OverloadGuard;
+
   private readonly duties: FleetDuties | undefined;
 
   private readonly effectPerformer: EffectPerformer;
@@ -165,8 +169,18 @@
       onRunStarted: (workspace, at) => this.duties?.recordRunStart(workspace, at),
       findResumption: (stream) => this.streams.find(stream),
     });
+    this.overloadGuard = new OverloadGuard({
+      clock,
+      afterIteration: waitForIteration,
+      countPeers: () => this.peerLink.livePeerCount,
+      onChanged: (isOverloaded, iteration) => {
+        log({ event: isOverloaded ? 'overloaded' : 'overload-ended', iteration });
+        this.peerLink.send({ kind: 'overload', isOverloaded });
+      },
+    });
     this.callerServer = new CallerServer({
       clock,
+      shouldRefuse: () => this.shouldRefuseConnection(),
       onRequest: (request, response) => {
         this.intake.handleRequest(request, response).catch((error: unknown) => {
           log({ event: 'fault', step: 'take request', error: String(error) });
@@ -199,6 +213,7 @@
       getPeriodicUpdates: () => [
         ...this.core.getPeriodicUpdates(),
         ...this.replicaPaths.getPeriodicUpdates(),
+        ...this.overloadGuard.getPeriodicUpdates(),
       ],
       onUpdate: (peer, update) => this.handlePeerUpdate(peer, update),
       onClockReading: (peer, sentAt) => this.duties?.recordClockReading(peer, sentAt),
@@ -393,6 +408,9 @@
       case 'demand':
         this.duties?.handleUpdate(peer, update);
         break;
+      case 'overload':
+        this.overloadGuard.recordPeer(peer, update);
+        break;
       case 'isolation':
         this.replicaPaths.recordPeerIsolation(peer, update.isIsolated);
         break;
@@ -401,6 +419,14 @@
     }
   }
 
+  private shouldRefuseConnection(): boolean {
+    const isRefused = this.overloadGuard.shouldRefuse();
+    if (isRefused) {
+      this.parts.metrics.connectionsRefused.inc();
+    }
+    return isRefused;
+  }
+
   private get isReady(): boolean {
     const canServe = this.active !== undefined && this.hasReplicas && this.replicaPaths.isUsable;
     return !this.isStopping && canServe;
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -82,6 +82,7 @@
   | { event: 'isolated'; lost: number; listed: number; silence: Milliseconds }
   | { event: 'isolation-ended'; after: Milliseconds }
   | { event: 'peer-isolated'; peer: string; isIsolated: boolean }
+  | { event: 'overloaded' | 'overload-ended'; iteration: Milliseconds }
   | {
       event: 'attempt-forwarded';
       id: string;
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -110,6 +110,12 @@
     registers: [this.registry],
   });
 
+  readonly connectionsRefused = new Counter({
+    name: 'apricotrill_relay_caller_connections_refused_total',
+    help: 'Connections of callers that were closed unread because this daemon is overloaded.',
+    registers: [this.registry],
+  });
+
   readonly connectionsOpened = new Counter({
     name: 'apricotrill_relay_upstream_connections_opened_total',
     help: 'Connections opened to replicas, by service.',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -47,6 +47,10 @@
     'this daemon reaches no replica, though other daemons do; it has all attempts forwarded, and tells the others not to send it theirs',
   'isolation-ended': 'this daemon reaches replicas again; includes for how long it did not',
   'peer-isolated': 'another daemon reports that it reaches no replica, or that it does again',
+  overloaded:
+    'the event loop has more work than it can do in time; new connections are closed unread while most other daemons are not overloaded; includes the duration of its last iteration',
+  'overload-ended':
+    'new connections are accepted again; includes the duration of the last iteration of the event loop',
   'attempt-forwarded':
     'an attempt is sent through another daemon; includes why it could not be sent directly',
   'forwarder-refused': 'another daemon did not send an attempt; includes the reason',
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -38,6 +38,7 @@
     case 'leaving':
     case 'backoffs':
     case 'isolation':
+    case 'overload':
     case 'ask':
     case 'reply':
       return true;
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -105,6 +105,7 @@
   z.tuple([z.literal('f'), z.array(fragilitySchema)]),
   z.tuple([z.literal('w'), z.string()]),
   z.tuple([z.literal('i'), z.union([z.literal(0), z.literal(1)])]),
+  z.tuple([z.literal('o'), z.union([z.literal(0), z.literal(1)])]),
   z.tuple([z.literal('l'), z.array(attemptSchema)]),
 ]);
 
@@ -310,6 +311,8 @@
       ];
     case 'turned-away':
       return ['w', update.replica];
+    case 'overload':
+      return ['o', update.isOverloaded ? 1 : 0];
     case 'isolation':
       return ['i', update.isIsolated ? 1 : 0];
     case 'attempt-list':
@@ -393,6 +396,8 @@
       return { kind: 'turned-away', replica: encoded[1] };
     case 'i':
       return { kind: 'isolation', isIsolated: encoded[1] === 1 };
+    case 'o':
+      return { kind: 'overload', isOverloaded: encoded[1] === 1 };
     case 'l':
       return { kind: 'attempt-list', attempts: encoded[1].map(decodeAttempt) };
     default:
