--- a/packages/standins/src/lib/network/TcpProxy.ts
+++ b/packages/standins/src/lib/network/TcpProxy.ts
@@ -13,6 +13,8 @@
   AnswersHeld = 'answers-held',
   /** Every chunk is delayed. */
   Slow = 'slow',
+  /** A connection is reset as soon as data arrives on it. */
+  ResetOnData = 'reset-on-data',
 }
 
 /** The delay of each chunk under {@link LinkFault.Slow}. */
@@ -153,6 +155,11 @@
       last = last.then(act);
     };
     from.on('data', (bytes) => {
+      if (this.fault === LinkFault.ResetOnData) {
+        connection.client.resetAndDestroy();
+        connection.target.resetAndDestroy();
+        return;
+      }
       if (!connection.isSilenced) {
         enqueue(() => to.write(bytes));
       }
