Count a replica as reached only once it responds, not when a connection opens

Cause: a TCP connection that opens counted as proof of the path, in the prober, in the answers to other daemons, in the recovery, and as contact that ends a silence. Class: a check that stops short of what it stands for.

Change: ReplicaCheck opens a connection, and then sends a health check: a response of any status proves the path. It respects limits and backoffs of the replica (then the connection has to do). An opened connection is no longer contact. A daemon counts as isolated if, since its first loss, no connection opened (as before) or nothing was received over any, and checks of three others failed.

Two tests of PathTable said "a connection was opened" for "a replica was reached"; they now record both, and two new ones tell them apart. Cost: a health check for each probe of a broken attempt, and while paths are lost.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -135,6 +135,8 @@
       self,
       peerServer: this.peerServer,
       findReplica: (replica) => this.core.registry.findReplica(replica)?.replica,
+      getHealthPath: ({ service }) => this.core.registry.getService(service).service?.healthPath,
+      mayCheck: ({ id: replica }) => this.core.tryAcquireCheck(replica),
       maySend: (replica) => this.core.maySend(replica),
       getMaxBodyBytes: () => this.active?.configuration.limits.bodyBytes,
       isStopping: () => this.isRejecting,
--- a/packages/relay/src/lib/daemon/ReplicaPaths.ts
+++ b/packages/relay/src/lib/daemon/ReplicaPaths.ts
@@ -8,18 +8,18 @@
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
 import type { PathMonitorParts } from '../paths/PathMonitor/PathMonitor.js';
-import { pathOptions } from '../paths/pathOptions.js';
 import { PathProber } from '../paths/PathProber/PathProber.js';
 import type { PathUpdate } from '../paths/PathUpdate.js';
 import {
   REACHABILITY_PATH,
   ReachabilityServer,
 } from '../paths/ReachabilityServer/ReachabilityServer.js';
+import { ReplicaCheck } from '../paths/ReplicaCheck/ReplicaCheck.js';
+import type { ReplicaCheckParts } from '../paths/ReplicaCheck/ReplicaCheck.js';
 import type { PeerEntry } from '../peers/PeerDirectory.js';
 import type { PeerServer } from '../peers/PeerServer/PeerServer.js';
 import type { RelayProtocol } from '../protocol/RelayProtocol.js';
 import { AttemptSender } from '../transport/AttemptSender.js';
-import { isListening } from '../upstream/isListening.js';
 import { UpstreamConnections } from '../upstream/UpstreamConnections/UpstreamConnections.js';
 
 /** Dependencies of {@link ReplicaPaths}. */
@@ -29,7 +29,8 @@
       ForwardingServerParts,
       'findReplica' | 'getMaxBodyBytes' | 'isStopping' | 'maySend' | 'onNotice'
     >,
-    Pick<PathMonitorParts, 'onSilent'> {
+    Pick<PathMonitorParts, 'onSilent'>,
+    ReplicaCheckParts {
   clock: Clock;
   log: RelayLog;
   metrics: RelayMetrics;
@@ -72,16 +73,19 @@
   constructor(private readonly parts: ReplicaPathsParts) {
     const { clock, log, metrics, self, peerServer, findReplica, onSilent, share } = parts;
     this.forwarders = new ForwarderTable({ self, clock });
+    const replicaCheck = new ReplicaCheck(parts);
+    const check = (replica: RelayReplica) => replicaCheck.run(replica);
     this.prober = new PathProber({
       clock,
       log,
+      check,
       getPeers: (count) => this.forwarders.getPeers(count),
     });
     this.paths = new PathMonitor({
       clock,
       log,
       metrics,
-      isListening: ({ address }) => isListening(address, pathOptions.probeTimeout),
+      check,
       probe: (replica) => this.prober.probe(replica),
       onSilent: (replicas) => {
         replicas.forEach((id) => this.connections.closeIdle(id));
@@ -102,7 +106,7 @@
     });
     const isIsolated = () => this.paths.isIsolated;
     this.forwardingServer = new ForwardingServer({ ...parts, connections, isIsolated });
-    const reachability = new ReachabilityServer({ findReplica, isIsolated });
+    const reachability = new ReachabilityServer({ findReplica, check, isIsolated });
     peerServer.addHandler(FORWARDING_PATH, this.forwardingServer.handler);
     peerServer.addHandler(REACHABILITY_PATH, reachability.handler);
   }
--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -16,8 +16,8 @@
   clock: Clock;
   log: RelayLog;
   metrics: RelayMetrics;
-  /** Whether a replica accepts a connection of this daemon. */
-  isListening: (replica: RelayReplica) => Promise<boolean | undefined>;
+  /** Whether this daemon reaches a replica; undefined if that is not certain. */
+  check: (replica: RelayReplica) => Promise<boolean | undefined>;
   /** Finds out whether a replica or only the path to it is at fault. */
   probe: (replica: RelayReplica) => Promise<ProbeOutcome>;
   /** Called when the open connections to these replicas carry nothing any more. */
@@ -176,13 +176,13 @@
 
   /** Probes some of the other replicas, and counts this daemon as isolated if it reaches none. */
   private async confirmIsolation(failure: ConnectionFailure): Promise<void> {
-    const { clock, isListening, log, onIsolationChanged, onSilent } = this.parts;
+    const { clock, check, log, onIsolationChanged, onSilent } = this.parts;
     const others = [...this.replicas.values()].filter(({ id }) => !this.table.isLost(id));
     const reached = await Promise.all(
       others.slice(0, pathOptions.isolationProbes).map(async (replica) => {
-        const isUp = (await isListening(replica)) === true;
+        const isUp = (await check(replica)) === true;
         if (isUp) {
-          this.table.recordOpened(replica.id, clock.now());
+          this.table.recordReached(replica.id, clock.now());
         }
         return isUp;
       }),
@@ -230,7 +230,7 @@
       ids
         .flatMap((id) => this.replicas.get(id) ?? [])
         .map(async (replica) => {
-          const isUp = (await this.parts.isListening(replica)) === true;
+          const isUp = (await this.parts.check(replica)) === true;
           this.handleRecoveryProbe(replica, isUp);
         }),
     );
--- a/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
@@ -6,11 +6,15 @@
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { ProbeResult } from '../../decide/messages.js';
 import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
+import { isListening } from '../../upstream/isListening.js';
+import { pathOptions } from '../pathOptions.js';
 import { REACHABILITY_PATH, ReachabilityServer } from '../ReachabilityServer/ReachabilityServer.js';
 import { PathProber } from './PathProber.js';
 
 const HOST = '127.0.0.1';
 
+const PROBE_TIMEOUT = pathOptions.probeTimeout;
+
 describe('PathProber', () => {
   const disposals: (() => void | Promise<void>)[] = [];
 
@@ -40,6 +44,7 @@
     const server = new PeerServer();
     const reachability = new ReachabilityServer({
       findReplica: (id) => replicas.find((replica) => replica.id === id),
+      check: ({ address }) => isListening(address, PROBE_TIMEOUT),
       isIsolated: () => isIsolated,
     });
     server.addHandler(REACHABILITY_PATH, reachability.handler);
@@ -52,6 +57,7 @@
     const prober = new PathProber({
       clock: new SystemClock(),
       log: () => undefined,
+      check: ({ address: own }) => isListening(own, PROBE_TIMEOUT),
       getPeers: (count) =>
         peers
           .map((peer, index) => ({ id: `d-${index}`, address: peer, availabilityZone: 'a' }))
--- a/packages/relay/src/lib/paths/PathProber/PathProber.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.ts
@@ -5,7 +5,6 @@
 import { HttpClient, parseJson } from '../../http/HttpClient.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
-import { isListening } from '../../upstream/isListening.js';
 import { pathOptions } from '../pathOptions.js';
 import { REACHABILITY_PATH } from '../ReachabilityServer/ReachabilityServer.js';
 
@@ -13,6 +12,8 @@
 export interface PathProberParts {
   clock: Clock;
   log: RelayLog;
+  /** Whether this daemon reaches a replica; undefined if that is not certain. */
+  check: (replica: RelayReplica) => Promise<boolean | undefined>;
   /** Returns peers that are likely to reach the replicas, the best first. */
   getPeers: (count: number) => PeerEntry[];
 }
@@ -20,7 +21,7 @@
 /** The result of a probe. */
 export interface ProbeOutcome {
   result: ProbeResult;
-  /** Whether the replica accepts connections of this daemon; undefined if it didn't answer. */
+  /** Whether this daemon reaches the replica; undefined if that is not certain. */
   own: boolean | undefined;
 }
 
@@ -52,9 +53,9 @@
   }
 
   private async run(replica: RelayReplica): Promise<ProbeOutcome> {
-    const { clock, log, getPeers } = this.parts;
+    const { clock, log, check, getPeers } = this.parts;
     const startedAt = clock.now();
-    const own = await isListening(replica.address, pathOptions.probeTimeout);
+    const own = await check(replica);
     if (own === true) {
       return { result: ProbeResult.Up, own };
     }
--- a/packages/relay/src/lib/paths/PathTable/PathTable.test.ts
+++ b/packages/relay/src/lib/paths/PathTable/PathTable.test.ts
@@ -56,10 +56,11 @@
   });
 
   // Guards against giving up all direct paths because a few replicas are partitioned off.
-  it('keeps the other paths if a connection was opened after the first loss', () => {
+  it('keeps the other paths if a connection was opened after the first loss and used', () => {
     const paths = createPaths();
     paths.recordLost('a', 100);
     paths.recordOpened('c', 150);
+    paths.recordContact(160);
     expect(paths.recordLost('b', 200).isIsolationLikely).toBe(false);
     expect(paths.confirmIsolation(200)).toBe(false);
     expect([paths.isLost('a'), paths.isLost('b'), paths.isLost('c')]).toEqual([true, true, false]);
@@ -70,11 +71,30 @@
     const paths = createPaths();
     paths.recordLost('a', 100);
     expect(paths.recordLost('b', 200).isIsolationLikely).toBe(true);
-    paths.recordOpened('c', 210);
+    paths.recordReached('c', 210);
     expect(paths.confirmIsolation(220)).toBe(false);
     expect(paths.isLost('c')).toBe(false);
   });
 
+  // Guards against a middlebox that accepts connections in place of the replicas.
+  it('isolates the daemon although connections open, if nothing is received over them', () => {
+    const paths = createPaths();
+    paths.recordContact(50);
+    paths.recordLost('a', 100);
+    paths.recordOpened('c', 150);
+    expect(paths.getSilence(160)).toBe(110);
+    expect(paths.recordLost('b', 200).isIsolationLikely).toBe(true);
+    expect(paths.confirmIsolation(220)).toBe(true);
+  });
+
+  // Guards against a partition in which open connections live on.
+  it('isolates the daemon although replicas send something, if no connection opens', () => {
+    const paths = createPaths();
+    paths.recordLost('a', 100);
+    paths.recordContact(150);
+    expect(paths.recordLost('b', 200).isIsolationLikely).toBe(true);
+  });
+
   it('isolates a daemon with a single replica at its first loss', () => {
     const paths = createPaths(['a']);
     expect(paths.recordLost('a', 100).isIsolationLikely).toBe(true);
--- a/packages/relay/src/lib/paths/PathTable/PathTable.ts
+++ b/packages/relay/src/lib/paths/PathTable/PathTable.ts
@@ -28,8 +28,8 @@
  * any replica.
  *
  * A path is lost only if another daemon reaches the replica at the same time. Once two paths are lost
- * and no connection to any replica could be opened since, not even by probes, the daemon counts as
- * isolated: it is more likely to be partitioned from all replicas than from just these. A path is restored by several
+ * and since then no connection to any replica could be opened, or nothing was received over any, and
+ * checks of other replicas failed as well, the daemon counts as isolated: it is more likely to be partitioned from all replicas than from just these. A path is restored by several
  * successful probes in a row, more of them after a relapse, so that a partition that comes and goes
  * does not move requests back and forth.
  */
@@ -92,13 +92,18 @@
    * @returns how long connections to the replica could not be opened; undefined if they could
    */
   recordOpened(replica: string, now: Milliseconds): Milliseconds | undefined {
-    this.recordContact(now);
     this.lastOpenedAt = now;
     const since = this.failingSince.get(replica);
     this.failingSince.delete(replica);
     return since === undefined ? undefined : now - since;
   }
 
+  /** Records that a replica has responded to a check on a new connection. */
+  recordReached(replica: string, now: Milliseconds): void {
+    this.recordContact(now);
+    this.recordOpened(replica, now);
+  }
+
   /** @returns whether the previous connection to the replica could be opened */
   recordFailure(replica: string, now: Milliseconds): boolean {
     const isNew = !this.failingSince.has(replica);
@@ -183,7 +188,10 @@
   private hasLostAll(): boolean {
     const firstLoss = Math.min(...[...this.lost.values()].map(({ since }) => since));
     const evidence = Math.min(pathOptions.isolationEvidence, this.listed.size);
-    return this.lost.size >= evidence && this.lastOpenedAt < firstLoss;
+    const lastContactAt = this.lastContactAt ?? Number.NEGATIVE_INFINITY;
+    // Open connections may live on while new ones fail, and a middlebox may accept new ones.
+    const isCut = this.lastOpenedAt < firstLoss || lastContactAt < firstLoss;
+    return this.lost.size >= evidence && isCut;
   }
 
   private restoreAll(now: Milliseconds): void {
--- a/packages/relay/src/lib/paths/ReachabilityServer/ReachabilityServer.ts
+++ b/packages/relay/src/lib/paths/ReachabilityServer/ReachabilityServer.ts
@@ -1,7 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
-import { isListening } from '../../upstream/isListening.js';
-import { pathOptions } from '../pathOptions.js';
 
 /** Contains the version of the format. */
 export const REACHABILITY_PATH = '/paths/v1';
@@ -9,16 +7,16 @@
 /** Dependencies of {@link ReachabilityServer}. */
 export interface ReachabilityServerParts {
   findReplica: (id: string) => RelayReplica | undefined;
+  /** Whether this daemon reaches a replica; undefined if that is not certain. */
+  check: (replica: RelayReplica) => Promise<boolean | undefined>;
   /** Whether this daemon reaches no replicas itself, so that its observation proves nothing. */
   isIsolated: () => boolean;
 }
 
 const NOT_FOUND = 404;
 
-/** Tells other daemons whether a replica accepts connections of this one. */
+/** Tells other daemons whether this one reaches a replica. */
 export class ReachabilityServer {
-  private readonly pending = new Map<string, Promise<boolean | undefined>>();
-
   constructor(private readonly parts: ReachabilityServerParts) {}
 
   /** Handles the requests below {@link REACHABILITY_PATH}. */
@@ -37,16 +35,8 @@
     }, response.destroy.bind(response));
   };
 
-  /** Several daemons that are partitioned at the same time ask for the same replicas. */
-  private probe(replica: RelayReplica): Promise<boolean | undefined> {
-    const known = this.pending.get(replica.id);
-    if (known !== undefined) {
-      return known;
-    }
-    const result = isListening(replica.address, pathOptions.probeTimeout)
-      .then((isUp) => (isUp === true || !this.parts.isIsolated() ? isUp : undefined))
-      .finally(() => this.pending.delete(replica.id));
-    this.pending.set(replica.id, result);
-    return result;
+  private async probe(replica: RelayReplica): Promise<boolean | undefined> {
+    const isUp = await this.parts.check(replica);
+    return isUp === true || !this.parts.isIsolated() ? isUp : undefined;
   }
 }
--- a/packages/relay/src/lib/paths/pathOptions.ts
+++ b/packages/relay/src/lib/paths/pathOptions.ts
@@ -4,8 +4,10 @@
 export const pathOptions = {
   /** Opening a connection takes a few milliseconds within a region. */
   probeTimeout: 250 satisfies Milliseconds,
-  /** Allows a peer that is asked the time of its own probe. */
-  askTimeout: 400 satisfies Milliseconds,
+  /** A health check that takes longer proves nothing; the replica may be busy. */
+  responseTimeout: 250 satisfies Milliseconds,
+  /** Allows a peer that is asked the time of its own check. */
+  askTimeout: 650 satisfies Milliseconds,
   /** Peers that are asked, since some of them may be behind the same partition. */
   askedPeers: 3,
   /** Lost paths without an opened connection in between after which a daemon counts as isolated. */
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -155,7 +155,7 @@
       clock,
       log: () => undefined,
       metrics,
-      isListening: () => Promise.resolve(false),
+      check: () => Promise.resolve(false),
       probe: () => Promise.resolve({ result: ProbeResult.Unknown, own: false }),
       onSilent: () => undefined,
       onIsolationChanged: () => undefined,
