Reach a busy replica by what it sends, while its health check waits for a slot

A health check at a replica whose slots are taken waits, so that checks of busy replicas were not certain for 250 ms, and the failures that they were to explain were held back that long. What the replica sends over any other connection of this daemon meanwhile proves the path at once.

--- a/packages/relay/src/lib/daemon/ReplicaPaths.ts
+++ b/packages/relay/src/lib/daemon/ReplicaPaths.ts
@@ -86,6 +86,7 @@
       log,
       metrics,
       check,
+      onContact: (replica) => replicaCheck.recordContact(replica),
       probe: (replica) => this.prober.probe(replica),
       onSilent: (replicas) => {
         replicas.forEach((id) => this.connections.closeIdle(id));
--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -18,6 +18,8 @@
   metrics: RelayMetrics;
   /** Whether this daemon reaches a replica; undefined if that is not certain. */
   check: (replica: RelayReplica) => Promise<boolean | undefined>;
+  /** Called when a replica has sent something over a connection of this daemon. */
+  onContact: (replica: string) => void;
   /** Finds out whether a replica or only the path to it is at fault. */
   probe: (replica: RelayReplica) => Promise<ProbeOutcome>;
   /** Called when the open connections to these replicas carry nothing any more. */
@@ -113,8 +115,9 @@
   }
 
   /** Records that a replica has sent something over a connection of this daemon. */
-  recordContact(): void {
+  recordContact(replica: string): void {
     this.table.recordContact(this.parts.clock.now());
+    this.parts.onContact(replica);
   }
 
   /** Records that a replica could not be connected to, but responded through another daemon. */
--- /dev/null
+++ b/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.test.ts
@@ -0,0 +1,68 @@
+import { createServer as createHttpServer } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { reservePorts } from '@apricotrill/standins';
+import { createReplica } from '../../../test/fixtures.js';
+import { ReplicaCheck } from './ReplicaCheck.js';
+
+const HOST = '127.0.0.1';
+
+describe('ReplicaCheck', () => {
+  const disposals: (() => void)[] = [];
+
+  let mayCheck: boolean;
+  let check: ReplicaCheck;
+
+  beforeEach(() => {
+    mayCheck = true;
+    check = new ReplicaCheck({ getHealthPath: () => '/healthz', mayCheck: () => mayCheck });
+  });
+
+  afterEach(() => disposals.splice(0).forEach((dispose) => dispose()));
+
+  async function listen(server: Server): Promise<string> {
+    await new Promise<void>((resolve) => {
+      server.listen(0, HOST, resolve);
+    });
+    disposals.push(() => server.close());
+    return `${HOST}:${(server.address() as AddressInfo).port}`;
+  }
+
+  /** A server that accepts connections and sends nothing. @returns its address */
+  function listenSilently(): Promise<string> {
+    const sockets: Socket[] = [];
+    disposals.push(() => sockets.forEach((socket) => socket.destroy()));
+    return listen(createServer((socket) => sockets.push(socket)));
+  }
+
+  it('reaches a replica that responds', async () => {
+    const address = await listen(createHttpServer((_request, response) => response.end()));
+    expect(await check.run(createReplica('i-1', { address }))).toBe(true);
+  });
+
+  it('is certain that a replica is down if its port refuses connections', async () => {
+    const [port] = await reservePorts(1);
+    expect(await check.run(createReplica('i-1', { address: `${HOST}:${port}` }))).toBe(false);
+  });
+
+  it('is not certain of a replica whose connection opens and carries nothing', async () => {
+    const address = await listenSilently();
+    expect(await check.run(createReplica('i-1', { address }))).toBeUndefined();
+  });
+
+  // Guards against a busy replica that counts as lost since its health check waits for a slot.
+  it('reaches a replica that sends something over another connection meanwhile', async () => {
+    const address = await listenSilently();
+    const result = check.run(createReplica('i-1', { address }));
+    const contact = setInterval(() => check.recordContact('i-1'), 1);
+    expect(await result).toBe(true);
+    clearInterval(contact);
+  });
+
+  // Guards against health checks beyond the limit that a replica states.
+  it('sends no health check that the replica does not allow', async () => {
+    mayCheck = false;
+    const address = await listenSilently();
+    expect(await check.run(createReplica('i-1', { address }))).toBe(true);
+  });
+});
--- a/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.ts
+++ b/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.ts
@@ -20,8 +20,16 @@
   /** Several daemons that are partitioned at the same time ask for the same replicas. */
   private readonly pending = new Map<string, Promise<boolean | undefined>>();
 
+  /** Ends the wait for a response, by replica. */
+  private readonly awaited = new Map<string, () => void>();
+
   constructor(private readonly parts: ReplicaCheckParts) {}
 
+  /** Records that a replica has sent something over a connection of this daemon. */
+  recordContact(replica: string): void {
+    this.awaited.get(replica)?.();
+  }
+
   /** @returns false if its port refuses connections, undefined if that is not certain */
   run(replica: RelayReplica): Promise<boolean | undefined> {
     const known = this.pending.get(replica.id);
@@ -41,7 +49,13 @@
     if (accepts !== true || path === undefined || !mayCheck(replica)) {
       return accepts;
     }
-    const responds = await isResponding(address, path, pathOptions.responseTimeout);
-    return responds ? true : undefined;
+    // A busy replica may not respond in time while it sends other responses.
+    const contact = new Promise<boolean>((resolve) => {
+      this.awaited.set(replica.id, () => resolve(true));
+    });
+    const response = isResponding(address, path, pathOptions.responseTimeout);
+    const isReached = await Promise.race([contact, response]);
+    this.awaited.delete(replica.id);
+    return isReached ? true : undefined;
   }
 }
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -155,6 +155,7 @@
       clock,
       log: () => undefined,
       metrics,
+      onContact: () => undefined,
       check: () => Promise.resolve(false),
       probe: () => Promise.resolve({ result: ProbeResult.Unknown, own: false }),
       onSilent: () => undefined,
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
@@ -141,7 +141,7 @@
   private recordContact(): void {
     this.activeAt = this.parts.clock.now();
     if (this.isDirect) {
-      this.parts.paths.recordContact();
+      this.parts.paths.recordContact(this.replica.id);
     }
   }
 
