Do not take an open connection for a replica that allows no health check

A limited replica allowed no health check, and the open connection counted as proof that one replica was reached. Such a check is now uncertain; only the recovery of a lost path accepts it, since a replica with a low limit would stay lost.

--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -7,6 +7,7 @@
 import { ConnectionFailure, getConnectionFailure } from '../ConnectionFailure.js';
 import { pathOptions } from '../pathOptions.js';
 import type { ProbeOutcome } from '../PathProber/PathProber.js';
+import { CheckResult, isReached } from '../ReplicaCheck/ReplicaCheck.js';
 import { PathTable } from '../PathTable/PathTable.js';
 import { SilenceWatch } from '../SilenceWatch/SilenceWatch.js';
 import type { WatchedAttempt } from '../SilenceWatch/SilenceWatch.js';
@@ -16,8 +17,7 @@
   clock: Clock;
   log: RelayLog;
   metrics: RelayMetrics;
-  /** Whether this daemon reaches a replica; undefined if that is not certain. */
-  check: (replica: RelayReplica) => Promise<boolean | undefined>;
+  check: (replica: RelayReplica) => Promise<CheckResult>;
   /** Called when a replica has sent something over a connection of this daemon. */
   onContact: (replica: string) => void;
   /** Finds out whether a replica or only the path to it is at fault. */
@@ -183,7 +183,7 @@
     const others = [...this.replicas.values()].filter(({ id }) => !this.table.isLost(id));
     const reached = await Promise.all(
       others.slice(0, pathOptions.isolationProbes).map(async (replica) => {
-        const isUp = (await check(replica)) === true;
+        const isUp = isReached(await check(replica)) === true;
         if (isUp) {
           this.table.recordReached(replica.id, clock.now());
         }
@@ -233,7 +233,9 @@
       ids
         .flatMap((id) => this.replicas.get(id) ?? [])
         .map(async (replica) => {
-          const isUp = (await this.parts.check(replica)) === true;
+          const result = await this.parts.check(replica);
+          // A replica that allows few checks would otherwise stay lost.
+          const isUp = result === CheckResult.Responds || result === CheckResult.Accepts;
           this.handleRecoveryProbe(replica, isUp);
         }),
     );
--- a/packages/relay/src/lib/paths/PathProber/PathProber.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.ts
@@ -6,14 +6,15 @@
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { pathOptions } from '../pathOptions.js';
+import { isReached } from '../ReplicaCheck/ReplicaCheck.js';
+import type { CheckResult } from '../ReplicaCheck/ReplicaCheck.js';
 import { REACHABILITY_PATH } from '../ReachabilityServer/ReachabilityServer.js';
 
 /** Dependencies of {@link PathProber}. */
 export interface PathProberParts {
   clock: Clock;
   log: RelayLog;
-  /** Whether this daemon reaches a replica; undefined if that is not certain. */
-  check: (replica: RelayReplica) => Promise<boolean | undefined>;
+  check: (replica: RelayReplica) => Promise<CheckResult>;
   /** Returns peers that are likely to reach the replicas, the best first. */
   getPeers: (count: number) => PeerEntry[];
 }
@@ -55,7 +56,7 @@
   private async run(replica: RelayReplica): Promise<ProbeOutcome> {
     const { clock, log, check, getPeers } = this.parts;
     const startedAt = clock.now();
-    const own = await check(replica);
+    const own = isReached(await check(replica));
     if (own === true) {
       return { result: ProbeResult.Up, own };
     }
--- a/packages/relay/src/lib/paths/ReachabilityServer/ReachabilityServer.ts
+++ b/packages/relay/src/lib/paths/ReachabilityServer/ReachabilityServer.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { isReached } from '../ReplicaCheck/ReplicaCheck.js';
+import type { CheckResult } from '../ReplicaCheck/ReplicaCheck.js';
 
 /** Contains the version of the format. */
 export const REACHABILITY_PATH = '/paths/v1';
@@ -7,8 +9,7 @@
 /** Dependencies of {@link ReachabilityServer}. */
 export interface ReachabilityServerParts {
   findReplica: (id: string) => RelayReplica | undefined;
-  /** Whether this daemon reaches a replica; undefined if that is not certain. */
-  check: (replica: RelayReplica) => Promise<boolean | undefined>;
+  check: (replica: RelayReplica) => Promise<CheckResult>;
   /** Whether this daemon reaches no replicas itself, so that its observation proves nothing. */
   isIsolated: () => boolean;
 }
@@ -36,7 +37,7 @@
   };
 
   private async probe(replica: RelayReplica): Promise<boolean | undefined> {
-    const isUp = await this.parts.check(replica);
+    const isUp = isReached(await this.parts.check(replica));
     return isUp === true || !this.parts.isIsolated() ? isUp : undefined;
   }
 }
--- a/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.ts
+++ b/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.ts
@@ -11,6 +11,33 @@
   mayCheck: (replica: RelayReplica) => boolean;
 }
 
+/** What a check shows. */
+export enum CheckResult {
+  /** The replica has sent something. */
+  Responds = 'responds',
+  /** Its port accepts connections, and it allows no health check now. */
+  Accepts = 'accepts',
+  /** A connection does not open, or carries nothing. */
+  Silent = 'silent',
+  /** Its port refuses connections. */
+  Refuses = 'refuses',
+}
+
+/** Whether this daemon reaches the replica; undefined if that is not certain. */
+export function isReached(result: CheckResult): boolean | undefined {
+  switch (result) {
+    case CheckResult.Responds:
+      return true;
+    case CheckResult.Refuses:
+      return false;
+    case CheckResult.Accepts:
+    case CheckResult.Silent:
+      return undefined;
+    default:
+      return result satisfies never;
+  }
+}
+
 /**
  * Checks whether this daemon reaches a replica: its port accepts a connection, and a health check gets
  * a response of any status. Without the latter, a path whose connections open and carry nothing would
@@ -18,7 +45,7 @@
  */
 export class ReplicaCheck {
   /** Several daemons that are partitioned at the same time ask for the same replicas. */
-  private readonly pending = new Map<string, Promise<boolean | undefined>>();
+  private readonly pending = new Map<string, Promise<CheckResult>>();
 
   /** Ends the wait for a response, by replica. */
   private readonly awaited = new Map<string, () => void>();
@@ -30,8 +57,8 @@
     this.awaited.get(replica)?.();
   }
 
-  /** @returns false if its port refuses connections, undefined if that is not certain */
-  run(replica: RelayReplica): Promise<boolean | undefined> {
+  /** Concurrent checks of the same replica share their result. */
+  run(replica: RelayReplica): Promise<CheckResult> {
     const known = this.pending.get(replica.id);
     if (known !== undefined) {
       return known;
@@ -41,21 +68,24 @@
     return result;
   }
 
-  private async check(replica: RelayReplica): Promise<boolean | undefined> {
+  private async check(replica: RelayReplica): Promise<CheckResult> {
     const { getHealthPath, mayCheck } = this.parts;
     const { address } = replica;
     const accepts = await isListening(address, pathOptions.probeTimeout);
     const path = getHealthPath(replica);
-    if (accepts !== true || path === undefined || !mayCheck(replica)) {
-      return accepts;
+    if (accepts !== true) {
+      return accepts === false ? CheckResult.Refuses : CheckResult.Silent;
+    }
+    if (path === undefined || !mayCheck(replica)) {
+      return CheckResult.Accepts;
     }
     // A busy replica may not respond in time while it sends other responses.
     const contact = new Promise<boolean>((resolve) => {
       this.awaited.set(replica.id, () => resolve(true));
     });
     const response = isResponding(address, path, pathOptions.responseTimeout);
-    const isReached = await Promise.race([contact, response]);
+    const responds = await Promise.race([contact, response]);
     this.awaited.delete(replica.id);
-    return isReached ? true : undefined;
+    return responds ? CheckResult.Responds : CheckResult.Silent;
   }
 }
