--- a/packages/relay/src/lib/callers/OverloadGuard/overloadOptions.ts
+++ b/packages/relay/src/lib/callers/OverloadGuard/overloadOptions.ts
@@ -2,7 +2,7 @@
 
 /** Options for refusing connections while the event loop has more work than it can do in time. */
 export const overloadOptions = {
-  /** Half of the shortest usual latency target. */
+  /** Iteration of the event loop from which a daemon counts as overloaded. */
   maxIteration: 150 satisfies Milliseconds,
   /** Iteration of the event loop from which new connections are accepted again. */
   recoveredIteration: 50 satisfies Milliseconds,
