Go on using a forwarder that does not list a replica yet

Lists arrive at different times; the answer says nothing about the forwarder. Evidence: two refusals "unknown-replica" at 7,190 ms, then 174 attempts that end with no-path and none forwarded until 8,200.

Now the attempt tries another peer, and the forwarder stays in use.

--- a/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
+++ b/packages/relay/src/lib/daemon/QuarantineSync/QuarantineSync.ts
@@ -22,7 +22,7 @@
 }
 
 /**
- * Writes quarantined content to the store, and loads them at startup, so that they survive a
+ * Writes quarantined content to the store, and loads it at startup, so that it survives a
  * restart of all daemons.
  */
 export class QuarantineSync {
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -208,7 +208,7 @@
       });
       abort = () => sent.abort();
     });
-    return { result, abort, paths };
+    return { result, abort, paths, forwarders };
   }
 
   it('sends the request unchanged through a peer, and returns the replica’s own response', async () => {
@@ -242,6 +242,13 @@
     expect(observed.received).toHaveLength(1);
   });
 
+  // Guards against requests that find no way for a second, since a replica is listed here a moment earlier.
+  it('goes on using a peer that does not list a replica yet', async () => {
+    const { result, forwarders } = await send([await startPeer('d-1', { isListed: false })]);
+    expect(await result).toMatchObject({ kind: 'error', isSent: false });
+    expect(forwarders.isAvailable).toBe(true);
+  });
+
   // Guards against a rolling update: daemons of the release before don't know the path for attempts.
   it('tries another peer after one that does not forward attempts at all', async () => {
     const replicaAddress = await startReplica((socket) => socket.write(RESPONSE));
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
@@ -262,6 +262,9 @@
       case ForwardingResult.Isolated:
         forwarders.recordIsolation(forwarder.id, true);
         break;
+      case ForwardingResult.UnknownReplica:
+        // Lists of replicas arrive at different times; the peer may well reach the others.
+        break;
       default:
         forwarders.recordFailure(forwarder.id);
     }
