--- a/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
+++ b/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
@@ -75,6 +75,9 @@
       case 'reply':
         placing.handleResponse(peer, update.response);
         break;
+      case 'group-loads':
+        registry.getService(update.service).recordGroupLoads(update.loads);
+        break;
       case 'placed':
       case 'first-byte-received':
       case 'ended':
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -8,7 +8,7 @@
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
-import type { PlacementCriteria } from '../messages.js';
+import type { GroupLoad, PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { ReplicaState } from '../ReplicaState/ReplicaState.js';
@@ -55,6 +55,8 @@
   /** Computed on demand; undefined again after each change of the replica list. */
   private cachedGroups: readonly ReplicaGroup[] | undefined;
 
+  private readonly groupLoads = new Map<string, GroupLoad>();
+
   constructor(
     readonly name: string,
     private readonly options: PlacementOptions,
@@ -101,6 +103,23 @@
     return groups.find(({ replicas }) => replicas.includes(home!));
   }
 
+  /**
+   * Whether the placers of its groups decide which requests begin, wait or are refused. This takes effect
+   * for engines that share their machines, which they state with their load.
+   */
+  get isAdmissionControlled(): boolean {
+    return (
+      this.configured?.engine !== undefined &&
+      (this.groupLoads.size > 0 ||
+        [...this.replicas.values()].some(({ statesSlowdown }) => statesSlowdown))
+    );
+  }
+
+  /** Records the loads of groups that their placers announced. */
+  recordGroupLoads(loads: readonly GroupLoad[]): void {
+    loads.forEach((load) => this.groupLoads.set(load.group, load));
+  }
+
   /** The group of a replica. */
   getReplicaGroup(state: ReplicaState): ReplicaGroup | undefined {
     return this.groups.find(({ replicas }) => replicas.includes(state));
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -45,6 +45,9 @@
   /** Whether it has announced by other means than the replica list that it is about to leave. */
   isLeaving = false;
 
+  /** Whether it states how long work takes on its machine. */
+  statesSlowdown = false;
+
   /** The replica counts as full until then, since it refused a request. */
   fullUntil: Milliseconds = 0;
 
@@ -129,6 +132,7 @@
   }
 
   recordLoadReport(report: LoadReport, now: Milliseconds): void {
+    this.statesSlowdown ||= report.slowdown !== undefined;
     this.receivedReport = { report, receivedAt: now, knownInFlight: this.running.size };
     this.lastReceivedAt = now;
   }
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -119,6 +119,11 @@
   running: number;
   waiting: number;
   slots: number;
+  /**
+   * How long work takes on the replica's machine at the moment, relative to the usual time; 1 means as
+   * usual. Absent if the replica does not state it.
+   */
+  slowdown?: number;
 }
 
 /** A change to the prefix cache of an engine. */
@@ -150,6 +155,18 @@
   'service' | 'rank' | 'latencyTarget' | 'pauseTarget' | 'prompt'
 >;
 
+/** What the placer of a group needs in order to decide whether a request begins, waits or is refused. */
+export interface AdmissionClaim {
+  /** Empty if the caller needs no workspace. */
+  workspace: string;
+  /** Identical for repeated requests with the same content from the same caller. */
+  fingerprint: string;
+  /** Time since the request arrived at the daemon that received it. */
+  waited: Milliseconds;
+  /** Time until its caller or its route stops waiting. */
+  timeLeft: Milliseconds;
+}
+
 /** Queries the placer of a replica group for the replica of an attempt. */
 export interface PlacementQuery {
   /** Identifies the attempt among those of the querying daemon. */
@@ -159,6 +176,8 @@
   availabilityZone: string;
   /** IDs of replicas that must not be chosen. */
   excludedReplicas: string[];
+  /** Present for services under admission control. */
+  claim?: AdmissionClaim;
 }
 
 /** The replica that a placer chose for another daemon's attempt, and the estimates behind it. */
@@ -179,6 +198,19 @@
   key: string;
   /** Absent if no replica of the group is suitable. */
   placement?: Placement;
+  /** Present if the placer keeps the query until a replica has room, and responds again then. */
+  queued?: { expectedWait: Milliseconds };
+  /** Present if the placer refuses the request, which therefore does not run. */
+  refused?: { retryAfter: Milliseconds };
+}
+
+/** The load of a group of replicas, as its placer sees it. */
+export interface GroupLoad {
+  group: string;
+  /** Expected wait of a request that arrives now and is no more urgent than any that waits. */
+  expectedWait: Milliseconds;
+  /** Requests that could begin at once. */
+  room: number;
 }
 
 /** How an attempt ended, reported to the placer of its replica. */
@@ -238,7 +270,7 @@
 export type PlacementUpdate =
   | { kind: 'placed'; attempt: SharedAttempt }
   /** The first byte of the response arrived, so the engine has completed prefill. */
-  | { kind: 'first-byte-received'; key: string }
+  | { kind: 'first-byte-received'; key: string; load?: LoadReport }
   /** `result` is absent if the attempt provides no information about its replica. */
   | {
       kind: 'ended';
@@ -249,6 +281,8 @@
     }
   | { kind: 'ask'; query: PlacementQuery }
   | { kind: 'reply'; response: PlacementResponse }
+  /** The loads of the groups of a service of which the sender is the placer. */
+  | { kind: 'group-loads'; service: string; loads: GroupLoad[] }
   /** An attempt at a replica broke, or a liveness check of the replica failed. */
   | { kind: 'attempt-broken'; replica: string }
   /** Requests, and parts of their prompts, that were in flight at a replica when it crashed. */
--- a/packages/relay/src/lib/peers/Outbox/Outbox.ts
+++ b/packages/relay/src/lib/peers/Outbox/Outbox.ts
@@ -48,6 +48,7 @@
     case 'ended':
       return update.isUrgent === true;
     case 'attempt-list':
+    case 'group-loads':
     case 'usage':
     case 'demand':
       return false;
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -54,10 +54,34 @@
       updates: [
         { kind: 'placed', attempt: ATTEMPT },
         { kind: 'first-byte-received', key: 'k' },
+        {
+          kind: 'first-byte-received',
+          key: 'k',
+          load: { running: 3, waiting: 1, slots: 8, slowdown: 2.5 },
+        },
+        {
+          kind: 'first-byte-received',
+          key: 'k',
+          load: { running: 3, waiting: 1, slots: 8 },
+        },
         { kind: 'ended', key: 'k' },
         { kind: 'ended', key: 'k', result: { end: AttemptEnd.Completed, duration: 120 } },
         { kind: 'ask', query: QUERY },
         { kind: 'ask', query: { ...QUERY, criteria: { ...QUERY.criteria, prompt: undefined } } },
+        {
+          kind: 'ask',
+          query: {
+            ...QUERY,
+            claim: { workspace: 'shop', fingerprint: 'f', waited: 40, timeLeft: 5_000 },
+          },
+        },
+        { kind: 'reply', response: { key: 'k', queued: { expectedWait: 120 } } },
+        { kind: 'reply', response: { key: 'k', refused: { retryAfter: 800 } } },
+        {
+          kind: 'group-loads',
+          service: 'llm',
+          loads: [{ group: 'llm/zone-a', expectedWait: 80, room: 4 }],
+        },
         { kind: 'reply', response: { key: 'k' } },
         { kind: 'reply', response: { key: 'k', placement: PLACEMENT } },
         {
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -1,7 +1,14 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import * as z from 'zod';
 import { AttemptEnd } from '../../decide/messages.js';
-import type { Placement, PlacementQuery, Prompt, SharedAttempt } from '../../decide/messages.js';
+import type {
+  LoadReport,
+  Placement,
+  PlacementQuery,
+  PlacementResponse,
+  Prompt,
+  SharedAttempt,
+} from '../../decide/messages.js';
 import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { PeerUpdate } from '../PeerUpdate.js';
 import type { PeerEntry } from '../PeerDirectory.js';
@@ -39,7 +46,19 @@
   promptSchema.nullable(),
 ]);
 
-/** Key, service, rank, latency target, pause target, prompt, availability zone, tried replicas. */
+/** Workspace, fingerprint, time waited, time left. */
+const claimSchema = z.tuple([z.string(), z.string(), z.number(), z.number()]);
+
+/** Running, waiting, slots, slowdown. */
+const loadSchema = z.tuple([z.number(), z.number(), z.number(), z.number().positive().nullable()]);
+
+/** Group, expected wait, room. */
+const groupLoadSchema = z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()]);
+
+/**
+ * Key, service, rank, latency target, pause target, prompt, availability zone, tried replicas, and the
+ * claim for services under admission control.
+ */
 const querySchema = z.tuple([
   z.string(),
   z.string(),
@@ -49,6 +68,7 @@
   promptSchema.nullable(),
   z.string(),
   z.array(z.string()),
+  claimSchema.optional(),
 ]);
 
 /**
@@ -90,11 +110,14 @@
   z.tuple([z.literal('u'), usageSchema]),
   z.tuple([z.literal('d'), z.array(demandSchema)]),
   z.tuple([z.literal('p'), attemptSchema]),
-  z.tuple([z.literal('a'), z.string()]),
+  z.tuple([z.literal('a'), z.string(), loadSchema.optional()]),
   z.tuple([z.literal('e'), z.string()]),
   z.tuple([z.literal('e'), z.string(), z.enum(AttemptEnd), z.number()]),
   z.tuple([z.literal('q'), querySchema]),
   z.tuple([z.literal('r'), z.string(), placementSchema.nullable()]),
+  z.tuple([z.literal('y'), z.string(), z.number().nonnegative()]),
+  z.tuple([z.literal('n'), z.string(), z.number().nonnegative()]),
+  z.tuple([z.literal('g'), z.string(), z.array(groupLoadSchema)]),
   z.tuple([z.literal('b'), z.string()]),
   z.tuple([z.literal('c'), z.string(), z.array(z.string())]),
   z.tuple([z.literal('s'), z.string()]),
@@ -125,6 +148,7 @@
 type EncodedPrompt = z.infer<typeof promptSchema>;
 type EncodedAttempt = z.infer<typeof attemptSchema>;
 type EncodedQuery = z.infer<typeof querySchema>;
+type EncodedLoad = z.infer<typeof loadSchema>;
 type EncodedPlacement = z.infer<typeof placementSchema>;
 type EncodedUpdate = z.infer<typeof updateSchema>;
 
@@ -179,15 +203,25 @@
   };
 }
 
+function encodeLoad({ running, waiting, slots, slowdown }: LoadReport): EncodedLoad {
+  return [running, waiting, slots, slowdown ?? null];
+}
+
+function decodeLoad([running, waiting, slots, slowdown]: EncodedLoad): LoadReport {
+  const report = { running, waiting, slots };
+  return slowdown === null ? report : { ...report, slowdown };
+}
+
 function encodeQuery({
   key,
   criteria,
   availabilityZone,
   excludedReplicas,
+  claim,
 }: PlacementQuery): EncodedQuery {
   const { service, rank, latencyTarget, pauseTarget, prompt } = criteria;
   const encodedPrompt = prompt === undefined ? null : encodePrompt(prompt);
-  return [
+  const query: EncodedQuery = [
     key,
     service,
     rank,
@@ -197,6 +231,11 @@
     availabilityZone,
     excludedReplicas,
   ];
+  if (claim !== undefined) {
+    const { workspace, fingerprint, waited, timeLeft } = claim;
+    query[8] = [workspace, fingerprint, Math.round(waited), Math.round(timeLeft)];
+  }
+  return query;
 }
 
 function decodeQuery([
@@ -208,6 +247,7 @@
   prompt,
   availabilityZone,
   excludedReplicas,
+  encodedClaim,
 ]: EncodedQuery): PlacementQuery {
   const criteria = {
     service,
@@ -216,7 +256,12 @@
     pauseTarget: pauseTarget ?? undefined,
     prompt: prompt === null ? undefined : decodePrompt(prompt),
   };
-  return { key, criteria, availabilityZone, excludedReplicas };
+  const query = { key, criteria, availabilityZone, excludedReplicas };
+  if (encodedClaim === undefined) {
+    return query;
+  }
+  const [workspace, fingerprint, waited, timeLeft] = encodedClaim;
+  return { ...query, claim: { workspace, fingerprint, waited, timeLeft } };
 }
 
 function encodePlacement(placement: Placement): EncodedPlacement {
@@ -244,6 +289,16 @@
   return { replica, expected, missingTokens, tokensAhead, copyTime, fetchFrom, fetchTokens };
 }
 
+function encodeResponse({ key, placement, queued, refused }: PlacementResponse): EncodedUpdate {
+  if (queued !== undefined) {
+    return ['y', key, Math.round(queued.expectedWait)];
+  }
+  if (refused !== undefined) {
+    return ['n', key, Math.round(refused.retryAfter)];
+  }
+  return ['r', key, placement === undefined ? null : encodePlacement(placement)];
+}
+
 function encodeUpdate(update: PeerUpdate): EncodedUpdate {
   switch (update.kind) {
     case 'usage': {
@@ -262,17 +317,27 @@
     case 'placed':
       return ['p', encodeAttempt(update.attempt)];
     case 'first-byte-received':
-      return ['a', update.key];
+      return update.load === undefined
+        ? ['a', update.key]
+        : ['a', update.key, encodeLoad(update.load)];
     case 'ended':
       return update.result === undefined
         ? ['e', update.key]
         : ['e', update.key, update.result.end, Math.round(update.result.duration)];
     case 'ask':
       return ['q', encodeQuery(update.query)];
-    case 'reply': {
-      const { key, placement } = update.response;
-      return ['r', key, placement === undefined ? null : encodePlacement(placement)];
-    }
+    case 'reply':
+      return encodeResponse(update.response);
+    case 'group-loads':
+      return [
+        'g',
+        update.service,
+        update.loads.map(({ group, expectedWait, room }) => [
+          group,
+          Math.round(expectedWait),
+          Math.round(room),
+        ]),
+      ];
     case 'attempt-broken':
       return ['b', update.replica];
     case 'limits':
@@ -340,7 +405,9 @@
     case 'p':
       return { kind: 'placed', attempt: decodeAttempt(encoded[1]) };
     case 'a':
-      return { kind: 'first-byte-received', key: encoded[1] };
+      return encoded[2] === undefined
+        ? { kind: 'first-byte-received', key: encoded[1] }
+        : { kind: 'first-byte-received', key: encoded[1], load: decodeLoad(encoded[2]) };
     case 'e': {
       const [, key, end, after] = encoded;
       return end === undefined || after === undefined
@@ -356,6 +423,16 @@
         response: placement === null ? { key } : { key, placement: decodePlacement(placement) },
       };
     }
+    case 'y':
+      return { kind: 'reply', response: { key: encoded[1], queued: { expectedWait: encoded[2] } } };
+    case 'n':
+      return { kind: 'reply', response: { key: encoded[1], refused: { retryAfter: encoded[2] } } };
+    case 'g':
+      return {
+        kind: 'group-loads',
+        service: encoded[1],
+        loads: encoded[2].map(([group, expectedWait, room]) => ({ group, expectedWait, room })),
+      };
     case 'b':
       return { kind: 'attempt-broken', replica: encoded[1] };
     case 'm':
