Count refused requests as demand when replicas are ordered

Replicas are ordered for what is sent. Under admission, what has no room is refused and never sent, so that a service in overload would seem to be served.

Not measured on a deployment yet; the price of orders isn't touched.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -166,6 +166,11 @@
       getActive: () => this.active,
       isRejecting: () => this.isRejecting,
       onAttemptSent: (service, tokens) => this.duties?.recordSent(service, tokens),
+      onRefused: (service, prompt) => {
+        if (this.core.registry.getService(service).isAdmissionControlled) {
+          this.duties?.recordRefused(service, prompt);
+        }
+      },
       onAttemptEnded: (attempt) => this.duties?.recordEnd(attempt),
       onStreamStarted: (stream) => this.streams.recordStart(stream),
       onRunStarted: (workspace, at) => this.duties?.recordRunStart(workspace, at),
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -40,6 +40,7 @@
   dispatch: (message: PlacementMessage) => void;
   maySend: RelayTaskParts['maySend'];
   onAttemptSent: RelayTaskParts['onAttemptSent'];
+  onRefused: RelayTaskParts['onRefused'];
   onAttemptEnded: RelayTaskParts['onAttemptEnded'];
   onStreamStarted: RelayTaskParts['onStreamStarted'];
   onRunStarted: RelayTaskParts['onRunStarted'];
@@ -211,6 +212,7 @@
       dispatch,
       maySend,
       onAttemptSent,
+      onRefused,
       onAttemptEnded,
       onStreamStarted,
       onRunStarted,
@@ -249,6 +251,7 @@
       dispatch,
       maySend,
       onAttemptSent,
+      onRefused,
       onAttemptEnded,
       onStreamStarted,
       onRunStarted,
--- a/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
+++ b/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
@@ -18,6 +18,7 @@
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { DemandCounter } from '../DemandCounter/DemandCounter.js';
+import type { RefusedPrompt } from '../DemandCounter/DemandCounter.js';
 import type { DutyUpdate } from '../DutyUpdate.js';
 import { RunStartEstimator } from '../RunStartEstimator/RunStartEstimator.js';
 import type { EndedAttempt } from '../RunStartEstimator/RunStartEstimator.js';
@@ -141,6 +142,12 @@
     this.scheduleSend();
   }
 
+  /** Records that a request was refused because the replicas of its service had no room. */
+  recordRefused(service: string, prompt: RefusedPrompt): void {
+    this.demand.recordRefused(service, prompt, this.settings.clock.now());
+    this.scheduleSend();
+  }
+
   /**
    * Records that an attempt has ended.
    *
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -4,6 +4,7 @@
 import type { RelayReplica } from '../config/RelayConfiguration.js';
 import { AttemptEnd, GiveUpReason, Outcome } from '../decide/messages.js';
 import type { PlacementEffect, PlacementMessage, PlacementRequest } from '../decide/messages.js';
+import type { RefusedPrompt } from '../duties/DemandCounter/DemandCounter.js';
 import type { EndedAttempt } from '../duties/RunStartEstimator/RunStartEstimator.js';
 import type { ResponseFraming } from '../framing/getResponseFraming.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
@@ -36,6 +37,8 @@
   maySend: (replica: string) => boolean;
   /** Called when an attempt is sent to a replica, with the number of prompt tokens to prefill. */
   onAttemptSent: (service: string, tokens: number) => void;
+  /** Called when the request is refused because the replicas of its service have no room. */
+  onRefused: (service: string, prompt: RefusedPrompt) => void;
   /**
    * Called when an attempt that was sent has ended.
    *
@@ -213,6 +216,7 @@
     const after = clock.now() - request.arrivedAt;
     const part = findQuarantinedPart(request, quarantined);
     log({ event: 'given-up', id: request.id, outcome, reason, status, retryAfter, part, after });
+    this.recordRefusal(outcome, reason);
     this.finish(outcome, reason);
     if (this.callerResponse.isStarted) {
       this.callerResponse.breakOff();
@@ -222,6 +226,14 @@
     writeErrorResponse(response, { status, reason, outcome, retryAfter, detail });
   }
 
+  private recordRefusal(outcome: Outcome, reason: GiveUpReason): void {
+    const { onRefused, request } = this.parts;
+    const { fields, fingerprint, service } = request;
+    if (outcome === Outcome.NotRun && reason === GiveUpReason.Overload) {
+      onRefused(service, { fingerprint, inputTokens: fields.prompt?.inputTokens ?? 0 });
+    }
+  }
+
   // eslint-disable-next-line class-methods-use-this
   private getStatus(outcome: Outcome, reason: GiveUpReason): number {
     switch (reason) {
