--- a/packages/relay/src/test/CoreHarness.ts
+++ b/packages/relay/src/test/CoreHarness.ts
@@ -13,7 +13,7 @@
 
 /** Runs a placement core on a manual clock, and records its effects. */
 export class CoreHarness {
-  readonly clock = new ManualClock();
+  readonly clock: ManualClock;
 
   readonly effects: PlacementEffect[] = [];
 
@@ -28,7 +28,9 @@
     services: readonly RelayService[],
     replicas: readonly RelayReplica[],
     options: Partial<PlacementOptions> = {},
+    start = 0,
   ) {
+    this.clock = new ManualClock(start);
     this.core = new PlacementCore({
       clock: this.clock,
       emit: (effect) => this.handleEffect(effect),
