Admission of a replica group: room at engines, order by rank and workspace, refusal of what is late

Cause: requests are sent on at once, however late their first token will be. Beyond what engines can do, they queue there, every first token is late, and nothing is served in time.

EngineAdmission decides for one replica group which requests begin, which wait and which are refused. An engine gets what it prefills within half of the shortest latency target (EngineRoom); the rest waits at the placer, by rank, then by start-time fair queueing among workspaces (FairOrder); a request whose first token is not expected in time is refused at once (WaitForecast, SlotTurnover). Nothing uses it yet.

--- /dev/null
+++ b/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
@@ -0,0 +1,85 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { EngineProfile } from '../../../config/RelayConfiguration.js';
+import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
+import type { AdmissionOptions } from '../admissionOptions.js';
+
+/** What a request needs of an engine. */
+export interface EngineDemand {
+  /** Prompt tokens that the engine would have to prefill. */
+  missingTokens: number;
+  /** KV-cache memory, in tokens. */
+  memoryTokens: number;
+}
+
+/** Inputs of {@link EngineRoom}. */
+export interface EngineRoomInputs {
+  state: ReplicaState;
+  profile: EngineProfile | undefined;
+  now: Milliseconds;
+  /** Maximum time that the prompts pending at the engine may take. */
+  maxBacklog: Milliseconds;
+  options: Pick<AdmissionOptions, 'memoryLimit' | 'transferTime'>;
+}
+
+/**
+ * The room of one engine at one moment: whether it may take another request so that what begins there
+ * begins in time.
+ *
+ * Load pattern: bursts that fill the queues of engines. What waits at an engine can't be reordered,
+ * refused or moved, so an urgent request that arrives later waits for all of it. Therefore an engine gets
+ * only what it prefills within a part of the shortest latency target, and the rest waits at the placer.
+ */
+export class EngineRoom {
+  readonly state: ReplicaState;
+
+  /** Time until the engine has prefilled the prompts that are pending there. */
+  readonly backlog: Milliseconds;
+
+  readonly slots: number;
+
+  /** Estimated number of free slots; may be fractional, since unannounced requests are estimated. */
+  readonly freeSlots: number;
+
+  private readonly freeMemory: number;
+
+  private readonly usedMemory: number;
+
+  constructor(private readonly inputs: EngineRoomInputs) {
+    const { state, profile, now, options } = inputs;
+    this.state = state;
+    this.backlog = state.getBacklog(now) / state.prefillRate;
+    this.slots = state.getSlots(profile);
+    this.freeSlots = this.slots - state.running.size - state.getUnannouncedInFlight(now);
+    this.usedMemory = state.getMemoryTokens(now);
+    const capacity = profile?.memoryTokens ?? Number.POSITIVE_INFINITY;
+    this.freeMemory = capacity * options.memoryLimit - this.usedMemory;
+  }
+
+  /** Whether it may take a request of any size. */
+  get isOpen(): boolean {
+    return this.freeSlots > 0 && this.backlog <= this.maxBacklog;
+  }
+
+  /**
+   * Whether it may take a request now. A request that exceeds the bounds by itself may still begin at an
+   * engine that is idle, or about to be.
+   */
+  fits({ missingTokens, memoryTokens }: EngineDemand): boolean {
+    const backlog = this.backlog + missingTokens / this.state.prefillRate;
+    return (
+      this.freeSlots > 0 &&
+      (backlog <= this.maxBacklog || this.backlog <= this.inputs.options.transferTime) &&
+      (memoryTokens <= this.freeMemory || this.usedMemory === 0)
+    );
+  }
+
+  /** Expected wait for the first token of a request that begins now. */
+  getExpectedWait(missingTokens: number): Milliseconds {
+    const { state } = this;
+    return state.getExpectedWait(this.backlog * state.prefillRate + missingTokens);
+  }
+
+  private get maxBacklog(): Milliseconds {
+    return Math.max(this.inputs.maxBacklog, this.inputs.options.transferTime);
+  }
+}
--- /dev/null
+++ b/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.test.ts
@@ -0,0 +1,83 @@
+import { createReplayApplicant } from '../../../../test/createReplayApplicant.js';
+import { admissionOptions } from '../admissionOptions.js';
+import type { Applicant } from '../Applicant.js';
+import { createWaitingApplicant } from '../WaitingApplicant.js';
+import type { WaitingApplicant } from '../WaitingApplicant.js';
+import { FairOrder } from './FairOrder.js';
+
+function createWaiting(
+  id: string,
+  parts: Partial<Applicant> & { rank?: number; tokens?: number; firstArrivedAt?: number } = {},
+): WaitingApplicant {
+  const { firstArrivedAt } = parts;
+  const applicant = createReplayApplicant(id, parts);
+  const options = admissionOptions;
+  return createWaitingApplicant({ applicant, engines: [], now: 0, options, firstArrivedAt });
+}
+
+/** Lets all applicants begin in order. */
+function beginAll(order: FairOrder, applicants: readonly WaitingApplicant[]): string[] {
+  const waiting = new Set(applicants);
+  const begun: string[] = [];
+  while (waiting.size > 0) {
+    const next = order.sort(waiting)[0]!;
+    waiting.delete(next);
+    order.recordBegin(next);
+    begun.push(next.applicant.id);
+  }
+  return begun;
+}
+
+describe('FairOrder', () => {
+  it('begins the most urgent rank first, and equals in the order in which they first arrived', () => {
+    const late = createWaiting('late', { arrivedAt: 1, rank: 2 });
+    const returned = createWaiting('returned', { arrivedAt: 30, rank: 2, firstArrivedAt: 0 });
+    const urgent = createWaiting('urgent', { arrivedAt: 40, rank: 0 });
+    expect(beginAll(new FairOrder(), [late, returned, urgent])).toEqual([
+      'urgent',
+      'returned',
+      'late',
+    ]);
+  });
+
+  it('takes turns among workspaces by the cost of what began', () => {
+    // Guards against order of arrival: one workspace sends ten requests, and the others wait for all.
+    const flood = Array.from({ length: 4 }, (_item, index) =>
+      createWaiting(`flood-${index}`, { workspace: 'flood', arrivedAt: index }),
+    );
+    const small = ['small-0', 'small-1', 'small-2'].map((id) =>
+      createWaiting(id, { workspace: 'small', arrivedAt: 50, tokens: 1_800 }),
+    );
+    // Each costs its tokens and 400 more for the output: 4,400 and 2,200.
+    expect(beginAll(new FairOrder(), [...flood, ...small])).toEqual([
+      'flood-0',
+      'small-0',
+      'small-1',
+      'flood-1',
+      'small-2',
+      'flood-2',
+      'flood-3',
+    ]);
+  });
+
+  it('gives no credit for idle time', () => {
+    // Guards against a workspace that returns after a minute and gets all engines for seconds.
+    const order = new FairOrder();
+    const steady = Array.from({ length: 20 }, (_item, index) =>
+      createWaiting(`steady-${index}`, { workspace: 'steady' }),
+    );
+    beginAll(order, steady);
+    const next = ['a', 'b', 'c'].flatMap((id) => [
+      createWaiting(`steady-${id}`, { workspace: 'steady', arrivedAt: 100 }),
+      createWaiting(`idle-${id}`, { workspace: 'idle', arrivedAt: 101 }),
+    ]);
+    expect(beginAll(order, next)).toEqual([
+      'idle-a',
+      'steady-a',
+      'idle-b',
+      'steady-b',
+      'idle-c',
+      'steady-c',
+    ]);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/lib/decide/admission/WaitForecast/WaitForecast.ts
@@ -0,0 +1,102 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { EngineRoom } from '../EngineRoom/EngineRoom.js';
+
+/** When a waiting request is expected to begin, and when its first token is expected. */
+export interface ExpectedTimes {
+  /** From now. */
+  begin: Milliseconds;
+  /** From now. */
+  firstToken: Milliseconds;
+}
+
+/** What the forecast assumes about one engine. */
+interface EnginePlan {
+  room: EngineRoom;
+  /** Time until the engine has prefilled all prompts that were planned there. */
+  backlog: Milliseconds;
+  /** Slots that are free, less the requests planned; negative if requests wait for slots. */
+  freeSlots: number;
+  /** Mean time between two releases of a slot. */
+  releaseInterval: Milliseconds;
+}
+
+/** Inputs of {@link WaitForecast}. */
+export interface WaitForecastInputs {
+  /** Mean time for which a request holds its slot. */
+  hold: Milliseconds;
+  /** Maximum time that the prompts pending at an engine may take. */
+  maxBacklog: Milliseconds;
+}
+
+interface PlannedRequest {
+  plan: EnginePlan;
+  times: ExpectedTimes;
+}
+
+/**
+ * Predicts when waiting requests begin. Each is planned at the engine with the earliest first token, after
+ * all requests before it in order.
+ *
+ * Load pattern: overload of any duration. A request that waits in vain gets its refusal only when its
+ * target has passed, and takes room from one that could be in time.
+ */
+export class WaitForecast {
+  private readonly plans = new Map<EngineRoom, EnginePlan>();
+
+  constructor(private readonly inputs: WaitForecastInputs) {}
+
+  /** Predicts the times of a request after all that were planned; undefined if it may go nowhere. */
+  predict(rooms: readonly EngineRoom[], missingTokens: number): ExpectedTimes | undefined {
+    return this.findBest(rooms, missingTokens)?.times;
+  }
+
+  /** Plans a request, so that it counts for those predicted after it. */
+  plan(rooms: readonly EngineRoom[], missingTokens: number): void {
+    const best = this.findBest(rooms, missingTokens);
+    if (best !== undefined) {
+      const { plan, times } = best;
+      plan.backlog =
+        Math.max(plan.backlog, times.begin) + missingTokens / plan.room.state.prefillRate;
+      plan.freeSlots -= 1;
+    }
+  }
+
+  private findBest(
+    rooms: readonly EngineRoom[],
+    missingTokens: number,
+  ): PlannedRequest | undefined {
+    let best: PlannedRequest | undefined;
+    rooms.forEach((room) => {
+      const plan = this.getPlan(room);
+      const times = this.getTimes(plan, missingTokens);
+      if (best === undefined || times.firstToken < best.times.firstToken) {
+        best = { plan, times };
+      }
+    });
+    return best;
+  }
+
+  private getTimes(plan: EnginePlan, missingTokens: number): ExpectedTimes {
+    const { room, backlog, freeSlots, releaseInterval } = plan;
+    const prefillTime = missingTokens / room.state.prefillRate;
+    const slotFreeIn = freeSlots > 0 ? 0 : (1 - freeSlots) * releaseInterval;
+    const prefillStart = Math.max(backlog, slotFreeIn);
+    const roomIn = backlog + Math.min(0, prefillTime - this.inputs.maxBacklog);
+    return {
+      begin: Math.max(0, slotFreeIn, roomIn),
+      firstToken: prefillStart + room.state.getExpectedWait(missingTokens),
+    };
+  }
+
+  private getPlan(room: EngineRoom): EnginePlan {
+    const known = this.plans.get(room);
+    if (known !== undefined) {
+      return known;
+    }
+    const { backlog, freeSlots, slots } = room;
+    const releaseInterval = this.inputs.hold / slots;
+    const created = { room, backlog, freeSlots, releaseInterval };
+    this.plans.set(room, created);
+    return created;
+  }
+}
