Admission across daemons: placers decide for all, daemons keep what waits

Cause: requests are sent on at once however late their first token will be, and no daemon knows what the others send. Change: for services under admission control, a daemon asks the placer of the group with a claim, in small fleets as well. AdmissionControl hands it to the group's admission and answers begin, wait or refuse; PeerQueries decides each key once and repeats its answer; OwnApplicants does the same for the requests of the placer itself. A daemon that waits asks again with the same key at the promised time and a reserve, at the latest after half of the target, then asks the deputy. Refused requests get 'overload' as not run with the placer's Retry-After, unless an attempt may have run. Without any placer, only an engine with a free slot where the first token is in time is used. The claim names the group, since placer and daemon may see different replicas. First bytes carry the load report to the placer; placers announce group loads. Log events admission-decided, queued, not-admitted; metrics.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -165,6 +165,9 @@
       case 'mark-healthy':
       case 'start-cooldown':
       case 'placed-for':
+      case 'admission-decided':
+      case 'queued':
+      case 'not-admitted':
       case 'placer-silent':
       case 'crashed':
       case 'quarantined':
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -64,6 +64,20 @@
         log({ event: 'placed-for', peer, key, replica: effect.replica.id, choice });
         break;
       }
+      case 'admission-decided':
+        log({ event: 'admission-decided', ...effect.record });
+        metrics.admission.record(effect.record);
+        break;
+      case 'queued': {
+        const { id, key, placer, waited, expectedWait } = effect;
+        log({ event: 'queued', id, key, placer, waited, expectedWait });
+        break;
+      }
+      case 'not-admitted': {
+        const { id, key, placer, waited, retryAfter } = effect;
+        log({ event: 'not-admitted', id, key, placer, waited, retryAfter });
+        break;
+      }
       case 'placer-silent':
         log({ event: 'placer-silent', peer: effect.peer, span: effect.span });
         break;
--- a/packages/relay/src/lib/daemon/addDaemonGauges.ts
+++ b/packages/relay/src/lib/daemon/addDaemonGauges.ts
@@ -88,6 +88,12 @@
   metrics.addGauges('waiting_requests', 'Requests waiting for a replica.', 'service', () =>
     core.registry.getWaitingCounts(),
   );
+  metrics.addGauges(
+    'admission_waiting',
+    'Requests of all daemons that wait at this placer for an engine with room.',
+    'service',
+    () => core.admissionControl.getWaitingCounts(),
+  );
   metrics.addGauges('repeats_left', 'Retries left in the retry budget.', 'service', () =>
     core.registry.getRemainingRetries(),
   );
--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -2,9 +2,12 @@
 import type { AttemptKeys } from '../AttemptKeys.js';
 import type { Fleet } from '../Fleet/Fleet.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
-import type { PlacementEffect, PlacementResponse } from '../messages.js';
+import { createClaim, createQuery } from '../admission/createClaimedQuery.js';
+import { getQueuedTimeout } from '../admission/getQueuedTimeout.js';
+import type { PlacementEffect, PlacementQuery, PlacementResponse } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
+import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { RequestRecord } from '../RequestRecord.js';
 
 /** Dependencies of {@link Delegation}. */
@@ -13,6 +16,7 @@
   emit: (effect: PlacementEffect) => void;
   options: PlacementOptions;
   fleet: Fleet;
+  registry: ReplicaRegistry;
   keys: AttemptKeys;
   backoffs: Pick<ReplicaBackoffs, 'backedOff'>;
   /** Called when a placer did not respond in time. */
@@ -25,6 +29,7 @@
   placer: string;
   sentAt: Milliseconds;
   timer: Timer;
+  query: PlacementQuery;
 }
 
 /**
@@ -70,44 +75,57 @@
     return this.parts.clock.now() < (this.unresponsive.get(daemon)?.until ?? 0);
   }
 
-  sendQuery(record: RequestRecord, placer: string): void {
-    const { clock, emit, keys, options } = this.parts;
-    const { service, rank, latencyTarget, pauseTarget, prompt } = record.request;
-    const key = keys.next();
+  /** @param group - the group that a request under admission control is to go to; undefined for others */
+  sendQuery(record: RequestRecord, placer: string, group?: string): void {
+    const { clock, keys, options, backoffs } = this.parts;
+    const { availabilityZone } = options;
+    const inputs = { key: keys.next(), availabilityZone, backedOff: backoffs.backedOff };
+    const query = createQuery(record, inputs);
+    if (group !== undefined) {
+      query.claim = createClaim(record, group, clock.now());
+    }
     record.queriedPlacers.add(placer);
-    const timer = clock.setTimer(options.askTimeout, () => this.handleTimeout(key));
-    this.pending.set(key, { record, placer, sentAt: clock.now(), timer });
-    const criteria = { service, rank, latencyTarget, pauseTarget, prompt };
-    const excludedReplicas = [
-      ...new Set([...record.triedReplicas, ...this.parts.backoffs.backedOff]),
-    ];
-    const query = {
-      key,
-      criteria,
-      availabilityZone: options.availabilityZone,
-      excludedReplicas,
-    };
-    emit({ kind: 'share', to: placer, update: { kind: 'ask', query } });
+    this.send({ record, placer, query });
   }
 
   /**
    * Returns the query that a response belongs to. If it is no longer pending, releases the placement
    * and returns undefined.
    */
-  handleResponse(placer: string, { key, placement }: PlacementResponse): PendingQuery | undefined {
+  handleResponse(placer: string, response: PlacementResponse): PendingQuery | undefined {
+    const { key, placement, queued } = response;
     this.unresponsive.delete(placer);
     const query = this.pending.get(key);
     if (query?.placer !== placer) {
-      if (placement !== undefined) {
+      const isUnused = placement !== undefined || queued !== undefined;
+      if (isUnused && !this.isInFlight(key)) {
         this.releasePlacement(placer, key);
       }
       return undefined;
     }
-    this.pending.delete(key);
     query.timer.cancel();
+    if (queued !== undefined) {
+      this.waitForPlacer(query, queued.expectedWait);
+      return undefined;
+    }
+    this.pending.delete(key);
     return query;
   }
 
+  /** Fails the queries of requests that wait at placers that are gone. */
+  handleFleetChange(): void {
+    const { fleet, onTimeout } = this.parts;
+    const gone = [...this.pending.values()].filter(
+      ({ query, placer }) => query.claim !== undefined && !fleet.members.includes(placer),
+    );
+    gone.forEach(({ record, placer, query, timer }) => {
+      timer.cancel();
+      this.pending.delete(query.key);
+      this.releasePlacement(placer, query.key);
+      onTimeout(record);
+    });
+  }
+
   /** Notifies a placer that the attempt it counts as in flight will not be sent. */
   releasePlacement(placer: string, key: string): void {
     this.parts.emit({ kind: 'share', to: placer, update: { kind: 'ended', key } });
@@ -124,6 +142,40 @@
       });
   }
 
+  private send({ record, placer, query }: Omit<PendingQuery, 'sentAt' | 'timer'>): void {
+    const { clock, emit, options } = this.parts;
+    const { key } = query;
+    const timer = clock.setTimer(options.askTimeout, () => this.handleTimeout(key));
+    this.pending.set(key, { record, placer, sentAt: clock.now(), timer, query });
+    emit({ kind: 'share', to: placer, update: { kind: 'ask', query } });
+  }
+
+  /** Keeps a query that the placer has queued. Without a response in time, asks again with its key. */
+  private waitForPlacer(pending: PendingQuery, expectedWait: Milliseconds): void {
+    const { clock, emit, options } = this.parts;
+    const { record, placer, query } = pending;
+    const { id, arrivedAt, latencyTarget } = record.request;
+    const waited = clock.now() - arrivedAt;
+    emit({ kind: 'queued', id, key: query.key, placer, waited, expectedWait });
+    const timeout = getQueuedTimeout(expectedWait, latencyTarget, options.askTimeout);
+    const timer = clock.setTimer(timeout, () => {
+      const claim = createClaim(record, query.claim?.group ?? '', clock.now());
+      this.send({ record, placer, query: { ...query, claim } });
+    });
+    this.pending.set(query.key, { ...pending, timer });
+  }
+
+  /** Whether a request under admission control has an attempt with this key in flight. */
+  private isInFlight(key: string): boolean {
+    return this.parts.registry.allServices.some(
+      (service) =>
+        service.isAdmissionControlled &&
+        [...service.replicas.values()].some(({ running }) =>
+          [...running].some((attempt) => attempt.isOwn && attempt.key === key),
+        ),
+    );
+  }
+
   /** Doubles the backoff up to a maximum, since each query to a dead placer delays a request. */
   private getNextBackoff(last: Milliseconds | undefined): Milliseconds {
     const { silentPlacer, longestSilentPlacer } = this.parts.options;
@@ -145,6 +197,10 @@
       this.unresponsive.set(query.placer, { until: clock.now() + span, span });
     }
     emit({ kind: 'placer-silent', peer: query.placer, span });
+    if (query.query.claim !== undefined) {
+      // The request goes elsewhere, but may wait or have begun there.
+      this.releasePlacement(query.placer, key);
+    }
     onTimeout(query.record);
   }
 }
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -3,6 +3,7 @@
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { AttemptEnd } from '../messages.js';
 import type {
+  LoadReport,
   PlacementCriteria,
   SharedAttempt,
   SharedAttemptResult,
@@ -35,6 +36,8 @@
   findReplica: (id: string) => ReplicaState | undefined;
   /** Called when another daemon's attempt is sent to a replica. */
   onSent: (replica: string) => void;
+  /** Called when a replica may have more room, or more is known of its load. */
+  onChanged: (state: ReplicaState) => void;
 }
 
 /** Creates the representation of an attempt that is sent to other daemons. */
@@ -70,11 +73,12 @@
         this.add(attempts, update.attempt);
         break;
       case 'first-byte-received':
+        this.recordLoad(attempts.get(update.key), update.load);
         this.recordFirstByte(attempts.get(update.key));
         break;
       case 'ended':
         this.recordResult(attempts.get(update.key), update.result);
-        PeerAttempts.remove(attempts, update.key);
+        this.remove(attempts, update.key);
         break;
       case 'attempt-list':
         this.lastListAt.set(peer, this.parts.clock.now());
@@ -89,7 +93,7 @@
   /** Removes the attempts of a peer that is gone. */
   removePeer(peer: string): void {
     const attempts = this.getAttempts(peer);
-    [...attempts.keys()].forEach((key) => PeerAttempts.remove(attempts, key));
+    [...attempts.keys()].forEach((key) => this.remove(attempts, key));
     this.byPeer.delete(peer);
     this.lastListAt.delete(peer);
   }
@@ -206,6 +210,13 @@
     }
   }
 
+  /** Applies the load report that came with the first byte of a response. */
+  private recordLoad(attempt: RunningAttempt | undefined, load: LoadReport | undefined): void {
+    if (attempt !== undefined && load !== undefined) {
+      attempt.state.recordLoadReport(load, this.parts.clock.now());
+    }
+  }
+
   private recordFirstByte(attempt: RunningAttempt | undefined): void {
     if (attempt === undefined || attempt.isResponding) {
       return;
@@ -213,6 +224,7 @@
     const now = this.parts.clock.now();
     Object.assign(attempt, { isResponding: true });
     attempt.state.recordFirstByte(attempt, now);
+    this.parts.onChanged(attempt.state);
   }
 
   /** Replaces the attempts of a peer by its list, which corrects the effects of lost updates. */
@@ -222,7 +234,7 @@
     [...attempts]
       .filter(([key]) => !current.has(key))
       .filter(([, { isPlacedForPeer, sentAt }]) => !isPlacedForPeer || sentAt <= graceCutoff)
-      .forEach(([key]) => PeerAttempts.remove(attempts, key));
+      .forEach(([key]) => this.remove(attempts, key));
     shared.forEach((attempt) => {
       this.add(attempts, attempt);
       if (attempt.isResponding) {
@@ -245,16 +257,17 @@
       if ((this.lastListAt.get(peer) ?? Number.NEGATIVE_INFINITY) < expiryCutoff) {
         [...attempts]
           .filter(([, { isPlacedForPeer, sentAt }]) => isPlacedForPeer && sentAt < expiryCutoff)
-          .forEach(([key]) => PeerAttempts.remove(attempts, key));
+          .forEach(([key]) => this.remove(attempts, key));
       }
     });
   }
 
-  private static remove(attempts: Map<string, RunningAttempt>, key: string): void {
+  private remove(attempts: Map<string, RunningAttempt>, key: string): void {
     const attempt = attempts.get(key);
     if (attempt !== undefined) {
       attempt.state.running.delete(attempt);
       attempts.delete(key);
+      this.parts.onChanged(attempt.state);
     }
   }
 }
--- a/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
+++ b/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
@@ -1,3 +1,5 @@
+import type { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
+import type { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { PlacementUpdate } from '../messages.js';
@@ -20,6 +22,8 @@
   placing: Placing;
   peerAttempts: PeerAttempts;
   waiting: WaitingRequests;
+  admissionControl: AdmissionControl;
+  peerQueries: PeerQueries;
   /** Called when a peer reports that a replica is about to leave. */
   onLeaving: (replica: string, peer: string) => void;
 }
@@ -30,20 +34,27 @@
 
   /** Returns what each regular message repeats, since datagrams can be lost. */
   getPeriodicUpdates(): PlacementUpdate[] {
-    const { registry, quarantine, limits, fragility, backoffs } = this.parts;
+    const { registry, quarantine, limits, fragility, backoffs, admissionControl } = this.parts;
     const leaving = registry.getLeavingReplicas();
     return [
       ...quarantine.getPeriodicUpdates(),
       ...limits.getPeriodicUpdates(),
       ...fragility.getPeriodicUpdates(),
       ...backoffs.getPeriodicUpdates(),
+      ...admissionControl.getPeriodicUpdates(),
       ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
     ];
   }
 
+  /** Removes what is known of a peer that is gone. */
+  removePeer(peer: string): void {
+    this.parts.peerQueries.removePeer(peer);
+    this.parts.peerAttempts.removePeer(peer);
+  }
+
   handle(peer: string, update: PlacementUpdate): void {
     const { registry, quarantine, limits, fragility, backoffs } = this.parts;
-    const { placer, placing, peerAttempts, waiting, onLeaving } = this.parts;
+    const { placer, placing, peerAttempts, peerQueries, waiting, onLeaving } = this.parts;
     switch (update.kind) {
       case 'attempt-broken':
         registry.recordBrokenAttempt(update.replica);
@@ -78,10 +89,14 @@
       case 'group-loads':
         registry.getService(update.service).recordGroupLoads(update.loads);
         break;
+      case 'ended':
+        peerQueries.handleEnded(peer, update.key);
+        peerAttempts.handleUpdate(peer, update);
+        break;
       case 'placed':
       case 'first-byte-received':
-      case 'ended':
       case 'attempt-list':
+        peerQueries.sweep();
         peerAttempts.handleUpdate(peer, update);
         break;
       default:
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,7 +1,13 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
+import { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
+import type { AdmissionGroupFactory } from '../admission/AdmissionControl/AdmissionControl.js';
+import { createFirstByteUpdate } from '../admission/createFirstByteUpdate.js';
+import { getAdmissionGroupFactory } from '../admission/getAdmissionGroupFactory.js';
+import { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import { AttemptKeys } from '../AttemptKeys.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
+import type { Fallback } from '../getNextStep.js';
 import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
 import type {
   PlacementEffect,
@@ -13,17 +19,21 @@
 } from '../messages.js';
 import { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
-import { PeerAttempts, createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
+import { getSharedAttempts } from '../PeerAttempts/getSharedAttempts.js';
+import { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
 import { PeerUpdates } from '../PeerUpdates/PeerUpdates.js';
 import { Placer } from '../Placer/Placer.js';
 import { Placing } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { SlotShares } from '../fragility/SlotShares/SlotShares.js';
+import { getRefusal } from '../quarantine/getRefusal.js';
 import { Admission, Quarantine } from '../quarantine/Quarantine/Quarantine.js';
+import { recordContentResult } from '../quarantine/recordContentResult.js';
 import { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
+import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import { RequestRecord } from '../RequestRecord.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import { ResponseTimeouts } from '../ResponseTimeouts/ResponseTimeouts.js';
@@ -34,26 +44,13 @@
   return mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
 }
 
-/** Returns why a request is not sent; undefined if it is. */
-function getRefusal(admission: Admission): GiveUpReason | undefined {
-  switch (admission) {
-    case Admission.Accepted:
-    case Admission.Trial:
-      return undefined;
-    case Admission.Quarantined:
-      return GiveUpReason.Quarantined;
-    case Admission.UnderReview:
-      return GiveUpReason.UnderReview;
-    default:
-      return admission satisfies never;
-  }
-}
-
 /** Dependencies of {@link PlacementCore}. */
 export interface PlacementCoreParts {
   clock: Clock;
   emit: (effect: PlacementEffect) => void;
   options?: Partial<PlacementOptions>;
+  /** Creates the admission of a replica group. */
+  createAdmissionGroup?: AdmissionGroupFactory;
 }
 
 /**
@@ -101,6 +98,9 @@
 
   private readonly waiting: WaitingRequests;
 
+  /** Decides which requests begin at the groups of which this daemon is a placer. */
+  readonly admissionControl: AdmissionControl;
+
   private readonly placer: Placer;
 
   /** Attempts that other daemons have in flight. */
@@ -108,25 +108,20 @@
 
   private readonly peerUpdates: PeerUpdates;
 
-  constructor({ clock, emit, options }: PlacementCoreParts) {
+  constructor({ clock, emit, options, createAdmissionGroup }: PlacementCoreParts) {
     this.clock = clock;
     this.emit = emit;
     this.options = { ...placementOptions, ...options };
     const { fleet } = this;
-    this.limits = new ReplicaLimits({
-      clock,
-      emit,
-      fleet,
-      getGroup: (state) =>
-        this.registry.getService(state.replica.service).getReplicaGroup(state)?.name,
-    });
+    const getGroup = (state: ReplicaState) =>
+      this.registry.getService(state.replica.service).getReplicaGroup(state)?.name;
+    this.limits = new ReplicaLimits({ clock, emit, fleet, getGroup });
     this.backoffs = new ReplicaBackoffs({ clock, emit });
     this.fragility = new ReplicaFragility({
       clock,
       emit,
       fleet,
-      getGroup: (state) =>
-        this.registry.getService(state.replica.service).getReplicaGroup(state)?.name,
+      getGroup,
       isUnresponsive: (daemon) => this.placing.isUnresponsive(daemon),
     });
     const { limits, backoffs, fragility } = this;
@@ -148,6 +143,7 @@
       clock,
       findReplica: (id) => this.registry.findReplica(id),
       onSent: (replica) => limits.recordSent(replica),
+      onChanged: (state) => this.admissionControl.review(state),
     });
     this.quarantine = new Quarantine({
       clock,
@@ -170,13 +166,21 @@
       backoffs,
       slotShares,
     };
-    this.placer = new Placer({ ...parts, peerAttempts: this.peerAttempts });
+    this.admissionControl = new AdmissionControl({
+      ...parts,
+      createGroup: createAdmissionGroup ?? getAdmissionGroupFactory(parts),
+    });
+    const { admissionControl, peerAttempts } = this;
+    const peerQueries = new PeerQueries({ clock, emit, control: admissionControl, peerAttempts });
+    this.placer = new Placer({ ...parts, peerAttempts, peerQueries });
     this.placing = new Placing({
       ...parts,
       keys: new AttemptKeys(clock.now()),
       quarantine: this.quarantine,
       onSent: (record, attempt) => this.responseTimeouts.start(record, attempt),
       onQueryFailed: (record) => this.waiting.placeOrWait(record),
+      onRefused: (record, retryAfter) => this.refuse(record, retryAfter),
+      admissionControl,
     });
     this.waiting = new WaitingRequests({
       clock,
@@ -186,7 +190,7 @@
       countInFlight: (daemon, service) => this.countInFlight(daemon, service),
       giveUp: (record, reason) => this.giveUp(record, getOutcome(record), reason),
     });
-    const { quarantine, peerAttempts, placer, placing, waiting } = this;
+    const { quarantine, placer, placing, waiting } = this;
     this.peerUpdates = new PeerUpdates({
       registry,
       quarantine,
@@ -197,6 +201,8 @@
       placing,
       peerAttempts,
       waiting,
+      admissionControl,
+      peerQueries,
       onLeaving: (replica, peer) => this.recordLeaving(replica, peer),
     });
   }
@@ -215,6 +221,7 @@
         this.limits.retain(new Set(message.replicas.map(({ id }) => id)));
         this.fragility.retain(new Set(message.replicas.map(({ id }) => id)));
         this.placer.updateFollowedEngines();
+        this.admissionControl.updateGroups();
         this.waiting.drainAll();
         this.registry.allServices.forEach((service) => this.waiting.rejectUnplaceable(service));
         break;
@@ -253,16 +260,19 @@
       case 'fleet':
         this.fleet.update(message.self, message.daemons);
         this.placer.updateFollowedEngines();
+        this.admissionControl.updateGroups();
+        this.placing.handleFleetChange();
         break;
       case 'peer-update':
         this.peerUpdates.handle(message.peer, message.update);
         break;
       case 'peer-removed':
-        this.peerAttempts.removePeer(message.peer);
+        this.peerUpdates.removePeer(message.peer);
         break;
       case 'health':
         if (this.registry.recordHealthCheck(message)) {
           this.waiting.drainAll();
+          this.admissionControl.reviewAll();
         }
         break;
       case 'liveness-checked':
@@ -272,6 +282,7 @@
         this.quarantine.recordProbe(message.replica, message.result);
         this.registry.recordProbe(message.replica, message.result);
         this.waiting.drainAll();
+        this.admissionControl.reviewAll();
         break;
       case 'quarantine':
         this.quarantine.restore(message.contents);
@@ -339,20 +350,8 @@
    * key undefined stands for all peers without an entry of their own.
    */
   getSharedAttempts(): Map<string | undefined, SharedAttempt[]> {
-    const shared = new Map<string | undefined, SharedAttempt[]>();
-    this.records.forEach(({ running }) => {
-      if (running !== undefined && running.placer !== this.fleet.self) {
-        const { placer } = running;
-        shared.set(placer, [...(shared.get(placer) ?? []), createSharedAttempt(running)]);
-      }
-    });
-    const common = shared.get(undefined) ?? [];
-    return new Map(
-      [...shared].map(([placer, own]) => [
-        placer,
-        placer === undefined ? own : [...common, ...own],
-      ]),
-    );
+    const running = [...this.records.values()].flatMap((record) => record.running ?? []);
+    return getSharedAttempts(running, this.fleet.self);
   }
 
   private countInFlight(daemon: string, service: string): number {
@@ -389,10 +388,12 @@
     if (record?.running?.number === attempt) {
       const { running } = record;
       const now = this.clock.now();
+      const service = this.registry.getService(record.request.service);
       running.isResponding = true;
       running.state.recordFirstByte(running, now);
-      this.announceUpdate(running, { kind: 'first-byte-received', key: running.key });
+      this.announceUpdate(running, createFirstByteUpdate(running, service, now));
       record.cancelSilenceTimer();
+      this.admissionControl.review(running.state);
     }
   }
 
@@ -434,41 +435,15 @@
     this.releaseAttempt(record, { end, duration: this.clock.now() - running.sentAt });
     record.countAttempt(end);
     this.registry.recordAttemptEnd(running, end);
-    this.updateQuarantine(record, running, end);
+    recordContentResult(this.quarantine, record, running, end);
     this.continueRequest(record, attempt, end);
     this.waiting.drain(this.registry.getService(record.request.service));
-  }
-
-  /** Updates the quarantine with the result of an attempt. */
-  private updateQuarantine(
-    { fingerprints }: RequestRecord,
-    { state }: RunningAttempt,
-    end: AttemptEnd,
-  ): void {
-    switch (end) {
-      case AttemptEnd.Completed:
-      case AttemptEnd.Failed:
-        this.quarantine.recordServed(fingerprints);
-        break;
-      case AttemptEnd.Broken:
-        this.quarantine.recordBrokenAttempt(state.replica, fingerprints);
-        break;
-      case AttemptEnd.Misdirected:
-        this.quarantine.recordGone(state.replica.id);
-        break;
-      case AttemptEnd.NotSent:
-      case AttemptEnd.NoPath:
-      case AttemptEnd.Withdrawn:
-      case AttemptEnd.Refused:
-      case AttemptEnd.Cancelled:
-        break;
-      default:
-        end satisfies never;
-    }
+    this.admissionControl.review(running.state);
   }
 
   private continueRequest(record: RequestRecord, attempt: number, end: AttemptEnd): void {
     const step = getNextStep(record, end, this.options.unsentLimit);
+    record.setFallback(step.kind === 'place' ? step.fallback : undefined);
     if (step.kind === 'settle') {
       this.settle(record, attempt);
       return;
@@ -492,10 +467,26 @@
     }
     if (mayPlace && (!step.isRetry || service.retryBudget.tryTake(this.clock.now()))) {
       this.waiting.placeOrWait(record);
-    } else if (step.fallback === 'settle') {
-      this.settle(record, attempt);
     } else {
-      this.giveUp(record, step.fallback.outcome, step.fallback.reason);
+      this.fallBack(record, step.fallback);
+    }
+  }
+
+  /** Ends a request after an attempt, if no further one is possible. */
+  private fallBack(record: RequestRecord, fallback: Fallback): void {
+    if (fallback === 'settle') {
+      this.settle(record, record.startedAttempts);
+    } else {
+      this.giveUp(record, fallback.outcome, fallback.reason);
+    }
+  }
+
+  /** Ends a request that the placer of its group does not admit. */
+  private refuse(record: RequestRecord, retryAfter: Milliseconds | undefined): void {
+    if (record.mayHaveRun && record.fallback !== undefined) {
+      this.fallBack(record, record.fallback);
+    } else {
+      this.giveUp(record, getOutcome(record), GiveUpReason.Overload, retryAfter);
     }
   }
 
@@ -530,11 +521,16 @@
     this.emit({ kind: 'settle', id: record.request.id, attempt });
   }
 
-  private giveUp(record: RequestRecord, outcome: Outcome, reason: GiveUpReason): void {
+  private giveUp(
+    record: RequestRecord,
+    outcome: Outcome,
+    reason: GiveUpReason,
+    stated?: Milliseconds,
+  ): void {
     this.removeRecord(record);
     const { id } = record.request;
     const isRetryable = outcome === Outcome.NotRun && reason !== GiveUpReason.Quarantined;
-    const retryAfter = isRetryable ? this.getRetryAfter(record) : undefined;
+    const retryAfter = isRetryable ? (stated ?? this.getRetryAfter(record)) : undefined;
     const [quarantined] = this.quarantine.findQuarantined(record.fingerprints);
     this.emit({ kind: 'give-up', id, outcome, reason, retryAfter, quarantined });
   }
@@ -581,6 +577,7 @@
     if (running !== undefined) {
       this.emit({ kind: 'cancel', id: request.id, attempt: running.number, reason });
       this.releaseAttempt(record);
+      this.admissionControl.review(running.state);
     }
   }
 
--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -2,9 +2,11 @@
 import { chooseReplica } from '../chooseReplica.js';
 import type { Fleet } from '../Fleet/Fleet.js';
 import type { SlotShares } from '../fragility/SlotShares/SlotShares.js';
-import type { Choice, Placement, PlacementQuery, PlacementEffect } from '../messages.js';
+import { getPlacement } from '../getPlacement.js';
+import type { PlacementQuery, PlacementEffect } from '../messages.js';
 import type { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import type { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import { recordChoice } from '../ReplicaTrial/recordChoice.js';
 
@@ -18,19 +20,7 @@
   /** Attempts that other daemons have in flight. */
   peerAttempts: PeerAttempts;
   slotShares: SlotShares;
-}
-
-function getPlacement(replica: string, choice: Choice): Placement {
-  const { expected, missingTokens, tokensAhead, copyTime, fetchFrom, fetchTokens } = choice;
-  return {
-    replica,
-    expected,
-    missingTokens,
-    tokensAhead,
-    copyTime,
-    fetchFrom: fetchFrom?.id,
-    fetchTokens,
-  };
+  peerQueries: PeerQueries;
 }
 
 /** Chooses replicas for requests of other daemons, and counts the attempts as in flight from then on. */
@@ -43,14 +33,19 @@
   /** Responds to a peer's placement query. */
   handleQuery(peer: string, query: PlacementQuery): void {
     const { registry, clock, emit, options, peerAttempts } = this.parts;
-    const { key, criteria, availabilityZone, excludedReplicas } = query;
+    const { key, criteria, availabilityZone, excludedReplicas, claim } = query;
+    const service = registry.getService(criteria.service);
+    // The peer knows that the engines call for admission, even if this daemon has not heard of that yet.
+    if (claim !== undefined && service.service?.engine !== undefined) {
+      this.parts.peerQueries.handle(peer, { ...query, claim });
+      return;
+    }
     if (peerAttempts.has(peer, key)) {
       // Datagrams can be duplicated. A second attempt with this key would replace the first, which
       // would then never be removed.
       return;
     }
     const now = clock.now();
-    const service = registry.getService(criteria.service);
     const group = service.getRequestGroup(criteria, key);
     const { rank } = criteria;
     const slotShares = service.isFragile ? this.parts.slotShares : undefined;
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -1,17 +1,20 @@
-import type { Clock } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
+import { OwnApplicants } from '../admission/OwnApplicants/OwnApplicants.js';
 import type { AttemptKeys } from '../AttemptKeys.js';
 import { chooseReplica } from '../chooseReplica.js';
 import type { ChosenReplica } from '../chooseReplica.js';
 import { Delegation } from '../Delegation/Delegation.js';
-import type { PendingQuery } from '../Delegation/Delegation.js';
 import type { Fleet } from '../Fleet/Fleet.js';
-import type { Choice, Placement, PlacementEffect, PlacementResponse } from '../messages.js';
+import type { PlacementEffect, PlacementResponse } from '../messages.js';
+import { getDelegatedChoice } from '../getDelegatedChoice.js';
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
 import type { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
+import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
@@ -42,7 +45,10 @@
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
   /** Called when a placer did not respond or provided no usable replica. */
   onQueryFailed: (record: RequestRecord) => void;
+  /** Called when a request under admission control must not run now. */
+  onRefused: (record: RequestRecord, retryAfter?: Milliseconds) => void;
   slotShares: SlotShares;
+  admissionControl: AdmissionControl;
 }
 
 /** The key of an attempt, and the daemon that counts it. */
@@ -55,8 +61,17 @@
 export class Placing {
   private readonly delegation: Delegation;
 
+  private readonly ownApplicants: OwnApplicants;
+
   constructor(private readonly parts: PlacingParts) {
     this.delegation = new Delegation({ ...parts, onTimeout: parts.onQueryFailed });
+    this.ownApplicants = new OwnApplicants({
+      ...parts,
+      control: parts.admissionControl,
+      onBegun: (record, chosen, key) =>
+        this.send(record, chosen, { key, placer: this.getPlacerForReplica(chosen) }),
+      onFailed: parts.onQueryFailed,
+    });
   }
 
   /** Sends a request to the best replica, or queries its placer for one. */
@@ -65,14 +80,20 @@
     const { request } = record;
     const service = registry.getService(request.service);
     const isSuspect = quarantine.isSuspect(record.fingerprints);
+    const hasVersion = record.softwareVersion !== undefined;
+    const isControlled = service.isAdmissionControlled && !isSuspect && !hasVersion;
     const isDelegable =
+      isControlled ||
       service.getTotalLimit() !== undefined ||
       service.isFragile ||
       (!isSuspect && (fleet.isLarge || service.hasLimits()));
     // A placer chooses among all versions of a group.
-    const mayDelegate = isDelegable && record.softwareVersion === undefined;
+    const mayDelegate = isDelegable && !hasVersion;
     const group = mayDelegate ? service.getRequestGroup(request, request.id) : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
+    if (isControlled && group !== undefined) {
+      return this.apply(record, group, placer);
+    }
     if (placer === undefined || placer === fleet.self) {
       return this.placeLocally(record) ? PlacingResult.Sent : PlacingResult.NoRoom;
     }
@@ -111,7 +132,12 @@
     if (query === undefined) {
       return;
     }
-    const chosen = this.getChosenReplica(query, response);
+    if (response.refused !== undefined) {
+      const { key, refused } = response;
+      this.refuse(query.record, { key, placer: peer, retryAfter: refused.retryAfter });
+      return;
+    }
+    const chosen = getDelegatedChoice(query, response, this.parts);
     if (chosen !== undefined) {
       this.send(query.record, chosen, { key: response.key, placer: peer });
       return;
@@ -125,6 +151,67 @@
   /** Cancels the pending query of a request that has ended. */
   cancelQueries(record: RequestRecord): void {
     this.delegation.cancelQueries(record);
+    this.ownApplicants.cancel(record);
+  }
+
+  /** Asks other daemons if the placers of waiting requests are gone. */
+  handleFleetChange(): void {
+    this.delegation.handleFleetChange();
+  }
+
+  /** Asks the placer of a group whether a request under admission control may begin. */
+  private apply(
+    record: RequestRecord,
+    group: ReplicaGroup,
+    placer: string | undefined,
+  ): PlacingResult {
+    const { fleet } = this.parts;
+    const isAlone = fleet.members.length <= 1 && !record.queriedPlacers.has(fleet.self);
+    if (isAlone || placer === fleet.self) {
+      this.ownApplicants.submit(record, group.name);
+    } else if (placer !== undefined) {
+      this.delegation.sendQuery(record, placer, group.name);
+    } else if (!this.placeInTime(record)) {
+      this.refuse(record);
+    }
+    return PlacingResult.Asked;
+  }
+
+  /**
+   * Chooses an engine without a placer: one with a free slot, as far as this daemon knows, where the first
+   * token is expected in time.
+   *
+   * Load pattern: the placers of a group are gone while its engines are full. Their daemons would all send
+   * what waits at once, each by the little that it knows of the engines.
+   */
+  private placeInTime(record: RequestRecord): boolean {
+    const { registry, clock, keys, options } = this.parts;
+    const { request } = record;
+    const now = clock.now();
+    const { service } = registry.getService(request.service);
+    const candidates = this.getCandidates(record).filter(
+      (state) =>
+        !record.triedReplicas.has(state.replica.id) && state.hasFreeSlot(service?.engine, now),
+    );
+    const chosen = chooseReplica({ request, service, candidates, now, options });
+    const lateAt = request.arrivedAt + request.latencyTarget;
+    if (chosen === undefined || now + chosen.choice.expected > lateAt) {
+      return false;
+    }
+    recordChoice(chosen.state, candidates);
+    this.send(record, chosen, { key: keys.next(), placer: this.getPlacerForReplica(chosen) });
+    return true;
+  }
+
+  /** @param refusal - the response of a placer; undefined if none responded */
+  private refuse(
+    record: RequestRecord,
+    refusal?: { key: string; placer: string; retryAfter: Milliseconds },
+  ): void {
+    const { clock, emit, onRefused } = this.parts;
+    const { id, arrivedAt } = record.request;
+    emit({ kind: 'not-admitted', id, waited: clock.now() - arrivedAt, ...refusal });
+    onRefused(record, refusal?.retryAfter);
   }
 
   private getCandidates(record: RequestRecord): ReplicaState[] {
@@ -160,48 +247,6 @@
     return group === undefined ? fleet.self : fleet.getPlacers(group.name)[0];
   }
 
-  /** @returns undefined if the placer provided no replica, or one that cannot be used */
-  private getChosenReplica(
-    { record, placer, sentAt }: PendingQuery,
-    { key, placement }: PlacementResponse,
-  ): ChosenReplica | undefined {
-    const { registry, clock, backoffs } = this.parts;
-    const state = placement === undefined ? undefined : registry.findReplica(placement.replica);
-    const isUsable =
-      state !== undefined &&
-      state.isInService &&
-      !backoffs.isBackedOff(state.replica.id) &&
-      state.replica.service === record.request.service &&
-      !record.triedReplicas.has(state.replica.id);
-    if (!isUsable) {
-      return undefined;
-    }
-    const waited = clock.now() - sentAt;
-    const choice = this.createChoice(placement!, state);
-    return { state, choice: { ...choice, placer: { daemon: placer, key, waited } } };
-  }
-
-  private createChoice(placement: Placement, state: ReplicaState): Choice {
-    const { fetchFrom, fetchTokens, expected, missingTokens, tokensAhead, copyTime } = placement;
-    const { softwareVersion } = state.replica;
-    const stated =
-      fetchFrom === undefined ? undefined : this.parts.registry.findReplica(fetchFrom)?.replica;
-    // A placer of the release before knows no versions.
-    const source = stated?.softwareVersion === softwareVersion ? stated : undefined;
-    return {
-      cost: expected,
-      expected,
-      missingTokens,
-      tokensAhead,
-      // The placer, which made the estimates, also learns from the actual wait.
-      isTelling: false,
-      copyTime,
-      fetchFrom: source,
-      fetchTokens: source === undefined ? undefined : fetchTokens,
-      inFlight: state.running.size,
-    };
-  }
-
   private send(record: RequestRecord, { state, choice }: ChosenReplica, origin: Origin): void {
     const { request } = record;
     const { clock, emit, fleet, limits, onSent } = this.parts;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -170,11 +170,12 @@
     { replicas }: ReplicaGroup,
     triedReplicas: ReadonlySet<string>,
     now: Milliseconds,
+    hasRoomForAll = (state: ReplicaState) => state.hasRoomForAll(this.service?.engine),
   ): ReplicaState[] {
     const { isFragile } = this;
     const profile = this.service?.engine;
     const hasRoom = (state: ReplicaState) =>
-      isFragile ? state.hasFreeSlot(profile, now) : state.hasRoomForAll(profile);
+      isFragile ? state.hasFreeSlot(profile, now) : hasRoomForAll(state);
     const sendable = replicas.filter(
       (state) => state.isInService && this.maySend(state, isFragile),
     );
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, Timer } from '@apricotrill/utils';
+import type { Fallback } from './getNextStep.js';
 import { AttemptEnd } from './messages.js';
 import type { PlacementRequest, Prompt } from './messages.js';
 import { getFingerprints } from './quarantine/getFingerprints/getFingerprints.js';
@@ -78,6 +79,8 @@
   /** The software version that began its stream; undefined until a version has. */
   softwareVersion: string | undefined;
 
+  private currentFallback: Fallback | undefined;
+
   private deadlineTimer: Timer | undefined;
 
   private silenceTimer: Timer | undefined;
@@ -107,6 +110,15 @@
     this.mayHaveRun ||= end !== AttemptEnd.Refused;
   }
 
+  /** What becomes of it if no further attempt is possible; undefined before the first attempt. */
+  get fallback(): Fallback | undefined {
+    return this.currentFallback;
+  }
+
+  setFallback(fallback: Fallback | undefined): void {
+    this.currentFallback = fallback;
+  }
+
   /** @returns the attempt that was in flight */
   removeRunning(): RunningAttempt | undefined {
     const { running } = this;
--- a/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -93,7 +93,7 @@
     if (service.waiting.size === 0) {
       return;
     }
-    if (service.isFragile) {
+    if (service.isFragile || service.isAdmissionControlled) {
       this.retry(service);
     } else {
       service.waiting.drain((record) => this.parts.placing.placeLocally(record));
--- a/packages/relay/src/lib/decide/getNextStep.ts
+++ b/packages/relay/src/lib/decide/getNextStep.ts
@@ -8,9 +8,12 @@
    * Another attempt. With `isRetry`, a replica has received the request before, and the attempt
    * counts against the retry budget. `fallback` applies if no further attempt is possible.
    */
-  | { kind: 'place'; isRetry: boolean; fallback: 'settle' | GiveUp }
+  | { kind: 'place'; isRetry: boolean; fallback: Fallback }
   | GiveUp;
 
+/** What becomes of a request without a further attempt. */
+export type Fallback = 'settle' | GiveUp;
+
 interface GiveUp {
   kind: 'give-up';
   outcome: Outcome;
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica, RelayService, RouteKind } from '../config/RelayConfiguration.js';
+import type { AdmissionRecord } from './admission/AdmissionRecord.js';
 
 /**
  * The messages that the placement core receives and the effects that it emits. The core does no I/O;
@@ -157,6 +158,8 @@
 
 /** What the placer of a group needs in order to decide whether a request begins, waits or is refused. */
 export interface AdmissionClaim {
+  /** Name of the replica group that the request is to go to. */
+  group: string;
   /** Empty if the caller needs no workspace. */
   workspace: string;
   /** Identical for repeated requests with the same content from the same caller. */
@@ -369,6 +372,26 @@
   | { kind: 'share'; update: PlacementUpdate; to?: string }
   /** This daemon, as a placer, chose a replica for a peer's attempt. */
   | { kind: 'placed-for'; peer: string; key: string; replica: RelayReplica; choice: Choice }
+  /** This daemon, as a placer, decided whether a request of any daemon begins, waits or is refused. */
+  | { kind: 'admission-decided'; record: AdmissionRecord }
+  /** The placer keeps a request of this daemon until an engine has room for it. */
+  | {
+      kind: 'queued';
+      id: string;
+      key: string;
+      placer: string;
+      waited: Milliseconds;
+      expectedWait: Milliseconds;
+    }
+  /** A request of this daemon is not admitted; without a placer, this daemon decided by its own state. */
+  | {
+      kind: 'not-admitted';
+      id: string;
+      key?: string;
+      placer?: string;
+      waited: Milliseconds;
+      retryAfter?: Milliseconds;
+    }
   /** A placer did not respond in time and is not queried for `span`. */
   | { kind: 'placer-silent'; peer: string; span: Milliseconds }
   /** IDs of the engines whose caches this daemon needs to follow; absent for all. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -1,6 +1,7 @@
 import type { ConnectionCounts } from '@apricotrill/callers';
 import type { DutyEvent } from '@apricotrill/duties';
 import type { Milliseconds } from '@apricotrill/utils';
+import type { AdmissionRecord } from '../decide/admission/AdmissionRecord.js';
 import type {
   AttemptEnd,
   CancelReason,
@@ -150,6 +151,24 @@
   | { event: 'replica-held'; replica: string; rejections: number; span: Milliseconds }
   | { event: 'limit-refused'; replica: string; text: string }
   | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
+  | ({ event: 'admission-decided' } & AdmissionRecord)
+  | {
+      event: 'queued';
+      id: string;
+      key: string;
+      placer: string;
+      waited: Milliseconds;
+      expectedWait: Milliseconds;
+    }
+  | {
+      event: 'not-admitted';
+      id: string;
+      /** Undefined if no placer responded. */
+      key: string | undefined;
+      placer: string | undefined;
+      waited: Milliseconds;
+      retryAfter: Milliseconds | undefined;
+    }
   | { event: 'placer-silent'; peer: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
   | { event: 'peer-lost'; peer: string }
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import { AdmissionMetrics } from './AdmissionMetrics.js';
 import { LabelSet, MAX_LABELS } from './LabelSet.js';
 
 /** The labels under which a finished request is counted. */
@@ -172,6 +173,8 @@
     registers: [this.registry],
   });
 
+  readonly admission = new AdmissionMetrics(this.registry, LATENCY_BUCKETS);
+
   constructor() {
     collectDefaultMetrics({
       register: this.registry,
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -6,6 +6,9 @@
 const ROUTINE_EVENTS = new Set<RelayEvent['event']>([
   'admitted',
   'placed-for',
+  'admission-decided',
+  'queued',
+  'not-admitted',
   'sent',
   'first-byte',
   'answered',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -93,6 +93,12 @@
   'limit-refused': 'a replica states an invalid limit, which is ignored',
   'placed-for':
     "a replica was chosen for another daemon's attempt; that daemon's `sent` event names this daemon and the key",
+  'admission-decided':
+    'as the placer of a group of engines, this daemon decided whether a request of any daemon begins, waits or is refused; includes how long it has waited, the expected wait, the load of the engine with its age, and how many requests wait',
+  queued:
+    "the placer keeps a request until an engine has room for it; includes the expected wait and the key that the placer's `admission-decided` names",
+  'not-admitted':
+    'a request is refused because it would be late, and has not run; includes the placer, unless none responded and no engine with a free slot is known',
   'placer-silent':
     'the placer of a group of replicas did not respond; its deputy is queried for the given time',
   'peer-found': 'another daemon was discovered',
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -72,7 +72,13 @@
           kind: 'ask',
           query: {
             ...QUERY,
-            claim: { workspace: 'shop', fingerprint: 'f', waited: 40, timeLeft: 5_000 },
+            claim: {
+              group: 'llm/a',
+              workspace: 'shop',
+              fingerprint: 'f',
+              waited: 40,
+              timeLeft: 5_000,
+            },
           },
         },
         { kind: 'reply', response: { key: 'k', queued: { expectedWait: 120 } } },
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -46,8 +46,8 @@
   promptSchema.nullable(),
 ]);
 
-/** Workspace, fingerprint, time waited, time left. */
-const claimSchema = z.tuple([z.string(), z.string(), z.number(), z.number()]);
+/** Group, workspace, fingerprint, time waited, time left. */
+const claimSchema = z.tuple([z.string(), z.string(), z.string(), z.number(), z.number()]);
 
 /** Running, waiting, slots, slowdown. */
 const loadSchema = z.tuple([z.number(), z.number(), z.number(), z.number().positive().nullable()]);
@@ -232,8 +232,8 @@
     excludedReplicas,
   ];
   if (claim !== undefined) {
-    const { workspace, fingerprint, waited, timeLeft } = claim;
-    query[8] = [workspace, fingerprint, Math.round(waited), Math.round(timeLeft)];
+    const { group, workspace, fingerprint, waited, timeLeft } = claim;
+    query[8] = [group, workspace, fingerprint, Math.round(waited), Math.round(timeLeft)];
   }
   return query;
 }
@@ -260,8 +260,8 @@
   if (encodedClaim === undefined) {
     return query;
   }
-  const [workspace, fingerprint, waited, timeLeft] = encodedClaim;
-  return { ...query, claim: { workspace, fingerprint, waited, timeLeft } };
+  const [group, workspace, fingerprint, waited, timeLeft] = encodedClaim;
+  return { ...query, claim: { group, workspace, fingerprint, waited, timeLeft } };
 }
 
 function encodePlacement(placement: Placement): EncodedPlacement {
--- a/packages/relay/src/test/CoreHarness.ts
+++ b/packages/relay/src/test/CoreHarness.ts
@@ -19,6 +19,9 @@
 
   readonly core: PlacementCore;
 
+  /** IDs of the requests that were submitted. */
+  readonly submitted: string[] = [];
+
   private isAlive = true;
 
   /** The result of probes. Inconclusive by default: failures count against their replica. */
@@ -67,6 +70,7 @@
 
   submit(request: PlacementRequest): void {
     const now = this.clock.now();
+    this.submitted.push(request.id);
     this.core.handle({
       kind: 'submit',
       request: { ...request, arrivedAt: now, deadline: now + request.deadline },
