--- a/packages/relay/src/test/CoreHarness.ts
+++ b/packages/relay/src/test/CoreHarness.ts
@@ -13,12 +13,15 @@
 
 /** Runs a placement core on a manual clock, and records its effects. */
 export class CoreHarness {
-  readonly clock = new ManualClock();
+  readonly clock: ManualClock;
 
   readonly effects: PlacementEffect[] = [];
 
   readonly core: PlacementCore;
 
+  /** IDs of the requests that were submitted. */
+  readonly submitted: string[] = [];
+
   private isAlive = true;
 
   /** The result of probes. Inconclusive by default: failures count against their replica. */
@@ -28,7 +31,9 @@
     services: readonly RelayService[],
     replicas: readonly RelayReplica[],
     options: Partial<PlacementOptions> = {},
+    start = 0,
   ) {
+    this.clock = new ManualClock(start);
     this.core = new PlacementCore({
       clock: this.clock,
       emit: (effect) => this.handleEffect(effect),
@@ -65,6 +70,7 @@
 
   submit(request: PlacementRequest): void {
     const now = this.clock.now();
+    this.submitted.push(request.id);
     this.core.handle({
       kind: 'submit',
       request: { ...request, arrivedAt: now, deadline: now + request.deadline },
