Estimate: count waiting requests once at engines under admission

The placer knows every request in flight, and its backlog holds those that wait at the engine. The wait estimate added the reported number of waiting requests on top, so that tokens ahead were twice as many and the learned prefill rate twice as high as the real one (75 to 80 tokens a millisecond against 40, four daemons before eight small engines at 2.5 times the load). Unannounced requests still count.

--- a/packages/relay/src/lib/decide/estimates/getEngineEstimate.ts
+++ b/packages/relay/src/lib/decide/estimates/getEngineEstimate.ts
@@ -111,6 +111,15 @@
   return load * options.runningCost + slotCost;
 }
 
+/**
+ * Requests that wait for a slot in addition to those of the backlog. Under admission, this daemon knows all
+ * requests of the fleet at the engine, so that those that wait there are part of its backlog already.
+ */
+function getWaitingCount(state: ReplicaState, now: Milliseconds): number {
+  const waiting = state.getWaiting(now);
+  return state.statesSlowdown ? Math.min(waiting, state.getUnannouncedInFlight(now)) : waiting;
+}
+
 /**
  * Estimates a request to an engine. The cost adds up the prefill time of the engine's backlog and
  * of this prompt, the expected number of late requests (this one and others), and the billed
@@ -132,7 +141,7 @@
   const cached = inputs.cachedPrefixes.get(state)?.cached ?? 0;
   const copy = getPrefixCopy(inputs, state, cached);
   const missingTokens = Math.max(0, prompt.inputTokens - cached - (copy?.tokens ?? 0));
-  const waitingTokens = state.getWaiting(now) * missingTokens;
+  const waitingTokens = getWaitingCount(state, now) * missingTokens;
   const backlog = state.getBacklog(now) + waitingTokens;
   const tokensAhead = backlog + missingTokens;
   const expected = state.getExpectedWait(tokensAhead) + (copy?.time ?? 0);
