Place requests by the current slowdown of replicas that state it

Cause: work on a shared machine takes 2.5 times as long for half a second at a time. Placement knew a mean speed only; prompts went to engines in a spell nearly as often as to others, and spells were learned as slow engines.

Change: prefill rate, setup, backlog, pause slack (own rate instead of the service's mean) and plain latency follow the expected slowdown; measured rates and latencies are normalised by the slowdown in force while they were measured. An engine also counts as slow when a first token is overdue: what it stated is then from before the spell. ReplicaState gives its load reports, recent prefill and latency to parts of their own.

--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -185,7 +185,7 @@
     const { state } = attempt;
     switch (result.end) {
       case AttemptEnd.Completed:
-        state.recordSuccess(result.duration);
+        state.recordSuccess(result.duration, this.parts.clock.now());
         break;
       case AttemptEnd.Failed:
         state.recordFailure();
--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -3,6 +3,8 @@
 import { PrefillRate } from '../PrefillRate/PrefillRate.js';
 import type { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
 import type { RunningAttempt } from '../RequestRecord.js';
+import type { Slowdown } from '../Slowdown/Slowdown.js';
+import { slowdownOptions } from '../Slowdown/slowdownOptions.js';
 import type { EngineStatistics } from './EngineStatistics.js';
 
 /**
@@ -11,12 +13,23 @@
  */
 const MIN_RATE_SAMPLE_TOKENS = 1_500;
 
+/** A first token later than the prefill of the largest prompt by this is overdue: a few steps. */
+const OVERDUE_TOLERANCE: Milliseconds = 30;
+
 /** Ratio of an engine's prefill rate to the mean of its service up to which the engine seems slow. */
 const MAX_SLOW_RATIO = 0.5;
 
-/** Estimates the prefill rate of one engine and its progress with the prompts sent to it. */
+function getLargest(pending: readonly RunningAttempt[]): number {
+  return Math.max(...pending.map(({ missingTokens }) => missingTokens));
+}
+
+/**
+ * Estimates the prefill rate of one engine and its progress with the prompts sent to it. Measurements
+ * are normalised by the slowdown that was in force, so that a spell on the engine's machine does not
+ * count as a lasting property of the engine.
+ */
 export class PrefillEstimator {
-  /** Starts at the mean of the service; engines of one service differ in speed. */
+  /** Starts at the mean of the service; engines of one service differ in speed. At a slowdown of 1. */
   private readonly rate: PrefillRate;
 
   /** When the engine last finished the prefill of a prompt. */
@@ -28,16 +41,24 @@
   constructor(
     private readonly statistics: EngineStatistics,
     private readonly trial: ReplicaTrial,
+    private readonly slowdown: Slowdown,
+    /** The attempts in flight at the engine. */
+    private readonly running: ReadonlySet<RunningAttempt>,
   ) {
     this.rate = new PrefillRate(() => statistics.prefillRate.value);
   }
 
-  /** Prompt tokens that the engine prefills per millisecond while it also decodes. */
+  /** Prompt tokens that the engine prefills per millisecond now, while it also decodes. */
   get prefillRate(): number {
+    return this.usualPrefillRate / this.currentSlowdown;
+  }
+
+  /** The prefill rate at a slowdown of 1. */
+  get usualPrefillRate(): number {
     return this.trial.isDue && this.seemsSlow ? this.servicePrefillRate : this.rate.value;
   }
 
-  /** Mean prefill rate of all engines of the service. */
+  /** Mean prefill rate of all engines of the service, at a slowdown of 1. */
   get servicePrefillRate(): number {
     return this.statistics.prefillRate.value;
   }
@@ -48,7 +69,12 @@
 
   /** Expected wait for a first token if this many tokens have to be prefilled first. */
   getExpectedWait(tokens: number): Milliseconds {
-    return this.statistics.setupTime.value + tokens / this.prefillRate;
+    return this.statistics.setupTime.value * this.currentSlowdown + tokens / this.prefillRate;
+  }
+
+  /** What the current slowdown adds to the setup time of a request. */
+  get setupDelay(): Milliseconds {
+    return this.statistics.setupTime.value * (this.currentSlowdown - 1);
   }
 
   /** Records a first token, which shows that the prompt has been prefilled. */
@@ -68,14 +94,57 @@
    * would count as prefill. An engine with eight pending prompts seemed idle after 0.6 s and got
    * the next ones as well, and first tokens that were expected within 150 ms took 1,500 ms.
    */
-  getBacklog(pending: readonly RunningAttempt[], now: Milliseconds): number {
+  getBacklog(now: Milliseconds): number {
+    const { pending } = this;
     if (pending.length === 0) {
       return 0;
     }
     const tokens = pending.reduce((sum, { missingTokens }) => sum + missingTokens, 0);
+    const busySince = this.getBusySince(pending);
+    const elapsed = Math.max(0, now - busySince) * this.slowdown.getSpeed(busySince, now);
+    const progress = elapsed * this.usualPrefillRate;
+    // Without a first token, no prompt has been prefilled to its end.
+    const most = this.slowdown.isStated ? getLargest(pending) : Number.POSITIVE_INFINITY;
+    return Math.max(0, tokens - Math.min(progress, most));
+  }
+
+  /**
+   * How long work is expected to take on the engine's machine, relative to the usual time: what it
+   * stated, or more if a first token is overdue; 1 if it states nothing.
+   *
+   * Load pattern: an engine states its slowdown with first tokens. When a spell begins in the middle of
+   * a prompt, the next one takes several times as long, and until then all that it stated is from before.
+   */
+  getSlowdown(now: Milliseconds): number {
+    const stated = this.slowdown.getValue(now);
+    return this.slowdown.isStated ? Math.max(stated, this.getOverdueSlowdown(now)) : stated;
+  }
+
+  /** The least slowdown that explains that no first token has arrived yet. */
+  private getOverdueSlowdown(now: Milliseconds): number {
+    const { pending, profile } = this;
+    // Prompts that wait for a slot are not late because of the machine.
+    if (profile === undefined || pending.length === 0 || this.running.size > profile.slots) {
+      return 0;
+    }
+    const elapsed = now - this.getBusySince(pending);
+    const usual = getLargest(pending) / this.usualPrefillRate + OVERDUE_TOLERANCE;
+    return Math.min(slowdownOptions.max, elapsed / usual);
+  }
+
+  private get pending(): RunningAttempt[] {
+    return [...this.running].filter(({ isResponding }) => !isResponding);
+  }
+
+  /** Since when the engine has been busy with one of the pending prompts. */
+  private getBusySince(pending: readonly RunningAttempt[]): Milliseconds {
     const startedAt = Math.min(...pending.map((attempt) => this.getEarliestStart(attempt)));
-    const elapsed = Math.max(0, now - Math.max(startedAt, this.lastPrefillAt));
-    return Math.max(0, tokens - elapsed * this.prefillRate);
+    return Math.max(startedAt, this.lastPrefillAt);
+  }
+
+  /** The slowdown now. */
+  get currentSlowdown(): number {
+    return this.getSlowdown(this.statistics.clock.now());
   }
 
   private get seemsSlow(): boolean {
@@ -92,9 +161,10 @@
     now: Milliseconds,
   ): void {
     const { prefillRate, setupTime } = this.statistics;
-    const wait = Math.max(0, now - sentAt - copyTime);
+    const speed = this.slowdown.getSpeed(sentAt + copyTime, now);
+    const wait = Math.max(0, now - sentAt - copyTime) * speed;
     if (tokensAhead < MIN_RATE_SAMPLE_TOKENS) {
-      setupTime.record(wait - tokensAhead / this.prefillRate);
+      setupTime.record(wait - tokensAhead / this.usualPrefillRate);
       return;
     }
     const time = wait - setupTime.value;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -54,8 +54,8 @@
     if (existing !== undefined) {
       return existing;
     }
-    const { options, limits, backoffs, fragility } = this.settings;
-    const service = new ServiceState(name, options, limits, backoffs, fragility);
+    const { clock, options, limits, backoffs, fragility } = this.settings;
+    const service = new ServiceState(name, options, limits, backoffs, fragility, clock);
     service.setDaemonCount(this.daemons);
     this.services.set(name, service);
     return service;
@@ -107,7 +107,7 @@
     const { expectedFailureRate } = state;
     switch (end) {
       case AttemptEnd.Completed:
-        state.recordSuccess(now - sentAt);
+        state.recordSuccess(now - sentAt, now);
         break;
       case AttemptEnd.Failed:
         state.recordFailure();
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -1,5 +1,5 @@
 import type { ScalableService, ZoneSupply } from '@apricotrill/duties';
-import type { Milliseconds } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import { getFleetShare } from '../getFleetShare.js';
 import { getHomeEngines, getSessionPartId } from '../getCachedPrefixes.js';
@@ -46,7 +46,7 @@
 
   readonly retryBudget: RetryBudget;
 
-  private readonly statistics = new EngineStatistics();
+  private readonly statistics: EngineStatistics;
 
   private configured: RelayService | undefined;
 
@@ -63,7 +63,9 @@
     private readonly limits: ServiceLimits,
     private readonly backoffs: ServiceBackoffs,
     private readonly fragility: ServiceFragility,
+    clock: Clock,
   ) {
+    this.statistics = new EngineStatistics(clock);
     this.retryBudget = new RetryBudget(this.retryLimits);
   }
 
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -7,22 +7,17 @@
 import type { LoadReport } from '../messages.js';
 import { getHarmProbability, getPauseSlack } from '../pauses.js';
 import type { PlacementOptions } from '../placementOptions.js';
+import { MeasuredLatency } from '../MeasuredLatency/MeasuredLatency.js';
+import { RecentPrefill } from '../RecentPrefill/RecentPrefill.js';
 import { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
+import { ReportedLoad } from '../ReportedLoad/ReportedLoad.js';
+import type { ReceivedReport } from '../ReportedLoad/ReportedLoad.js';
 import type { RunningAttempt } from '../RequestRecord.js';
+import { Slowdown } from '../Slowdown/Slowdown.js';
 
-/** Weight of the newest measurement in a moving average. */
+/** Weight of the newest attempt in the failure rate. */
 const NEWEST_WEIGHT = 0.15;
 
-/** Latency that is assumed for plain requests before the first measurement. */
-const INITIAL_LATENCY: Milliseconds = 80;
-
-/** A load report and the number of requests known to be in flight when it was received. */
-interface ReceivedReport {
-  report: LoadReport;
-  receivedAt: Milliseconds;
-  knownInFlight: number;
-}
-
 /** The state of one replica as known to the placement core. */
 export class ReplicaState {
   replica: RelayReplica;
@@ -45,9 +40,6 @@
   /** Whether it has announced by other means than the replica list that it is about to leave. */
   isLeaving = false;
 
-  /** Whether it states how long work takes on its machine. */
-  statesSlowdown = false;
-
   /** The replica counts as full until then, since it refused a request. */
   fullUntil: Milliseconds = 0;
 
@@ -58,28 +50,27 @@
   /** Moving average of the share of attempts that failed or broke. */
   private failureRate = 0;
 
-  private latency = INITIAL_LATENCY;
-
-  /** The trial in which the latency was last measured. */
-  private latencyRound = 0;
+  private readonly latency = new MeasuredLatency(this.trial);
 
   private lastReceivedAt: Milliseconds = 0;
 
-  private receivedReport: ReceivedReport | undefined;
+  private readonly reportedLoad: ReportedLoad;
 
   private readonly options: PlacementOptions;
 
-  /** Tokens of long prompts that were sent to it, with exponential decay. */
-  private recentTokens = 0;
+  private readonly recentPrefill: RecentPrefill;
 
-  private recentTokensAt: Milliseconds = 0;
+  private readonly slowdown: Slowdown;
 
   private readonly prefill: PrefillEstimator;
 
   constructor(replica: RelayReplica, options: PlacementOptions, statistics: EngineStatistics) {
     this.replica = replica;
     this.options = options;
-    this.prefill = new PrefillEstimator(statistics, this.trial);
+    this.reportedLoad = new ReportedLoad(options.reportHalfLife);
+    this.recentPrefill = new RecentPrefill(options.pressureHalfLife);
+    this.slowdown = new Slowdown(statistics.slowdownPersistence);
+    this.prefill = new PrefillEstimator(statistics, this.trial, this.slowdown, this.running);
   }
 
   /** Whether it is not about to leave. */
@@ -88,24 +79,38 @@
   }
 
   get lastReport(): ReceivedReport | undefined {
-    return this.receivedReport;
+    return this.reportedLoad.last;
   }
 
   get expectedFailureRate(): number {
     return this.failureRate;
   }
 
-  /** Moving average of the latency of its requests. */
+  /** Moving average of the latency of its requests at a slowdown of 1. */
   get measuredLatency(): Milliseconds {
-    return this.latency;
+    return this.latency.value;
   }
 
-  /** @param least - the lowest latency that was measured at a replica of its service */
-  getExpectedLatency(least: Milliseconds): Milliseconds {
-    return this.trial.isDue ? least : this.latency;
+  /**
+   * Expected latency of a request at the current slowdown.
+   *
+   * @param least - the lowest latency that was measured at a replica of its service
+   */
+  getExpectedLatency(least: Milliseconds, now: Milliseconds): Milliseconds {
+    return (this.trial.isDue ? least : this.latency.value) * this.getSlowdown(now);
+  }
+
+  /** Whether it states how long work takes on its machine. */
+  get statesSlowdown(): boolean {
+    return this.slowdown.isStated;
   }
 
-  /** Prompt tokens that the engine prefills per millisecond. */
+  /** How long work is expected to take on its machine, relative to the usual time; 1 if it states none. */
+  getSlowdown(now: Milliseconds): number {
+    return this.prefill.getSlowdown(now);
+  }
+
+  /** Prompt tokens that the engine prefills per millisecond, at its current slowdown. */
   get prefillRate(): number {
     return this.prefill.prefillRate;
   }
@@ -120,6 +125,11 @@
     return this.prefill.getExpectedWait(tokens);
   }
 
+  /** What the current slowdown adds to the setup time of a request; 0 if the replica states none. */
+  getSetupDelay(): Milliseconds {
+    return this.prefill.setupDelay;
+  }
+
   /** Records the first byte of the response to an attempt of this daemon or a peer. */
   recordFirstByte(attempt: RunningAttempt, now: Milliseconds): void {
     this.lastReceivedAt = now;
@@ -132,8 +142,10 @@
   }
 
   recordLoadReport(report: LoadReport, now: Milliseconds): void {
-    this.statesSlowdown ||= report.slowdown !== undefined;
-    this.receivedReport = { report, receivedAt: now, knownInFlight: this.running.size };
+    if (report.slowdown !== undefined) {
+      this.slowdown.record(report.slowdown, now);
+    }
+    this.reportedLoad.record(report, now, this.running.size);
     this.lastReceivedAt = now;
   }
 
@@ -142,8 +154,7 @@
     this.running.add(attempt);
     this.markMissedPauseTargets(now);
     const isLong = attempt.missingTokens >= this.options.chunkTokens / 2;
-    this.recentTokens = this.getRecentTokens(now) + (isLong ? attempt.missingTokens : 0);
-    this.recentTokensAt = now;
+    this.recentPrefill.record(isLong ? attempt.missingTokens : 0, now);
   }
 
   /**
@@ -151,8 +162,12 @@
    * undefined if no prefill makes the stream miss it.
    */
   getPauseSlack(pauseTarget: Milliseconds | undefined): Milliseconds | undefined {
-    const { profile, servicePrefillRate: prefillRate } = this.prefill;
-    return getPauseSlack(pauseTarget, { profile, prefillRate, options: this.options });
+    const { options, prefill } = this;
+    const { profile, servicePrefillRate, currentSlowdown: slowdown } = prefill;
+    // The slack of the service's mean engine changes less often, and serves as long as nothing shows
+    // that engines differ from one moment to the next.
+    const prefillRate = this.statesSlowdown ? this.prefillRate : servicePrefillRate;
+    return getPauseSlack(pauseTarget, { profile, prefillRate, slowdown, options });
   }
 
   /**
@@ -173,8 +188,7 @@
    * The share of its time that the engine recently spent on prefill; above 1 if it is overloaded.
    */
   getPrefillShare(now: Milliseconds): number {
-    const { pressureHalfLife } = this.options;
-    return (this.getRecentTokens(now) * Math.LN2) / (pressureHalfLife * this.prefillRate);
+    return this.recentPrefill.getShare(this.prefillRate, now);
   }
 
   /** Number of this daemon's requests in flight. */
@@ -190,12 +204,10 @@
     this.lastReceivedAt = now;
   }
 
-  recordSuccess(latency: Milliseconds): void {
+  recordSuccess(latency: Milliseconds, now: Milliseconds): void {
     this.consecutiveBroken = 0;
     this.failureRate += NEWEST_WEIGHT * (0 - this.failureRate);
-    const isOutdated = this.latencyRound !== this.trial.round;
-    this.latencyRound = this.trial.round;
-    this.latency += (isOutdated ? 1 : NEWEST_WEIGHT) * (latency - this.latency);
+    this.latency.record(latency * this.slowdown.getSpeed(now - latency, now));
   }
 
   /** @returns false if a liveness check is already pending */
@@ -265,21 +277,17 @@
    * report counts less as it ages.
    */
   getUnannouncedInFlight(now: Milliseconds): number {
-    return this.getDecayed(
-      now,
-      ({ report, knownInFlight }) => report.running + report.waiting - knownInFlight,
-    );
+    return this.reportedLoad.getUnannounced(now);
   }
 
   /** Requests of all daemons that wait for a slot, estimated from the same report. */
   getWaiting(now: Milliseconds): number {
-    return this.getDecayed(now, ({ report }) => report.waiting);
+    return this.reportedLoad.getWaiting(now);
   }
 
   /** Prompt tokens that the engine still has to prefill. */
   getBacklog(now: Milliseconds): number {
-    const pending = [...this.running].filter(({ isResponding }) => !isResponding);
-    return this.prefill.getBacklog(pending, now);
+    return this.prefill.getBacklog(now);
   }
 
   /**
@@ -327,16 +335,4 @@
       }
     });
   }
-
-  private getRecentTokens(now: Milliseconds): number {
-    return this.recentTokens * 0.5 ** ((now - this.recentTokensAt) / this.options.pressureHalfLife);
-  }
-
-  private getDecayed(now: Milliseconds, get: (report: ReceivedReport) => number): number {
-    if (this.receivedReport === undefined) {
-      return 0;
-    }
-    const age = now - this.receivedReport.receivedAt;
-    return Math.max(0, get(this.receivedReport)) * 0.5 ** (age / this.options.reportHalfLife);
-  }
 }
--- a/packages/relay/src/lib/decide/estimates/getEngineEstimate.ts
+++ b/packages/relay/src/lib/decide/estimates/getEngineEstimate.ts
@@ -113,7 +113,7 @@
 
 /**
  * Estimates a request to an engine. The cost adds up the prefill time of the engine's backlog and
- * of this prompt, the expected number of late requests (this one and others), and the billed
+ * of this prompt, what its machine's slowdown adds to the setup, the expected number of late requests (this one and others), and the billed
  * transfer.
  *
  * Load pattern: prompts of several thousand tokens share long prefixes, and an engine prefills some
@@ -139,6 +139,7 @@
   const pauses = getPauseEstimate(inputs, state, missingTokens);
   const cost =
     tokensAhead / state.prefillRate +
+    state.getSetupDelay() +
     getLateProbability(expected, request.latencyTarget) * options.lossCost +
     getPauseCost(pauses, backlog / state.prefillRate, options) +
     getLoadCost(inputs, state) +
--- a/packages/relay/src/lib/decide/estimates/getPlainEstimate.ts
+++ b/packages/relay/src/lib/decide/estimates/getPlainEstimate.ts
@@ -20,7 +20,7 @@
   const slots = Math.max(1, state.replica.slots);
   const rounds = Math.max(1, load / slots);
   const utilization = load / slots;
-  const latency = state.getExpectedLatency(leastLatency);
+  const latency = state.getExpectedLatency(leastLatency, now);
   return {
     state,
     missingTokens: 0,
--- a/packages/relay/src/lib/decide/pauses.ts
+++ b/packages/relay/src/lib/decide/pauses.ts
@@ -19,6 +19,8 @@
   profile: EngineProfile | undefined;
   /** Prompt tokens that an engine of the service prefills per millisecond. */
   prefillRate: number;
+  /** How long a step without prefill takes now, relative to the usual time. */
+  slowdown?: number;
   options: PlacementOptions;
 }
 
@@ -37,15 +39,16 @@
  */
 export function getPauseSlack(
   pauseTarget: Milliseconds | undefined,
-  { profile, prefillRate, options }: EngineSpeed,
+  { profile, prefillRate, slowdown = 1, options }: EngineSpeed,
 ): Milliseconds | undefined {
   if (pauseTarget === undefined) {
     return undefined;
   }
   const steps = profile?.eventTokens ?? 1;
   const chunk = options.chunkTokens / prefillRate;
-  const isSafe = pauseTarget >= steps * (chunk + STEP_OVERHEAD) * SAFETY_FACTOR;
-  return isSafe ? undefined : Math.max(chunk, pauseTarget / SAFETY_FACTOR - steps * STEP_OVERHEAD);
+  const overhead = STEP_OVERHEAD * slowdown;
+  const isSafe = pauseTarget >= steps * (chunk + overhead) * SAFETY_FACTOR;
+  return isSafe ? undefined : Math.max(chunk, pauseTarget / SAFETY_FACTOR - steps * overhead);
 }
 
 /**
