Tell placers the slowdown of a replica with the first byte of its responses

Cause: in a large fleet the daemon of a request receives the load report, and the placer that chooses replicas for all daemons does not. It would know of a spell only from its own callers.

Tests of decide/P* pass (50, without the fuzzes).

--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -3,6 +3,7 @@
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { AttemptEnd } from '../messages.js';
 import type {
+  LoadReport,
   PlacementCriteria,
   SharedAttempt,
   SharedAttemptResult,
@@ -70,6 +71,7 @@
         this.add(attempts, update.attempt);
         break;
       case 'first-byte-received':
+        this.recordLoad(attempts.get(update.key), update.load);
         this.recordFirstByte(attempts.get(update.key));
         break;
       case 'ended':
@@ -206,12 +208,18 @@
     }
   }
 
+  /** Records the load that a replica reported with its response to a peer. */
+  private recordLoad(attempt: RunningAttempt | undefined, load: LoadReport | undefined): void {
+    if (attempt !== undefined && load !== undefined) {
+      attempt.state.recordLoadReport(load, this.parts.clock.now());
+    }
+  }
+
   private recordFirstByte(attempt: RunningAttempt | undefined): void {
     if (attempt === undefined || attempt.isResponding) {
       return;
     }
     const now = this.parts.clock.now();
-    Object.assign(attempt, { isResponding: true });
     attempt.state.recordFirstByte(attempt, now);
   }
 
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { AttemptKeys } from '../AttemptKeys.js';
+import { createFirstByteUpdate } from '../createFirstByteUpdate.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
 import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
@@ -389,9 +390,8 @@
     if (record?.running?.number === attempt) {
       const { running } = record;
       const now = this.clock.now();
-      running.isResponding = true;
       running.state.recordFirstByte(running, now);
-      this.announceUpdate(running, { kind: 'first-byte-received', key: running.key });
+      this.announceUpdate(running, createFirstByteUpdate(running, now));
       record.cancelSilenceTimer();
     }
   }
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -133,6 +133,7 @@
   /** Records the first byte of the response to an attempt of this daemon or a peer. */
   recordFirstByte(attempt: RunningAttempt, now: Milliseconds): void {
     this.lastReceivedAt = now;
+    Object.assign(attempt, { isResponding: true });
     if (attempt.prompt !== undefined || attempt.missingTokens > 0) {
       this.prefill.recordPrefill(attempt, now);
     }
