--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -189,7 +189,7 @@
     const { state } = attempt;
     switch (result.end) {
       case AttemptEnd.Completed:
-        state.recordSuccess(result.duration);
+        state.recordSuccess(result.duration, this.parts.clock.now());
         break;
       case AttemptEnd.Failed:
         state.recordFailure();
@@ -222,7 +222,6 @@
       return;
     }
     const now = this.parts.clock.now();
-    Object.assign(attempt, { isResponding: true });
     attempt.state.recordFirstByte(attempt, now);
     this.parts.onChanged(attempt.state);
   }
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,10 +1,10 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
 import type { AdmissionGroupFactory } from '../admission/AdmissionControl/AdmissionControl.js';
-import { createFirstByteUpdate } from '../admission/createFirstByteUpdate.js';
 import { getAdmissionGroupFactory } from '../admission/getAdmissionGroupFactory.js';
 import { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import { AttemptKeys } from '../AttemptKeys.js';
+import { createFirstByteUpdate } from '../createFirstByteUpdate.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
 import type { Fallback } from '../getNextStep.js';
@@ -388,10 +388,8 @@
     if (record?.running?.number === attempt) {
       const { running } = record;
       const now = this.clock.now();
-      const service = this.registry.getService(record.request.service);
-      running.isResponding = true;
       running.state.recordFirstByte(running, now);
-      this.announceUpdate(running, createFirstByteUpdate(running, service, now));
+      this.announceUpdate(running, createFirstByteUpdate(running, now));
       record.cancelSilenceTimer();
       this.admissionControl.review(running.state);
     }
