Find the setup time of engines where all prompts are long

Where no short prompt comes, the setup time stayed at its initial 80 ms. Waits of 108 ms for 4,000 tokens then gave 133 to 137 tokens a millisecond against the real 40 (small engines, four daemons), and the bound of what an engine may hold was three times too wide. A line through waits over expected prefill times gives the wait without any prefill; wrong rates change its slope only. Used where replicas state a slowdown and no short prompt was seen.

--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -167,6 +167,9 @@
       setupTime.record(wait - tokensAhead / this.usualPrefillRate);
       return;
     }
+    if (this.slowdown.isStated) {
+      setupTime.recordLong(tokensAhead / this.usualPrefillRate, wait);
+    }
     const time = wait - setupTime.value;
     this.discardOutdated();
     this.rate.record(tokensAhead, time);
--- a/packages/relay/src/lib/decide/SetupTime/SetupTime.ts
+++ b/packages/relay/src/lib/decide/SetupTime/SetupTime.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import { getQuantile } from './getQuantile.js';
+import { WaitFit } from './WaitFit.js';
 
 /** Options for measuring the setup time. */
 export const setupTimeOptions = {
@@ -24,6 +25,8 @@
 
   private current: Milliseconds = setupTimeOptions.initial;
 
+  private readonly longWaits = new WaitFit();
+
   /** @param wait - the wait for a first token, minus the prefill time */
   record(wait: Milliseconds): void {
     this.samples.push(Math.max(0, wait));
@@ -33,7 +36,17 @@
     this.current = getQuantile(this.samples, setupTimeOptions.quantile);
   }
 
+  /**
+   * Records the wait of a long prompt, which shows the setup time as long as no short one was seen.
+   *
+   * @param prefillTime - the time that was expected for the tokens ahead
+   */
+  recordLong(prefillTime: Milliseconds, wait: Milliseconds): void {
+    this.longWaits.record(prefillTime, wait);
+  }
+
   get value(): Milliseconds {
-    return this.current;
+    const hasShort = this.samples.length > setupTimeOptions.initialWeight;
+    return hasShort ? this.current : (this.longWaits.intercept ?? this.current);
   }
 }
