Admission: Retry-After in turn, order of returning callers, floors for less urgent ranks

Cause: refused callers were all told the same time and counted as new when they returned; a rank got nothing as long as more urgent ones asked for all engines.

RetryAdvice gives refused callers one time after the other, at the rate at which requests begin, within a third of the time that they have left. RefusedRequests remembers when a refused request first arrived, unless its caller returns too early. RankFloors keeps 1 in 16 begins for ranks that get nothing, for requests that cost at most twice as much as any more urgent one that waits.

Taken: among requests of a workspace, those that can still be in time by their caller's clock go first, in order of first arrival; then overdue ones.

--- a/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.ts
@@ -7,6 +7,8 @@
 import type { AdmissionDecision, Applicant } from '../Applicant.js';
 import { FairOrder } from '../FairOrder/FairOrder.js';
 import { RecentTargets } from '../RecentTargets/RecentTargets.js';
+import { RefusedRequests } from '../RefusedRequests/RefusedRequests.js';
+import { RetryAdvice } from '../RetryAdvice/RetryAdvice.js';
 import { ReviewPass } from '../ReviewPass/ReviewPass.js';
 import { SlotTurnover } from '../SlotTurnover/SlotTurnover.js';
 import { createWaitingApplicant } from '../WaitingApplicant.js';
@@ -48,12 +50,16 @@
 export class EngineAdmission implements AdmissionGroup {
   private readonly waiting = new Map<string, WaitingApplicant>();
 
-  private readonly order = new FairOrder();
+  private readonly order: FairOrder;
 
   private readonly targets: RecentTargets;
 
   private readonly turnover: SlotTurnover;
 
+  private readonly refused: RefusedRequests;
+
+  private readonly retryAdvice: RetryAdvice;
+
   private timer: Timer | undefined;
 
   private isReviewing = false;
@@ -61,8 +67,11 @@
   private isReviewDue = false;
 
   constructor(private readonly parts: EngineAdmissionParts) {
+    this.order = new FairOrder(parts.options);
     this.targets = new RecentTargets(parts.options.targetMemory);
     this.turnover = new SlotTurnover(parts.clock.now());
+    this.refused = new RefusedRequests(parts.options);
+    this.retryAdvice = new RetryAdvice(parts.options, parts.clock.now());
   }
 
   get size(): number {
@@ -73,11 +82,11 @@
     const { clock, options, getEngines } = this.parts;
     const now = clock.now();
     this.targets.record(applicant.criteria.latencyTarget, now);
+    this.order.recordArrival(applicant, now);
     const engines = getEngines(applicant);
-    this.waiting.set(
-      applicant.id,
-      createWaitingApplicant({ applicant, engines, now, options, firstArrivedAt: undefined }),
-    );
+    const firstArrivedAt = this.refused.getFirstArrival(applicant.fingerprint, now);
+    const inputs = { applicant, engines, now, options, firstArrivedAt };
+    this.waiting.set(applicant.id, createWaitingApplicant(inputs));
     this.review();
   }
 
@@ -128,8 +137,9 @@
     const { clock, options } = this.parts;
     const now = clock.now();
     const maxBacklog = this.targets.getShortest(now) * options.backlogShare;
-    const { waiting, order, turnover } = this;
-    return new ReviewPass({ ...this.parts, now, maxBacklog, waiting, order, turnover });
+    const { waiting, order, turnover, refused, retryAdvice } = this;
+    const state = { waiting, order, turnover, refused, retryAdvice };
+    return new ReviewPass({ ...this.parts, ...state, now, maxBacklog });
   }
 
   /** Reviews again after a while, since room opens and targets pass without an event. */
--- a/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.test.ts
+++ b/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.test.ts
@@ -16,13 +16,13 @@
 }
 
 /** Lets all applicants begin in order. */
-function beginAll(order: FairOrder, applicants: readonly WaitingApplicant[]): string[] {
+function beginAll(order: FairOrder, applicants: readonly WaitingApplicant[], now = 100): string[] {
   const waiting = new Set(applicants);
   const begun: string[] = [];
   while (waiting.size > 0) {
-    const next = order.sort(waiting)[0]!;
+    const next = order.sort(waiting, now)[0]!;
     waiting.delete(next);
-    order.recordBegin(next);
+    order.recordBegin(next, now);
     begun.push(next.applicant.id);
   }
   return begun;
@@ -33,13 +33,23 @@
     const late = createWaiting('late', { arrivedAt: 1, rank: 2 });
     const returned = createWaiting('returned', { arrivedAt: 30, rank: 2, firstArrivedAt: 0 });
     const urgent = createWaiting('urgent', { arrivedAt: 40, rank: 0 });
-    expect(beginAll(new FairOrder(), [late, returned, urgent])).toEqual([
+    expect(beginAll(new FairOrder(admissionOptions), [late, returned, urgent])).toEqual([
       'urgent',
       'returned',
       'late',
     ]);
   });
 
+  it('begins returning requests that are overdue after those that can still be in time', () => {
+    // Guards against overload in which every request is served, but each only when it is late.
+    const overdue = createWaiting('overdue', { arrivedAt: 900, firstArrivedAt: 0 });
+    const fresh = createWaiting('fresh', { arrivedAt: 950 });
+    expect(beginAll(new FairOrder(admissionOptions), [overdue, fresh], 1_000)).toEqual([
+      'fresh',
+      'overdue',
+    ]);
+  });
+
   it('takes turns among workspaces by the cost of what began', () => {
     // Guards against order of arrival: one workspace sends ten requests, and the others wait for all.
     const flood = Array.from({ length: 4 }, (_item, index) =>
@@ -49,7 +59,7 @@
       createWaiting(id, { workspace: 'small', arrivedAt: 50, tokens: 1_800 }),
     );
     // Each costs its tokens and 400 more for the output: 4,400 and 2,200.
-    expect(beginAll(new FairOrder(), [...flood, ...small])).toEqual([
+    expect(beginAll(new FairOrder(admissionOptions), [...flood, ...small])).toEqual([
       'flood-0',
       'small-0',
       'small-1',
@@ -62,7 +72,7 @@
 
   it('gives no credit for idle time', () => {
     // Guards against a workspace that returns after a minute and gets all engines for seconds.
-    const order = new FairOrder();
+    const order = new FairOrder(admissionOptions);
     const steady = Array.from({ length: 20 }, (_item, index) =>
       createWaiting(`steady-${index}`, { workspace: 'steady' }),
     );
--- a/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.ts
+++ b/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.ts
@@ -1,3 +1,7 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { AdmissionOptions } from '../admissionOptions.js';
+import type { Applicant } from '../Applicant.js';
+import { RankFloors } from '../RankFloors/RankFloors.js';
 import type { WaitingApplicant } from '../WaitingApplicant.js';
 
 /** Number of workspaces of one rank from which on those without a lead are forgotten. */
@@ -17,24 +21,31 @@
   startTag: number;
 }
 
-function compareAge(left: WaitingApplicant, right: WaitingApplicant): number {
+/** Whether a returning request can't be in time any more by the clock of its caller. */
+function isOverdue({ firstArrivedAt, applicant }: WaitingApplicant, now: Milliseconds): boolean {
+  return now >= firstArrivedAt + applicant.criteria.latencyTarget;
+}
+
+function compareAge(left: WaitingApplicant, right: WaitingApplicant, now: Milliseconds): number {
   return (
+    Number(isOverdue(left, now)) - Number(isOverdue(right, now)) ||
     left.firstArrivedAt - right.firstArrivedAt ||
     left.applicant.arrivedAt - right.applicant.arrivedAt
   );
 }
 
-function compareTagged(left: TaggedApplicant, right: TaggedApplicant): number {
+function compareTagged(left: TaggedApplicant, right: TaggedApplicant, now: Milliseconds): number {
   return (
     left.waiting.applicant.criteria.rank - right.waiting.applicant.criteria.rank ||
     left.startTag - right.startTag ||
-    compareAge(left.waiting, right.waiting)
+    compareAge(left.waiting, right.waiting, now)
   );
 }
 
 /**
  * Orders waiting applicants: the most urgent rank first, then the workspace that used least, then the
- * request that arrived first.
+ * request that arrived first. A request that returns after a refusal counts from its first arrival; once it
+ * can't be in time by that, it goes after those of its workspace that still can.
  *
  * Load pattern: one workspace asks for ten times its part. In order of arrival it would get ten times as
  * much as the others, most of which would be late.
@@ -43,25 +54,40 @@
  * a workspace starts at the finish tag of its last one, or at the current virtual time if that is later, so
  * that idling earns no credit. While two workspaces wait, what they get differs by at most one request of
  * each. A request is charged when it begins, so that those that are refused cost nothing.
+ *
+ * A rank that would get nothing has a request go first now and then; see {@link RankFloors}.
  */
 export class FairOrder {
   private readonly ranks = new Map<number, RankAccounts>();
 
+  private readonly floors: RankFloors;
+
+  constructor(options: Pick<AdmissionOptions, 'floorShare' | 'targetMemory'>) {
+    this.floors = new RankFloors(options);
+  }
+
+  /** Records a request that arrives, also if it is refused. */
+  recordArrival({ criteria }: Applicant, now: Milliseconds): void {
+    this.floors.recordArrival(criteria.rank, now);
+  }
+
   /** Sorts applicants by the order in which they should begin. */
-  sort(applicants: Iterable<WaitingApplicant>): WaitingApplicant[] {
+  sort(applicants: Iterable<WaitingApplicant>, now: Milliseconds): readonly WaitingApplicant[] {
     const nextTags = new Map<string, number>();
-    return [...applicants]
-      .sort(compareAge)
+    const ordered = [...applicants]
+      .sort((left, right) => compareAge(left, right, now))
       .map((waiting) => ({ waiting, startTag: this.takeTag(waiting, nextTags) }))
-      .sort(compareTagged)
+      .sort((left, right) => compareTagged(left, right, now))
       .map(({ waiting }) => waiting);
+    return this.floors.apply(ordered);
   }
 
   /** Charges an applicant that begins to its workspace. */
-  recordBegin({ applicant, cost }: WaitingApplicant): void {
+  recordBegin({ applicant, cost }: WaitingApplicant, now: Milliseconds): void {
     const { criteria, workspace } = applicant;
     const accounts = this.getAccounts(criteria.rank);
     const startTag = FairOrder.getStartTag(accounts, workspace);
+    this.floors.recordBegin(criteria.rank, now);
     accounts.virtualTime = startTag;
     accounts.finishTags.set(workspace, startTag + cost);
     if (accounts.finishTags.size > MAX_ACCOUNTS) {
--- a/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
+++ b/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
@@ -6,6 +6,8 @@
 import { EngineRoom } from '../EngineRoom/EngineRoom.js';
 import type { EngineDemand } from '../EngineRoom/EngineRoom.js';
 import type { FairOrder } from '../FairOrder/FairOrder.js';
+import type { RefusedRequests } from '../RefusedRequests/RefusedRequests.js';
+import type { RetryAdvice } from '../RetryAdvice/RetryAdvice.js';
 import type { SlotTurnover } from '../SlotTurnover/SlotTurnover.js';
 import { WaitForecast } from '../WaitForecast/WaitForecast.js';
 import type { ExpectedTimes } from '../WaitForecast/WaitForecast.js';
@@ -24,6 +26,8 @@
   waiting: Map<string, WaitingApplicant>;
   order: FairOrder;
   turnover: SlotTurnover;
+  refused: RefusedRequests;
+  retryAdvice: RetryAdvice;
 }
 
 /** An applicant whose first token can't be in time, and when it would be expected. */
@@ -66,8 +70,8 @@
   }
 
   run(): void {
-    const { order, waiting } = this.inputs;
-    order.sort(waiting.values()).forEach((next) => this.beginInTime(next));
+    const { now, order, waiting } = this.inputs;
+    order.sort(waiting.values(), now).forEach((next) => this.beginInTime(next));
     const late = this.planInOrder((each, { begin }) => this.announce(each, begin));
     // A late response is better than none where it delays nobody.
     const isElseEmpty = waiting.size === late.length;
@@ -81,7 +85,7 @@
   getLoad(): AdmissionLoad {
     const rooms = this.inputs.getGroupEngines().map((state) => this.getRoom(state));
     this.planInOrder(() => undefined);
-    const expectedWait = this.forecast.predict(rooms, 0)?.begin ?? Number.POSITIVE_INFINITY;
+    const expectedWait = this.forecast.predict(rooms, 0)?.times.begin ?? Number.POSITIVE_INFINITY;
     const open = rooms.filter(({ isOpen }) => isOpen);
     const room = open.reduce((sum, { freeSlots }) => sum + Math.ceil(freeSlots), 0);
     return { expectedWait, room: this.inputs.waiting.size > 0 ? 0 : room };
@@ -95,14 +99,20 @@
     const open = this.getOpenOptions(next);
     const fitting = open.filter(({ room, demand }) => room.fits(demand));
     if (open.length > 0 && fitting.length === 0) {
-      // Smaller requests behind it would keep the engine too full for it.
-      this.reserved.add(getSoonest(open).room.state);
+      this.reserve(next, getSoonest(open));
       return;
     }
     const inTime = fitting.filter((option) => this.isInTime(next, getWait(option)));
     this.begin(next, inTime);
   }
 
+  /** Keeps an engine for a large request, since smaller ones behind it would keep the engine full. */
+  private reserve(next: WaitingApplicant, option: Option): void {
+    if (this.isInTime(next, getWait(option))) {
+      this.reserved.add(option.room.state);
+    }
+  }
+
   /**
    * Plans the waiting applicants in order.
    *
@@ -111,22 +121,23 @@
   private planInOrder(
     onPlanned: (waiting: WaitingApplicant, times: ExpectedTimes) => void,
   ): LateApplicant[] {
+    const { now, order } = this.inputs;
     const late: LateApplicant[] = [];
-    this.inputs.order.sort(this.inputs.waiting.values()).forEach((waiting) => {
+    order.sort(this.inputs.waiting.values(), now).forEach((waiting) => {
       const rooms = this.getRooms(waiting);
-      const times = this.forecast.predict(rooms, waiting.missingTokens);
-      if (times !== undefined && this.isInTime(waiting, times.firstToken)) {
-        this.forecast.plan(rooms, waiting.missingTokens);
-        onPlanned(waiting, times);
+      const planned = this.forecast.predict(rooms, waiting.missingTokens);
+      if (planned !== undefined && this.isInTime(waiting, planned.times.firstToken)) {
+        WaitForecast.add(planned);
+        onPlanned(waiting, planned.times);
       } else {
-        late.push({ waiting, firstTokenIn: times?.firstToken });
+        late.push({ waiting, firstTokenIn: planned?.times.firstToken });
       }
     });
     return late;
   }
 
   private announce(waiting: WaitingApplicant, expectedWait: Milliseconds): void {
-    if (!waiting.isAnnounced) {
+    if (!waiting.isAnnounced && this.isWaiting(waiting)) {
       Object.assign(waiting, { isAnnounced: true });
       const { applicant } = waiting;
       this.inputs.onDecision({ kind: 'wait', applicant, expectedWait });
@@ -150,7 +161,7 @@
   /** @returns whether an engine was chosen */
   private begin(next: WaitingApplicant, options: readonly Option[]): boolean {
     const { applicant } = next;
-    const { now, choose, onDecision, order, turnover, waiting } = this.inputs;
+    const { now, choose, onDecision, order, refused, retryAdvice, turnover, waiting } = this.inputs;
     const usable = options.filter((option) => now + getWait(option) < applicant.deadline);
     const candidates = usable.map(({ room }) => room.state);
     const chosen = candidates.length === 0 ? undefined : choose(applicant, candidates);
@@ -158,8 +169,10 @@
       return false;
     }
     waiting.delete(applicant.id);
-    order.recordBegin(next);
+    order.recordBegin(next, now);
     turnover.recordBegin();
+    retryAdvice.recordBegin(now);
+    refused.remove(applicant.fingerprint);
     onDecision({ kind: 'begin', applicant, chosen });
     this.rooms.delete(chosen.state);
     return true;
@@ -169,23 +182,32 @@
     if (!this.isWaiting(waiting)) {
       return;
     }
-    const { applicant } = waiting;
-    const { now, onDecision, options } = this.inputs;
+    const { applicant, firstArrivedAt } = waiting;
+    const { now, onDecision, refused } = this.inputs;
     this.inputs.waiting.delete(applicant.id);
-    const isLateAlone = !this.getOptions(waiting).some((option) =>
-      this.isInTime(waiting, getWait(option)),
-    );
-    const reason = isLateAlone ? RefusalReason.Late : RefusalReason.Displaced;
     const timeLeft = applicant.deadline - now;
     const expectedIn = Math.min(firstTokenIn ?? timeLeft, timeLeft);
     const expected = now + expectedIn - applicant.arrivedAt;
-    const retryAfter = Math.max(
-      options.minRetryAfter,
-      Math.min(expectedIn, timeLeft * options.maxRetryShare),
-    );
+    const retryAfter = this.getRetryAfter(waiting, timeLeft);
+    const { fingerprint } = applicant;
+    refused.record({ fingerprint, firstArrivedAt, retryAfter }, now);
+    const reason = this.getRefusalReason(waiting);
     onDecision({ kind: 'refuse', applicant, reason, retryAfter, expected });
   }
 
+  private getRetryAfter(waiting: WaitingApplicant, timeLeft: Milliseconds): Milliseconds {
+    const { now, retryAdvice } = this.inputs;
+    const planned = this.forecast.predict(this.getRooms(waiting), waiting.missingTokens);
+    return retryAdvice.getRetryAfter({ now, roomIn: planned?.times.begin ?? timeLeft, timeLeft });
+  }
+
+  private getRefusalReason(waiting: WaitingApplicant): RefusalReason {
+    const isInTimeAlone = this.getOptions(waiting).some((option) =>
+      this.isInTime(waiting, getWait(option)),
+    );
+    return isInTimeAlone ? RefusalReason.Displaced : RefusalReason.Late;
+  }
+
   /** Whether the decision about an applicant is still open. */
   private isWaiting({ applicant }: WaitingApplicant): boolean {
     return this.inputs.waiting.has(applicant.id);
--- a/packages/relay/src/lib/decide/admission/WaitForecast/WaitForecast.ts
+++ b/packages/relay/src/lib/decide/admission/WaitForecast/WaitForecast.ts
@@ -10,7 +10,7 @@
 }
 
 /** What the forecast assumes about one engine. */
-interface EnginePlan {
+export interface EnginePlan {
   room: EngineRoom;
   /** Time until the engine has prefilled all prompts that were planned there. */
   backlog: Milliseconds;
@@ -28,9 +28,11 @@
   maxBacklog: Milliseconds;
 }
 
-interface PlannedRequest {
+/** A prediction, and the engine that it assumes. */
+export interface PlannedRequest {
   plan: EnginePlan;
   times: ExpectedTimes;
+  prefillTime: Milliseconds;
 }
 
 /**
@@ -46,36 +48,26 @@
   constructor(private readonly inputs: WaitForecastInputs) {}
 
   /** Predicts the times of a request after all that were planned; undefined if it may go nowhere. */
-  predict(rooms: readonly EngineRoom[], missingTokens: number): ExpectedTimes | undefined {
-    return this.findBest(rooms, missingTokens)?.times;
-  }
-
-  /** Plans a request, so that it counts for those predicted after it. */
-  plan(rooms: readonly EngineRoom[], missingTokens: number): void {
-    const best = this.findBest(rooms, missingTokens);
-    if (best !== undefined) {
-      const { plan, times } = best;
-      plan.backlog =
-        Math.max(plan.backlog, times.begin) + missingTokens / plan.room.state.prefillRate;
-      plan.freeSlots -= 1;
-    }
-  }
-
-  private findBest(
-    rooms: readonly EngineRoom[],
-    missingTokens: number,
-  ): PlannedRequest | undefined {
+  predict(rooms: readonly EngineRoom[], missingTokens: number): PlannedRequest | undefined {
     let best: PlannedRequest | undefined;
     rooms.forEach((room) => {
       const plan = this.getPlan(room);
       const times = this.getTimes(plan, missingTokens);
       if (best === undefined || times.firstToken < best.times.firstToken) {
-        best = { plan, times };
+        best = { plan, times, prefillTime: missingTokens / room.state.prefillRate };
       }
     });
     return best;
   }
 
+  /** Plans a request as predicted, so that it counts for those predicted after it. */
+  static add({ plan, times, prefillTime }: PlannedRequest): void {
+    Object.assign(plan, {
+      backlog: Math.max(plan.backlog, times.begin) + prefillTime,
+      freeSlots: plan.freeSlots - 1,
+    });
+  }
+
   private getTimes(plan: EnginePlan, missingTokens: number): ExpectedTimes {
     const { room, backlog, freeSlots, releaseInterval } = plan;
     const prefillTime = missingTokens / room.state.prefillRate;
