--- a/packages/relay/src/lib/decide/admission/EngineAdmission/overload.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/overload.test.ts
@@ -1,22 +1,87 @@
 import { AdmissionReplay } from '../../../../test/AdmissionReplay.js';
+import type { ReplayCall, ReplayLoad } from '../../../../test/AdmissionReplay.js';
 
 const SECOND = 1_000;
 
 /** Requests per second that the engines of a replay can prefill: 8 engines, 100 ms a prompt. */
 const CAPACITY = 80;
 
+/** Time that an idle engine takes to the first token of a prompt. */
+const PREFILL_TIME = 100;
+
+const TARGET = 600;
+
+function createLoad(factor: number, parts: Partial<ReplayLoad> = {}): ReplayLoad {
+  return { from: 0, until: 4 * SECOND, perSecond: factor * CAPACITY, ...parts };
+}
+
+function countInTime(calls: readonly ReplayCall[]): number {
+  return calls.filter((call) => AdmissionReplay.isInTime(call)).length;
+}
+
 /** Plays constant load, and gets the share of what the engines can do that is served in time. */
 function getGoodput(factor: number): number {
-  const span = 4 * SECOND;
   const replay = new AdmissionReplay();
-  replay.play([{ from: 0, until: span, perSecond: factor * CAPACITY }]);
-  const inTime = replay.calls.filter((call) => AdmissionReplay.isInTime(call)).length;
-  return inTime / ((span / SECOND) * CAPACITY);
+  replay.play([createLoad(factor)]);
+  return countInTime(replay.calls) / (4 * CAPACITY);
 }
 
-describe('overload of all engines', () => {
+describe('EngineAdmission under overload', () => {
   it.each([1, 1.5, 2.5, 5, 10])('serves what engines can do in time at %d times that', (factor) => {
     // Guards against engines that work on requests that are late already, so that none is in time.
     expect(getGoodput(factor)).toBeGreaterThanOrEqual(0.85);
   });
+
+  it('serves calm load in time half a second after a burst', () => {
+    // Guards against a backlog of late requests that outlasts the burst.
+    const replay = new AdmissionReplay();
+    replay.play([
+      createLoad(0.6, { until: 10 * SECOND }),
+      createLoad(1.9, { from: 2 * SECOND, until: 5 * SECOND }),
+    ]);
+    const isCalm = ({ firstArrivedAt }: ReplayCall) => firstArrivedAt >= 5.5 * SECOND;
+    expect(replay.getInTimeShare(isCalm)).toBeGreaterThanOrEqual(0.97);
+  });
+
+  it('serves urgent requests in time beside twice what engines can do of others', () => {
+    // Guards against urgent requests that wait behind what was sent to the engines before.
+    const replay = new AdmissionReplay();
+    replay.play([createLoad(0.4, { rank: 0 }), createLoad(2, { rank: 1 })]);
+    const urgentShare = replay.getInTimeShare(({ load }) => load.rank === 0);
+    expect(urgentShare).toBeGreaterThanOrEqual(0.95);
+    expect(countInTime(replay.calls) / (4 * CAPACITY)).toBeGreaterThanOrEqual(0.85);
+  });
+
+  it('serves workspaces that ask for their part in time beside one that asks for all engines', () => {
+    // Guards against one workspace whose requests are first in every queue.
+    const replay = new AdmissionReplay();
+    const small = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((workspace, index) =>
+      createLoad(0.1, { workspace, from: index * 17 }),
+    );
+    replay.play([createLoad(1.5, { workspace: 'large' }), ...small]);
+    small.forEach((load) => {
+      const share = replay.getInTimeShare((call) => call.load === load);
+      expect(share).toBeGreaterThanOrEqual(0.9);
+    });
+  });
+
+  it('serves most callers that return when they are asked to', () => {
+    // Guards against callers that return together, or that are refused each time they return.
+    const replay = new AdmissionReplay({ maxReturns: 5 });
+    replay.play([createLoad(2), createLoad(0.25, { from: 4 * SECOND, until: 10 * SECOND })]);
+    const served = replay.calls.filter(({ firstTokenAt }) => firstTokenAt !== undefined);
+    expect(served.length / replay.calls.length).toBeGreaterThanOrEqual(0.8);
+  });
+
+  it('refuses within an eighth of the target after a request can no longer be in time', () => {
+    // Guards against requests that are held until their caller gives up.
+    const replay = new AdmissionReplay();
+    replay.play([createLoad(3)]);
+    const refusals = replay.calls.flatMap((call) => call.refusals);
+    expect(refusals.length).toBeGreaterThan(CAPACITY);
+    refusals.forEach(({ applicant, decidedAt }) => {
+      const latestStart = applicant.arrivedAt + TARGET - PREFILL_TIME;
+      expect(decidedAt).toBeLessThanOrEqual(latestStart + TARGET / 8);
+    });
+  });
 });
--- a/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.test.ts
@@ -6,7 +6,7 @@
 const MAX_BACKLOG = 300;
 
 /** An engine with some requests of 4,000 tokens, of which it prefills 40 a millisecond. */
-function createRoom(requests: number, memoryTokens = 300_000): EngineRoom {
+function createRoom(requests: number, { memoryTokens = 300_000, now = 0 } = {}): EngineRoom {
   const replay = new AdmissionReplay({ engines: 1, slots: 4 });
   const { state } = replay.engines[0]!;
   for (let index = 0; index < requests; index += 1) {
@@ -14,7 +14,7 @@
   }
   const profile = { slots: 4, memoryTokens, cacheListeners: 1, eventTokens: 1 };
   const options = admissionOptions;
-  return new EngineRoom({ state, profile, now: 0, maxBacklog: MAX_BACKLOG, options });
+  return new EngineRoom({ state, profile, now, maxBacklog: MAX_BACKLOG, options });
 }
 
 const demand = { missingTokens: 4_000, memoryTokens: 4_050 };
@@ -38,6 +38,14 @@
 
   it('takes no request without a free slot or memory', () => {
     expect(createRoom(4).isOpen).toBe(false);
-    expect(createRoom(1, 8_000).fits(demand)).toBe(false);
+    expect(createRoom(1, { memoryTokens: 8_000 }).fits(demand)).toBe(false);
+  });
+
+  it('takes no request while a first token is overdue', () => {
+    // Guards against an engine that has stopped, and seems idle by the time since it got its requests.
+    expect(createRoom(1, { now: 150 }).isOpen).toBe(true);
+    const stopped = createRoom(1, { now: 1_000 });
+    expect(stopped.isOpen).toBe(false);
+    expect(stopped.backlog).toBeGreaterThan(MAX_BACKLOG);
   });
 });
--- a/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
+++ b/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
@@ -3,6 +3,9 @@
 import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
 import type { AdmissionOptions } from '../admissionOptions.js';
 
+/** Ratio of the actual to the expected wait for a first token from which on an engine is behind. */
+const MAX_WAIT_RATIO = 1.25;
+
 /** What a request needs of an engine. */
 export interface EngineDemand {
   /** Prompt tokens that the engine would have to prefill. */
@@ -32,6 +35,12 @@
 export class EngineRoom {
   readonly state: ReplicaState;
 
+  /**
+   * How long the first token of some stream is overdue at the engine; 0 if none is. The engine is then
+   * slower than assumed, or doesn't respond, and what is known of its backlog is too low.
+   */
+  private readonly overdue: Milliseconds;
+
   /** Time until the engine has prefilled the prompts that are pending there. */
   readonly backlog: Milliseconds;
 
@@ -47,7 +56,8 @@
   constructor(private readonly inputs: EngineRoomInputs) {
     const { state, profile, now, options } = inputs;
     this.state = state;
-    this.backlog = state.getBacklog(now) / state.prefillRate;
+    this.overdue = this.getOverdue();
+    this.backlog = state.getBacklog(now) / state.prefillRate + this.overdue;
     this.slots = state.getSlots(profile);
     this.freeSlots = this.slots - state.running.size - state.getUnannouncedInFlight(now);
     this.usedMemory = state.getMemoryTokens(now);
@@ -57,7 +67,7 @@
 
   /** Whether it may take a request of any size. */
   get isOpen(): boolean {
-    return this.freeSlots > 0 && this.backlog <= this.maxBacklog;
+    return this.overdue === 0 && this.freeSlots > 0 && this.backlog <= this.maxBacklog;
   }
 
   /**
@@ -67,7 +77,7 @@
   fits({ missingTokens, memoryTokens }: EngineDemand): boolean {
     const backlog = this.backlog + missingTokens / this.state.prefillRate;
     return (
-      this.freeSlots > 0 &&
+      this.isOpen &&
       (backlog <= this.maxBacklog || this.backlog <= this.inputs.options.transferTime) &&
       (memoryTokens <= this.freeMemory || this.usedMemory === 0)
     );
@@ -82,4 +92,18 @@
   private get maxBacklog(): Milliseconds {
     return Math.max(this.inputs.maxBacklog, this.inputs.options.transferTime);
   }
+
+  private getOverdue(): Milliseconds {
+    const { state, now, options } = this.inputs;
+    let overdue = 0;
+    state.running.forEach(({ isResponding, pauseTarget, sentAt, tokensAhead, copyTime }) => {
+      // Other responses send their first byte only when they are complete.
+      if (!isResponding && pauseTarget !== undefined) {
+        const expected = copyTime + state.getExpectedWait(tokensAhead);
+        const latest = sentAt + expected * MAX_WAIT_RATIO + options.transferTime;
+        overdue = Math.max(overdue, now - latest);
+      }
+    });
+    return overdue;
+  }
 }
--- a/packages/relay/src/test/AdmissionReplay.ts
+++ b/packages/relay/src/test/AdmissionReplay.ts
@@ -40,6 +40,9 @@
   tokens?: number;
 }
 
+/** A refusal, and when it was decided. */
+type ReplayRefusal = Extract<AdmissionDecision, { kind: 'refuse' }> & { decidedAt: Milliseconds };
+
 /** A caller's request, over all its attempts. */
 export interface ReplayCall {
   load: ReplayLoad;
@@ -47,7 +50,7 @@
   /** When the attempt arrived that got a response, or the last one. */
   arrivedAt: Milliseconds;
   firstTokenAt: Milliseconds | undefined;
-  refusals: Extract<AdmissionDecision, { kind: 'refuse' }>[];
+  refusals: ReplayRefusal[];
   attempts: number;
 }
 
@@ -176,13 +179,13 @@
     switch (decision.kind) {
       case 'begin': {
         const engine = this.engines.find(({ state }) => state === decision.chosen.state)!;
-        engine.begin(decision.chosen, criteria.prompt!, () => {
+        engine.begin(decision.chosen, criteria, () => {
           Object.assign(call ?? {}, { firstTokenAt: this.clock.now() });
         });
         break;
       }
       case 'refuse':
-        this.returnLater(call!, decision);
+        this.returnLater(call!, { ...decision, decidedAt: this.clock.now() });
         break;
       case 'wait':
         break;
@@ -191,7 +194,7 @@
     }
   }
 
-  private returnLater(call: ReplayCall, decision: ReplayCall['refusals'][number]): void {
+  private returnLater(call: ReplayCall, decision: ReplayRefusal): void {
     call.refusals.push(decision);
     if (call.refusals.length <= this.setup.maxReturns) {
       const number = Number(decision.applicant.id.split('-')[0]);
--- a/packages/relay/src/test/ReplayEngine.ts
+++ b/packages/relay/src/test/ReplayEngine.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { ChosenReplica } from '../lib/decide/chooseReplica.js';
 import { getMemoryTokens } from '../lib/decide/getMemoryTokens.js';
-import type { Prompt } from '../lib/decide/messages.js';
+import type { PlacementCriteria } from '../lib/decide/messages.js';
 import type { RunningAttempt } from '../lib/decide/RequestRecord.js';
 import type { ReplicaState } from '../lib/decide/ReplicaState/ReplicaState.js';
 
@@ -34,8 +34,9 @@
   ) {}
 
   /** Begins a request that was sent here. */
-  begin({ choice }: ChosenReplica, prompt: Prompt, onFirstToken: () => void): void {
+  begin({ choice }: ChosenReplica, criteria: PlacementCriteria, onFirstToken: () => void): void {
     const { state, clock } = this;
+    const { prompt, pauseTarget } = criteria;
     const attempt: RunningAttempt = {
       number: 1,
       key: '',
@@ -48,7 +49,7 @@
       isInformative: choice.isTelling,
       copyTime: 0,
       memoryTokens: getMemoryTokens(prompt),
-      pauseTarget: undefined,
+      pauseTarget,
       prompt,
       isResponding: false,
       hasMissedPauseTarget: false,
--- a/packages/relay/src/test/createReplayApplicant.ts
+++ b/packages/relay/src/test/createReplayApplicant.ts
@@ -15,7 +15,7 @@
   const prompt = createPrompt([[id, tokens]]);
   return {
     id,
-    criteria: { service: 'llm', rank, latencyTarget, prompt },
+    criteria: { service: 'llm', rank, latencyTarget, pauseTarget: 500, prompt },
     workspace: 'w',
     fingerprint: id,
     arrivedAt,
