Admission: what happens when daemons, messages or engines fail while requests wait

Tests on fleets of 3 and 20 cores joined by a network (admissionFailures.test.ts), with what they found: - Attempts placed for a killed daemon kept slots of its engines for five to ten seconds. Under admission control they are released after 2.5 s without an attempt list (20 daemons, one killed: 4 of 8 slots were still counted after 8 s). - Requests whose attempt failed after all replicas were gone waited until their deadline; under admission control they are given up at once as without replica. - A service whose replicas all go stays under admission control: the new ones have stated nothing yet.

--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -19,7 +19,7 @@
   registry: ReplicaRegistry;
   keys: AttemptKeys;
   backoffs: Pick<ReplicaBackoffs, 'backedOff'>;
-  /** Called when a placer did not respond in time. */
+  /** Called when a placer did not respond in time, or is gone. */
   onTimeout: (record: RequestRecord) => void;
 }
 
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -30,6 +30,15 @@
  */
 const LIST_TIMEOUT: Milliseconds = 5_000;
 
+/**
+ * The same where the placer decides which requests begin, and attempts of a killed daemon would keep others
+ * out. An attempt that is removed too early is added again with the next list.
+ */
+const CONTROLLED_LIST_TIMEOUT: Milliseconds = 2_500;
+
+/** Minimum interval between two searches for attempts that no list confirms. */
+const EXPIRY_CHECK_INTERVAL: Milliseconds = 500;
+
 /** Dependencies of {@link PeerAttempts}. */
 export interface PeerAttemptsParts {
   clock: Clock;
@@ -38,6 +47,8 @@
   onSent: (replica: string) => void;
   /** Called when a replica may have more room, or more is known of its load. */
   onChanged: (state: ReplicaState) => void;
+  /** Whether the placer of a replica decides which requests begin there. */
+  isControlled: (state: ReplicaState) => boolean;
 }
 
 /** Creates the representation of an attempt that is sent to other daemons. */
@@ -62,8 +73,11 @@
 
   private lastExpiryCheckAt: Milliseconds;
 
+  private lastControlledCheckAt: Milliseconds;
+
   constructor(private readonly parts: PeerAttemptsParts) {
     this.lastExpiryCheckAt = parts.clock.now();
+    this.lastControlledCheckAt = parts.clock.now();
   }
 
   handleUpdate(peer: string, update: AttemptUpdate): void {
@@ -248,15 +262,23 @@
    * minute to notice that daemons are gone; until then, their attempts would make engines seem full.
    */
   private removeExpired(): void {
-    const expiryCutoff = this.parts.clock.now() - LIST_TIMEOUT;
-    if (this.lastExpiryCheckAt > expiryCutoff) {
-      return;
+    const now = this.parts.clock.now();
+    if (now - this.lastControlledCheckAt >= EXPIRY_CHECK_INTERVAL) {
+      this.lastControlledCheckAt = now;
+      this.removeUnlisted(now - CONTROLLED_LIST_TIMEOUT, this.parts.isControlled);
+    }
+    if (now - this.lastExpiryCheckAt >= LIST_TIMEOUT) {
+      this.lastExpiryCheckAt = now;
+      this.removeUnlisted(now - LIST_TIMEOUT, () => true);
     }
-    this.lastExpiryCheckAt = this.parts.clock.now();
+  }
+
+  private removeUnlisted(cutoff: Milliseconds, mayRemove: (state: ReplicaState) => boolean): void {
     this.byPeer.forEach((attempts, peer) => {
-      if ((this.lastListAt.get(peer) ?? Number.NEGATIVE_INFINITY) < expiryCutoff) {
+      if ((this.lastListAt.get(peer) ?? Number.NEGATIVE_INFINITY) < cutoff) {
         [...attempts]
-          .filter(([, { isPlacedForPeer, sentAt }]) => isPlacedForPeer && sentAt < expiryCutoff)
+          .filter(([, { isPlacedForPeer, sentAt }]) => isPlacedForPeer && sentAt < cutoff)
+          .filter(([, { state }]) => mayRemove(state))
           .forEach(([key]) => this.remove(attempts, key));
       }
     });
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -144,6 +144,8 @@
       findReplica: (id) => this.registry.findReplica(id),
       onSent: (replica) => limits.recordSent(replica),
       onChanged: (state) => this.admissionControl.review(state),
+      isControlled: ({ replica }) =>
+        this.registry.getService(replica.service).isAdmissionControlled,
     });
     this.quarantine = new Quarantine({
       clock,
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -55,6 +55,9 @@
   /** Computed on demand; undefined again after each change of the replica list. */
   private cachedGroups: readonly ReplicaGroup[] | undefined;
 
+  /** Whether a replica that may be gone stated the slowdown of its machine. */
+  private hasStatedSlowdown = false;
+
   private readonly groupLoads = new Map<string, GroupLoad>();
 
   constructor(
@@ -108,11 +111,11 @@
    * for engines that share their machines, which they state with their load.
    */
   get isAdmissionControlled(): boolean {
-    return (
-      this.configured?.engine !== undefined &&
-      (this.groupLoads.size > 0 ||
-        [...this.replicas.values()].some(({ statesSlowdown }) => statesSlowdown))
-    );
+    const isStated =
+      this.groupLoads.size > 0 ||
+      this.hasStatedSlowdown ||
+      [...this.replicas.values()].some(({ statesSlowdown }) => statesSlowdown);
+    return isStated && this.configured?.engine !== undefined;
   }
 
   /** Records the loads of groups that their placers announced. */
@@ -120,7 +123,6 @@
     loads.forEach((load) => this.groupLoads.set(load.group, load));
   }
 
-  /** The group of a replica. */
   getReplicaGroup(state: ReplicaState): ReplicaGroup | undefined {
     return this.groups.find(({ replicas }) => replicas.includes(state));
   }
@@ -128,6 +130,7 @@
   /** Applies the newest list; the state of replicas that are still listed is kept. */
   setReplicas(replicas: readonly RelayReplica[]): void {
     const listed = new Set(replicas.map(({ id }) => id));
+    this.hasStatedSlowdown ||= [...this.replicas.values()].some((state) => state.statesSlowdown);
     this.cachedGroups = undefined;
     [...this.replicas.keys()]
       .filter((id) => !listed.has(id))
--- a/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -45,6 +45,9 @@
       service.waiting.add(record);
       this.rejectExcessAndScheduleRetry(service);
       this.review(service);
+      if (service.isAdmissionControlled) {
+        this.rejectUnplaceable(service);
+      }
     }
   }
 
--- a/packages/relay/src/test/AdmissionScenario.ts
+++ b/packages/relay/src/test/AdmissionScenario.ts
@@ -3,6 +3,7 @@
 import type { RelayReplica, RelayService } from '../lib/config/RelayConfiguration.js';
 import { Outcome } from '../lib/decide/messages.js';
 import type { PlacementRequest } from '../lib/decide/messages.js';
+import { placementOptions } from '../lib/decide/placementOptions.js';
 import { CoreFleet } from './CoreFleet.js';
 import type { CoreFleetSettings } from './CoreFleet.js';
 import { createEngineService, createPrompt, createReplica, createRequest } from './fixtures.js';
@@ -10,11 +11,14 @@
 /** Time within which all requests of a scenario end: the longest deadline and a reserve. */
 const SETTLING_TIME: Milliseconds = 4_000;
 
-const SLOTS = 4;
-
 /** Latency target of the requests. */
 export const LATENCY_TARGET: Milliseconds = 600;
 
+/** A request that can't be in time is refused by then: its target and two daemons that don't respond. */
+const MAX_REFUSAL_TIME: Milliseconds = LATENCY_TARGET + 2 * placementOptions.askTimeout;
+
+const SLOTS = 4;
+
 /** Requests of several daemons for engines of one group that state the slowdown of their machines. */
 export class AdmissionScenario {
   readonly fleet: CoreFleet;
@@ -27,6 +31,8 @@
   /** Requests whose callers have neither left nor lost their daemon. */
   readonly expected = new Set<string>();
 
+  private readonly submittedAt = new Map<string, Milliseconds>();
+
   private count = 0;
 
   constructor(daemons: number, settings: Partial<CoreFleetSettings> = {}, engines = 2) {
@@ -73,6 +79,7 @@
     const id = `r-${this.count}`;
     this.count += 1;
     this.expected.add(id);
+    this.submittedAt.set(id, this.fleet.clock.now());
     const request = createRequest(id, {
       service: 'llm',
       prompt: createPrompt([[id, 2_000]]),
@@ -101,28 +108,40 @@
     this.fleet.advance(SETTLING_TIME);
   }
 
+  /** Kills a daemon. The callers that it had get no answer. */
+  kill(daemon: string): void {
+    this.fleet.get(daemon).harness.submitted.forEach((id) => this.expected.delete(id));
+    this.fleet.kill(daemon);
+  }
+
+  /** Lets all daemons notice which daemons run. */
+  notice(): void {
+    const names = [...this.fleet.members.keys()];
+    this.fleet.members.forEach(({ name, harness }) => {
+      this.daemons
+        .filter((peer) => !names.includes(peer))
+        .forEach((peer) => harness.core.handle({ kind: 'peer-removed', peer }));
+      this.fleet.setView(name, names);
+    });
+    this.fleet.advance(0);
+  }
+
   get running(): string[] {
     return [...this.fleet.members.values()]
       .filter(({ isFrozen }) => !isFrozen)
       .map(({ name }) => name);
   }
 
-  /** Forgets the requests of a daemon that is about to be killed. */
-  forget(daemon: string): void {
-    this.fleet.effects.forEach(({ effect, daemon: from }) => {
-      if (from === daemon && 'id' in effect) {
-        this.expected.delete(effect.id);
-      }
-    });
-    this.fleet.get(daemon).harness.submitted.forEach((id) => this.expected.delete(id));
-  }
-
   /** Checks that each caller got one answer, that refused requests have not run, and that nothing is left. */
   check(): void {
     const { fleet } = this;
     this.expected.forEach((id) => expect([id, fleet.getResults(id).length]).toEqual([id, 1]));
-    const refused = fleet.results.filter(({ outcome }) => outcome === Outcome.NotRun);
+    const refused = fleet.results.filter(
+      ({ id, outcome }) => outcome === Outcome.NotRun && this.expected.has(id),
+    );
     expect(refused.filter(({ id }) => fleet.sent.has(id))).toEqual([]);
+    const late = refused.filter(({ id, at }) => at - this.submittedAt.get(id)! > MAX_REFUSAL_TIME);
+    expect(late).toEqual([]);
     expect(fleet.counted).toBe(0);
     this.fleet.members.forEach(({ harness }) => {
       const waiting = harness.core.admissionControl.getWaitingCounts();
--- a/packages/relay/src/test/CoreFleet.ts
+++ b/packages/relay/src/test/CoreFleet.ts
@@ -225,10 +225,13 @@
 
   private send(member: Member, effect: Extract<PlacementEffect, { kind: 'send' }>): void {
     const { id, attempt, replica } = effect;
-    this.sent.add(id);
+    const engine = this.engines.get(replica.id)!;
+    if (engine.isUp) {
+      this.sent.add(id);
+    }
     const { core } = member.harness;
     const notify = (action: () => void) => this.deliver(member, action);
-    this.engines.get(replica.id)!.add(`${member.name} ${id} ${attempt}`, {
+    engine.add(`${member.name} ${id} ${attempt}`, {
       onFirstByte: (report) =>
         notify(() => {
           this.firstBytes.set(id, this.clock.now());
