--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,6 +1,5 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
-import type { AdmissionGroupFactory } from '../admission/AdmissionControl/AdmissionControl.js';
 import { createFirstByteUpdate } from '../admission/createFirstByteUpdate.js';
 import { getAdmissionGroupFactory } from '../admission/getAdmissionGroupFactory.js';
 import { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
@@ -49,8 +48,6 @@
   clock: Clock;
   emit: (effect: PlacementEffect) => void;
   options?: Partial<PlacementOptions>;
-  /** Creates the admission of a replica group. */
-  createAdmissionGroup?: AdmissionGroupFactory;
 }
 
 /**
@@ -108,7 +105,7 @@
 
   private readonly peerUpdates: PeerUpdates;
 
-  constructor({ clock, emit, options, createAdmissionGroup }: PlacementCoreParts) {
+  constructor({ clock, emit, options }: PlacementCoreParts) {
     this.clock = clock;
     this.emit = emit;
     this.options = { ...placementOptions, ...options };
@@ -170,7 +167,7 @@
     };
     this.admissionControl = new AdmissionControl({
       ...parts,
-      createGroup: createAdmissionGroup ?? getAdmissionGroupFactory(parts),
+      createGroup: getAdmissionGroupFactory(parts),
     });
     const { admissionControl, peerAttempts } = this;
     const peerQueries = new PeerQueries({ clock, emit, control: admissionControl, peerAttempts });
