--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -49,8 +49,6 @@
   clock: Clock;
   emit: (effect: PlacementEffect) => void;
   options?: Partial<PlacementOptions>;
-  /** Creates the admission of a replica group. */
-  createAdmissionGroup?: AdmissionGroupFactory;
 }
 
 /**
@@ -108,7 +106,7 @@
 
   private readonly peerUpdates: PeerUpdates;
 
-  constructor({ clock, emit, options, createAdmissionGroup }: PlacementCoreParts) {
+  constructor({ clock, emit, options }: PlacementCoreParts) {
     this.clock = clock;
     this.emit = emit;
     this.options = { ...placementOptions, ...options };
@@ -144,6 +142,8 @@
       findReplica: (id) => this.registry.findReplica(id),
       onSent: (replica) => limits.recordSent(replica),
       onChanged: (state) => this.admissionControl.review(state),
+      isControlled: ({ replica }) =>
+        this.registry.getService(replica.service).isAdmissionControlled,
     });
     this.quarantine = new Quarantine({
       clock,
@@ -168,7 +168,7 @@
     };
     this.admissionControl = new AdmissionControl({
       ...parts,
-      createGroup: createAdmissionGroup ?? getAdmissionGroupFactory(parts),
+      createGroup: getAdmissionGroupFactory(parts),
     });
     const { admissionControl, peerAttempts } = this;
     const peerQueries = new PeerQueries({ clock, emit, control: admissionControl, peerAttempts });
