--- /dev/null
+++ b/packages/relay/src/lib/decide/groups/GroupLoads/GroupLoads.ts
@@ -0,0 +1,77 @@
+import type { Milliseconds } from '@apricotrill/utils';
+import type { GroupLoad } from '../../messages.js';
+
+/** Options for the loads that placers announce. */
+export const groupLoadOptions = {
+  /** After this time, a load counts for half. Placers announce their loads about once a second. */
+  halfLife: 1_000 satisfies Milliseconds,
+  /** A load is forgotten after this time, in which three announcements were missed. */
+  maxAge: 3_500 satisfies Milliseconds,
+};
+
+/** The load of a group as far as it is known. */
+export interface KnownGroupLoad extends GroupLoad {
+  /** Time since it was announced. */
+  age: Milliseconds;
+  /** How much it still counts, from 1 when it is announced towards 0. */
+  weight: number;
+}
+
+interface Announcement {
+  load: GroupLoad;
+  announcedAt: Milliseconds;
+}
+
+/**
+ * The loads of replica groups, as their placers announced them.
+ *
+ * Load pattern: demand that changes within a second, and announcements that are lost. A load that is a
+ * few seconds old says little about the group, so it counts less with age and is then forgotten.
+ */
+export class GroupLoads {
+  /** By group and sender. */
+  private readonly announcements = new Map<string, Map<string, Announcement>>();
+
+  /** Number of groups with an announcement, however old. */
+  get size(): number {
+    return this.announcements.size;
+  }
+
+  /** Records the load that a daemon announced of a group of which it is a placer. */
+  record(sender: string, load: GroupLoad, now: Milliseconds): void {
+    const senders = this.announcements.get(load.group) ?? new Map<string, Announcement>();
+    this.announcements.set(load.group, senders);
+    senders.forEach(({ announcedAt }, name) => {
+      if (now - announcedAt > groupLoadOptions.maxAge) {
+        senders.delete(name);
+      }
+    });
+    senders.set(sender, { load, announcedAt: now });
+  }
+
+  /** Removes the announcements of groups that don't exist any more. */
+  retain(groups: ReadonlySet<string>): void {
+    [...this.announcements.keys()]
+      .filter((group) => !groups.has(group))
+      .forEach((group) => this.announcements.delete(group));
+  }
+
+  /**
+   * Gets the load of a group: what its placer announced, else its deputy, else the newest of others,
+   * which consider themselves its placers. Undefined if none of them has announced it recently.
+   *
+   * @param placers - the placer of the group, and its deputy
+   */
+  get(group: string, placers: readonly string[], now: Milliseconds): KnownGroupLoad | undefined {
+    const recent = [...(this.announcements.get(group) ?? [])]
+      .filter(([, { announcedAt }]) => now - announcedAt <= groupLoadOptions.maxAge)
+      .sort(([, left], [, right]) => right.announcedAt - left.announcedAt);
+    const ofPlacers = placers.map((placer) => recent.find(([sender]) => sender === placer));
+    const announcement = (ofPlacers.find((found) => found !== undefined) ?? recent[0])?.[1];
+    if (announcement === undefined) {
+      return undefined;
+    }
+    const age = now - announcement.announcedAt;
+    return { ...announcement.load, age, weight: 2 ** (-age / groupLoadOptions.halfLife) };
+  }
+}
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -4,7 +4,13 @@
 export { SystemClock } from './lib/SystemClock.js';
 export { StepError } from './lib/StepError.js';
 export { exhaustiveSwitchError } from './lib/exhaustiveSwitchError.js';
-export { getHash, getHashHex, getRendezvousOrder, getRendezvousScore } from './lib/hash.js';
+export {
+  getHash,
+  getHashHex,
+  getRendezvousOrder,
+  getRendezvousScore,
+  getWeightedRendezvousOrder,
+} from './lib/hash.js';
 export { createRandom } from './lib/random.js';
 export type { Random } from './lib/random.js';
 export { failure, success } from './lib/Result.js';
--- a/packages/utils/src/lib/hash.ts
+++ b/packages/utils/src/lib/hash.ts
@@ -60,3 +60,34 @@
     .sort((left, right) => right.score - left.score || (left.candidate < right.candidate ? -1 : 1))
     .map(({ candidate }) => candidate);
 }
+
+/** Range of {@link getHash}, which gives 32 bits. */
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Returns the candidates for a key in order of weighted rendezvous hashing: each is the first for a
+ * part of the keys that is proportional to its weight. When the weight of one candidate changes, keys
+ * move only to it or away from it. With equal weights, the order is that of {@link getRendezvousOrder}.
+ *
+ * @param getWeight - returns a number above 0, in any unit
+ * @example
+ * ```ts
+ * const [owner] = getWeightedRendezvousOrder('claims/7', daemons, (daemon) => cores.get(daemon)!);
+ * ```
+ * @public
+ */
+export function getWeightedRendezvousOrder(
+  key: string,
+  candidates: readonly string[],
+  getWeight: (candidate: string) => number,
+): string[] {
+  const seed = xxhash.h32(key);
+  return candidates
+    .map((candidate) => {
+      // Half a step keeps the hash apart from 0 and 1, where the logarithm is of no use.
+      const hash = (xxhash.h32(candidate, seed) + 1 / 2) / HASH_RANGE;
+      return { candidate, score: -getWeight(candidate) / Math.log(hash) };
+    })
+    .sort((left, right) => right.score - left.score || (left.candidate < right.candidate ? -1 : 1))
+    .map(({ candidate }) => candidate);
+}
