Send requests of services under admission control to other groups while home is busy

Cause: requests went to the home group of their session whatever the wait there.

Change: GroupRouter chooses the group of a request: home, or another one that announces a shorter wait once the way to its zone and the session's part of the prompt are added. A query names the group if it is not home, and the placer honours it. After a response without a replica, one other group with room is asked if the request can still be in time there. Counter group_choices_total, event sent-elsewhere, a section for operators.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -164,6 +164,7 @@
       case 'suspect':
       case 'mark-healthy':
       case 'start-cooldown':
+      case 'group-chosen':
       case 'placed-for':
       case 'placer-silent':
       case 'crashed':
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -64,6 +64,9 @@
         log({ event: 'placed-for', peer, key, replica: effect.replica.id, choice });
         break;
       }
+      case 'group-chosen':
+        this.recordGroup(effect);
+        break;
       case 'placer-silent':
         log({ event: 'placer-silent', peer: effect.peer, span: effect.span });
         break;
@@ -176,6 +179,15 @@
     }
   }
 
+  private recordGroup(effect: Extract<PlacementEffect, { kind: 'group-chosen' }>): void {
+    const { log, metrics } = this.parts;
+    const { id, service, group, home, reason, load, homeLoad } = effect;
+    metrics.countGroupChoice(service, group, reason);
+    if (group !== home) {
+      log({ event: 'sent-elsewhere', id, group, home, reason, load, homeLoad });
+    }
+  }
+
   private async probe(replica: RelayReplica): Promise<void> {
     const { dispatch, paths } = this.parts;
     const result = await paths.probe(replica);
--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -73,6 +73,7 @@
   sendQuery(record: RequestRecord, placer: string): void {
     const { clock, emit, keys, options } = this.parts;
     const { service, rank, latencyTarget, pauseTarget, prompt } = record.request;
+    const asked = record.askedGroups.at(-1);
     const key = keys.next();
     record.queriedPlacers.add(placer);
     const timer = clock.setTimer(options.askTimeout, () => this.handleTimeout(key));
@@ -86,6 +87,7 @@
       criteria,
       availabilityZone: options.availabilityZone,
       excludedReplicas,
+      group: asked === undefined || asked.isHome ? undefined : asked.name,
     };
     emit({ kind: 'share', to: placer, update: { kind: 'ask', query } });
   }
--- a/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
+++ b/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
@@ -76,7 +76,7 @@
         placing.handleResponse(peer, update.response);
         break;
       case 'group-loads':
-        registry.getService(update.service).recordGroupLoads(update.loads);
+        registry.recordGroupLoads(peer, update.service, update.loads);
         break;
       case 'placed':
       case 'first-byte-received':
--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -51,7 +51,9 @@
     }
     const now = clock.now();
     const service = registry.getService(criteria.service);
-    const group = service.getRequestGroup(criteria, key);
+    const group =
+      service.groups.find(({ name }) => name === query.group) ??
+      service.getRequestGroup(criteria, key);
     const { rank } = criteria;
     const slotShares = service.isFragile ? this.parts.slotShares : undefined;
     const mayTake = slotShares?.mayTake(peer, service.name, rank) ?? true;
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -5,6 +5,7 @@
 import { Delegation } from '../Delegation/Delegation.js';
 import type { PendingQuery } from '../Delegation/Delegation.js';
 import type { Fleet } from '../Fleet/Fleet.js';
+import { GroupRouter } from '../groups/GroupRouter/GroupRouter.js';
 import type { Choice, Placement, PlacementEffect, PlacementResponse } from '../messages.js';
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
@@ -55,7 +56,10 @@
 export class Placing {
   private readonly delegation: Delegation;
 
+  private readonly router: GroupRouter;
+
   constructor(private readonly parts: PlacingParts) {
+    this.router = new GroupRouter(parts);
     this.delegation = new Delegation({ ...parts, onTimeout: parts.onQueryFailed });
   }
 
@@ -71,7 +75,7 @@
       (!isSuspect && (fleet.isLarge || service.hasLimits()));
     // A placer chooses among all versions of a group.
     const mayDelegate = isDelegable && record.softwareVersion === undefined;
-    const group = mayDelegate ? service.getRequestGroup(request, request.id) : undefined;
+    const group = mayDelegate ? this.router.getGroup(record) : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
     if (placer === undefined || placer === fleet.self) {
       return this.placeLocally(record) ? PlacingResult.Sent : PlacingResult.NoRoom;
@@ -118,6 +122,8 @@
     }
     if (response.placement !== undefined) {
       this.delegation.releasePlacement(peer, response.key);
+    } else if (response.queued === undefined) {
+      this.router.chooseNext(query.record);
     }
     this.parts.onQueryFailed(query.record);
   }
@@ -141,7 +147,7 @@
     if (softwareVersion !== undefined) {
       return service.getCandidates(triedReplicas, now, softwareVersion);
     }
-    const group = fleet.isLarge ? service.getRequestGroup(request, request.id) : undefined;
+    const group = fleet.isLarge ? this.router.getGroup(record) : undefined;
     // A placer knows all attempts in flight at its own group, but hardly any at other groups.
     const groupCandidates =
       group !== undefined && fleet.getPlacers(group.name)[0] === fleet.self
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -4,7 +4,7 @@
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import { LeavingReplicas } from '../LeavingReplicas/LeavingReplicas.js';
 import { AttemptEnd, ProbeResult } from '../messages.js';
-import type { PlacementEffect, PlacementMessage } from '../messages.js';
+import type { GroupLoad, PlacementEffect, PlacementMessage } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { RunningAttempt } from '../RequestRecord.js';
@@ -86,6 +86,12 @@
     return before.map(({ replica }) => replica.id).filter((id) => !listed.has(id));
   }
 
+  /** Records the loads that a daemon announced of the groups of a service of which it is a placer. */
+  recordGroupLoads(sender: string, service: string, loads: readonly GroupLoad[]): void {
+    const now = this.settings.clock.now();
+    loads.forEach((load) => this.getService(service).groupLoads.record(sender, load, now));
+  }
+
   /** Replaces the retry limits; the counts of the current window are kept. */
   setRetryLimits(limits: RetryLimits): void {
     const { options } = this.settings;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -3,12 +3,13 @@
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import { getFleetShare } from '../getFleetShare.js';
 import { getHomeEngines, getSessionPartId } from '../getCachedPrefixes.js';
+import { GroupLoads } from '../groups/GroupLoads/GroupLoads.js';
 import { getReplicaGroups } from '../groups/getReplicaGroups.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
-import type { GroupLoad, PlacementCriteria } from '../messages.js';
+import type { PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { ReplicaState } from '../ReplicaState/ReplicaState.js';
@@ -55,7 +56,8 @@
   /** Computed on demand; undefined again after each change of the replica list. */
   private cachedGroups: readonly ReplicaGroup[] | undefined;
 
-  private readonly groupLoads = new Map<string, GroupLoad>();
+  /** What the placers of its groups announced. */
+  readonly groupLoads = new GroupLoads();
 
   constructor(
     readonly name: string,
@@ -110,16 +112,11 @@
   get isAdmissionControlled(): boolean {
     return (
       this.configured?.engine !== undefined &&
-      (this.groupLoads.size > 0 ||
+      (this.groupLoads.isInUse ||
         [...this.replicas.values()].some(({ statesSlowdown }) => statesSlowdown))
     );
   }
 
-  /** Records the loads of groups that their placers announced. */
-  recordGroupLoads(loads: readonly GroupLoad[]): void {
-    loads.forEach((load) => this.groupLoads.set(load.group, load));
-  }
-
   /** The group of a replica. */
   getReplicaGroup(state: ReplicaState): ReplicaGroup | undefined {
     return this.groups.find(({ replicas }) => replicas.includes(state));
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -50,6 +50,13 @@
   placer: string | undefined;
 }
 
+/** A group of replicas whose placer is asked for a replica. */
+export interface AskedGroup {
+  name: string;
+  /** Whether its placer would choose this group by the request alone. */
+  isHome: boolean;
+}
+
 /** The state of a request in the placement core until it is finished. */
 export class RequestRecord {
   /** Number of attempts started, however they ended. */
@@ -70,6 +77,9 @@
   /** Placers that were queried for the next attempt. */
   readonly queriedPlacers = new Set<string>();
 
+  /** Groups that were asked for the next attempt; the last one is asked now. */
+  readonly askedGroups: AskedGroup[] = [];
+
   /** Whether it was let through to find out whether replicas can serve a quarantined part. */
   isTrial = false;
 
@@ -95,6 +105,7 @@
     this.triedReplicas.add(attempt.state.replica.id);
     this.running = attempt;
     this.queriedPlacers.clear();
+    this.askedGroups.length = 0;
   }
 
   /** Counts an attempt by what its end proves. */
--- a/packages/relay/src/lib/decide/estimates/getCrossZoneCost.ts
+++ b/packages/relay/src/lib/decide/estimates/getCrossZoneCost.ts
@@ -10,7 +10,7 @@
  * replicas, one in the daemon's own zone is chosen.
  */
 export function getCrossZoneCost(
-  { request, options }: ChoiceInputs,
+  { request, options }: Pick<ChoiceInputs, 'request' | 'options'>,
   { replica }: ReplicaState,
 ): Milliseconds {
   if (options.availabilityZone === '' || replica.availabilityZone === options.availabilityZone) {
--- a/packages/relay/src/lib/decide/groups/GroupLoads/GroupLoads.ts
+++ b/packages/relay/src/lib/decide/groups/GroupLoads/GroupLoads.ts
@@ -32,30 +32,29 @@
   /** By group and sender. */
   private readonly announcements = new Map<string, Map<string, Announcement>>();
 
-  /** Number of groups with an announcement, however old. */
+  private hasRecorded = false;
+
+  private removedAt: Milliseconds = 0;
+
+  /** Number of groups with an announcement. */
   get size(): number {
     return this.announcements.size;
   }
 
+  /** Whether any load was ever announced. */
+  get isInUse(): boolean {
+    return this.hasRecorded;
+  }
+
   /** Records the load that a daemon announced of a group of which it is a placer. */
   record(sender: string, load: GroupLoad, now: Milliseconds): void {
+    this.hasRecorded = true;
+    this.removeOld(now);
     const senders = this.announcements.get(load.group) ?? new Map<string, Announcement>();
     this.announcements.set(load.group, senders);
-    senders.forEach(({ announcedAt }, name) => {
-      if (now - announcedAt > groupLoadOptions.maxAge) {
-        senders.delete(name);
-      }
-    });
     senders.set(sender, { load, announcedAt: now });
   }
 
-  /** Removes the announcements of groups that don't exist any more. */
-  retain(groups: ReadonlySet<string>): void {
-    [...this.announcements.keys()]
-      .filter((group) => !groups.has(group))
-      .forEach((group) => this.announcements.delete(group));
-  }
-
   /**
    * Gets the load of a group: what its placer announced, else its deputy, else the newest of others,
    * which consider themselves its placers. Undefined if none of them has announced it recently.
@@ -74,4 +73,20 @@
     const age = now - announcement.announcedAt;
     return { ...announcement.load, age, weight: 2 ** (-age / groupLoadOptions.halfLife) };
   }
+
+  /** Removes old announcements, so that groups and senders that are gone take no memory. */
+  private removeOld(now: Milliseconds): void {
+    if (now - this.removedAt < groupLoadOptions.maxAge) {
+      return;
+    }
+    this.removedAt = now;
+    this.announcements.forEach((senders, group) => {
+      [...senders]
+        .filter(([, { announcedAt }]) => now - announcedAt > groupLoadOptions.maxAge)
+        .forEach(([sender]) => senders.delete(sender));
+      if (senders.size === 0) {
+        this.announcements.delete(group);
+      }
+    });
+  }
 }
--- a/packages/relay/src/lib/decide/groups/chooseGroup.ts
+++ b/packages/relay/src/lib/decide/groups/chooseGroup.ts
@@ -47,7 +47,7 @@
 }
 
 /** Requests that can begin in a group, as far as its announcement still counts. */
-function getRoom({ load }: GroupOption): number {
+export function getRoom({ load }: GroupOption): number {
   return load === undefined ? 0 : load.room * load.weight;
 }
 
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -1,5 +1,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica, RelayService, RouteKind } from '../config/RelayConfiguration.js';
+import type { KnownGroupLoad } from './groups/GroupLoads/GroupLoads.js';
+import type { GroupReason } from './groups/GroupReason.js';
 
 /**
  * The messages that the placement core receives and the effects that it emits. The core does no I/O;
@@ -178,6 +180,8 @@
   excludedReplicas: string[];
   /** Present for services under admission control. */
   claim?: AdmissionClaim;
+  /** The group that is asked, if it is not the home group of the request's session. */
+  group?: string;
 }
 
 /** The replica that a placer chose for another daemon's attempt, and the estimates behind it. */
@@ -369,6 +373,18 @@
   | { kind: 'share'; update: PlacementUpdate; to?: string }
   /** This daemon, as a placer, chose a replica for a peer's attempt. */
   | { kind: 'placed-for'; peer: string; key: string; replica: RelayReplica; choice: Choice }
+  /** The group that a request of a service under admission control is sent to. */
+  | {
+      kind: 'group-chosen';
+      id: string;
+      service: string;
+      group: string;
+      home: string;
+      reason: GroupReason;
+      /** The load of the group, and that of the home group; undefined if unknown. */
+      load: KnownGroupLoad | undefined;
+      homeLoad: KnownGroupLoad | undefined;
+    }
   /** A placer did not respond in time and is not queried for `span`. */
   | { kind: 'placer-silent'; peer: string; span: Milliseconds }
   /** IDs of the engines whose caches this daemon needs to follow; absent for all. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -9,6 +9,8 @@
   Outcome,
   ProbeResult,
 } from '../decide/messages.js';
+import type { KnownGroupLoad } from '../decide/groups/GroupLoads/GroupLoads.js';
+import type { GroupReason } from '../decide/groups/GroupReason.js';
 import type { ResponseFraming } from '../framing/getResponseFraming.js';
 import type { ForwardingResult } from '../forwarding/forwardingProtocol.js';
 import type { ConnectionFailure } from '../paths/ConnectionFailure.js';
@@ -150,6 +152,16 @@
   | { event: 'replica-held'; replica: string; rejections: number; span: Milliseconds }
   | { event: 'limit-refused'; replica: string; text: string }
   | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
+  | {
+      event: 'sent-elsewhere';
+      id: string;
+      group: string;
+      home: string;
+      reason: GroupReason;
+      /** The load of the group, with its age; absent if unknown. */
+      load?: KnownGroupLoad;
+      homeLoad?: KnownGroupLoad;
+    }
   | { event: 'placer-silent'; peer: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
   | { event: 'peer-lost'; peer: string }
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -151,6 +151,13 @@
     registers: [this.registry],
   });
 
+  readonly groupChoices = new Counter({
+    name: 'apricotrill_relay_group_choices_total',
+    help: 'Choices of a group of replicas for a request, by service, group and reason.',
+    labelNames: ['service', 'group', 'reason'],
+    registers: [this.registry],
+  });
+
   readonly resumptions = new Counter({
     name: 'apricotrill_relay_resumptions_total',
     help: 'Returns of callers that resume a stream, by where its software version is known from.',
@@ -183,6 +190,8 @@
 
   private readonly workspaces = new LabelSet();
 
+  private readonly groups = new LabelSet();
+
   /** Counts a finished request. */
   countRequest({ route, workspace, kind, priority, outcome, reason }: FinishedRequest): void {
     const name = this.routes.get(route);
@@ -190,6 +199,11 @@
     this.workspaceRequests.inc({ workspace: this.workspaces.get(workspace), outcome });
   }
 
+  /** Counts a request of a service under admission control that is sent to a group of replicas. */
+  countGroupChoice(service: string, group: string, reason: string): void {
+    this.groupChoices.inc({ service, group: this.groups.get(group), reason });
+  }
+
   /** Adds a gauge with one value per label, up to the label limit; read at each scrape. */
   addGauges(
     name: string,
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -6,6 +6,7 @@
 const ROUTINE_EVENTS = new Set<RelayEvent['event']>([
   'admitted',
   'placed-for',
+  'sent-elsewhere',
   'sent',
   'first-byte',
   'answered',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -93,6 +93,8 @@
   'limit-refused': 'a replica states an invalid limit, which is ignored',
   'placed-for':
     "a replica was chosen for another daemon's attempt; that daemon's `sent` event names this daemon and the key",
+  'sent-elsewhere':
+    'a request is sent to another group of replicas than the home group of its session; includes the reason, and the expected wait, the room and their age of both groups',
   'placer-silent':
     'the placer of a group of replicas did not respond; its deputy is queried for the given time',
   'peer-found': 'another daemon was discovered',
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -75,6 +75,15 @@
             claim: { workspace: 'shop', fingerprint: 'f', waited: 40, timeLeft: 5_000 },
           },
         },
+        {
+          kind: 'ask',
+          query: {
+            ...QUERY,
+            claim: { workspace: 'shop', fingerprint: 'f', waited: 40, timeLeft: 5_000 },
+            group: 'llm/zone-b',
+          },
+        },
+        { kind: 'ask', query: { ...QUERY, group: 'llm/zone-b' } },
         { kind: 'reply', response: { key: 'k', queued: { expectedWait: 120 } } },
         { kind: 'reply', response: { key: 'k', refused: { retryAfter: 800 } } },
         {
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -56,8 +56,8 @@
 const groupLoadSchema = z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()]);
 
 /**
- * Key, service, rank, latency target, pause target, prompt, availability zone, tried replicas, and the
- * claim for services under admission control.
+ * Key, service, rank, latency target, pause target, prompt, availability zone, tried replicas, the claim
+ * for services under admission control, and the group that is asked if it is not the home group.
  */
 const querySchema = z.tuple([
   z.string(),
@@ -68,7 +68,8 @@
   promptSchema.nullable(),
   z.string(),
   z.array(z.string()),
-  claimSchema.optional(),
+  claimSchema.nullish(),
+  z.string().optional(),
 ]);
 
 /**
@@ -218,6 +219,7 @@
   availabilityZone,
   excludedReplicas,
   claim,
+  group,
 }: PlacementQuery): EncodedQuery {
   const { service, rank, latencyTarget, pauseTarget, prompt } = criteria;
   const encodedPrompt = prompt === undefined ? null : encodePrompt(prompt);
@@ -235,6 +237,10 @@
     const { workspace, fingerprint, waited, timeLeft } = claim;
     query[8] = [workspace, fingerprint, Math.round(waited), Math.round(timeLeft)];
   }
+  if (group !== undefined) {
+    query[8] ??= null;
+    query[9] = group;
+  }
   return query;
 }
 
@@ -248,6 +254,7 @@
   availabilityZone,
   excludedReplicas,
   encodedClaim,
+  group,
 ]: EncodedQuery): PlacementQuery {
   const criteria = {
     service,
@@ -256,8 +263,14 @@
     pauseTarget: pauseTarget ?? undefined,
     prompt: prompt === null ? undefined : decodePrompt(prompt),
   };
-  const query = { key, criteria, availabilityZone, excludedReplicas };
-  if (encodedClaim === undefined) {
+  const query = {
+    key,
+    criteria,
+    availabilityZone,
+    excludedReplicas,
+    ...(group === undefined ? {} : { group }),
+  };
+  if (encodedClaim === undefined || encodedClaim === null) {
     return query;
   }
   const [workspace, fingerprint, waited, timeLeft] = encodedClaim;
