Choose the placers of services under admission control by the capacity of daemons

Cause: daemons run on instances from a quarter of a core to over one, and from 10 to 140 Mbit/s; a small one is as often a placer as a large one, and is late with its responses under load.

Change: the size of the instance is read from the settings, and each daemon states in its directory entry and regular messages for how many full groups it could place. Fleet orders daemons by weighted rendezvous hashing, for groups of services under admission control only, so that other deployments keep their placers.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -14,6 +14,7 @@
 export { RelayDaemon } from './lib/daemon/RelayDaemon.js';
 export type { ReplicaEndpoint } from './lib/daemon/ReplicaPaths.js';
 export type { QuarantineStore } from './lib/daemon/QuarantineStore.js';
+export type { InstanceSize } from './lib/decide/Fleet/getPlacementCapacity.js';
 export type { ListenAddress, RelaySettings } from './lib/daemon/RelaySettings.js';
 export { HttpClient, parseJson } from './lib/http/HttpClient.js';
 export type { HttpResponse, HttpRequest } from './lib/http/HttpClient.js';
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -6,6 +6,7 @@
 import { createActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { RelayConfiguration, RelayReplica } from '../config/RelayConfiguration.js';
+import { getPlacementCapacity } from '../decide/Fleet/getPlacementCapacity.js';
 import type { PlacementMessage } from '../decide/messages.js';
 import { PlacementCore } from '../decide/PlacementCore/PlacementCore.js';
 import type { ObjectSource } from '../follow/StateFollower/ObjectSource.js';
@@ -116,8 +117,9 @@
     this.parts = parts;
     this.settings = parts.settings;
     const { clock, log, metrics, settings } = parts;
-    const { id, availabilityZone, peers } = settings;
-    const self = { id, availabilityZone, address: `${peers.host}:${peers.port}` };
+    const { id, availabilityZone, peers, instance } = settings;
+    const capacity = instance === undefined ? undefined : getPlacementCapacity(instance);
+    const self = { id, availabilityZone, address: `${peers.host}:${peers.port}`, capacity };
     const { ratio, window, slack } = settings.retries;
     this.core = new PlacementCore({
       clock,
@@ -225,7 +227,8 @@
         this.replicaPaths.setFleet(daemons);
         this.streams.setFleet(daemons);
         this.duties?.setFleet(daemons);
-        dispatch({ kind: 'fleet', self: id, daemons: daemons.map((daemon) => daemon.id) });
+        const capacities = new Map(daemons.map((daemon) => [daemon.id, daemon.capacity]));
+        dispatch({ kind: 'fleet', self: id, daemons: [...capacities.keys()], capacities });
       },
       onDaemonCount: (count) => {
         this.replicaWatch.setDaemonCount(count);
--- a/packages/relay/src/lib/daemon/RelaySettings.ts
+++ b/packages/relay/src/lib/daemon/RelaySettings.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@apricotrill/utils';
+import type { InstanceSize } from '../decide/Fleet/getPlacementCapacity.js';
 
 /** The address that a port is bound to. */
 export interface ListenAddress {
@@ -16,6 +17,8 @@
   /** Whether the whole system starts for the first time, so that there was no traffic before. */
   isFirstStart: boolean;
   availabilityZone: string;
+  /** Absent if it is not stated. */
+  instance?: InstanceSize;
   callers: ListenAddress;
   /** Readiness endpoint for the load balancer. */
   status: ListenAddress;
--- a/packages/relay/src/lib/decide/Fleet/Fleet.ts
+++ b/packages/relay/src/lib/decide/Fleet/Fleet.ts
@@ -1,4 +1,4 @@
-import { getRendezvousOrder } from '@apricotrill/utils';
+import { getRendezvousOrder, getWeightedRendezvousOrder } from '@apricotrill/utils';
 
 /** Options for the exchange of placements between daemons. */
 export const fleetOptions = {
@@ -25,13 +25,33 @@
 
   private daemons: readonly string[] = [];
 
+  private capacities: ReadonlyMap<string, number | undefined> = new Map();
+
   private readonly placers = new Map<string, readonly string[]>();
 
-  /** Replaces the list of reachable daemons. */
-  update(self: string, daemons: readonly string[]): void {
+  private readonly placersByCapacity = new Map<string, readonly string[]>();
+
+  /**
+   * @param usesCapacities - whether the placers of a group are chosen by the capacity of daemons; may
+   *   change at any time
+   */
+  constructor(private readonly usesCapacities: (group: string) => boolean = () => false) {}
+
+  /**
+   * Replaces the list of reachable daemons.
+   *
+   * @param capacities - what daemons state of the size of their instances
+   */
+  update(
+    self: string,
+    daemons: readonly string[],
+    capacities: ReadonlyMap<string, number | undefined> = new Map(),
+  ): void {
     this.ownName = self;
     this.daemons = daemons;
+    this.capacities = capacities;
     this.placers.clear();
+    this.placersByCapacity.clear();
   }
 
   /** The name of this daemon. */
@@ -49,14 +69,37 @@
     return this.daemons.length > fleetOptions.maxSmallFleetSize;
   }
 
-  /** Gets the placer of a group and its deputy. */
+  /**
+   * Gets the placer of a group and its deputy.
+   *
+   * Load pattern: daemons on instances of very different size, where a placer on a small one is late with
+   * its responses. A daemon is the placer of a number of groups in proportion to its capacity.
+   */
   getPlacers(group: string): readonly string[] {
-    const known = this.placers.get(group);
+    const usesCapacities = this.usesCapacities(group);
+    const cache = usesCapacities ? this.placersByCapacity : this.placers;
+    const known = cache.get(group);
     if (known !== undefined) {
       return known;
     }
-    const placers = getRendezvousOrder(group, this.daemons).slice(0, PLACERS_PER_GROUP);
-    this.placers.set(group, placers);
+    const order = usesCapacities
+      ? this.getOrderByCapacity(group)
+      : getRendezvousOrder(group, this.daemons);
+    const placers = order.slice(0, PLACERS_PER_GROUP);
+    cache.set(group, placers);
     return placers;
   }
+
+  /** A daemon that states no capacity counts as the smallest one. */
+  private getOrderByCapacity(group: string): readonly string[] {
+    const stated = this.daemons
+      .map((daemon) => this.capacities.get(daemon))
+      .filter((capacity) => capacity !== undefined);
+    const smallest = stated.length === 0 ? 1 : Math.min(...stated);
+    return getWeightedRendezvousOrder(
+      group,
+      this.daemons,
+      (daemon) => this.capacities.get(daemon) ?? smallest,
+    );
+  }
 }
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -92,7 +92,7 @@
 
   private readonly records = new Map<string, RequestRecord>();
 
-  private readonly fleet = new Fleet();
+  private readonly fleet = new Fleet((group) => this.registry.isAdmissionControlled(group));
 
   /** Rejects content that crashes replicas. */
   readonly quarantine: Quarantine;
@@ -251,7 +251,7 @@
         this.registry.setDaemonCount(message.count);
         break;
       case 'fleet':
-        this.fleet.update(message.self, message.daemons);
+        this.fleet.update(message.self, message.daemons, message.capacities);
         this.placer.updateFollowedEngines();
         break;
       case 'peer-update':
--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -6,6 +6,7 @@
 import type { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
 import { recordChoice } from '../ReplicaTrial/recordChoice.js';
 
 /** Dependencies of {@link Placer}. */
@@ -38,6 +39,9 @@
   /** The IDs that were last emitted, sorted and joined. */
   private followedKey: string | undefined;
 
+  /** Services whose placers are chosen by the capacity of daemons, since they are under admission control. */
+  private readonly controlledServices = new Set<string>();
+
   constructor(private readonly parts: PlacerParts) {}
 
   /** Responds to a peer's placement query. */
@@ -51,6 +55,7 @@
     }
     const now = clock.now();
     const service = registry.getService(criteria.service);
+    this.noticeAdmissionControl(service);
     const group =
       service.groups.find(({ name }) => name === query.group) ??
       service.getRequestGroup(criteria, key);
@@ -95,6 +100,14 @@
     }
   }
 
+  /** Follows the engines of further groups once this daemon is their placer by its capacity. */
+  private noticeAdmissionControl({ name, isAdmissionControlled }: ServiceState): void {
+    if (isAdmissionControlled && !this.controlledServices.has(name)) {
+      this.controlledServices.add(name);
+      this.updateFollowedEngines();
+    }
+  }
+
   private getFollowedEngines(): ReadonlySet<string> | undefined {
     const { registry, fleet } = this.parts;
     if (!fleet.isLarge) {
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -86,6 +86,14 @@
     return before.map(({ replica }) => replica.id).filter((id) => !listed.has(id));
   }
 
+  /** Whether a group belongs to a service under admission control. */
+  isAdmissionControlled(group: string): boolean {
+    return this.allServices.some(
+      ({ isAdmissionControlled, groups }) =>
+        isAdmissionControlled && groups.some(({ name }) => name === group),
+    );
+  }
+
   /** Records the loads that a daemon announced of the groups of a service of which it is a placer. */
   recordGroupLoads(sender: string, service: string, loads: readonly GroupLoad[]): void {
     const now = this.settings.clock.now();
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -330,7 +330,13 @@
   /** Number of daemons, including this one. */
   | { kind: 'daemons'; count: number }
   /** The reachable daemons, including this one. */
-  | { kind: 'fleet'; self: string; daemons: readonly string[] }
+  | {
+      kind: 'fleet';
+      self: string;
+      daemons: readonly string[];
+      /** By daemon; undefined for those that don't state it. */
+      capacities?: ReadonlyMap<string, number | undefined>;
+    }
   | { kind: 'peer-update'; peer: string; update: PlacementUpdate }
   /** A peer sent nothing for so long that it is considered gone. */
   | { kind: 'peer-removed'; peer: string }
--- a/packages/relay/src/lib/peers/PeerDirectory.ts
+++ b/packages/relay/src/lib/peers/PeerDirectory.ts
@@ -5,6 +5,8 @@
   address: string;
   /** Empty if unknown. */
   availabilityZone: string;
+  /** What its instance can place for others; absent if its settings don't state the instance's size. */
+  capacity?: number;
 }
 
 /**
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -296,6 +296,7 @@
     }
     const { from, updates, changes: storePositions, sentAt } = datagram;
     const { clock, log, onUpdate } = this.settings;
+    const lastCapacity = this.table.getCapacity(from.id);
     if (this.table.recordMessage(from, clock.now())) {
       log({ event: 'peer-found', peer: from.id, address: from.address });
       if (!this.usesRotation) {
@@ -303,6 +304,9 @@
       }
       this.scheduleFleetChange();
     }
+    if (this.table.getCapacity(from.id) !== lastCapacity) {
+      this.scheduleFleetChange();
+    }
     if (sentAt !== undefined) {
       this.settings.onClockReading(from.id, sentAt);
     }
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.test.ts
@@ -33,6 +33,19 @@
     expect(table.getAddresses(undefined)).toEqual(['b:2']);
   });
 
+  it('keeps the capacity that a peer stated, until it states another one', () => {
+    const table = new PeerTable('d-1');
+    const entry = { id: 'd-2', address: 'a:2', availabilityZone: 'z' };
+    table.recordMessage(entry, 0);
+    expect(table.getCapacity('d-2')).toBeUndefined();
+    table.setDirectoryEntries([{ ...entry, capacity: 4 }], 10);
+    expect(table.liveEntries).toEqual([{ ...entry, capacity: 4 }]);
+    table.recordMessage({ ...entry, capacity: 9 }, 20);
+    table.recordMessage(entry, 30);
+    table.setDirectoryEntries([{ ...entry, capacity: 4 }], 40);
+    expect(table.getCapacity('d-2')).toBe(9);
+  });
+
   it('evicts peers that have been lost for long, and lets one daemon clean up the directory', () => {
     const table = new PeerTable('d-2');
     table.setDirectoryEntries([{ id: 'd-1', address: 'a:1', availabilityZone: 'z' }], 0);
--- a/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
+++ b/packages/relay/src/lib/peers/PeerTable/PeerTable.ts
@@ -13,6 +13,7 @@
 interface Peer {
   address: string;
   availabilityZone: string;
+  capacity: number | undefined;
   /** When the peer was last known to run; undefined while it is not known to run. */
   lastSeenAt: Milliseconds | undefined;
   /** When the peer was found or, if later, lost; used only while `lastSeenAt` is undefined. */
@@ -37,29 +38,40 @@
     const lastSeenAt = assumeLive ? now : undefined;
     entries
       .filter(({ id }) => id !== this.self)
-      .forEach(({ id, address, availabilityZone }) => {
+      .forEach(({ id, address, availabilityZone, capacity }) => {
         const peer = this.peers.get(id);
         if (peer === undefined) {
           this.peers.set(id, {
             address,
             availabilityZone,
+            capacity,
             lastSeenAt,
             unseenSince: now,
             hasSentMessage: false,
           });
         } else if (peer.lastSeenAt === undefined) {
-          Object.assign(peer, { address, availabilityZone });
+          Object.assign(peer, { address, availabilityZone, capacity });
+        } else {
+          peer.capacity ??= capacity;
         }
       });
   }
 
-  /** @returns whether this is the peer's first message since it was found or lost */
-  recordMessage({ id, address, availabilityZone }: PeerEntry, now: Milliseconds): boolean {
+  /**
+   * Records that a peer has sent a message; not all messages state its capacity.
+   *
+   * @returns whether this is the peer's first message since it was found or lost
+   */
+  recordMessage(
+    { id, address, availabilityZone, capacity }: PeerEntry,
+    now: Milliseconds,
+  ): boolean {
     const peer = this.peers.get(id);
     const unseenSince = peer?.unseenSince ?? now;
     this.peers.set(id, {
       address,
       availabilityZone,
+      capacity: capacity ?? peer?.capacity,
       lastSeenAt: now,
       unseenSince,
       hasSentMessage: true,
@@ -98,7 +110,17 @@
   get liveEntries(): PeerEntry[] {
     return [...this.peers]
       .filter(([, { lastSeenAt }]) => lastSeenAt !== undefined)
-      .map(([id, { address, availabilityZone }]) => ({ id, address, availabilityZone }));
+      .map(([id, { address, availabilityZone, capacity }]) => ({
+        id,
+        address,
+        availabilityZone,
+        capacity,
+      }));
+  }
+
+  /** The capacity that a peer states; undefined if unknown. */
+  getCapacity(id: string): number | undefined {
+    return this.peers.get(id)?.capacity;
   }
 
   /** IDs of all known peers, live or not. */
--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -130,6 +130,14 @@
     expect(decodeDatagram(encodeDatagram(datagram))).toEqual(datagram);
   });
 
+  it('states the capacity of the sender with the time of sending', () => {
+    const from = { ...FROM, capacity: 12.5 };
+    const datagram = { from, updates: [], changes: undefined };
+    const withTime = { ...datagram, sentAt: 1_700_000_000_000 };
+    expect(decodeDatagram(encodeDatagram(withTime))).toEqual(withTime);
+    expect(decodeDatagram(encodeDatagram(datagram)).from).toEqual(FROM);
+  });
+
   it('fits 20 attempts into one unfragmented packet', () => {
     const attempts = Array<SharedAttempt>(20).fill({ ...ATTEMPT, prompt: undefined });
     const bytes = encodeDatagram({ from: FROM, updates: [{ kind: 'attempt-list', attempts }] });
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -136,7 +136,10 @@
 /** Revision, or era and revision. */
 const positionSchema = z.union([z.number(), z.tuple([z.number(), z.number()])]);
 
-/** ID, address and availability zone of the sender; updates; store positions; time of sending. */
+/**
+ * ID, address and availability zone of the sender; updates; store positions; time of sending; capacity of
+ * the sender.
+ */
 const datagramSchema = z.tuple([
   z.string(),
   z.string(),
@@ -144,6 +147,7 @@
   z.array(updateSchema),
   z.record(z.string(), positionSchema).nullable(),
   z.number().optional(),
+  z.number().positive().optional(),
 ]);
 
 type EncodedPrompt = z.infer<typeof promptSchema>;
@@ -516,7 +520,7 @@
   return Object.fromEntries(Object.entries(record).map(([key, value]) => [key, map(value)]));
 }
 
-/** Encodes a message as one datagram. */
+/** Encodes a message as one datagram. Only those with a time of sending state the sender's capacity. */
 export function encodeDatagram({
   from,
   updates,
@@ -531,6 +535,7 @@
       updates.map(encodeUpdate),
       storePositions === undefined ? null : mapValues(storePositions, encodePosition),
       ...(sentAt === undefined ? [] : [Math.round(sentAt)]),
+      ...(sentAt === undefined || from.capacity === undefined ? [] : [from.capacity]),
     ]),
   );
 }
@@ -541,10 +546,9 @@
  * @throws SyntaxError or ZodError if the bytes are not a valid datagram
  */
 export function decodeDatagram(bytes: Buffer): Datagram {
-  const [id, address, availabilityZone, updates, storePositions, sentAt] = datagramSchema.parse(
-    JSON.parse(bytes.toString('utf8')),
-  );
-  const from = { id, address, availabilityZone };
+  const [id, address, availabilityZone, updates, storePositions, sentAt, capacity] =
+    datagramSchema.parse(JSON.parse(bytes.toString('utf8')));
+  const from = { id, address, availabilityZone, ...(capacity === undefined ? {} : { capacity }) };
   return {
     from,
     updates: updates.map(decodeUpdate),
