Let the overflow of a group leave it, computed from how its wait changes

Cause: the share of requests that left home followed the announced wait. Announcements come once a second, so all requests left at once and came back at once.

Change: OverflowShare computes from two waits by how much demand exceeds what the group can do, and lets just that leave; the share shrinks while the group has spare time. A daemon also learns the wait from the placer's response to each of its own queries. A load now counts in full until the next one is due.

--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -115,6 +115,7 @@
     if (query === undefined) {
       return;
     }
+    this.router.recordResponse(query.record, peer, response);
     const chosen = this.getChosenReplica(query, response);
     if (chosen !== undefined) {
       this.send(query.record, chosen, { key: response.key, placer: peer });
--- a/packages/relay/src/lib/decide/groups/GroupLoads/GroupLoads.ts
+++ b/packages/relay/src/lib/decide/groups/GroupLoads/GroupLoads.ts
@@ -3,7 +3,9 @@
 
 /** Options for the loads that placers announce. */
 export const groupLoadOptions = {
-  /** After this time, a load counts for half. Placers announce their loads about once a second. */
+  /** Time in which a load counts in full. Placers announce their loads about once a second. */
+  interval: 1_200 satisfies Milliseconds,
+  /** After this time beyond the interval, a load counts for half. */
   halfLife: 1_000 satisfies Milliseconds,
   /** A load is forgotten after this time, in which three announcements were missed. */
   maxAge: 3_500 satisfies Milliseconds,
@@ -13,7 +15,7 @@
 export interface KnownGroupLoad extends GroupLoad {
   /** Time since it was announced. */
   age: Milliseconds;
-  /** How much it still counts, from 1 when it is announced towards 0. */
+  /** How much it still counts, from 1 towards 0. */
   weight: number;
 }
 
@@ -55,6 +57,17 @@
     senders.set(sender, { load, announcedAt: now });
   }
 
+  /**
+   * Updates the wait that a daemon announced of a group with the one of a request that it has just placed
+   * there, which is newer. Its room stays as announced.
+   */
+  recordWait(sender: string, group: string, expectedWait: Milliseconds, now: Milliseconds): void {
+    const load = this.announcements.get(group)?.get(sender)?.load;
+    if (load !== undefined) {
+      this.record(sender, { ...load, expectedWait }, now);
+    }
+  }
+
   /**
    * Gets the load of a group: what its placer announced, else its deputy, else the newest of others,
    * which consider themselves its placers. Undefined if none of them has announced it recently.
@@ -71,7 +84,8 @@
       return undefined;
     }
     const age = now - announcement.announcedAt;
-    return { ...announcement.load, age, weight: 2 ** (-age / groupLoadOptions.halfLife) };
+    const overdue = Math.max(0, age - groupLoadOptions.interval);
+    return { ...announcement.load, age, weight: 2 ** (-overdue / groupLoadOptions.halfLife) };
   }
 
   /** Removes old announcements, so that groups and senders that are gone take no memory. */
--- a/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.ts
+++ b/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.ts
@@ -2,15 +2,21 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { getCrossZoneCost } from '../../estimates/getCrossZoneCost.js';
 import type { Fleet } from '../../Fleet/Fleet.js';
-import type { PlacementEffect, PlacementRequest } from '../../messages.js';
+import type {
+  Placement,
+  PlacementEffect,
+  PlacementRequest,
+  PlacementResponse,
+} from '../../messages.js';
 import type { PlacementOptions } from '../../placementOptions.js';
 import type { ReplicaRegistry } from '../../ReplicaRegistry/ReplicaRegistry.js';
 import type { ServiceState } from '../../ReplicaRegistry/ServiceState.js';
 import type { RequestRecord } from '../../RequestRecord.js';
-import { chooseGroup, chooseNextGroup, getRoom } from '../chooseGroup.js';
+import { chooseGroup, chooseNextGroup, getRoom, groupChoiceOptions } from '../chooseGroup.js';
 import type { GroupOption } from '../chooseGroup.js';
 import type { ReplicaGroup } from '../getReplicaGroups.js';
 import { GroupReason } from '../GroupReason.js';
+import { OverflowShare } from '../OverflowShare/OverflowShare.js';
 import { SessionDemand } from '../SessionDemand/SessionDemand.js';
 
 /** Dependencies of {@link GroupRouter}. */
@@ -67,6 +73,9 @@
   /** By service. */
   private readonly demand = new Map<string, SessionDemand>();
 
+  /** By group and latency target. */
+  private readonly overflows = new Map<string, OverflowShare>();
+
   constructor(private readonly parts: GroupRouterParts) {}
 
   /** Gets the group that a request is sent to. It stays the same until its next attempt starts. */
@@ -106,6 +115,27 @@
     return true;
   }
 
+  /** Learns the wait in a group from the response of its placer to a query. */
+  recordResponse(
+    { request, askedGroups }: RequestRecord,
+    placer: string,
+    { placement, queued }: PlacementResponse,
+  ): void {
+    const { registry, clock } = this.parts;
+    const group = askedGroups.at(-1);
+    const wait = placement === undefined ? queued?.expectedWait : this.getWait(placement);
+    if (group !== undefined && wait !== undefined) {
+      const { groupLoads } = registry.getService(request.service);
+      groupLoads.recordWait(placer, group.name, wait, clock.now());
+    }
+  }
+
+  /** The wait for the prompts before the one that was placed. */
+  private getWait({ replica, tokensAhead, missingTokens }: Placement): Milliseconds | undefined {
+    const state = this.parts.registry.findReplica(replica);
+    return state === undefined ? undefined : (tokensAhead - missingTokens) / state.prefillRate;
+  }
+
   private chooseFirst(record: RequestRecord, service: ServiceState): ReplicaGroup | undefined {
     const subject = this.getSubject(record.request, service);
     if (subject === undefined) {
@@ -117,7 +147,8 @@
     const home = nearby ?? options.find(({ name }) => name === subject.home.name)!;
     const others = options.filter(({ name }) => name !== home.name);
     const { latencyTarget } = record.request;
-    const inputs = { ...this.getSessionInputs(subject), home, others, latencyTarget };
+    const overflow = this.getOverflow(home, latencyTarget, subject.now);
+    const inputs = { ...this.getSessionInputs(subject), home, others, latencyTarget, overflow };
     const chosen = chooseGroup(inputs);
     const homeReason = nearby === undefined ? GroupReason.Home : GroupReason.Room;
     const reason = chosen === home ? homeReason : GroupReason.Wait;
@@ -166,6 +197,24 @@
     };
   }
 
+  /** The share of the requests with a latency target that a group can't serve in time. */
+  private getOverflow(
+    { name, load }: GroupOption,
+    latencyTarget: Milliseconds,
+    now: Milliseconds,
+  ): number {
+    const key = `${name} ${latencyTarget}`;
+    const overflow = this.overflows.get(key) ?? new OverflowShare();
+    this.overflows.set(key, overflow);
+    if (load === undefined) {
+      overflow.reset();
+    } else {
+      const acceptable = latencyTarget * groupChoiceOptions.acceptableWaitRatio;
+      overflow.update(load.expectedWait, now - load.age, acceptable);
+    }
+    return overflow.share;
+  }
+
   private getSessionInputs({ request, service, session, now }: Subject) {
     const spread = this.getDemand(service).getSpread(session, service.groups.length, now);
     return { requestId: request.id, session, spread };
--- a/packages/relay/src/lib/decide/groups/chooseGroup.ts
+++ b/packages/relay/src/lib/decide/groups/chooseGroup.ts
@@ -5,10 +5,12 @@
 /** Options for the choice of a group. */
 export const groupChoiceOptions = {
   /**
-   * How much longer the wait at the home group must be for all of its requests to go elsewhere, as a
-   * ratio of the latency target. The other half of the target is left for the prompt itself.
+   * The wait that requests may have in their home group while others have room, as a ratio of the latency
+   * target. The rest is left for the prompt itself, and for a wait that grows between two announcements.
    */
-  fullShareRatio: 0.5,
+  acceptableWaitRatio: 0.25,
+  /** Maximum cost of another group while requests leave home, as a ratio of the latency target. */
+  maxCostRatio: 0.5,
 };
 
 /** A group of replicas that a request may be sent to. */
@@ -33,6 +35,8 @@
   /** Number of other groups over which the session is spread, by its demand. */
   spread: number;
   latencyTarget: Milliseconds;
+  /** The share of the requests of the home group that it can't serve in time. */
+  overflow: number;
 }
 
 /** The range of {@link getHash}. */
@@ -51,15 +55,9 @@
   return load === undefined ? 0 : load.room * load.weight;
 }
 
-/** By how much a request is better off in another group than at home; at most 0 while loads are unknown. */
-function getAdvantage(home: GroupOption, other: GroupOption): Milliseconds {
-  if (home.load === undefined || other.load === undefined) {
-    return 0;
-  }
-  // The wait at home counts less with age and that elsewhere doesn't, so that old loads keep requests at
-  // home.
-  const homeCost = home.load.expectedWait * home.load.weight + home.crossingCost;
-  return homeCost - other.load.expectedWait - other.crossingCost - other.prefillTime;
+/** Cost of a request in another group, as an equivalent wait; infinite while its load is unknown. */
+function getCost({ load, crossingCost, prefillTime }: GroupOption): Milliseconds {
+  return (load?.expectedWait ?? Number.POSITIVE_INFINITY) + crossingCost + prefillTime;
 }
 
 /**
@@ -87,34 +85,33 @@
 }
 
 /**
- * Chooses the group that a request asks: the home group of its session, unless the wait there costs more
- * than the way to another group and the part of the prompt that has to be prefilled again.
+ * Chooses the group that a request asks: the home group of its session, unless that can't serve all of its
+ * requests in time and the wait there costs more than the way to another group and the part of the prompt
+ * that has to be prefilled again.
  *
  * Load pattern: one availability zone, or one session, has several times the demand that its group can
  * serve, while others are calm. Many daemons hear of the same room at the same time; if all requests went
- * there, it would be filled many times over before the next announcement. Therefore only a share of the
- * requests leaves home, which grows with the advantage, and it is divided among the groups in proportion
- * to their room. Each session keeps its own order of groups, so that its prompts are prefilled in as few
- * groups as its demand needs. As the wait at home falls, the share falls with it and the session returns.
+ * there, it would be filled many times over before the next announcement. Therefore only the overflow
+ * leaves home, and it is divided among the groups in proportion to their room. Each session keeps its own
+ * order of groups, so that its prompts are prefilled in as few groups as its demand needs. As the overflow
+ * shrinks, the session returns.
  *
  * @returns the home group, or one of the others
  */
 export function chooseGroup(inputs: GroupChoiceInputs): GroupOption {
   const { home, others, requestId, latencyTarget } = inputs;
-  const better = others
-    .map((option) => ({ option, advantage: getAdvantage(home, option) }))
-    .filter(({ advantage }) => advantage > 0);
-  const best = Math.max(0, ...better.map(({ advantage }) => advantage));
-  const share = Math.min(1, best / (latencyTarget * groupChoiceOptions.fullShareRatio));
+  // The overflow counts less as the load it follows from ages, so that requests stay at home.
+  const share = inputs.overflow * (home.load?.weight ?? 0);
   const fraction = getFraction(requestId);
   if (fraction >= share) {
     return home;
   }
-  const weighted = better.map(({ option, advantage }) => ({
-    option,
-    weight: advantage * (1 + getRoom(option)),
-  }));
-  return pickGroup(inputs, weighted, fraction / share);
+  const homeCost = home.load!.expectedWait + home.crossingCost;
+  const maxCost = Math.max(homeCost, latencyTarget * groupChoiceOptions.maxCostRatio);
+  const weighted = others
+    .map((option) => ({ option, weight: (maxCost - getCost(option)) * (1 + getRoom(option)) }))
+    .filter(({ weight }) => weight > 0);
+  return weighted.length === 0 ? home : pickGroup(inputs, weighted, fraction / share);
 }
 
 /**
@@ -127,14 +124,11 @@
  * @returns undefined if there is no such group
  */
 export function chooseNextGroup(
-  inputs: Omit<GroupChoiceInputs, 'home' | 'latencyTarget'>,
+  inputs: Omit<GroupChoiceInputs, 'home' | 'latencyTarget' | 'overflow'>,
   timeLeft: Milliseconds,
 ): GroupOption | undefined {
   const weighted = inputs.others
-    .filter(({ load, crossingCost, prefillTime }) => {
-      const wait = load?.expectedWait ?? Number.POSITIVE_INFINITY;
-      return wait + crossingCost + prefillTime < timeLeft;
-    })
+    .filter((option) => getCost(option) < timeLeft)
     .map((option) => ({ option, weight: getRoom(option) }))
     .filter(({ weight }) => weight >= 1);
   return weighted.length === 0
