--- a/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
+++ b/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
@@ -87,7 +87,7 @@
         placing.handleResponse(peer, update.response);
         break;
       case 'group-loads':
-        registry.getService(update.service).recordGroupLoads(update.loads);
+        registry.recordGroupLoads(peer, update.service, update.loads);
         break;
       case 'ended':
         peerQueries.handleEnded(peer, update.key);
--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -8,6 +8,7 @@
 import type { PlacementOptions } from '../placementOptions.js';
 import type { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
 import { recordChoice } from '../ReplicaTrial/recordChoice.js';
 
 /** Dependencies of {@link Placer}. */
@@ -28,6 +29,9 @@
   /** The IDs that were last emitted, sorted and joined. */
   private followedKey: string | undefined;
 
+  /** Services whose placers are chosen by the capacity of daemons, since they are under admission control. */
+  private readonly controlledServices = new Set<string>();
+
   constructor(private readonly parts: PlacerParts) {}
 
   /** Responds to a peer's placement query. */
@@ -35,6 +39,7 @@
     const { registry, clock, emit, options, peerAttempts } = this.parts;
     const { key, criteria, availabilityZone, excludedReplicas, claim } = query;
     const service = registry.getService(criteria.service);
+    this.noticeAdmissionControl(service);
     // The peer knows that the engines call for admission, even if this daemon has not heard of that yet.
     if (claim !== undefined && service.service?.engine !== undefined) {
       this.parts.peerQueries.handle(peer, { ...query, claim });
@@ -88,6 +93,14 @@
     }
   }
 
+  /** Follows the engines of further groups once this daemon is their placer by its capacity. */
+  private noticeAdmissionControl({ name, isAdmissionControlled }: ServiceState): void {
+    if (isAdmissionControlled && !this.controlledServices.has(name)) {
+      this.controlledServices.add(name);
+      this.updateFollowedEngines();
+    }
+  }
+
   private getFollowedEngines(): ReadonlySet<string> | undefined {
     const { registry, fleet } = this.parts;
     if (!fleet.isLarge) {
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -6,6 +6,7 @@
 import type { ChosenReplica } from '../chooseReplica.js';
 import { Delegation } from '../Delegation/Delegation.js';
 import type { Fleet } from '../Fleet/Fleet.js';
+import { GroupRouter } from '../groups/GroupRouter/GroupRouter.js';
 import type { PlacementEffect, PlacementResponse } from '../messages.js';
 import { getDelegatedChoice } from '../getDelegatedChoice.js';
 import { getMemoryTokens } from '../getMemoryTokens.js';
@@ -62,14 +63,17 @@
   private readonly delegation: Delegation;
 
   private readonly ownApplicants: OwnApplicants;
+  private readonly router: GroupRouter;
 
   constructor(private readonly parts: PlacingParts) {
+    this.router = new GroupRouter(parts);
     this.delegation = new Delegation({ ...parts, onTimeout: parts.onQueryFailed });
     this.ownApplicants = new OwnApplicants({
       ...parts,
       control: parts.admissionControl,
       onBegun: (record, chosen, key) =>
         this.send(record, chosen, { key, placer: this.getPlacerForReplica(chosen) }),
+      chooseNext: (record) => this.router.chooseNext(record),
       onFailed: parts.onQueryFailed,
     });
   }
@@ -89,7 +93,7 @@
       (!isSuspect && (fleet.isLarge || service.hasLimits()));
     // A placer chooses among all versions of a group.
     const mayDelegate = isDelegable && !hasVersion;
-    const group = mayDelegate ? service.getRequestGroup(request, request.id) : undefined;
+    const group = mayDelegate ? this.router.getGroup(record) : undefined;
     const placer = group === undefined ? undefined : this.delegation.findPlacer(record, group);
     if (isControlled && group !== undefined) {
       return this.apply(record, group, placer);
@@ -132,8 +136,13 @@
     if (query === undefined) {
       return;
     }
+    this.router.recordResponse(query.record, peer, response);
     if (response.refused !== undefined) {
       const { key, refused } = response;
+      if (this.router.chooseNext(query.record)) {
+        this.parts.onQueryFailed(query.record);
+        return;
+      }
       this.refuse(query.record, { key, placer: peer, retryAfter: refused.retryAfter });
       return;
     }
@@ -144,6 +153,8 @@
     }
     if (response.placement !== undefined) {
       this.delegation.releasePlacement(peer, response.key);
+    } else if (response.queued === undefined) {
+      this.router.chooseNext(query.record);
     }
     this.parts.onQueryFailed(query.record);
   }
@@ -228,7 +239,7 @@
     if (softwareVersion !== undefined) {
       return service.getCandidates(triedReplicas, now, softwareVersion);
     }
-    const group = fleet.isLarge ? service.getRequestGroup(request, request.id) : undefined;
+    const group = fleet.isLarge ? this.router.getGroup(record) : undefined;
     // A placer knows all attempts in flight at its own group, but hardly any at other groups.
     const groupCandidates =
       group !== undefined && fleet.getPlacers(group.name)[0] === fleet.self
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -3,12 +3,13 @@
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import { getFleetShare } from '../getFleetShare.js';
 import { getHomeEngines, getSessionPartId } from '../getCachedPrefixes.js';
+import { GroupLoads } from '../groups/GroupLoads/GroupLoads.js';
 import { getReplicaGroups } from '../groups/getReplicaGroups.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
-import type { GroupLoad, PlacementCriteria } from '../messages.js';
+import type { PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { ReplicaState } from '../ReplicaState/ReplicaState.js';
@@ -58,7 +59,8 @@
   /** Whether a replica that may be gone stated the slowdown of its machine. */
   private hasStatedSlowdown = false;
 
-  private readonly groupLoads = new Map<string, GroupLoad>();
+  /** What the placers of its groups announced. */
+  readonly groupLoads = new GroupLoads();
 
   constructor(
     readonly name: string,
@@ -114,17 +116,13 @@
    */
   get isAdmissionControlled(): boolean {
     const isStated =
-      this.groupLoads.size > 0 ||
+      this.groupLoads.isInUse ||
       this.hasStatedSlowdown ||
       [...this.replicas.values()].some(({ statesSlowdown }) => statesSlowdown);
     return isStated && this.configured?.engine !== undefined;
   }
 
-  /** Records the loads of groups that their placers announced. */
-  recordGroupLoads(loads: readonly GroupLoad[]): void {
-    loads.forEach((load) => this.groupLoads.set(load.group, load));
-  }
-
+  /** The group of a replica. */
   getReplicaGroup(state: ReplicaState): ReplicaGroup | undefined {
     return this.groups.find(({ replicas }) => replicas.includes(state));
   }
--- a/packages/relay/src/lib/decide/admission/OwnApplicants/OwnApplicants.ts
+++ b/packages/relay/src/lib/decide/admission/OwnApplicants/OwnApplicants.ts
@@ -20,6 +20,8 @@
   fleet: Fleet;
   /** Sends a request to the engine where it begins. */
   onBegun: (record: RequestRecord, chosen: ChosenReplica, key: string) => void;
+  /** Chooses another group after a refusal. @returns false if there is none to ask */
+  chooseNext: (record: RequestRecord) => boolean;
   /** Called when the request must not run now. */
   onRefused: (record: RequestRecord, retryAfter: Milliseconds) => void;
   /** Called when this daemon is no longer a placer of the group. */
@@ -60,7 +62,7 @@
   }
 
   private handle(record: RequestRecord, key: string, answer: AdmissionAnswer): void {
-    const { clock, emit, fleet, onBegun, onRefused, onFailed } = this.parts;
+    const { clock, emit, fleet, chooseNext, onBegun, onRefused, onFailed } = this.parts;
     const placer = fleet.self;
     const { id, arrivedAt } = record.request;
     const waited = clock.now() - arrivedAt;
@@ -78,6 +80,10 @@
       }
       case 'refuse': {
         const { retryAfter } = answer;
+        if (chooseNext(record)) {
+          onFailed(record);
+          break;
+        }
         emit({ kind: 'not-admitted', id, key, placer, waited, retryAfter });
         onRefused(record, retryAfter);
         break;
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -1,6 +1,8 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica, RelayService, RouteKind } from '../config/RelayConfiguration.js';
 import type { AdmissionRecord } from './admission/AdmissionRecord.js';
+import type { KnownGroupLoad } from './groups/GroupLoads/GroupLoads.js';
+import type { GroupReason } from './groups/GroupReason.js';
 
 /**
  * The messages that the placement core receives and the effects that it emits. The core does no I/O;
@@ -329,7 +331,13 @@
   /** Number of daemons, including this one. */
   | { kind: 'daemons'; count: number }
   /** The reachable daemons, including this one. */
-  | { kind: 'fleet'; self: string; daemons: readonly string[] }
+  | {
+      kind: 'fleet';
+      self: string;
+      daemons: readonly string[];
+      /** By daemon; undefined for those that don't state it. */
+      capacities?: ReadonlyMap<string, number | undefined>;
+    }
   | { kind: 'peer-update'; peer: string; update: PlacementUpdate }
   /** A peer sent nothing for so long that it is considered gone. */
   | { kind: 'peer-removed'; peer: string }
@@ -392,6 +400,18 @@
       waited: Milliseconds;
       retryAfter?: Milliseconds;
     }
+  /** The group that a request of a service under admission control is sent to. */
+  | {
+      kind: 'group-chosen';
+      id: string;
+      service: string;
+      group: string;
+      home: string;
+      reason: GroupReason;
+      /** The load of the group, and that of the home group; undefined if unknown. */
+      load: KnownGroupLoad | undefined;
+      homeLoad: KnownGroupLoad | undefined;
+    }
   /** A placer did not respond in time and is not queried for `span`. */
   | { kind: 'placer-silent'; peer: string; span: Milliseconds }
   /** IDs of the engines whose caches this daemon needs to follow; absent for all. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -10,6 +10,8 @@
   Outcome,
   ProbeResult,
 } from '../decide/messages.js';
+import type { KnownGroupLoad } from '../decide/groups/GroupLoads/GroupLoads.js';
+import type { GroupReason } from '../decide/groups/GroupReason.js';
 import type { ResponseFraming } from '../framing/getResponseFraming.js';
 import type { ForwardingResult } from '../forwarding/forwardingProtocol.js';
 import type { ConnectionFailure } from '../paths/ConnectionFailure.js';
@@ -178,6 +180,16 @@
       waited: Milliseconds;
       retryAfter: Milliseconds | undefined;
     }
+  | {
+      event: 'sent-elsewhere';
+      id: string;
+      group: string;
+      home: string;
+      reason: GroupReason;
+      /** The load of the group, with its age; absent if unknown. */
+      load?: KnownGroupLoad;
+      homeLoad?: KnownGroupLoad;
+    }
   | { event: 'placer-silent'; peer: string; span: Milliseconds }
   | { event: 'peer-found'; peer: string; address: string }
   | { event: 'peer-lost'; peer: string }
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -9,6 +9,7 @@
   'admission-decided',
   'queued',
   'not-admitted',
+  'sent-elsewhere',
   'sent',
   'first-byte',
   'answered',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -101,6 +101,8 @@
     "the placer keeps a request until an engine has room for it; includes the expected wait and the key that the placer's `admission-decided` names",
   'not-admitted':
     'a request is refused because it would be late, and has not run; includes the placer, unless none responded and no engine with a free slot is known',
+  'sent-elsewhere':
+    'a request is sent to another group of replicas than the home group of its session; includes the reason, and the expected wait, the room and their age of both groups',
   'placer-silent':
     'the placer of a group of replicas did not respond; its deputy is queried for the given time',
   'peer-found': 'another daemon was discovered',
