--- a/packages/relay/src/lib/config/ActiveConfiguration.ts
+++ b/packages/relay/src/lib/config/ActiveConfiguration.ts
@@ -2,12 +2,14 @@
 import { PriorityRanks } from './PriorityRanks.js';
 import type { RelayConfiguration } from './RelayConfiguration.js';
 import { RouteTable } from './RouteTable.js';
+import { RouteUrgencies } from './RouteUrgencies.js';
 
 /** A version of the configuration with its lookup tables, which are replaced together. */
 export interface ActiveConfiguration {
   configuration: RelayConfiguration;
   routes: RouteTable;
   ranks: PriorityRanks;
+  urgencies: RouteUrgencies;
   /** Undefined if callers need no keys. */
   keys: KeyTable | undefined;
 }
@@ -26,6 +28,7 @@
     configuration,
     routes: new RouteTable(routes),
     ranks: new PriorityRanks(configuration, rankLevels),
+    urgencies: new RouteUrgencies(routes),
     keys: workspaces === undefined ? undefined : new KeyTable(workspaces),
   };
 }
--- a/packages/relay/src/lib/daemon/BodyIntake.ts
+++ b/packages/relay/src/lib/daemon/BodyIntake.ts
@@ -17,8 +17,8 @@
 export interface IncomingBody {
   request: IncomingMessage;
   response: ServerResponse;
-  /** Urgency of the request; 0 is the most urgent. */
-  rank: number;
+  /** From 0 to 1, which is the most urgent. */
+  urgency: number;
   limits: CallerLimits;
 }
 
@@ -38,10 +38,10 @@
   ) {}
 
   /** What the request holds is released when its response is closed. */
-  async read({ request, response, rank, limits }: IncomingBody): Promise<BodyIntakeResult> {
+  async read({ request, response, urgency, limits }: IncomingBody): Promise<BodyIntakeResult> {
     const { bodyBytes: maxBytes, idleTimeout: timeout } = limits;
     const bytes = getAnnouncedBytes(request, maxBytes);
-    const admission = this.memory.admit({ rank, bytes });
+    const admission = this.memory.admit({ urgency, bytes });
     const holding = admission instanceof Promise ? await admission : admission;
     if (holding === undefined) {
       return { kind: 'no-memory' };
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -135,7 +135,6 @@
     const memory = createMemoryGuard({
       ...parts,
       limit: settings.memoryLimit,
-      levels: parts.protocol.rankLevels,
     });
     this.replicaPaths = new ReplicaPaths({
       ...parts,
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -128,7 +128,7 @@
     const bodyResult = await this.bodies.read({
       request,
       response,
-      rank: active.ranks.get(route, route.targets[0]!.service, workspace),
+      urgency: active.urgencies.get(route),
       limits: configuration.limits,
     });
     if (bodyResult.kind === 'no-memory') {
--- a/packages/relay/src/lib/daemon/createMemoryGuard.ts
+++ b/packages/relay/src/lib/daemon/createMemoryGuard.ts
@@ -11,13 +11,11 @@
   metrics: RelayMetrics;
   /** Memory of the process in bytes; undefined if it is not bounded. */
   limit: number | undefined;
-  /** Number of different ranks. */
-  levels: number;
 }
 
 /** Creates the guard of the memory that a daemon holds for callers, replicas and other daemons. */
 export function createMemoryGuard(dependencies: MemoryGuardDependencies): MemoryGuard {
-  const { clock, levels, limit, log, metrics } = dependencies;
+  const { clock, limit, log, metrics } = dependencies;
   const own = process.memoryUsage.rss();
   const budget = limit === undefined ? undefined : getMemoryBudget(limit, own);
   if (limit !== undefined && budget !== undefined) {
@@ -26,7 +24,6 @@
   const guard = new MemoryGuard({
     clock,
     budget,
-    levels,
     onChanged: (isFull, held) => log({ event: isFull ? 'memory-full' : 'memory-available', held }),
   });
   metrics.addGauges('held_bytes', 'Bytes held for callers and replicas.', 'kind', () =>
--- a/packages/relay/src/lib/duties/RunStartEstimator/RunStartEstimator.test.ts
+++ b/packages/relay/src/lib/duties/RunStartEstimator/RunStartEstimator.test.ts
@@ -37,6 +37,7 @@
       AttemptEnd.Completed,
       AttemptEnd.Failed,
       AttemptEnd.Broken,
+      AttemptEnd.Unread,
       AttemptEnd.Cancelled,
     ]);
   });
--- a/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
+++ b/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
@@ -98,7 +98,7 @@
     const maxBytes = this.parts.getMaxBodyBytes() ?? forwardingOptions.maxBodyBytes;
     const bytes = Math.min(Number(headers['content-length'] ?? 0), maxBytes);
     const { memory } = this.parts;
-    return memory === undefined ? new HeldBytes().open() : memory.tryAdmit({ rank: 0, bytes });
+    return memory === undefined ? new HeldBytes().open() : memory.tryAdmit({ urgency: 1, bytes });
   }
 
   private getRefusal(target: ForwardedTarget | undefined): ForwardingResult | undefined {
--- a/packages/relay/src/lib/memory/MemoryAdmission/MemoryAdmission.ts
+++ b/packages/relay/src/lib/memory/MemoryAdmission/MemoryAdmission.ts
@@ -5,7 +5,7 @@
   Free = 'free',
   /** Its body does not fit at the moment, while smaller ones would. */
   Short = 'short',
-  /** Nothing of its rank is taken on. */
+  /** Nothing of its urgency is taken on. */
   Full = 'full',
 }
 
@@ -13,14 +13,12 @@
 export interface MemoryAdmissionOptions {
   /** Bytes that may be held for others; undefined if they are not bounded. */
   budget: number | undefined;
-  /** Number of different ranks. */
-  levels: number;
 }
 
 /** What is known of a request before its body is read. */
 export interface MemoryApplicant {
-  /** 0 is the most urgent. */
-  rank: number;
+  /** From 0 to 1, which is the most urgent. */
+  urgency: number;
   /** Bytes that it is going to hold. */
   bytes: number;
 }
@@ -34,28 +32,28 @@
  * the responses of the requests that run, since these are never dropped.
  */
 export class MemoryAdmission {
-  /** The ranks whose requests are refused until their room is emptier than when it was full. */
-  private readonly closedRanks = new Set<number>();
+  /** The urgencies whose requests are refused until their room is emptier than when it was full. */
+  private readonly closed = new Set<number>();
 
   constructor(private readonly options: MemoryAdmissionOptions) {}
 
-  /** Whether requests of any rank are refused. */
+  /** Whether requests of any urgency are refused. */
   get isFull(): boolean {
-    return this.closedRanks.size > 0;
+    return this.closed.size > 0;
   }
 
   /** @param held - bytes that are held already */
-  decide({ rank, bytes }: MemoryApplicant, held: number): Room {
+  decide({ urgency, bytes }: MemoryApplicant, held: number): Room {
     const { reopenShare } = memoryOptions;
-    const room = this.getRoom(rank);
-    const isClosed = this.closedRanks.has(rank);
+    const room = this.getRoom(urgency);
+    const isClosed = this.closed.has(urgency);
     if (held + bytes <= (isClosed ? room * reopenShare : room)) {
-      this.closedRanks.delete(rank);
+      this.closed.delete(urgency);
       return Room.Free;
     }
-    // A single large body does not close the rank for small ones.
+    // A single large body does not keep out small ones.
     if (held > room * reopenShare) {
-      this.closedRanks.add(rank);
+      this.closed.add(urgency);
       return Room.Full;
     }
     return Room.Short;
@@ -66,14 +64,13 @@
     return held > (this.options.budget ?? Number.POSITIVE_INFINITY);
   }
 
-  /** Returns how many bytes may be held after a request of this rank has begun. */
-  private getRoom(rank: number): number {
-    const { budget, levels } = this.options;
+  /** Returns how many bytes may be held after a request of this urgency has begun. */
+  private getRoom(urgency: number): number {
+    const { budget } = this.options;
     const { admittedShare, leastUrgentShare } = memoryOptions;
     if (budget === undefined) {
       return Number.POSITIVE_INFINITY;
     }
-    const urgency = levels > 1 ? 1 - Math.min(rank / (levels - 1), 1) : 1;
     return budget * admittedShare * (leastUrgentShare + (1 - leastUrgentShare) * urgency);
   }
 }
--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
@@ -4,9 +4,9 @@
 
 const { admittedShare, leastUrgentShare, maxBodyWait, requestBytes } = memoryOptions;
 
-const LEVELS = 4;
+const LEAST_URGENT = 0;
 
-const LEAST_URGENT = LEVELS - 1;
+const MORE_URGENT = 0.5;
 
 /** Room of the least urgent requests. */
 const ROOM = 10 * requestBytes;
@@ -22,17 +22,16 @@
     guard = new MemoryGuard({
       clock,
       budget: ROOM / admittedShare / leastUrgentShare,
-      levels: LEVELS,
       onChanged: (isFull) => changes.push(isFull),
     });
   });
 
   it('refuses requests at once while memory is full, and reports the change', () => {
-    const applicant = { rank: LEAST_URGENT, bytes: 0 };
+    const applicant = { urgency: LEAST_URGENT, bytes: 0 };
     const holdings = Array.from({ length: 10 }, () => guard.tryAdmit(applicant));
     expect(holdings).not.toContain(undefined);
     expect(guard.admit(applicant)).toBeUndefined();
-    expect(guard.tryAdmit({ rank: 0, bytes: 0 })).toBeDefined();
+    expect(guard.tryAdmit({ urgency: 1, bytes: 0 })).toBeDefined();
     expect(changes).toEqual([true]);
     holdings.slice(0, 5).forEach((holding) => holding!.release());
     expect(guard.tryAdmit(applicant)).toBeDefined();
@@ -40,14 +39,14 @@
   });
 
   it('reads a body once there is room for it, the most urgent one first', async () => {
-    const first = guard.tryAdmit({ rank: LEAST_URGENT, bytes: 4 * requestBytes })!;
-    const other = guard.tryAdmit({ rank: LEAST_URGENT, bytes: requestBytes })!;
+    const first = guard.tryAdmit({ urgency: LEAST_URGENT, bytes: 4 * requestBytes })!;
+    const other = guard.tryAdmit({ urgency: LEAST_URGENT, bytes: requestBytes })!;
     const admitted: string[] = [];
-    const wait = async (name: string, rank: number) => {
-      const holding = await guard.admit({ rank, bytes: 8 * requestBytes });
+    const wait = async (name: string, urgency: number) => {
+      const holding = await guard.admit({ urgency, bytes: 8 * requestBytes });
       admitted.push(holding === undefined ? `${name} refused` : name);
     };
-    const waits = [wait('late', LEAST_URGENT), wait('urgent', LEAST_URGENT - 1)];
+    const waits = [wait('late', LEAST_URGENT), wait('urgent', MORE_URGENT)];
     expect(admitted).toEqual([]);
     first.release();
     other.release();
@@ -59,7 +58,7 @@
   });
 
   it('holds nothing for a request that was refused after a wait', async () => {
-    const wait = guard.admit({ rank: LEAST_URGENT, bytes: 2 * ROOM });
+    const wait = guard.admit({ urgency: LEAST_URGENT, bytes: 2 * ROOM });
     clock.advance(maxBodyWait);
     expect(await wait).toBeUndefined();
     expect(guard.held.total).toBe(0);
@@ -69,10 +68,9 @@
     const unbounded = new MemoryGuard({
       clock,
       budget: undefined,
-      levels: LEVELS,
       onChanged: () => undefined,
     });
-    expect(unbounded.tryAdmit({ rank: LEAST_URGENT, bytes: 1e12 })).toBeDefined();
-    expect(unbounded.tryAdmit({ rank: LEAST_URGENT, bytes: 1e12 })).toBeDefined();
+    expect(unbounded.tryAdmit({ urgency: LEAST_URGENT, bytes: 1e12 })).toBeDefined();
+    expect(unbounded.tryAdmit({ urgency: LEAST_URGENT, bytes: 1e12 })).toBeDefined();
   });
 });
--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.ts
@@ -12,9 +12,7 @@
   clock: Clock;
   /** Bytes that may be held for others; undefined if they are not bounded. */
   budget: number | undefined;
-  /** Number of different ranks. */
-  levels: number;
-  /** Called when the first request is refused, and when one of its rank is admitted again. */
+  /** Called when the first request is refused, and when none is refused any more. */
   onChanged: (isFull: boolean, held: number) => void;
 }
 
@@ -64,7 +62,7 @@
 
   /**
    * Reserves the memory of a request. A body that does not fit waits for a short time, unless nothing of its
-   * rank is taken on at all.
+   * urgency is taken on at all.
    *
    * @returns undefined if there is none in time
    */
@@ -79,9 +77,9 @@
     }
   }
 
-  private decide({ rank, bytes }: MemoryApplicant): Room {
-    const all = { rank, bytes: bytes + memoryOptions.requestBytes };
-    const isPreceded = this.waiting.some(({ applicant }) => applicant.rank <= rank);
+  private decide({ urgency, bytes }: MemoryApplicant): Room {
+    const all = { urgency, bytes: bytes + memoryOptions.requestBytes };
+    const isPreceded = this.waiting.some(({ applicant }) => applicant.urgency >= urgency);
     const room = this.admission.decide(all, this.held.total);
     this.reportChange();
     return room === Room.Free && isPreceded && bytes > 0 ? Room.Short : room;
@@ -107,7 +105,7 @@
         }),
         resolve,
       };
-      const next = this.waiting.findIndex((other) => other.applicant.rank > applicant.rank);
+      const next = this.waiting.findIndex((other) => other.applicant.urgency < applicant.urgency);
       this.waiting.splice(next === -1 ? this.waiting.length : next, 0, entry);
     });
   }
