Send engines no more than their memory can hold

Cause: a choice only weighed memory as a cost, so that an engine was sent more than it can hold when all were nearly full; it preempts, or fails.

Change: fitsMemory adds up what the known requests of all daemons hold; a prefix that was cached already counts for the request that had it prefilled. Placing filters by it, only where engines state how long work takes. Requests wait at the daemon until one ends; an engine without requests takes any.

--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -4,6 +4,7 @@
 import type { ChosenReplica } from '../chooseReplica.js';
 import { Delegation } from '../Delegation/Delegation.js';
 import type { PendingQuery } from '../Delegation/Delegation.js';
+import { fitsMemory } from '../fitsMemory.js';
 import type { Fleet } from '../Fleet/Fleet.js';
 import type { Choice, Placement, PlacementEffect, PlacementResponse } from '../messages.js';
 import { getMemoryTokens } from '../getMemoryTokens.js';
@@ -13,6 +14,7 @@
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import type { ServiceState } from '../ReplicaRegistry/ServiceState.js';
 import type { ReplicaState } from '../ReplicaState/ReplicaState.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import { recordChoice } from '../ReplicaTrial/recordChoice.js';
@@ -88,7 +90,9 @@
     const service = registry.getService(request.service);
     const slotShares = service.isFragile ? this.parts.slotShares : undefined;
     const mayTake = slotShares?.mayTake(fleet.self, service.name, request.rank) ?? true;
-    const candidates = mayTake ? this.getCandidates(record) : [];
+    const candidates = mayTake
+      ? Placing.filterByMemory(service, record, this.getCandidates(record))
+      : [];
     const chosen = chooseReplica({ request, service: service.service, candidates, now, options });
     if (chosen === undefined) {
       slotShares?.recordRefusal(fleet.self, service.name, request.rank);
@@ -127,6 +131,18 @@
     this.delegation.cancelQueries(record);
   }
 
+  /** Engines that state how long work takes are sent no more than their memory can hold. */
+  private static filterByMemory(
+    { isAdmissionControlled, service }: ServiceState,
+    { request }: RequestRecord,
+    candidates: ReplicaState[],
+  ): ReplicaState[] {
+    const capacity = service?.engine?.memoryTokens;
+    return !isAdmissionControlled || capacity === undefined
+      ? candidates
+      : candidates.filter(({ running }) => fitsMemory(running, request.prompt, capacity));
+  }
+
   private getCandidates(record: RequestRecord): ReplicaState[] {
     const { request, triedReplicas, softwareVersion } = record;
     const { registry, clock, fleet, quarantine } = this.parts;
