--- a/packages/relay/src/lib/decide/quarantine/recordContentResult.ts
+++ b/packages/relay/src/lib/decide/quarantine/recordContentResult.ts
@@ -24,6 +24,7 @@
     case AttemptEnd.NoPath:
     case AttemptEnd.Withdrawn:
     case AttemptEnd.Refused:
+    case AttemptEnd.Unread:
     case AttemptEnd.Cancelled:
       break;
     default:
