Admission: order by the passing of targets, estimates of an engine computed once a review

In order of arrival, waits approach the longest target, so that a request with a short one is lost on arrival.

Within a rank and a workspace, the request whose target passes first (by its caller's first arrival) goes first.

The announced room of a group counts prompts, not slots alone, and waits are bounded.

--- a/packages/relay/src/lib/decide/admission/EngineAdmission/overload.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/overload.test.ts
@@ -52,6 +52,20 @@
     expect(countInTime(replay.calls) / (4 * CAPACITY)).toBeGreaterThanOrEqual(0.85);
   });
 
+  it('serves requests with a short target beside large ones with a long target', () => {
+    // Guards against order of arrival, where waits approach the longest target and all others are late.
+    const replay = new AdmissionReplay();
+    const small = createLoad(1, { tokens: 800, latencyTarget: 400, from: 7 });
+    const large = createLoad(1.2, { tokens: 9_000, latencyTarget: 800 });
+    replay.play([small, large]);
+    // Both get at least a quarter of what all get, relative to what they ask for.
+    const leastShare = replay.getInTimeShare() / 4;
+    [small, large].forEach((load) => {
+      const share = replay.getInTimeShare((call) => call.load === load);
+      expect(share).toBeGreaterThanOrEqual(leastShare);
+    });
+  });
+
   it('serves workspaces that ask for their part in time beside one that asks for all engines', () => {
     // Guards against one workspace whose requests are first in every queue.
     const replay = new AdmissionReplay();
@@ -69,7 +83,10 @@
     // Guards against callers that return together, or that are refused each time they return.
     const replay = new AdmissionReplay({ maxReturns: 5 });
     replay.play([createLoad(2), createLoad(0.25, { from: 4 * SECOND, until: 10 * SECOND })]);
-    const served = replay.calls.filter(({ firstTokenAt }) => firstTokenAt !== undefined);
+    const served = replay.calls.filter(
+      ({ firstTokenAt, arrivedAt }) =>
+        firstTokenAt !== undefined && firstTokenAt <= arrivedAt + TARGET,
+    );
     expect(served.length / replay.calls.length).toBeGreaterThanOrEqual(0.8);
   });
 
--- a/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.test.ts
@@ -36,6 +36,14 @@
     expect(createRoom(1).fits(large)).toBe(false);
   });
 
+  it('counts the requests that could begin at once', () => {
+    expect([0, 1, 4].map((requests) => createRoom(requests).countRequests(4_000))).toEqual([
+      4, 3, 0,
+    ]);
+    expect(createRoom(0).countRequests(0)).toBe(4);
+    expect(createRoom(2).countRequests(8_000)).toBe(1);
+  });
+
   it('takes no request without a free slot or memory', () => {
     expect(createRoom(4).isOpen).toBe(false);
     expect(createRoom(1, { memoryTokens: 8_000 }).fits(demand)).toBe(false);
--- a/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
+++ b/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
@@ -49,6 +49,14 @@
   /** Estimated number of free slots; may be fractional, since unannounced requests are estimated. */
   readonly freeSlots: number;
 
+  /** Expected wait for a first token if nothing has to be prefilled. */
+  readonly setupTime: Milliseconds;
+
+  /** Time to prefill a token. */
+  readonly tokenTime: Milliseconds;
+
+  private readonly maxBacklog: Milliseconds;
+
   private readonly freeMemory: number;
 
   private readonly usedMemory: number;
@@ -56,8 +64,11 @@
   constructor(private readonly inputs: EngineRoomInputs) {
     const { state, profile, now, options } = inputs;
     this.state = state;
+    this.setupTime = state.getExpectedWait(0);
+    this.tokenTime = 1 / state.prefillRate;
+    this.maxBacklog = Math.max(inputs.maxBacklog, options.transferTime);
     this.overdue = this.getOverdue();
-    this.backlog = state.getBacklog(now) / state.prefillRate + this.overdue;
+    this.backlog = state.getBacklog(now) * this.tokenTime + this.overdue;
     this.slots = state.getSlots(profile);
     this.freeSlots = this.slots - state.running.size - state.getUnannouncedInFlight(now);
     this.usedMemory = state.getMemoryTokens(now);
@@ -75,7 +86,7 @@
    * engine that is idle, or about to be.
    */
   fits({ missingTokens, memoryTokens }: EngineDemand): boolean {
-    const backlog = this.backlog + missingTokens / this.state.prefillRate;
+    const backlog = this.backlog + missingTokens * this.tokenTime;
     return (
       this.isOpen &&
       (backlog <= this.maxBacklog || this.backlog <= this.inputs.options.transferTime) &&
@@ -83,14 +94,19 @@
     );
   }
 
-  /** Expected wait for the first token of a request that begins now. */
-  getExpectedWait(missingTokens: number): Milliseconds {
-    const { state } = this;
-    return state.getExpectedWait(this.backlog * state.prefillRate + missingTokens);
+  /** Number of requests of this size that could begin at once. */
+  countRequests(missingTokens: number): number {
+    if (!this.isOpen) {
+      return 0;
+    }
+    const prefillTime = Math.max(Number.MIN_VALUE, missingTokens * this.tokenTime);
+    const inTime = 1 + Math.floor(Math.max(0, this.maxBacklog - this.backlog) / prefillTime);
+    return Math.min(Math.ceil(this.freeSlots), inTime);
   }
 
-  private get maxBacklog(): Milliseconds {
-    return Math.max(this.inputs.maxBacklog, this.inputs.options.transferTime);
+  /** Expected wait for the first token of a request that begins now. */
+  getExpectedWait(missingTokens: number): Milliseconds {
+    return this.setupTime + this.backlog + missingTokens * this.tokenTime;
   }
 
   private getOverdue(): Milliseconds {
@@ -99,7 +115,7 @@
     state.running.forEach(({ isResponding, pauseTarget, sentAt, tokensAhead, copyTime }) => {
       // Other responses send their first byte only when they are complete.
       if (!isResponding && pauseTarget !== undefined) {
-        const expected = copyTime + state.getExpectedWait(tokensAhead);
+        const expected = copyTime + this.setupTime + tokensAhead * this.tokenTime;
         const latest = sentAt + expected * MAX_WAIT_RATIO + options.transferTime;
         overdue = Math.max(overdue, now - latest);
       }
--- a/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.test.ts
+++ b/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.test.ts
@@ -1,13 +1,13 @@
 import { createReplayApplicant } from '../../../../test/createReplayApplicant.js';
+import type { ReplayApplicantParts } from '../../../../test/createReplayApplicant.js';
 import { admissionOptions } from '../admissionOptions.js';
-import type { Applicant } from '../Applicant.js';
 import { createWaitingApplicant } from '../WaitingApplicant.js';
 import type { WaitingApplicant } from '../WaitingApplicant.js';
 import { FairOrder } from './FairOrder.js';
 
 function createWaiting(
   id: string,
-  parts: Partial<Applicant> & { rank?: number; tokens?: number; firstArrivedAt?: number } = {},
+  parts: ReplayApplicantParts & { firstArrivedAt?: number } = {},
 ): WaitingApplicant {
   const { firstArrivedAt } = parts;
   const applicant = createReplayApplicant(id, parts);
@@ -40,6 +40,12 @@
     ]);
   });
 
+  it('begins requests of a workspace in the order in which their targets pass', () => {
+    const long = createWaiting('long', { arrivedAt: 0, latencyTarget: 800 });
+    const short = createWaiting('short', { arrivedAt: 100, latencyTarget: 300 });
+    expect(beginAll(new FairOrder(admissionOptions), [long, short])).toEqual(['short', 'long']);
+  });
+
   it('begins returning requests that are overdue after those that can still be in time', () => {
     // Guards against overload in which every request is served, but each only when it is late.
     const overdue = createWaiting('overdue', { arrivedAt: 900, firstArrivedAt: 0 });
--- a/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.ts
+++ b/packages/relay/src/lib/decide/admission/FairOrder/FairOrder.ts
@@ -21,15 +21,19 @@
   startTag: number;
 }
 
-/** Whether a returning request can't be in time any more by the clock of its caller. */
-function isOverdue({ firstArrivedAt, applicant }: WaitingApplicant, now: Milliseconds): boolean {
-  return now >= firstArrivedAt + applicant.criteria.latencyTarget;
+/** Latest time at which the first token is in time by the clock of the caller. */
+function getCallerTarget({ firstArrivedAt, applicant }: WaitingApplicant): Milliseconds {
+  return firstArrivedAt + applicant.criteria.latencyTarget;
 }
 
-function compareAge(left: WaitingApplicant, right: WaitingApplicant, now: Milliseconds): number {
+function compareTargets(
+  left: WaitingApplicant,
+  right: WaitingApplicant,
+  now: Milliseconds,
+): number {
   return (
-    Number(isOverdue(left, now)) - Number(isOverdue(right, now)) ||
-    left.firstArrivedAt - right.firstArrivedAt ||
+    Number(now >= getCallerTarget(left)) - Number(now >= getCallerTarget(right)) ||
+    getCallerTarget(left) - getCallerTarget(right) ||
     left.applicant.arrivedAt - right.applicant.arrivedAt
   );
 }
@@ -38,17 +42,18 @@
   return (
     left.waiting.applicant.criteria.rank - right.waiting.applicant.criteria.rank ||
     left.startTag - right.startTag ||
-    compareAge(left.waiting, right.waiting, now)
+    compareTargets(left.waiting, right.waiting, now)
   );
 }
 
 /**
  * Orders waiting applicants: the most urgent rank first, then the workspace that used least, then the
- * request that arrived first. A request that returns after a refusal counts from its first arrival; once it
- * can't be in time by that, it goes after those of its workspace that still can.
+ * request whose target passes first. A request that returns after a refusal counts from its first arrival;
+ * once it can't be in time by that, it goes after those of its workspace that still can.
  *
- * Load pattern: one workspace asks for ten times its part. In order of arrival it would get ten times as
- * much as the others, most of which would be late.
+ * Load patterns: one workspace asks for ten times its part, and in order of arrival gets ten times as much
+ * as the others. Requests with short targets come beside those with long ones; in order of arrival, waits
+ * approach the longest target, and all others are late.
  *
  * Workspaces share a rank with start-time fair queueing (Goyal, Vin and Cheng, 1996): the next request of
  * a workspace starts at the finish tag of its last one, or at the current virtual time if that is later, so
@@ -75,7 +80,7 @@
   sort(applicants: Iterable<WaitingApplicant>, now: Milliseconds): readonly WaitingApplicant[] {
     const nextTags = new Map<string, number>();
     const ordered = [...applicants]
-      .sort((left, right) => compareAge(left, right, now))
+      .sort((left, right) => compareTargets(left, right, now))
       .map((waiting) => ({ waiting, startTag: this.takeTag(waiting, nextTags) }))
       .sort((left, right) => compareTagged(left, right, now))
       .map(({ waiting }) => waiting);
--- a/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
+++ b/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
@@ -17,6 +17,9 @@
 /** Share of the slots below which a request is not refused for being late while nothing else waits. */
 const MAX_CALM_SHARE = 0.5;
 
+/** Upper bound of an announced wait, also for a group without engines. */
+const MAX_ANNOUNCED_WAIT: Milliseconds = 60_000;
+
 /** Inputs of {@link ReviewPass}. */
 export interface ReviewPassInputs extends Omit<EngineAdmissionParts, 'clock'> {
   now: Milliseconds;
@@ -47,6 +50,13 @@
   return room.getExpectedWait(demand.missingTokens);
 }
 
+/** Mean number of tokens that had to be prefilled for the requests that run. */
+function getMeanTokens(rooms: readonly EngineRoom[]): number {
+  const running = rooms.flatMap(({ state }) => [...state.running]);
+  const tokens = running.reduce((sum, { missingTokens }) => sum + missingTokens, 0);
+  return running.length === 0 ? 0 : tokens / running.length;
+}
+
 /** The option with the earliest first token. */
 function getSoonest(options: readonly Option[]): Option {
   return options.reduce((best, option) => (getWait(option) < getWait(best) ? option : best));
@@ -83,12 +93,16 @@
   }
 
   getLoad(): AdmissionLoad {
-    const rooms = this.inputs.getGroupEngines().map((state) => this.getRoom(state));
+    const { getGroupEngines, waiting } = this.inputs;
+    const rooms = getGroupEngines().map((state) => this.getRoom(state));
     this.planInOrder(() => undefined);
-    const expectedWait = this.forecast.predict(rooms, 0)?.times.begin ?? Number.POSITIVE_INFINITY;
-    const open = rooms.filter(({ isOpen }) => isOpen);
-    const room = open.reduce((sum, { freeSlots }) => sum + Math.ceil(freeSlots), 0);
-    return { expectedWait, room: this.inputs.waiting.size > 0 ? 0 : room };
+    const planned = this.forecast.predict(rooms, 0);
+    const missingTokens = getMeanTokens(rooms);
+    const room = rooms.reduce((sum, each) => sum + each.countRequests(missingTokens), 0);
+    return {
+      expectedWait: Math.min(planned?.times.begin ?? MAX_ANNOUNCED_WAIT, MAX_ANNOUNCED_WAIT),
+      room: waiting.size > 0 ? 0 : room,
+    };
   }
 
   /** Begins an applicant if an engine has room for it and its first token is expected in time. */
--- a/packages/relay/src/lib/decide/admission/WaitForecast/WaitForecast.ts
+++ b/packages/relay/src/lib/decide/admission/WaitForecast/WaitForecast.ts
@@ -49,15 +49,17 @@
 
   /** Predicts the times of a request after all that were planned; undefined if it may go nowhere. */
   predict(rooms: readonly EngineRoom[], missingTokens: number): PlannedRequest | undefined {
-    let best: PlannedRequest | undefined;
+    let best: EnginePlan | undefined;
+    let bestTime = Number.POSITIVE_INFINITY;
     rooms.forEach((room) => {
       const plan = this.getPlan(room);
-      const times = this.getTimes(plan, missingTokens);
-      if (best === undefined || times.firstToken < best.times.firstToken) {
-        best = { plan, times, prefillTime: missingTokens / room.state.prefillRate };
+      const firstToken = WaitForecast.getFirstToken(plan, missingTokens);
+      if (best === undefined || firstToken < bestTime) {
+        best = plan;
+        bestTime = firstToken;
       }
     });
-    return best;
+    return best === undefined ? undefined : this.createPlanned(best, missingTokens);
   }
 
   /** Plans a request as predicted, so that it counts for those predicted after it. */
@@ -68,16 +70,24 @@
     });
   }
 
-  private getTimes(plan: EnginePlan, missingTokens: number): ExpectedTimes {
-    const { room, backlog, freeSlots, releaseInterval } = plan;
-    const prefillTime = missingTokens / room.state.prefillRate;
-    const slotFreeIn = freeSlots > 0 ? 0 : (1 - freeSlots) * releaseInterval;
-    const prefillStart = Math.max(backlog, slotFreeIn);
+  private createPlanned(plan: EnginePlan, missingTokens: number): PlannedRequest {
+    const { backlog, room } = plan;
+    const prefillTime = missingTokens * room.tokenTime;
     const roomIn = backlog + Math.min(0, prefillTime - this.inputs.maxBacklog);
-    return {
-      begin: Math.max(0, slotFreeIn, roomIn),
-      firstToken: prefillStart + room.state.getExpectedWait(missingTokens),
-    };
+    const begin = Math.max(0, WaitForecast.getSlotTime(plan), roomIn);
+    const firstToken = WaitForecast.getFirstToken(plan, missingTokens);
+    return { plan, times: { begin, firstToken }, prefillTime };
+  }
+
+  private static getFirstToken(plan: EnginePlan, missingTokens: number): Milliseconds {
+    const { room, backlog } = plan;
+    const prefillStart = Math.max(backlog, WaitForecast.getSlotTime(plan));
+    return prefillStart + room.setupTime + missingTokens * room.tokenTime;
+  }
+
+  /** Time until a slot is free. */
+  private static getSlotTime({ freeSlots, releaseInterval }: EnginePlan): Milliseconds {
+    return freeSlots > 0 ? 0 : (1 - freeSlots) * releaseInterval;
   }
 
   private getPlan(room: EngineRoom): EnginePlan {
