--- a/packages/relay/src/test/AdmissionReplay.ts
+++ b/packages/relay/src/test/AdmissionReplay.ts
@@ -60,10 +60,15 @@
 
   readonly calls: ReplayCall[] = [];
 
+  readonly decisions: AdmissionDecision[] = [];
+
   readonly engines: ReplayEngine[];
 
   readonly admission: EngineAdmission;
 
+  /** States of the engines in service. */
+  private states: readonly ReplicaState[];
+
   private readonly setup: ReplaySetup;
 
   private readonly service = createEngineService('llm');
@@ -76,12 +81,12 @@
     this.setup = { ...defaults, isUnbounded: false, ...setup };
     this.service.engine!.slots = this.setup.slots;
     this.engines = this.createEngines();
-    const states = this.engines.map(({ state }) => state);
+    this.states = this.engines.map(({ state }) => state);
     this.admission = new EngineAdmission({
       clock: this.clock,
       options: { ...admissionOptions, ...this.setup.options },
-      getEngines: () => states,
-      getGroupEngines: () => states,
+      getEngines: () => this.states,
+      getGroupEngines: () => this.states,
       getProfile: () => this.service.engine,
       choose: ({ criteria }, candidates) => this.choose(criteria, candidates),
       onDecision: (decision) => this.handleDecision(decision),
@@ -95,6 +100,13 @@
     this.clock.advance(end + 30 * SECOND);
   }
 
+  /** Takes an engine out of service; what runs there goes on. */
+  loseEngine(index: number): void {
+    const { state } = this.engines[index]!;
+    this.states = this.states.filter((other) => other !== state);
+    this.admission.review();
+  }
+
   /** Share of the calls that were served in time, among those that first arrived in a span. */
   getInTimeShare(filter: (call: ReplayCall) => boolean = () => true): number {
     const calls = this.calls.filter(filter);
@@ -145,8 +157,7 @@
 
   /** Sends a request to the best engine, whatever waits there. */
   sendAtOnce(applicant: Applicant): void {
-    const states = this.engines.map(({ state }) => state);
-    const chosen = this.choose(applicant.criteria, states)!;
+    const chosen = this.choose(applicant.criteria, this.states)!;
     this.handleDecision({ kind: 'begin', applicant, chosen });
   }
 
@@ -175,6 +186,7 @@
 
   private handleDecision(decision: AdmissionDecision): void {
     const { id, criteria } = decision.applicant;
+    this.decisions.push(decision);
     const call = this.open.get(id);
     switch (decision.kind) {
       case 'begin': {
@@ -185,7 +197,7 @@
         break;
       }
       case 'refuse':
-        this.returnLater(call!, { ...decision, decidedAt: this.clock.now() });
+        this.returnLater(call, { ...decision, decidedAt: this.clock.now() });
         break;
       case 'wait':
         break;
@@ -194,7 +206,10 @@
     }
   }
 
-  private returnLater(call: ReplayCall, decision: ReplayRefusal): void {
+  private returnLater(call: ReplayCall | undefined, decision: ReplayRefusal): void {
+    if (call === undefined) {
+      return;
+    }
     call.refusals.push(decision);
     if (call.refusals.length <= this.setup.maxReturns) {
       const number = Number(decision.applicant.id.split('-')[0]);
