Admission: rooms of a group in a module of their own, no search for room where no engine has any

GroupRooms now keeps the rooms of a group's engines and what an applicant needs at each. A review in which no engine is open goes straight to the forecast, and one with nothing waiting ends at once.

--- a/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.ts
@@ -107,7 +107,9 @@
       while (this.isReviewDue) {
         this.isReviewDue = false;
         this.updateTurnover();
-        this.createPass().run();
+        if (this.waiting.size > 0) {
+          this.createPass().run();
+        }
       }
     } finally {
       this.isReviewing = false;
--- a/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
+++ b/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
@@ -3,20 +3,16 @@
 import type { AdmissionLoad } from '../AdmissionGroup.js';
 import { RefusalReason } from '../Applicant.js';
 import type { EngineAdmissionParts } from '../EngineAdmission/EngineAdmission.js';
-import { EngineRoom } from '../EngineRoom/EngineRoom.js';
-import type { EngineDemand } from '../EngineRoom/EngineRoom.js';
 import type { FairOrder } from '../FairOrder/FairOrder.js';
+import { getSoonest, getWait, GroupRooms } from '../GroupRooms/GroupRooms.js';
+import type { Option } from '../GroupRooms/GroupRooms.js';
 import type { RefusedRequests } from '../RefusedRequests/RefusedRequests.js';
 import type { RetryAdvice } from '../RetryAdvice/RetryAdvice.js';
 import type { SlotTurnover } from '../SlotTurnover/SlotTurnover.js';
 import { WaitForecast } from '../WaitForecast/WaitForecast.js';
 import type { ExpectedTimes } from '../WaitForecast/WaitForecast.js';
-import { updateMissingTokens } from '../WaitingApplicant.js';
 import type { WaitingApplicant } from '../WaitingApplicant.js';
 
-/** Share of the slots below which a request is not refused for being late while nothing else waits. */
-const MAX_CALM_SHARE = 0.5;
-
 /** Upper bound of an announced wait, also for a group without engines. */
 const MAX_ANNOUNCED_WAIT: Milliseconds = 60_000;
 
@@ -40,49 +36,32 @@
   firstTokenIn: Milliseconds | undefined;
 }
 
-/** An engine that an applicant may go to, and what the applicant needs there. */
-interface Option {
-  room: EngineRoom;
-  demand: EngineDemand;
-}
-
-function getWait({ room, demand }: Option): Milliseconds {
-  return room.getExpectedWait(demand.missingTokens);
-}
-
-/** Mean number of tokens that had to be prefilled for the requests that run. */
-function getMeanTokens(rooms: readonly EngineRoom[]): number {
-  const running = rooms.flatMap(({ state }) => [...state.running]);
-  const tokens = running.reduce((sum, { missingTokens }) => sum + missingTokens, 0);
-  return running.length === 0 ? 0 : tokens / running.length;
-}
-
-/** The option with the earliest first token. */
-function getSoonest(options: readonly Option[]): Option {
-  return options.reduce((best, option) => (getWait(option) < getWait(best) ? option : best));
-}
-
 /**
  * Decides about all waiting applicants at one moment: begins those for which there is room, in order, and
  * refuses those whose first token can't be in time.
  */
 export class ReviewPass {
-  private readonly rooms = new Map<ReplicaState, EngineRoom>();
-
   /** Engines kept for an applicant that needs more room than they have now. */
   private readonly reserved = new Set<ReplicaState>();
 
   private readonly forecast: WaitForecast;
 
+  private readonly rooms: GroupRooms;
+
   constructor(private readonly inputs: ReviewPassInputs) {
     const { maxBacklog, turnover } = inputs;
+    this.rooms = new GroupRooms(inputs);
     this.forecast = new WaitForecast({ hold: turnover.hold, maxBacklog });
   }
 
   run(): void {
     const { now, order, waiting } = this.inputs;
-    order.sort(waiting.values(), now).forEach((next) => this.beginInTime(next));
-    const late = this.planInOrder((each, { begin }) => this.announce(each, begin));
+    let ordered = order.sort(waiting.values(), now);
+    if (this.rooms.hasOpenEngine()) {
+      ordered.forEach((next) => this.beginInTime(next));
+      ordered = order.sort(waiting.values(), now);
+    }
+    const late = this.planInOrder(ordered, (each, { begin }) => this.announce(each, begin));
     // A late response is better than none where it delays nobody.
     const isElseEmpty = waiting.size === late.length;
     late.forEach((each) => {
@@ -93,12 +72,11 @@
   }
 
   getLoad(): AdmissionLoad {
-    const { getGroupEngines, waiting } = this.inputs;
-    const rooms = getGroupEngines().map((state) => this.getRoom(state));
-    this.planInOrder(() => undefined);
+    const { now, order, waiting } = this.inputs;
+    const rooms = this.rooms.getAll();
+    this.planInOrder(order.sort(waiting.values(), now), () => undefined);
     const planned = this.forecast.predict(rooms, 0);
-    const missingTokens = getMeanTokens(rooms);
-    const room = rooms.reduce((sum, each) => sum + each.countRequests(missingTokens), 0);
+    const room = this.rooms.countRequests();
     return {
       expectedWait: Math.min(planned?.times.begin ?? MAX_ANNOUNCED_WAIT, MAX_ANNOUNCED_WAIT),
       room: waiting.size > 0 ? 0 : room,
@@ -133,12 +111,12 @@
    * @returns those whose first token can't be in time
    */
   private planInOrder(
+    ordered: readonly WaitingApplicant[],
     onPlanned: (waiting: WaitingApplicant, times: ExpectedTimes) => void,
   ): LateApplicant[] {
-    const { now, order } = this.inputs;
     const late: LateApplicant[] = [];
-    order.sort(this.inputs.waiting.values(), now).forEach((waiting) => {
-      const rooms = this.getRooms(waiting);
+    ordered.forEach((waiting) => {
+      const rooms = this.rooms.getFor(waiting);
       const planned = this.forecast.predict(rooms, waiting.missingTokens);
       if (planned !== undefined && this.isInTime(waiting, planned.times.firstToken)) {
         WaitForecast.add(planned);
@@ -168,8 +146,8 @@
     if (fitting.length > 0) {
       return this.begin(next, fitting);
     }
-    const free = this.getOptions(next).filter(({ room }) => room.freeSlots > 0);
-    return this.isCalm() && free.length > 0 && this.begin(next, [getSoonest(free)]);
+    const free = this.rooms.getOptions(next).filter(({ room }) => room.freeSlots > 0);
+    return this.rooms.isCalm() && free.length > 0 && this.begin(next, [getSoonest(free)]);
   }
 
   /** @returns whether an engine was chosen */
@@ -188,7 +166,7 @@
     retryAdvice.recordBegin(now);
     refused.remove(applicant.fingerprint);
     onDecision({ kind: 'begin', applicant, chosen });
-    this.rooms.delete(chosen.state);
+    this.rooms.update(chosen.state);
     return true;
   }
 
@@ -211,14 +189,14 @@
 
   private getRetryAfter(waiting: WaitingApplicant, timeLeft: Milliseconds): Milliseconds {
     const { now, retryAdvice } = this.inputs;
-    const planned = this.forecast.predict(this.getRooms(waiting), waiting.missingTokens);
+    const planned = this.forecast.predict(this.rooms.getFor(waiting), waiting.missingTokens);
     return retryAdvice.getRetryAfter({ now, roomIn: planned?.times.begin ?? timeLeft, timeLeft });
   }
 
   private getRefusalReason(waiting: WaitingApplicant): RefusalReason {
-    const isInTimeAlone = this.getOptions(waiting).some((option) =>
-      this.isInTime(waiting, getWait(option)),
-    );
+    const isInTimeAlone = this.rooms
+      .getOptions(waiting)
+      .some((option) => this.isInTime(waiting, getWait(option)));
     return isInTimeAlone ? RefusalReason.Displaced : RefusalReason.Late;
   }
 
@@ -233,56 +211,8 @@
     return now + wait + reserve <= targetTime;
   }
 
-  /** Whether less than half of the slots of the group are taken. */
-  private isCalm(): boolean {
-    const rooms = this.inputs.getGroupEngines().map((state) => this.getRoom(state));
-    const slots = rooms.reduce((sum, room) => sum + room.slots, 0);
-    const free = rooms.reduce((sum, room) => sum + Math.max(0, room.freeSlots), 0);
-    return slots - free < slots * MAX_CALM_SHARE;
-  }
-
+  /** Options at engines with room, except those that are kept for others. */
   private getOpenOptions(waiting: WaitingApplicant): Option[] {
-    const rooms = this.getRooms(waiting);
-    const open = rooms.filter(({ isOpen, state }) => isOpen && !this.reserved.has(state));
-    return open.length === 0 ? [] : this.createOptions(waiting, rooms, open);
-  }
-
-  private getOptions(waiting: WaitingApplicant): Option[] {
-    const rooms = this.getRooms(waiting);
-    return this.createOptions(waiting, rooms, rooms);
-  }
-
-  /** @param rooms - all engines that the applicant may go to */
-  private createOptions(
-    waiting: WaitingApplicant,
-    rooms: readonly EngineRoom[],
-    selected: readonly EngineRoom[],
-  ): Option[] {
-    const engines = rooms.map(({ state }) => state);
-    updateMissingTokens(waiting, engines, this.inputs.now);
-    const { missingByEngine, memoryTokens } = waiting;
-    return selected.map((room) => {
-      const missingTokens = missingByEngine.get(room.state) ?? 0;
-      return { room, demand: { missingTokens, memoryTokens } };
-    });
-  }
-
-  /** The engines that an applicant may go to. */
-  private getRooms({ applicant }: WaitingApplicant): EngineRoom[] {
-    return this.inputs
-      .getEngines(applicant)
-      .filter(({ replica }) => !applicant.excludedReplicas.has(replica.id))
-      .map((state) => this.getRoom(state));
-  }
-
-  private getRoom(state: ReplicaState): EngineRoom {
-    const known = this.rooms.get(state);
-    if (known !== undefined) {
-      return known;
-    }
-    const { getProfile, maxBacklog, now, options } = this.inputs;
-    const room = new EngineRoom({ state, profile: getProfile(), now, maxBacklog, options });
-    this.rooms.set(state, room);
-    return room;
+    return this.rooms.getOpenOptions(waiting).filter(({ room }) => !this.reserved.has(room.state));
   }
 }
