Admission: late requests begin only where an engine has room

Symptom: a trial with 200 sessions, 120 requests a second and 32 slots an engine had 210 of 720 in time and 285 late; with 8 slots, 516 and 17. Engines were 2 s behind.

Cause: a late request began at the least busy engine while under half of the slots were taken and nothing else waited. Once engines are behind by more than the target (here since the learned prefill rate is too high at first), every request is late on arrival, so nothing else waits, and each begins until half of the slots are taken. What makes them late never drains.

Change: a late request begins only where an engine has room.

The replayed engines now count prompts sent to them as cached soon, as placers do.

Failed trial, not kept: a request waits for the engine that has cached its prompt instead of beginning at another one with room.

--- a/packages/relay/src/lib/decide/admission/EngineAdmission/overload.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/overload.test.ts
@@ -32,6 +32,22 @@
     expect(getGoodput(factor)).toBeGreaterThanOrEqual(0.85);
   });
 
+  it('recovers from a slow spell of engines that have more slots than they prefill for', () => {
+    // Guards against late requests that begin because slots are free, and keep all others late.
+    const replay = new AdmissionReplay({ slots: 32 });
+    const tokens = 7_000;
+    const capacity = (CAPACITY * 4_000) / tokens;
+    const setTokenTime = (at: number, tokenTime: number) =>
+      replay.clock.setTimer(at, () => {
+        replay.engines.forEach((engine) => Object.assign(engine.pace, { tokenTime }));
+      });
+    setTokenTime(SECOND, 0.1);
+    setTokenTime(1.5 * SECOND, 0.025);
+    replay.play([{ from: 0, until: 8 * SECOND, perSecond: 2.6 * capacity, tokens }]);
+    const calls = replay.calls.filter(({ firstArrivedAt }) => firstArrivedAt >= 3 * SECOND);
+    expect(countInTime(calls) / (5 * capacity)).toBeGreaterThanOrEqual(0.85);
+  });
+
   it('serves calm load in time half a second after a burst', () => {
     // Guards against a backlog of late requests that outlasts the burst.
     const replay = new AdmissionReplay();
--- a/packages/relay/src/lib/decide/admission/GroupRooms/GroupRooms.ts
+++ b/packages/relay/src/lib/decide/admission/GroupRooms/GroupRooms.ts
@@ -7,9 +7,6 @@
 import { updateMissingTokens } from '../WaitingApplicant.js';
 import type { WaitingApplicant } from '../WaitingApplicant.js';
 
-/** Share of the slots below which a request is not refused for being late while nothing else waits. */
-const MAX_CALM_SHARE = 0.5;
-
 /** Inputs of {@link GroupRooms}. */
 export interface GroupRoomsInputs extends Pick<
   EngineAdmissionParts,
@@ -64,14 +61,6 @@
     return this.getAll().some(({ isOpen }) => isOpen);
   }
 
-  /** Whether less than half of the slots of the group are taken. */
-  isCalm(): boolean {
-    const rooms = this.getAll();
-    const slots = rooms.reduce((sum, room) => sum + room.slots, 0);
-    const free = rooms.reduce((sum, room) => sum + Math.max(0, room.freeSlots), 0);
-    return slots - free < slots * MAX_CALM_SHARE;
-  }
-
   /** Number of requests of the usual size that could begin at once. */
   countRequests(): number {
     const rooms = this.getAll();
--- a/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
+++ b/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
@@ -136,18 +136,18 @@
     }
   }
 
-  /** Begins a late applicant where it makes no other late. @returns whether it begins */
+  /**
+   * Begins a late applicant where an engine has room. It doesn't go to engines without, though they may have
+   * free slots: what they prefill already would make it and all that follow late.
+   *
+   * @returns whether it begins
+   */
   private beginLate(next: WaitingApplicant): boolean {
     if (!this.isWaiting(next)) {
       return true;
     }
-    const open = this.getOpenOptions(next);
-    const fitting = open.filter(({ room, demand }) => room.fits(demand));
-    if (fitting.length > 0) {
-      return this.begin(next, fitting);
-    }
-    const free = this.rooms.getOptions(next).filter(({ room }) => room.freeSlots > 0);
-    return this.rooms.isCalm() && free.length > 0 && this.begin(next, [getSoonest(free)]);
+    const fitting = this.getOpenOptions(next).filter(({ room, demand }) => room.fits(demand));
+    return this.begin(next, fitting);
   }
 
   /** @returns whether an engine was chosen */
--- a/packages/relay/src/test/ReplayEngine.ts
+++ b/packages/relay/src/test/ReplayEngine.ts
@@ -56,6 +56,9 @@
       placer: undefined,
     };
     state.recordSent(attempt, clock.now());
+    if (prompt !== undefined) {
+      state.cache.addExpected(prompt, clock.now());
+    }
     this.queue.push({ attempt, onFirstToken });
     this.prefillNext();
   }
