Send the loads of groups to all daemons with each refresh

Cause: regular updates go to twenty peers at a time in a large fleet, so that a daemon of 79 would hear of a group every four seconds, when its load counts for nothing any more.

Change: group-loads go to all live peers with each refresh, other regular updates as before. 60 bytes and a datagram for each group and daemon a second: 78 a second for the placer of one group among 79 daemons.

Tests: the new one fails when group-loads take the rotation (60 lists instead of at most 40, seen by changing the kind); createLink in PeerLink.test.ts takes regular updates as a further, optional argument. GroupRouter.test.ts: a placer honours the group of a query.

--- a/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.test.ts
+++ b/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.test.ts
@@ -203,6 +203,30 @@
     expect(new Set(choices.map(({ group }) => group))).toEqual(new Set(['llm/a']));
   });
 
+  it('places in the group that a query names, or at home if it knows no such group', () => {
+    const placeFor = (group: string | undefined) => {
+      const member = new Member();
+      const prompt = createPrompt([
+        ['s', 4_000],
+        ['r', 1_000],
+      ]);
+      const criteria = { service: 'llm', rank: 1, latencyTarget: LATENCY_TARGET, prompt };
+      const query = { key: 'k', criteria, availabilityZone: 'a', excludedReplicas: [], group };
+      member.harness.core.handle({
+        kind: 'peer-update',
+        peer: 'd-1',
+        update: { kind: 'ask', query },
+      });
+      const [placed] = member.harness.getEffects('placed-for');
+      return `llm/${placed!.replica.availabilityZone}`;
+    };
+    expect(ZONES.map((zone) => placeFor(`llm/${zone}`))).toEqual(
+      ZONES.map((zone) => `llm/${zone}`),
+    );
+    expect(placeFor(undefined)).toBe(HOME);
+    expect(placeFor('llm/gone')).toBe(HOME);
+  });
+
   it('always uses the home group for services that are not under admission control', () => {
     const member = new Member(false);
     member.submit('r');
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -4,6 +4,7 @@
 import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { SharedAttempt } from '../../decide/messages.js';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
+import { decodeDatagram } from '../datagram/datagram.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
 import type { PeerUpdate } from '../PeerUpdate.js';
 import { PeerLink, peerLinkOptions } from './PeerLink.js';
@@ -43,6 +44,7 @@
     id: string,
     directory: PeerDirectory,
     attempts: ReadonlyMap<string | undefined, SharedAttempt[]> = new Map(),
+    periodicUpdates: PeerUpdate[] = [],
   ) {
     const fleets: string[][] = [];
     const received: PeerUpdate[] = [];
@@ -61,7 +63,7 @@
         wake();
       },
       directory,
-      getPeriodicUpdates: () => [],
+      getPeriodicUpdates: () => periodicUpdates,
       getSharedAttempts: () => attempts,
       onUpdate: (_peer, update) => {
         received.push(update);
@@ -209,6 +211,36 @@
     expect(datagrams).toBeLessThanOrEqual(2 * peerLinkOptions.maxRecipients);
   });
 
+  // Guards against daemons of a large fleet that know the loads of groups only from seconds ago.
+  it('sends the loads of groups to all daemons of a large fleet with each refresh', async () => {
+    const directory = new MemoryDirectory();
+    const others = 3 * peerLinkOptions.maxRecipients;
+    const socket = createSocket('udp4');
+    const received: PeerUpdate['kind'][] = [];
+    const isComplete = new Promise<void>((resolve) => {
+      socket.on('message', (bytes) => {
+        received.push(...decodeDatagram(bytes).updates.map(({ kind }) => kind));
+        if (received.filter((kind) => kind === 'group-loads').length >= others) {
+          resolve();
+        }
+      });
+    });
+    await new Promise<void>((resolve) => {
+      socket.bind(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${socket.address().port}`;
+    for (let index = 0; index < others; index += 1) {
+      const id = `e-${index}`;
+      directory.entries.set(id, { id, address, availabilityZone: 'zone-a' });
+    }
+    const loads = [{ group: 'llm/a', expectedWait: 80, room: 4 }];
+    await createLink('d-1', directory, new Map(), [{ kind: 'group-loads', service: 'llm', loads }]);
+    await isComplete;
+    socket.close();
+    const lists = received.filter((kind) => kind === 'attempt-list');
+    expect(lists.length).toBeLessThanOrEqual(2 * peerLinkOptions.maxRecipients);
+  });
+
   it('reports the live daemons once the fleet has settled', async () => {
     const directory = new MemoryDirectory();
     const left = await createLink('d-1', directory);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -79,6 +79,11 @@
   });
 }
 
+/** Whether a regular update is sent to all peers at once, since it is outdated after a second. */
+function isSentToAll({ kind }: PeerUpdate): boolean {
+  return kind === 'group-loads';
+}
+
 function splitAddress(address: string): { host: string; port: number } {
   const [host, port] = address.split(':');
   return { host: host!, port: Number(port) };
@@ -251,15 +256,20 @@
     };
     const common = encodeAttemptList(header, attempts.get(undefined) ?? []);
     // One datagram per update, to stay below the MTU.
-    const periodic = getPeriodicUpdates().map((update) =>
-      encodeDatagram({ from: self, updates: [update] }),
-    );
+    const updates = getPeriodicUpdates();
+    const encode = (update: PeerUpdate) => encodeDatagram({ from: self, updates: [update] });
+    const periodic = updates.filter((update) => !isSentToAll(update)).map(encode);
+    const toAll = updates.filter(isSentToAll).map(encode);
     ids.forEach((id) => {
       const peerAttempts = attempts.get(id);
       const bytes = peerAttempts === undefined ? common : encodeAttemptList(header, peerAttempts);
       const addresses = this.table.getAddresses(id);
       [bytes, ...periodic].forEach((datagram) => this.sendBytes(addresses, datagram));
     });
+    const all = (this.usesRotation ? this.table.liveIds : ids).flatMap((id) =>
+      this.table.getAddresses(id),
+    );
+    toAll.forEach((datagram) => this.sendBytes(all, datagram));
   }
 
   private sendUpdates(addresses: readonly string[], updates: PeerUpdate[]): void {
