--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -104,6 +104,11 @@
     this.startedAttempts = attempt.number;
     this.triedReplicas.add(attempt.state.replica.id);
     this.running = attempt;
+    this.resetQueries();
+  }
+
+  /** Lets all groups and placers be asked again. */
+  resetQueries(): void {
     this.queriedPlacers.clear();
     this.askedGroups.length = 0;
   }
--- a/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -160,7 +160,7 @@
     this.retryTimers.get(service)?.cancel();
     this.retryTimers.delete(service);
     service.waiting.drain((record) => {
-      record.queriedPlacers.clear();
+      record.resetQueries();
       return this.parts.placing.place(record) !== PlacingResult.NoRoom;
     });
     if (service.waiting.size > 0) {
