State the capacity of a daemon in a datagram of its own

Cause: regular messages that state a capacity can't be read by daemons of the release before, which would lose the attempt lists of all newer ones during a rollout.

Change: regular messages are as before; beside each goes an empty one that states the capacity.

Tests: PeerLink.test.ts, a daemon that is in no directory becomes known with its capacity; createLink takes a capacity as a further, optional argument and returns the address.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -45,8 +45,10 @@
     directory: PeerDirectory,
     attempts: ReadonlyMap<string | undefined, SharedAttempt[]> = new Map(),
     periodicUpdates: PeerUpdate[] = [],
+    capacity?: number,
   ) {
     const fleets: string[][] = [];
+    const capacities: (number | undefined)[][] = [];
     const received: PeerUpdate[] = [];
     const daemonCounts: number[] = [];
     const positions: Readonly<Record<string, StorePosition>>[] = [];
@@ -54,8 +56,9 @@
     const waiters: (() => void)[] = [];
     const wake = () => waiters.splice(0).forEach((resolve) => resolve());
     const [port] = await reservePorts(1);
+    const address = `127.0.0.1:${port}`;
     const link = new PeerLink({
-      self: { id, address: `127.0.0.1:${port}`, availabilityZone: 'zone-a' },
+      self: { id, address, availabilityZone: 'zone-a', capacity },
       clock: new SystemClock(),
       random: createRandom(1),
       log: (event) => {
@@ -72,6 +75,7 @@
       onPeerLost: wake,
       onFleetChanged: (daemons) => {
         fleets.push(daemons.map((daemon) => daemon.id));
+        capacities.push(daemons.map((daemon) => daemon.capacity));
         wake();
       },
       getStorePositions: () => ({ replicas: { era: 2, revision: 7 } }),
@@ -95,7 +99,7 @@
         });
       }
     };
-    return { link, received, events, daemonCounts, fleets, positions, until };
+    return { link, received, events, daemonCounts, fleets, capacities, positions, until, address };
   }
 
   afterEach(() => links.splice(0).forEach((link) => link.dispose()));
@@ -249,6 +253,17 @@
     expect(left.fleets).toEqual([['d-1', 'd-2']]);
   });
 
+  // Guards against daemons that learn of others by a message and order placers without their capacity.
+  it('learns the capacity of a daemon that is not in the directory', async () => {
+    const right = await createLink('d-2', new MemoryDirectory());
+    const known = new MemoryDirectory();
+    known.entries.set('d-2', { id: 'd-2', address: right.address, availabilityZone: '' });
+    await createLink('d-1', known, new Map(), [], 12.5);
+    await right.until(() => right.capacities.at(-1)?.includes(12.5) === true);
+    expect(right.fleets.at(-1)).toEqual(['d-2', 'd-1']);
+    expect(right.events.some(({ event }) => event === 'fault')).toBe(false);
+  });
+
   it('logs a fault for bytes that are not a datagram', async () => {
     const directory = new MemoryDirectory();
     const { events, until } = await createLink('d-1', directory);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -250,7 +250,7 @@
   private sendAttempts(ids: readonly string[], attempts = this.settings.getSharedAttempts()): void {
     const { clock, getPeriodicUpdates, self } = this.settings;
     const header = {
-      from: self,
+      from: { ...self, capacity: undefined },
       changes: this.settings.getStorePositions(),
       sentAt: clock.now(),
     };
@@ -260,6 +260,10 @@
     const encode = (update: PeerUpdate) => encodeDatagram({ from: self, updates: [update] });
     const periodic = updates.filter((update) => !isSentToAll(update)).map(encode);
     const toAll = updates.filter(isSentToAll).map(encode);
+    if (self.capacity !== undefined) {
+      // In a datagram of its own, since daemons of the release before can't read it.
+      periodic.push(encodeDatagram({ from: self, updates: [], sentAt: clock.now() }));
+    }
     ids.forEach((id) => {
       const peerAttempts = attempts.get(id);
       const bytes = peerAttempts === undefined ? common : encodeAttemptList(header, peerAttempts);
