--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -4,6 +4,7 @@
 import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { SharedAttempt } from '../../decide/messages.js';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
+import { decodeDatagram } from '../datagram/datagram.js';
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
 import type { PeerUpdate } from '../PeerUpdate.js';
 import { PeerLink, peerLinkOptions } from './PeerLink.js';
@@ -43,8 +44,11 @@
     id: string,
     directory: PeerDirectory,
     attempts: ReadonlyMap<string | undefined, SharedAttempt[]> = new Map(),
+    periodicUpdates: PeerUpdate[] = [],
+    capacity?: number,
   ) {
     const fleets: string[][] = [];
+    const capacities: (number | undefined)[][] = [];
     const received: PeerUpdate[] = [];
     const daemonCounts: number[] = [];
     const positions: Readonly<Record<string, StorePosition>>[] = [];
@@ -52,8 +56,9 @@
     const waiters: (() => void)[] = [];
     const wake = () => waiters.splice(0).forEach((resolve) => resolve());
     const [port] = await reservePorts(1);
+    const address = `127.0.0.1:${port}`;
     const link = new PeerLink({
-      self: { id, address: `127.0.0.1:${port}`, availabilityZone: 'zone-a' },
+      self: { id, address, availabilityZone: 'zone-a', capacity },
       clock: new SystemClock(),
       random: createRandom(1),
       log: (event) => {
@@ -61,7 +66,7 @@
         wake();
       },
       directory,
-      getPeriodicUpdates: () => [],
+      getPeriodicUpdates: () => periodicUpdates,
       getSharedAttempts: () => attempts,
       onUpdate: (_peer, update) => {
         received.push(update);
@@ -70,6 +75,7 @@
       onPeerLost: wake,
       onFleetChanged: (daemons) => {
         fleets.push(daemons.map((daemon) => daemon.id));
+        capacities.push(daemons.map((daemon) => daemon.capacity));
         wake();
       },
       getStorePositions: () => ({ replicas: { era: 2, revision: 7 } }),
@@ -93,7 +99,7 @@
         });
       }
     };
-    return { link, received, events, daemonCounts, fleets, positions, until };
+    return { link, received, events, daemonCounts, fleets, capacities, positions, until, address };
   }
 
   afterEach(() => links.splice(0).forEach((link) => link.dispose()));
@@ -209,6 +215,36 @@
     expect(datagrams).toBeLessThanOrEqual(2 * peerLinkOptions.maxRecipients);
   });
 
+  // Guards against daemons of a large fleet that know the loads of groups only from seconds ago.
+  it('sends the loads of groups to all daemons of a large fleet with each refresh', async () => {
+    const directory = new MemoryDirectory();
+    const others = 3 * peerLinkOptions.maxRecipients;
+    const socket = createSocket('udp4');
+    const received: PeerUpdate['kind'][] = [];
+    const isComplete = new Promise<void>((resolve) => {
+      socket.on('message', (bytes) => {
+        received.push(...decodeDatagram(bytes).updates.map(({ kind }) => kind));
+        if (received.filter((kind) => kind === 'group-loads').length >= others) {
+          resolve();
+        }
+      });
+    });
+    await new Promise<void>((resolve) => {
+      socket.bind(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${socket.address().port}`;
+    for (let index = 0; index < others; index += 1) {
+      const id = `e-${index}`;
+      directory.entries.set(id, { id, address, availabilityZone: 'zone-a' });
+    }
+    const loads = [{ group: 'llm/a', expectedWait: 80, room: 4 }];
+    await createLink('d-1', directory, new Map(), [{ kind: 'group-loads', service: 'llm', loads }]);
+    await isComplete;
+    socket.close();
+    const lists = received.filter((kind) => kind === 'attempt-list');
+    expect(lists.length).toBeLessThanOrEqual(2 * peerLinkOptions.maxRecipients);
+  });
+
   it('reports the live daemons once the fleet has settled', async () => {
     const directory = new MemoryDirectory();
     const left = await createLink('d-1', directory);
@@ -217,6 +253,17 @@
     expect(left.fleets).toEqual([['d-1', 'd-2']]);
   });
 
+  // Guards against daemons that learn of others by a message and order placers without their capacity.
+  it('learns the capacity of a daemon that is not in the directory', async () => {
+    const right = await createLink('d-2', new MemoryDirectory());
+    const known = new MemoryDirectory();
+    known.entries.set('d-2', { id: 'd-2', address: right.address, availabilityZone: '' });
+    await createLink('d-1', known, new Map(), [], 12.5);
+    await right.until(() => right.capacities.at(-1)?.includes(12.5) === true);
+    expect(right.fleets.at(-1)).toEqual(['d-2', 'd-1']);
+    expect(right.events.some(({ event }) => event === 'fault')).toBe(false);
+  });
+
   it('logs a fault for bytes that are not a datagram', async () => {
     const directory = new MemoryDirectory();
     const { events, until } = await createLink('d-1', directory);
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -79,6 +79,11 @@
   });
 }
 
+/** Whether a regular update is sent to all peers at once, since it is outdated after a second. */
+function isSentToAll({ kind }: PeerUpdate): boolean {
+  return kind === 'group-loads';
+}
+
 function splitAddress(address: string): { host: string; port: number } {
   const [host, port] = address.split(':');
   return { host: host!, port: Number(port) };
@@ -245,21 +250,30 @@
   private sendAttempts(ids: readonly string[], attempts = this.settings.getSharedAttempts()): void {
     const { clock, getPeriodicUpdates, self } = this.settings;
     const header = {
-      from: self,
+      from: { ...self, capacity: undefined },
       changes: this.settings.getStorePositions(),
       sentAt: clock.now(),
     };
     const common = encodeAttemptList(header, attempts.get(undefined) ?? []);
     // One datagram per update, to stay below the MTU.
-    const periodic = getPeriodicUpdates().map((update) =>
-      encodeDatagram({ from: self, updates: [update] }),
-    );
+    const updates = getPeriodicUpdates();
+    const encode = (update: PeerUpdate) => encodeDatagram({ from: self, updates: [update] });
+    const periodic = updates.filter((update) => !isSentToAll(update)).map(encode);
+    const toAll = updates.filter(isSentToAll).map(encode);
+    if (self.capacity !== undefined) {
+      // In a datagram of its own, since daemons of the release before can't read it.
+      periodic.push(encodeDatagram({ from: self, updates: [], sentAt: clock.now() }));
+    }
     ids.forEach((id) => {
       const peerAttempts = attempts.get(id);
       const bytes = peerAttempts === undefined ? common : encodeAttemptList(header, peerAttempts);
       const addresses = this.table.getAddresses(id);
       [bytes, ...periodic].forEach((datagram) => this.sendBytes(addresses, datagram));
     });
+    const all = (this.usesRotation ? this.table.liveIds : ids).flatMap((id) =>
+      this.table.getAddresses(id),
+    );
+    toAll.forEach((datagram) => this.sendBytes(all, datagram));
   }
 
   private sendUpdates(addresses: readonly string[], updates: PeerUpdate[]): void {
