Model machines that others use: a deployment with uneven engines and spells of slowness

The model gets spells by share, factor and period, in which engines and applications take longer, and reports that state the slowdown. The deployment `shared-machines` has 24 engines, a quarter of them half as fast as the others, and 20 daemons. Workspaces of the model may have names.

--- a/packages/experiment/src/lib/relay/ApplicationSimulation.ts
+++ b/packages/experiment/src/lib/relay/ApplicationSimulation.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { LoadReport } from '@apricotrill/relay';
+import type { MachineNoise } from './MachineNoise.js';
 
 /** A plain request sent to a replica, with the callback for its end. */
 export interface ApplicationRequest {
@@ -20,10 +21,14 @@
   constructor(
     private readonly clock: Clock,
     private readonly slots: number,
+    /** Undefined if no others use its machine. */
+    private readonly noise?: MachineNoise,
   ) {}
 
   get load(): LoadReport {
-    return { running: this.running.size, waiting: this.waiting.length, slots: this.slots };
+    const { running, waiting, slots, noise } = this;
+    const load = { running: running.size, waiting: waiting.length, slots };
+    return noise === undefined ? load : { ...load, slowdown: noise.getSlowdown(this.clock.now()) };
   }
 
   /** @returns false when the queue is full */
@@ -47,7 +52,8 @@
     while (this.running.size < this.slots && this.waiting.length > 0) {
       const request = this.waiting.shift()!;
       this.running.add(request.key);
-      this.clock.setTimer(request.serviceTime, () => {
+      const slowdown = this.noise?.getSlowdown(this.clock.now()) ?? 1;
+      this.clock.setTimer(request.serviceTime * slowdown, () => {
         if (this.running.delete(request.key)) {
           request.onEnd();
           this.startWaiting();
--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -127,7 +127,7 @@
         service: kind.service,
         kind: getRouteKind(call),
         isRetryable: kind.repeatable,
-        workspace: 'w',
+        workspace: call.workspace,
         rank: call.rank,
         maxAttempts: kind.maxAttempts,
         latencyTarget: kind.latencyTarget,
--- a/packages/experiment/src/lib/relay/EngineSimulation.ts
+++ b/packages/experiment/src/lib/relay/EngineSimulation.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { CacheChange, LoadReport, Prompt } from '@apricotrill/relay';
 import type { EngineParameters } from './RelayDeployment.js';
+import type { MachineNoise } from './MachineNoise.js';
 import { PrefixCache } from './PrefixCache.js';
 
 /** A request sent to an engine, with the callbacks for its events. */
@@ -87,13 +88,16 @@
     private readonly parameters: EngineParameters,
     private readonly slowdown: number,
     onChange: (change: CacheChange) => void,
+    /** Undefined if no others use its machine. */
+    private readonly noise?: MachineNoise,
   ) {
     this.cache = new PrefixCache(onChange);
   }
 
   get load(): LoadReport {
-    const { running, waiting, parameters } = this;
-    return { running: running.length, waiting: waiting.length, slots: parameters.slots };
+    const { running, waiting, parameters, noise } = this;
+    const load = { running: running.length, waiting: waiting.length, slots: parameters.slots };
+    return noise === undefined ? load : { ...load, slowdown: noise.getSlowdown(this.clock.now()) };
   }
 
   /** @returns false when the request is too large or the queue is full */
@@ -240,7 +244,7 @@
       const pairs = tokens * (prefilled + tokens / 2);
       stepTime += tokens / prefillRate + (attentionTimePerMillionPairs * pairs) / PAIRS_PER_MILLION;
     });
-    return stepTime * this.slowdown;
+    return stepTime * this.slowdown * (this.noise?.getSlowdown(this.clock.now()) ?? 1);
   }
 
   private finishStep(prefill: ReadonlyMap<ActiveRequest, number>): void {
--- a/packages/experiment/src/lib/relay/FleetSimulation.ts
+++ b/packages/experiment/src/lib/relay/FleetSimulation.ts
@@ -1,4 +1,4 @@
-import { ManualClock, createRandom } from '@apricotrill/utils';
+import { ManualClock, createRandom, getHash } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import { PlacementCore } from '@apricotrill/relay';
 import type {
@@ -13,6 +13,7 @@
 import { DaemonSimulation, SimulatedPath } from './DaemonSimulation.js';
 import { EngineSimulation } from './EngineSimulation.js';
 import type { EngineCounts } from './EngineSimulation.js';
+import { MachineNoise } from './MachineNoise.js';
 import type { RelayDeployment } from './RelayDeployment.js';
 import type { SimulatedCall } from './SimulatedCall.js';
 import { createCrashingCalls, hasCrashingPart } from './createCrashingCalls.js';
@@ -174,6 +175,13 @@
     });
   }
 
+  private createNoise(replica: string): MachineNoise | undefined {
+    const { noise } = this.deployment;
+    return noise === undefined
+      ? undefined
+      : new MachineNoise(noise, getHash(`${this.seed}/${replica}`));
+  }
+
   private createFleet(): void {
     const { deployment, clock } = this;
     const { engines: parameters, engineSlowdowns, applications, availabilityZones } = deployment;
@@ -183,7 +191,8 @@
       const slowdown = engineSlowdowns[index]!;
       let current = replica;
       const onChange = (change: CacheChange) => this.recordCacheChange(current.id, change);
-      const engine = new EngineSimulation(clock, parameters, slowdown, onChange);
+      const noise = this.createNoise(replica.id);
+      const engine = new EngineSimulation(clock, parameters, slowdown, onChange, noise);
       engine.crashesOn = (prompt) => {
         if (!hasCrashingPart({ prompt })) {
           return false;
@@ -197,7 +206,12 @@
     });
     replicas.applications.forEach((replica) => {
       this.replicas.set(replica.id, replica);
-      this.applications.set(replica.id, new ApplicationSimulation(clock, applications.slots));
+      const application = new ApplicationSimulation(
+        clock,
+        applications.slots,
+        this.createNoise(replica.id),
+      );
+      this.applications.set(replica.id, application);
     });
     const services = createServices(deployment);
     for (let index = 0; index < deployment.daemons; index += 1) {
--- a/packages/experiment/src/lib/relay/RelayDeployment.ts
+++ b/packages/experiment/src/lib/relay/RelayDeployment.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@apricotrill/utils';
+import type { NoiseParameters } from './MachineNoise.js';
 
 /** A prompt part that requests of one kind share. */
 export interface SharedPromptPart {
@@ -61,6 +62,8 @@
 
 /** Workspaces with a common priority. */
 export interface WorkspaceGroup {
+  /** Absent if it does not matter. */
+  name?: string;
   /** 0 is the most urgent; undefined if the workspaces state none. */
   priority: number | undefined;
   /** Share of all requests that these workspaces send. */
@@ -134,6 +137,11 @@
   engines: EngineParameters;
   /** One entry per engine: the factor by which its steps take longer than the parameters say. */
   engineSlowdowns: number[];
+  /**
+   * Spells in which replicas are slow because others use their machines, which they state with their
+   * load; absent if they have machines of their own.
+   */
+  noise?: NoiseParameters;
   /** Software versions of the engines, in turn; absent if all have the same. */
   engineVersions?: readonly [string, ...string[]];
   applications: { replicas: number; slots: number };
--- a/packages/experiment/src/lib/relay/SimulatedCall.ts
+++ b/packages/experiment/src/lib/relay/SimulatedCall.ts
@@ -9,6 +9,7 @@
   /** Urgency among the calls to its service; 0 is the most urgent. */
   rank: number;
   daemon: number;
+  workspace: string;
   arrivedAt: Milliseconds;
   prompt: Prompt | undefined;
   outputTokens: number;
--- a/packages/experiment/src/lib/relay/createSimulatedCalls.ts
+++ b/packages/experiment/src/lib/relay/createSimulatedCalls.ts
@@ -88,7 +88,7 @@
   arrivedAt: number,
   daemon: number,
   random: Random,
-): Omit<SimulatedCall, 'rank'> {
+): Omit<SimulatedCall, 'rank' | 'workspace'> {
   const outputTokens = sampleLength(kind.outputTokens, random);
   const prompt =
     kind.service === 'engines' ? createPrompt(kind, id, outputTokens * 2, random) : undefined;
@@ -135,8 +135,8 @@
       if (isAccepted) {
         const id = `${kind.name}/${callsOfKind.length}`;
         const call = createCall(kind, id, time, random.integer(deployment.daemons), random);
-        const { priority } = pickWorkspaces(deployment.workspaces, id);
-        callsOfKind.push({ ...call, rank: getRank(kind, priority) });
+        const { name = 'w', priority } = pickWorkspaces(deployment.workspaces, id);
+        callsOfKind.push({ ...call, workspace: name, rank: getRank(kind, priority) });
       }
     }
   });
--- a/packages/experiment/src/lib/relay/deployments.ts
+++ b/packages/experiment/src/lib/relay/deployments.ts
@@ -280,6 +280,26 @@
   };
 }
 
+/**
+ * Drafts and questions on machines that others use too, from callers of a large fleet: a quarter of the
+ * engines are half as fast as the others, and each is slow for 600 ms at a time, 15 in 100 of the time.
+ */
+function createSharedMachines(): RelayDeployment {
+  const drafts = createDrafts();
+  const engines = 24;
+  return {
+    ...drafts,
+    name: 'shared-machines',
+    daemons: 20,
+    engineSlowdowns: Array.from({ length: engines }, (_item, index) =>
+      index % 4 === 0 ? 1 / 0.55 : 1 / 1.2,
+    ),
+    noise: { share: 0.15, factor: 2.5, period: 4_000 },
+    applications: { replicas: 4, slots: 6 },
+    kinds: drafts.kinds.map((kind) => ({ ...kind, rate: kind.rate * 3 })),
+  };
+}
+
 /** Draws a log-uniformly distributed value between two bounds. */
 function drawLogUniform(random: Random, min: number, max: number): number {
   return min * (max / min) ** random.next();
@@ -349,4 +369,5 @@
   'papers-pressed': createPressedPapers,
   drafts: createDrafts,
   histories: createHistories,
+  'shared-machines': createSharedMachines,
 };
--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -19,6 +19,13 @@
 /** Ratio of an engine's prefill rate to the mean of its service up to which the engine seems slow. */
 const MAX_SLOW_RATIO = 0.5;
 
+interface OverdueEstimate {
+  at: Milliseconds;
+  inFlight: number;
+  lastPrefillAt: Milliseconds;
+  slowdown: number;
+}
+
 function getLargest(pending: readonly RunningAttempt[]): number {
   return Math.max(...pending.map(({ missingTokens }) => missingTokens));
 }
@@ -35,6 +42,9 @@
   /** When the engine last finished the prefill of a prompt. */
   private lastPrefillAt: Milliseconds = 0;
 
+  /** The last result of the estimate from overdue first tokens, with what it depends on. */
+  private overdue: OverdueEstimate | undefined;
+
   /** The trial of the engine in which its rate was last measured. */
   private round = 0;
 
@@ -117,7 +127,23 @@
    */
   getSlowdown(now: Milliseconds): number {
     const stated = this.slowdown.getValue(now);
-    return this.slowdown.isStated ? Math.max(stated, this.getOverdueSlowdown(now)) : stated;
+    return this.slowdown.isStated ? Math.max(stated, this.getCachedOverdueSlowdown(now)) : stated;
+  }
+
+  /** The choice for one request asks for it many times. */
+  private getCachedOverdueSlowdown(now: Milliseconds): number {
+    const { lastPrefillAt, overdue } = this;
+    const inFlight = this.running.size;
+    const isCurrent =
+      overdue?.at === now &&
+      overdue.inFlight === inFlight &&
+      overdue.lastPrefillAt === lastPrefillAt;
+    if (isCurrent) {
+      return overdue.slowdown;
+    }
+    const slowdown = this.getOverdueSlowdown(now);
+    this.overdue = { at: now, inFlight, lastPrefillAt, slowdown };
+    return slowdown;
   }
 
   /** The least slowdown that explains that no first token has arrived yet. */
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -6,6 +6,7 @@
 import type { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
 import type { LoadReport } from '../messages.js';
 import { getHarmProbability, getPauseSlack } from '../pauses.js';
+import type { EngineSpeed } from '../pauses.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { MeasuredLatency } from '../MeasuredLatency/MeasuredLatency.js';
 import { RecentPrefill } from '../RecentPrefill/RecentPrefill.js';
@@ -163,12 +164,7 @@
    * undefined if no prefill makes the stream miss it.
    */
   getPauseSlack(pauseTarget: Milliseconds | undefined): Milliseconds | undefined {
-    const { options, prefill } = this;
-    const { profile, servicePrefillRate, currentSlowdown: slowdown } = prefill;
-    // The slack of the service's mean engine changes less often, and serves as long as nothing shows
-    // that engines differ from one moment to the next.
-    const prefillRate = this.statesSlowdown ? this.prefillRate : servicePrefillRate;
-    return getPauseSlack(pauseTarget, { profile, prefillRate, slowdown, options });
+    return getPauseSlack(pauseTarget, this.engineSpeed);
   }
 
   /**
@@ -177,9 +173,10 @@
    */
   getHarmedStreams(tokens: number, now: Milliseconds): number {
     const prefillTime = (this.getBacklog(now) + tokens) / this.prefillRate;
+    const { engineSpeed } = this;
     let harmed = 0;
     this.running.forEach(({ hasMissedPauseTarget, pauseTarget }) => {
-      const slack = hasMissedPauseTarget ? undefined : this.getPauseSlack(pauseTarget);
+      const slack = hasMissedPauseTarget ? undefined : getPauseSlack(pauseTarget, engineSpeed);
       harmed += slack === undefined ? 0 : getHarmProbability(prefillTime, slack);
     });
     return harmed;
@@ -323,14 +320,27 @@
     return Math.max(1, profile?.slots ?? this.replica.slots);
   }
 
+  /**
+   * The speed by which pauses are judged. Where nothing shows that engines differ from one moment to the
+   * next, it is that of the mean engine of the service, which changes less often than its own.
+   */
+  private get engineSpeed(): EngineSpeed {
+    const { options, prefill } = this;
+    const { profile, servicePrefillRate, currentSlowdown: slowdown } = prefill;
+    const prefillRate = this.statesSlowdown ? this.prefillRate : servicePrefillRate;
+    return { profile, prefillRate, slowdown, options };
+  }
+
   /**
    * Marks streams that miss their pause target because of the current backlog, since additional
    * prefill does them no further harm.
    */
   private markMissedPauseTargets(now: Milliseconds): void {
     const prefillTime = this.getBacklog(now) / this.prefillRate;
+    const { engineSpeed } = this;
     this.running.forEach((attempt) => {
-      const slack = attempt.isResponding ? this.getPauseSlack(attempt.pauseTarget) : undefined;
+      const { isResponding, pauseTarget } = attempt;
+      const slack = isResponding ? getPauseSlack(pauseTarget, engineSpeed) : undefined;
       if (slack !== undefined && prefillTime >= slack) {
         Object.assign(attempt, { hasMissedPauseTarget: true });
       }
