--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -1,24 +1,24 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { EngineProfile, RelayReplica } from '../../config/RelayConfiguration.js';
+import { AttemptFailures } from '../AttemptFailures/AttemptFailures.js';
 import { ReplicaCooldown } from '../ReplicaCooldown/ReplicaCooldown.js';
 import { CacheView } from '../CacheView/CacheView.js';
 import { PrefillEstimator } from '../PrefillEstimator/PrefillEstimator.js';
 import type { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
 import type { LoadReport } from '../messages.js';
-import { getHarmProbability, getPauseSlack } from '../pauses.js';
+import { getPauseSlack } from '../pauses.js';
 import type { EngineSpeed } from '../pauses.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { MeasuredLatency } from '../MeasuredLatency/MeasuredLatency.js';
 import { RecentPrefill } from '../RecentPrefill/RecentPrefill.js';
+import { ReplicaSilence } from '../ReplicaSilence/ReplicaSilence.js';
 import { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
 import { ReportedLoad } from '../ReportedLoad/ReportedLoad.js';
 import type { ReceivedReport } from '../ReportedLoad/ReportedLoad.js';
 import type { RunningAttempt } from '../RequestRecord.js';
+import { StreamPauses } from '../StreamPauses/StreamPauses.js';
 import { Slowdown } from '../Slowdown/Slowdown.js';
 
-/** Weight of the newest attempt in the failure rate. */
-const NEWEST_WEIGHT = 0.15;
-
 /** The state of one replica as known to the placement core. */
 export class ReplicaState {
   replica: RelayReplica;
@@ -44,16 +44,13 @@
   /** The replica counts as full until then, since it refused a request. */
   fullUntil: Milliseconds = 0;
 
-  private isLivenessCheckPending = false;
-
-  private consecutiveBroken = 0;
+  private readonly failures = new AttemptFailures();
 
-  /** Moving average of the share of attempts that failed or broke. */
-  private failureRate = 0;
+  private readonly pauses = new StreamPauses(this.running);
 
   private readonly latency = new MeasuredLatency(this.trial);
 
-  private lastReceivedAt: Milliseconds = 0;
+  private readonly silence = new ReplicaSilence();
 
   private readonly reportedLoad: ReportedLoad;
 
@@ -84,7 +81,7 @@
   }
 
   get expectedFailureRate(): number {
-    return this.failureRate;
+    return this.failures.failureRate;
   }
 
   /** Moving average of the latency of its requests at a slowdown of 1. */
@@ -116,11 +113,6 @@
     return this.prefill.prefillRate;
   }
 
-  /** Mean prefill rate of all engines of the service. */
-  get servicePrefillRate(): number {
-    return this.prefill.servicePrefillRate;
-  }
-
   /** Expected wait for a first token if this many tokens have to be prefilled first. */
   getExpectedWait(tokens: number): Milliseconds {
     return this.prefill.getExpectedWait(tokens);
@@ -133,7 +125,7 @@
 
   /** Records the first byte of the response to an attempt of this daemon or a peer. */
   recordFirstByte(attempt: RunningAttempt, now: Milliseconds): void {
-    this.lastReceivedAt = now;
+    this.silence.recordReceived(now);
     Object.assign(attempt, { isResponding: true });
     if (attempt.prompt !== undefined || attempt.missingTokens > 0) {
       this.prefill.recordPrefill(attempt, now);
@@ -148,13 +140,13 @@
       this.slowdown.record(report.slowdown, now);
     }
     this.reportedLoad.record(report, now, this.running.size);
-    this.lastReceivedAt = now;
+    this.silence.recordReceived(now);
   }
 
   /** Records an attempt that this daemon or a peer sent to the replica. */
   recordSent(attempt: RunningAttempt, now: Milliseconds): void {
     this.running.add(attempt);
-    this.markMissedPauseTargets(now);
+    this.pauses.markMissed(this.getBacklog(now) / this.prefillRate, this.engineSpeed);
     const isLong = attempt.missingTokens >= this.options.chunkTokens / 2;
     this.recentPrefill.record(isLong ? attempt.missingTokens : 0, now);
   }
@@ -173,13 +165,7 @@
    */
   getHarmedStreams(tokens: number, now: Milliseconds): number {
     const prefillTime = (this.getBacklog(now) + tokens) / this.prefillRate;
-    const { engineSpeed } = this;
-    let harmed = 0;
-    this.running.forEach(({ hasMissedPauseTarget, pauseTarget }) => {
-      const slack = hasMissedPauseTarget ? undefined : getPauseSlack(pauseTarget, engineSpeed);
-      harmed += slack === undefined ? 0 : getHarmProbability(prefillTime, slack);
-    });
-    return harmed;
+    return this.pauses.getHarmed(prefillTime, this.engineSpeed);
   }
 
   /**
@@ -199,27 +185,21 @@
   }
 
   recordByte(now: Milliseconds): void {
-    this.lastReceivedAt = now;
+    this.silence.recordReceived(now);
   }
 
   recordSuccess(latency: Milliseconds, now: Milliseconds): void {
-    this.consecutiveBroken = 0;
-    this.failureRate += NEWEST_WEIGHT * (0 - this.failureRate);
+    this.failures.recordSuccess();
     this.latency.record(latency * this.slowdown.getSpeed(now - latency, now));
   }
 
   /** @returns false if a liveness check is already pending */
   beginLivenessCheck(): boolean {
-    const isNew = !this.isLivenessCheckPending;
-    this.isLivenessCheckPending = true;
-    return isNew;
+    return this.silence.beginCheck();
   }
 
   endLivenessCheck(isAlive: boolean, now: Milliseconds): void {
-    this.isLivenessCheckPending = false;
-    if (isAlive) {
-      this.lastReceivedAt = now;
-    }
+    this.silence.endCheck(isAlive, now);
   }
 
   /** @returns false if it was suspect already */
@@ -232,8 +212,8 @@
   /** Ends the suspicion after a successful health check. */
   clearSuspicion(now: Milliseconds): void {
     this.suspectReason = undefined;
-    this.consecutiveBroken = 0;
-    this.lastReceivedAt = now;
+    this.failures.clearBroken();
+    this.silence.recordReceived(now);
   }
 
   /** Makes other replicas preferred for a moment after the replica refused a request. */
@@ -245,21 +225,17 @@
    * Records a response that reports a failure. The response itself shows that the replica is up.
    */
   recordFailure(): void {
-    this.consecutiveBroken = 0;
-    this.failureRate += NEWEST_WEIGHT * (1 - this.failureRate);
+    this.failures.recordFailure();
   }
 
   /** @returns whether enough consecutive attempts broke for the replica to become suspect */
   recordBrokenAttempt(): boolean {
-    this.consecutiveBroken += 1;
-    this.failureRate += NEWEST_WEIGHT * (1 - this.failureRate);
-    return this.consecutiveBroken >= this.options.suspectAfter;
+    return this.failures.recordBroken() >= this.options.suspectAfter;
   }
 
   /** Withdraws failures for which the replica was not responsible. */
   forgiveFailures(failureRate: number): void {
-    this.consecutiveBroken = 0;
-    this.failureRate = Math.min(this.failureRate, failureRate);
+    this.failures.forgive(failureRate);
   }
 
   /** Whether it has sent nothing for too long although requests of this daemon are in flight. */
@@ -267,7 +243,7 @@
     const limit = now - this.options.darkAfter;
     const ownAttempts = [...this.running].filter(({ isOwn }) => isOwn);
     const oldest = Math.min(...ownAttempts.map(({ sentAt }) => sentAt));
-    return oldest < limit && this.lastReceivedAt < limit;
+    return oldest < limit && this.silence.isSilentSince(limit);
   }
 
   /**
@@ -330,20 +306,4 @@
     const prefillRate = this.statesSlowdown ? this.prefillRate : servicePrefillRate;
     return { profile, prefillRate, slowdown, options };
   }
-
-  /**
-   * Marks streams that miss their pause target because of the current backlog, since additional
-   * prefill does them no further harm.
-   */
-  private markMissedPauseTargets(now: Milliseconds): void {
-    const prefillTime = this.getBacklog(now) / this.prefillRate;
-    const { engineSpeed } = this;
-    this.running.forEach((attempt) => {
-      const { isResponding, pauseTarget } = attempt;
-      const slack = isResponding ? getPauseSlack(pauseTarget, engineSpeed) : undefined;
-      if (slack !== undefined && prefillTime >= slack) {
-        Object.assign(attempt, { hasMissedPauseTarget: true });
-      }
-    });
-  }
 }
