--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -4,7 +4,6 @@
 import type { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { Slowdown } from '../Slowdown/Slowdown.js';
-import { slowdownOptions } from '../Slowdown/slowdownOptions.js';
 import type { EngineStatistics } from './EngineStatistics.js';
 
 /**
@@ -146,16 +145,19 @@
     return slowdown;
   }
 
-  /** The least slowdown that explains that no first token has arrived yet. */
+  /**
+   * The least slowdown that explains that no first token has arrived yet, up to the highest that replicas
+   * of the service state; what takes longer has other reasons, such as a lack of memory.
+   */
   private getOverdueSlowdown(now: Milliseconds): number {
-    const { pending, profile } = this;
+    const { pending, profile, statistics } = this;
     // Prompts that wait for a slot are not late because of the machine.
     if (profile === undefined || pending.length === 0 || this.running.size > profile.slots) {
       return 0;
     }
     const elapsed = now - this.getBusySince(pending);
     const usual = getLargest(pending) / this.usualPrefillRate + OVERDUE_TOLERANCE;
-    return Math.min(slowdownOptions.max, elapsed / usual);
+    return Math.min(statistics.slowdownPersistence.highestStated, elapsed / usual);
   }
 
   private get pending(): RunningAttempt[] {
--- a/packages/relay/src/lib/decide/Slowdown/Slowdown.ts
+++ b/packages/relay/src/lib/decide/Slowdown/Slowdown.ts
@@ -56,6 +56,7 @@
   record(stated: number, now: Milliseconds): void {
     const value = getBounded(stated);
     const last = this.statements.at(-1);
+    this.persistence.recordStated(value);
     if (last !== undefined && now > last.at) {
       const gap = now - last.at;
       this.updateMean(last.value, Math.min(gap, slowdownOptions.maxStatementTime));
--- a/packages/relay/src/lib/decide/Slowdown/SlowdownPersistence.ts
+++ b/packages/relay/src/lib/decide/Slowdown/SlowdownPersistence.ts
@@ -36,6 +36,8 @@
 export class SlowdownPersistence {
   private readonly agreements = GAP_BOUNDS.map(createAgreement);
 
+  private highest = 1;
+
   /** Persistence by the gaps of the agreements; never increasing. */
   private shares = this.getShares();
 
@@ -58,6 +60,17 @@
     this.shares = this.getShares();
   }
 
+  /** Records a statement of any replica of the service. */
+  recordStated(value: number): void {
+    const { retainedHighest } = slowdownOptions;
+    this.highest = Math.max(value, 1 + (this.highest - 1) * retainedHighest);
+  }
+
+  /** The highest slowdown that any replica of the service has stated lately. */
+  get highestStated(): number {
+    return this.highest;
+  }
+
   /** The part of a deviation from the mean, from 0 to 1, that is expected to last for this time. */
   getShare(age: Milliseconds): number {
     const index = this.agreements.findIndex(({ gap }) => age < gap);
--- a/packages/relay/src/lib/decide/Slowdown/slowdownOptions.ts
+++ b/packages/relay/src/lib/decide/Slowdown/slowdownOptions.ts
@@ -17,6 +17,8 @@
   initialPersistence: 400 satisfies Milliseconds,
   /** Weight of that, as an equivalent number of pairs of statements. */
   initialPairs: 20,
+  /** Part of the highest stated slowdown, above 1, that is kept per further statement of the service. */
+  retainedHighest: 0.999,
   /** Part of the measured agreement that is kept per further pair of statements. */
   retainedPerPair: 0.998,
 };
