--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -4,7 +4,6 @@
 import type { ReplicaTrial } from '../ReplicaTrial/ReplicaTrial.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import type { Slowdown } from '../Slowdown/Slowdown.js';
-import { slowdownOptions } from '../Slowdown/slowdownOptions.js';
 import type { EngineStatistics } from './EngineStatistics.js';
 
 /**
@@ -19,6 +18,13 @@
 /** Ratio of an engine's prefill rate to the mean of its service up to which the engine seems slow. */
 const MAX_SLOW_RATIO = 0.5;
 
+interface OverdueEstimate {
+  at: Milliseconds;
+  inFlight: number;
+  lastPrefillAt: Milliseconds;
+  slowdown: number;
+}
+
 function getLargest(pending: readonly RunningAttempt[]): number {
   return Math.max(...pending.map(({ missingTokens }) => missingTokens));
 }
@@ -35,6 +41,9 @@
   /** When the engine last finished the prefill of a prompt. */
   private lastPrefillAt: Milliseconds = 0;
 
+  /** The last result of the estimate from overdue first tokens, with what it depends on. */
+  private overdue: OverdueEstimate | undefined;
+
   /** The trial of the engine in which its rate was last measured. */
   private round = 0;
 
@@ -117,19 +126,38 @@
    */
   getSlowdown(now: Milliseconds): number {
     const stated = this.slowdown.getValue(now);
-    return this.slowdown.isStated ? Math.max(stated, this.getOverdueSlowdown(now)) : stated;
+    return this.slowdown.isStated ? Math.max(stated, this.getCachedOverdueSlowdown(now)) : stated;
+  }
+
+  /** The choice for one request asks for it many times. */
+  private getCachedOverdueSlowdown(now: Milliseconds): number {
+    const { lastPrefillAt, overdue } = this;
+    const inFlight = this.running.size;
+    const isCurrent =
+      overdue?.at === now &&
+      overdue.inFlight === inFlight &&
+      overdue.lastPrefillAt === lastPrefillAt;
+    if (isCurrent) {
+      return overdue.slowdown;
+    }
+    const slowdown = this.getOverdueSlowdown(now);
+    this.overdue = { at: now, inFlight, lastPrefillAt, slowdown };
+    return slowdown;
   }
 
-  /** The least slowdown that explains that no first token has arrived yet. */
+  /**
+   * The least slowdown that explains that no first token has arrived yet, up to the highest that replicas
+   * of the service state; what takes longer has other reasons, such as a lack of memory.
+   */
   private getOverdueSlowdown(now: Milliseconds): number {
-    const { pending, profile } = this;
+    const { pending, profile, statistics } = this;
     // Prompts that wait for a slot are not late because of the machine.
     if (profile === undefined || pending.length === 0 || this.running.size > profile.slots) {
       return 0;
     }
     const elapsed = now - this.getBusySince(pending);
     const usual = getLargest(pending) / this.usualPrefillRate + OVERDUE_TOLERANCE;
-    return Math.min(slowdownOptions.max, elapsed / usual);
+    return Math.min(statistics.slowdownPersistence.highestStated, elapsed / usual);
   }
 
   private get pending(): RunningAttempt[] {
