--- a/packages/relay/src/lib/daemon/BodyIntake.ts
+++ b/packages/relay/src/lib/daemon/BodyIntake.ts
@@ -46,7 +46,7 @@
     if (holding === undefined) {
       return { kind: 'no-memory' };
     }
-    if (request.destroyed) {
+    if (request.destroyed || response.destroyed) {
       holding.release();
       return { kind: 'cut' };
     }
--- a/packages/relay/src/lib/daemon/createMemoryGuard.ts
+++ b/packages/relay/src/lib/daemon/createMemoryGuard.ts
@@ -13,10 +13,20 @@
   limit: number | undefined;
 }
 
+/** @returns the memory that the process uses; 0 if that is not known */
+function getOwnBytes(log: RelayLog): number {
+  try {
+    return process.memoryUsage.rss();
+  } catch (error) {
+    log({ event: 'fault', step: 'read the use of memory', error: String(error) });
+    return 0;
+  }
+}
+
 /** Creates the guard of the memory that a daemon holds for callers, replicas and other daemons. */
 export function createMemoryGuard(dependencies: MemoryGuardDependencies): MemoryGuard {
   const { clock, limit, log, metrics } = dependencies;
-  const own = process.memoryUsage.rss();
+  const own = limit === undefined ? 0 : getOwnBytes(log);
   const budget = limit === undefined ? undefined : getMemoryBudget(limit, own);
   if (limit !== undefined && budget !== undefined) {
     log({ event: 'memory-bound', limit, own, budget });
--- a/packages/relay/src/lib/memory/getMemoryBudget.test.ts
+++ b/packages/relay/src/lib/memory/getMemoryBudget.test.ts
@@ -1,13 +1,13 @@
 import { getMemoryBudget } from './getMemoryBudget.js';
 import { memoryOptions } from './memoryOptions.js';
 
-const { copies, minBudgetBytes, ownBytes, reservedBytes } = memoryOptions;
+const { overhead, minBudgetBytes, ownBytes, reservedBytes } = memoryOptions;
 
 describe('getMemoryBudget', () => {
-  it('leaves the process what it needs itself, and room for copies', () => {
+  it('leaves the process what it needs itself, and room for the overhead of what it holds', () => {
     const limit = 210_000_000;
     const budget = getMemoryBudget(limit, 80_000_000);
-    expect(80_000_000 + reservedBytes + copies * budget).toBeLessThanOrEqual(limit);
+    expect(80_000_000 + reservedBytes + overhead * budget).toBeLessThanOrEqual(limit);
     expect(budget).toBeGreaterThan(minBudgetBytes);
   });
 
--- a/packages/relay/src/lib/memory/getMemoryBudget.ts
+++ b/packages/relay/src/lib/memory/getMemoryBudget.ts
@@ -11,8 +11,8 @@
  * ```
  */
 export function getMemoryBudget(limitBytes: number, ownBytes: number): number {
-  const { copies, minBudgetBytes, reservedBytes } = memoryOptions;
+  const { overhead, minBudgetBytes, reservedBytes } = memoryOptions;
   const isKnown = ownBytes > 0 && ownBytes < limitBytes;
   const own = isKnown ? ownBytes : memoryOptions.ownBytes;
-  return Math.max(minBudgetBytes, Math.floor((limitBytes - own - reservedBytes) / copies));
+  return Math.max(minBudgetBytes, Math.floor((limitBytes - own - reservedBytes) / overhead));
 }
--- a/packages/relay/src/lib/memory/memoryOptions.ts
+++ b/packages/relay/src/lib/memory/memoryOptions.ts
@@ -6,17 +6,17 @@
 export const memoryOptions = {
   /** What the process needs by itself where the operating system does not tell, in bytes. */
   ownBytes: 90 * MEBIBYTE,
-  /** How much the process grows by itself after its start: code, its view of the fleet, its garbage; in bytes. */
-  reservedBytes: 30 * MEBIBYTE,
   /**
-   * Bytes of memory per byte held: what is read in pieces exists a second time while the pieces are joined,
-   * and until the next garbage collection.
+   * How much the process grows by itself after its start, in bytes. The engine frees buffers that are no longer
+   * used only after 64 MiB of them, and its heap grows.
    */
-  copies: 2,
+  reservedBytes: 72 * MEBIBYTE,
+  /** Bytes of memory per byte held, as memory is allocated in larger pieces. */
+  overhead: 1.25,
   /** Least bound, so that a daemon with a low limit still serves requests, in bytes. */
   minBudgetBytes: 8 * MEBIBYTE,
   /** What an open request needs besides its body: two sockets, two parsers and its state; in bytes. */
-  requestBytes: 40_960,
+  requestBytes: 24_576,
   /** What the sockets of a response hold beyond what is counted while its caller does not read, in bytes. */
   pausedResponseBytes: 98_304,
   /** Part of the bound that new requests may fill; the rest is for the responses of those that run. */
