--- a/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
+++ b/packages/relay/src/lib/decide/PeerUpdates/PeerUpdates.ts
@@ -1,5 +1,6 @@
 import type { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
 import type { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
+import type { Fleet } from '../Fleet/Fleet.js';
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { PlacementUpdate } from '../messages.js';
@@ -13,6 +14,7 @@
 
 /** Dependencies of {@link PeerUpdates}. */
 export interface PeerUpdatesParts {
+  fleet: Fleet;
   registry: ReplicaRegistry;
   quarantine: Quarantine;
   limits: ReplicaLimits;
@@ -34,14 +36,14 @@
 
   /** Returns what each regular message repeats, since datagrams can be lost. */
   getPeriodicUpdates(): PlacementUpdate[] {
-    const { registry, quarantine, limits, fragility, backoffs, admissionControl } = this.parts;
+    const { registry, quarantine, limits, fragility, backoffs } = this.parts;
     const leaving = registry.getLeavingReplicas();
     return [
       ...quarantine.getPeriodicUpdates(),
       ...limits.getPeriodicUpdates(),
       ...fragility.getPeriodicUpdates(),
       ...backoffs.getPeriodicUpdates(),
-      ...admissionControl.getPeriodicUpdates(),
+      ...this.getGroupLoads(),
       ...(leaving.length === 0 ? [] : [{ kind: 'leaving' as const, replicas: leaving }]),
     ];
   }
@@ -52,6 +54,14 @@
     this.parts.peerAttempts.removePeer(peer);
   }
 
+  /** The loads of this daemon's groups, which its own requests are sent by as well. */
+  private getGroupLoads(): PlacementUpdate[] {
+    const { admissionControl, fleet, registry } = this.parts;
+    const updates = admissionControl.getPeriodicUpdates();
+    updates.forEach(({ service, loads }) => registry.recordGroupLoads(fleet.self, service, loads));
+    return updates;
+  }
+
   handle(peer: string, update: PlacementUpdate): void {
     const { registry, quarantine, limits, fragility, backoffs } = this.parts;
     const { placer, placing, peerAttempts, peerQueries, waiting, onLeaving } = this.parts;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -1,6 +1,5 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { AdmissionControl } from '../admission/AdmissionControl/AdmissionControl.js';
-import type { AdmissionGroupFactory } from '../admission/AdmissionControl/AdmissionControl.js';
 import { getAdmissionGroupFactory } from '../admission/getAdmissionGroupFactory.js';
 import { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import { AttemptKeys } from '../AttemptKeys.js';
@@ -192,6 +191,7 @@
     });
     const { quarantine, placer, placing, waiting } = this;
     this.peerUpdates = new PeerUpdates({
+      fleet,
       registry,
       quarantine,
       limits,
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -65,6 +65,7 @@
   private readonly delegation: Delegation;
 
   private readonly ownApplicants: OwnApplicants;
+
   private readonly router: GroupRouter;
 
   constructor(private readonly parts: PlacingParts) {
--- a/packages/relay/src/lib/decide/admission/AdmissionControl/AdmissionControl.ts
+++ b/packages/relay/src/lib/decide/admission/AdmissionControl/AdmissionControl.ts
@@ -151,7 +151,7 @@
   }
 
   /** Returns the loads of the groups of which this daemon is the first placer, for all daemons. */
-  getPeriodicUpdates(): PlacementUpdate[] {
+  getPeriodicUpdates(): Extract<PlacementUpdate, { kind: 'group-loads' }>[] {
     return this.parts.registry.allServices
       .filter(({ isAdmissionControlled }) => isAdmissionControlled)
       .flatMap((service) => {
--- a/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.ts
+++ b/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.ts
@@ -164,7 +164,7 @@
     }
     const { prompt } = request;
     const sessionPart = prompt?.parts.at(-2);
-    const time = (sessionPart?.tokens ?? 0) / home.replicas[0]!.servicePrefillRate;
+    const time = (sessionPart?.tokens ?? 0) / home.replicas[0]!.prefillRate;
     const subject = { request, service, now: this.parts.clock.now(), home };
     // A part that takes less to prefill than to send elsewhere is no reason to leave the zone.
     return sessionPart === undefined || time <= this.getCrossingCost(request, home)
