Admission: a prompt that later ones have passed does not close its engine

After the placer was killed, the deputy began 20 requests a second where eight engines could do 80: first tokens of the killed daemon's requests were overdue at six engines, and an engine with an overdue first token gets nothing. A prompt sent later that is answered shows that the engine goes on.

--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -41,6 +41,9 @@
   /** Whether it has announced by other means than the replica list that it is about to leave. */
   isLeaving = false;
 
+  /** When the newest of the attempts was sent of which a first byte has been received. */
+  newestAnsweredSentAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
   /** The replica counts as full until then, since it refused a request. */
   fullUntil: Milliseconds = 0;
 
@@ -127,6 +130,7 @@
   recordFirstByte(attempt: RunningAttempt, now: Milliseconds): void {
     this.silence.recordReceived(now);
     Object.assign(attempt, { isResponding: true });
+    this.newestAnsweredSentAt = Math.max(this.newestAnsweredSentAt, attempt.sentAt);
     if (attempt.prompt !== undefined || attempt.missingTokens > 0) {
       this.prefill.recordPrefill(attempt, now);
     }
--- a/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
+++ b/packages/relay/src/lib/decide/admission/EngineRoom/EngineRoom.ts
@@ -114,7 +114,10 @@
     let overdue = 0;
     state.running.forEach(({ isResponding, pauseTarget, sentAt, tokensAhead, copyTime }) => {
       // Other responses send their first byte only when they are complete.
-      if (!isResponding && pauseTarget !== undefined) {
+      // A later prompt that is answered shows that the engine goes on, and that the daemon of an earlier
+      // one does not report.
+      const isPassed = sentAt < state.newestAnsweredSentAt;
+      if (!isResponding && pauseTarget !== undefined && !isPassed) {
         const expected = copyTime + this.setupTime + tokensAhead * this.tokenTime;
         const latest = sentAt + expected * MAX_WAIT_RATIO + options.transferTime;
         overdue = Math.max(overdue, now - latest);
