--- a/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.test.ts
+++ b/packages/relay/src/lib/decide/groups/GroupRouter/GroupRouter.test.ts
@@ -211,14 +211,18 @@
         ['r', 1_000],
       ]);
       const criteria = { service: 'llm', rank: 1, latencyTarget: LATENCY_TARGET, prompt };
-      const query = { key: 'k', criteria, availabilityZone: 'a', excludedReplicas: [], group };
+      const claim =
+        group === undefined
+          ? undefined
+          : { group, workspace: 'w', fingerprint: 'f', waited: 0, timeLeft: 5_000 };
+      const query = { key: 'k', criteria, availabilityZone: 'a', excludedReplicas: [], claim };
       member.harness.core.handle({
         kind: 'peer-update',
         peer: 'd-1',
         update: { kind: 'ask', query },
       });
       const [placed] = member.harness.getEffects('placed-for');
-      return `llm/${placed!.replica.availabilityZone}`;
+      return placed === undefined ? undefined : `llm/${placed.replica.availabilityZone}`;
     };
     expect(ZONES.map((zone) => placeFor(`llm/${zone}`))).toEqual(
       ZONES.map((zone) => `llm/${zone}`),
@@ -231,6 +235,6 @@
     const member = new Member(false);
     member.submit('r');
     expect(member.harness.getEffects('group-chosen')).toEqual([]);
-    expect(member.queries.at(-1)?.query).not.toHaveProperty('group', expect.anything());
+    expect(member.queries.at(-1)?.query.claim).toBeUndefined();
   });
 });
