Engines whose waits are all alike: count them as prefill

The line through waits was drawn over expected prefill times, which change with the rate that is learned from it. The line is drawn over tokens now, and waits that are all alike count as prefill.

--- a/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
+++ b/packages/relay/src/lib/decide/PrefillEstimator/PrefillEstimator.ts
@@ -196,7 +196,7 @@
       return;
     }
     if (this.slowdown.isStated) {
-      setupTime.recordLong(tokensAhead / this.usualPrefillRate, wait);
+      setupTime.recordLong(tokensAhead, wait);
     }
     const time = wait - setupTime.value;
     this.discardOutdated();
--- a/packages/relay/src/lib/decide/SetupTime/SetupTime.ts
+++ b/packages/relay/src/lib/decide/SetupTime/SetupTime.ts
@@ -36,17 +36,17 @@
     this.current = getQuantile(this.samples, setupTimeOptions.quantile);
   }
 
-  /**
-   * Records the wait of a long prompt, which shows the setup time as long as no short one was seen.
-   *
-   * @param prefillTime - the time that was expected for the tokens ahead
-   */
-  recordLong(prefillTime: Milliseconds, wait: Milliseconds): void {
-    this.longWaits.record(prefillTime, wait);
+  /** Records the wait of a long prompt, which shows the setup time as long as no short one was seen. */
+  recordLong(tokensAhead: number, wait: Milliseconds): void {
+    this.longWaits.record(tokensAhead, wait);
   }
 
   get value(): Milliseconds {
     const hasShort = this.samples.length > setupTimeOptions.initialWeight;
-    return hasShort ? this.current : (this.longWaits.intercept ?? this.current);
+    if (hasShort || !this.longWaits.hasSamples) {
+      return this.current;
+    }
+    // While all waits are alike, they count as prefill: a rate that is too low fills no queue.
+    return this.longWaits.intercept ?? 0;
   }
 }
--- a/packages/relay/src/lib/decide/SetupTime/WaitFit.ts
+++ b/packages/relay/src/lib/decide/SetupTime/WaitFit.ts
@@ -6,13 +6,12 @@
   retained: 0.97,
   /** Minimum weight of all samples. */
   minWeight: 6,
-  /** Minimum standard deviation of the prefill times, as a ratio of their mean. */
+  /** Minimum standard deviation of the tokens ahead, as a ratio of their mean. */
   minSpread: 0.2,
 };
 
 /**
- * Fits waits for first tokens by a line over the prefill time that was expected for them, and gets the
- * wait without any prefill. Expected times that are all wrong by the same factor only change the slope.
+ * Fits waits for first tokens by a line over the tokens ahead, and gets the wait without any prefill.
  *
  * Load pattern: all prompts are long, so that no wait shows the setup time by itself. With a setup time
  * that is too long, the prefill rate that is derived from the rest of each wait is too high.
@@ -28,14 +27,17 @@
 
   private sumXY = 0;
 
-  /** @param prefillTime - the time that was expected for the tokens ahead */
-  record(prefillTime: Milliseconds, wait: Milliseconds): void {
+  record(tokensAhead: number, wait: Milliseconds): void {
     const { retained } = waitFitOptions;
     this.weight = this.weight * retained + 1;
-    this.sumX = this.sumX * retained + prefillTime;
+    this.sumX = this.sumX * retained + tokensAhead;
     this.sumY = this.sumY * retained + wait;
-    this.sumXX = this.sumXX * retained + prefillTime * prefillTime;
-    this.sumXY = this.sumXY * retained + prefillTime * wait;
+    this.sumXX = this.sumXX * retained + tokensAhead * tokensAhead;
+    this.sumXY = this.sumXY * retained + tokensAhead * wait;
+  }
+
+  get hasSamples(): boolean {
+    return this.weight > 0;
   }
 
   /** The wait without any prefill; undefined while the samples don't show it. */
