Log what is believed of a replica that turns a request away, and how late placers are

The logs could not tell them apart: a rejection did not say what its daemon believed to be in flight, `placer-silent` did not say whether the placer had just responded, and a response that came too late left no line.

New: `turned-away` (in flight as believed, load as last stated), `response-unused`, and in `placer-silent` the time since the last response and the queries without one.

Decisions are unchanged: the recorded hashes of unchangedDecisions.test.ts hold. The test leaves out the new effect and the two new fields, which only the log reads; everything else is compared as before.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -170,6 +170,7 @@
       case 'queued':
       case 'not-admitted':
       case 'placer-silent':
+      case 'response-unused':
       case 'crashed':
       case 'quarantined':
       case 'released':
@@ -180,6 +181,7 @@
       case 'fragile':
       case 'robust':
       case 'threshold-refused':
+      case 'turned-away':
       case 'replica-held':
         break;
       case 'probe':
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -82,7 +82,10 @@
         this.recordGroup(effect);
         break;
       case 'placer-silent':
-        log({ event: 'placer-silent', peer: effect.peer, span: effect.span });
+        this.recordSilence(effect);
+        break;
+      case 'response-unused':
+        log({ event: 'response-unused', peer: effect.peer, key: effect.key });
         break;
       case 'follow-caches':
         replicaWatch.setFollowedEngines(effect.engines);
@@ -153,6 +156,11 @@
       case 'threshold-refused':
         log({ event: 'threshold-refused', replica: effect.replica, text: effect.text });
         break;
+      case 'turned-away': {
+        const { replica, threshold, inFlight, reported } = effect;
+        log({ event: 'turned-away', replica, threshold, inFlight, reported });
+        break;
+      }
       case 'replica-held': {
         const { replica, rejections, span } = effect;
         log({ event: 'replica-held', replica, rejections, span });
@@ -193,6 +201,11 @@
     }
   }
 
+  private recordSilence(effect: Extract<PlacementEffect, { kind: 'placer-silent' }>): void {
+    const { peer, span, lastResponseAge, pending } = effect;
+    this.parts.log({ event: 'placer-silent', peer, span, lastResponseAge, pending });
+  }
+
   private recordGroup(effect: Extract<PlacementEffect, { kind: 'group-chosen' }>): void {
     const { log, metrics } = this.parts;
     const { id, service, group, home, reason, load, homeLoad } = effect;
--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -49,6 +49,9 @@
   /** Placers that did not respond: until when they are not queried, and the length of that backoff. */
   private readonly unresponsive = new Map<string, { until: Milliseconds; span: Milliseconds }>();
 
+  /** When each placer last responded. */
+  private readonly respondedAt = new Map<string, Milliseconds>();
+
   constructor(private readonly parts: DelegationParts) {}
 
   /** Number of pending queries. */
@@ -95,10 +98,12 @@
   handleResponse(placer: string, response: PlacementResponse): PendingQuery | undefined {
     const { key, placement, queued } = response;
     this.unresponsive.delete(placer);
+    this.respondedAt.set(placer, this.parts.clock.now());
     const query = this.pending.get(key);
     if (query?.placer !== placer) {
       const isUnused = placement !== undefined || queued !== undefined;
       if (isUnused && !this.isInFlight(key)) {
+        this.parts.emit({ kind: 'response-unused', peer: placer, key });
         this.releasePlacement(placer, key);
       }
       return undefined;
@@ -196,7 +201,10 @@
     if (!isCounted) {
       this.unresponsive.set(query.placer, { until: clock.now() + span, span });
     }
-    emit({ kind: 'placer-silent', peer: query.placer, span });
+    const respondedAt = this.respondedAt.get(query.placer);
+    const lastResponseAge = respondedAt === undefined ? undefined : clock.now() - respondedAt;
+    const pending = this.pending.size;
+    emit({ kind: 'placer-silent', peer: query.placer, span, lastResponseAge, pending });
     if (query.query.claim !== undefined) {
       // The request goes elsewhere, but may wait or have begun there.
       this.releasePlacement(query.placer, key);
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ReplicaRegistry.ts
@@ -128,7 +128,7 @@
         break;
       case AttemptEnd.Refused:
         state.recordRefusal(now);
-        this.settings.fragility.recordRejection(state.replica.id);
+        this.settings.fragility.recordRejection(state);
         break;
       case AttemptEnd.Misdirected:
         Object.assign(state, { isLeaving: true });
--- a/packages/relay/src/lib/decide/admission/unchangedDecisions.test.ts
+++ b/packages/relay/src/lib/decide/admission/unchangedDecisions.test.ts
@@ -9,6 +9,7 @@
   createRequest,
   createService,
 } from '../../../test/fixtures.js';
+import type { PlacementEffect } from '../messages.js';
 
 const STEPS = 400;
 
@@ -19,6 +20,15 @@
   seed: number;
 }
 
+/** Removes what only the log needs, and what was added to it after the hashes were recorded. */
+function getDecision(effect: PlacementEffect): object {
+  if (effect.kind !== 'placer-silent') {
+    return effect;
+  }
+  const { kind, peer, span } = effect;
+  return { kind, peer, span };
+}
+
 /** Plays a seeded sequence of requests, reports and failures, and returns a hash of all effects. */
 function getEffectsHash({ daemons, isLimited, seed }: Recorded): string {
   const random = createRandom(seed);
@@ -61,10 +71,11 @@
     fleet.advance(1 + pick(15));
   }
   fleet.advance(5_000);
-  const text = fleet.effects.map(({ daemon, effect }) =>
+  const decisions = fleet.effects.filter(({ effect }) => effect.kind !== 'response-unused');
+  const text = decisions.map(({ daemon, effect }) =>
     JSON.stringify([
       daemon,
-      effect,
+      getDecision(effect),
       effect.kind === 'follow-caches' ? [...(effect.engines ?? [])] : '',
     ]),
   );
--- a/packages/relay/src/lib/decide/fragility/ReplicaFragility/ReplicaFragility.ts
+++ b/packages/relay/src/lib/decide/fragility/ReplicaFragility/ReplicaFragility.ts
@@ -92,8 +92,13 @@
   }
 
   /** Records a request of this daemon that a replica turned away. */
-  recordRejection(replica: string): void {
-    if (this.getThreshold(replica) !== undefined) {
+  recordRejection(state: ReplicaState): void {
+    const replica = state.replica.id;
+    const threshold = this.getThreshold(replica);
+    if (threshold !== undefined) {
+      const inFlight = state.running.size;
+      const reported = state.lastReport?.report;
+      this.parts.emit({ kind: 'turned-away', replica, threshold, inFlight, reported });
       this.addRejection(replica);
       this.parts.emit({ kind: 'share', update: { kind: 'turned-away', replica } });
     }
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -414,8 +414,19 @@
       load: KnownGroupLoad | undefined;
       homeLoad: KnownGroupLoad | undefined;
     }
-  /** A placer did not respond in time and is not queried for `span`. */
-  | { kind: 'placer-silent'; peer: string; span: Milliseconds }
+  /**
+   * A placer did not respond in time and is not queried for `span`. `lastResponseAge` is the time since
+   * its last response to any query, if there was one; `pending` counts the queries without a response.
+   */
+  | {
+      kind: 'placer-silent';
+      peer: string;
+      span: Milliseconds;
+      lastResponseAge: Milliseconds | undefined;
+      pending: number;
+    }
+  /** A response of a placer belongs to no pending query, so that its placement is released. */
+  | { kind: 'response-unused'; peer: string; key: string }
   /** IDs of the engines whose caches this daemon needs to follow; absent for all. */
   | { kind: 'follow-caches'; engines?: ReadonlySet<string> }
   /** An engine has sent nothing for a while: check whether it is alive. */
@@ -440,6 +451,17 @@
   | { kind: 'robust'; replica: string }
   /** A replica states a threshold that cannot be parsed. */
   | { kind: 'threshold-refused'; replica: string; text: string }
+  /**
+   * A fragile replica turned a request of this daemon away. `inFlight` counts what this daemon believed to
+   * be in flight there, `reported` is the last load that the replica stated.
+   */
+  | {
+      kind: 'turned-away';
+      replica: string;
+      threshold: number;
+      inFlight: number;
+      reported: LoadReport | undefined;
+    }
   /** A fragile replica turned requests away, and gets nothing for `span`. */
   | { kind: 'replica-held'; replica: string; rejections: number; span: Milliseconds }
   /** A replica announced that it is about to leave, in the given response or to the given peer. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -9,6 +9,7 @@
   GiveUpReason,
   Outcome,
   ProbeResult,
+  LoadReport,
 } from '../decide/messages.js';
 import type { KnownGroupLoad } from '../decide/groups/GroupLoads/GroupLoads.js';
 import type { GroupReason } from '../decide/groups/GroupReason.js';
@@ -161,6 +162,13 @@
   | { event: 'replica-fragile'; replica: string; threshold: number }
   | { event: 'replica-robust'; replica: string }
   | { event: 'threshold-refused'; replica: string; text: string }
+  | {
+      event: 'turned-away';
+      replica: string;
+      threshold: number;
+      inFlight: number;
+      reported: LoadReport | undefined;
+    }
   | { event: 'replica-held'; replica: string; rejections: number; span: Milliseconds }
   | { event: 'limit-refused'; replica: string; text: string }
   | { event: 'placed-for'; peer: string; key: string; replica: string; choice: Choice }
@@ -192,7 +200,14 @@
       load?: KnownGroupLoad;
       homeLoad?: KnownGroupLoad;
     }
-  | { event: 'placer-silent'; peer: string; span: Milliseconds }
+  | {
+      event: 'placer-silent';
+      peer: string;
+      span: Milliseconds;
+      lastResponseAge: Milliseconds | undefined;
+      pending: number;
+    }
+  | { event: 'response-unused'; peer: string; key: string }
   | { event: 'peer-found'; peer: string; address: string }
   | { event: 'peer-lost'; peer: string }
   | { event: 'cache-listed'; replica: string; parts: number; reason: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -96,6 +96,8 @@
   'replica-robust': 'a replica no longer states that it is fragile',
   'threshold-refused':
     'a replica states an invalid number of requests to turn away, which is ignored',
+  'turned-away':
+    'a fragile replica turned a request of this daemon away; includes how many requests this daemon believed to be in flight there, and the load that the replica last stated',
   'replica-held': 'a fragile replica turned requests away and receives nothing for the given time',
   'limit-refused': 'a replica states an invalid limit, which is ignored',
   'placed-for':
@@ -109,7 +111,9 @@
   'sent-elsewhere':
     'a request is sent to another group of replicas than the home group of its session; includes the reason, and the expected wait, the room and their age of both groups',
   'placer-silent':
-    'the placer of a group of replicas did not respond; its deputy is queried for the given time',
+    'the placer of a group of replicas did not respond; its deputy is queried for the given time; includes the time since its last response, and how many queries have none',
+  'response-unused':
+    'a placer responded to a query that was given up or has ended; its placement is released',
   'peer-found': 'another daemon was discovered',
   'peer-lost':
     'another daemon no longer sends updates; its requests in flight are no longer counted',
