One placer at a time gives the slots of fragile replicas, from a queue of all daemons

Cause: a bound of the whole fleet, kept by the beliefs of single daemons and dropped when one of them was late.

- Waiting requests polled the placer each 100 ms: 2,100 to 2,700 queries a second at 340 calls, all of one core.
- Without a placer that responds each daemon was a sender.
Now a query stays with its placer, repeated by its key, until that one has said nothing for 600 ms; only then the deputy decides, and if neither responds, requests wait and are refused when late.
A daemon that has just become a placer leaves decisions to the other one for 1.2 s, the time in which all daemons have told it of their attempts.
Both placers are told of all attempts.
- Attempts that a daemon ended left the count while the replica went on.
They now count until the replica states less (AbandonedAttempts), or for twice the measured latency.
- A rejection stopped the replica for a second.
Now it halves what is sent at a time (SlotWindow), which grows with each response and starts at one more than is known after half a second without use.
A full stop follows at half of the threshold, rounded up.

--- a/packages/relay/src/lib/decide/Delegation/Delegation.ts
+++ b/packages/relay/src/lib/decide/Delegation/Delegation.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { AttemptKeys } from '../AttemptKeys.js';
+import { fragilityOptions } from '../fragility/fragilityOptions.js';
 import type { Fleet } from '../Fleet/Fleet.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import { createClaim, createQuery } from '../admission/createClaimedQuery.js';
@@ -8,6 +9,7 @@
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
+import { isOnTimeAt } from '../isOnTimeAt.js';
 import type { RequestRecord } from '../RequestRecord.js';
 
 /** Dependencies of {@link Delegation}. */
@@ -21,6 +23,8 @@
   backoffs: Pick<ReplicaBackoffs, 'backedOff'>;
   /** Called when a placer did not respond in time, or is gone. */
   onTimeout: (record: RequestRecord) => void;
+  /** Called when a request has become late while its placer does not respond and no other may decide. */
+  onOverdue: (record: RequestRecord) => void;
 }
 
 /** A query that awaits the response of a placer. */
@@ -49,6 +53,9 @@
   /** Placers that did not respond: until when they are not queried, and the length of that backoff. */
   private readonly unresponsive = new Map<string, { until: Milliseconds; span: Milliseconds }>();
 
+  /** When each placer was first queried after its last response. */
+  private readonly unansweredSince = new Map<string, Milliseconds>();
+
   /** When each placer last responded. */
   private readonly respondedAt = new Map<string, Milliseconds>();
 
@@ -73,11 +80,6 @@
       );
   }
 
-  /** Whether a placer did not respond recently, and is not queried for a while. */
-  isUnresponsive(daemon: string): boolean {
-    return this.parts.clock.now() < (this.unresponsive.get(daemon)?.until ?? 0);
-  }
-
   /** @param group - the group that a request under admission control is to go to; undefined for others */
   sendQuery(record: RequestRecord, placer: string, group?: string): void {
     const { clock, keys, options, backoffs } = this.parts;
@@ -98,6 +100,7 @@
   handleResponse(placer: string, response: PlacementResponse): PendingQuery | undefined {
     const { key, placement, queued } = response;
     this.unresponsive.delete(placer);
+    this.unansweredSince.delete(placer);
     this.respondedAt.set(placer, this.parts.clock.now());
     const query = this.pending.get(key);
     if (query?.placer !== placer) {
@@ -133,7 +136,10 @@
 
   /** Notifies a placer that the attempt it counts as in flight will not be sent. */
   releasePlacement(placer: string, key: string): void {
-    this.parts.emit({ kind: 'share', to: placer, update: { kind: 'ended', key } });
+    // Requests may wait there for the slot, or this one may be given a slot that it does not use.
+    const isUrgent =
+      this.parts.registry.allServices.some((service) => service.isFragile) || undefined;
+    this.parts.emit({ kind: 'share', to: placer, update: { kind: 'ended', key, isUrgent } });
   }
 
   /** Cancels the pending query of a request that has ended. */
@@ -152,6 +158,9 @@
     const { key } = query;
     const timer = clock.setTimer(options.askTimeout, () => this.handleTimeout(key));
     this.pending.set(key, { record, placer, sentAt: clock.now(), timer, query });
+    if (!this.unansweredSince.has(placer)) {
+      this.unansweredSince.set(placer, clock.now());
+    }
     emit({ kind: 'share', to: placer, update: { kind: 'ask', query } });
   }
 
@@ -174,7 +183,7 @@
   private isInFlight(key: string): boolean {
     return this.parts.registry.allServices.some(
       (service) =>
-        service.isAdmissionControlled &&
+        service.isPlacerControlled &&
         [...service.replicas.values()].some(({ running }) =>
           [...running].some((attempt) => attempt.isOwn && attempt.key === key),
         ),
@@ -187,12 +196,45 @@
     return last === undefined ? silentPlacer : Math.min(longestSilentPlacer, last * 2);
   }
 
+  /**
+   * Whether no other daemon may decide about a query yet. Two placers that give the slots of a fragile replica
+   * at the same time would overfill it, so that the deputy is asked only after the placer has been silent for
+   * a while.
+   */
+  private mustKeepPlacer({ record, placer, query }: PendingQuery): boolean {
+    const { clock, fleet, registry } = this.parts;
+    const service = registry.getService(record.request.service);
+    const since = this.unansweredSince.get(placer) ?? clock.now();
+    return (
+      query.claim !== undefined &&
+      service.isFragile &&
+      fleet.members.includes(placer) &&
+      clock.now() - since < fragilityOptions.takeoverDelay
+    );
+  }
+
+  /** Sends a query again, unless its request is late by now. A placer decides about each key once. */
+  private repeat({ record, placer, query }: PendingQuery): void {
+    const { clock, onOverdue } = this.parts;
+    const now = clock.now();
+    if (!isOnTimeAt(record, now)) {
+      onOverdue(record);
+      return;
+    }
+    const claim = createClaim(record, query.claim!.group, now);
+    this.send({ record, placer, query: { ...query, claim } });
+  }
+
   private handleTimeout(key: string): void {
     const query = this.pending.get(key);
     if (query === undefined) {
       return;
     }
     const { clock, emit, onTimeout } = this.parts;
+    if (this.mustKeepPlacer(query)) {
+      this.repeat(query);
+      return;
+    }
     this.pending.delete(key);
     const last = this.unresponsive.get(query.placer);
     // Queries that were in flight together count as one failure.
--- a/packages/relay/src/lib/decide/MeasuredLatency/MeasuredLatency.ts
+++ b/packages/relay/src/lib/decide/MeasuredLatency/MeasuredLatency.ts
@@ -11,6 +11,8 @@
 export class MeasuredLatency {
   private current = INITIAL_LATENCY;
 
+  private hasMeasurement = false;
+
   /** The trial in which the latency was last measured. */
   private round = 0;
 
@@ -20,9 +22,14 @@
     return this.current;
   }
 
+  get isMeasured(): boolean {
+    return this.hasMeasurement;
+  }
+
   record(latency: Milliseconds): void {
     const isOutdated = this.round !== this.trial.round;
     this.round = this.trial.round;
+    this.hasMeasurement = true;
     this.current += (isOutdated ? 1 : NEWEST_WEIGHT) * (latency - this.current);
   }
 }
--- a/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/PeerAttempts.ts
@@ -44,7 +44,13 @@
   clock: Clock;
   findReplica: (id: string) => ReplicaState | undefined;
   /** Called when another daemon's attempt is sent to a replica. */
-  onSent: (replica: string) => void;
+  onSent: (state: ReplicaState) => void;
+  /** Called when a replica responds to an attempt that is counted as in flight. */
+  onAccepted: (state: ReplicaState) => void;
+  /** Called with the load that a replica states in its response to an attempt, before it is applied. */
+  onLoad: (state: ReplicaState, load: LoadReport) => void;
+  /** Called when an attempt has ended and is no longer counted. */
+  onEnded: (attempt: RunningAttempt, end: AttemptEnd | undefined) => void;
   /** Called when a replica may have more room, or more is known of its load. */
   onChanged: (state: ReplicaState) => void;
   /** Whether the placer of a replica decides which requests begin there. */
@@ -92,7 +98,7 @@
         break;
       case 'ended':
         this.recordResult(attempts.get(update.key), update.result);
-        this.remove(attempts, update.key);
+        this.remove(attempts, update.key, update.result?.end);
         break;
       case 'attempt-list':
         this.lastListAt.set(peer, this.parts.clock.now());
@@ -146,6 +152,7 @@
       isResponding: false,
       hasMissedPauseTarget: false,
       placer: undefined,
+      observers: [],
     });
   }
 
@@ -178,6 +185,7 @@
       isResponding,
       hasMissedPauseTarget: false,
       placer: undefined,
+      observers: [],
     });
   }
 
@@ -186,7 +194,7 @@
     const now = this.parts.clock.now();
     attempts.set(key, attempt);
     state.recordSent(attempt, now);
-    this.parts.onSent(state.replica.id);
+    this.parts.onSent(state);
     if (prompt !== undefined) {
       state.cache.addExpected(prompt, now);
     }
@@ -228,6 +236,7 @@
   /** Applies the load report that came with the first byte of a response. */
   private recordLoad(attempt: RunningAttempt | undefined, load: LoadReport | undefined): void {
     if (attempt !== undefined && load !== undefined) {
+      this.parts.onLoad(attempt.state, load);
       attempt.state.recordLoadReport(load, this.parts.clock.now());
     }
   }
@@ -238,6 +247,7 @@
     }
     const now = this.parts.clock.now();
     attempt.state.recordFirstByte(attempt, now);
+    this.parts.onAccepted(attempt.state);
     this.parts.onChanged(attempt.state);
   }
 
@@ -284,11 +294,13 @@
     });
   }
 
-  private remove(attempts: Map<string, RunningAttempt>, key: string): void {
+  /** @param end - undefined if it is not known how the attempt ended, or if it was not sent */
+  private remove(attempts: Map<string, RunningAttempt>, key: string, end?: AttemptEnd): void {
     const attempt = attempts.get(key);
     if (attempt !== undefined) {
       attempt.state.running.delete(attempt);
       attempts.delete(key);
+      this.parts.onEnded(attempt, end);
       this.parts.onChanged(attempt.state);
     }
   }
--- a/packages/relay/src/lib/decide/PeerAttempts/getSharedAttempts.ts
+++ b/packages/relay/src/lib/decide/PeerAttempts/getSharedAttempts.ts
@@ -12,10 +12,10 @@
 ): Map<string | undefined, SharedAttempt[]> {
   const shared = new Map<string | undefined, SharedAttempt[]>();
   attempts
-    .filter(({ placer }) => placer !== self)
-    .forEach((running) => {
-      const { placer } = running;
-      shared.set(placer, [...(shared.get(placer) ?? []), createSharedAttempt(running)]);
+    .flatMap((running) => [running.placer, ...running.observers].map((to) => ({ running, to })))
+    .filter(({ to }) => to !== self)
+    .forEach(({ running, to }) => {
+      shared.set(to, [...(shared.get(to) ?? []), createSharedAttempt(running)]);
     });
   const common = shared.get(undefined) ?? [];
   return new Map(
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -9,6 +9,7 @@
 import type { Fallback } from '../getNextStep.js';
 import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
 import type {
+  LoadReport,
   PlacementEffect,
   PlacementMessage,
   PlacementRequest,
@@ -16,7 +17,9 @@
   SharedAttemptResult,
   PlacementUpdate,
 } from '../messages.js';
+import { AbandonedAttempts, mayGoOn } from '../fragility/AbandonedAttempts/AbandonedAttempts.js';
 import { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
+import { isOnTimeAt } from '../isOnTimeAt.js';
 import { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import { getSharedAttempts } from '../PeerAttempts/getSharedAttempts.js';
 import { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
@@ -25,7 +28,6 @@
 import { Placing } from '../Placing/Placing.js';
 import { placementOptions } from '../placementOptions.js';
 import type { PlacementOptions } from '../placementOptions.js';
-import { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import { getRefusal } from '../quarantine/getRefusal.js';
 import { Admission, Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import { recordContentResult } from '../quarantine/recordContentResult.js';
@@ -36,7 +38,7 @@
 import { RequestRecord } from '../RequestRecord.js';
 import type { RunningAttempt } from '../RequestRecord.js';
 import { ResponseTimeouts } from '../ResponseTimeouts/ResponseTimeouts.js';
-import { WaitingRequests, isOnTimeAt } from '../WaitingRequests/WaitingRequests.js';
+import { WaitingRequests } from '../WaitingRequests/WaitingRequests.js';
 
 /** The outcome of a request that is given up without a running attempt. */
 function getOutcome({ mayHaveRun }: RequestRecord): Outcome {
@@ -103,6 +105,9 @@
   /** Attempts that other daemons have in flight. */
   private readonly peerAttempts: PeerAttempts;
 
+  /** Attempts that have ended while their replicas may go on. */
+  private readonly abandoned: AbandonedAttempts;
+
   private readonly peerUpdates: PeerUpdates;
 
   constructor({ clock, emit, options }: PlacementCoreParts) {
@@ -119,7 +124,6 @@
       emit,
       fleet,
       getGroup,
-      isUnresponsive: (daemon) => this.placing.isUnresponsive(daemon),
     });
     const { limits, backoffs, fragility } = this;
     this.registry = new ReplicaRegistry({
@@ -136,13 +140,19 @@
       options: this.options,
       registry: this.registry,
     });
+    this.abandoned = new AbandonedAttempts({
+      clock,
+      onReleased: (state) => this.admissionControl.review(state),
+    });
     this.peerAttempts = new PeerAttempts({
       clock,
       findReplica: (id) => this.registry.findReplica(id),
-      onSent: (replica) => limits.recordSent(replica),
+      onSent: (state) => this.recordSent(state),
+      onAccepted: (state) => fragility.recordAccepted(state),
+      onLoad: (state, report) => this.abandoned.recordReport(state, report),
+      onEnded: (attempt, end) => this.recordSlotEnd(attempt, end),
       onChanged: (state) => this.admissionControl.review(state),
-      isControlled: ({ replica }) =>
-        this.registry.getService(replica.service).isAdmissionControlled,
+      isControlled: ({ replica }) => this.registry.getService(replica.service).isPlacerControlled,
     });
     this.quarantine = new Quarantine({
       clock,
@@ -151,10 +161,6 @@
       onQuarantined: (fingerprint) => this.rejectQuarantined(fingerprint),
     });
     const { registry } = this;
-    const slotShares = new SlotShares({
-      clock,
-      countInFlight: (daemon, service) => this.countInFlight(daemon, service),
-    });
     const parts = {
       clock,
       emit,
@@ -163,7 +169,6 @@
       fleet,
       limits,
       backoffs,
-      slotShares,
     };
     this.admissionControl = new AdmissionControl({
       ...parts,
@@ -176,7 +181,10 @@
       ...parts,
       keys: new AttemptKeys(clock.now()),
       quarantine: this.quarantine,
-      onSent: (record, attempt) => this.responseTimeouts.start(record, attempt),
+      onSent: (record, attempt) => {
+        this.recordSent(attempt.state);
+        this.responseTimeouts.start(record, attempt);
+      },
       onQueryFailed: (record) => this.waiting.placeOrWait(record),
       onRefused: (record, retryAfter) => this.refuse(record, retryAfter),
       admissionControl,
@@ -244,9 +252,7 @@
         this.handleAttemptEnd(message);
         break;
       case 'load':
-        this.registry
-          .findReplica(message.replica)
-          ?.recordLoadReport(message.report, this.clock.now());
+        this.recordLoad(message.replica, message.report);
         break;
       case 'limit':
         this.limits.recordResponse(message);
@@ -340,6 +346,13 @@
     return true;
   }
 
+  /** Does the same for the check of a suspect replica, which not all daemons make. */
+  tryAcquireRecoveryCheck(replica: string): boolean {
+    const state = this.registry.findReplica(replica);
+    const mayCheck = state === undefined || this.fragility.mayCheck(state);
+    return mayCheck && this.tryAcquireCheck(replica);
+  }
+
   /** Number of requests that have not ended. */
   get openRequests(): number {
     return this.records.size;
@@ -389,7 +402,9 @@
       const { running } = record;
       const now = this.clock.now();
       running.state.recordFirstByte(running, now);
-      this.announceUpdate(running, createFirstByteUpdate(running, now));
+      this.fragility.recordAccepted(running.state);
+      const { isFragile } = this.registry.getService(record.request.service);
+      this.announceUpdate(running, createFirstByteUpdate(running, now, isFragile));
       record.cancelSilenceTimer();
       this.admissionControl.review(running.state);
     }
@@ -583,10 +598,13 @@
   private releaseAttempt(record: RequestRecord, result?: SharedAttemptResult): void {
     const running = record.removeRunning();
     if (running !== undefined) {
+      const { isFragile } = this.registry.getService(record.request.service);
+      const duration = this.clock.now() - running.sentAt;
+      const known = result ?? (isFragile ? { end: AttemptEnd.Cancelled, duration } : undefined);
       running.state.running.delete(running);
+      this.recordSlotEnd(running, known?.end);
       // If all daemons are notified, each evaluates the replica by its own attempts only.
-      const sharedResult = running.placer === undefined ? undefined : result;
-      const { isFragile } = this.registry.getService(record.request.service);
+      const sharedResult = running.placer === undefined && !isFragile ? undefined : known;
       const isUrgent = isFragile || undefined;
       this.announceUpdate(running, {
         kind: 'ended',
@@ -597,11 +615,43 @@
     }
   }
 
+  private recordLoad(replica: string, report: LoadReport): void {
+    const state = this.registry.findReplica(replica);
+    if (state !== undefined) {
+      this.abandoned.recordReport(state, report);
+      state.recordLoadReport(report, this.clock.now());
+    }
+  }
+
+  /** Records an attempt of any daemon that is counted as in flight from now on. */
+  private recordSent(state: ReplicaState): void {
+    this.limits.recordSent(state.replica.id);
+    this.fragility.recordSent(state);
+  }
+
+  /** Records what the end of an attempt of any daemon means for the slots of its replica. */
+  private recordSlotEnd(attempt: RunningAttempt, end: AttemptEnd | undefined): void {
+    const { state } = attempt;
+    if (end === undefined || !this.registry.getService(state.replica.service).isFragile) {
+      return;
+    }
+    if (end === AttemptEnd.Refused) {
+      this.fragility.recordTurnedAway(state);
+    }
+    if (end === AttemptEnd.Completed && !attempt.isResponding) {
+      this.fragility.recordAccepted(state, 1);
+    }
+    if (mayGoOn(end)) {
+      this.abandoned.add(attempt);
+    }
+  }
+
   /** Sends an update about an attempt to the daemons that count it. */
-  private announceUpdate({ placer }: RunningAttempt, update: PlacementUpdate): void {
+  private announceUpdate({ placer, observers }: RunningAttempt, update: PlacementUpdate): void {
     if (placer === undefined || placer !== this.fleet.self) {
       this.emit({ kind: 'share', to: placer, update });
     }
+    observers.forEach((to) => this.emit({ kind: 'share', to, update }));
   }
 
   private removeRecord(record: RequestRecord): void {
--- a/packages/relay/src/lib/decide/Placer/Placer.ts
+++ b/packages/relay/src/lib/decide/Placer/Placer.ts
@@ -1,7 +1,6 @@
 import type { Clock } from '@apricotrill/utils';
 import { chooseReplica } from '../chooseReplica.js';
 import type { Fleet } from '../Fleet/Fleet.js';
-import type { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import { getPlacement } from '../getPlacement.js';
 import type { PlacementQuery, PlacementEffect } from '../messages.js';
 import type { PeerAttempts } from '../PeerAttempts/PeerAttempts.js';
@@ -20,7 +19,6 @@
   fleet: Fleet;
   /** Attempts that other daemons have in flight. */
   peerAttempts: PeerAttempts;
-  slotShares: SlotShares;
   peerQueries: PeerQueries;
 }
 
@@ -40,8 +38,8 @@
     const { key, criteria, availabilityZone, excludedReplicas, claim } = query;
     const service = registry.getService(criteria.service);
     this.noticeAdmissionControl(service);
-    // The peer knows that the engines call for admission, even if this daemon has not heard of that yet.
-    if (claim !== undefined && service.service?.engine !== undefined) {
+    // The peer knows that requests have to be admitted, even if this daemon has not heard of that yet.
+    if (claim !== undefined) {
       this.parts.peerQueries.handle(peer, { ...query, claim });
       return;
     }
@@ -52,13 +50,8 @@
     }
     const now = clock.now();
     const group = service.getRequestGroup(criteria, key);
-    const { rank } = criteria;
-    const slotShares = service.isFragile ? this.parts.slotShares : undefined;
-    const mayTake = slotShares?.mayTake(peer, service.name, rank) ?? true;
     const candidates =
-      group !== undefined && mayTake
-        ? service.getGroupCandidates(group, new Set(excludedReplicas), now)
-        : [];
+      group !== undefined ? service.getGroupCandidates(group, new Set(excludedReplicas), now) : [];
     const chosen = chooseReplica({
       request: criteria,
       service: service.service,
@@ -67,13 +60,11 @@
       options: { ...options, availabilityZone },
     });
     if (chosen === undefined) {
-      slotShares?.recordRefusal(peer, service.name, rank);
       emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key } } });
       return;
     }
     const { state, choice } = chosen;
     recordChoice(state, candidates);
-    slotShares?.recordTaken(peer, service.name);
     peerAttempts.addPlaced(peer, key, criteria, chosen);
     const placement = getPlacement(state.replica.id, choice);
     emit({ kind: 'share', to: peer, update: { kind: 'reply', response: { key, placement } } });
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -12,9 +12,7 @@
 import { getDelegatedChoice } from '../getDelegatedChoice.js';
 import { getMemoryTokens } from '../getMemoryTokens.js';
 import { createSharedAttempt } from '../PeerAttempts/PeerAttempts.js';
-import type { SlotShares } from '../fragility/SlotShares/SlotShares.js';
 import type { PlacementOptions } from '../placementOptions.js';
-import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
 import type { Quarantine } from '../quarantine/Quarantine/Quarantine.js';
 import type { ReplicaGroup } from '../groups/getReplicaGroups.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
@@ -42,7 +40,6 @@
   fleet: Fleet;
   keys: AttemptKeys;
   quarantine: Quarantine;
-  limits: ReplicaLimits;
   backoffs: ReplicaBackoffs;
   /** Called when an attempt is sent. */
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
@@ -50,7 +47,6 @@
   onQueryFailed: (record: RequestRecord) => void;
   /** Called when a request under admission control must not run now. */
   onRefused: (record: RequestRecord, retryAfter?: Milliseconds) => void;
-  slotShares: SlotShares;
   admissionControl: AdmissionControl;
 }
 
@@ -70,7 +66,11 @@
 
   constructor(private readonly parts: PlacingParts) {
     this.router = new GroupRouter(parts);
-    this.delegation = new Delegation({ ...parts, onTimeout: parts.onQueryFailed });
+    this.delegation = new Delegation({
+      ...parts,
+      onTimeout: parts.onQueryFailed,
+      onOverdue: (record) => this.refuse(record),
+    });
     this.ownApplicants = new OwnApplicants({
       ...parts,
       control: parts.admissionControl,
@@ -88,11 +88,10 @@
     const service = registry.getService(request.service);
     const isSuspect = quarantine.isSuspect(record.fingerprints);
     const hasVersion = record.softwareVersion !== undefined;
-    const isControlled = service.isAdmissionControlled && !isSuspect && !hasVersion;
+    const isControlled = service.isPlacerControlled && !isSuspect && !hasVersion;
     const isDelegable =
       isControlled ||
       service.getTotalLimit() !== undefined ||
-      service.isFragile ||
       (!isSuspect && (fleet.isLarge || service.hasLimits()));
     // A placer chooses among all versions of a group.
     const mayDelegate = isDelegable && !hasVersion;
@@ -101,6 +100,9 @@
     if (isControlled && group !== undefined) {
       return this.apply(record, group, placer);
     }
+    if (service.isFragile && !isSuspect && !hasVersion) {
+      return PlacingResult.NoRoom;
+    }
     if (placer === undefined || placer === fleet.self) {
       return this.placeLocally(record) ? PlacingResult.Sent : PlacingResult.NoRoom;
     }
@@ -110,31 +112,20 @@
 
   /** Chooses a replica without a placer. @returns false if none can take the request now */
   placeLocally(record: RequestRecord): boolean {
-    const { registry, clock, fleet, keys, options } = this.parts;
+    const { registry, clock, keys, options } = this.parts;
     const { request } = record;
     const now = clock.now();
     const service = registry.getService(request.service);
-    const slotShares = service.isFragile ? this.parts.slotShares : undefined;
-    const mayTake = slotShares?.mayTake(fleet.self, service.name, request.rank) ?? true;
-    const candidates = mayTake
-      ? Placing.filterByMemory(service, record, this.getCandidates(record))
-      : [];
+    const candidates = Placing.filterByMemory(service, record, this.getCandidates(record));
     const chosen = chooseReplica({ request, service: service.service, candidates, now, options });
     if (chosen === undefined) {
-      slotShares?.recordRefusal(fleet.self, service.name, request.rank);
       return false;
     }
-    slotShares?.recordTaken(fleet.self, service.name);
     recordChoice(chosen.state, candidates);
     this.send(record, chosen, { key: keys.next(), placer: this.getPlacerForReplica(chosen) });
     return true;
   }
 
-  /** Whether a placer did not respond recently. */
-  isUnresponsive(daemon: string): boolean {
-    return this.delegation.isUnresponsive(daemon);
-  }
-
   /** Handles the response of a placer. */
   handleResponse(peer: string, response: PlacementResponse): void {
     const query = this.delegation.handleResponse(peer, response);
@@ -181,12 +172,15 @@
     group: ReplicaGroup,
     placer: string | undefined,
   ): PlacingResult {
-    const { fleet } = this.parts;
+    const { fleet, registry } = this.parts;
     const isAlone = fleet.members.length <= 1 && !record.queriedPlacers.has(fleet.self);
     if (isAlone || placer === fleet.self) {
       this.ownApplicants.submit(record, group.name);
     } else if (placer !== undefined) {
       this.delegation.sendQuery(record, placer, group.name);
+    } else if (registry.getService(record.request.service).isFragile) {
+      // Daemons that choose by what they know of the replica would fill the same slots.
+      return PlacingResult.NoRoom;
     } else if (!this.placeInTime(record)) {
       this.refuse(record);
     }
@@ -275,13 +269,27 @@
     return group === undefined ? fleet.self : fleet.getPlacers(group.name)[0];
   }
 
+  /** The placers of a fragile replica's group that neither chose nor send the attempt. */
+  private getObservers({ replica }: ReplicaState, placer: string | undefined): readonly string[] {
+    const { fleet, registry } = this.parts;
+    const service = registry.getService(replica.service);
+    if (placer === undefined || !service.isFragile) {
+      return [];
+    }
+    const state = service.replicas.get(replica.id);
+    const group = state === undefined ? undefined : service.getReplicaGroup(state);
+    const placers = group === undefined ? [] : fleet.getPlacers(group.name);
+    return placers.filter((daemon) => daemon !== placer && daemon !== fleet.self);
+  }
+
   private send(record: RequestRecord, { state, choice }: ChosenReplica, origin: Origin): void {
     const { request } = record;
-    const { clock, emit, fleet, limits, onSent } = this.parts;
+    const { clock, emit, fleet, onSent } = this.parts;
     const now = clock.now();
     const { prompt, pauseTarget } = request;
     const attempt: RunningAttempt = {
       ...origin,
+      observers: this.getObservers(state, origin.placer),
       number: record.startedAttempts + 1,
       isOwn: true,
       isPlacedForPeer: false,
@@ -299,7 +307,6 @@
     };
     record.startAttempt(attempt);
     state.recordSent(attempt, now);
-    limits.recordSent(state.replica.id);
     if (prompt !== undefined) {
       state.cache.addExpected(prompt, now);
     }
@@ -313,6 +320,13 @@
         update: { kind: 'placed', attempt: createSharedAttempt(attempt) },
       });
     }
+    attempt.observers.forEach((to) =>
+      emit({
+        kind: 'share',
+        to,
+        update: { kind: 'placed', attempt: createSharedAttempt(attempt) },
+      }),
+    );
     const { id } = request;
     emit({ kind: 'send', id, attempt: attempt.number, replica: state.replica, choice });
   }
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -37,7 +37,7 @@
 export type ServiceBackoffs = Pick<ReplicaBackoffs, 'getEnd' | 'isBackedOff' | 'isSpared'>;
 
 /** The part of {@link ReplicaFragility} that candidate selection needs. */
-export type ServiceFragility = Pick<ReplicaFragility, 'getThreshold' | 'isActive' | 'maySend'>;
+export type ServiceFragility = Pick<ReplicaFragility, 'getThreshold' | 'hasRoom' | 'isActive'>;
 
 /** The state of one service as known to the placement core. */
 export class ServiceState {
@@ -122,6 +122,11 @@
     return isStated && this.configured?.engine !== undefined;
   }
 
+  /** Whether the placers of its groups decide which of its requests begin, for any reason. */
+  get isPlacerControlled(): boolean {
+    return this.isFragile || this.isAdmissionControlled;
+  }
+
   /** The group of a replica. */
   getReplicaGroup(state: ReplicaState): ReplicaGroup | undefined {
     return this.groups.find(({ replicas }) => replicas.includes(state));
@@ -161,9 +166,9 @@
     const profile = this.service?.engine;
     const hasRoom = (state: ReplicaState) =>
       state.hasRoom(this.maxOwnConnections, profile) &&
-      (!isFragile || state.hasFreeSlot(profile, now));
+      (!isFragile || this.fragility.hasRoom(state, profile));
     const sendable = this.getReplicasInService(softwareVersion).filter((state) =>
-      this.maySend(state, isFragile),
+      this.maySend(state),
     );
     return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
   }
@@ -178,20 +183,14 @@
     const { isFragile } = this;
     const profile = this.service?.engine;
     const hasRoom = (state: ReplicaState) =>
-      isFragile ? state.hasFreeSlot(profile, now) : hasRoomForAll(state);
-    const sendable = replicas.filter(
-      (state) => state.isInService && this.maySend(state, isFragile),
-    );
+      isFragile ? this.fragility.hasRoom(state, profile) : hasRoomForAll(state);
+    const sendable = replicas.filter((state) => state.isInService && this.maySend(state));
     return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
   }
 
   /** Whether this daemon may send a replica a request now, by the replica's own statements. */
-  private maySend(state: ReplicaState, isFragile: boolean): boolean {
-    return (
-      !this.backoffs.isBackedOff(state.replica.id) &&
-      this.limits.maySend(state) &&
-      (!isFragile || this.fragility.maySend(state))
-    );
+  private maySend(state: ReplicaState): boolean {
+    return !this.backoffs.isBackedOff(state.replica.id) && this.limits.maySend(state);
   }
 
   /** When the first backoff ends, if all replicas in service are backed off; else undefined. */
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -92,6 +92,11 @@
     return this.latency.value;
   }
 
+  /** Whether the latency of any of its requests was measured. */
+  get hasMeasuredLatency(): boolean {
+    return this.latency.isMeasured;
+  }
+
   /**
    * Expected latency of a request at the current slowdown.
    *
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -49,6 +49,8 @@
    * name if none has to be.
    */
   placer: string | undefined;
+  /** Other daemons that are notified as well, since they may have to decide for its replica. */
+  observers: readonly string[];
 }
 
 /** A group of replicas whose placer is asked for a replica. */
--- a/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -3,6 +3,7 @@
 import { fragilityOptions } from '../fragility/fragilityOptions.js';
 import { limitOptions } from '../limits/limitOptions.js';
 import { GiveUpReason } from '../messages.js';
+import { isOnTimeAt } from '../isOnTimeAt.js';
 import type { Placing } from '../Placing/Placing.js';
 import { PlacingResult } from '../Placing/Placing.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
@@ -22,11 +23,6 @@
   giveUp: (record: RequestRecord, reason: GiveUpReason) => void;
 }
 
-/** Whether a request that is sent at the given time can still meet its latency target. */
-export function isOnTimeAt({ request }: RequestRecord, at: Milliseconds): boolean {
-  return at < request.arrivedAt + request.latencyTarget;
-}
-
 /** Places requests, and keeps those for which no replica has room until one has. */
 export class WaitingRequests {
   /** Pending retries for services whose replicas all restrict what they take. */
@@ -158,10 +154,20 @@
     return service.isFragile ? service.totalSlots * fragilityOptions.waitingRatio : undefined;
   }
 
+  /** Rejects the requests of a fragile service that waited for a placer until they were late. */
+  private rejectLate(service: ServiceState): void {
+    const now = this.parts.clock.now();
+    service.waiting
+      .getAll()
+      .filter((record) => service.isFragile && !isOnTimeAt(record, now))
+      .forEach((record) => this.parts.giveUp(record, GiveUpReason.Overload));
+  }
+
   /** Tries again to place the waiting requests of a service. */
   private retry(service: ServiceState): void {
     this.retryTimers.get(service)?.cancel();
     this.retryTimers.delete(service);
+    this.rejectLate(service);
     service.waiting.drain((record) => {
       record.resetQueries();
       return this.parts.placing.place(record) !== PlacingResult.NoRoom;
--- a/packages/relay/src/lib/decide/admission/AdmissionControl/AdmissionControl.ts
+++ b/packages/relay/src/lib/decide/admission/AdmissionControl/AdmissionControl.ts
@@ -44,6 +44,9 @@
 /** Announced for groups without an engine that could take a request. */
 const MAX_ANNOUNCED_WAIT: Milliseconds = 60_000;
 
+/** Time in which all daemons have told a new placer of their attempts, which they do each second. */
+const SETTLING_TIME: Milliseconds = 1_200;
+
 interface ControlledGroup {
   service: ServiceState;
   admission: AdmissionGroup;
@@ -73,6 +76,9 @@
 
   private readonly pending = new Map<string, PendingApplication>();
 
+  /** Since when this daemon has been a placer, by group. */
+  private placerSince = new Map<string, Milliseconds>();
+
   constructor(private readonly parts: AdmissionControlParts) {}
 
   /** Whether this daemon has decided about requests of any group that it is still a placer of. */
@@ -97,7 +103,7 @@
     const id = AdmissionControl.getId(application);
     const service = this.parts.registry.getService(application.criteria.service);
     const group = AdmissionControl.findGroup(service, application);
-    if (group === undefined) {
+    if (group === undefined || (service.isFragile && this.isSettling(group))) {
       onAnswer({ kind: 'no-room' });
       return;
     }
@@ -138,6 +144,7 @@
    * is answered, so that its daemons ask there.
    */
   updateGroups(): void {
+    this.updateTerms();
     this.groups.forEach((entry, name) => {
       const isFirst = this.isFirstPlacer(name);
       const isKept = entry.service.groups.some((group) => group.name === name);
@@ -166,6 +173,26 @@
       });
   }
 
+  /** Records since when this daemon has been a placer of each group. */
+  private updateTerms(): void {
+    const { clock, registry } = this.parts;
+    const names = registry.allServices.flatMap(({ groups }) => groups.map(({ name }) => name));
+    const own = names.filter((name) => this.isPlacer(name));
+    this.placerSince = new Map(
+      own.map((name) => [name, this.placerSince.get(name) ?? clock.now()]),
+    );
+  }
+
+  /**
+   * Whether this daemon has become a placer of a group so recently that it may not know of all attempts in
+   * flight there. Until then, its deputy decides.
+   */
+  private isSettling(group: string): boolean {
+    const { clock, fleet } = this.parts;
+    const since = this.placerSince.get(group) ?? clock.now();
+    return fleet.members.length > 1 && clock.now() - since < SETTLING_TIME;
+  }
+
   private getGroup(service: ServiceState, name: string): ControlledGroup {
     const existing = this.groups.get(name);
     if (existing !== undefined) {
--- a/packages/relay/src/lib/decide/fragility/ReplicaFragility/ReplicaFragility.ts
+++ b/packages/relay/src/lib/decide/fragility/ReplicaFragility/ReplicaFragility.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
+import type { EngineProfile } from '../../../config/RelayConfiguration.js';
 import type { Fleet } from '../../Fleet/Fleet.js';
 import type {
   PlacementEffect,
@@ -8,6 +9,8 @@
 } from '../../messages.js';
 import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
 import { fragilityOptions } from '../fragilityOptions.js';
+import { SlotWindow } from '../SlotWindow/SlotWindow.js';
+import type { InFlightCount } from '../SlotWindow/SlotWindow.js';
 
 /** Dependencies of {@link ReplicaFragility}. */
 export interface ReplicaFragilityParts {
@@ -16,8 +19,6 @@
   fleet: Fleet;
   /** Returns the name of the replica's group, for which one daemon places all requests. */
   getGroup: (state: ReplicaState) => string | undefined;
-  /** Whether a placer did not respond recently. */
-  isUnresponsive: (daemon: string) => boolean;
 }
 
 /** The threshold that a response states, if any, and when its request was sent. */
@@ -40,8 +41,8 @@
  *
  * The number counts the requests of all daemons, and the queue of such a replica may shrink at any
  * moment. Therefore its requests wait at the daemons and not at the replica: one daemon, the placer of
- * its group, fills its slots and no more. A replica that has turned away half of the number gets
- * nothing from any daemon until the second is over.
+ * its group, fills its slots and no more, and fewer once the replica has turned a request away. A replica
+ * that has turned away half of the number gets nothing from any daemon until the second is over.
  */
 export class ReplicaFragility {
   private readonly statements = new Map<string, Statement>();
@@ -49,6 +50,9 @@
   /** Times at which each replica turned requests away, of all daemons. */
   private readonly rejectedAt = new Map<string, Milliseconds[]>();
 
+  /** The attempts that this daemon, as a placer, lets each replica have in flight. */
+  private readonly windows = new Map<string, SlotWindow>();
+
   /** Last invalid statement logged for each replica, to avoid duplicate log lines. */
   private readonly invalidTexts = new Map<string, string>();
 
@@ -76,9 +80,49 @@
     });
   }
 
-  /** Whether this daemon may send a request to a fragile replica now, if the replica has room. */
-  maySend(state: ReplicaState): boolean {
-    return !this.isHeld(state.replica.id) && this.isSender(state);
+  /** Whether a fragile replica has room for another request, as far as this daemon knows. */
+  hasRoom(state: ReplicaState, profile: EngineProfile | undefined): boolean {
+    if (this.isHeld(state.replica.id)) {
+      return false;
+    }
+    const count = this.getCount(state);
+    const statedSlots = state.lastReport?.report.slots ?? Number.POSITIVE_INFINITY;
+    const slots = Math.max(1, Math.min(state.getSlots(profile), statedSlots));
+    const limit = Math.min(slots, this.getWindow(state, slots).getLimit(count));
+    return count.inFlight + state.getUnannouncedInFlight(count.now) < limit;
+  }
+
+  /** Whether this daemon checks the health of a suspect replica: only placers use it. */
+  mayCheck(state: ReplicaState): boolean {
+    const { fleet, getGroup } = this.parts;
+    const { id } = state.replica;
+    if (this.getThreshold(id) === undefined) {
+      return true;
+    }
+    const group = getGroup(state);
+    const isPlacer = group === undefined || fleet.getPlacers(group).includes(fleet.self);
+    return !this.isHeld(id) && (fleet.self === '' || isPlacer);
+  }
+
+  /** Records an attempt of any daemon that is counted as in flight from now on. */
+  recordSent(state: ReplicaState): void {
+    this.windows.get(state.replica.id)?.recordSent(this.getCount(state));
+  }
+
+  /**
+   * Records a response to an attempt of any daemon.
+   *
+   * @param ended - how many attempts the response has ended, so that they are not counted any more
+   */
+  recordAccepted(state: ReplicaState, ended = 0): void {
+    const count = this.getCount(state);
+    const inFlight = count.inFlight + ended;
+    this.windows.get(state.replica.id)?.recordAccepted({ ...count, inFlight });
+  }
+
+  /** Records a request of any daemon that a replica turned away, and that is not counted any more. */
+  recordTurnedAway(state: ReplicaState): void {
+    this.windows.get(state.replica.id)?.recordRejected(this.getCount(state));
   }
 
   /** Whether a replica has turned away so many requests that it gets nothing for the moment. */
@@ -87,7 +131,7 @@
     if (threshold === undefined) {
       return false;
     }
-    const tolerated = Math.max(1, Math.floor(threshold * fragilityOptions.heldShare));
+    const tolerated = Math.max(1, Math.ceil(threshold * fragilityOptions.heldShare));
     return this.getRecentRejections(replica).length >= tolerated;
   }
 
@@ -118,6 +162,7 @@
       // A response to an earlier request may predate the statement.
       if (known !== undefined && sentAt > known.confirmedAt) {
         this.statements.delete(replica);
+        this.windows.delete(replica);
         emit({ kind: 'robust', replica });
       }
       return;
@@ -168,22 +213,26 @@
 
   /** Discards what is known of all other replicas. */
   retain(replicas: ReadonlySet<string>): void {
-    [this.statements, this.rejectedAt, this.invalidTexts].forEach((known) =>
+    [this.statements, this.rejectedAt, this.windows, this.invalidTexts].forEach((known) =>
       [...known.keys()]
         .filter((replica) => !replicas.has(replica))
         .forEach((replica) => known.delete(replica)),
     );
   }
 
-  /** Whether this daemon places for the replica's group: the first placer that responds, or nobody does. */
-  private isSender(state: ReplicaState): boolean {
-    const { fleet, getGroup, isUnresponsive } = this.parts;
-    const group = getGroup(state);
-    if (group === undefined || fleet.self === '') {
-      return true;
+  private getWindow({ replica }: ReplicaState, slots: number): SlotWindow {
+    const known = this.windows.get(replica.id);
+    if (known !== undefined) {
+      return known;
     }
-    const placer = fleet.getPlacers(group).find((daemon) => !isUnresponsive(daemon));
-    return placer === undefined || placer === fleet.self;
+    const window = new SlotWindow(slots);
+    this.windows.set(replica.id, window);
+    return window;
+  }
+
+  private getCount(state: ReplicaState): InFlightCount {
+    const { clock, fleet } = this.parts;
+    return { inFlight: state.running.size, now: clock.now(), isShared: fleet.members.length > 1 };
   }
 
   private set(replica: string, threshold: number, at: Milliseconds): void {
--- a/packages/relay/src/test/ReplayEngine.ts
+++ b/packages/relay/src/test/ReplayEngine.ts
@@ -54,6 +54,7 @@
       isResponding: false,
       hasMissedPauseTarget: false,
       placer: undefined,
+      observers: [],
     };
     state.recordSent(attempt, clock.now());
     if (prompt !== undefined) {
