--- a/packages/relay/src/lib/decide/ResponseTimeouts/ResponseTimeouts.ts
+++ b/packages/relay/src/lib/decide/ResponseTimeouts/ResponseTimeouts.ts
@@ -43,7 +43,7 @@
     if (attempt.state.isUnresponsive(clock.now())) {
       registry.recordSilence(attempt.state);
     }
-    if (!this.mayRetryElsewhere(record)) {
+    if (!this.mayEndEarly(attempt) || !this.mayRetryElsewhere(record)) {
       // Checked again later, because an unresponsive replica is detected by the attempts sent to
       // it.
       this.scheduleCheck(options.darkAfter, record, attempt);
@@ -57,6 +57,16 @@
     });
   }
 
+  /**
+   * Whether the attempt may be ended for its silence. A fragile replica may go on with it, and its slot would
+   * be taken twice, so that only a replica that sends nothing to anyone gives up its attempts.
+   */
+  private mayEndEarly({ state }: RunningAttempt): boolean {
+    const { clock, registry } = this.settings;
+    const { isFragile } = registry.getService(state.replica.service);
+    return !isFragile || state.isUnresponsive(clock.now());
+  }
+
   private mayRetryElsewhere({ request, sentAttempts, triedReplicas }: RequestRecord): boolean {
     const now = this.settings.clock.now();
     const service = this.settings.registry.getService(request.service);
