Health checks of fragile replicas: one a second, by the first placer, counted like a request

A fragile replica rejects a health check for want of room like a request, and counts it. All daemons checked their paths, and both placers checked each suspect replica up to four times a second.

The price: other daemons learn of a path that accepts connections and carries nothing only once the replicas are not fragile any more; refused and hanging connections are noticed as before.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -222,7 +222,7 @@
       clock,
       source: parts.health,
       dispatch,
-      tryAcquireCheck: (replica) => this.core.tryAcquireRecoveryCheck(replica),
+      tryAcquireCheck: (replica) => this.core.tryAcquireCheck(replica),
     });
     this.quarantineSync = new QuarantineSync({ ...parts, store: parts.quarantine, dispatch });
     this.peerLink = new PeerLink({
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -332,27 +332,23 @@
   /**
    * Counts a health check against the replica's limit.
    *
-   * @returns false if the limit or a backoff forbids it now
+   * @returns false if the limit, a backoff or the replica's fragility forbids it now
    */
   tryAcquireCheck(replica: string): boolean {
     const state = this.registry.findReplica(replica);
     if (this.backoffs.isBackedOff(replica)) {
       return false;
     }
-    if (state === undefined || !this.limits.maySend(state) || this.fragility.isHeld(replica)) {
-      return state === undefined;
+    if (state === undefined) {
+      return true;
+    }
+    if (!this.limits.maySend(state) || !this.fragility.tryAcquireCheck(state)) {
+      return false;
     }
     this.limits.recordSent(replica);
     return true;
   }
 
-  /** Does the same for the check of a suspect replica, which not all daemons make. */
-  tryAcquireRecoveryCheck(replica: string): boolean {
-    const state = this.registry.findReplica(replica);
-    const mayCheck = state === undefined || this.fragility.mayCheck(state);
-    return mayCheck && this.tryAcquireCheck(replica);
-  }
-
   /** Number of requests that have not ended. */
   get openRequests(): number {
     return this.records.size;
--- a/packages/relay/src/lib/decide/fragility/ReplicaFragility/ReplicaFragility.ts
+++ b/packages/relay/src/lib/decide/fragility/ReplicaFragility/ReplicaFragility.ts
@@ -92,16 +92,26 @@
     return count.inFlight + state.getUnannouncedInFlight(count.now) < limit;
   }
 
-  /** Whether this daemon checks the health of a suspect replica: only placers use it. */
-  mayCheck(state: ReplicaState): boolean {
+  /**
+   * Counts a health check, which a fragile replica may turn away like a request. Only the first placer of the
+   * group checks it, at most once in the window in which the replica counts.
+   *
+   * @returns false if the check must not be sent now
+   */
+  tryAcquireCheck(state: ReplicaState): boolean {
     const { fleet, getGroup } = this.parts;
     const { id } = state.replica;
     if (this.getThreshold(id) === undefined) {
       return true;
     }
     const group = getGroup(state);
-    const isPlacer = group === undefined || fleet.getPlacers(group).includes(fleet.self);
-    return !this.isHeld(id) && (fleet.self === '' || isPlacer);
+    const isPlacer = group === undefined || fleet.getPlacers(group)[0] === fleet.self;
+    const mayCheck = fleet.members.length <= 1 || isPlacer;
+    if (!mayCheck || this.getRecentRejections(id).length > 0) {
+      return false;
+    }
+    this.addRejection(id);
+    return true;
   }
 
   /** Records an attempt of any daemon that is counted as in flight from now on. */
--- a/packages/relay/src/lib/decide/fragility/SlotWindow/SlotWindow.ts
+++ b/packages/relay/src/lib/decide/fragility/SlotWindow/SlotWindow.ts
@@ -41,7 +41,7 @@
   private reducedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   /** @param slots - the attempts that the replica runs at once, as far as it states */
-  constructor(slots: number) {
+  constructor(private readonly slots: number) {
     this.limit = slots;
     this.ceiling = slots;
   }
@@ -67,8 +67,8 @@
     if (this.limit < this.ceiling) {
       this.limit += 1;
     } else if (now >= this.raiseAt) {
-      this.ceiling += this.raiseStep;
-      this.limit += 1;
+      this.ceiling = Math.min(this.slots, this.ceiling + this.raiseStep);
+      this.limit = Math.min(this.ceiling, this.limit + 1);
       this.raiseStep *= 2;
       this.raiseAt = now + this.raiseInterval;
     }
