--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -124,6 +124,9 @@
   }
 
   async untilExit() {
+    if (this.child === undefined) {
+      return;
+    }
     if (this.child.exitCode === null && this.child.signalCode === null) {
       await new Promise((resolve) => {
         this.child.once('exit', resolve);
@@ -142,6 +145,13 @@
 
   folder = mkdtempSync(join(tmpdir(), 'review-'));
 
+  constructor() {
+    // A case that is ended early leaves no process behind.
+    process.once('SIGTERM', () => process.exit(2));
+    process.once('SIGINT', () => process.exit(2));
+    process.once('exit', () => this.daemons.forEach(({ child }) => child?.kill('SIGKILL')));
+  }
+
   /**
    * @param storeOf - the store's address for a daemon's number
    * @param extraOf - further settings for a daemon's number
