Entries that can't be read, and errors of one request, cost nothing beside them

Cause: decodeReplica checked addresses by a pattern of digits, and the HTTP client throws for such an address when a connection is created. Nothing tied that error to its request.

An effect that throws ends its own request (RelayTask.fail: id and stack in the log, a counter, "not run" only if no attempt was begun). Errors that the client reports before its call returns are reported after it: a request that can't be encoded (two Host headers) is answered with 400, where its caller waited for its time limit and an attempt was never ended. A connection that can't be created counts as an attempt that was not sent. An update of a peer that throws is logged; a forwarded attempt that throws no longer stays counted.

Why this works: the entry is left out where it is read, and the boundary at the effects holds for what no check foresees.

--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -1,6 +1,7 @@
 import type { RelayReplica } from '../config/RelayConfiguration.js';
 import type { PlacementEffect, PlacementMessage } from '../decide/messages.js';
 import { isPartFingerprint } from '../decide/quarantine/getFingerprints/getFingerprints.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import type { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
@@ -32,7 +33,22 @@
 export class EffectPerformer {
   constructor(private readonly parts: EffectPerformerParts) {}
 
+  /** Performs an effect. If that throws, only the request of the effect ends, if it has one. */
   perform(effect: PlacementEffect): void {
+    try {
+      this.tryPerform(effect);
+    } catch (error) {
+      const task = 'id' in effect ? this.parts.intake.getTask(effect.id) : undefined;
+      const step = `perform ${effect.kind}`;
+      if (task === undefined) {
+        this.parts.log({ event: 'fault', step, error: getErrorText(error) });
+      } else {
+        task.fail(step, error);
+      }
+    }
+  }
+
+  private tryPerform(effect: PlacementEffect): void {
     const {
       healthChecks,
       connections,
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -1,4 +1,5 @@
 import { abortResponse } from '@apricotrill/callers';
+import { parseSocketAddress } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { CallerServer } from '../callers/CallerServer/CallerServer.js';
 import { OverloadGuard } from '../callers/OverloadGuard/OverloadGuard.js';
@@ -17,6 +18,7 @@
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { UnreadableReporter } from '../observe/UnreadableReporter/UnreadableReporter.js';
 import type { RelayProtocol, ReplicaNotice } from '../protocol/RelayProtocol.js';
+import { UnreadableKind } from '../protocol/UnreadableField.js';
 import type { PeerDirectory, PeerEntry } from '../peers/PeerDirectory.js';
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import { PeerServer } from '../peers/PeerServer/PeerServer.js';
@@ -480,10 +482,9 @@
 
   private setReplicas(items: ReadonlyMap<string, RelayReplica>, revision: number): void {
     // A reader of the release before states no versions.
-    const replicas = [...items.values()].map((replica) => ({
-      ...replica,
-      softwareVersion: replica.softwareVersion ?? '',
-    }));
+    const replicas = [...items.values()]
+      .filter((replica) => this.hasUsableAddress(replica))
+      .map((replica) => ({ ...replica, softwareVersion: replica.softwareVersion ?? '' }));
     this.hasReplicas = true;
     this.replicaWatch.setReplicas(replicas, revision);
     this.streams.setReplicas(replicas);
@@ -493,6 +494,16 @@
     this.healthChecks.retain(ids);
   }
 
+  /** Readers of earlier releases pass on entries whose address they have not checked. */
+  private hasUsableAddress({ id, address }: RelayReplica): boolean {
+    const isUsable = parseSocketAddress(address) !== undefined;
+    if (!isUsable) {
+      const fields = [{ kind: UnreadableKind.Address, text: address }];
+      this.unreadable.report(`replica ${id}`, fields);
+    }
+    return isUsable;
+  }
+
   private sleep(duration: number): Promise<void> {
     return new Promise((resolve) => {
       this.parts.clock.setTimer(duration, resolve);
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -280,7 +280,11 @@
       onFinished: () => this.tasks.delete(id),
     });
     this.tasks.set(id, task);
-    dispatch({ kind: 'submit', request: task.placementRequest });
+    try {
+      dispatch({ kind: 'submit', request: task.placementRequest });
+    } catch (error) {
+      task.fail('place the request', error);
+    }
   }
 
   private createId(requestId: string | undefined): string {
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -237,7 +237,10 @@
         this.submit(message.request);
         break;
       case 'caller-left':
-        this.handleCallerLeft(message.id);
+        this.drop(message.id, CancelReason.CallerLeft);
+        break;
+      case 'request-failed':
+        this.drop(message.id, CancelReason.RequestFailed);
         break;
       case 'first-byte-received':
         this.handleFirstByte(message);
@@ -572,10 +575,11 @@
     this.giveUp(record, outcome, reason);
   }
 
-  private handleCallerLeft(id: string): void {
+  /** Removes a request that has ended without a decision of the core. */
+  private drop(id: string, reason: CancelReason): void {
     const record = this.records.get(id);
     if (record !== undefined) {
-      this.cancelRunning(record, CancelReason.CallerLeft);
+      this.cancelRunning(record, reason);
       this.removeRecord(record);
       this.waiting.drain(this.registry.getService(record.request.service));
     }
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -313,6 +313,8 @@
   | { kind: 'replicas'; replicas: readonly RelayReplica[] }
   | { kind: 'submit'; request: PlacementRequest }
   | { kind: 'caller-left'; id: string }
+  /** The request was ended by an unexpected error. */
+  | { kind: 'request-failed'; id: string }
   /** The first byte of a response arrived. */
   | { kind: 'first-byte-received'; id: string; attempt: number }
   /** The caller is sent what the replica of an attempt writes to its stream. */
@@ -476,6 +478,8 @@
 /** Why an attempt is cancelled. */
 export enum CancelReason {
   CallerLeft = 'caller-left',
+  /** The request was ended by an unexpected error. */
+  RequestFailed = 'request-failed',
   Deadline = 'deadline',
   /** The replica sent nothing for too long, and the request may run elsewhere. */
   Silent = 'silent',
--- a/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
+++ b/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { getErrorText } from '../../observe/getErrorText.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { RelayMetrics } from '../../observe/RelayMetrics.js';
 import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
@@ -77,8 +78,11 @@
     }
     response.once('close', () => holding.release());
     this.open += 1;
-    this.forward({ ...target, request, response, startedAt, holding }).catch((error: unknown) => {
-      this.parts.log({ event: 'fault', step: 'forward an attempt', error: String(error) });
+    const forwarded = { ...target, request, response, startedAt, holding };
+    this.forward(forwarded).catch((error: unknown) => {
+      this.parts.log({ event: 'fault', step: 'forward an attempt', error: getErrorText(error) });
+      this.open -= 1;
+      this.recordEnd(target, startedAt, ForwardingResult.Broken, String(error));
       abortResponse(response);
     });
   };
@@ -138,6 +142,7 @@
       end(ForwardingResult.Malformed, result.kind);
       return;
     }
+    const connection = connections.acquire(replica);
     const forwardedExchange = new ForwardedExchange(response, {
       holding: forwarded.holding,
       onHead: (head) => onNotice(replica, 'forwarded response', protocol.readResponse(head)),
@@ -145,7 +150,6 @@
     });
     const exchange = new UpstreamExchange(clock, forwardedExchange);
     forwardedExchange.exchange = exchange;
-    const connection = connections.acquire(replica);
     const rawHeaders = getEndToEndHeaders(request.rawHeaders);
     exchange.run(
       connection,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -36,7 +36,7 @@
   | { event: 'stopping'; signal: string; open: number }
   | ({ event: 'port-closed'; after: Milliseconds } & ConnectionCounts)
   | { event: 'stopped'; after: Milliseconds; cutOff: number }
-  | { event: 'fault'; step: string; error: string }
+  | { event: 'fault'; id?: string; step: string; error: string }
   | { event: 'dependency-lost'; dependency: string; error: string }
   | { event: 'dependency-regained'; dependency: string; after: Milliseconds }
   | {
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -124,6 +124,12 @@
     registers: [this.registry],
   });
 
+  readonly requestFaults = new Counter({
+    name: 'apricotrill_relay_request_faults_total',
+    help: 'Requests that were ended by an unexpected error in this daemon.',
+    registers: [this.registry],
+  });
+
   readonly connectionsRefused = new Counter({
     name: 'apricotrill_relay_caller_connections_refused_total',
     help: 'Connections of callers that were closed unread because this daemon is overloaded.',
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -15,7 +15,7 @@
     'a stopping daemon accepts no more connections; includes the open connections by state, and the age of the youngest one that has not sent a request',
   stopped: 'the process exits; includes the number of responses that were cut off',
   fault:
-    'an unexpected error occurred in the daemon or in a dependency; includes the step that failed',
+    'an unexpected error occurred in the daemon or in a dependency; includes the step that failed and, if it ended a request, the id of the request',
   'dependency-lost': 'the store, or the cache events of an engine, cannot be reached',
   'dependency-regained': 'the dependency can be reached again; includes the duration of the outage',
   'store-era':
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -5,6 +5,7 @@
 import { fleetOptions } from '../../decide/Fleet/Fleet.js';
 import type { SharedAttempt } from '../../decide/messages.js';
 import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
+import { getErrorText } from '../../observe/getErrorText.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import { decodeDatagram, encodeDatagram } from '../datagram/datagram.js';
 import type { Datagram } from '../datagram/datagram.js';
@@ -324,7 +325,13 @@
     if (sentAt !== undefined) {
       this.settings.onClockReading(from.id, sentAt);
     }
-    updates.forEach((update) => onUpdate(from.id, update));
+    updates.forEach((update) => {
+      try {
+        onUpdate(from.id, update);
+      } catch (error) {
+        this.logFault(`handle ${update.kind} of ${from.id}`, error);
+      }
+    });
     if (storePositions !== undefined) {
       this.settings.onStorePositions(storePositions);
     }
@@ -379,7 +386,7 @@
 
   private logFault(step: string, error: unknown): void {
     if (!this.isDisposed) {
-      this.settings.log({ event: 'fault', step: `peers: ${step}`, error: String(error) });
+      this.settings.log({ event: 'fault', step: `peers: ${step}`, error: getErrorText(error) });
     }
   }
 }
--- a/packages/relay/src/lib/peers/datagram/datagram.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.ts
@@ -1,3 +1,4 @@
+import { parseSocketAddress } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 import * as z from 'zod';
 import { AttemptEnd } from '../../decide/messages.js';
@@ -141,7 +142,7 @@
  */
 const datagramSchema = z.tuple([
   z.string(),
-  z.string(),
+  z.string().refine((text) => parseSocketAddress(text) !== undefined),
   z.string(),
   z.array(updateSchema),
   z.record(z.string(), positionSchema).nullable(),
--- a/packages/relay/src/lib/protocol/UnreadableField.ts
+++ b/packages/relay/src/lib/protocol/UnreadableField.ts
@@ -14,6 +14,8 @@
   Leaving = 'leaving',
   /** A statement of a replica that the same response makes again with another value. */
   Repeated = 'repeated',
+  /** The address of a replica, as passed on by another daemon. */
+  Address = 'address',
   /** How long a caller waits. */
   Timeout = 'timeout',
   /** The length of a caller's prompt and of its output. */
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -9,6 +9,7 @@
 import type { ResponseFraming } from '../framing/getResponseFraming.js';
 import type { Holding } from '../memory/HeldBytes/Holding.js';
 import type { ResponseBuffers } from '../memory/ResponseBuffers/ResponseBuffers.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import type { ReplicaNotice, ResponseFields, RelayProtocol } from '../protocol/RelayProtocol.js';
@@ -17,6 +18,7 @@
 import type { AttemptSender } from '../transport/AttemptSender.js';
 import type { SentAttempt } from '../transport/SentAttempt/SentAttempt.js';
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
+import type { UnsendableRequestError } from '../upstream/UpstreamExchange/UnsendableRequestError.js';
 import type { ResponseHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 import { CallerResponse, ResponseEnd } from './CallerResponse.js';
 import { createPlacementRequest } from './createPlacementRequest.js';
@@ -27,6 +29,7 @@
 import type { ResponseListener, AttemptResult, BufferedResponse } from './ResponseReader.js';
 import type { ReceivedRequest } from './ReceivedRequest.js';
 import { writeErrorResponse } from './writeErrorResponse.js';
+import type { ErrorResponse } from './writeErrorResponse.js';
 
 /** Dependencies of {@link RelayTask}. */
 export interface RelayTaskParts {
@@ -74,6 +77,10 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+const BAD_REQUEST = 400;
+const BAD_GATEWAY = 502;
+const SERVICE_UNAVAILABLE = 503;
+
 /**
  * Handles one request: the response to the caller, and the current attempt. Carries out the decisions
  * of the placement core, and reports events to it.
@@ -230,6 +237,51 @@
     writeErrorResponse(response, { status, reason, outcome, retryAfter, detail });
   }
 
+  /**
+   * Ends the request after an unexpected error, whatever has been done for it so far.
+   *
+   * @param step - what failed
+   */
+  fail(step: string, error: unknown): void {
+    const { log, metrics, request } = this.parts;
+    const { id } = request;
+    log({ event: 'fault', id, step, error: getErrorText(error) });
+    metrics.requestFaults.inc();
+    const mayHaveRun = this.attemptCount > 0;
+    this.endEarly(step, {
+      status: mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE,
+      reason: 'unexpected error',
+      outcome: mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
+    });
+  }
+
+  private rejectUnsendable({ message }: UnsendableRequestError): void {
+    const { log, request } = this.parts;
+    const { id, version } = request;
+    log({ event: 'rejected', id, status: BAD_REQUEST, reason: message, version });
+    // An earlier attempt would have met the same error, so that no replica has run the request.
+    const outcome = Outcome.NotRun;
+    this.endEarly('unsendable', { status: BAD_REQUEST, reason: message, outcome });
+  }
+
+  /** Ends the request without a decision of the core. */
+  private endEarly(reason: string, error: ErrorResponse): void {
+    const { dispatch, request, response } = this.parts;
+    const { id } = request;
+    const { current } = this;
+    this.current = undefined;
+    current?.sent.abort();
+    this.flow.end(false);
+    this.finish('failed', reason);
+    if (!this.callerResponse.isStarted) {
+      writeErrorResponse(response, error);
+    } else if (!response.writableEnded) {
+      this.callerResponse.breakOff();
+    }
+    // The core must not be called back before it returns.
+    queueMicrotask(() => dispatch({ kind: 'request-failed', id }));
+  }
+
   private recordRefusal(outcome: Outcome, reason: GiveUpReason): void {
     const { onRefused, request } = this.parts;
     const { fields, fingerprint, service } = request;
@@ -254,6 +306,7 @@
       onEvents: (events) => runIfCurrent(() => this.writeEvents(events)),
       onTrailingBytes: (bytes) => runIfCurrent(() => this.flow.write(bytes)),
       onResult: (result) => runIfCurrent(() => this.endAttempt(effect, startedAt, result)),
+      onUnsendable: (error) => runIfCurrent(() => this.rejectUnsendable(error)),
     };
   }
 
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -52,6 +52,7 @@
       onTrailingBytes: (bytes) => {
         trailingBytes += bytes.toString();
       },
+      onUnsendable: () => undefined,
       onResult: (result) => results.push(result),
     },
   });
--- a/packages/relay/src/lib/request/ResponseReader.ts
+++ b/packages/relay/src/lib/request/ResponseReader.ts
@@ -7,6 +7,7 @@
 import type { StreamEvent } from '../upstream/EventSplitter/EventSplitter.js';
 import { upstreamOptions } from '../upstream/upstreamOptions.js';
 import { RequestWithdrawnError } from '../upstream/UpstreamExchange/RequestWithdrawnError.js';
+import { UnsendableRequestError } from '../upstream/UpstreamExchange/UnsendableRequestError.js';
 import type {
   ResponseHead,
   ExchangeListener,
@@ -46,6 +47,8 @@
   /** Called with comments after the last event of a stream that ended normally. */
   onTrailingBytes(bytes: Buffer): void;
   onResult(result: AttemptResult): void;
+  /** Called instead of `onResult` if the request can be sent to no replica. */
+  onUnsendable(error: UnsendableRequestError): void;
 }
 
 const MIN_FAILURE_STATUS = 500;
@@ -145,7 +148,10 @@
     }
     const { head } = this;
     const fields = head === undefined ? undefined : this.parts.protocol.readResponse(head);
-    if (error instanceof RequestWithdrawnError) {
+    if (error instanceof UnsendableRequestError) {
+      this.isFinished = true;
+      this.parts.listener.onUnsendable(error);
+    } else if (error instanceof RequestWithdrawnError) {
       this.finish(AttemptEnd.Withdrawn, error.message);
     } else if (error instanceof NoPathError) {
       this.finish(AttemptEnd.NoPath, error.message);
--- a/packages/relay/src/lib/transport/SentAttempt/ForwardedListener.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/ForwardedListener.ts
@@ -5,6 +5,7 @@
   readReplicaFraming,
 } from '../../forwarding/forwardingProtocol.js';
 import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
+import { UnsendableRequestError } from '../../upstream/UpstreamExchange/UnsendableRequestError.js';
 import type {
   ExchangeListener,
   ResponseHead,
@@ -66,8 +67,8 @@
   onError(error: Error, isSent: boolean): void {
     if (this.hasHead && this.result !== ForwardingResult.Response) {
       this.onEnd();
-    } else if (isSent) {
-      this.replica.onError(error, true);
+    } else if (isSent || error instanceof UnsendableRequestError) {
+      this.replica.onError(error, isSent);
     } else {
       this.listener.onForwarderUnreachable(error);
     }
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
@@ -7,8 +7,12 @@
 import type { RelayMetrics } from '../../observe/RelayMetrics.js';
 import type { PathMonitor } from '../../paths/PathMonitor/PathMonitor.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
-import type { UpstreamConnections } from '../../upstream/UpstreamConnections/UpstreamConnections.js';
+import type {
+  UpstreamConnection,
+  UpstreamConnections,
+} from '../../upstream/UpstreamConnections/UpstreamConnections.js';
 import { RequestWithdrawnError } from '../../upstream/UpstreamExchange/RequestWithdrawnError.js';
+import { UnsendableRequestError } from '../../upstream/UpstreamExchange/UnsendableRequestError.js';
 import { UpstreamExchange } from '../../upstream/UpstreamExchange/UpstreamExchange.js';
 import type {
   ExchangeListener,
@@ -17,6 +21,10 @@
 import { ForwardedListener } from './ForwardedListener.js';
 import { NoPathError } from './NoPathError.js';
 
+function getError(error: unknown): Error {
+  return error instanceof Error ? error : new Error(String(error));
+}
+
 /** An attempt to be sent to a replica. */
 export interface OutgoingAttempt {
   id: string;
@@ -130,6 +138,7 @@
     const mayForward =
       !isSent &&
       !(error instanceof RequestWithdrawnError) &&
+      !(error instanceof UnsendableRequestError) &&
       this.parts.paths.isDoubtful(this.replica, error);
     if (mayForward && !this.isAborted) {
       this.forward(error);
@@ -153,7 +162,13 @@
   private sendDirectly(): void {
     const { clock, connections } = this.parts;
     const { replica, target } = this.attempt;
-    const connection = connections.acquire(replica);
+    let connection: UpstreamConnection;
+    try {
+      connection = connections.acquire(replica);
+    } catch (error) {
+      this.failUnsent(getError(error));
+      return;
+    }
     this.run(new UpstreamExchange(clock, this), connection, target, () =>
       connections.release(replica, connection),
     );
@@ -179,9 +194,16 @@
       forwarder: forwarder.id,
       cause: cause?.message,
     });
+    let connection: UpstreamConnection;
+    try {
+      connection = forwarderConnections.acquire(forwarder);
+    } catch (error) {
+      // The core, whose decision this attempt carries out, must not be called back before it returns.
+      queueMicrotask(() => this.handleForwarderFailure(forwarder, getError(error), cause));
+      return;
+    }
     metrics.forwardedAttempts.inc({ service: replica.service });
     forwarders.recordStart(forwarder.id);
-    const connection = forwarderConnections.acquire(forwarder);
     const listener = new ForwardedListener(
       { ...this.asReplicaListener() },
       {
@@ -208,7 +230,7 @@
 
   private run(
     exchange: UpstreamExchange,
-    connection: Parameters<UpstreamExchange['run']>[0],
+    connection: UpstreamConnection,
     target: string,
     onReleased: () => void,
   ): void {
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -6,12 +6,14 @@
 import { UpstreamConnections } from '../UpstreamConnections/UpstreamConnections.js';
 import { UpstreamExchange } from './UpstreamExchange.js';
 import type { ResponseHead } from './UpstreamExchange.js';
+import { UnsendableRequestError } from './UnsendableRequestError.js';
 
 interface ExchangeResult {
   kind: 'end' | 'error';
   isSent: boolean;
   head: ResponseHead | undefined;
   body: string;
+  error: Error | undefined;
 }
 
 const REQUEST = { method: 'GET', target: '/a', rawHeaders: ['Host', 'a'], body: undefined };
@@ -58,13 +60,15 @@
   function run(
     port: number,
     connection = connections.acquire(createReplica(port)),
+    request = REQUEST,
   ): Promise<ExchangeResult> {
     const replica = createReplica(port);
     return new Promise((resolve) => {
       let head: ResponseHead | undefined;
       let body = '';
+      let error: Error | undefined;
       const finish = (kind: 'end' | 'error', isSent: boolean) =>
-        resolve({ kind, isSent, head, body });
+        resolve({ kind, isSent, head, body, error });
       new UpstreamExchange(new SystemClock(), {
         onHead: (received) => {
           head = received;
@@ -73,8 +77,11 @@
           body += bytes.toString();
         },
         onEnd: () => finish('end', true),
-        onError: (_error, isSent) => finish('error', isSent),
-      }).run(connection, REQUEST, {
+        onError: (received, isSent) => {
+          error = received;
+          finish('error', isSent);
+        },
+      }).run(connection, request, {
         maySend: () => maySend,
         onReleased: () => connections.release(replica, connection),
       });
@@ -101,6 +108,21 @@
     await expect(run(port)).resolves.toMatchObject({ kind: 'error', isSent: false });
   });
 
+  // Guards against an attempt that is reported as ended before it counts as started, and so never ends.
+  it('reports a request that cannot be encoded after it returns', async () => {
+    const port = await listen(() => undefined);
+    let hasReturned = false;
+    const rawHeaders = ['Host', 'a', 'Host', 'b'];
+    const connection = connections.acquire(createReplica(port));
+    const result = run(port, connection, { ...REQUEST, rawHeaders }).then((ended) => ({
+      ...ended,
+      hasReturned,
+    }));
+    hasReturned = true;
+    expect(await result).toMatchObject({ kind: 'error', isSent: false, hasReturned: true });
+    expect((await result).error).toBeInstanceOf(UnsendableRequestError);
+  });
+
   // Guards against sending a request to a replica that asked for a backoff while the connection was opened.
   it('sends nothing if the replica wants no requests once the connection is open', async () => {
     let received = '';
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
@@ -3,6 +3,7 @@
 import { getResponseFraming } from '../../framing/getResponseFraming.js';
 import type { ResponseFraming } from '../../framing/getResponseFraming.js';
 import { upstreamOptions } from '../upstreamOptions.js';
+import { UnsendableRequestError } from './UnsendableRequestError.js';
 import { RequestWithdrawnError } from './RequestWithdrawnError.js';
 import type { UpstreamConnection } from '../UpstreamConnections/UpstreamConnections.js';
 
@@ -60,6 +61,9 @@
 
   private isReleased = false;
 
+  /** Whether the request is being handed to the client, which can reject it before it returns. */
+  private isDispatching = false;
+
   private method = '';
 
   private tailTimer: Timer | undefined;
@@ -77,6 +81,7 @@
     this.callbacks = callbacks;
     this.connection = connection;
     this.method = request.method;
+    this.isDispatching = true;
     connection.client.dispatch(
       {
         method: request.method,
@@ -86,6 +91,7 @@
       },
       this,
     );
+    this.isDispatching = false;
   }
 
   /** Closes the connection, so that the replica stops working on the request. */
@@ -165,7 +171,12 @@
     this.release();
     if (!this.isFinished) {
       this.isFinished = true;
-      this.listener.onError(error, this.controller !== undefined);
+      if (this.isDispatching) {
+        // The caller of `run` must not be called back before it returns.
+        queueMicrotask(() => this.listener.onError(new UnsendableRequestError(error), false));
+      } else {
+        this.listener.onError(error, this.controller !== undefined);
+      }
     }
   }
 
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,6 +11,8 @@
   getRendezvousScore,
   getWeightedRendezvousOrder,
 } from './lib/hash.js';
+export { parseSocketAddress } from './lib/parseSocketAddress.js';
+export type { SocketAddress } from './lib/parseSocketAddress.js';
 export { createRandom } from './lib/random.js';
 export type { Random } from './lib/random.js';
 export { failure, success } from './lib/Result.js';
