Requests that are given up are taken back: aborted connections are reset

Cause: the HTTP client destroys the socket of an aborted request, which is an orderly close, and the kernel goes on sending for minutes.

TcpProxy has a partition that keeps data and delivers it later unless its sender has reset the connection.

Why this works: only a reset drops what the kernel has not delivered, and all clients abort through the socket's destroy().

The test servers of UpstreamExchange handle resets of their connections now; nothing that they check changed.

--- a/packages/relay/src/lib/http/HttpClient.test.ts
+++ b/packages/relay/src/lib/http/HttpClient.test.ts
@@ -1,3 +1,4 @@
+import { LinkFault, TcpProxy } from '@apricotrill/standins';
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -60,6 +61,33 @@
     await expect(result).rejects.toThrow(/no data received for \d+ ms/);
   });
 
+  // Guards against an order of a lost lease holder that reaches the platform after its successor's.
+  it('takes a call back that it gives up during a partition', async () => {
+    const received: string[] = [];
+    server = createServer((request, response) => {
+      received.push(request.url ?? '');
+      response.end();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const proxy = new TcpProxy((server.address() as AddressInfo).port);
+    const address = `127.0.0.1:${await proxy.listen()}`;
+    const send = (path: string) =>
+      client.send({ step: 'order', method: 'POST', address, path, body: '{}', timeout: TIMEOUT });
+    await send('/before');
+    // The connection is idle only now.
+    await wait(0);
+    proxy.setFault(LinkFault.Partitioned);
+    await expect(send('/during')).rejects.toThrow(/no data received/);
+    await proxy.waitForKeptData();
+    await proxy.waitForClosedConnections(1);
+    proxy.setFault(LinkFault.None);
+    await send('/after');
+    proxy.dispose();
+    expect(received).toEqual(['/before', '/after']);
+  });
+
   // Guards against responses that are dropped because the event loop was blocked when they arrived.
   it('accepts a response that arrived while the event loop was blocked', async () => {
     const result = call((_request, response) => {
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { ConnectionUnusedError } from '@apricotrill/utils';
 import { Client } from 'undici';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { connectInTime } from '../connectInTime.js';
@@ -117,9 +118,10 @@
   }
 
   async dispose(): Promise<void> {
-    const all = [...this.byTarget.values()].flat();
+    [...this.byTarget.keys()].forEach((id) => this.closeIdle(id));
+    const busy = [...this.byTarget.values()].flat();
     this.byTarget.clear();
-    await Promise.allSettled(all.map(({ client }) => client.destroy()));
+    await Promise.allSettled(busy.map(({ client }) => client.destroy()));
   }
 
   private markIdle(target: Target, connection: UpstreamConnection): void {
@@ -188,7 +190,7 @@
     if (connections.length === 0) {
       this.byTarget.delete(id);
     }
-    // Closes immediately, since no request is in flight.
-    connection.client.destroy().catch(() => undefined);
+    // Closes immediately and in order, since no request is in flight.
+    connection.client.destroy(new ConnectionUnusedError()).catch(() => undefined);
   }
 }
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -1,3 +1,4 @@
+import { LinkFault, TcpProxy } from '@apricotrill/standins';
 import { SystemClock } from '@apricotrill/utils';
 import { once } from 'node:events';
 import { createServer } from 'node:net';
@@ -53,7 +54,11 @@
   });
 
   function listen(onSocket: (socket: Socket) => void): Promise<number> {
-    const listening = createServer(onSocket);
+    const listening = createServer((socket) => {
+      // A request that is given up resets its connection.
+      socket.on('error', () => undefined);
+      onSocket(socket);
+    });
     server = listening;
     return new Promise((resolve) => {
       listening.listen(0, '127.0.0.1', () => resolve((listening.address() as AddressInfo).port));
@@ -244,6 +249,47 @@
     },
   );
 
+  // Guards against a request that a replica runs long after it was given up, once a partition is over.
+  it('takes a request back that is aborted during a partition', async () => {
+    let received = '';
+    const port = await listen((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', (bytes) => {
+        received += bytes.toString();
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1');
+      });
+    });
+    const proxy = new TcpProxy(port);
+    const proxyPort = await proxy.listen();
+    await run(proxyPort);
+    await waitForRelease();
+    proxy.setFault(LinkFault.Partitioned);
+    const replica = createReplica(proxyPort);
+    const connection = connections.acquire(replica);
+    const exchange = new UpstreamExchange(new SystemClock(), {
+      onHead: () => undefined,
+      onBody: () => undefined,
+      onEnd: () => undefined,
+      onError: () => undefined,
+    });
+    exchange.run(
+      connection,
+      { ...REQUEST, target: '/during' },
+      {
+        maySend: () => true,
+        onReleased: () => connections.release(replica, connection),
+        onFault: () => undefined,
+      },
+    );
+    await proxy.waitForKeptData();
+    exchange.abort();
+    await proxy.waitForClosedConnections(1);
+    proxy.setFault(LinkFault.None);
+    await run(proxyPort);
+    proxy.dispose();
+    expect(received.match(/GET \S+/g)).toEqual(['GET /a', 'GET /a']);
+  });
+
   it('reuses a connection', async () => {
     let opened = 0;
     const port = await listen((socket) => {
--- a/packages/router/src/lib/upstream/ReplicaConnections.ts
+++ b/packages/router/src/lib/upstream/ReplicaConnections.ts
@@ -1,4 +1,5 @@
-import { Client, Pool } from 'undici';
+import { withResetOnAbort } from '@apricotrill/utils';
+import { Client, Pool, buildConnector } from 'undici';
 import type { Replica } from '@apricotrill/model';
 import type { Dispatcher } from 'undici';
 import { defaultRouterOptions } from '../options.js';
@@ -12,7 +13,7 @@
   headersTimeout: 0,
   bodyTimeout: 0,
   pipelining: 1,
-  connect: { timeout: defaultRouterOptions.connectTimeout },
+  connect: withResetOnAbort(buildConnector({ timeout: defaultRouterOptions.connectTimeout })),
   keepAliveTimeout: defaultRouterOptions.upstreamIdleTimeout,
 };
 
--- a/packages/standins/src/lib/network/TcpProxy.ts
+++ b/packages/standins/src/lib/network/TcpProxy.ts
@@ -9,6 +9,11 @@
   None = 'none',
   /** Data is held in both directions until the fault ends, and is then delivered. */
   Held = 'held',
+  /**
+   * Like a network that is partitioned: data is kept, and delivered when the fault ends unless its sender has
+   * reset the connection. Connections that are opened meanwhile never carry anything.
+   */
+  Partitioned = 'partitioned',
   /** Data from the target is held; data to the target passes. */
   AnswersHeld = 'answers-held',
   /** Every chunk is delayed. */
@@ -24,6 +29,8 @@
   client: Socket;
   target: Socket;
   isSilenced: boolean;
+  /** What happened in a partition, to be carried out after it. */
+  delayed: { from: Socket; act: () => void }[];
 }
 
 /**
@@ -45,6 +52,12 @@
 
   private readonly connectionOpened = new ChangeSignal();
 
+  private closedCount = 0;
+
+  private readonly connectionClosed = new ChangeSignal();
+
+  private readonly dataKept = new ChangeSignal();
+
   /** @param targetPort - the loopback port to which connections are forwarded */
   constructor(targetPort: number) {
     this.targetPort = targetPort;
@@ -65,7 +78,12 @@
   /** Applies a fault to all connections; `None` ends it, and held data is delivered. */
   setFault(fault: LinkFault): void {
     this.fault = fault;
-    this.connections.forEach((connection) => this.applyFault(connection));
+    this.connections.forEach((connection) => {
+      this.applyFault(connection);
+      if (fault !== LinkFault.Partitioned) {
+        connection.delayed.splice(0).forEach(({ act }) => act());
+      }
+    });
   }
 
   /** Silences the connections that are open now: they stay open, and no more data passes. */
@@ -117,6 +135,18 @@
     return this.connectionOpened.waitUntil(() => this.connectionCount >= count);
   }
 
+  /** Resolves once something is kept in a partition. */
+  waitForKeptData(): Promise<void> {
+    return this.dataKept.waitUntil(() =>
+      [...this.connections].some(({ delayed }) => delayed.length > 0),
+    );
+  }
+
+  /** Resolves once clients have closed or reset that many connections. */
+  waitForClosedConnections(count: number): Promise<void> {
+    return this.connectionClosed.waitUntil(() => this.closedCount >= count);
+  }
+
   dispose(): void {
     this.server.close();
     this.connections.forEach(({ client, target }) => {
@@ -127,13 +157,18 @@
 
   private accept(client: Socket): void {
     const target = connect({ port: this.targetPort, host: '127.0.0.1', noDelay: true });
-    const connection = { client, target, isSilenced: false };
+    const isSilenced = this.fault === LinkFault.Partitioned;
+    const connection: ProxiedConnection = { client, target, isSilenced, delayed: [] };
     this.connections.add(connection);
     this.connectionCount += 1;
     this.connectionOpened.notify();
     this.forward(connection, client, target);
     this.forward(connection, target, client);
     this.applyFault(connection);
+    client.once('close', () => {
+      this.closedCount += 1;
+      this.connectionClosed.notify();
+    });
   }
 
   private applyFault({ client, target }: ProxiedConnection): void {
@@ -149,6 +184,11 @@
     // connection.
     let last: Promise<void> = Promise.resolve();
     const enqueue = (act: () => void) => {
+      if (this.fault === LinkFault.Partitioned) {
+        connection.delayed.push({ from, act: () => enqueue(act) });
+        this.dataKept.notify();
+        return;
+      }
       if (this.fault === LinkFault.Slow) {
         last = last.then(() => wait(SLOW_LINK_DELAY_MS));
       }
@@ -166,10 +206,22 @@
     });
     from.on('error', () => undefined);
     from.on('close', (hasFailed) => {
-      if (!connection.isSilenced) {
-        this.connections.delete(connection);
-        enqueue(() => (hasFailed ? to.destroy() : to.end()));
+      if (connection.isSilenced) {
+        return;
       }
+      if (hasFailed) {
+        // What a sender has reset is not sent again.
+        const delayed = connection.delayed.filter((item) => item.from !== from);
+        Object.assign(connection, { delayed });
+      }
+      enqueue(() => {
+        this.connections.delete(connection);
+        if (hasFailed) {
+          to.destroy();
+        } else {
+          to.end();
+        }
+      });
     });
   }
 }
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -13,6 +13,9 @@
 } from './lib/hash.js';
 export { parseSocketAddress } from './lib/parseSocketAddress.js';
 export type { SocketAddress } from './lib/parseSocketAddress.js';
+export { ConnectionUnusedError, resetOnAbort } from './lib/resetOnAbort.js';
+export { withResetOnAbort } from './lib/withResetOnAbort.js';
+export type { Connector } from './lib/withResetOnAbort.js';
 export { createRandom } from './lib/random.js';
 export type { Random } from './lib/random.js';
 export { failure, success } from './lib/Result.js';
