--- a/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.test.ts
+++ b/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.test.ts
@@ -4,7 +4,7 @@
 import { ManualClock } from '@apricotrill/utils';
 import type { AddressInfo } from 'node:net';
 import type { Server, ServerResponse } from 'node:http';
-import { flushTasks } from '@apricotrill/standins';
+import { LinkFault, TcpProxy, flushTasks } from '@apricotrill/standins';
 import { createConfiguration } from '../../test/PlacementHarness.js';
 import { EngineUnavailableError } from '../EngineClient/EngineClient.js';
 import { HttpEngineClient } from './HttpEngineClient.js';
@@ -39,6 +39,29 @@
     await once(server, 'close');
   });
 
+  // Guards against an order of a lost lease holder that reaches an engine after its successor's.
+  it('takes an order back that it gives up during a partition', async () => {
+    const receivedRequests: string[] = [];
+    respond = (response, body) => {
+      receivedRequests.push(body.split(' ')[0]!);
+      response.end(JSON.stringify(state));
+    };
+    const proxy = new TcpProxy(replica.port);
+    const distant = { ...replica, port: await proxy.listen() };
+    await engines.observe(distant);
+    await flushTasks();
+    proxy.setFault(LinkFault.Partitioned);
+    const result = engines.order(distant, fencedOrder);
+    await proxy.waitForKeptData();
+    clock.advance(60_000);
+    await expect(result).rejects.toThrow(EngineUnavailableError);
+    await proxy.waitForClosedConnections(1);
+    proxy.setFault(LinkFault.None);
+    await engines.observe(distant);
+    proxy.dispose();
+    expect(receivedRequests).toEqual(['GET', 'GET']);
+  });
+
   it('parses each documented response to an order', async () => {
     const receivedRequests: string[] = [];
     const responses: [number, object, Record<string, string>][] = [
--- a/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.ts
+++ b/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.ts
@@ -1,4 +1,5 @@
-import { Agent, request } from 'undici';
+import { withResetOnAbort } from '@apricotrill/utils';
+import { Agent, buildConnector, request } from 'undici';
 import { z } from 'zod';
 import type { Replica } from '@apricotrill/model';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
@@ -87,7 +88,11 @@
  */
 export class HttpEngineClient implements EngineClient {
   /** Idle connections are closed soon: a dead one would make the next request time out. */
-  private readonly agent = new Agent({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT, connections: 2 });
+  private readonly agent = new Agent({
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
+    connections: 2,
+    connect: withResetOnAbort(buildConnector({})),
+  });
 
   constructor(
     private readonly clock: Clock,
--- a/packages/store/src/lib/HttpPlatformStore/RenewablePool.ts
+++ b/packages/store/src/lib/HttpPlatformStore/RenewablePool.ts
@@ -1,4 +1,5 @@
-import { Pool } from 'undici';
+import { withResetOnAbort } from '@apricotrill/utils';
+import { Pool, buildConnector } from 'undici';
 
 /**
  * A connection pool that can be replaced. A connection can stay silent forever while new ones work,
@@ -45,6 +46,11 @@
   private createPool(): Pool {
     // Every request has its own timer, because undici's timers have a resolution of one second.
     const timeouts = { headersTimeout: 0, bodyTimeout: 0 };
-    return new Pool(this.url, { connections: this.maxConnections, pipelining: 1, ...timeouts });
+    return new Pool(this.url, {
+      connections: this.maxConnections,
+      pipelining: 1,
+      connect: withResetOnAbort(buildConnector({})),
+      ...timeouts,
+    });
   }
 }
