Responses without an end: linear cost, bounded events and overhead

What was seen (own runs): comment lines of an event without an end took a whole core; the daemon admitted and logged nothing after two seconds, and calls to sound replicas had no answer. Informational heads and chunk extensions without an end made a call wait for its whole time limit.

Cause: EventSplitter copied all of an unfinished event again for each read (2.4 GB copied for an event of 2.4 MB in parts of 1,200 bytes); the HTTP client reports neither informational heads nor extensions; the probe's timeout started again with each byte; responses to the other clients were bounded by time only.

Change: storage that doubles; maxEventBytes ends the attempt as broken; maxOverheadBytes for what a connection receives besides a body; one timer for a probe; sizes of responses bounded for store, peers, replicas and duties; a response without a valid status ends its attempt.

--- a/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.ts
+++ b/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.ts
@@ -49,6 +49,9 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const KEEP_ALIVE_TIMEOUT: Milliseconds = 4_000;
+/** Far more than the state of an engine. */
+const MAX_RESPONSE_BYTES = 1_048_576;
+
 const OK = 200;
 const CONFLICT = 409;
 const TOO_MANY_REQUESTS = 429;
@@ -91,6 +94,7 @@
   private readonly agent = new Agent({
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
     connections: 2,
+    maxResponseSize: MAX_RESPONSE_BYTES,
     connect: withResetOnAbort(buildConnector({})),
   });
 
--- a/packages/relay/src/lib/http/HttpClient.ts
+++ b/packages/relay/src/lib/http/HttpClient.ts
@@ -35,6 +35,12 @@
 /** Shorter than the idle timeout of every server that is called. */
 const IDLE_TIMEOUT: Milliseconds = 3_000;
 
+/** Far more than any response of the store or of a daemon. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
+/** Maximum size of a response after decompression. */
+const MAX_TEXT_BYTES = 67_108_864;
+
 async function readBody(
   { headers, body }: Dispatcher.ResponseData,
   onProgress: () => void,
@@ -45,11 +51,13 @@
     chunks.push(chunk as Buffer);
   }
   const bytes = Buffer.concat(chunks);
-  return (headers['content-encoding'] === 'gzip' ? gunzipSync(bytes) : bytes).toString('utf8');
+  const isCompressed = headers['content-encoding'] === 'gzip';
+  const content = isCompressed ? gunzipSync(bytes, { maxOutputLength: MAX_TEXT_BYTES }) : bytes;
+  return content.toString('utf8');
 }
 
 /**
- * An HTTP client whose calls end with a complete response or an error before their timeout. A call
+ * An HTTP client whose calls end with a complete response of bounded size, or an error, in time. A call
  * without a response closes its connection, since the connection may be dead.
  */
 export class HttpClient {
@@ -57,6 +65,7 @@
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 1,
+    maxResponseSize: MAX_RESPONSE_BYTES,
     keepAliveTimeout: IDLE_TIMEOUT,
     connect: connectInTime(CONNECT_TIMEOUT),
   });
--- a/packages/relay/src/lib/request/ResponseReader.test.ts
+++ b/packages/relay/src/lib/request/ResponseReader.test.ts
@@ -2,6 +2,7 @@
 import { ResponseFraming } from '../framing/getResponseFraming.js';
 import { findHeader } from '../protocol/connectionHeaders.js';
 import type { RelayProtocol } from '../protocol/RelayProtocol.js';
+import { upstreamOptions } from '../upstream/upstreamOptions.js';
 import { ResponseReader } from './ResponseReader.js';
 import type { AttemptResult } from './ResponseReader.js';
 
@@ -67,6 +68,24 @@
 }
 
 describe('ResponseReader', () => {
+  // Guards against an event without an end, which takes all the memory of the daemon.
+  it('breaks off a stream with an event over the size limit, after the events before it', () => {
+    const { reader, results, events, isAborted } = createReader(true);
+    reader.onHead({ status: 200, rawHeaders: VALID_HEADERS, framing });
+    reader.onBody(Buffer.from('id: 1\ndata: a\n\ndata: '));
+    reader.onBody(Buffer.alloc(upstreamOptions.maxEventBytes, 'x'));
+    expect(events).toEqual(['id: 1\ndata: a\n\n']);
+    expect(isAborted()).toBe(true);
+    expect(results).toHaveLength(1);
+    expect(results[0]).toMatchObject({ end: AttemptEnd.Broken, response: undefined });
+  });
+
+  it('breaks off a response that has no valid status', () => {
+    const { reader, results } = createReader(false);
+    reader.onEnd();
+    expect(results[0]).toMatchObject({ end: AttemptEnd.Broken, status: undefined });
+  });
+
   it('buffers a plain response until it is complete', () => {
     const { reader, results } = createReader(false);
     reader.onHead({ status: 200, rawHeaders: VALID_HEADERS, framing });
--- a/packages/relay/src/lib/request/ResponseReader.ts
+++ b/packages/relay/src/lib/request/ResponseReader.ts
@@ -126,7 +126,11 @@
   }
 
   onEnd(): void {
-    if (this.isFinished || this.head === undefined) {
+    if (this.isFinished) {
+      return;
+    }
+    if (this.head === undefined) {
+      this.finish(AttemptEnd.Broken, 'response has no valid status');
       return;
     }
     const fields = this.parts.protocol.readResponse(this.head);
@@ -196,9 +200,16 @@
 
   private handleStreamBytes(bytes: Buffer): void {
     const events = this.splitter.push(bytes);
-    if (events.length === 0) {
-      return;
+    if (events.length > 0) {
+      this.passOn(events);
     }
+    if (this.splitter.incompleteBytes.length > upstreamOptions.maxEventBytes) {
+      this.parts.abort();
+      this.finish(AttemptEnd.Broken, 'event exceeds the size limit');
+    }
+  }
+
+  private passOn(events: StreamEvent[]): void {
     const { listener } = this.parts;
     if (!this.hasStarted) {
       this.hasStarted = true;
--- a/packages/relay/src/lib/upstream/EventSplitter/EventSplitter.test.ts
+++ b/packages/relay/src/lib/upstream/EventSplitter/EventSplitter.test.ts
@@ -1,6 +1,31 @@
 import * as fc from 'fast-check';
 import { EventSplitter } from './EventSplitter.js';
 
+/** Counts the bytes that are copied from one buffer to another. */
+function countCopiedBytes(action: () => void): number {
+  const { concat } = Buffer;
+  const { copy } = Buffer.prototype;
+  let bytes = 0;
+  Object.assign(Buffer, {
+    concat: (parts: Buffer[]) => {
+      const joined = concat(parts);
+      bytes += joined.length;
+      return joined;
+    },
+  });
+  Object.assign(Buffer.prototype, {
+    copy(this: Buffer, ...parameters: Parameters<typeof copy>) {
+      const copied = copy.apply(this, parameters);
+      bytes += copied;
+      return copied;
+    },
+  });
+  action();
+  Object.assign(Buffer, { concat });
+  Object.assign(Buffer.prototype, { copy });
+  return bytes;
+}
+
 describe('EventSplitter', () => {
   it('splits a stream into complete events without changing any byte, however it is chunked', () => {
     const line = fc.constantFrom('id: 7', 'data: x', 'data: {"a":"b"}', 'event: e', ': c');
@@ -35,6 +60,32 @@
     );
   });
 
+  // Guards against copying all of an unfinished event again for each part of it.
+  it('copies the parts of a long event a bounded number of times', () => {
+    const part = Buffer.from(': waiting..\n'.repeat(100));
+    const count = 2_000;
+    const splitter = new EventSplitter();
+    const bytes = countCopiedBytes(() => {
+      for (let index = 0; index < count; index += 1) {
+        splitter.push(part);
+      }
+    });
+    expect(splitter.incompleteBytes.length).toBe(count * part.length);
+    expect(bytes).toBeGreaterThanOrEqual(count * part.length);
+    expect(bytes).toBeLessThan(4 * count * part.length);
+  });
+
+  it('keeps the bytes of events that were returned while the next ones arrive', () => {
+    const splitter = new EventSplitter();
+    const returned = ['id: 1\nda', 'ta: a\n\nid: 2\n', 'data: b\n\nid', ': 3\n'].flatMap((text) =>
+      splitter.push(Buffer.from(text)),
+    );
+    expect(returned.map(({ bytes }) => bytes.toString())).toEqual([
+      'id: 1\ndata: a\n\n',
+      'id: 2\ndata: b\n\n',
+    ]);
+  });
+
   it('passes an event on as soon as its empty line has ended, whatever ends its lines', () => {
     ['\n', '\r', '\r\n'].forEach((end) => {
       const text = `id: 4${end}data: x${end}${end}`;
--- a/packages/relay/src/lib/upstream/EventSplitter/EventSplitter.ts
+++ b/packages/relay/src/lib/upstream/EventSplitter/EventSplitter.ts
@@ -9,6 +9,9 @@
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 
+/** Size of the storage of an event, relative to its size when it is allocated. */
+const GROWTH = 2;
+
 /** UTF-8 encoding of U+FEFF, which may precede the first line of a stream. */
 const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
 
@@ -25,6 +28,9 @@
   /** Bytes from the start of the current event. */
   private incomplete: Buffer = Buffer.alloc(0);
 
+  /** Contains the bytes of the current event, with room for more; undefined if it came in one part. */
+  private storage: Buffer | undefined;
+
   private scannedTo = 0;
 
   private lineStart = 0;
@@ -42,8 +48,7 @@
 
   /** @returns the events completed by these bytes */
   push(bytes: Buffer): StreamEvent[] {
-    this.incomplete =
-      this.incomplete.length === 0 ? bytes : Buffer.concat([this.incomplete, bytes]);
+    this.append(bytes);
     const events: StreamEvent[] = [];
     for (let next = this.findLineEnd(); next !== undefined; next = this.findLineEnd()) {
       const isEventEnd = next.end === this.lineStart && this.hasLine;
@@ -55,6 +60,28 @@
     return events;
   }
 
+  /** Copies each byte a bounded number of times on average, however small the parts of an event are. */
+  private append(bytes: Buffer): void {
+    const { incomplete } = this;
+    if (incomplete.length === 0) {
+      this.incomplete = bytes;
+      this.storage = undefined;
+      return;
+    }
+    const length = incomplete.length + bytes.length;
+    const start = this.storage === undefined ? 0 : incomplete.byteOffset - this.storage.byteOffset;
+    if (this.storage === undefined || start + length > this.storage.length) {
+      this.storage = Buffer.allocUnsafeSlow(length * GROWTH);
+      incomplete.copy(this.storage);
+      bytes.copy(this.storage, incomplete.length);
+      this.incomplete = this.storage.subarray(0, length);
+      return;
+    }
+    // Events that were returned lie before this part of the storage.
+    bytes.copy(this.storage, start + incomplete.length);
+    this.incomplete = this.storage.subarray(start, start + length);
+  }
+
   /** Bytes after the last complete event. */
   get incompleteBytes(): Buffer {
     return this.incomplete;
--- a/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
+++ b/packages/relay/src/lib/upstream/UpstreamConnections/UpstreamConnections.ts
@@ -11,6 +11,10 @@
   isBusy: boolean;
   /** Whether it has been opened and not yet closed. */
   isOpen: boolean;
+  /** Undefined until it is open for the first time. */
+  socket: Socket | undefined;
+  /** Called when bytes have been received and the client has read them, unless it is paused. */
+  onRead: (() => void) | undefined;
   /** Why it failed; undefined while it is open and after a normal close. */
   error: Error | undefined;
 }
@@ -149,13 +153,20 @@
             return;
           }
           // Errors of an earlier socket do not apply to this one.
-          connection!.error = undefined;
+          Object.assign(connection!, { error: undefined, socket });
           recordSocketErrors(socket, connection!);
           callback(null, socket);
         });
       },
     });
-    connection = { client, isBusy: false, isOpen: false, error: undefined };
+    connection = {
+      client,
+      isBusy: false,
+      isOpen: false,
+      socket: undefined,
+      onRead: undefined,
+      error: undefined,
+    };
     this.trackState(target, connection);
     const connections = this.byTarget.get(target.id) ?? [];
     this.byTarget.set(target.id, connections);
@@ -166,6 +177,8 @@
   private trackState(target: Target, connection: UpstreamConnection): void {
     connection.client.on('connect', () => {
       Object.assign(connection, { isOpen: true });
+      // The client's own listener comes first.
+      connection.socket?.on('readable', () => connection.onRead?.());
       this.listener.onOpened(target);
     });
     connection.client.on('disconnect', () => {
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
@@ -70,6 +70,11 @@
 
   private tailTimer: Timer | undefined;
 
+  /** Bytes that its connection had received before the response. */
+  private receivedBefore = 0;
+
+  private bodyBytes = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly listener: ExchangeListener,
@@ -134,6 +139,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    this.bodyBytes += bytes.length;
     if (!this.isFinished && bytes.length > 0) {
       this.guard(() => this.listener.onBody(bytes));
     }
@@ -170,6 +176,27 @@
       return;
     }
     this.controller = controller;
+    this.receivedBefore = this.connection?.socket?.bytesRead ?? 0;
+    if (this.connection !== undefined) {
+      this.connection.onRead = () => this.guard(() => this.checkOverhead());
+    }
+  }
+
+  /** Breaks off a response that goes on and on without a body, which the client does not notice. */
+  private checkOverhead(): void {
+    const received = (this.connection?.socket?.bytesRead ?? 0) - this.receivedBefore;
+    const { maxOverheadBytes, overheadPerBodyByte } = upstreamOptions;
+    const maximum = maxOverheadBytes + this.bodyBytes * (1 + overheadPerBodyByte);
+    if (received <= maximum) {
+      return;
+    }
+    const error = new Error(`received ${received} bytes for a body of ${this.bodyBytes} bytes`);
+    if (this.isFinished) {
+      this.controller?.abort(error);
+    } else {
+      this.abort();
+      this.listener.onError(error, true);
+    }
   }
 
   private handleHead(controller: Dispatcher.DispatchController, status: number): void {
@@ -214,6 +241,9 @@
     this.tailTimer?.cancel();
     if (!this.isReleased) {
       this.isReleased = true;
+      if (this.connection !== undefined) {
+        this.connection.onRead = undefined;
+      }
       this.callbacks?.onReleased();
     }
   }
--- a/packages/relay/src/lib/upstream/isResponding.test.ts
+++ b/packages/relay/src/lib/upstream/isResponding.test.ts
@@ -34,6 +34,20 @@
     expect(await isResponding(await listen(server), '/healthz', TIMEOUT)).toBe(false);
   });
 
+  // Guards against a probe that goes on as long as bytes arrive.
+  it('is false if a head has no end', async () => {
+    const server = createServer((socket) => {
+      const write = () => {
+        if (!socket.destroyed) {
+          socket.write('HTTP/1.1 102 Processing\r\n\r\n', () => setImmediate(write));
+        }
+      };
+      socket.on('error', () => undefined);
+      socket.once('data', write);
+    });
+    expect(await isResponding(await listen(server), '/healthz', TIMEOUT)).toBe(false);
+  });
+
   it('is false if the connection is reset', async () => {
     const server = createServer((socket) => {
       socket.on('data', () => socket.resetAndDestroy());
--- a/packages/relay/src/lib/upstream/isResponding.ts
+++ b/packages/relay/src/lib/upstream/isResponding.ts
@@ -1,4 +1,5 @@
 import { request } from 'node:http';
+import { resetOnAbort } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
 
 /**
@@ -19,13 +20,17 @@
 ): Promise<boolean> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
-    const sent = request({ host: host!, port: Number(port), path, agent: false, timeout });
+    const sent = request({ host: host!, port: Number(port), path, agent: false });
     const finish = (result: boolean) => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called asynchronously
+      clearTimeout(timer);
       resolve(result);
-      sent.destroy();
+      sent.destroy(new Error('probe has ended'));
     };
+    // A timeout of the socket would start again with each byte of a head without an end.
+    const timer = setTimeout(() => finish(false), timeout);
+    sent.once('socket', resetOnAbort);
     sent.once('response', () => finish(true));
-    sent.once('timeout', () => finish(false));
     // Destroying the request emits an error, too.
     sent.on('error', () => finish(false));
     sent.end();
--- a/packages/relay/src/lib/upstream/upstreamOptions.ts
+++ b/packages/relay/src/lib/upstream/upstreamOptions.ts
@@ -18,4 +18,13 @@
   tailTimeout: 1_000 satisfies Milliseconds,
   /** Maximum size of a plain response, which is buffered until it is complete. */
   maxBufferedBytes: 1_048_576,
+  /** Maximum size of an event of a stream, and of what precedes its first event. */
+  maxEventBytes: 1_048_576,
+  /**
+   * Maximum size of what a response contains besides its body: heads (informational ones too), chunk sizes and
+   * extensions, trailers. Includes what has been received and not yet been passed on.
+   */
+  maxOverheadBytes: 262_144,
+  /** Further overhead for each byte of the body, since chunks can be small. */
+  overheadPerBodyByte: 8,
 };
--- a/packages/store/src/lib/HttpPlatformStore/RenewablePool.ts
+++ b/packages/store/src/lib/HttpPlatformStore/RenewablePool.ts
@@ -1,6 +1,9 @@
 import { withResetOnAbort } from '@apricotrill/utils';
 import { Pool, buildConnector } from 'undici';
 
+/** Far more than any response of the platform. */
+const MAX_RESPONSE_BYTES = 67_108_864;
+
 /**
  * A connection pool that can be replaced. A connection can stay silent forever while new ones work,
  * because an intermediary has lost its state: requests then time out although the platform is up.
@@ -49,6 +52,7 @@
     return new Pool(this.url, {
       connections: this.maxConnections,
       pipelining: 1,
+      maxResponseSize: MAX_RESPONSE_BYTES,
       connect: withResetOnAbort(buildConnector({})),
       ...timeouts,
     });
--- a/packages/utils/src/lib/resetOnAbort.ts
+++ b/packages/utils/src/lib/resetOnAbort.ts
@@ -24,7 +24,7 @@
  * aborted. After an orderly close, the kernel would go on sending what the peer has not acknowledged: once
  * a partition is over, the peer would receive a request that was given up long before.
  *
- * @param socket - a TCP connection that is open
+ * @param socket - a TCP connection
  * @returns the same connection
  * @example
  * ```ts
@@ -36,7 +36,7 @@
   const destroy = socket.destroy.bind(socket);
   let cause: Error | undefined;
   const abort = (error?: Error) => {
-    if (isOrderly(error) || socket.destroyed || cause !== undefined) {
+    if (isOrderly(error) || socket.connecting || socket.destroyed || cause !== undefined) {
       return destroy(error ?? cause);
     }
     cause = error;
