A request that a replica turns down before it is sent is not called unsendable

Found by reading the diff: what the client reports before its call returns was taken for a request that can't be encoded, but on an idle connection that is also where a replica's notice withdraws a request.

Now the code of the client's error decides, and every error is reported after the call returns.

--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.test.ts
@@ -7,6 +7,7 @@
 import { UpstreamConnections } from '../UpstreamConnections/UpstreamConnections.js';
 import { UpstreamExchange } from './UpstreamExchange.js';
 import type { ExchangeListener, ResponseHead } from './UpstreamExchange.js';
+import { RequestWithdrawnError } from './RequestWithdrawnError.js';
 import { UnsendableRequestError } from './UnsendableRequestError.js';
 
 interface ExchangeResult {
@@ -174,6 +175,21 @@
     expect(received.match(/HTTP\/1\.1/g)).toHaveLength(1);
   });
 
+  // Guards against an attempt that is reported as ended before it counts as started, on an idle connection.
+  it('sends nothing on an idle connection if the replica wants no requests', async () => {
+    const port = await listen((socket) => {
+      socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1'));
+    });
+    await run(port);
+    await waitForRelease();
+    maySend = false;
+    let hasReturned = false;
+    const result = run(port).then((ended) => ({ ...ended, hasReturned }));
+    hasReturned = true;
+    expect(await result).toMatchObject({ kind: 'error', isSent: false, hasReturned: true });
+    expect((await result).error).toBeInstanceOf(RequestWithdrawnError);
+  });
+
   // Guards against a truncated response that is reported as a success: a replica crashed during a response
   // without a length, and the HTTP client treats a reset as the end of such a response.
   it('does not treat a reset as the end of a response without a length', async () => {
--- a/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
+++ b/packages/relay/src/lib/upstream/UpstreamExchange/UpstreamExchange.ts
@@ -47,6 +47,17 @@
 /** Lower statuses are informational responses, which precede the final one. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Codes of the client's errors about a request that it can't encode. */
+const UNSENDABLE_CODES: ReadonlySet<string | undefined> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+  'UND_ERR_REQ_CONTENT_LENGTH_MISMATCH',
+]);
+
+function isUnsendable({ code }: NodeJS.ErrnoException): boolean {
+  return UNSENDABLE_CODES.has(code);
+}
+
 /**
  * One request on a connection. Knows for certain whether any byte of the request may have been sent:
  * the client calls {@link UpstreamExchange.onRequestStart} immediately before it writes. A request
@@ -223,17 +234,18 @@
     }
   }
 
-  private handleError(error: Error): void {
+  private handleError(cause: Error): void {
     if (this.isFinished) {
       return;
     }
     this.isFinished = true;
+    const error = isUnsendable(cause) ? new UnsendableRequestError(cause) : cause;
+    const report = () => this.listener.onError(error, this.controller !== undefined);
     if (this.isDispatching) {
       // The caller of `run` must not be called back before it returns.
-      const report = () => this.listener.onError(new UnsendableRequestError(error), false);
       queueMicrotask(() => this.guard(report));
     } else {
-      this.listener.onError(error, this.controller !== undefined);
+      report();
     }
   }
 
