--- a/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.test.ts
+++ b/packages/placement/src/lib/HttpEngineClient/HttpEngineClient.test.ts
@@ -62,6 +62,19 @@
     expect(receivedRequests).toEqual(['GET', 'GET']);
   });
 
+  // Guards against a state without an end, which is kept until the request's timeout.
+  it('ends a response that is larger than any state', async () => {
+    respond = (response) => {
+      const write = () => {
+        if (!response.destroyed) {
+          response.write(' '.repeat(16_384), () => setImmediate(write));
+        }
+      };
+      write();
+    };
+    await expect(engines.observe(replica)).rejects.toThrow(EngineUnavailableError);
+  });
+
   it('parses each documented response to an order', async () => {
     const receivedRequests: string[] = [];
     const responses: [number, object, Record<string, string>][] = [
