--- a/packages/relay/src/lib/peers/datagram/datagram.test.ts
+++ b/packages/relay/src/lib/peers/datagram/datagram.test.ts
@@ -135,6 +135,16 @@
     expect(decodeDatagram(encodeDatagram(datagram)).from).toEqual(FROM);
   });
 
+  // Guards against a daemon that ends when it sends a datagram to an address that can't be used.
+  it.each(['127.0.0.1:70000', '127.0.0.1:0', '999.0.0.1:80', 'a:1'])(
+    'is rejected if its sender states the address %j',
+    (address) => {
+      const from = { id: 'd-9', address, availabilityZone: 'a' };
+      const bytes = encodeDatagram({ from, updates: [] });
+      expect(() => decodeDatagram(bytes)).toThrow();
+    },
+  );
+
   it('fits 20 attempts into one unfragmented packet', () => {
     const attempts = Array<SharedAttempt>(20).fill({ ...ATTEMPT, prompt: undefined });
     const bytes = encodeDatagram({ from: FROM, updates: [{ kind: 'attempt-list', attempts }] });
