Do not abort a watch whose response is arriving

Callers: 404 for routes that the store had confirmed over 3 s before, and versions that daemons with slow links never got while others had them.

Cause: a watch older than a second was aborted as soon as another daemon announced a later revision, to notice dead connections. A large state takes longer than that over a slow link, so the response that brings the change was thrown away and requested again, and aborted again by the next announcement. The age also counted from the start of the watch, which includes the wait for a reader that was asked first.

Change: a watch is aborted only if nothing of it has arrived for a second. Sources report each part of a response and each new call. A connection that is dead delivers nothing, so it is noticed as before.

--- a/packages/relay/src/lib/daemon/ObjectFollower.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.ts
@@ -122,11 +122,11 @@
           onRestored(dependency);
         }
       },
-      onWatchAborted: (age, known, announced) =>
+      onWatchAborted: (silence, known, announced) =>
         log({
           event: 'watch-aborted',
           dependency,
-          age,
+          silence,
           known: known.revision,
           announced: announced.revision,
         }),
--- a/packages/relay/src/lib/follow/StateFollower/ObjectSource.ts
+++ b/packages/relay/src/lib/follow/StateFollower/ObjectSource.ts
@@ -59,7 +59,13 @@
   /**
    * Waits for changes after a revision; the result is empty if there are none within `wait`.
    *
+   * @param onProgress - called whenever a call begins and a part of its response arrives
    * @throws StepError if there is no complete response
    */
-  watch(revision: number, wait: Milliseconds, signal: AbortSignal): Promise<WatchResult<Item>>;
+  watch(
+    revision: number,
+    wait: Milliseconds,
+    signal: AbortSignal,
+    onProgress?: () => void,
+  ): Promise<WatchResult<Item>>;
 }
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -10,18 +10,31 @@
 
   readonly waits: number[] = [];
 
+  private onProgress: (() => void) | undefined;
+
   private finishCall: ((response: Response<unknown>) => void) | undefined;
 
   list(): Promise<ObjectList<string>> {
     return this.call('list') as Promise<ObjectList<string>>;
   }
 
-  watch(revision: number, wait: number, signal: AbortSignal): Promise<WatchResult<string>> {
+  watch(
+    revision: number,
+    wait: number,
+    signal: AbortSignal,
+    onProgress?: () => void,
+  ): Promise<WatchResult<string>> {
     this.waits.push(wait);
+    this.onProgress = onProgress;
     signal.addEventListener('abort', () => this.finishCall?.(new Error('aborted')));
     return this.call(`watch ${revision}`) as Promise<WatchResult<string>>;
   }
 
+  /** Reports that a part of the response to the watch in flight has arrived. */
+  reportProgress(): void {
+    this.onProgress?.();
+  }
+
   /** Responds to the call in flight, and waits until the follower has handled the response. */
   async respond(response: Response<ObjectList<string> | WatchResult<string>>): Promise<void> {
     this.finishCall!(response);
@@ -136,6 +149,25 @@
     expect(log).toEqual([]);
   });
 
+  // Guards against a large response that is thrown away and requested again for as long as others announce
+  // the change that it brings.
+  it('does not abort a watch whose response is arriving', async () => {
+    const { clock, source, follower } = await setUp();
+    await source.respond(createList(5, 'a'));
+    for (let part = 0; part < 4; part += 1) {
+      clock.advance(900);
+      source.reportProgress();
+      follower.recordPeerPosition({ revision: 6 });
+      // eslint-disable-next-line no-await-in-loop
+      await ScriptedSource.settle();
+    }
+    expect(source.calls).toEqual(['list', 'watch 5']);
+    clock.advance(1_000);
+    follower.recordPeerPosition({ revision: 6 });
+    await ScriptedSource.settle();
+    expect(source.calls).toEqual(['list', 'watch 5', 'watch 5']);
+  });
+
   // Guards against calls as fast as the store responds: if lists lag behind the history that is left,
   // the follower alternated between lists and expired watches without a delay.
   it('keeps the minimum interval between lists that lag behind the history', async () => {
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -69,13 +69,13 @@
 const MILLISECONDS_PER_SECOND: Milliseconds = 1_000;
 
 /**
- * Minimum age of a watch that is aborted because another daemon knows a newer revision. The response
- * to a younger watch may still arrive.
+ * How long a watch must have received nothing to be aborted because another daemon knows a newer
+ * revision. Otherwise the response may be the one that brings it.
  */
-const MIN_ABORTED_WATCH_AGE: Milliseconds = 1_000;
+const MIN_ABORTED_WATCH_SILENCE: Milliseconds = 1_000;
 
 /** The same if the other daemon knows a later era, of which the watch may report nothing. */
-const MIN_OUTDATED_WATCH_AGE: Milliseconds = 200;
+const MIN_OUTDATED_WATCH_SILENCE: Milliseconds = 200;
 
 /** A change of the store's era, and how far the objects of the previous era were known. */
 export interface EraChange {
@@ -94,7 +94,7 @@
   /** Called when the era of the store differs from the last one. */
   onEraChanged(change: EraChange): void;
   /** Called when a watch is aborted because another daemon knows a newer revision. */
-  onWatchAborted(age: Milliseconds, known: StorePosition, announced: StorePosition): void;
+  onWatchAborted(silence: Milliseconds, known: StorePosition, announced: StorePosition): void;
   /** Called when a deleted object is retained because of an outage of the store. */
   onRetained(name: string, until: Milliseconds): void;
 }
@@ -136,7 +136,7 @@
   private readonly deletedObjects: DeletedObjects<Item>;
 
   /** The watch in flight. */
-  private activeWatch: { since: Milliseconds; abort: AbortController } | undefined;
+  private activeWatch: { progressAt: Milliseconds; abort: AbortController } | undefined;
 
   /** Whether another daemon knows a newer revision, so that the active watch was aborted. */
   private isBehind = false;
@@ -207,11 +207,11 @@
       return;
     }
     const isLaterEra = this.isLaterEra(position.era);
-    const minAge = isLaterEra ? MIN_OUTDATED_WATCH_AGE : MIN_ABORTED_WATCH_AGE;
-    const age = this.settings.clock.now() - activeWatch.since;
-    if (age >= minAge) {
+    const minSilence = isLaterEra ? MIN_OUTDATED_WATCH_SILENCE : MIN_ABORTED_WATCH_SILENCE;
+    const silence = this.settings.clock.now() - activeWatch.progressAt;
+    if (silence >= minSilence) {
       this.isBehind = true;
-      this.settings.listener.onWatchAborted(age, { era, revision }, position);
+      this.settings.listener.onWatchAborted(silence, { era, revision }, position);
       activeWatch.abort.abort();
     }
   }
@@ -310,10 +310,13 @@
     revision: number,
     wait: Milliseconds,
   ): Promise<WatchResult<Item> | undefined> {
-    const abort = new AbortController();
-    this.activeWatch = { since: this.settings.clock.now(), abort };
+    const { clock, source } = this.settings;
+    const activeWatch = { progressAt: clock.now(), abort: new AbortController() };
+    this.activeWatch = activeWatch;
     try {
-      return await this.settings.source.watch(revision, wait, abort.signal);
+      return await source.watch(revision, wait, activeWatch.abort.signal, () => {
+        activeWatch.progressAt = clock.now();
+      });
     } catch (error) {
       if (this.isBehind) {
         return undefined;
--- a/packages/relay/src/lib/http/HttpClient.ts
+++ b/packages/relay/src/lib/http/HttpClient.ts
@@ -29,6 +29,8 @@
   /** The call fails if no data is received for this long. */
   timeout: Milliseconds;
   signal?: AbortSignal;
+  /** Called whenever a part of the response arrives. */
+  onProgress?: () => void;
 }
 
 /** Opening a connection takes milliseconds; a lost SYN packet is sent again only after a second. */
@@ -74,8 +76,12 @@
 
   /** @throws StepError if no complete response is received in time */
   async send(request: HttpRequest): Promise<HttpResponse> {
-    const { step, method, address, path, headers, body, timeout, signal } = request;
+    const { step, method, address, path, headers, body, timeout, signal, onProgress } = request;
     const watchdog = new Watchdog(timeout);
+    const recordProgress = () => {
+      watchdog.recordProgress();
+      onProgress?.();
+    };
     try {
       const response = await this.agent.request({
         origin: `http://${address}`,
@@ -88,9 +94,9 @@
         },
         signal: signal === undefined ? watchdog.signal : AbortSignal.any([watchdog.signal, signal]),
       });
-      watchdog.recordProgress();
+      recordProgress();
       const headAt = performance.now();
-      const text = await readBody(response, () => watchdog.recordProgress());
+      const text = await readBody(response, recordProgress);
       const transferTime = performance.now() - headAt;
       return { status: response.statusCode, headers: response.headers, text, transferTime };
     } catch (cause) {
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -53,8 +53,8 @@
   | {
       event: 'watch-aborted';
       dependency: string;
-      /** Time since the start of the watch. */
-      age: Milliseconds;
+      /** Time since it last received something. */
+      silence: Milliseconds;
       /** Revision that this daemon knows, and the one that another daemon has announced. */
       known: number;
       announced: number;
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -81,14 +81,19 @@
     revision: number,
     maxWait: Milliseconds,
     signal: AbortSignal,
+    onProgress?: () => void,
   ): Promise<WatchResult<Item>> {
     const { selector, sharedWait } = this.settings;
     const wait = selector.hasReaders ? Math.min(maxWait, sharedWait) : maxWait;
+    const watchStore = () => {
+      onProgress?.();
+      return this.callStore((store) => store.watch(revision, wait, signal, onProgress), wait);
+    };
     for (;;) {
       const target = selector.selectTarget();
       switch (target.kind) {
         case 'store':
-          return this.callStore((store) => store.watch(revision, wait, signal), wait);
+          return watchStore();
         case 'no-source':
           throw new StepError('no reader reaches the store', { step: 'read', peer: 'daemons' });
         case 'daemon': {
@@ -100,7 +105,7 @@
           this.handleReaderFailure(target.daemon, result);
           if (result.kind === 'silent') {
             // Changes must take effect soon, and another reader may not respond either.
-            return this.callStore((store) => store.watch(revision, wait, signal), wait);
+            return watchStore();
           }
           break;
         }
