Do not count an aborted call as a failure of the store

Cause: when a call to the store is aborted because another daemon knows more, the daemon recorded that the store can't be reached.

Test: a case of SharedSource, which failed before ('no reader reaches the store' at the second call).

--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
@@ -17,7 +17,10 @@
 const NEVER = new AbortController().signal;
 
 describe('SharedSource', () => {
-  function setUp(read: (callCount: number) => ReaderResult<string>, isStoreUnavailable = false) {
+  function setUp(
+    read: (callCount: number) => ReaderResult<string>,
+    storeState: 'sound' | 'unavailable' | 'hanging' = 'sound',
+  ) {
     const clock = new ManualClock();
     const daemons = createDaemons(20);
     const selectors = daemons.map((self) => {
@@ -32,11 +35,20 @@
         calls.push('list');
         return Promise.resolve({ items: new Map([['a', 'one']]), revision: 5 });
       },
-      watch: () => {
+      watch: (_revision, _wait, signal) => {
         calls.push('watch');
-        return isStoreUnavailable
-          ? Promise.reject(new Error('store unavailable'))
-          : Promise.resolve({ kind: 'changes', changes: [], revision: 6 });
+        switch (storeState) {
+          case 'sound':
+            return Promise.resolve({ kind: 'changes', changes: [], revision: 6 });
+          case 'unavailable':
+            return Promise.reject(new Error('store unavailable'));
+          case 'hanging':
+            return new Promise((_resolve, reject) => {
+              signal.addEventListener('abort', () => reject(new Error('aborted')));
+            });
+          default:
+            return storeState satisfies never;
+        }
       },
     };
     const source = new SharedSource({
@@ -131,9 +143,24 @@
     expect(calls.slice(0, -1)).toEqual(['read ', 'read ', 'read ']);
   });
 
+  // Guards against a daemon that pauses its calls to the store because it has ended one itself.
+  it('does not count a call that was aborted as a failure of the store', async () => {
+    const { source, calls } = setUp(() => ({ kind: 'refused' }), 'hanging');
+    for (let index = 0; index < 2; index += 1) {
+      const abort = new AbortController();
+      const watch = source.watch(5, 8_000, abort.signal);
+      // eslint-disable-next-line no-await-in-loop
+      await new Promise(setImmediate);
+      abort.abort();
+      // eslint-disable-next-line no-await-in-loop
+      await expect(watch).rejects.toThrow('aborted');
+    }
+    expect(calls.filter((call) => call === 'watch')).toHaveLength(2);
+  });
+
   // Guards against calls of the whole fleet to a store that is down.
   it('does not call the store again at once while nobody can reach it', async () => {
-    const { source, calls } = setUp(() => ({ kind: 'refused' }), true);
+    const { source, calls } = setUp(() => ({ kind: 'refused' }), 'unavailable');
     await expect(source.watch(5, 8_000, NEVER)).rejects.toThrow('store unavailable');
     await expect(source.watch(5, 8_000, NEVER)).rejects.toThrow('no reader reaches the store');
     expect(calls.filter((call) => call === 'watch')).toHaveLength(1);
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -87,7 +87,11 @@
     const wait = selector.hasReaders ? Math.min(maxWait, sharedWait) : maxWait;
     const watchStore = () => {
       onProgress?.();
-      return this.callStore((store) => store.watch(revision, wait, signal, onProgress), wait);
+      return this.callStore(
+        (store) => store.watch(revision, wait, signal, onProgress),
+        wait,
+        signal,
+      );
     };
     for (;;) {
       const target = selector.selectTarget();
@@ -226,6 +230,7 @@
   private async callStore<Result extends ObjectList<Item> | WatchResult<Item>>(
     call: (store: ObjectSource<Item>) => Promise<Result>,
     wait: Milliseconds,
+    signal?: AbortSignal,
   ): Promise<Result> {
     const { store, selector, clock } = this.settings;
     this.recordReader(undefined);
@@ -239,7 +244,9 @@
       this.recordStoreEra(result);
       return result;
     } catch (error) {
-      selector.recordStoreFailure();
+      if (signal?.aborted !== true) {
+        selector.recordStoreFailure();
+      }
       throw error;
     }
   }
