Prefer daemons on large instances as readers of the store

Callers: changes of a large state came seconds later in zones whose reader runs on a small instance.

Cause: readers were chosen by hash alone. A reader receives each change and sends it to its whole group, so its link and core bound the group.

Change: daemons whose capacity, as stated to all peers, is at least half of the largest of their group come first, in the order of before; the others replace them. Fleets of equal instances choose as before.

Test: a case of ReaderSelector, which failed before.

--- a/packages/relay/src/lib/readers/ReaderSelector/ReaderSelector.test.ts
+++ b/packages/relay/src/lib/readers/ReaderSelector/ReaderSelector.test.ts
@@ -56,6 +56,25 @@
     ]);
   });
 
+  // Guards against a large state that reaches a zone seconds late: its reader received it over a slow link, and
+  // sent it over the same link to each daemon of the zone.
+  it('prefers daemons on large instances as readers, and replaces them by others', () => {
+    const daemons = createDaemons({ a: 20 }).map((daemon, index) => ({
+      ...daemon,
+      capacity: [4, 11].includes(index) ? 31.2 : 8.7,
+    }));
+    const readers = daemons.filter((self) => createSelector(self, daemons).isReader);
+    expect(readers.map(({ capacity }) => capacity)).toEqual([31.2]);
+    const selector = createSelector(daemons[0]!, daemons);
+    const capacities = Array.from({ length: readerOptions.maxCandidates }, () => {
+      const target = selector.selectTarget();
+      const daemon = target.kind === 'daemon' ? target.daemon : undefined;
+      selector.recordReaderFailure(daemon!, true);
+      return daemon!.capacity;
+    });
+    expect(capacities).toEqual([31.2, 31.2, 8.7]);
+  });
+
   it('has one reader for all zones that have few daemons', () => {
     const daemons = createDaemons({ a: 3, b: 3, c: 3, d: 3 });
     const readers = daemons.filter((self) => createSelector(self, daemons).isReader);
--- a/packages/relay/src/lib/readers/ReaderSelector/ReaderSelector.ts
+++ b/packages/relay/src/lib/readers/ReaderSelector/ReaderSelector.ts
@@ -19,6 +19,25 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+function getOrder(name: string, daemons: readonly PeerEntry[]): PeerEntry[] {
+  const byId = new Map(daemons.map((daemon) => [daemon.id, daemon]));
+  return getRendezvousOrder(name, [...byId.keys()]).map((id) => byId.get(id)!);
+}
+
+/** Orders the daemons of a group by preference: those on large instances before the others. */
+function getCandidates(name: string, group: readonly PeerEntry[]): PeerEntry[] {
+  const capacities = group.map(({ capacity }) => capacity ?? 0);
+  const minCapacity = Math.max(...capacities) * readerOptions.minCapacityRatio;
+  const isLarge = ({ capacity }: PeerEntry) => (capacity ?? 0) >= minCapacity;
+  return [
+    ...getOrder(name, group.filter(isLarge)),
+    ...getOrder(
+      name,
+      group.filter((daemon) => !isLarge(daemon)),
+    ),
+  ];
+}
+
 /**
  * Decides whether this daemon reads the store itself or from another daemon, a reader.
  *
@@ -28,6 +47,8 @@
  * Therefore, one daemon of each group reads the store for the others, and the next candidate replaces
  * it if it fails. A group is an availability zone, or the whole fleet for zones with too few daemons.
  *
+ * A reader sends each change to its whole group, so that readers run on the largest instances.
+ *
  * Daemons that know the same peers select the same reader without coordination. Where they differ, a
  * daemon that is called as a reader becomes one, and a daemon that finds no reader reads the store
  * itself. Too many readers cost additional calls, but do no other harm.
@@ -69,12 +90,9 @@
     );
     const hasOwnReaders = zoneDaemons.length >= readerOptions.minZoneSize;
     const group = hasOwnReaders ? zoneDaemons : daemons;
-    const byId = new Map(group.map((daemon) => [daemon.id, daemon]));
     const name = hasOwnReaders ? `readers/${self.availabilityZone}` : 'readers';
     this.groupSize = group.length;
-    this.candidates = getRendezvousOrder(name, [...byId.keys()])
-      .slice(0, readerOptions.maxCandidates)
-      .map((id) => byId.get(id)!);
+    this.candidates = getCandidates(name, group).slice(0, readerOptions.maxCandidates);
   }
 
   /** Whether some daemons read the store for others. */
--- a/packages/relay/src/lib/readers/readerOptions.ts
+++ b/packages/relay/src/lib/readers/readerOptions.ts
@@ -11,6 +11,11 @@
   maxCandidates: 3,
   /** Availability zones with fewer daemons do not have a reader of their own. */
   minZoneSize: 8,
+  /**
+   * Daemons whose capacity is at least this fraction of the largest one of their group are preferred as
+   * readers.
+   */
+  minCapacityRatio: 1 / 2,
   /**
    * Maximum wait of a call to the store or a reader, as a fraction of the time within which changes
    * must take effect. A dead connection is noticed only at the end of the wait.
