End pauses after an outage once others announce a later change

Callers: a daemon that had been cut off from readers and store could stay behind for seconds after the cut, longer than changes may take.

Cause: after a failed call to the store, a daemon that is no reader pauses for up to 0.19 s for each daemon of its group (3.75 s with 20, 6 s with 33), and a reader that did not respond isn't called for 5 s. Both exist to spare a store that is down, and neither knew the bound of changes. Only daemons that read the store announced changes, so that in a large fleet a given daemon heard of one each second at best.

Change: a daemon without a source that hears of a later change than its own ends its pauses, at most once a second. While nobody knows more, as during an outage of the store, pauses are as before. All daemons announce the last change they have received. A silent reader no longer causes a call to the store within its pause.

--- a/packages/relay/src/lib/daemon/ObjectFollower.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import { isLater } from '../follow/StateFollower/ObjectSource.js';
 import type { ObjectSource, StorePosition } from '../follow/StateFollower/ObjectSource.js';
 import { StateFollower } from '../follow/StateFollower/StateFollower.js';
 import type { StateListener } from '../follow/StateFollower/StateFollower.js';
@@ -55,9 +56,9 @@
     await this.follower.run();
   }
 
-  /** The position of the last change that this daemon received from the store itself. */
+  /** The position of the last change that this daemon has received. */
   get lastChangePosition(): StorePosition | undefined {
-    return this.isDirect ? this.follower.lastChangePosition : undefined;
+    return this.follower.lastChangePosition;
   }
 
   /** Time since the known objects were the current ones in the store. */
@@ -71,10 +72,14 @@
   }
 
   /**
-   * Records the position of a change that a peer has received. Ignored if this daemon uses a reader,
-   * which handles it instead.
+   * Records the position of a change that a peer has received. A daemon that reads the store may have to
+   * call it again, and one that has no source may have one again.
    */
   recordPeerPosition(position: StorePosition): void {
+    const { isConnected, knownPosition } = this.follower;
+    if (!isConnected && knownPosition !== undefined && isLater(position, knownPosition)) {
+      this.parts.selector.endPauses();
+    }
     if (this.isDirect) {
       this.follower.recordPeerPosition(position);
     }
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -80,7 +80,7 @@
     });
   }
 
-  /** The position of the last change received from the store itself, by kind; sent to other daemons. */
+  /** The position of the last change that this daemon has received, by kind; sent to other daemons. */
   get lastChangePositions(): Record<string, StorePosition> {
     const positions: Record<string, StorePosition> = {};
     this.followers.forEach(({ lastChangePosition }, dependency) => {
@@ -91,7 +91,7 @@
     return positions;
   }
 
-  /** Records the positions of the last changes that a peer received from the store. */
+  /** Records the positions of the last changes that a peer has received. */
   recordPeerPositions(positions: Readonly<Record<string, StorePosition>>): void {
     Object.entries(positions).forEach(([dependency, position]) =>
       this.followers.get(dependency)?.recordPeerPosition(position),
--- a/packages/relay/src/lib/readers/ReaderSelector/ReaderSelector.ts
+++ b/packages/relay/src/lib/readers/ReaderSelector/ReaderSelector.ts
@@ -75,6 +75,9 @@
   /** When this daemon may call the store again while no reader can reach it. */
   private storeRetryAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
+  /** Earliest time at which the pauses may be ended again. */
+  private pausesEndableAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly settings: ReaderSelectorSettings) {}
 
   /** Sets the live daemons, including this one. */
@@ -106,6 +109,11 @@
     return !this.hasReaders || this.candidates[0]!.id === self.id || clock.now() < this.readerUntil;
   }
 
+  /** Whether no recent call of this daemon to the store has failed. */
+  get mayCallStore(): boolean {
+    return this.settings.clock.now() >= this.storeRetryAt;
+  }
+
   selectTarget(): ReadTarget {
     const { self, clock } = this.settings;
     if (this.isReader) {
@@ -118,7 +126,7 @@
     if (daemon !== undefined) {
       return { kind: 'daemon', daemon };
     }
-    return now < this.storeRetryAt ? { kind: 'no-source' } : { kind: 'store' };
+    return this.mayCallStore ? { kind: 'store' } : { kind: 'no-source' };
   }
 
   /** Called when another daemon uses this one as a reader. */
@@ -143,6 +151,20 @@
     this.storeRetryAt = clock.now() + delay * (0.5 + random.next());
   }
 
+  /**
+   * Called when other daemons know a later change than this one, which has no source: it may reach the
+   * store and the readers again. Otherwise, the pauses could last longer than changes may take.
+   */
+  endPauses(): void {
+    const now = this.settings.clock.now();
+    if (now < this.pausesEndableAt) {
+      return;
+    }
+    this.pausesEndableAt = now + readerOptions.minPause;
+    this.storeRetryAt = Number.NEGATIVE_INFINITY;
+    this.cooldownUntil.clear();
+  }
+
   recordStoreSuccess(): void {
     this.storeRetryAt = Number.NEGATIVE_INFINITY;
   }
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -107,7 +107,7 @@
             return SharedSource.getWatchResult(result.state);
           }
           this.handleReaderFailure(target.daemon, result);
-          if (result.kind === 'silent') {
+          if (result.kind === 'silent' && selector.mayCallStore) {
             // Changes must take effect soon, and another reader may not respond either.
             return watchStore();
           }
--- a/packages/relay/src/lib/readers/readerOptions.ts
+++ b/packages/relay/src/lib/readers/readerOptions.ts
@@ -31,6 +31,8 @@
   silenceCooldown: 5_000 satisfies Milliseconds,
   /** How long a reader that cannot reach the store is not called. */
   refusalCooldown: 500 satisfies Milliseconds,
+  /** Minimum time between two rounds of calls of a daemon whose pauses are ended. */
+  minPause: 1_000 satisfies Milliseconds,
   /** How long a daemon acts as a reader after another one has used it as a reader. */
   requestedReaderPeriod: 10_000 satisfies Milliseconds,
   /** Calls per second to the store by all non-readers of a group while no reader can reach it. */
