Confirm the configuration before a request is refused as unknown

Callers: 404 or 401, which are final, for a route or key that the store had confirmed longer ago than changes may take.

Cause: a daemon refused by the configuration that it had, however old. Whatever delays a change (a watch that hangs, an outage, a cut, a slow link) became a final refusal. Nothing in the daemon knew the age of its knowledge.

Change: 401 and 404 are given only by a configuration that was the current one in the store within half of the time in which changes must take effect. An older one is read again first, for up to a second; if that fails, or the store is known to be away, the caller gets 503 as not run, and Retry-After. A watch whose response is arriving is not aborted for it.

Why it holds: the age counts from the head of a response that was the newest then, or from the start of a list, through readers too. A change that was confirmed longer ago than the age is known.

Tried: 500 ms for the confirmation, too short if an idle connection to the store is dead as well (501 ms).

--- a/packages/relay/src/lib/callers/admitRequest.ts
+++ b/packages/relay/src/lib/callers/admitRequest.ts
@@ -14,7 +14,14 @@
       route: RelayRoute;
       workspace: RelayWorkspace | undefined;
     }
-  | { kind: 'rejected'; status: number; reason: string; retryAfter?: Milliseconds };
+  | {
+      kind: 'rejected';
+      status: number;
+      reason: string;
+      retryAfter?: Milliseconds;
+      /** Whether the reason is that the configuration does not contain what the request names. */
+      isUnknown?: boolean;
+    };
 
 const BAD_REQUEST = 400;
 const UNAUTHORIZED = 401;
@@ -52,11 +59,11 @@
   }
   const route = routes.find(host, request.url);
   if (route === undefined) {
-    return { kind: 'rejected', status: NOT_FOUND, reason: 'unknown route' };
+    return { kind: 'rejected', status: NOT_FOUND, reason: 'unknown route', isUnknown: true };
   }
   const workspace = keys?.find(fields.key);
   if (keys !== undefined && workspace === undefined && !route.isPublic) {
-    return { kind: 'rejected', status: UNAUTHORIZED, reason: 'unknown key' };
+    return { kind: 'rejected', status: UNAUTHORIZED, reason: 'unknown key', isUnknown: true };
   }
   return { kind: 'admitted', active, route, workspace };
 }
--- a/packages/relay/src/lib/callers/callerOptions.ts
+++ b/packages/relay/src/lib/callers/callerOptions.ts
@@ -8,6 +8,8 @@
   headCheckInterval: 500 satisfies Milliseconds,
   /** Retry-After until the first configuration arrives, which takes half a second after the start. */
   startingRetryAfter: 500 satisfies Milliseconds,
+  /** Retry-After for what only a configuration that this daemon can't read at the moment may contain. */
+  unconfirmedRetryAfter: 500 satisfies Milliseconds,
   /** Initial timeout for request heads, until the first configuration arrives. */
   headerTimeout: 3_000 satisfies Milliseconds,
   idleTimeout: 15_000 satisfies Milliseconds,
--- a/packages/relay/src/lib/daemon/ObjectFollower.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.ts
@@ -9,6 +9,7 @@
 import { SharedObjects } from '../readers/SharedObjects/SharedObjects.js';
 import { SharedSource } from '../readers/SharedSource/SharedSource.js';
 import type { PeerReader } from '../readers/SharedSource/SharedSource.js';
+import { waitAtMost } from './waitAtMost.js';
 
 /** Dependencies of {@link ObjectFollower}. */
 export interface ObjectFollowerParts<Item> {
@@ -37,6 +38,9 @@
 
   private readonly follower: StateFollower<Item>;
 
+  /** Called after the next response. */
+  private readonly awaitingRead: (() => void)[] = [];
+
   constructor(private readonly parts: ObjectFollowerParts<Item>) {
     this.source = new SharedSource(parts);
     this.follower = new StateFollower({
@@ -85,6 +89,23 @@
     }
   }
 
+  /**
+   * Makes sure that the known objects are recent, by reading them again if necessary.
+   *
+   * @param timeout - how long the read may take
+   * @returns whether they were the current ones in the store at most `maxAge` ago
+   */
+  async confirm(maxAge: Milliseconds, timeout: Milliseconds): Promise<boolean> {
+    if (this.age > maxAge && this.isConnected) {
+      const nextRead = new Promise<void>((resolve) => {
+        this.awaitingRead.push(resolve);
+      });
+      this.follower.refresh();
+      await waitAtMost(nextRead, this.parts.clock, timeout);
+    }
+    return this.age <= maxAge;
+  }
+
   setDaemonCount(daemonCount: number): void {
     this.follower.setDaemonCount(daemonCount);
   }
@@ -127,6 +148,7 @@
           onRestored(dependency);
         }
       },
+      onRead: () => this.awaitingRead.splice(0).forEach((resolve) => resolve()),
       onWatchAborted: (silence, known, announced) =>
         log({
           event: 'watch-aborted',
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -183,6 +183,7 @@
       maySend: (replica) => this.core.maySend(replica),
       getActive: () => this.active,
       getConfigurationAge: () => this.storeLink.getAge(CONFIGURATION),
+      confirmConfiguration: () => this.storeLink.confirm(CONFIGURATION),
       isRejecting: () => this.isRejecting,
       onAttemptSent: (service, tokens) => this.duties?.recordSent(service, tokens),
       onRefused: (service, prompt) => {
--- a/packages/relay/src/lib/daemon/RequestIntake.ts
+++ b/packages/relay/src/lib/daemon/RequestIntake.ts
@@ -57,6 +57,8 @@
   getActive: () => ActiveConfiguration | undefined;
   /** Time since the active configuration was the current one in the store. */
   getConfigurationAge: () => Milliseconds;
+  /** Makes sure that the active configuration is recent. @returns whether it is */
+  confirmConfiguration: () => Promise<boolean>;
   /** Whether new requests are rejected because the daemon is stopping. */
   isRejecting: () => boolean;
 }
@@ -87,6 +89,13 @@
   retryAfter: callerOptions.stoppingRetryAfter,
 };
 
+const UNCONFIRMED_REJECTION: Rejection = {
+  kind: 'rejected',
+  status: 503,
+  reason: 'a newer configuration may contain what the request names',
+  retryAfter: callerOptions.unconfirmedRetryAfter,
+};
+
 const MEMORY_REJECTION: Rejection = {
   kind: 'rejected',
   status: 503,
@@ -122,9 +131,7 @@
     const fields = protocol.readRequest(request.headers);
     const id = this.createId(fields.requestId);
     this.parts.unreadable.report(`request ${id}`, fields.unreadable);
-    const admission = this.parts.isRejecting()
-      ? STOPPING_REJECTION
-      : admitRequest(request, fields, this.parts.getActive());
+    const admission = await this.admit(request, fields);
     if (admission.kind === 'rejected') {
       this.rejectUnread(request, response, id, admission);
       return;
@@ -190,6 +197,20 @@
     );
   }
 
+  /** Rejects a request as unknown, which is final for the caller, only by a recent configuration. */
+  private async admit(request: IncomingMessage, fields: RequestFields): Promise<RequestAdmission> {
+    const { isRejecting, getActive, confirmConfiguration } = this.parts;
+    if (isRejecting()) {
+      return STOPPING_REJECTION;
+    }
+    const admission = admitRequest(request, fields, getActive());
+    if (admission.kind !== 'rejected' || admission.isUnknown !== true) {
+      return admission;
+    }
+    const isConfirmed = await confirmConfiguration();
+    return isConfirmed ? admitRequest(request, fields, getActive()) : UNCONFIRMED_REJECTION;
+  }
+
   /** @returns undefined if the request resumes no stream */
   private async findResumption(
     id: string,
--- a/packages/relay/src/lib/daemon/StoreLink.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.ts
@@ -117,6 +117,16 @@
     return this.followers.get(dependency)?.age ?? Number.POSITIVE_INFINITY;
   }
 
+  /**
+   * Makes sure that the known objects of a kind are recent enough to reject a request for what they don't
+   * contain.
+   */
+  async confirm(dependency: string): Promise<boolean> {
+    const { maxRefusalAgeRatio, confirmTimeout } = readerOptions;
+    const maxAge = this.parts.changeBound * maxRefusalAgeRatio;
+    return (await this.followers.get(dependency)?.confirm(maxAge, confirmTimeout)) ?? false;
+  }
+
   /** For each kind of objects, the time since the known ones were the current ones in the store. */
   get ages(): [string, Milliseconds][] {
     return [...this.followers].map(([dependency, { age }]) => [dependency, age]);
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
@@ -74,6 +74,7 @@
         onEraChanged: ({ era }) => {
           this.era = era;
         },
+        onRead: () => undefined,
         onWatchAborted: () => undefined,
         onRetained: () => undefined,
       },
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -93,6 +93,7 @@
         onLost: () => log.push('lost'),
         onReconnected: () => log.push('reconnected'),
         onEraChanged: ({ era, previous }) => log.push(`era ${previous} to ${era}`),
+        onRead: () => undefined,
         onWatchAborted: () => undefined,
         onRetained: (name) => log.push(`retained ${name}`),
       },
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -74,6 +74,9 @@
  */
 const MIN_ABORTED_WATCH_SILENCE: Milliseconds = 1_000;
 
+/** How long a watch must have received nothing to be aborted because the objects must be confirmed. */
+const MIN_REFRESH_INTERVAL: Milliseconds = 100;
+
 /** The same if the other daemon knows a later era, of which the watch may report nothing. */
 const MIN_OUTDATED_WATCH_SILENCE: Milliseconds = 200;
 
@@ -93,6 +96,8 @@
   onReconnected(outage: Milliseconds): void;
   /** Called when the era of the store differs from the last one. */
   onEraChanged(change: EraChange): void;
+  /** Called after each response, when its changes have been applied. */
+  onRead(): void;
   /** Called when a watch is aborted because another daemon knows a newer revision. */
   onWatchAborted(silence: Milliseconds, known: StorePosition, announced: StorePosition): void;
   /** Called when a deleted object is retained because of an outage of the store. */
@@ -168,7 +173,6 @@
       try {
         // eslint-disable-next-line no-await-in-loop
         mustList = await this.poll(mustList);
-        this.handleSuccess();
       } catch (error) {
         // eslint-disable-next-line no-await-in-loop
         await this.handleError(error);
@@ -216,6 +220,18 @@
     }
   }
 
+  /**
+   * Reads the source again at once, unless a call has just begun or its response is arriving.
+   */
+  refresh(): void {
+    const { activeWatch } = this;
+    const { clock } = this.settings;
+    if (activeWatch !== undefined && clock.now() - activeWatch.progressAt >= MIN_REFRESH_INTERVAL) {
+      this.isBehind = true;
+      activeWatch.abort.abort();
+    }
+  }
+
   /** The objects in the store, without deleted ones that are retained. */
   get stored(): Map<string, Item> {
     return new Map([...this.items].filter(([name]) => !this.retained.has(name)));
@@ -239,6 +255,7 @@
       const list = await source.list();
       this.startReconnectGrace();
       this.applyList(list);
+      this.handleSuccess();
       return false;
     }
     // The first watch after an outage does not wait for a change, so that the end of the outage is
@@ -256,10 +273,12 @@
       // If lists lag behind the history, the watch after a list expires at once; without this pause,
       // lists and watches would alternate as fast as the store responds.
       await this.waitForInterval(this.listedAt);
+      this.handleSuccess();
       return true;
     }
     this.startReconnectGrace();
     this.applyResult(result);
+    this.handleSuccess();
     await this.waitForInterval(startedAt);
     return false;
   }
@@ -451,6 +470,7 @@
       this.disconnectedAt = undefined;
       this.settings.listener.onReconnected(outage);
     }
+    this.settings.listener.onRead();
   }
 
   private async handleError(error: unknown): Promise<void> {
--- a/packages/relay/src/lib/readers/readerOptions.ts
+++ b/packages/relay/src/lib/readers/readerOptions.ts
@@ -23,6 +23,13 @@
   sharedWaitRatio: 1 / 4,
   /** How long a reader's state counts as fresh after the end of a wait at the store. */
   maxStaleness: 500 satisfies Milliseconds,
+  /**
+   * Maximum age of the objects by which a request is rejected as unknown, as a fraction of the time within
+   * which changes must take effect.
+   */
+  maxRefusalAgeRatio: 1 / 2,
+  /** How long a request waits until older objects are confirmed. */
+  confirmTimeout: 1_000 satisfies Milliseconds,
   /** Time that a reader has to respond after the end of the wait. */
   responseSlack: 300 satisfies Milliseconds,
   /** A read that takes longer than this besides its wait is logged. */
