An expired history does not confirm what a reader knows

Callers: none seen; found while the cause was sought elsewhere.

Cause: a reader counts as current for a while after each successful call to the store, and 410 counted as one. Between it and the end of the list that follows, the reader told its group that nothing had changed, though it had just learnt that changes were missing; with a large state that is a second and more.

Change: 410 does not count.

Test: a case of SharedSource, red on the parent commit.

--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
@@ -19,7 +19,7 @@
 describe('SharedSource', () => {
   function setUp(
     read: (callCount: number) => ReaderResult<string> | Promise<ReaderResult<string>>,
-    storeState: 'sound' | 'unavailable' | 'hanging' = 'sound',
+    storeState: 'sound' | 'expired' | 'unavailable' | 'hanging' = 'sound',
   ) {
     const clock = new ManualClock();
     const daemons = createDaemons(20);
@@ -40,6 +40,8 @@
         switch (storeState) {
           case 'sound':
             return Promise.resolve({ kind: 'changes', changes: [], revision: 6 });
+          case 'expired':
+            return Promise.resolve({ kind: 'history-expired' });
           case 'unavailable':
             return Promise.reject(new Error('store unavailable'));
           case 'hanging':
@@ -172,6 +174,17 @@
     expect(source.isDirect).toBe(false);
   });
 
+  // Guards against a reader that passes on a state that it knows to be outdated as the current one.
+  it('does not take an expired history for a confirmation of the known objects', async () => {
+    const { clock, source } = setUp(() => ({ kind: 'refused' }), 'expired');
+    await source.list();
+    const confirmedAt = clock.now();
+    clock.advance(3_000);
+    expect(await source.watch(5, 8_000, NEVER)).toEqual({ kind: 'history-expired' });
+    expect(source.confirmedAt).toBe(confirmedAt);
+    expect(source.age).toBe(3_000);
+  });
+
   // Guards against a daemon that pauses its calls to the store because it has ended one itself.
   it('does not count a call that was aborted as a failure of the store', async () => {
     const { source, calls } = setUp(() => ({ kind: 'refused' }), 'hanging');
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -60,7 +60,7 @@
 
   constructor(private readonly settings: SharedSourceSettings<Item>) {}
 
-  /** When a call of this daemon to the store last succeeded. */
+  /** When a call of this daemon to the store last returned the newest objects. */
   get confirmedAt(): Milliseconds {
     return this.lastConfirmedAt;
   }
@@ -301,7 +301,10 @@
       this.recordRead('store', startedAt, wait);
       this.recordStoreAge(result, clock.now() - startedAt);
       selector.recordStoreSuccess();
-      this.lastConfirmedAt = clock.now();
+      // Until the objects have been listed, an expired history says that they are outdated.
+      if (!('kind' in result) || result.kind !== 'history-expired') {
+        this.lastConfirmedAt = clock.now();
+      }
       this.recordStoreEra(result);
       return result;
     } catch (error) {
