Serialize a state once for all daemons of a group

Callers: changes of a large state came later than needed.

Cause: a reader serialized the whole state for each daemon of its group and each change; only the compressed bytes were shared.

Change: the text is kept per kind, by the token that is known to the daemon and the position of the state.

--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
@@ -66,4 +66,45 @@
     const { byteLength } = await body.arrayBuffer();
     expect(byteLength).toBeLessThan(JSON.stringify(LARGE).length / 10);
   });
+
+  // Guards against a reader that is busy for as many times a state's size as its group has daemons.
+  it('serializes a state once for all daemons that request it', async () => {
+    let serialized = 0;
+    const item = (value: number) => ({
+      toJSON: () => {
+        serialized += 1;
+        return value;
+      },
+    });
+    const objects = new SharedObjects<unknown>(
+      new ManualClock(),
+      'epoch',
+      () => ({ revision: 7 }),
+      () => 0,
+    );
+    objects.update(new Map([['main', item(1)]]));
+    server.add('items', objects);
+    const [port] = await reservePorts(1);
+    const ownServer = new PeerServer();
+    ownServer.addHandler(OBJECTS_PATH, server.handler);
+    await ownServer.listen(HOST, port!);
+    const read = createPeerReader<number>(client, 'items');
+    const peer = { id: 'd-1', address: `${HOST}:${port}`, availabilityZone: 'a' };
+    const readAll = (since: string) =>
+      Promise.all(
+        Array.from({ length: 10 }, () =>
+          read(peer, { since, wait: 0 }, new AbortController().signal),
+        ),
+      );
+    const first = await readAll('');
+    expect(serialized).toBe(1);
+    objects.update(new Map([['main', item(2)]]));
+    const second = await readAll('epoch.1');
+    expect(serialized).toBe(2);
+    const getValues = (results: typeof first) =>
+      results.map((result) => result.kind === 'state' && result.state.changes);
+    expect(getValues(first)).toEqual(Array.from({ length: 10 }, () => [['main', 1]]));
+    expect(getValues(second)).toEqual(Array.from({ length: 10 }, () => [['main', 2]]));
+    ownServer.dispose();
+  });
 });
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.ts
@@ -4,7 +4,7 @@
 import polka from 'polka';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { RelayLog } from '../../observe/RelayEvent.js';
-import type { SharedObjects } from '../SharedObjects/SharedObjects.js';
+import type { SharedObjects, SharedState } from '../SharedObjects/SharedObjects.js';
 
 /** Contains the version of the format; daemons with another version read the store themselves. */
 export const OBJECTS_PATH = '/objects/v1';
@@ -41,6 +41,9 @@
   /** Handles the requests below {@link OBJECTS_PATH}. */
   readonly handler: RequestListener;
 
+  /** The last serialized state of each kind, with what it depends on. */
+  private readonly lastTexts = new Map<string, { key: string; text: string }>();
+
   /** The last compressed response. */
   private lastCompressed: { text: string; bytes: Buffer } | undefined;
 
@@ -78,7 +81,8 @@
     }
     const { maxWait, onRequest } = this.settings;
     onRequest();
-    const state = await objects.getState(query.get('since') ?? '', Math.min(wait, maxWait));
+    const since = query.get('since') ?? '';
+    const state = await objects.getState(since, Math.min(wait, maxWait));
     response.setHeader('content-type', 'application/json');
     if (state === undefined) {
       response.statusCode = UNAVAILABLE;
@@ -88,7 +92,20 @@
     response.statusCode = OK;
     response.setHeader(STATE_AGE_HEADER, String(Math.ceil(objects.age)));
     const isCompressed = request.headers['accept-encoding'] === 'gzip';
-    this.writeState(response, JSON.stringify(state), isCompressed);
+    this.writeState(response, this.serialize(kind, since, state), isCompressed);
+  }
+
+  /** Serializes a state once for all daemons of a group, which request the same one at the same time. */
+  private serialize(kind: string, since: string, state: SharedState<unknown>): string {
+    const { token, revision, era } = state;
+    const key = [since, token, revision, era].join(' ');
+    const last = this.lastTexts.get(kind);
+    if (last?.key === key) {
+      return last.text;
+    }
+    const text = JSON.stringify(state);
+    this.lastTexts.set(kind, { key, text });
+    return text;
   }
 
   /**
