Remember versions of streams for as long as streams can last

Callers: none seen. A stream that lasts longer than 30 s could go on at another software version than the one that began it.

Cause: versions of streams, and of services, were remembered for 30 s from the first event, twice the longest time-out of the users' routes. Operators set time-outs; with a longer one, a version that has left was forgotten while its streams still ran, and the one that serves now counted as the only one (as StreamVersions' case 'counts a version that has left until its streams can no longer be resumed' shows for 30 s).

Change: the time is twice the longest time-out of a route whose streams can be resumed, at least 30 s, and never falls. When it rises, what had been forgotten is not vouched for.

Tests: two cases of StreamVersions; they need the new setting, and were not run on the code before.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -171,7 +171,10 @@
       ...parts,
       self,
       peerServer: this.peerServer,
-      versions: new StreamVersions({ clock, isFirstStart: settings.isFirstStart }),
+      versions: new StreamVersions({
+        clock,
+        isFirstStart: settings.isFirstStart,
+      }),
     });
     this.intake = new RequestIntake({
       ...parts,
@@ -480,6 +483,8 @@
     this.replicaWatch.setServices(configuration.services);
     this.healthChecks.setServices(configuration.services);
     const { version, routes } = configuration;
+    const timeouts = routes.filter(({ resumable }) => resumable).map(({ timeout }) => timeout);
+    this.streams.setLongestTimeout(Math.max(0, ...timeouts));
     const age = this.storeLink.getAge(CONFIGURATION);
     this.parts.log({ event: 'configuration', version, previous, routes: routes.length, age });
   }
--- a/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.ts
+++ b/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.ts
@@ -1,6 +1,6 @@
 import { readBody } from '@apricotrill/callers';
 import { getRendezvousOrder } from '@apricotrill/utils';
-import type { Clock } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import polka from 'polka';
@@ -130,6 +130,11 @@
     }
   }
 
+  /** Sets the longest time-out of a route whose streams can be resumed. */
+  setLongestTimeout(timeout: Milliseconds): void {
+    this.parts.versions.setLongestTimeout(timeout);
+  }
+
   /** Applies the newest list of replicas. */
   setReplicas(replicas: readonly RelayReplica[]): void {
     const { log, versions } = this.parts;
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.fuzz.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.fuzz.test.ts
@@ -50,7 +50,7 @@
             default:
               item satisfies never;
           }
-          const start = clock.now() - streamOptions.resumeTime;
+          const start = clock.now() - streamOptions.minResumeTime;
           streams.forEach(({ at, version: began }, id) =>
             expect(versions.find(id)?.softwareVersion).toBe(at >= start ? began : undefined),
           );
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.test.ts
@@ -3,7 +3,7 @@
 import { streamOptions } from '../streamOptions.js';
 import { StreamVersions } from './StreamVersions.js';
 
-const { resumeTime, maxStreams } = streamOptions;
+const { minResumeTime: resumeTime, maxStreams } = streamOptions;
 
 function createVersions(isFirstStart = false) {
   const clock = new ManualClock();
@@ -84,4 +84,30 @@
     first.list('v1');
     expect(first.versions.getHistory('app')).toEqual({ versions: ['v1'], isCovered: true });
   });
+
+  // Guards against a stream of two versions: it lasted longer than the version that began it was remembered.
+  it('remembers streams and versions for as long as a stream can last', () => {
+    const { clock, versions, list } = createVersions();
+    versions.setLongestTimeout(resumeTime);
+    list('v1');
+    versions.record(STREAM);
+    list('v2');
+    clock.advance(2 * resumeTime);
+    expect(versions.find('s-1')).toMatchObject(STREAM);
+    expect(versions.getHistory('app').versions).toEqual(['v2', 'v1']);
+    clock.advance(1);
+    expect(versions.getHistory('app')).toEqual({ versions: ['v2'], isCovered: true });
+  });
+
+  it('does not vouch for the time before the time-out was raised', () => {
+    const { clock, versions, list } = createVersions(true);
+    list('v1');
+    list('v2');
+    clock.advance(resumeTime + 1);
+    list('v2');
+    versions.setLongestTimeout(resumeTime);
+    expect(versions.getHistory('app')).toEqual({ versions: ['v2'], isCovered: false });
+    clock.advance(resumeTime);
+    expect(versions.getHistory('app').isCovered).toBe(true);
+  });
 });
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
@@ -45,8 +45,28 @@
 
   private coveredSince: Milliseconds | undefined;
 
+  private firstListAt: Milliseconds | undefined;
+
+  private resumeTime: Milliseconds = streamOptions.minResumeTime;
+
   constructor(private readonly settings: StreamVersionsSettings) {}
 
+  /**
+   * Sets the longest time that a stream may take. It never becomes shorter, since streams that began
+   * before may still go on.
+   */
+  setLongestTimeout(timeout: Milliseconds): void {
+    const resumeTime = timeout * streamOptions.resumeTimeouts;
+    if (resumeTime <= this.resumeTime) {
+      return;
+    }
+    const forgottenBefore = this.settings.clock.now() - this.resumeTime;
+    if (this.firstListAt !== undefined && this.firstListAt < forgottenBefore) {
+      this.coveredSince = forgottenBefore;
+    }
+    this.resumeTime = resumeTime;
+  }
+
   /** Number of streams that are remembered. */
   get size(): number {
     return this.streams.size;
@@ -59,6 +79,7 @@
    */
   setReplicas(replicas: readonly RelayReplica[]): string[] {
     const now = this.settings.clock.now();
+    this.firstListAt ??= now;
     this.coveredSince ??= this.settings.isFirstStart ? Number.NEGATIVE_INFINITY : now;
     const listed = new Map<string, Set<string>>();
     replicas.forEach(({ service, softwareVersion }) => {
@@ -91,7 +112,7 @@
 
   getHistory(service: string): VersionHistory {
     const { clock } = this.settings;
-    const start = clock.now() - streamOptions.resumeTime;
+    const start = clock.now() - this.resumeTime;
     const earlier = [...(this.lastListed.get(service) ?? [])]
       .filter(([, at]) => at >= start)
       .map(([version]) => version);
@@ -109,12 +130,12 @@
     const known = this.lastListed.get(service) ?? new Map<string, Milliseconds>();
     this.lastListed.set(service, known);
     versions.forEach((version) => known.set(version, at));
-    const start = at - streamOptions.resumeTime;
+    const start = at - this.resumeTime;
     [...known].filter(([, last]) => last < start).forEach(([version]) => known.delete(version));
   }
 
   private forgetOld(): void {
-    const start = this.settings.clock.now() - streamOptions.resumeTime;
+    const start = this.settings.clock.now() - this.resumeTime;
     for (const [id, { at }] of this.streams) {
       if (at >= start && this.streams.size <= streamOptions.maxStreams) {
         return;
--- a/packages/relay/src/lib/streams/streamOptions.ts
+++ b/packages/relay/src/lib/streams/streamOptions.ts
@@ -2,8 +2,10 @@
 
 /** Options of the software versions of streams. */
 export const streamOptions = {
-  /** Time after its start in which a stream can be resumed; no caller waits longer. */
-  resumeTime: 30_000 satisfies Milliseconds,
+  /** Minimum time after its start in which a stream can be resumed. */
+  minResumeTime: 30_000 satisfies Milliseconds,
+  /** The same in multiples of the longest time-out of a route, for the stream and its caller's return. */
+  resumeTimeouts: 2,
   /** Number of streams that are remembered. Beyond it, the oldest are forgotten and can't be resumed. */
   maxStreams: 20_000,
   /** Daemons that are told the version of a stream, besides the one that began it. */
