A daemon with an old list of replicas does not vouch for the only version

Change: it vouches only if its list was the current one in the store within half of the time in which streams are resumed. A version that came later than that is one of several for the daemons that begin streams at it, which then tell the holders.

Test: a case of StreamVersions, red with the check removed (true instead of false).

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -174,6 +174,7 @@
       versions: new StreamVersions({
         clock,
         isFirstStart: settings.isFirstStart,
+        getListAge: () => this.storeLink.getAge(REPLICAS),
       }),
     });
     this.intake = new RequestIntake({
--- a/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.test.ts
@@ -31,7 +31,7 @@
     const clock = new SystemClock();
     const peerServer = new PeerServer();
     const self: PeerEntry = { id, address: `${HOST}:${port}`, availabilityZone: 'a' };
-    const versions = new StreamVersions({ clock, isFirstStart });
+    const versions = new StreamVersions({ clock, isFirstStart, getListAge: () => 0 });
     const exchange = new StreamVersionExchange({
       clock,
       log: () => undefined,
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.fuzz.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.fuzz.test.ts
@@ -23,7 +23,7 @@
     fc.assert(
       fc.property(fc.array(step, { maxLength: 60 }), fc.boolean(), (steps, isFirstStart) => {
         const clock = new ManualClock();
-        const versions = new StreamVersions({ clock, isFirstStart });
+        const versions = new StreamVersions({ clock, isFirstStart, getListAge: () => 0 });
         const lists: { at: number; versions: string[] }[] = [];
         const streams = new Map<string, { at: number; version: string }>();
         steps.forEach((item) => {
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.test.ts
@@ -7,14 +7,15 @@
 
 function createVersions(isFirstStart = false) {
   const clock = new ManualClock();
-  const versions = new StreamVersions({ clock, isFirstStart });
+  const known = { age: 0 };
+  const versions = new StreamVersions({ clock, isFirstStart, getListAge: () => known.age });
   const list = (...softwareVersions: string[]) =>
     versions.setReplicas(
       softwareVersions.map((softwareVersion, index) =>
         createReplica(`i-${index}-${softwareVersion}`, { softwareVersion }),
       ),
     );
-  return { clock, versions, list };
+  return { clock, versions, list, known };
 }
 
 const STREAM = { id: 's-1', service: 'app', softwareVersion: 'v1' };
@@ -110,4 +111,12 @@
     clock.advance(resumeTime);
     expect(versions.getHistory('app').isCovered).toBe(true);
   });
+
+  // Guards against a stream of two versions: a daemon that was cut off from the store vouched for the old one.
+  it('does not vouch for versions with an old list', () => {
+    const { versions, list, known } = createVersions(true);
+    list('v1');
+    known.age = resumeTime / 2 + 1;
+    expect(versions.getHistory('app')).toEqual({ versions: ['v1'], isCovered: false });
+  });
 });
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
@@ -13,7 +13,7 @@
 /** The software versions of a service in the time in which streams can be resumed. */
 export interface VersionHistory {
   versions: string[];
-  /** Whether there were no others: the replicas have been known for the whole time. */
+  /** Whether there were no others: the replicas have been known for the whole time, and recently. */
   isCovered: boolean;
 }
 
@@ -26,6 +26,8 @@
   clock: Clock;
   /** Whether the whole system starts for the first time, so that there were no streams before. */
   isFirstStart: boolean;
+  /** Returns the time since the known replicas were the current ones in the store. */
+  getListAge: () => Milliseconds;
 }
 
 /**
@@ -117,7 +119,10 @@
       .filter(([, at]) => at >= start)
       .map(([version]) => version);
     const versions = [...new Set([...(this.current.get(service) ?? []), ...earlier])];
-    const isCovered = this.coveredSince !== undefined && this.coveredSince <= start;
+    // With a list no older than that, a version that came since is one of several for the daemons that
+    // have begun streams at it, so that they have told them.
+    const isRecent = this.settings.getListAge() <= this.resumeTime / 2;
+    const isCovered = isRecent && this.coveredSince !== undefined && this.coveredSince <= start;
     return { versions, isCovered };
   }
 
