Take the state of a reader of the release before for as old as it may be

Callers: while daemons are replaced, those behind a reader of the release before would have answered 503 instead of 404 and 401 throughout, since it states no age and the age counted as unbounded.

Change: such a state is as old as readers pass on at most: the wait and half a second. Found by reading the diff; test: a case of SharedSource.

--- a/packages/relay/src/lib/daemon/ObjectFollower.test.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.test.ts
@@ -50,7 +50,12 @@
       });
       const { revision } = network;
       const state = { token: `${revision}`, revision, isWhole: true };
-      return { kind: 'state', age: 0, state: { ...state, changes: [...getItems()] } };
+      return {
+        kind: 'state',
+        age: 0,
+        transferTime: 0,
+        state: { ...state, changes: [...getItems()] },
+      };
     };
     const createSelector = (self: PeerEntry) => {
       const selector = new ReaderSelector({ clock, random: createRandom(seed), self });
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.test.ts
@@ -2,6 +2,7 @@
 import type { ObjectSource } from '../../follow/StateFollower/ObjectSource.js';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
+import { readerOptions } from '../readerOptions.js';
 import { ReaderSelector } from '../ReaderSelector/ReaderSelector.js';
 import { SharedSource } from './SharedSource.js';
 import type { ReaderResult } from './SharedSource.js';
@@ -72,6 +73,7 @@
     const { source, calls } = setUp((callCount) => ({
       kind: 'state',
       age: 0,
+      transferTime: 0,
       state: {
         token: `t.${callCount}`,
         revision: 7,
@@ -96,6 +98,7 @@
     const { source, calls } = setUp((callCount) => ({
       kind: 'state',
       age: 0,
+      transferTime: 0,
       state: {
         token: `t.${callCount}`,
         revision: callCount === 1 ? 70 : 7,
@@ -110,11 +113,19 @@
     expect(calls).toEqual(['read ', 'read t.1', 'read ']);
   });
 
+  it('takes the state of a reader that states no age for as old as a reader may pass on', async () => {
+    const state = { token: 't', revision: 7, isWhole: true, changes: [] };
+    const { source } = setUp(() => ({ kind: 'state', age: undefined, transferTime: 200, state }));
+    await source.watch(5, 8_000, NEVER);
+    expect(source.age).toBe(1_000 + readerOptions.maxStaleness + 200);
+  });
+
   // Guards against following a reader that has not noticed the restore of the store.
   it('does not use a reader that is an era behind', async () => {
     const { source, calls } = setUp((callCount) => ({
       kind: 'state',
       age: 0,
+      transferTime: 0,
       state: {
         token: 't',
         revision: 70,
@@ -169,7 +180,7 @@
     await new Promise(setImmediate);
     expect(calls).toEqual(['read ', 'watch']);
     const state = { token: 't', revision: 7, isWhole: false, changes: [] };
-    respond!({ kind: 'state', age: 0, state });
+    respond!({ kind: 'state', age: 0, transferTime: 0, state });
     expect(await watch).toMatchObject({ kind: 'changes', revision: 7 });
     expect(source.isDirect).toBe(false);
   });
--- a/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
+++ b/packages/relay/src/lib/readers/SharedSource/SharedSource.ts
@@ -14,8 +14,14 @@
 
 /** Result of a call to a reader. */
 export type ReaderResult<Item> =
-  /** @param age - time since the state was the current one in the store */
-  | { kind: 'state'; state: SharedState<Item>; age: Milliseconds }
+  | {
+      kind: 'state';
+      state: SharedState<Item>;
+      /** Time since the state was the current one in the store, when the response began; if stated. */
+      age: Milliseconds | undefined;
+      /** How long the response took to arrive. */
+      transferTime: Milliseconds;
+    }
   /** The reader has no current state, since it cannot reach the store or has just become a reader. */
   | { kind: 'refused' }
   | { kind: 'silent'; error: Error };
@@ -200,7 +206,9 @@
       return { kind: 'refused' };
     }
     const isRestored = this.recordEra(era);
-    this.recordCurrent(result.age);
+    // Readers do not respond with an older state.
+    const maxAge = this.settings.sharedWait + readerOptions.maxStaleness;
+    this.recordCurrent((result.age ?? maxAge) + result.transferTime);
     this.lastState = { reader: daemon.id, token };
     if (isRestored && !isWhole) {
       // Changes across a restore can't be applied to a state of the previous era.
--- a/packages/relay/src/lib/readers/createPeerReader.ts
+++ b/packages/relay/src/lib/readers/createPeerReader.ts
@@ -18,10 +18,10 @@
   changes: z.array(z.tuple([z.string(), z.unknown()])),
 });
 
-/** @returns infinity for a reader of an earlier release, which does not state the age */
-function readAge(header: string | string[] | undefined): Milliseconds {
+/** @returns undefined for a reader of an earlier release, which does not state the age */
+function readAge(header: string | string[] | undefined): Milliseconds | undefined {
   const age = Number(header ?? '');
-  return header !== undefined && Number.isFinite(age) && age >= 0 ? age : Number.POSITIVE_INFINITY;
+  return header !== undefined && Number.isFinite(age) && age >= 0 ? age : undefined;
 }
 
 /** Creates a function that requests the objects of one kind from a reader. */
@@ -42,7 +42,7 @@
         return { kind: 'refused' };
       }
       const state = stateSchema.parse(parseJson(text, step, address)) as SharedState<Item>;
-      return { kind: 'state', state, age: readAge(headers[STATE_AGE_HEADER]) + transferTime };
+      return { kind: 'state', state, age: readAge(headers[STATE_AGE_HEADER]), transferTime };
     } catch (error) {
       return { kind: 'silent', error: error instanceof Error ? error : new Error(String(error)) };
     }
