--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.test.ts
@@ -100,7 +100,7 @@
     expect(versions.getHistory('app')).toEqual({ versions: ['v2'], isCovered: true });
   });
 
-  it('does not vouch for the time before the time-out was raised', () => {
+  it('does not count as covered the time before the time-out was raised', () => {
     const { clock, versions, list } = createVersions(true);
     list('v1');
     list('v2');
@@ -112,8 +112,8 @@
     expect(versions.getHistory('app').isCovered).toBe(true);
   });
 
-  // Guards against a stream of two versions: a daemon that was cut off from the store vouched for the old one.
-  it('does not vouch for versions with an old list', () => {
+  // Guards against a stream of two versions: a daemon without the store took the old version for the only one.
+  it('does not count versions as covered with an old list', () => {
     const { versions, list, known } = createVersions(true);
     list('v1');
     known.age = resumeTime / 2 + 1;
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
@@ -119,8 +119,8 @@
       .filter(([, at]) => at >= start)
       .map(([version]) => version);
     const versions = [...new Set([...(this.current.get(service) ?? []), ...earlier])];
-    // With a list no older than that, a version that came since is one of several for the daemons that
-    // have begun streams at it, so that they have told them.
+    // A version that was added after a list of this age is still one of several at the daemons that know
+    // it, so that they tell other daemons of its streams.
     const isRecent = this.settings.getListAge() <= this.resumeTime / 2;
     const isCovered = isRecent && this.coveredSince !== undefined && this.coveredSince <= start;
     return { versions, isCovered };
