Log how far a cancelled attempt was, and how long a daemon's own check took

The logs could not tell whether a cancelled attempt had begun to answer, nor which part of a probe was spent before other daemons were asked. No change of logic.

--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -158,6 +158,8 @@
       asked: string[];
       answers: (boolean | undefined)[];
       result: ProbeResult;
+      /** Duration of this daemon's own check, before others were asked. */
+      ownAfter: Milliseconds;
       after: Milliseconds;
     }
   | { event: 'connections-restored'; replica: string; service: string; after: Milliseconds }
@@ -291,7 +293,16 @@
       incompleteBytes: number;
       detail: string | undefined;
     }
-  | { event: 'cancelled'; id: string; attempt: number; reason: CancelReason }
+  | {
+      event: 'cancelled';
+      id: string;
+      attempt: number;
+      reason: CancelReason;
+      /** Whether the caller has received a part of the response. */
+      hasBegun: boolean;
+      /** Time since the replica last sent something over a direct connection; 0 if there is none. */
+      silence: Milliseconds;
+    }
   | {
       event: 'given-up';
       id: string;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -133,7 +133,8 @@
     'the first byte of the response to an attempt was received; includes the software version of the replica',
   'attempt-ended':
     'an attempt ended; includes how, what determined the end of the response, and the bytes after the last complete event of a stream',
-  cancelled: 'the daemon cancelled an attempt; includes the reason',
+  cancelled:
+    'the daemon cancelled an attempt; includes the reason, whether the caller has received a part of the response, and how long the replica has been silent',
   'given-up':
     "a request failed without a replica's response; includes the outcome, the reason, the status sent to the caller, and the quarantined part of its prompt",
   'versions-mixed':
--- a/packages/relay/src/lib/paths/PathProber/PathProber.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.ts
@@ -60,13 +60,24 @@
     if (own === true) {
       return { result: ProbeResult.Up, own };
     }
+    const ownAfter = clock.now() - startedAt;
     const peers = getPeers(pathOptions.askedPeers);
     const answers = await Promise.all(peers.map((peer) => this.ask(peer, replica)));
     const result = PathProber.evaluate(own, answers);
     const { id, service } = replica;
     const after = clock.now() - startedAt;
     const asked = peers.map((peer) => peer.id);
-    log({ event: 'replica-probed', replica: id, service, own, asked, answers, result, after });
+    log({
+      event: 'replica-probed',
+      replica: id,
+      service,
+      own,
+      asked,
+      answers,
+      result,
+      ownAfter,
+      after,
+    });
     return { result, own };
   }
 
--- a/packages/relay/src/lib/request/RelayTask.ts
+++ b/packages/relay/src/lib/request/RelayTask.ts
@@ -220,7 +220,10 @@
       this.reportEnd(attempt);
       return;
     }
-    this.parts.log({ event: 'cancelled', id, attempt, reason });
+    const { clock, log } = this.parts;
+    const hasBegun = this.callerResponse.isStarted;
+    const silence = current.sent.getDirectSilence(clock.now());
+    log({ event: 'cancelled', id, attempt, reason, hasBegun, silence });
     this.recordAttemptEnd(current, AttemptEnd.Cancelled);
     this.current = undefined;
     current.sent.abort();
