--- a/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
@@ -58,11 +58,15 @@
     return `${HOST}:${port}`;
   }
 
-  async function probe(address: string, peers: readonly string[]): Promise<ProbeResult> {
+  async function probe(
+    address: string,
+    peers: readonly string[],
+    ownCheck = () => check(address),
+  ): Promise<ProbeResult> {
     const prober = new PathProber({
       clock: new SystemClock(),
       log: () => undefined,
-      check: ({ address: own }) => check(own),
+      check: ownCheck,
       getPeers: (count) =>
         peers
           .map((peer, index) => ({ id: `d-${index}`, address: peer, availabilityZone: 'a' }))
@@ -101,4 +105,12 @@
     const peers = [await getClosedAddress(), await startPeer([]), isolated];
     expect(await probe(address, peers)).toBe(ProbeResult.Unknown);
   });
+
+  // Guards against a replica that goes on between two checks and is taken for one that only others reach.
+  it('does not blame the path if the replica goes on before peers are asked', async () => {
+    const up = createReplica('i/1', { address: await startListener() });
+    const results = [CheckResult.Silent, CheckResult.Responds];
+    const ownCheck = () => Promise.resolve(results.shift()!);
+    expect(await probe(up.address, [await startPeer([up])], ownCheck)).toBe(ProbeResult.Up);
+  });
 });
