Take a path for lost only if this daemon does not reach the replica after another one has

Cause: a daemon checked a silent replica without success and asked others only then. If the replica went on in between, they reached it, and absence at one moment and presence at a later one counted as a lost path: the attempts at the replica were cancelled, its idle connections closed, and its requests forwarded. The same where a request was forwarded after its connection had failed, and its response came once the replica had gone on. Change: after another daemon has reached the replica, this one checks once more, and shares no check that began before. A replica that allows no health check counts as reached if it sends anything else meanwhile. Partitions are found as before: partitionedDaemon, partitionRecovery and partitionOverlap are green.

--- a/packages/relay/src/lib/daemon/ReplicaPaths.ts
+++ b/packages/relay/src/lib/daemon/ReplicaPaths.ts
@@ -75,10 +75,12 @@
     this.forwarders = new ForwarderTable({ self, clock });
     const replicaCheck = new ReplicaCheck(parts);
     const check = (replica: RelayReplica) => replicaCheck.run(replica);
+    const checkAnew = (replica: RelayReplica) => replicaCheck.runAnew(replica);
     this.prober = new PathProber({
       clock,
       log,
       check,
+      checkAnew,
       getPeers: (count) => this.forwarders.getPeers(count),
     });
     this.paths = new PathMonitor({
@@ -86,6 +88,7 @@
       log,
       metrics,
       check,
+      checkAnew,
       onContact: (replica) => replicaCheck.recordContact(replica),
       probe: (replica) => this.prober.probe(replica),
       onSilent: (replicas) => {
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -157,6 +157,8 @@
       /** The daemons that were asked, and what each of them observed. */
       asked: string[];
       answers: (boolean | undefined)[];
+      /** What this daemon observes after another one has reached the replica. */
+      again: boolean | undefined;
       result: ProbeResult;
       /** Duration of this daemon's own check, before others were asked. */
       ownAfter: Milliseconds;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -47,7 +47,7 @@
   'connections-failing':
     'a connection to a replica could not be opened, unlike the previous one; includes the time since any replica last sent something, and to how many replicas connections fail',
   'replica-probed':
-    'a replica at which attempts failed accepts no connections of this daemon; includes which other daemons were asked and what they observe, and whether the replica or only the path of this daemon is at fault',
+    'a replica at which attempts failed accepts no connections of this daemon; includes which other daemons were asked and what they observe, what this daemon observes `again` after one of them has reached it, and whether the replica or only the path of this daemon is at fault',
   'path-lost':
     'another daemon reaches a replica that this one cannot connect to; from now on, attempts at it are forwarded by other daemons',
   'path-restored':
--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -18,6 +18,8 @@
   log: RelayLog;
   metrics: RelayMetrics;
   check: (replica: RelayReplica) => Promise<CheckResult>;
+  /** Like `check`, but shares no check that has already begun. */
+  checkAnew: (replica: RelayReplica) => Promise<CheckResult>;
   /** Called when a replica has sent something over a connection of this daemon. */
   onContact: (replica: string) => void;
   /** Finds out whether a replica or only the path to it is at fault. */
@@ -120,9 +122,15 @@
     this.parts.onContact(replica);
   }
 
-  /** Records that a replica could not be connected to, but responded through another daemon. */
-  recordLost(replica: RelayReplica, error: Error): void {
-    this.handleLoss(replica, getConnectionFailure(error));
+  /**
+   * Records that a replica could not be connected to, but responded through another daemon later. The path is
+   * lost if this daemon still can't reach it.
+   */
+  async recordReachedByPeer(replica: RelayReplica, error: Error): Promise<void> {
+    const isUp = isReached(await this.parts.checkAnew(replica)) === true;
+    if (!isUp && !this.isDisposed) {
+      this.handleLoss(replica, getConnectionFailure(error));
+    }
   }
 
   /** Watches an attempt for silence until it has ended. */
--- a/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
@@ -67,6 +67,7 @@
       clock: new SystemClock(),
       log: () => undefined,
       check: ownCheck,
+      checkAnew: ownCheck,
       getPeers: (count) =>
         peers
           .map((peer, index) => ({ id: `d-${index}`, address: peer, availabilityZone: 'a' }))
--- a/packages/relay/src/lib/paths/PathProber/PathProber.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.ts
@@ -15,6 +15,8 @@
   clock: Clock;
   log: RelayLog;
   check: (replica: RelayReplica) => Promise<CheckResult>;
+  /** Like `check`, but shares no check that has already begun. */
+  checkAnew: (replica: RelayReplica) => Promise<CheckResult>;
   /** Returns peers that are likely to reach the replicas, the best first. */
   getPeers: (count: number) => PeerEntry[];
 }
@@ -54,7 +56,7 @@
   }
 
   private async run(replica: RelayReplica): Promise<ProbeOutcome> {
-    const { clock, log, check, getPeers } = this.parts;
+    const { clock, log, check, checkAnew, getPeers } = this.parts;
     const startedAt = clock.now();
     const own = isReached(await check(replica));
     if (own === true) {
@@ -63,7 +65,9 @@
     const ownAfter = clock.now() - startedAt;
     const peers = getPeers(pathOptions.askedPeers);
     const answers = await Promise.all(peers.map((peer) => this.ask(peer, replica)));
-    const result = PathProber.evaluate(own, answers);
+    // The replica may have gone on since the first check, and peers have observed it later.
+    const again = answers.includes(true) ? isReached(await checkAnew(replica)) : undefined;
+    const result = again === true ? ProbeResult.Up : PathProber.evaluate(own, answers);
     const { id, service } = replica;
     const after = clock.now() - startedAt;
     const asked = peers.map((peer) => peer.id);
@@ -74,11 +78,12 @@
       own,
       asked,
       answers,
+      again,
       result,
       ownAfter,
       after,
     });
-    return { result, own };
+    return { result, own: again ?? own };
   }
 
   /** @param own - this daemon's own observation, which is not that the replica is up */
--- a/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.test.ts
+++ b/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { reservePorts } from '@apricotrill/standins';
 import { createReplica } from '../../../test/fixtures.js';
+import { pathOptions } from '../pathOptions.js';
 import { CheckResult, ReplicaCheck, isReached } from './ReplicaCheck.js';
 
 const HOST = '127.0.0.1';
@@ -67,6 +68,35 @@
     expect(await check.run(createReplica('i-1', { address }))).toBe(CheckResult.Accepts);
   });
 
+  // Guards against a sound replica that counts as out of reach since it allows few health checks.
+  it('reaches a replica that allows no health check while it sends something else', async () => {
+    mayCheck = false;
+    const address = await listenSilently();
+    const result = check.run(createReplica('i-1', { address }));
+    check.recordContact('i-1');
+    expect(await result).toBe(CheckResult.Responds);
+  });
+
+  // Guards against the failure of a check that began before the replica went on.
+  it('checks anew although an earlier check has not ended', async () => {
+    let isSilent = true;
+    const address = await listen(
+      createHttpServer((_request, response) => {
+        if (!isSilent) {
+          response.end();
+        }
+      }),
+    );
+    const replica = createReplica('i-1', { address });
+    const earlier = check.run(replica);
+    await new Promise((resolve) => {
+      setTimeout(resolve, pathOptions.responseTimeout / 2);
+    });
+    isSilent = false;
+    expect(await check.runAnew(replica)).toBe(CheckResult.Responds);
+    expect(await earlier).toBe(CheckResult.Silent);
+  });
+
   // Guards against a middlebox that accepts connections in place of a replica that allows no checks.
   it('is certain only if a replica responds or its port refuses connections', () => {
     const results = Object.values(CheckResult).map((result) => [result, isReached(result)]);
--- a/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.ts
+++ b/packages/relay/src/lib/paths/ReplicaCheck/ReplicaCheck.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { isListening } from '../../upstream/isListening.js';
 import { isResponding } from '../../upstream/isResponding.js';
@@ -15,7 +16,7 @@
 export enum CheckResult {
   /** The replica has sent something. */
   Responds = 'responds',
-  /** Its port accepts connections, and it allows no health check now. */
+  /** Its port accepts connections, it allows no health check now, and it sends nothing else. */
   Accepts = 'accepts',
   /** A connection does not open, or carries nothing. */
   Silent = 'silent',
@@ -38,6 +39,10 @@
   }
 }
 
+function getFailure(accepts: false | undefined): CheckResult {
+  return accepts === false ? CheckResult.Refuses : CheckResult.Silent;
+}
+
 /**
  * Checks whether this daemon reaches a replica: its port accepts a connection, and a health check gets
  * a response of any status. Without the latter, a path whose connections open and carry nothing would
@@ -68,24 +73,40 @@
     return result;
   }
 
+  /** Checks a replica from now on. The failure of a check that began earlier proves nothing about now. */
+  async runAnew(replica: RelayReplica): Promise<CheckResult> {
+    const earlier = await this.pending.get(replica.id);
+    return earlier === CheckResult.Responds ? earlier : this.run(replica);
+  }
+
   private async check(replica: RelayReplica): Promise<CheckResult> {
-    const { getHealthPath, mayCheck } = this.parts;
-    const { address } = replica;
-    const accepts = await isListening(address, pathOptions.probeTimeout);
-    const path = getHealthPath(replica);
-    if (accepts !== true) {
-      return accepts === false ? CheckResult.Refuses : CheckResult.Silent;
-    }
-    if (path === undefined || !mayCheck(replica)) {
-      return CheckResult.Accepts;
-    }
     // A busy replica may not respond in time while it sends other responses.
     const contact = new Promise<boolean>((resolve) => {
       this.awaited.set(replica.id, () => resolve(true));
     });
-    const response = isResponding(address, path, pathOptions.responseTimeout);
-    const responds = await Promise.race([contact, response]);
+    const { address } = replica;
+    const accepts = await isListening(address, pathOptions.probeTimeout);
+    const result =
+      accepts === true ? await this.checkResponse(replica, contact) : getFailure(accepts);
     this.awaited.delete(replica.id);
-    return responds ? CheckResult.Responds : CheckResult.Silent;
+    return result;
+  }
+
+  /** @param contact - resolves to true once the replica has sent something over another connection */
+  private async checkResponse(
+    replica: RelayReplica,
+    contact: Promise<boolean>,
+  ): Promise<CheckResult> {
+    const { getHealthPath, mayCheck } = this.parts;
+    const { responseTimeout } = pathOptions;
+    const path = getHealthPath(replica);
+    const isAllowed = path !== undefined && mayCheck(replica);
+    const response = isAllowed
+      ? isResponding(replica.address, path, responseTimeout)
+      : wait(responseTimeout, false);
+    if (await Promise.race([contact, response])) {
+      return CheckResult.Responds;
+    }
+    return isAllowed ? CheckResult.Silent : CheckResult.Accepts;
   }
 }
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -158,6 +158,7 @@
       metrics,
       onContact: () => undefined,
       check: () => Promise.resolve(CheckResult.Refuses),
+      checkAnew: () => Promise.resolve(CheckResult.Refuses),
       probe: () => Promise.resolve({ result: ProbeResult.Unknown, own: false }),
       onSilent: () => undefined,
       onIsolationChanged: () => undefined,
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.ts
@@ -260,8 +260,11 @@
 
   /** The replica has responded through another daemon, so that only the path of this one is at fault. */
   private handleReached(cause: Error | undefined): void {
+    const { log, paths } = this.parts;
     if (cause !== undefined) {
-      this.parts.paths.recordLost(this.replica, cause);
+      paths.recordReachedByPeer(this.replica, cause).catch((error: unknown) => {
+        log({ event: 'fault', step: 'check a path', error: String(error) });
+      });
     }
   }
 
