End an attempt only when another one begins

Cause: an attempt at a silent replica or behind a lost path was cancelled first. Only then was the retry taken from the budget, and a replica, a version, the quarantine, backoffs and admission asked; where one of them failed, the request was given up as may-have-run. All streams of a lost path are cancelled in one loop, so that each of them saw the same last retry. Change: AttemptReplacements takes the retry, and asks whatever decides, while the attempt runs on. It is cancelled in the moment in which the next one is sent. If none can begin, or the replica responds meanwhile, it goes on, the retry is given back, and attempt-kept says why. A silent attempt moves only to a replica that is not silent itself, so that silences of many replicas don't spend the budget.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -159,6 +159,7 @@
       case 'check-liveness':
         this.answerLivenessCheck(effect.replica.id);
         break;
+      case 'keep':
       case 'replica-leaving':
       case 'replica-backed-off':
       case 'suspect':
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -66,6 +66,11 @@
       case 'cancel':
         intake.getTask(effect.id)?.cancel(effect);
         break;
+      case 'keep': {
+        const { id, attempt, reason, because } = effect;
+        log({ event: 'attempt-kept', id, attempt, reason, because });
+        break;
+      }
       case 'give-up':
         intake.getTask(effect.id)?.giveUp(effect);
         break;
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -3,11 +3,12 @@
 import { getAdmissionGroupFactory } from '../admission/getAdmissionGroupFactory.js';
 import { PeerQueries } from '../admission/PeerQueries/PeerQueries.js';
 import { AttemptKeys } from '../AttemptKeys.js';
+import { AttemptReplacements } from '../AttemptReplacements/AttemptReplacements.js';
 import { createFirstByteUpdate } from '../createFirstByteUpdate.js';
 import { Fleet } from '../Fleet/Fleet.js';
 import { getNextStep } from '../getNextStep.js';
 import type { Fallback } from '../getNextStep.js';
-import { AttemptEnd, CancelReason, GiveUpReason, Outcome } from '../messages.js';
+import { AttemptEnd, CancelReason, GiveUpReason, KeepReason, Outcome } from '../messages.js';
 import type {
   LoadReport,
   PlacementEffect,
@@ -97,6 +98,8 @@
 
   private readonly waiting: WaitingRequests;
 
+  private readonly replacements: AttemptReplacements;
+
   /** Decides which requests begin at the groups of which this daemon is a placer. */
   readonly admissionControl: AdmissionControl;
 
@@ -136,7 +139,7 @@
     });
     this.responseTimeouts = new ResponseTimeouts({
       clock,
-      emit,
+      replace: (record, reason) => this.replacements.start(record, reason),
       options: this.options,
       registry: this.registry,
     });
@@ -185,7 +188,8 @@
         this.recordSent(attempt.state);
         this.responseTimeouts.start(record, attempt);
       },
-      onQueryFailed: (record) => this.waiting.placeOrWait(record),
+      onReplaced: (record) => this.endReplaced(record),
+      onQueryFailed: (record) => this.handleFailedQuery(record),
       onRefused: (record, retryAfter) => this.refuse(record, retryAfter),
       admissionControl,
     });
@@ -198,6 +202,7 @@
       giveUp: (record, reason) => this.giveUp(record, getOutcome(record), reason),
     });
     const { quarantine, placer, placing, waiting } = this;
+    this.replacements = new AttemptReplacements({ clock, emit, registry, quarantine, placing });
     this.peerUpdates = new PeerUpdates({
       fleet,
       registry,
@@ -405,6 +410,7 @@
       const { isFragile } = this.registry.getService(record.request.service);
       this.announceUpdate(running, createFirstByteUpdate(running, now, isFragile));
       record.cancelSilenceTimer();
+      this.replacements.abandon(record, KeepReason.Responds);
       this.admissionControl.review(running.state);
     }
   }
@@ -417,21 +423,36 @@
     }
   }
 
-  /** Ends an attempt whose connection carries nothing any more if the request may run elsewhere. */
+  /** Replaces an attempt whose connection carries nothing any more. */
   private handleStranded({ id, attempt }: { id: string; attempt: number }): void {
     const record = this.records.get(id);
-    if (record?.running?.number === attempt && this.mayRetry(record)) {
-      this.emit({ kind: 'cancel', id, attempt, reason: CancelReason.PathLost });
+    if (record?.running?.number === attempt) {
+      this.replacements.start(record, CancelReason.PathLost);
     }
   }
 
-  private mayRetry({ request, sentAttempts }: RequestRecord): boolean {
-    const { retryBudget } = this.registry.getService(request.service);
-    return (
-      request.isRetryable &&
-      sentAttempts + 1 < request.maxAttempts &&
-      retryBudget.getRemaining(this.clock.now()) >= 1
-    );
+  /** Ends the running attempt of a request whose next attempt is about to be sent. */
+  private endReplaced(record: RequestRecord): void {
+    const { request, running, replacement } = record;
+    if (running === undefined || replacement === undefined) {
+      return;
+    }
+    Object.assign(record, { replacement: undefined });
+    const { number: attempt, sentAt } = running;
+    this.emit({ kind: 'cancel', id: request.id, attempt, reason: replacement });
+    this.releaseAttempt(record, { end: AttemptEnd.Cancelled, duration: this.clock.now() - sentAt });
+    const step = getNextStep(record, AttemptEnd.Cancelled, this.options.unsentLimit);
+    record.countAttempt(AttemptEnd.Cancelled);
+    record.setFallback(step.kind === 'place' ? step.fallback : undefined);
+  }
+
+  /** Continues a request after a placer did not respond or provided no usable replica. */
+  private handleFailedQuery(record: RequestRecord): void {
+    if (record.replacement === undefined) {
+      this.waiting.placeOrWait(record);
+    } else {
+      this.replacements.place(record);
+    }
   }
 
   private handleAttemptEnd({
@@ -441,9 +462,16 @@
   }: Extract<PlacementMessage, { kind: 'attempt-ended' }>): void {
     const record = this.records.get(id);
     const running = record?.running;
-    if (record === undefined || running?.number !== attempt) {
+    if (record === undefined) {
+      return;
+    }
+    if (running?.number !== attempt) {
+      // The room of an attempt that was replaced is free.
+      this.waiting.drain(this.registry.getService(record.request.service));
+      this.admissionControl.reviewAll();
       return;
     }
+    this.replacements.abandon(record, KeepReason.Responds);
     this.releaseAttempt(record, { end, duration: this.clock.now() - running.sentAt });
     record.countAttempt(end);
     this.registry.recordAttemptEnd(running, end);
@@ -495,7 +523,9 @@
 
   /** Ends a request that the placer of its group does not admit. */
   private refuse(record: RequestRecord, retryAfter: Milliseconds | undefined): void {
-    if (record.mayHaveRun && record.fallback !== undefined) {
+    if (record.replacement !== undefined) {
+      this.replacements.abandon(record, KeepReason.NotAdmitted);
+    } else if (record.mayHaveRun && record.fallback !== undefined) {
       this.fallBack(record, record.fallback);
     } else {
       this.giveUp(record, getOutcome(record), GiveUpReason.Overload, retryAfter);
--- a/packages/relay/src/lib/decide/Placing/Placing.ts
+++ b/packages/relay/src/lib/decide/Placing/Placing.ts
@@ -41,6 +41,8 @@
   keys: AttemptKeys;
   quarantine: Quarantine;
   backoffs: ReplicaBackoffs;
+  /** Called before an attempt is sent in place of one that is still running, which has to end. */
+  onReplaced: (record: RequestRecord) => void;
   /** Called when an attempt is sent. */
   onSent: (record: RequestRecord, attempt: RunningAttempt) => void;
   /** Called when a placer did not respond or provided no usable replica. */
@@ -237,18 +239,19 @@
   }
 
   private getCandidates(record: RequestRecord): ReplicaState[] {
-    const { request, triedReplicas, softwareVersion } = record;
+    const { request, triedReplicas, softwareVersion, replacement, fingerprints } = record;
     const { registry, clock, fleet, quarantine } = this.parts;
     const now = clock.now();
     const service = registry.getService(request.service);
-    if (quarantine.isSuspect(record.fingerprints)) {
-      return quarantine.restrictCandidates(
-        record.fingerprints,
-        service.getCandidates(triedReplicas, now, softwareVersion),
-      );
+    const candidates =
+      replacement === undefined
+        ? service.getCandidates(triedReplicas, now, softwareVersion)
+        : service.getReplacements(record, replacement, now);
+    if (quarantine.isSuspect(fingerprints)) {
+      return quarantine.restrictCandidates(fingerprints, candidates);
     }
-    if (softwareVersion !== undefined) {
-      return service.getCandidates(triedReplicas, now, softwareVersion);
+    if (softwareVersion !== undefined || replacement !== undefined) {
+      return candidates;
     }
     const group = fleet.isLarge ? this.router.getGroup(record) : undefined;
     // A placer knows all attempts in flight at its own group, but hardly any at other groups.
@@ -256,7 +259,7 @@
       group !== undefined && fleet.getPlacers(group.name)[0] === fleet.self
         ? service.getGroupCandidates(group, triedReplicas, now)
         : [];
-    return groupCandidates.length > 0 ? groupCandidates : service.getCandidates(triedReplicas, now);
+    return groupCandidates.length > 0 ? groupCandidates : candidates;
   }
 
   /** Returns the daemon that is notified of an attempt at a replica that this daemon chose. */
@@ -284,9 +287,12 @@
 
   private send(record: RequestRecord, { state, choice }: ChosenReplica, origin: Origin): void {
     const { request } = record;
-    const { clock, emit, fleet, onSent } = this.parts;
+    const { clock, emit, fleet, onReplaced, onSent } = this.parts;
     const now = clock.now();
     const { prompt, pauseTarget } = request;
+    if (record.running !== undefined) {
+      onReplaced(record);
+    }
     const attempt: RunningAttempt = {
       ...origin,
       observers: this.getObservers(state, origin.placer),
--- a/packages/relay/src/lib/decide/Placing/largeFleet.test.ts
+++ b/packages/relay/src/lib/decide/Placing/largeFleet.test.ts
@@ -6,7 +6,7 @@
   createRequest,
 } from '../../../test/fixtures.js';
 import { AttemptEnd } from '../messages.js';
-import type { PlacementQuery, PlacementUpdate } from '../messages.js';
+import type { PlacementQuery, PlacementResponse, PlacementUpdate } from '../messages.js';
 import { placementOptions } from '../placementOptions.js';
 
 const DAEMONS = Array.from({ length: 20 }, (_item, index) => `d-${index}`);
@@ -239,4 +239,56 @@
     expect(getFollowed(deputy)).toEqual(all);
     expect(getFollowed(member.name)).toEqual([]);
   });
+
+  describe('with an attempt at a silent replica', () => {
+    const SENT = { replica: 'e-0', expected: 90, missingTokens: 0, tokensAhead: 0, copyTime: 0 };
+
+    function createSilent(): { member: Member; placer: string } {
+      const { member, placer } = createMember();
+      member.submit('r');
+      const { query } = member.queries[0]!;
+      member.receive(placer, { kind: 'reply', response: { key: query.key, placement: SENT } });
+      while (member.queries.length === 1) {
+        member.harness.clock.advance(10);
+      }
+      return { member, placer };
+    }
+
+    function reply(member: Member, placer: string, response: Partial<PlacementResponse>): void {
+      const { key } = member.queries.at(-1)!.query;
+      member.receive(placer, { kind: 'reply', response: { key, ...response } });
+    }
+
+    // Guards against an attempt that is ended before the placer has another replica for the request.
+    it('ends it only once the placer has chosen another replica', () => {
+      const { member, placer } = createSilent();
+      expect(member.harness.getEffects('cancel')).toEqual([]);
+      reply(member, placer, { placement: { ...SENT, replica: 'e-1' } });
+      expect(member.harness.getEffects('cancel')).toMatchObject([{ id: 'r', attempt: 1 }]);
+      expect(member.harness.getAttemptedReplicas('r')).toEqual(['e-0', 'e-1']);
+    });
+
+    // Guards against a request that is lost because its placer refuses to let it begin again.
+    it('keeps it if the placer refuses the request', () => {
+      const { member, placer } = createSilent();
+      reply(member, placer, { refused: { retryAfter: 500 } });
+      expect(member.harness.getEffects('cancel')).toEqual([]);
+      expect(member.harness.getEffects('give-up')).toEqual([]);
+      member.harness.core.handle({ kind: 'first-byte-received', id: 'r', attempt: 1 });
+      member.harness.end('r', 1, AttemptEnd.Completed);
+      expect(member.harness.getEffects('settle')).toMatchObject([{ id: 'r', attempt: 1 }]);
+    });
+
+    // Guards against an attempt that is ended although its replica has begun to respond meanwhile.
+    it('keeps it if its replica responds before the placer', () => {
+      const { member, placer } = createSilent();
+      const [service, before] = member.harness.core.registry.getRemainingRetries()[0]!;
+      member.harness.core.handle({ kind: 'first-byte-received', id: 'r', attempt: 1 });
+      reply(member, placer, { placement: { ...SENT, replica: 'e-1' } });
+      expect(member.harness.getEffects('cancel')).toEqual([]);
+      expect(member.harness.getAttemptedReplicas('r')).toEqual(['e-0']);
+      const retries = new Map(member.harness.core.registry.getRemainingRetries());
+      expect(retries.get(service)).toBe(before + 1);
+    });
+  });
 });
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -9,10 +9,12 @@
 import type { ReplicaBackoffs } from '../ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaFragility } from '../fragility/ReplicaFragility/ReplicaFragility.js';
 import type { ReplicaLimits } from '../limits/ReplicaLimits/ReplicaLimits.js';
+import { CancelReason } from '../messages.js';
 import type { PlacementCriteria } from '../messages.js';
 import { EngineStatistics } from '../PrefillEstimator/EngineStatistics.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import { ReplicaState } from '../ReplicaState/ReplicaState.js';
+import type { RequestRecord } from '../RequestRecord.js';
 import { RetryBudget } from '../RetryBudget/RetryBudget.js';
 import type { RetryLimits } from '../RetryBudget/RetryBudget.js';
 import { WaitingList } from '../WaitingList/WaitingList.js';
@@ -173,6 +175,19 @@
     return this.filterCandidates(sendable, { triedReplicas, now, hasRoom });
   }
 
+  /** The candidates that an attempt in flight may be moved to. */
+  getReplacements(
+    { triedReplicas, softwareVersion }: RequestRecord,
+    reason: CancelReason,
+    now: Milliseconds,
+  ): ReplicaState[] {
+    // Behind a lost path all replicas seem silent, and requests are forwarded.
+    const mayBeSilent = reason === CancelReason.PathLost;
+    return this.getCandidates(triedReplicas, now, softwareVersion).filter(
+      (state) => !triedReplicas.has(state.replica.id) && (mayBeSilent || !state.isSilent(now)),
+    );
+  }
+
   /** The candidates within one group, of which this daemon is the placer. */
   getGroupCandidates(
     { replicas }: ReplicaGroup,
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -249,7 +249,16 @@
 
   /** Whether it has sent nothing for too long although requests of this daemon are in flight. */
   isUnresponsive(now: Milliseconds): boolean {
-    const limit = now - this.options.darkAfter;
+    return this.isSilentFor(this.options.darkAfter, now);
+  }
+
+  /** Whether it may be paused: no request should be moved to it from another silent replica. */
+  isSilent(now: Milliseconds): boolean {
+    return this.isSilentFor(this.options.silentAfter, now);
+  }
+
+  private isSilentFor(span: Milliseconds, now: Milliseconds): boolean {
+    const limit = now - span;
     const ownAttempts = [...this.running].filter(({ isOwn }) => isOwn);
     const oldest = Math.min(...ownAttempts.map(({ sentAt }) => sentAt));
     return oldest < limit && this.silence.isSilentSince(limit);
--- a/packages/relay/src/lib/decide/RequestRecord.ts
+++ b/packages/relay/src/lib/decide/RequestRecord.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Timer } from '@apricotrill/utils';
 import type { Fallback } from './getNextStep.js';
 import { AttemptEnd } from './messages.js';
-import type { PlacementRequest, Prompt } from './messages.js';
+import type { CancelReason, PlacementRequest, Prompt } from './messages.js';
 import { getFingerprints } from './quarantine/getFingerprints/getFingerprints.js';
 import type { ReplicaState } from './ReplicaState/ReplicaState.js';
 
@@ -88,6 +88,9 @@
 
   running: RunningAttempt | undefined;
 
+  /** Why the running attempt ends as soon as another one can begin; undefined if it does not. */
+  replacement: CancelReason | undefined;
+
   /** The software version that began its stream; undefined until a version has. */
   softwareVersion: string | undefined;
 
--- a/packages/relay/src/lib/decide/ResponseTimeouts/ResponseTimeouts.ts
+++ b/packages/relay/src/lib/decide/ResponseTimeouts/ResponseTimeouts.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import { RouteKind } from '../../config/RelayConfiguration.js';
 import { CancelReason } from '../messages.js';
-import type { PlacementEffect, PlacementRequest } from '../messages.js';
+import type { PlacementRequest } from '../messages.js';
 import type { PlacementOptions } from '../placementOptions.js';
 import type { ReplicaRegistry } from '../ReplicaRegistry/ReplicaRegistry.js';
 import type { RequestRecord, RunningAttempt } from '../RequestRecord.js';
@@ -9,7 +9,8 @@
 /** Constructor arguments of {@link ResponseTimeouts}. */
 export interface ResponseTimeoutsSettings {
   clock: Clock;
-  emit: (effect: PlacementEffect) => void;
+  /** Moves a request to another replica, if it may begin there. */
+  replace: (record: RequestRecord, reason: CancelReason) => void;
   options: PlacementOptions;
   registry: ReplicaRegistry;
 }
@@ -36,25 +37,21 @@
   }
 
   private check(record: RequestRecord, attempt: RunningAttempt): void {
-    const { registry, clock, emit, options } = this.settings;
+    const { registry, clock, options, replace } = this.settings;
     if (record.running !== attempt || attempt.isResponding) {
       return;
     }
     if (attempt.state.isUnresponsive(clock.now())) {
       registry.recordSilence(attempt.state);
     }
-    if (!this.mayEndEarly(attempt) || !this.mayRetryElsewhere(record)) {
+    if (this.mayEndEarly(attempt)) {
+      replace(record, CancelReason.Silent);
+    }
+    if (record.running === attempt) {
       // Checked again later, because an unresponsive replica is detected by the attempts sent to
       // it.
       this.scheduleCheck(options.darkAfter, record, attempt);
-      return;
     }
-    emit({
-      kind: 'cancel',
-      id: record.request.id,
-      attempt: attempt.number,
-      reason: CancelReason.Silent,
-    });
   }
 
   /**
@@ -66,17 +63,4 @@
     const { isFragile } = registry.getService(state.replica.service);
     return !isFragile || state.isUnresponsive(clock.now());
   }
-
-  private mayRetryElsewhere({ request, sentAttempts, triedReplicas }: RequestRecord): boolean {
-    const now = this.settings.clock.now();
-    const service = this.settings.registry.getService(request.service);
-    const others = service.getCandidates(triedReplicas, now);
-    const hasOther = others.some(({ replica }) => !triedReplicas.has(replica.id));
-    return (
-      request.isRetryable &&
-      sentAttempts + 1 < request.maxAttempts &&
-      hasOther &&
-      service.retryBudget.getRemaining(now) >= 1
-    );
-  }
 }
--- a/packages/relay/src/lib/decide/RetryBudget/RetryBudget.ts
+++ b/packages/relay/src/lib/decide/RetryBudget/RetryBudget.ts
@@ -57,6 +57,15 @@
     return true;
   }
 
+  /** Returns a retry that was taken and has not been sent. */
+  giveBack(now: Milliseconds): void {
+    this.getBucket(now);
+    const taken = this.buckets.findLast(({ retries }) => retries > 0);
+    if (taken !== undefined) {
+      taken.retries -= 1;
+    }
+  }
+
   /** Number of retries that may be sent now. */
   getRemaining(now: Milliseconds): number {
     this.getBucket(now);
--- a/packages/relay/src/lib/decide/getDelegatedChoice.ts
+++ b/packages/relay/src/lib/decide/getDelegatedChoice.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@apricotrill/utils';
 import type { ChosenReplica } from './chooseReplica.js';
 import type { PendingQuery } from './Delegation/Delegation.js';
+import { CancelReason } from './messages.js';
 import type { Choice, Placement, PlacementResponse } from './messages.js';
 import type { ReplicaBackoffs } from './ReplicaBackoffs/ReplicaBackoffs.js';
 import type { ReplicaRegistry } from './ReplicaRegistry/ReplicaRegistry.js';
@@ -48,8 +49,10 @@
   { clock, registry, backoffs }: DelegatedChoiceInputs,
 ): ChosenReplica | undefined {
   const state = placement === undefined ? undefined : registry.findReplica(placement.replica);
+  const mustRespond = record.replacement === CancelReason.Silent;
   const isUsable =
     state !== undefined &&
+    !(mustRespond && state.isSilent(clock.now())) &&
     state.isInService &&
     !backoffs.isBackedOff(state.replica.id) &&
     state.replica.service === record.request.service &&
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -119,6 +119,20 @@
   UnderReview = 'under-review',
 }
 
+/** Why an attempt goes on although its replica is silent or the path to it is lost. */
+export enum KeepReason {
+  /** The retry budget of its service is exhausted. */
+  NoRetry = 'no-retry',
+  /** No other replica that it may run on has room, or is known to respond. */
+  NoReplica = 'no-replica',
+  /** The placers of its service do not admit it again. */
+  NotAdmitted = 'not-admitted',
+  /** It may be responsible for crashes of replicas. */
+  Suspect = 'suspect',
+  /** The replica has begun to respond. */
+  Responds = 'responds',
+}
+
 /** Load reported by a replica. */
 export interface LoadReport {
   running: number;
@@ -368,6 +382,8 @@
 export type PlacementEffect =
   | { kind: 'send'; id: string; attempt: number; replica: RelayReplica; choice: Choice }
   | { kind: 'cancel'; id: string; attempt: number; reason: CancelReason }
+  /** An attempt that was to be replaced goes on, since no other one can begin. */
+  | { kind: 'keep'; id: string; attempt: number; reason: CancelReason; because: KeepReason }
   | {
       kind: 'give-up';
       id: string;
--- a/packages/relay/src/lib/decide/placementOptions.ts
+++ b/packages/relay/src/lib/decide/placementOptions.ts
@@ -57,6 +57,8 @@
   suspectAfter: number;
   /** Time without any response, with requests in flight, after which a replica is suspect. */
   darkAfter: Milliseconds;
+  /** Time without any response, with requests in flight, after which no silent attempt is moved to a replica. */
+  silentAfter: Milliseconds;
   /** Value of Retry-After if the service is expected to recover soon. */
   retryAfter: Milliseconds;
   /** Timeout of a placement query. */
@@ -124,6 +126,8 @@
   suspectAfter: 3,
   // Longer than the largest prompt takes to its first token on a busy engine.
   darkAfter: 1_200,
+  // The same time without anything from any replica makes a daemon check its paths.
+  silentAfter: 400,
   retryAfter: 300,
   // A round trip between zones takes up to 6 ms, and a placer on a third of a core may have some 40
   // ms of other work queued. This is a quarter of the shortest latency target.
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -5,6 +5,7 @@
 import type {
   AttemptEnd,
   CancelReason,
+  KeepReason,
   Choice,
   GiveUpReason,
   Outcome,
@@ -295,6 +296,14 @@
       incompleteBytes: number;
       detail: string | undefined;
     }
+  | {
+      event: 'attempt-kept';
+      id: string;
+      attempt: number;
+      /** Why it was to be replaced by another attempt. */
+      reason: CancelReason;
+      because: KeepReason;
+    }
   | {
       event: 'cancelled';
       id: string;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -135,6 +135,8 @@
     'an attempt ended; includes how, what determined the end of the response, and the bytes after the last complete event of a stream',
   cancelled:
     'the daemon cancelled an attempt; includes the reason, whether the caller has received a part of the response, and how long the replica has been silent',
+  'attempt-kept':
+    'an attempt that was to be replaced, since its replica is silent or the path to it is lost, goes on because no other attempt can begin; includes both reasons',
   'given-up':
     "a request failed without a replica's response; includes the outcome, the reason, the status sent to the caller, and the quarantined part of its prompt",
   'versions-mixed':
