Count a daemon as isolated only if others reach what it does not

Two lost paths, and three checks of other replicas that got no response at one moment, made a daemon count as isolated: the requests at all replicas were taken for stranded, also at sound ones that were silent just then. Now other daemons are asked about these replicas, too. One that nobody reaches proves nothing, and the daemon is not isolated. The test of PathMonitor failed before.

--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -185,20 +185,26 @@
     this.scheduleRecovery();
   }
 
-  /** Probes some of the other replicas, and counts this daemon as isolated if it reaches none. */
+  /**
+   * Probes some of the other replicas, and counts this daemon as isolated if it reaches none. Replicas that
+   * other daemons don't reach either may be silent, and prove nothing.
+   */
   private async confirmIsolation(failure: ConnectionFailure): Promise<void> {
-    const { clock, check, log, onIsolationChanged, onSilent } = this.parts;
+    const { clock, log, onIsolationChanged, onSilent, probe } = this.parts;
     const others = [...this.replicas.values()].filter(({ id }) => !this.table.isLost(id));
-    const reached = await Promise.all(
-      others.slice(0, pathOptions.isolationProbes).map(async (replica) => {
-        const isUp = isReached(await check(replica)) === true;
-        if (isUp) {
+    const probed = others.slice(0, pathOptions.isolationProbes);
+    const results = await Promise.all(
+      probed.map(async (replica) => {
+        const { result } = await probe(replica);
+        if (result === ProbeResult.Up) {
           this.table.recordReached(replica.id, clock.now());
         }
-        return isUp;
+        return result;
       }),
     );
-    if (this.isDisposed || reached.includes(true) || !this.table.confirmIsolation(clock.now())) {
+    const isContradicted =
+      results.includes(ProbeResult.Up) || results.includes(ProbeResult.Unknown);
+    if (this.isDisposed || isContradicted || !this.table.confirmIsolation(clock.now())) {
       return;
     }
     const { lostCount: lost, listedCount: listed } = this.table;
