Offer attempts behind a lost path for replacement as long as the path is lost

An attempt behind a lost path that could not be replaced when the path was lost, for lack of a retry or of a replica, would wait for its deadline, since attempts without a replacement now go on. It is looked at again after each failed probe of the path. The test of PathMonitor failed before.

--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.test.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.test.ts
@@ -3,6 +3,7 @@
 import { createReplica } from '../../../test/fixtures.js';
 import { ProbeResult } from '../../decide/messages.js';
 import { RelayMetrics } from '../../observe/RelayMetrics.js';
+import { pathOptions } from '../pathOptions.js';
 import { CheckResult } from '../ReplicaCheck/ReplicaCheck.js';
 import { PathMonitor } from './PathMonitor.js';
 
@@ -55,4 +56,13 @@
     expect(monitor.isIsolated).toBe(false);
     expect(silent).toEqual([['i-0'], ['i-1']]);
   });
+
+  // Guards against requests that wait for their deadline since none could be replaced at first.
+  it('reports the replicas behind lost paths again while the paths stay lost', async () => {
+    results = [ProbeResult.PathLost, ProbeResult.Up, ProbeResult.Up];
+    await monitor.probe(REPLICAS[0]!);
+    clock.advance(pathOptions.recoveryInterval);
+    await settle();
+    expect(silent).toEqual([['i-0'], ['i-0']]);
+  });
 });
--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -37,6 +37,9 @@
 
   private replicas = new Map<string, RelayReplica>();
 
+  /** Replicas whose open connections carry nothing any more, by ID. */
+  private readonly silenced = new Set<string>();
+
   private recoveryTimer: Timer | undefined;
 
   /** Position in the list of lost replicas from which the next probes are taken. */
@@ -157,6 +160,9 @@
   setReplicas(replicas: readonly RelayReplica[]): void {
     this.replicas = new Map(replicas.map((replica) => [replica.id, replica]));
     this.table.retain(new Set(this.replicas.keys()));
+    [...this.silenced]
+      .filter((id) => !this.replicas.has(id))
+      .forEach((id) => this.silenced.delete(id));
   }
 
   dispose(): void {
@@ -175,6 +181,7 @@
     log({ event: 'path-lost', replica: id, service, failure });
     // A connection that neither opens nor fails shows that open connections carry nothing either.
     if (failure === ConnectionFailure.Timeout) {
+      this.silenced.add(id);
       onSilent(new Set([id]));
     }
     if (isIsolationLikely) {
@@ -190,7 +197,7 @@
    * other daemons don't reach either may be silent, and prove nothing.
    */
   private async confirmIsolation(failure: ConnectionFailure): Promise<void> {
-    const { clock, log, onIsolationChanged, onSilent, probe } = this.parts;
+    const { clock, log, onIsolationChanged, probe } = this.parts;
     const others = [...this.replicas.values()].filter(({ id }) => !this.table.isLost(id));
     const probed = others.slice(0, pathOptions.isolationProbes);
     const results = await Promise.all(
@@ -211,7 +218,8 @@
     log({ event: 'isolated', lost, listed, silence: this.silence });
     onIsolationChanged(true);
     if (failure === ConnectionFailure.Timeout) {
-      onSilent(new Set(this.replicas.keys()));
+      this.replicas.forEach((_replica, id) => this.silenced.add(id));
+      this.reportSilence(this.silenced);
     }
   }
 
@@ -255,13 +263,28 @@
     );
   }
 
+  /** Attempts that could not be replaced when their path was lost may be now. */
+  private reportSilence(replicas: Iterable<string>): void {
+    const silenced = [...replicas].filter((id) => this.silenced.has(id));
+    if (silenced.length > 0) {
+      this.parts.onSilent(new Set(silenced));
+    }
+  }
+
   private handleRecoveryProbe({ id, service }: RelayReplica, isUp: boolean): void {
     const { clock, log, onIsolationChanged } = this.parts;
     const { restoredAfter, isolatedFor } = this.table.recordProbe(id, isUp, clock.now());
+    if (!isUp) {
+      this.reportSilence(this.isIsolated ? this.silenced : [id]);
+    }
+    if (restoredAfter !== undefined) {
+      this.silenced.delete(id);
+    }
     if (restoredAfter !== undefined) {
       log({ event: 'path-restored', replica: id, service, after: restoredAfter });
     }
     if (isolatedFor !== undefined) {
+      this.silenced.clear();
       log({ event: 'isolation-ended', after: isolatedFor });
       onIsolationChanged(false);
     }
