Judge the silence of replicas by everything that they send

Change: the placement core is told, at most ten times a second and replica, that something arrived. If nothing arrives from any replica, and two or more have requests in flight, no silent attempt is moved, also not to a replica without requests.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -158,6 +158,7 @@
       isStopping: () => this.isRejecting,
       onNotice: (replica, source, notice) => this.handleNotice(replica, source, notice),
       onSilent: (replicas) => this.intake.handleSilentReplicas(replicas),
+      onContact: (replica) => dispatch({ kind: 'contact', replica }),
       share: (update) => this.peerLink.send(update),
     });
     this.storeLink = new StoreLink({
--- a/packages/relay/src/lib/daemon/ReplicaPaths.ts
+++ b/packages/relay/src/lib/daemon/ReplicaPaths.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@apricotrill/utils';
+import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { RelayReplica } from '../config/RelayConfiguration.js';
 import { ForwarderTable } from '../forwarding/ForwarderTable/ForwarderTable.js';
 import { FORWARDING_PATH, formatForwardedTarget } from '../forwarding/forwardingProtocol.js';
@@ -9,6 +9,7 @@
 import { PathMonitor } from '../paths/PathMonitor/PathMonitor.js';
 import type { PathMonitorParts } from '../paths/PathMonitor/PathMonitor.js';
 import { PathProber } from '../paths/PathProber/PathProber.js';
+import { pathOptions } from '../paths/pathOptions.js';
 import type { PathUpdate } from '../paths/PathUpdate.js';
 import {
   REACHABILITY_PATH,
@@ -37,6 +38,8 @@
   protocol: RelayProtocol;
   self: PeerEntry;
   peerServer: PeerServer;
+  /** Called when a replica has sent something; at most once in {@link pathOptions.contactInterval}. */
+  onContact: (replica: string) => void;
   /** Sends an update to all other daemons. */
   share: (update: PathUpdate) => void;
 }
@@ -70,6 +73,9 @@
 
   private readonly prober: PathProber;
 
+  /** When contact with each replica was last reported. */
+  private readonly contactReportedAt = new Map<string, Milliseconds>();
+
   constructor(private readonly parts: ReplicaPathsParts) {
     const { clock, log, metrics, self, peerServer, findReplica, onSilent, share } = parts;
     this.forwarders = new ForwarderTable({ self, clock });
@@ -89,7 +95,10 @@
       metrics,
       check,
       checkAnew,
-      onContact: (replica) => replicaCheck.recordContact(replica),
+      onContact: (replica) => {
+        replicaCheck.recordContact(replica);
+        this.reportContact(replica);
+      },
       probe: (replica) => this.prober.probe(replica),
       onSilent: (replicas) => {
         replicas.forEach((id) => this.connections.closeIdle(id));
@@ -126,7 +135,11 @@
   }
 
   setReplicas(replicas: readonly RelayReplica[]): void {
-    this.connections.retain(new Set(replicas.map(({ id }) => id)));
+    const listed = new Set(replicas.map(({ id }) => id));
+    this.connections.retain(listed);
+    [...this.contactReportedAt.keys()]
+      .filter((id) => !listed.has(id))
+      .forEach((id) => this.contactReportedAt.delete(id));
     this.paths.setReplicas(replicas);
   }
 
@@ -159,6 +172,16 @@
         };
   }
 
+  private reportContact(replica: string): void {
+    const { clock, onContact } = this.parts;
+    const now = clock.now();
+    const last = this.contactReportedAt.get(replica) ?? Number.NEGATIVE_INFINITY;
+    if (now - last >= pathOptions.contactInterval) {
+      this.contactReportedAt.set(replica, now);
+      onContact(replica);
+    }
+  }
+
   async dispose(): Promise<void> {
     this.paths.dispose();
     await Promise.all([
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -256,6 +256,9 @@
       case 'attempt-stranded':
         this.handleStranded(message);
         break;
+      case 'contact':
+        this.registry.findReplica(message.replica)?.recordByte(this.clock.now());
+        break;
       case 'attempt-ended':
         this.handleAttemptEnd(message);
         break;
--- a/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
+++ b/packages/relay/src/lib/decide/ReplicaRegistry/ServiceState.ts
@@ -25,6 +25,9 @@
 /** One retry is always allowed, so that a single failure during low traffic is retried. */
 const MIN_SLACK = 1;
 
+/** Replicas that must be silent at the same time before all of them count as silent. */
+const SILENT_REPLICAS = 2;
+
 /** Criteria for the candidates of a request. */
 interface CandidateFilter {
   triedReplicas: ReadonlySet<string>;
@@ -181,11 +184,24 @@
     reason: CancelReason,
     now: Milliseconds,
   ): ReplicaState[] {
-    // Behind a lost path all replicas seem silent, and requests are forwarded.
-    const mayBeSilent = reason === CancelReason.PathLost;
-    return this.getCandidates(triedReplicas, now, softwareVersion).filter(
-      (state) => !triedReplicas.has(state.replica.id) && (mayBeSilent || !state.isSilent(now)),
+    const untried = this.getCandidates(triedReplicas, now, softwareVersion).filter(
+      ({ replica }) => !triedReplicas.has(replica.id),
     );
+    // Behind a lost path all replicas seem silent, and requests are forwarded.
+    if (reason === CancelReason.PathLost) {
+      return untried;
+    }
+    return this.isSilent(now) ? [] : untried.filter((state) => !state.isSilent(now));
+  }
+
+  /**
+   * Whether nothing arrives from any replica, so that those without requests of this daemon are likely to be
+   * silent as well. A single silent replica may be down.
+   */
+  private isSilent(now: Milliseconds): boolean {
+    const states = [...this.replicas.values()];
+    const silent = states.filter((state) => state.isSilent(now));
+    return silent.length >= SILENT_REPLICAS && !states.some((state) => state.hasSentRecently(now));
   }
 
   /** The candidates within one group, of which this daemon is the placer. */
--- a/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
+++ b/packages/relay/src/lib/decide/ReplicaState/ReplicaState.ts
@@ -257,6 +257,11 @@
     return this.isSilentFor(this.options.silentAfter, now);
   }
 
+  /** Whether it has sent anything in the time after which it may be paused. */
+  hasSentRecently(now: Milliseconds): boolean {
+    return !this.silence.isSilentSince(now - this.options.silentAfter);
+  }
+
   private isSilentFor(span: Milliseconds, now: Milliseconds): boolean {
     const limit = now - span;
     const ownAttempts = [...this.running].filter(({ isOwn }) => isOwn);
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -335,6 +335,8 @@
   | { kind: 'stream-started'; id: string; attempt: number }
   /** The connection of an attempt carries nothing any more, because its path is lost. */
   | { kind: 'attempt-stranded'; id: string; attempt: number }
+  /** A replica has sent something over a connection of this daemon; repeated while it does. */
+  | { kind: 'contact'; replica: string }
   | { kind: 'attempt-ended'; id: string; attempt: number; end: AttemptEnd }
   | { kind: 'load'; replica: string; report: LoadReport }
   /** The limit stated in a replica's response; undefined if it states none. */
--- a/packages/relay/src/lib/paths/pathOptions.ts
+++ b/packages/relay/src/lib/paths/pathOptions.ts
@@ -24,6 +24,8 @@
   maxRequiredSuccesses: 8,
   /** How often attempts in flight are checked for silence. */
   silenceCheckInterval: 200 satisfies Milliseconds,
+  /** Least time between two reports that a replica sends something. */
+  contactInterval: 100 satisfies Milliseconds,
   /** Time without anything from any replica after which the paths are probed. */
   maxSilence: 400 satisfies Milliseconds,
   /**
