Store the versions of streams for daemons that start after all others were lost

Change: while a service has several versions, one of the daemons that are told of a stream, which all compute alike, also writes it to the store, with all others that began within 250 ms, into one of eleven objects that it uses in turn. A daemon that starts reads them once. What is not stored is refused as before. Cost by calculation: at most four writes a second for 32 daemons while a service is mixed, none else; one list for each start.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -14,6 +14,8 @@
 export { RelayDaemon } from './lib/daemon/RelayDaemon.js';
 export type { ReplicaEndpoint } from './lib/daemon/ReplicaPaths.js';
 export type { QuarantineStore } from './lib/daemon/QuarantineStore.js';
+export type { StreamVersion } from './lib/streams/StreamVersions/StreamVersions.js';
+export type { StreamVersionStore } from './lib/streams/StreamVersionStore.js';
 export type { InstanceSize } from './lib/decide/Fleet/getPlacementCapacity.js';
 export type { ListenAddress, RelaySettings } from './lib/daemon/RelaySettings.js';
 export { HttpClient, parseJson } from './lib/http/HttpClient.js';
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -23,6 +23,8 @@
 import { PeerLink } from '../peers/PeerLink/PeerLink.js';
 import { PeerServer } from '../peers/PeerServer/PeerServer.js';
 import type { PeerUpdate } from '../peers/PeerUpdate.js';
+import { StreamVersionRecorder } from '../streams/StreamVersionRecorder/StreamVersionRecorder.js';
+import type { StreamVersionStore } from '../streams/StreamVersionStore.js';
 import { StreamVersionExchange } from '../streams/StreamVersionExchange/StreamVersionExchange.js';
 import { StreamVersions } from '../streams/StreamVersions/StreamVersions.js';
 import { StatusServer } from '../status/StatusServer.js';
@@ -58,6 +60,7 @@
   health: HealthSource;
   peers: PeerDirectory;
   quarantine: QuarantineStore;
+  streamVersions: StreamVersionStore;
   /** Absent if the platform requires no duties. */
   duties?: DutyDependencies;
 }
@@ -171,6 +174,7 @@
     this.streams = new StreamVersionExchange({
       ...parts,
       self,
+      recorder: new StreamVersionRecorder({ ...parts, store: parts.streamVersions, daemon: id }),
       peerServer: this.peerServer,
       versions: new StreamVersions({
         clock,
@@ -289,6 +293,7 @@
     this.quarantineSync.load().catch((error: unknown) => {
       log({ event: 'fault', step: 'load quarantine', error: String(error) });
     });
+    this.streams.load(settings.isFirstStart);
     this.storeLink.follow(CONFIGURATION, configurations, (items) => {
       items.forEach((configuration) => this.applyConfiguration(configuration));
     });
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -325,6 +325,7 @@
       part: string | undefined;
       after: Milliseconds;
     }
+  | { event: 'streams-loaded'; streams: number }
   | { event: 'versions-mixed'; service: string; versions: string[]; streams: number }
   | {
       event: 'stream-returned';
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -139,6 +139,8 @@
     'an attempt that was to be replaced, since its replica is silent or the path to it is lost, goes on because no other attempt can begin; includes both reasons',
   'given-up':
     "a request failed without a replica's response; includes the outcome, the reason, the status sent to the caller, and the quarantined part of its prompt",
+  'streams-loaded':
+    'the daemon has read the software versions of streams that daemons have stored; includes how many',
   'versions-mixed':
     'streams of a service that can be resumed may be of several software versions from now on; includes how many streams other daemons were told of',
   'stream-returned':
--- a/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.test.ts
@@ -5,6 +5,8 @@
 import { RelayMetrics } from '../../observe/RelayMetrics.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
+import { StreamVersionRecorder } from '../StreamVersionRecorder/StreamVersionRecorder.js';
+import type { StreamVersionStore } from '../StreamVersionStore.js';
 import { StreamVersions } from '../StreamVersions/StreamVersions.js';
 import { StreamVersionExchange, VersionSource } from './StreamVersionExchange.js';
 
@@ -16,9 +18,22 @@
 
 const STARTED = { ids: ['s-1'], service: 'app', softwareVersion: 'v1', isSplit: false };
 
+const STORED = { id: 's-0', service: 'app', softwareVersion: 'v2' };
+
 const RETURN = { id: 'r-1', resumes: 's-1', services: ['app'] };
 
 describe('StreamVersionExchange', () => {
+  /** Names under which streams were stored. */
+  const stored = new Set<string>();
+
+  const store: StreamVersionStore = {
+    write: (name) => {
+      stored.add(name);
+      return Promise.resolve();
+    },
+    list: () => Promise.resolve(new Map([['d-9-1', [STORED]]])),
+  };
+
   const disposals: (() => void | Promise<void>)[] = [];
 
   afterEach(async () => {
@@ -32,13 +47,16 @@
     const peerServer = new PeerServer();
     const self: PeerEntry = { id, address: `${HOST}:${port}`, availabilityZone: 'a' };
     const versions = new StreamVersions({ clock, isFirstStart, getListAge: () => 0 });
+    const log = () => undefined;
+    const recorder = new StreamVersionRecorder({ clock, log, store, daemon: id });
     const exchange = new StreamVersionExchange({
       clock,
-      log: () => undefined,
+      log,
       metrics: new RelayMetrics(),
       self,
       peerServer: isOld ? new PeerServer() : peerServer,
       versions,
+      recorder,
     });
     await peerServer.listen(HOST, port!);
     disposals.push(async () => {
@@ -153,4 +171,29 @@
     first.list('v1');
     expect(await first.exchange.find(RETURN)).toMatchObject({ softwareVersion: 'v1' });
   });
+
+  // Guards against streams that are refused after all daemons were lost at the same time.
+  it('finds a stream that is stored, also before all that is stored has been read', async () => {
+    const daemon = await start('d-1', false, false);
+    daemon.list('v1', 'v2');
+    daemon.exchange.load(false);
+    const resumption = await daemon.exchange.find({ ...RETURN, resumes: 's-0' });
+    expect(resumption).toMatchObject({ kind: 'known', softwareVersion: 'v2' });
+  });
+
+  it('has one daemon store each stream', async () => {
+    stored.clear();
+    const daemons = await Promise.all(['d-1', 'd-2', 'd-3'].map((id) => start(id)));
+    connect(...daemons);
+    daemons.forEach(({ exchange }) => exchange.load(true));
+    daemons.forEach(({ list }) => list('v1', 'v2'));
+    daemons.forEach(({ exchange }) => exchange.recordStart(STARTED));
+    await Promise.all(daemons.map((daemon) => waitUntilTold(daemon)));
+    for (let poll = 0; poll < MAX_POLLS && stored.size === 0; poll += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await wait(POLL_INTERVAL);
+    }
+    const recorders = new Set([...stored].map((name) => name.slice(0, 'd-1'.length)));
+    expect(recorders.size).toBe(1);
+  });
 });
--- a/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.ts
+++ b/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.ts
@@ -1,11 +1,12 @@
 import { readBody } from '@apricotrill/callers';
-import { getRendezvousOrder } from '@apricotrill/utils';
+import { getHash, getRendezvousOrder } from '@apricotrill/utils';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import polka from 'polka';
 import * as z from 'zod';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
+import { waitAtMost } from '../../daemon/waitAtMost.js';
 import { HttpClient, parseJson } from '../../http/HttpClient.js';
 import type { HttpResponse } from '../../http/HttpClient.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
@@ -13,6 +14,7 @@
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import type { PeerServer } from '../../peers/PeerServer/PeerServer.js';
 import { streamOptions } from '../streamOptions.js';
+import type { StreamVersionRecorder } from '../StreamVersionRecorder/StreamVersionRecorder.js';
 import type { StreamVersions, StreamVersion } from '../StreamVersions/StreamVersions.js';
 
 /** Contains the version of the format. */
@@ -42,6 +44,9 @@
 /** Stands for the stream of a caller that names none; only the versions of the service are asked for. */
 const NO_STREAM = '-';
 
+/** Name by which the daemons that store streams are chosen. */
+const RECORDERS = 'recorders of streams';
+
 /** What a daemon of the release before contributes. */
 const NO_ANSWER: Answer = { stream: null, versions: [], isCovered: false };
 
@@ -88,18 +93,26 @@
   self: PeerEntry;
   peerServer: PeerServer;
   versions: StreamVersions;
+  /** Stores the streams of which this daemon is the recorder. */
+  recorder: StreamVersionRecorder;
 }
 
 /**
  * Makes the software version of a stream known where its caller may resume it. While a service has several
  * versions, a few daemons that each daemon computes from the stream's ID are told; while it has one, nobody
- * needs to be.
+ * needs to be. One of them, the recorder, also stores it, so that it is known after all daemons were lost.
  */
 export class StreamVersionExchange {
   private readonly client = new HttpClient();
 
   private peers = new Map<string, PeerEntry>();
 
+  /** IDs of the daemons that store streams, this one possibly among them. */
+  private recorders: string[] = [];
+
+  /** Resolves once the stored streams are known; undefined if nothing is read. */
+  private loading: Promise<void> | undefined;
+
   /** Streams that began before any other daemon was known. */
   private early: StreamVersion[] = [];
 
@@ -125,14 +138,42 @@
   setFleet(daemons: readonly PeerEntry[]): void {
     const others = daemons.filter(({ id }) => id !== this.parts.self.id);
     this.peers = new Map(others.map((peer) => [peer.id, peer]));
+    const count = Math.ceil(daemons.length / streamOptions.daemonsPerRecorder);
+    const ids = [this.parts.self.id, ...this.peers.keys()];
+    this.recorders = getRendezvousOrder(RECORDERS, ids).slice(0, Math.max(1, count));
     if (this.peers.size > 0) {
       this.tell(this.early.splice(0));
     }
   }
 
+  /**
+   * Reads the streams that daemons have stored, which may all be lost by now.
+   *
+   * @param isFirstStart - whether there were no streams before
+   */
+  load(isFirstStart: boolean): void {
+    const { log, recorder, versions } = this.parts;
+    if (isFirstStart) {
+      recorder.startEmpty();
+      return;
+    }
+    this.loading = recorder.load().then(
+      (streams) => {
+        streams.forEach((stream) => versions.record(stream));
+        this.loading = undefined;
+        log({ event: 'streams-loaded', streams: streams.length });
+      },
+      (error: unknown) => {
+        log({ event: 'fault', step: 'load versions of streams', error: String(error) });
+      },
+    );
+  }
+
   /** Sets the longest time-out of a route whose streams can be resumed. */
   setLongestTimeout(timeout: Milliseconds): void {
-    this.parts.versions.setLongestTimeout(timeout);
+    const { recorder, versions } = this.parts;
+    versions.setLongestTimeout(timeout);
+    recorder.setResumeTime(versions.resumeTime);
   }
 
   /** Applies the newest list of replicas. */
@@ -170,6 +211,7 @@
   }
 
   async dispose(): Promise<void> {
+    this.parts.recorder.dispose();
     await this.client.dispose();
   }
 
@@ -177,8 +219,7 @@
     resumes: string | undefined,
     services: readonly string[],
   ): Promise<Resumption> {
-    const { versions } = this.parts;
-    const own = resumes === undefined ? undefined : versions.find(resumes);
+    const own = resumes === undefined ? undefined : await this.findOwn(resumes);
     if (own !== undefined) {
       return StreamVersionExchange.getResumption(own, services, VersionSource.Own);
     }
@@ -189,7 +230,7 @@
     const told = answers.find(({ stream }) => stream !== null)?.stream;
     if (told !== undefined && told !== null && resumes !== undefined) {
       const stream = { id: resumes, service: told[0], softwareVersion: told[1] };
-      versions.record(stream);
+      this.parts.versions.record(stream);
       return StreamVersionExchange.getResumption(stream, services, VersionSource.Peer);
     }
     const isAlone = holders.length === 0;
@@ -198,6 +239,15 @@
       : { kind: 'unknown' };
   }
 
+  /** Finds a stream that this daemon knows, or that is stored. */
+  private async findOwn(id: string): Promise<StreamVersion | undefined> {
+    const { clock, versions } = this.parts;
+    if (versions.find(id) === undefined && this.loading !== undefined) {
+      await waitAtMost(this.loading, clock, streamOptions.callTimeout);
+    }
+    return versions.find(id);
+  }
+
   private static getResumption(
     { service, softwareVersion }: StreamVersion,
     services: readonly string[],
@@ -219,14 +269,31 @@
       : { kind: 'unknown' };
   }
 
-  /** The daemons that hold the version of a stream; all daemons compute the same. */
+  /** The daemons that hold the version of a stream, its recorder first; all daemons compute the same. */
   private getHolders(id: string): PeerEntry[] {
-    return getRendezvousOrder(id, [...this.peers.keys()])
-      .slice(0, streamOptions.holders)
-      .map((peer) => this.peers.get(peer)!);
+    const recorder = this.getRecorder(id);
+    const others = getRendezvousOrder(id, [...this.peers.keys()]);
+    return [...new Set([...(recorder === undefined ? [] : [recorder]), ...others])]
+      .flatMap((peer) => this.peers.get(peer) ?? [])
+      .slice(0, streamOptions.holders);
+  }
+
+  /** The daemon that stores a stream; undefined while no daemon is known. */
+  private getRecorder(id: string): string | undefined {
+    return this.recorders.length === 0
+      ? undefined
+      : this.recorders[getHash(id) % this.recorders.length];
+  }
+
+  /** Stores a stream if this daemon is its recorder. */
+  private store(stream: StreamVersion): void {
+    if (this.getRecorder(stream.id) === this.parts.self.id) {
+      this.parts.recorder.add(stream);
+    }
   }
 
   private tell(streams: readonly StreamVersion[]): void {
+    streams.forEach((stream) => this.store(stream));
     if (this.peers.size === 0) {
       this.early = [...this.early, ...streams].slice(-streamOptions.maxTold);
       return;
@@ -304,9 +371,11 @@
       response.writeHead(BAD_REQUEST).end();
       return;
     }
-    told.data.forEach(([id, service, softwareVersion]) =>
-      this.parts.versions.record({ id, service, softwareVersion }),
-    );
+    told.data.forEach(([id, service, softwareVersion]) => {
+      const stream = { id, service, softwareVersion };
+      this.parts.versions.record(stream);
+      this.store(stream);
+    });
     response.writeHead(OK, { 'content-length': 0 }).end();
   }
 
--- a/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
+++ b/packages/relay/src/lib/streams/StreamVersions/StreamVersions.ts
@@ -49,7 +49,7 @@
 
   private firstListAt: Milliseconds | undefined;
 
-  private resumeTime: Milliseconds = streamOptions.minResumeTime;
+  private longestResumeTime: Milliseconds = streamOptions.minResumeTime;
 
   constructor(private readonly settings: StreamVersionsSettings) {}
 
@@ -59,14 +59,19 @@
    */
   setLongestTimeout(timeout: Milliseconds): void {
     const resumeTime = timeout * streamOptions.resumeTimeouts;
-    if (resumeTime <= this.resumeTime) {
+    if (resumeTime <= this.longestResumeTime) {
       return;
     }
-    const forgottenBefore = this.settings.clock.now() - this.resumeTime;
+    const forgottenBefore = this.settings.clock.now() - this.longestResumeTime;
     if (this.firstListAt !== undefined && this.firstListAt < forgottenBefore) {
       this.coveredSince = forgottenBefore;
     }
-    this.resumeTime = resumeTime;
+    this.longestResumeTime = resumeTime;
+  }
+
+  /** Time after its start in which a stream can be resumed. */
+  get resumeTime(): Milliseconds {
+    return this.longestResumeTime;
   }
 
   /** Number of streams that are remembered. */
@@ -114,14 +119,14 @@
 
   getHistory(service: string): VersionHistory {
     const { clock } = this.settings;
-    const start = clock.now() - this.resumeTime;
+    const start = clock.now() - this.longestResumeTime;
     const earlier = [...(this.lastListed.get(service) ?? [])]
       .filter(([, at]) => at >= start)
       .map(([version]) => version);
     const versions = [...new Set([...(this.current.get(service) ?? []), ...earlier])];
     // A version that was added after a list of this age is still one of several at the daemons that know
     // it, so that they tell other daemons of its streams.
-    const isRecent = this.settings.getListAge() <= this.resumeTime / 2;
+    const isRecent = this.settings.getListAge() <= this.longestResumeTime / 2;
     const isCovered = isRecent && this.coveredSince !== undefined && this.coveredSince <= start;
     return { versions, isCovered };
   }
@@ -135,12 +140,12 @@
     const known = this.lastListed.get(service) ?? new Map<string, Milliseconds>();
     this.lastListed.set(service, known);
     versions.forEach((version) => known.set(version, at));
-    const start = at - this.resumeTime;
+    const start = at - this.longestResumeTime;
     [...known].filter(([, last]) => last < start).forEach(([version]) => known.delete(version));
   }
 
   private forgetOld(): void {
-    const start = this.settings.clock.now() - this.resumeTime;
+    const start = this.settings.clock.now() - this.longestResumeTime;
     for (const [id, { at }] of this.streams) {
       if (at >= start && this.streams.size <= streamOptions.maxStreams) {
         return;
--- a/packages/relay/src/lib/streams/streamOptions.ts
+++ b/packages/relay/src/lib/streams/streamOptions.ts
@@ -14,6 +14,14 @@
   maxTold: 200,
   /** Time for the answer of a holder, and for a message to one. */
   callTimeout: 300 satisfies Milliseconds,
+  /** Daemons of which one writes the versions of streams to the store. */
+  daemonsPerRecorder: 32,
+  /** Time in which streams are collected before they are written to the store. */
+  writeInterval: 250 satisfies Milliseconds,
+  /** Objects of one daemon in the store, used in turn. */
+  slices: 11,
+  /** Delay after a failed attempt to read what is stored. */
+  storeRetryDelay: 500 satisfies Milliseconds,
   /** Retry-After for a return whose version is not known; a holder may be reached again by then. */
   retryAfter: 500 satisfies Milliseconds,
 };
