--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -49,7 +49,7 @@
   'replica-probed':
     'a replica at which attempts failed accepts no connections of this daemon; includes which other daemons were asked and what they observe, what this daemon observes `again` after one of them has reached it, and whether the replica or only the path of this daemon is at fault',
   'path-lost':
-    'another daemon reaches a replica that this one cannot connect to; from now on, attempts at it are forwarded by other daemons',
+    'another daemon reaches a replica that this one still cannot connect to afterwards; from now on, attempts at it are forwarded by other daemons',
   'path-restored':
     'a replica whose path was lost accepts connections of this daemon again; attempts are sent directly',
   isolated:
