--- a/packages/relay/src/lib/streams/StreamVersionRecorder/StreamVersionRecorder.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersionRecorder/StreamVersionRecorder.test.ts
@@ -88,6 +88,18 @@
     expect((await loadAgain()).length).toBeLessThan(seconds * 1.2 + 1);
   });
 
+  // Guards against new streams without room since all daemons tell of all that they know when a version appears.
+  it('stores new streams although many are told again by all daemons', async () => {
+    const known = Array.from({ length: 2_500 }, (_item, index) => createStream(`s-${index}`));
+    const told = Array.from({ length: 8 }, () => known).flat();
+    told.forEach((stream) => recorder.add(stream));
+    recorder.add(createStream('new'));
+    await advance(streamOptions.writeInterval);
+    const loaded = await loadAgain();
+    expect(loaded).toContain('new');
+    expect(loaded).toHaveLength(2_501);
+  });
+
   // Guards against a process that overwrites what the one before it has stored.
   it('keeps the streams of earlier processes of its daemon', async () => {
     recorder.add(createStream('first'));
--- a/packages/relay/src/lib/streams/StreamVersionRecorder/StreamVersionRecorder.ts
+++ b/packages/relay/src/lib/streams/StreamVersionRecorder/StreamVersionRecorder.ts
@@ -17,7 +17,8 @@
 interface Slice {
   /** Number of the slice since the clock's epoch. */
   index: number;
-  streams: StreamVersion[];
+  /** By ID: several daemons may tell of the same stream. */
+  streams: Map<string, StreamVersion>;
   isStored: boolean;
 }
 
@@ -76,8 +77,9 @@
   /** Adds a stream, which is stored soon. */
   add(stream: StreamVersion): void {
     const slice = this.getCurrentSlice();
-    if (slice.streams.length < streamOptions.maxStreams / streamOptions.slices) {
-      slice.streams.push(stream);
+    const hasRoom = slice.streams.size < streamOptions.maxStreamsPerObject;
+    if (hasRoom && !slice.streams.has(stream.id)) {
+      slice.streams.set(stream.id, stream);
       slice.isStored = false;
       this.schedule();
     }
@@ -103,7 +105,7 @@
     if (known?.index === index) {
       return known;
     }
-    const slice: Slice = { index, streams: [], isStored: true };
+    const slice: Slice = { index, streams: new Map(), isStored: true };
     this.slices.set(name, slice);
     return slice;
   }
@@ -134,7 +136,7 @@
     const { log, store } = this.parts;
     Object.assign(slice, { isStored: true });
     try {
-      await store.write(name, [...this.getEarlier(name), ...slice.streams]);
+      await store.write(name, [...this.getEarlier(name), ...slice.streams.values()]);
     } catch (error) {
       Object.assign(slice, { isStored: false });
       log({ event: 'fault', step: 'write versions of streams', error: String(error) });
--- a/packages/relay/src/lib/streams/streamOptions.ts
+++ b/packages/relay/src/lib/streams/streamOptions.ts
@@ -20,6 +20,8 @@
   writeInterval: 250 satisfies Milliseconds,
   /** Objects of one daemon in the store, used in turn. */
   slices: 11,
+  /** The store takes about twice as many in one object. */
+  maxStreamsPerObject: 10_000,
   /** Delay after a failed attempt to read what is stored. */
   storeRetryDelay: 500 satisfies Milliseconds,
   /** Retry-After for a return whose version is not known; a holder may be reached again by then. */
