Fail only the request whose handler throws

Callers of a daemon lost all their open requests when any program sent GET /streams/v1/find/%zz, or any request to /paths/v1/%zz, to its internal port: decodeURIComponent threw in the handler, nothing caught it, and the process ended with exit code 1 and one line on standard error. The framework catches nothing that a handler throws and waits for no promise of it; no server had a guard.

guardHandler (new package lifecycle) wraps the handlers of the servers for daemons, status and metrics: the request gets 500, or its connection is closed if the response has begun, and a line 'fault' has the stack. IDs that can't be decoded get 400. Errors of accepting connections no longer end the process at their second occurrence, since the handler that listen() left behind served for the first alone.

--- /dev/null
+++ b/packages/lifecycle/src/lib/PortOpener/PortOpener.test.ts
@@ -0,0 +1,105 @@
+import { ManualClock } from '@apricotrill/utils';
+import type { LifecycleEvent } from '../LifecycleEvent.js';
+import { PortOpener, portOptions } from './PortOpener.js';
+
+class CodedError extends Error {
+  constructor(readonly code: string) {
+    super(code);
+  }
+}
+
+/** Lets pending promises settle. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) {
+    // eslint-disable-next-line no-await-in-loop
+    await Promise.resolve();
+  }
+}
+
+async function advance(clock: ManualClock, duration: number): Promise<void> {
+  for (let step = 0; step < duration; step += portOptions.firstDelay) {
+    clock.advance(portOptions.firstDelay);
+    // eslint-disable-next-line no-await-in-loop
+    await settle();
+  }
+}
+
+describe('PortOpener', () => {
+  let clock: ManualClock;
+
+  let lines: LifecycleEvent[];
+
+  let opener: PortOpener;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    lines = [];
+    opener = new PortOpener({
+      clock,
+      log: (line) => lines.push(line),
+      findHolder: async () => 'edge-1, pid 7',
+    });
+  });
+
+  it('tries again until the port is available, and logs who holds it', async () => {
+    let isTaken = true;
+    const opened = opener.open('callers', async () => {
+      if (isTaken) {
+        throw new CodedError('EADDRINUSE');
+      }
+      return 8_740;
+    });
+    await advance(clock, 2 * portOptions.logInterval);
+    isTaken = false;
+    await advance(clock, 2 * portOptions.maxDelay);
+    expect(await opened).toBe(8_740);
+    expect(lines[0]).toMatchObject({
+      event: 'port-unavailable',
+      port: 'callers',
+      holder: 'edge-1, pid 7',
+    });
+    expect(lines.filter(({ event }) => event === 'port-unavailable').length).toBeLessThanOrEqual(3);
+    expect(lines.at(-1)).toMatchObject({ event: 'port-opened', port: 'callers' });
+  });
+
+  it('logs nothing if the first attempt succeeds', async () => {
+    expect(await opener.open('callers', async () => 1)).toBe(1);
+    expect(lines).toEqual([]);
+  });
+
+  it('throws errors that can not pass', async () => {
+    const opened = opener.open('callers', async () => {
+      throw new CodedError('EACCES');
+    });
+    await expect(opened).rejects.toThrow('EACCES');
+  });
+
+  // Guards against a process that can't be stopped while it waits for a port.
+  it('ends its waits when it is stopped', async () => {
+    const opened = opener.open('callers', async () => {
+      throw new CodedError('EADDRNOTAVAIL');
+    });
+    await settle();
+    opener.stop();
+    expect(await opened).toBeUndefined();
+  });
+
+  // Guards against attempts that wait for the holder of a port, which may never respond.
+  it('goes on while the holder does not respond', async () => {
+    let attempts = 0;
+    opener = new PortOpener({
+      clock,
+      log: () => undefined,
+      findHolder: () => new Promise(() => {}),
+    });
+    opener
+      .open('callers', async () => {
+        attempts += 1;
+        throw new CodedError('EADDRINUSE');
+      })
+      .catch(() => undefined);
+    await advance(clock, portOptions.logInterval);
+    expect(attempts).toBeGreaterThan(10);
+    opener.stop();
+  });
+});
--- /dev/null
+++ b/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
@@ -0,0 +1,117 @@
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import { isTransient } from '../isTransient.js';
+import type { LifecycleEvent } from '../LifecycleEvent.js';
+
+/** Timing of the attempts to open a port. */
+export const portOptions = {
+  /** Delay before the second attempt; it doubles with each further one. */
+  firstDelay: 20 satisfies Milliseconds,
+  /** Maximum delay between attempts: how long a port that is free again may stay unused. */
+  maxDelay: 250 satisfies Milliseconds,
+  /** How often a port that is still not available is logged. */
+  logInterval: 5_000 satisfies Milliseconds,
+};
+
+/**
+ * Dependencies of {@link PortOpener}.
+ *
+ * @public
+ */
+export interface PortOpenerParts {
+  clock: Clock;
+  log: (event: LifecycleEvent) => void;
+  /**
+   * Finds out which process holds a port, and may ask it to release it. Called before each line about a port
+   * that is not available.
+   */
+  findHolder?: (port: string) => Promise<string | undefined>;
+}
+
+/**
+ * Opens the ports of a process. A port that is not available now, for example since the process before this one
+ * still completes its requests, is tried again until it is.
+ *
+ * @example
+ * ```ts
+ * const opener = new PortOpener({ clock, log });
+ * await opener.open('callers', () => listenOn(server, host, port));
+ * ```
+ * @public
+ */
+export class PortOpener {
+  private isStopped = false;
+
+  /** Ends the waits before the next attempts. */
+  private readonly waits = new Map<Timer, () => void>();
+
+  constructor(private readonly parts: PortOpenerParts) {}
+
+  /**
+   * Opens a port, with as many attempts as it takes.
+   *
+   * @param name - names the port in log lines
+   * @param attempt - makes one attempt
+   * @returns what the attempt returns; undefined if the opener was stopped before
+   * @throws an error of an attempt that can't pass
+   */
+  async open<T>(name: string, attempt: () => Promise<T>): Promise<T | undefined> {
+    const { clock, log } = this.parts;
+    const startedAt = clock.now();
+    let loggedAt = Number.NEGATIVE_INFINITY;
+    let delay: Milliseconds = portOptions.firstDelay;
+    while (!this.isStopped) {
+      try {
+        // eslint-disable-next-line no-await-in-loop
+        const result = await attempt();
+        if (loggedAt >= startedAt) {
+          log({ event: 'port-opened', port: name, after: clock.now() - startedAt });
+        }
+        return result;
+      } catch (error) {
+        if (!isTransient(error)) {
+          throw error;
+        }
+        if (clock.now() - loggedAt >= portOptions.logInterval) {
+          loggedAt = clock.now();
+          this.report(name, String(error), loggedAt - startedAt);
+        }
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await this.wait(delay);
+      delay = Math.min(2 * delay, portOptions.maxDelay);
+    }
+    return undefined;
+  }
+
+  /** Makes no further attempts. */
+  stop(): void {
+    this.isStopped = true;
+    this.waits.forEach((resolve, timer) => {
+      timer.cancel();
+      resolve();
+    });
+    this.waits.clear();
+  }
+
+  /** The holder is looked up beside the attempts, which must not wait for its answer. */
+  private report(port: string, error: string, after: Milliseconds): void {
+    const { log, findHolder } = this.parts;
+    const write = (holder: string | undefined) =>
+      log({ event: 'port-unavailable', port, error, holder, after });
+    if (findHolder === undefined) {
+      write(undefined);
+      return;
+    }
+    findHolder(port).then(write, () => write(undefined));
+  }
+
+  private wait(delay: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.parts.clock.setTimer(delay, () => {
+        this.waits.delete(timer);
+        resolve();
+      });
+      this.waits.set(timer, resolve);
+    });
+  }
+}
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -14,6 +14,7 @@
 import type { CacheSource } from '../follow/CacheFollower/CacheFollower.js';
 import { FleetDuties } from '../duties/FleetDuties/FleetDuties.js';
 import type { DutyDependencies } from '../duties/FleetDuties/FleetDuties.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 import { UnreadableReporter } from '../observe/UnreadableReporter/UnreadableReporter.js';
@@ -96,7 +97,7 @@
 
   private readonly peerLink: PeerLink;
 
-  private readonly peerServer = new PeerServer();
+  private readonly peerServer: PeerServer;
 
   private readonly storeLink: StoreLink;
 
@@ -142,6 +143,7 @@
         availabilityZone: settings.availabilityZone,
       },
     });
+    this.peerServer = new PeerServer((error) => this.logFault('serve daemons', error));
     this.unreadable = new UnreadableReporter({ clock, log, metrics });
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
     const memory = createMemoryGuard({
@@ -219,7 +221,7 @@
       shouldRefuse: () => this.shouldRefuseConnection(),
       onRequest: (request, response) => {
         this.intake.handleRequest(request, response).catch((error: unknown) => {
-          log({ event: 'fault', step: 'take request', error: String(error) });
+          this.logFault('take request', error);
           abortResponse(response);
         });
       },
@@ -230,6 +232,7 @@
       readyPaths: settings.readyPaths,
       metrics,
       getDuties: () => this.duties?.status,
+      onFault: (error) => this.logFault('serve status', error),
     });
     this.replicaWatch = new ReplicaWatch({ ...parts, dispatch });
     this.healthChecks = new HealthChecks({
@@ -520,6 +523,10 @@
     return isUsable;
   }
 
+  private logFault(step: string, error: unknown): void {
+    this.parts.log({ event: 'fault', step, error: getErrorText(error) });
+  }
+
   private sleep(duration: number): Promise<void> {
     return new Promise((resolve) => {
       this.parts.clock.setTimer(duration, resolve);
--- a/packages/relay/src/lib/daemon/StoreLink.test.ts
+++ b/packages/relay/src/lib/daemon/StoreLink.test.ts
@@ -5,6 +5,7 @@
 import type { RelayEvent } from '../observe/RelayEvent.js';
 import type { PeerEntry } from '../peers/PeerDirectory.js';
 import { PeerServer } from '../peers/PeerServer/PeerServer.js';
+import { throwFault } from '../../test/throwFault.js';
 import { readerOptions } from '../readers/readerOptions.js';
 import { StoreLink } from './StoreLink.js';
 
@@ -36,7 +37,7 @@
 
   readonly link: StoreLink;
 
-  readonly peerServer = new PeerServer();
+  readonly peerServer = new PeerServer(throwFault);
 
   constructor(
     readonly self: PeerEntry,
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -1,5 +1,6 @@
 import type { ConnectionCounts } from '@apricotrill/callers';
 import type { DutyEvent } from '@apricotrill/duties';
+import type { LifecycleEvent } from '@apricotrill/lifecycle';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { AdmissionRecord } from '../decide/admission/AdmissionRecord.js';
 import type {
@@ -30,6 +31,7 @@
  */
 export type RelayEvent =
   | DutyEvent
+  | LifecycleEvent
   | { event: 'duties-refused'; reason: string }
   | { event: 'start'; daemon: string; availabilityZone: string; pid: number }
   | { event: 'listening'; callers: string; status: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -9,6 +9,9 @@
 export const eventMeanings: Record<RelayEvent['event'], string> = {
   start: 'the process has started',
   listening: 'the ports are open',
+  'port-unavailable':
+    'a port can not be opened yet, for example since another process holds it, and is tried again; includes the error, who holds the port if that is known, and the time since the first attempt',
+  'port-opened': 'a port that was not available at first is open; includes how long that took',
   reload: 'the settings were reloaded; includes the names of those that changed',
   stopping: 'the daemon received a stop signal; includes the number of responses in flight',
   'port-closed':
--- a/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
+++ b/packages/relay/src/lib/paths/PathProber/PathProber.test.ts
@@ -6,6 +6,7 @@
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { ProbeResult } from '../../decide/messages.js';
 import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
+import { throwFault } from '../../../test/throwFault.js';
 import { isListening } from '../../upstream/isListening.js';
 import { pathOptions } from '../pathOptions.js';
 import { CheckResult } from '../ReplicaCheck/ReplicaCheck.js';
@@ -46,7 +47,7 @@
   /** Starts a peer that reaches the replicas at addresses of its own. @returns its address */
   async function startPeer(replicas: readonly RelayReplica[], isIsolated = false): Promise<string> {
     const [port] = await reservePorts(1);
-    const server = new PeerServer();
+    const server = new PeerServer(throwFault);
     const reachability = new ReachabilityServer({
       findReplica: (id) => replicas.find((replica) => replica.id === id),
       check: ({ address }) => check(address),
--- a/packages/relay/src/lib/paths/ReachabilityServer/ReachabilityServer.ts
+++ b/packages/relay/src/lib/paths/ReachabilityServer/ReachabilityServer.ts
@@ -1,3 +1,4 @@
+import { decodePathSegment } from '@apricotrill/utils';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { isReached } from '../ReplicaCheck/ReplicaCheck.js';
@@ -14,6 +15,7 @@
   isIsolated: () => boolean;
 }
 
+const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
 
 /** Tells other daemons whether this one reaches a replica. */
@@ -22,11 +24,11 @@
 
   /** Handles the requests below {@link REACHABILITY_PATH}. */
   readonly handler = (request: IncomingMessage, response: ServerResponse): void => {
-    const id = decodeURIComponent((request.url ?? '').slice(REACHABILITY_PATH.length + 1));
-    const replica = this.parts.findReplica(id);
+    const id = decodePathSegment((request.url ?? '').slice(REACHABILITY_PATH.length + 1));
+    const replica = id === undefined ? undefined : this.parts.findReplica(id);
     request.resume();
     if (replica === undefined) {
-      response.statusCode = NOT_FOUND;
+      response.statusCode = id === undefined ? BAD_REQUEST : NOT_FOUND;
       response.end();
       return;
     }
--- a/packages/relay/src/lib/peers/PeerServer/PeerServer.ts
+++ b/packages/relay/src/lib/peers/PeerServer/PeerServer.ts
@@ -1,5 +1,6 @@
+import { guardHandler, listenOn } from '@apricotrill/lifecycle';
 import { createServer } from 'node:http';
-import type { RequestListener, Server } from 'node:http';
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import { callerOptions } from '../../callers/callerOptions.js';
 
 const NOT_FOUND = 404;
@@ -16,17 +17,17 @@
 
   private readonly server: Server;
 
-  constructor() {
+  /** @param onFault - called with errors of handlers and of accepting connections */
+  constructor(onFault: (error: unknown) => void) {
     const maxHeaderSize = callerOptions.maxHeadBytes + ADDED_HEAD_BYTES;
-    this.server = createServer({ maxHeaderSize }, (request, response) => {
-      const handler = this.findHandler(request.url ?? '');
-      if (handler === undefined) {
-        response.statusCode = NOT_FOUND;
-        response.end();
-        request.resume();
-        return;
+    const handle = (request: IncomingMessage, response: ServerResponse) =>
+      this.handleRequest(request, response);
+    this.server = createServer({ maxHeaderSize }, guardHandler(handle, onFault));
+    this.server.on('error', (error) => {
+      // Errors of an attempt to listen are returned to its caller.
+      if (this.server.listening) {
+        onFault(error);
       }
-      handler(request, response);
     });
   }
 
@@ -35,11 +36,13 @@
     this.handlers.set(prefix, handler);
   }
 
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+  async listen(host: string, port: number): Promise<void> {
+    await listenOn(this.server, host, port);
+  }
+
+  /** Accepts no more connections; those that are open stay so. */
+  stopListening(): void {
+    this.server.close();
   }
 
   dispose(): void {
@@ -47,6 +50,17 @@
     this.server.closeAllConnections();
   }
 
+  private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const handler = this.findHandler(request.url ?? '');
+    if (handler === undefined) {
+      response.statusCode = NOT_FOUND;
+      response.end();
+      request.resume();
+      return;
+    }
+    handler(request, response);
+  }
+
   private findHandler(url: string): RequestListener | undefined {
     const entry = [...this.handlers].find(([prefix]) => url.startsWith(`${prefix}/`));
     return entry?.[1];
--- a/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
+++ b/packages/relay/src/lib/readers/ObjectServer/ObjectServer.test.ts
@@ -3,6 +3,7 @@
 import { Agent } from 'undici';
 import { HttpClient } from '../../http/HttpClient.js';
 import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
+import { throwFault } from '../../../test/throwFault.js';
 import { createPeerReader } from '../createPeerReader.js';
 import { SharedObjects } from '../SharedObjects/SharedObjects.js';
 import { OBJECTS_PATH, ObjectServer } from './ObjectServer.js';
@@ -24,7 +25,7 @@
     onRequest: () => undefined,
   });
 
-  const peerServer = new PeerServer();
+  const peerServer = new PeerServer(throwFault);
 
   const client = new HttpClient();
 
@@ -85,7 +86,7 @@
     objects.update(new Map([['main', item(1)]]));
     server.add('items', objects);
     const [port] = await reservePorts(1);
-    const ownServer = new PeerServer();
+    const ownServer = new PeerServer(throwFault);
     ownServer.addHandler(OBJECTS_PATH, server.handler);
     await ownServer.listen(HOST, port!);
     const read = createPeerReader<number>(client, 'items');
--- a/packages/relay/src/lib/status/StatusServer.ts
+++ b/packages/relay/src/lib/status/StatusServer.ts
@@ -1,6 +1,7 @@
+import { guardHandler, listenOn } from '@apricotrill/lifecycle';
+import type { Handler } from '@apricotrill/lifecycle';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import polka from 'polka';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 
@@ -12,6 +13,8 @@
   metrics: RelayMetrics;
   /** The state of the duties, for operators; undefined if there are none. */
   getDuties: () => unknown;
+  /** Called with errors of handlers and of accepting connections. */
+  onFault: (error: unknown) => void;
 }
 
 /** Serves readiness to the load balancer, and metrics and the state of duties to operators. */
@@ -26,18 +29,26 @@
       app.get(path, (_request, response) => this.writeReady(response));
     });
     app.get('/duties', (_request, response) => this.writeDuties(response));
-    app.get('/metrics', (_request, response) => this.writeMetrics(response));
-    this.handler = app.handler.bind(app) as unknown as typeof this.handler;
+    app.get(
+      '/metrics',
+      // The framework does not wait for the promise of a handler.
+      guardHandler((_request, response) => this.writeMetrics(response), parts.onFault),
+    );
+    this.handler = guardHandler(app.handler.bind(app) as unknown as Handler, parts.onFault);
   }
 
   /** @returns the port, which the operating system chooses if 0 is given */
-  listen(host: string, port: number): Promise<number> {
+  async listen(host: string, port: number): Promise<number> {
     const server = createServer(this.handler);
+    const boundPort = await listenOn(server, host, port);
+    server.on('error', (error) => this.parts.onFault(error));
     this.servers.push(server);
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, () => resolve((server.address() as AddressInfo).port));
-    });
+    return boundPort;
+  }
+
+  /** Accepts no more connections; those that are open stay so. */
+  stopListening(): void {
+    this.servers.forEach((server) => server.close());
   }
 
   dispose(): void {
--- a/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.test.ts
+++ b/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.test.ts
@@ -5,6 +5,7 @@
 import { RelayMetrics } from '../../observe/RelayMetrics.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
+import { throwFault } from '../../../test/throwFault.js';
 import { StreamVersionRecorder } from '../StreamVersionRecorder/StreamVersionRecorder.js';
 import type { StreamVersionStore } from '../StreamVersionStore.js';
 import { StreamVersions } from '../StreamVersions/StreamVersions.js';
@@ -44,7 +45,7 @@
   async function start(id: string, isOld = false, isFirstStart = true) {
     const [port] = await reservePorts(1);
     const clock = new SystemClock();
-    const peerServer = new PeerServer();
+    const peerServer = new PeerServer(throwFault);
     const self: PeerEntry = { id, address: `${HOST}:${port}`, availabilityZone: 'a' };
     const versions = new StreamVersions({ clock, isFirstStart, getListAge: () => 0 });
     const log = () => undefined;
@@ -54,7 +55,7 @@
       log,
       metrics: new RelayMetrics(),
       self,
-      peerServer: isOld ? new PeerServer() : peerServer,
+      peerServer: isOld ? new PeerServer(throwFault) : peerServer,
       versions,
       recorder,
     });
--- a/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.ts
+++ b/packages/relay/src/lib/streams/StreamVersionExchange/StreamVersionExchange.ts
@@ -1,5 +1,5 @@
 import { readBody } from '@apricotrill/callers';
-import { getHash, getRendezvousOrder } from '@apricotrill/utils';
+import { decodePathSegment, getHash, getRendezvousOrder } from '@apricotrill/utils';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
@@ -129,7 +129,13 @@
     });
     app.get(`${STREAMS_PATH}/find/:id`, (request, response) => {
       const { id, service } = { ...request.query, ...request.params } as Record<string, string>;
-      this.handleFind(response, decodeURIComponent(id ?? ''), service ?? '');
+      const decoded = decodePathSegment(id ?? '');
+      if (decoded === undefined) {
+        response.statusCode = BAD_REQUEST;
+        response.end();
+        return;
+      }
+      this.handleFind(response, decoded, service ?? '');
     });
     parts.peerServer.addHandler(STREAMS_PATH, app.handler.bind(app) as unknown as RequestListener);
   }
--- a/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
+++ b/packages/relay/src/lib/transport/SentAttempt/SentAttempt.test.ts
@@ -12,6 +12,7 @@
 import { PathMonitor } from '../../paths/PathMonitor/PathMonitor.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { PeerServer } from '../../peers/PeerServer/PeerServer.js';
+import { throwFault } from '../../../test/throwFault.js';
 import { UpstreamConnections } from '../../upstream/UpstreamConnections/UpstreamConnections.js';
 import { RequestWithdrawnError } from '../../upstream/UpstreamExchange/RequestWithdrawnError.js';
 import type { ResponseHead } from '../../upstream/UpstreamExchange/UpstreamExchange.js';
@@ -113,7 +114,7 @@
 
   async function startPeer(id: string, state: PeerState): Promise<Peer> {
     const [port] = await reservePorts(1);
-    const peerServer = new PeerServer();
+    const peerServer = new PeerServer(throwFault);
     const connections = new UpstreamConnections(listeners);
     const replica = createReplica('i-1', { address: state.replicaAddress ?? `${HOST}:1` });
     const server = new ForwardingServer({
@@ -142,7 +143,7 @@
   /** Starts a peer whose port knows no path for forwarded attempts. */
   async function startOldPeer(id: string): Promise<Pick<Peer, 'entry'>> {
     const [port] = await reservePorts(1);
-    const peerServer = new PeerServer();
+    const peerServer = new PeerServer(throwFault);
     await peerServer.listen(HOST, port!);
     disposals.push(() => peerServer.dispose());
     return { entry: { id, address: `${HOST}:${port}`, availabilityZone: 'a' } };
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -3,6 +3,7 @@
 export { ManualClock } from './lib/ManualClock.js';
 export { SystemClock } from './lib/SystemClock.js';
 export { StepError } from './lib/StepError.js';
+export { decodePathSegment } from './lib/decodePathSegment.js';
 export { exhaustiveSwitchError } from './lib/exhaustiveSwitchError.js';
 export {
   getHash,
