Wait for ports that are not available yet

A daemon whose port was taken for a moment, or whose address was not configured yet, ended with exit code 1 within 170 to 240 ms, and again at each restart: above all a daemon that is started again while the process before it still drains (it holds its ports for as long as graceS). With a taken UDP port it neither ended nor ever served, since the start waited for a bind whose error only reached the log. Class: what the surroundings do for a moment is taken for final.

All ports are now opened at the same time by a PortOpener, which tries again with a delay of 20 to 250 ms for as long as the error can pass, logs port-unavailable at first and every 5 s, and port-opened in the end. No port waits for another one, and the store is followed meanwhile, so that requests are served as soon as the port for callers is open. Readiness is 503 until then. Errors that can't pass end the start as before. SIGTERM ends the waits; a daemon without a port for callers does not wait for the load balancer.

--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.test.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { throwFault } from '../../../test/throwFault.js';
 import { CallerServer } from './CallerServer.js';
 
 const REQUEST = 'GET /x HTTP/1.1\r\nhost: a.example\r\n\r\n';
@@ -30,6 +31,7 @@
       clock,
       shouldRefuse: () => isOverloaded,
       onRequest: (_request, response) => response.end('answer'),
+      onError: throwFault,
       onMalformed: () => undefined,
     });
     port = await server.listen('127.0.0.1', 0);
--- a/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
+++ b/packages/relay/src/lib/callers/CallerServer/CallerServer.ts
@@ -5,10 +5,11 @@
   waitForPendingConnections,
 } from '@apricotrill/callers';
 import type { ConnectionCounts } from '@apricotrill/callers';
+import { listenOn } from '@apricotrill/lifecycle';
 import type { Clock } from '@apricotrill/utils';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { CallerLimits } from '../../config/RelayConfiguration.js';
 import { callerOptions } from '../callerOptions.js';
 
@@ -20,6 +21,8 @@
   onRequest: (request: IncomingMessage, response: ServerResponse) => void;
   /** Called with the error message when input is not valid HTTP. */
   onMalformed: (reason: string) => void;
+  /** Called when a connection can't be accepted. */
+  onError: (error: Error) => void;
 }
 
 /** The HTTP server for callers; tracks their connections. */
@@ -49,6 +52,7 @@
       firstRequestTimeout: callerOptions.firstRequestTimeout,
       callerStallTimeout: callerOptions.stallTimeout,
     });
+    this.server.on('error', (error) => this.handleError(error));
     this.server.on('connection', (socket) => this.handleConnection(socket));
     this.server.on('clientError', (error, socket) =>
       this.handleClientError(socket as Socket, error),
@@ -57,10 +61,12 @@
 
   /** @returns the port, which the operating system chooses if 0 is given */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve((this.server.address() as AddressInfo).port));
-    });
+    return listenOn(this.server, host, port);
+  }
+
+  /** Whether connections are accepted. */
+  get isListening(): boolean {
+    return this.server.listening;
   }
 
   setLimits({ headerTimeout, idleTimeout }: CallerLimits): void {
@@ -106,6 +112,13 @@
     this.server.closeAllConnections();
   }
 
+  /** Errors of an attempt to listen are returned to its caller. */
+  private handleError(error: Error): void {
+    if (this.isListening) {
+      this.parts.onError(error);
+    }
+  }
+
   private handleConnection(socket: Socket): void {
     if (this.parts.shouldRefuse()) {
       socket.destroy();
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -1,4 +1,5 @@
 import { abortResponse } from '@apricotrill/callers';
+import { PortOpener } from '@apricotrill/lifecycle';
 import { parseSocketAddress } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { CallerServer } from '../callers/CallerServer/CallerServer.js';
@@ -99,6 +100,8 @@
 
   private readonly peerServer: PeerServer;
 
+  private readonly portOpener: PortOpener;
+
   private readonly storeLink: StoreLink;
 
   private readonly intake: RequestIntake;
@@ -143,6 +146,7 @@
         availabilityZone: settings.availabilityZone,
       },
     });
+    this.portOpener = new PortOpener({ clock, log });
     this.peerServer = new PeerServer((error) => this.logFault('serve daemons', error));
     this.unreadable = new UnreadableReporter({ clock, log, metrics });
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
@@ -226,6 +230,7 @@
         });
       },
       onMalformed: (reason) => this.intake.recordMalformed(reason),
+      onError: (error) => this.logFault('accept', error),
     });
     this.statusServer = new StatusServer({
       isReady: () => this.isReady,
@@ -278,21 +283,62 @@
     this.addGauges();
   }
 
-  /** Opens the ports and starts following the store. @returns the port for callers */
-  async start(): Promise<number> {
-    const { settings, log, configurations, replicas } = this.parts;
-    await this.statusServer.listen(settings.status.host, settings.status.port);
-    if (settings.metrics !== undefined) {
-      await this.statusServer.listen(settings.metrics.host, settings.metrics.port);
+  /**
+   * Opens the ports and starts following the store, which does not wait for ports that are not available yet.
+   *
+   * @returns the port for callers; undefined if the daemon was stopped before it was open
+   * @throws an error of a port that can't pass
+   */
+  async start(): Promise<number | undefined> {
+    const opened = this.openPorts();
+    this.follow();
+    return opened;
+  }
+
+  /** Opens all ports at the same time, so that one that is not available holds up no other. */
+  private async openPorts(): Promise<number | undefined> {
+    const { status, metrics, peers } = this.parts.settings;
+    const { portOpener, statusServer, peerServer } = this;
+    const [port] = await Promise.all([
+      this.openCallerPort(),
+      portOpener.open('status', () => statusServer.listen(status.host, status.port)),
+      metrics === undefined
+        ? undefined
+        : portOpener.open('metrics', () => statusServer.listen(metrics.host, metrics.port)),
+      portOpener.open('peers', () => peerServer.listen(peers.host, peers.port)),
+      this.startPeerLink(),
+    ]);
+    return port;
+  }
+
+  private async openCallerPort(): Promise<number | undefined> {
+    const { settings, log } = this.parts;
+    const { callers, status } = settings;
+    const port = await this.portOpener.open('callers', () =>
+      this.callerServer.listen(callers.host, callers.port),
+    );
+    if (port !== undefined) {
+      log({
+        event: 'listening',
+        callers: `${callers.host}:${port}`,
+        status: `${status.host}:${status.port}`,
+      });
     }
-    await this.peerLink.start();
-    await this.peerServer.listen(settings.peers.host, settings.peers.port);
-    const port = await this.callerServer.listen(settings.callers.host, settings.callers.port);
-    log({
-      event: 'listening',
-      callers: `${settings.callers.host}:${port}`,
-      status: `${settings.status.host}:${settings.status.port}`,
+    return port;
+  }
+
+  private async startPeerLink(): Promise<void> {
+    const isOpen = await this.portOpener.open('datagrams', async () => {
+      await this.peerLink.listen();
+      return true;
     });
+    if (isOpen === true) {
+      this.peerLink.start();
+    }
+  }
+
+  private follow(): void {
+    const { settings, log, configurations, replicas } = this.parts;
     this.quarantineSync.load().catch((error: unknown) => {
       log({ event: 'fault', step: 'load quarantine', error: String(error) });
     });
@@ -303,7 +349,6 @@
     this.storeLink.follow(REPLICAS, replicas, (items, revision) =>
       this.setReplicas(items, revision),
     );
-    return port;
   }
 
   /** Finishes the requests in flight and shuts down; resolves when the process may exit. */
@@ -314,8 +359,11 @@
     const deadline = startedAt + settings.grace - shutdownOptions.exitReserve;
     this.isStopping = true;
     log({ event: 'stopping', signal, open: this.callerServer.openResponseCount });
+    this.portOpener.stop();
     this.callerServer.drain();
-    await this.sleep(shutdownOptions.acceptPeriod);
+    if (this.callerServer.isListening) {
+      await this.sleep(shutdownOptions.acceptPeriod);
+    }
     this.isRejecting = true;
     const connectionCounts = await this.callerServer.stopListening();
     log({ event: 'port-closed', after: clock.now() - startedAt, ...connectionCounts });
@@ -369,6 +417,7 @@
   }
 
   async dispose(): Promise<void> {
+    this.portOpener.stop();
     const storeDisposal = this.storeLink.dispose();
     this.quarantineSync.dispose();
     this.duties?.dispose();
@@ -462,7 +511,7 @@
 
   private get isReady(): boolean {
     const canServe = this.active !== undefined && this.hasReplicas && this.replicaPaths.isUsable;
-    return !this.isStopping && canServe;
+    return !this.isStopping && this.callerServer.isListening && canServe;
   }
 
   private get version(): number | undefined {
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -90,7 +90,8 @@
       },
     });
     links.push(link);
-    await link.start();
+    await link.listen();
+    link.start();
     const until = async (isDone: () => boolean) => {
       while (!isDone()) {
         // eslint-disable-next-line no-await-in-loop
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { bindTo } from '@apricotrill/lifecycle';
 import { getHash } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { fleetOptions } from '../../decide/Fleet/Fleet.js';
@@ -132,14 +133,21 @@
     });
     this.socket = createSocket('udp4');
     this.socket.on('message', (bytes) => this.handleMessage(bytes));
-    this.socket.on('error', (error) => this.logFault('socket', error));
   }
 
-  async start(): Promise<void> {
+  /**
+   * Makes one attempt to open the port.
+   *
+   * @throws the error of the system
+   */
+  async listen(): Promise<void> {
     const { host, port } = splitAddress(this.settings.self.address);
-    await new Promise<void>((resolve) => {
-      this.socket.bind(port, host, resolve);
-    });
+    await bindTo(this.socket, host, port);
+    this.socket.on('error', (error) => this.logFault('socket', error));
+  }
+
+  /** Starts to exchange updates; the port must be open. */
+  start(): void {
     this.refresh();
     this.followDirectory().catch((error: unknown) => this.logFault('follow', error));
   }
