Hand the ports of a daemon that shuts down over to its successor

A daemon that was started while the process before it completed its requests was not ready until that one had ended, for up to graceS: the process before held the ports for status, metrics and daemons to the end, though it needs none of them once it accepts no requests any more.

The successor, finding a port taken, asks the holder at the port for daemons to release its ports; a daemon that shuts down does so for a process with its own ID as soon as its port for callers is closed and its entries are removed from the store, and keeps its open requests. From then on it takes part in no exchange between daemons. Its successor's entry in the directory is the same, so that it is not removed any more. A holder that runs on, another daemon, or another program releases nothing; who holds the port is in port-unavailable. Without a successor nothing changes.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -34,6 +34,9 @@
 import { applyNotice } from './applyNotice.js';
 import { createMemoryGuard } from './createMemoryGuard.js';
 import { EffectPerformer } from './EffectPerformer.js';
+import { HANDOVER_PATH } from '../handover/handoverProtocol.js';
+import { PortHandover } from '../handover/PortHandover/PortHandover.js';
+import { requestPorts } from '../handover/requestPorts.js';
 import { HealthChecks } from './HealthChecks/HealthChecks.js';
 import type { HealthSource } from './HealthChecks/HealthChecks.js';
 import type { RelaySettings } from './RelaySettings.js';
@@ -102,6 +105,11 @@
 
   private readonly portOpener: PortOpener;
 
+  private readonly portHandover: PortHandover;
+
+  /** Removes this daemon's entries from the store once it stops. */
+  private departure: Promise<unknown> = Promise.resolve();
+
   private readonly storeLink: StoreLink;
 
   private readonly intake: RequestIntake;
@@ -146,8 +154,19 @@
         availabilityZone: settings.availabilityZone,
       },
     });
-    this.portOpener = new PortOpener({ clock, log });
+    this.portOpener = new PortOpener({
+      clock,
+      log,
+      findHolder: () => requestPorts(id, self.address),
+    });
+    this.portHandover = new PortHandover({
+      daemon: id,
+      log,
+      isStopping: () => this.isStopping,
+      release: () => this.releasePorts(),
+    });
     this.peerServer = new PeerServer((error) => this.logFault('serve daemons', error));
+    this.peerServer.addHandler(HANDOVER_PATH, this.portHandover.handler);
     this.unreadable = new UnreadableReporter({ clock, log, metrics });
     const dispatch = (message: PlacementMessage) => this.core.handle(message);
     const memory = createMemoryGuard({
@@ -367,7 +386,8 @@
     this.isRejecting = true;
     const connectionCounts = await this.callerServer.stopListening();
     log({ event: 'port-closed', after: clock.now() - startedAt, ...connectionCounts });
-    const departure = Promise.all([this.peerLink.deregister(), this.duties?.stop()]);
+    this.departure = this.depart();
+    this.portHandover.allow();
     // Besides responses in flight, waits for connections whose first request has yet to arrive.
     const hasOpen = () =>
       this.callerServer.openConnectionCount > 0 || this.replicaPaths.forwardedCount > 0;
@@ -375,7 +395,7 @@
       // eslint-disable-next-line no-await-in-loop
       await this.sleep(shutdownOptions.pollInterval);
     }
-    await waitAtMost(departure, clock, deadline - clock.now());
+    await waitAtMost(this.departure, clock, deadline - clock.now());
     this.peerLink.announceDeparture();
     log({
       event: 'stopped',
@@ -385,6 +405,21 @@
     await waitAtMost(this.dispose(), clock, shutdownOptions.disposeTimeout);
   }
 
+  /** Removes what this daemon has written to the store. Its entry is the same as that of a successor. */
+  private async depart(): Promise<void> {
+    const deregistration = this.portHandover.hasSuccessor ? undefined : this.peerLink.deregister();
+    await Promise.all([deregistration, this.duties?.stop()]);
+  }
+
+  /** Closes the ports for a successor. Open connections stay, and so do the requests in flight. */
+  private async releasePorts(): Promise<void> {
+    // The successor writes the same entries to the store, which must not be removed afterwards.
+    await waitAtMost(this.departure, this.parts.clock, shutdownOptions.departureTimeout);
+    this.statusServer.stopListening();
+    this.peerServer.stopListening();
+    this.peerLink.release();
+  }
+
   /**
    * Applies settings that were changed at run time. Ports that are open are not reopened.
    *
--- a/packages/relay/src/lib/daemon/shutdownOptions.ts
+++ b/packages/relay/src/lib/daemon/shutdownOptions.ts
@@ -11,6 +11,8 @@
   exitReserve: 300 satisfies Milliseconds,
   /** Maximum wait for its own connections to close; part of the reserve. */
   disposeTimeout: 100 satisfies Milliseconds,
+  /** Maximum wait for the store before the ports are released to a successor. */
+  departureTimeout: 1_000 satisfies Milliseconds,
   /** How often open connections are counted. */
   pollInterval: 50 satisfies Milliseconds,
 };
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -38,6 +38,7 @@
   | { event: 'reload'; changed: string[] }
   | { event: 'stopping'; signal: string; open: number }
   | ({ event: 'port-closed'; after: Milliseconds } & ConnectionCounts)
+  | { event: 'ports-requested' | 'ports-released' }
   | { event: 'stopped'; after: Milliseconds; cutOff: number }
   | { event: 'fault'; id?: string; step: string; error: string }
   | { event: 'dependency-lost'; dependency: string; error: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -16,6 +16,10 @@
   stopping: 'the daemon received a stop signal; includes the number of responses in flight',
   'port-closed':
     'a stopping daemon accepts no more connections; includes the open connections by state, and the age of the youngest one that has not sent a request',
+  'ports-requested':
+    'the process that takes the place of this one, which is shutting down, has asked for its ports',
+  'ports-released':
+    'a process that is shutting down has closed its ports for its successor, and completes its open requests',
   stopped: 'the process exits; includes the number of responses that were cut off',
   fault:
     'an unexpected error occurred in the daemon or in a dependency; includes the step that failed and, if it ended a request, the id of the request',
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -190,7 +190,24 @@
     this.sendUpdates(addresses, [{ kind: 'attempt-list', attempts: [] }]);
   }
 
+  /** Closes the port, so that another process can open it. From then on, no daemon is in contact. */
+  release(): void {
+    if (this.isDisposed) {
+      return;
+    }
+    const { clock, onPeerLost } = this.settings;
+    this.close();
+    this.table.expireSilent(clock.now(), Number.NEGATIVE_INFINITY).forEach(onPeerLost);
+    this.settings.onFleetChanged([this.settings.self]);
+  }
+
   dispose(): void {
+    if (!this.isDisposed) {
+      this.close();
+    }
+  }
+
+  private close(): void {
     this.isDisposed = true;
     [this.fleetChangeTimer, this.refreshTimer, this.directoryTimer].forEach((timer) =>
       timer?.cancel(),
@@ -290,6 +307,9 @@
   }
 
   private sendBytes(addresses: readonly string[], bytes: Buffer): void {
+    if (this.isDisposed) {
+      return;
+    }
     addresses.forEach((address) => {
       const { host, port } = splitAddress(address);
       // A send error is treated as a lost datagram; the next refresh makes up for it.
