Answer calls between daemons whose error text cannot be encoded

A daemon ended when a handler of a call between daemons failed with a text that gRPC cannot encode: gRPC throws on a lone surrogate, and nothing waited for the promise of the call. A text too long for a header, such as the name of an unknown topic, left the caller without any response until its timeout.

The text of an error is now well formed and limited to 1,000 characters, and errors of sending a response reach onFault of the mesh.

--- a/packages/mesh/src/lib/Mesh/Mesh.ts
+++ b/packages/mesh/src/lib/Mesh/Mesh.ts
@@ -25,6 +25,8 @@
   /** The keys for mutual TLS; connections are unencrypted when absent. */
   keys?: KeySource;
   options?: Partial<MeshOptions>;
+  /** Called with errors of sending a response and of accepting connections, which the mesh survives. */
+  onFault?: (error: unknown) => void;
 }
 
 /**
@@ -54,7 +56,7 @@
 
   private readonly provider: KeyProvider | undefined;
 
-  constructor({ self, host, port, clock, keys, options }: MeshSettings) {
+  constructor({ self, host, port, clock, keys, options, onFault }: MeshSettings) {
     this.self = self;
     this.options = { ...defaultMeshOptions, ...options };
     this.provider = keys && new KeyProvider(keys);
@@ -65,6 +67,7 @@
       options: this.options,
       traffic: this.traffic,
       provider: this.provider,
+      onFault: onFault ?? (() => undefined),
     });
   }
 
--- a/packages/mesh/src/lib/MeshServer/MeshServer.ts
+++ b/packages/mesh/src/lib/MeshServer/MeshServer.ts
@@ -2,6 +2,7 @@
 import { Server, status } from '@grpc/grpc-js';
 import type { Envelope } from '../codec.js';
 import { decodeEnvelope, encodeResponse } from '../codec.js';
+import { getStatusDetails } from '../getStatusDetails.js';
 import { getServerCredentials } from '../KeyProvider/KeyProvider.js';
 import type { KeyProvider } from '../KeyProvider/KeyProvider.js';
 import { MeshError, MeshFailure } from '../MeshError.js';
@@ -33,6 +34,8 @@
   options: MeshOptions;
   traffic: TrafficCounters;
   provider?: KeyProvider;
+  /** Called with errors of sending a response and of accepting connections. */
+  onFault: (error: unknown) => void;
 }
 
 /**
@@ -55,7 +58,7 @@
     });
     this.server.addService(meshService, {
       call: (call: ServerUnaryCall<Buffer, Buffer>, callback: sendUnaryData<Buffer>) => {
-        this.handleCall(call.request, callback);
+        this.handleCall(call.request, callback).catch(settings.onFault);
       },
     });
   }
@@ -97,7 +100,10 @@
     const { topic, from, body } = envelope;
     const handler = this.handlers.get(topic);
     if (handler === undefined) {
-      callback({ code: status.UNIMPLEMENTED, details: `no handler for topic ${topic}` });
+      callback({
+        code: status.UNIMPLEMENTED,
+        details: getStatusDetails(`no handler for topic ${topic}`),
+      });
       return;
     }
     this.settings.traffic.countIn(topic, bytes.length);
@@ -108,7 +114,7 @@
     } catch (error) {
       callback({
         code: status.UNKNOWN,
-        details: error instanceof Error ? error.message : String(error),
+        details: getStatusDetails(error instanceof Error ? error.message : String(error)),
       });
     }
   }
