Wait for ports of the router that are not available yet

A router daemon whose port for callers, operators or daemons was taken as it started ended with exit code 1 and a line on standard error, and so did each restart: above all one that was started while the process before it still drained, since that one holds its ports to the end. Class: a state that can pass is taken for final.

All ports are opened at the same time by a PortOpener, which retries for as long as the error can pass. The daemon joins the cluster once the port for daemons is open; only ports that the operating system chooses must be open before. Readiness is 503 until callers are accepted, and SIGTERM ends the waits with exit code 0. Errors of accepting connections no longer end the process at their second occurrence; they are logged as fault.

The mesh listens with a socket of its own and passes connections to gRPC: after a failed bindAsync, gRPC's server returns the same error to each later one (it keeps the rejected promise by address), with a text instead of a code, and it leaves errors of accepting connections unhandled.

--- a/packages/demo/src/lib/Daemons.ts
+++ b/packages/demo/src/lib/Daemons.ts
@@ -72,6 +72,9 @@
     const daemon = createRouterDaemon(createSettings(values));
     this.daemons.push(daemon);
     const ports = await daemon.start();
-    return { id: values.id, ...ports, meshPort: ports.meshPort! };
+    if (ports?.meshPort === undefined) {
+      throw new Error(`${values.id} was stopped before it had started`);
+    }
+    return { id: values.id, ...ports, meshPort: ports.meshPort };
   }
 }
--- a/packages/mesh/src/lib/Mesh/Mesh.ts
+++ b/packages/mesh/src/lib/Mesh/Mesh.ts
@@ -77,10 +77,10 @@
   }
 
   /**
-   * Starts to listen.
+   * Makes one attempt to listen; after a failure, another one can be made.
    *
    * @returns the port, which is of use if the operating system chose it
-   * @throws MeshError when the address is in use
+   * @throws the error of the system, such as `EADDRINUSE`
    */
   listen(): Promise<number> {
     return this.server.listen();
--- a/packages/mesh/src/lib/MeshServer/MeshServer.test.ts
+++ b/packages/mesh/src/lib/MeshServer/MeshServer.test.ts
@@ -1,5 +1,8 @@
 import { Client, credentials, status } from '@grpc/grpc-js';
+import { reservePorts } from '@apricotrill/standins';
 import { ManualClock } from '@apricotrill/utils';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
 import { Mesh } from '../Mesh/Mesh.js';
 import { callMethod } from '../meshService.js';
 
@@ -60,4 +63,18 @@
     const port = await mesh.listen();
     expect(await sendRaw(port, getEnvelope(Buffer.from('topic')))).toBe(status.UNKNOWN);
   });
+
+  // Guards against a mesh that can't listen any more after its port was taken once.
+  it('listens at a port that was taken at the first attempt', async () => {
+    const [port] = (await reservePorts(1)) as [number];
+    const holder = createServer().listen(port, '127.0.0.1');
+    await once(holder, 'listening');
+    const mesh = createMesh(port);
+    mesh.handle('ping', () => 'pong');
+    await expect(mesh.listen()).rejects.toMatchObject({ code: 'EADDRINUSE' });
+    holder.close();
+    await once(holder, 'close');
+    expect(await mesh.listen()).toBe(port);
+    expect(await createMesh().call(`127.0.0.1:${port}`, 'ping', null)).toBe('pong');
+  });
 });
--- a/packages/mesh/src/lib/MeshServer/MeshServer.ts
+++ b/packages/mesh/src/lib/MeshServer/MeshServer.ts
@@ -1,11 +1,12 @@
-import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js';
+import { listenOn } from '@apricotrill/lifecycle';
+import type { ConnectionInjector, sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js';
 import { Server, status } from '@grpc/grpc-js';
+import { createServer } from 'node:net';
 import type { Envelope } from '../codec.js';
 import { decodeEnvelope, encodeResponse } from '../codec.js';
 import { getStatusDetails } from '../getStatusDetails.js';
 import { getServerCredentials } from '../KeyProvider/KeyProvider.js';
 import type { KeyProvider } from '../KeyProvider/KeyProvider.js';
-import { MeshError, MeshFailure } from '../MeshError.js';
 import type { MeshOptions } from '../meshOptions.js';
 import { meshService } from '../meshService.js';
 import type { TrafficCounters } from '../TrafficCounters/TrafficCounters.js';
@@ -48,6 +49,17 @@
 
   private readonly server: Server;
 
+  /**
+   * Accepts the connections and passes them to gRPC. A server of gRPC that failed to bind an address returns the
+   * same error to each later attempt, and does not handle errors of accepting connections.
+   */
+  private readonly listener = createServer({ noDelay: true }, (socket) =>
+    this.injector?.injectConnection(socket),
+  );
+
+  /** Created with the first attempt to listen: it needs the keys, which are loaded before. */
+  private injector: ConnectionInjector | undefined;
+
   constructor(private readonly settings: MeshServerSettings) {
     const { maxMessageBytes, maxConcurrentCalls } = settings.options;
     this.server = new Server({
@@ -61,33 +73,32 @@
         this.handleCall(call.request, callback).catch(settings.onFault);
       },
     });
+    this.listener.on('error', (error) => {
+      // Errors of an attempt to listen are returned to its caller.
+      if (this.listener.listening) {
+        settings.onFault(error);
+      }
+    });
   }
 
   handle(topic: string, handler: MeshHandler): void {
     this.handlers.set(topic, handler);
   }
 
+  /**
+   * Makes one attempt to listen; after a failure, another one can be made.
+   *
+   * @throws the error of the system
+   */
   listen(): Promise<number> {
-    const { host, port } = this.settings;
-    const address = host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(
-        address,
-        getServerCredentials(this.settings.provider),
-        (error, bound) => {
-          if (error === null) {
-            resolve(bound);
-            return;
-          }
-          const context = { step: 'mesh-listen', peer: address, cause: error };
-          reject(new MeshError(MeshFailure.Unreachable, error.message, context));
-        },
-      );
-    });
+    const { host, port, provider } = this.settings;
+    this.injector ??= this.server.createConnectionInjector(getServerCredentials(provider));
+    return listenOn(this.listener, host, port);
   }
 
   /** Closes the socket and all connections immediately. */
   dispose(): void {
+    this.listener.close();
     this.server.forceShutdown();
   }
 
--- a/packages/router/src/lib/RunCommand.ts
+++ b/packages/router/src/lib/RunCommand.ts
@@ -66,9 +66,11 @@
     const daemon = this.createDaemon(settings);
     this.stopOnSignals(daemon);
     const ports = await daemon.start().catch((error: unknown) => this.fail(error));
-    this.context.stdout.write(
-      `${JSON.stringify({ listening: { host: settings.host, ...ports } })}\n`,
-    );
+    if (ports !== undefined) {
+      this.context.stdout.write(
+        `${JSON.stringify({ listening: { host: settings.host, ...ports } })}\n`,
+      );
+    }
     return pendingForever;
   }
 
--- a/packages/router/src/lib/daemon/RouterDaemon.ts
+++ b/packages/router/src/lib/daemon/RouterDaemon.ts
@@ -1,10 +1,12 @@
 import type { KeyFiles } from '@apricotrill/keys';
+import { PortOpener } from '@apricotrill/lifecycle';
 import type { Configuration, Settings } from '@apricotrill/model';
 import { Scheduler } from '@apricotrill/policy';
 import type { LoadReport } from '@apricotrill/policy';
 import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
 import { AdminServer } from '../observe/AdminServer.js';
 import type { DecisionLog } from '../observe/DecisionLog.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import { RouterMetrics } from '../observe/RouterMetrics.js';
 import { defaultRouterOptions } from '../options.js';
 import { CallerServer } from '../pipeline/CallerServer.js';
@@ -56,6 +58,8 @@
 
   private readonly adminServer: AdminServer;
 
+  private readonly portOpener: PortOpener;
+
   private routingTable: RoutingTable | undefined;
 
   private isStopping = false;
@@ -63,6 +67,7 @@
   constructor(dependencies: RouterDaemonDependencies) {
     this.dependencies = dependencies;
     const { clock, random, log } = dependencies;
+    this.portOpener = new PortOpener({ clock, log: (event) => log('daemon', event) });
     dependencies.shared.addMetrics?.(this.metrics.registry);
     this.scheduling = new SchedulingTask(log);
     this.scheduler = new Scheduler({
@@ -80,22 +85,26 @@
     this.adminServer = this.createAdminServer();
   }
 
-  /** Starts listening; requests are served once a configuration is in force. */
-  async start(): Promise<DaemonPorts & { meshPort?: number }> {
-    const { settings, shared, keys } = this.dependencies;
+  /**
+   * Opens the ports and joins the cluster; requests are served once a configuration is in force. No port waits for
+   * another one that is not available yet.
+   *
+   * @returns the ports; undefined if the daemon was stopped before they were open
+   * @throws an error of a port that can't pass
+   */
+  async start(): Promise<(DaemonPorts & { meshPort?: number }) | undefined> {
+    const { settings, keys } = this.dependencies;
     await keys?.load();
-    const adminPort = await this.adminServer.listen(settings.host, settings.adminPort);
-    const port = await this.callerServer.listen();
-    const listener = {
-      onConfigurationChange: (configuration: Configuration, generation: number) =>
-        this.applyConfiguration(configuration, generation),
-      onDaemonsChange: (self: string, daemons: string[]) =>
-        this.scheduler.handle({ kind: 'daemons', self, daemons }),
-      onReplicaLeaving: (replica: string, validity: Milliseconds) =>
-        this.leavingReplicas.recordAnnouncement(replica, validity),
-    };
-    const meshPort = (await shared.start(listener, { port, adminPort })) ?? undefined;
-    return { port, adminPort, meshPort };
+    const opened = [
+      this.portOpener.open('callers', () => this.callerServer.listen()),
+      this.portOpener.open('admin', () =>
+        this.adminServer.listen(settings.host, settings.adminPort),
+      ),
+    ] as const;
+    const [port, adminPort, meshPort] = await Promise.all([...opened, this.join(...opened)]);
+    return port === undefined || adminPort === undefined || this.isStopping
+      ? undefined
+      : { port, adminPort, meshPort: meshPort ?? undefined };
   }
 
   /**
@@ -109,10 +118,13 @@
     }
     this.isStopping = true;
     log('daemon', { event: 'draining', inFlight: this.scheduling.getRequestCount() });
+    this.portOpener.stop();
     shared.announceLeaving();
-    await new Promise<void>((resolve) => {
-      clock.setTimer(defaultRouterOptions.readinessDrainDelay, resolve);
-    });
+    if (this.callerServer.isListening) {
+      await new Promise<void>((resolve) => {
+        clock.setTimer(defaultRouterOptions.readinessDrainDelay, resolve);
+      });
+    }
     // Requests still being read or claimed are not queued yet, but their connections are open.
     await this.callerServer.close();
     await this.scheduling.waitUntilIdle();
@@ -125,6 +137,7 @@
   /** Stops immediately; requests in flight are aborted. */
   async dispose(): Promise<void> {
     this.isStopping = true;
+    this.portOpener.stop();
     this.loadPoller.dispose();
     this.leavingReplicas.dispose();
     this.callerServer.dispose();
@@ -135,6 +148,32 @@
     this.dependencies.keys?.dispose();
   }
 
+  /** Joins the cluster. Only a port that the operating system chooses must be open before. */
+  private async join(
+    callers: Promise<number | undefined>,
+    admin: Promise<number | undefined>,
+  ): Promise<number | void> {
+    const { settings, shared } = this.dependencies;
+    const port = settings.port === 0 ? await callers : settings.port;
+    const adminPort = settings.adminPort === 0 ? await admin : settings.adminPort;
+    if (port === undefined || adminPort === undefined) {
+      return undefined;
+    }
+    const listener = {
+      onConfigurationChange: (configuration: Configuration, generation: number) =>
+        this.applyConfiguration(configuration, generation),
+      onDaemonsChange: (self: string, daemons: string[]) =>
+        this.scheduler.handle({ kind: 'daemons', self, daemons }),
+      onReplicaLeaving: (replica: string, validity: Milliseconds) =>
+        this.leavingReplicas.recordAnnouncement(replica, validity),
+    };
+    return shared.start(listener, { port, adminPort }, this.portOpener);
+  }
+
+  private logFault(step: string, error: unknown): void {
+    this.dependencies.log('daemon', { event: 'fault', step, error: getErrorText(error) });
+  }
+
   private applyConfiguration(configuration: Configuration, generation: number): void {
     this.routingTable = new RoutingTable(configuration);
     const { replicas } = configuration.register;
@@ -190,13 +229,15 @@
       port,
       headersTimeout: limits.headersTimeoutMs,
       keys: this.dependencies.keys,
+      onFault: (error) => this.logFault('serve callers', error),
     });
   }
 
   private createAdminServer(): AdminServer {
     const { shared, settings } = this.dependencies;
     return new AdminServer({
-      isReady: () => this.routingTable !== undefined && !this.isStopping,
+      isReady: () =>
+        this.routingTable !== undefined && this.callerServer.isListening && !this.isStopping,
       getMembers: () => shared.getMembers(),
       getStatus: () => ({
         id: settings.id,
@@ -206,6 +247,7 @@
         scheduler: this.scheduler.getSnapshot(),
       }),
       metrics: this.metrics,
+      onFault: (error) => this.logFault('serve operators', error),
     });
   }
 }
--- a/packages/router/src/lib/daemon/SharedState.ts
+++ b/packages/router/src/lib/daemon/SharedState.ts
@@ -1,3 +1,4 @@
+import type { PortOpener } from '@apricotrill/lifecycle';
 import type { Configuration } from '@apricotrill/model';
 import type { Milliseconds } from '@apricotrill/utils';
 import type { Registry } from 'prom-client';
@@ -25,9 +26,14 @@
    * Joins the cluster; configurations and other updates are passed to the listener from now on.
    *
    * @param ports - the ports at which this daemon is reached
-   * @returns the port of its mesh, if it has one
+   * @param opener - opens the port of its mesh
+   * @returns the port of its mesh, if it has one; undefined if the opener was stopped before
    */
-  start(listener: SharedStateListener, ports: DaemonPorts): Promise<number | void>;
+  start(
+    listener: SharedStateListener,
+    ports: DaemonPorts,
+    opener: PortOpener,
+  ): Promise<number | void>;
   /** Adds metrics of the control traffic to the registry; absent where there is none. */
   addMetrics?(registry: Registry): void;
   /** Claims of non-repeatable requests. */
--- a/packages/router/src/lib/observe/AdminServer.ts
+++ b/packages/router/src/lib/observe/AdminServer.ts
@@ -1,6 +1,6 @@
+import { listenOn } from '@apricotrill/lifecycle';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import polka from 'polka';
 import type { RouterMetrics } from './RouterMetrics.js';
 
@@ -16,6 +16,8 @@
   /** Returns the state of this daemon, for operators. */
   getStatus: () => unknown;
   metrics: RouterMetrics;
+  /** Called with errors of handlers and of accepting connections. */
+  onFault: (error: unknown) => void;
 }
 
 function writeJson(response: ServerResponse, status: number, value: unknown): void {
@@ -51,14 +53,17 @@
       response: ServerResponse,
     ) => void;
     this.server.on('request', handler);
+    this.server.on('error', (error) => {
+      // Errors of an attempt to listen are returned to its caller.
+      if (this.server.listening) {
+        source.onFault(error);
+      }
+    });
   }
 
   /** @returns the port, which the operating system chooses when the configured one is 0 */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve((this.server.address() as AddressInfo).port));
-    });
+    return listenOn(this.server, host, port);
   }
 
   dispose(): void {
--- a/packages/router/src/lib/pipeline/CallerServer.keys.test.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.keys.test.ts
@@ -49,6 +49,9 @@
       port: 0,
       headersTimeout: 1000,
       keys,
+      onFault: (error) => {
+        throw error;
+      },
     });
     const port = await server.listen();
     const before = await getSerialNumber(port, first.caCertificate);
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -4,13 +4,14 @@
   waitForPendingConnections,
 } from '@apricotrill/callers';
 import type { KeyMaterial, KeySource } from '@apricotrill/keys';
+import { listenOn } from '@apricotrill/lifecycle';
 import { ExecutionOutcome } from '@apricotrill/policy';
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import type { Server as TlsServer } from 'node:https';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import polka from 'polka';
 import { defaultRouterOptions } from '../options.js';
 import type { HandlerContext } from './HandlerContext.js';
@@ -33,6 +34,8 @@
   headersTimeout: number;
   /** Key and certificate for HTTPS; plain HTTP when absent. */
   keys?: KeySource;
+  /** Called with errors of accepting connections. */
+  onFault: (error: unknown) => void;
 }
 
 type Handler = (
@@ -109,12 +112,12 @@
   /** @returns the port, which the operating system chooses when the configured one is 0 */
   listen(): Promise<number> {
     this.applyKeys();
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.address.port, this.address.host, () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+    return listenOn(this.server, this.address.host, this.address.port);
+  }
+
+  /** Whether connections are accepted. */
+  get isListening(): boolean {
+    return this.server.listening;
   }
 
   /**
@@ -147,7 +150,7 @@
     const apply = ({ certificate, privateKey }: KeyMaterial) =>
       (this.server as TlsServer).setSecureContext({ cert: certificate, key: privateKey });
     apply(keys.getCurrent());
-    this.unsubscribeFromKeys = keys.onChange(apply);
+    this.unsubscribeFromKeys ??= keys.onChange(apply);
   }
 
   private createServer(): Server {
@@ -165,6 +168,12 @@
     server.on(keys === undefined ? 'connection' : 'secureConnection', (socket: Socket) =>
       this.connections.add(socket),
     );
+    server.on('error', (error) => {
+      // Errors of an attempt to listen are returned to its caller.
+      if (server.listening) {
+        this.address.onFault(error);
+      }
+    });
     server.on('clientError', (error, socket) => this.rejectMalformedBytes(error, socket as Socket));
     return server;
   }
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -2,6 +2,7 @@
 import type { ClaimMember, ClaimMessage, ClaimResponse } from '@apricotrill/claims';
 import { ClusterManager, MemberState } from '@apricotrill/cluster';
 import type { Member } from '@apricotrill/cluster';
+import type { PortOpener } from '@apricotrill/lifecycle';
 import type { KeySource } from '@apricotrill/keys';
 import { MANIFEST_KEY, parseManifest } from '@apricotrill/configuration';
 import { Mesh } from '@apricotrill/mesh';
@@ -12,6 +13,7 @@
 import type { Registry } from 'prom-client';
 import type { DaemonPorts, SharedState, SharedStateListener } from '../daemon/SharedState.js';
 import { addControlMetrics } from '../observe/addControlMetrics.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import type { DecisionLog } from '../observe/DecisionLog.js';
 import { defaultRouterOptions } from '../options.js';
 import { ClaimAdapter } from './ClaimAdapter.js';
@@ -97,6 +99,8 @@
       port: settings.meshPort,
       clock,
       keys: dependencies.keys,
+      onFault: (error) =>
+        dependencies.log('daemon', { event: 'fault', step: 'mesh', error: getErrorText(error) }),
     });
     this.claims = new ClaimAdapter(clock);
   }
@@ -105,8 +109,15 @@
    * Joins the cluster once all ports are known: peers must be told the ports at which the daemon
    * actually listens.
    */
-  async start(listener: SharedStateListener, ports: DaemonPorts): Promise<number> {
-    const meshPort = await this.mesh.listen();
+  async start(
+    listener: SharedStateListener,
+    ports: DaemonPorts,
+    opener: PortOpener,
+  ): Promise<number | undefined> {
+    const meshPort = await opener.open('mesh', () => this.mesh.listen());
+    if (meshPort === undefined) {
+      return undefined;
+    }
     const cluster = this.createCluster({ ...ports, meshPort });
     const claimManager = this.createClaims(cluster);
     this.claims.attach(claimManager);
