Fail only the request whose handler throws at the router's operators' port

A router daemon would end if its metrics could not be collected or its status could not be read while an operator's request was served: the framework catches nothing that a handler throws and waits for no promise of it. The handlers of the port for callers had a guard of their own, which left out the steps before and after them.

--- a/packages/router/src/lib/observe/AdminServer.ts
+++ b/packages/router/src/lib/observe/AdminServer.ts
@@ -1,6 +1,7 @@
-import { listenOn } from '@apricotrill/lifecycle';
+import { guardHandler, listenOn } from '@apricotrill/lifecycle';
+import type { Handler } from '@apricotrill/lifecycle';
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import polka from 'polka';
 import type { RouterMetrics } from './RouterMetrics.js';
 
@@ -47,12 +48,15 @@
     app.get('/admin/status', (_request, response) => {
       writeJson(response, 200, source.getStatus());
     });
-    app.get('/metrics', (_request, response) => this.writeMetrics(response));
-    const handler = app.handler.bind(app) as unknown as (
-      request: IncomingMessage,
-      response: ServerResponse,
-    ) => void;
-    this.server.on('request', handler);
+    app.get(
+      '/metrics',
+      // The framework does not wait for the promise of a handler.
+      guardHandler((_request, response) => this.writeMetrics(response), source.onFault),
+    );
+    this.server.on(
+      'request',
+      guardHandler(app.handler.bind(app) as unknown as Handler, source.onFault),
+    );
     this.server.on('error', (error) => {
       // Errors of an attempt to listen are returned to its caller.
       if (this.server.listening) {
--- a/packages/router/src/lib/pipeline/CallerServer.ts
+++ b/packages/router/src/lib/pipeline/CallerServer.ts
@@ -4,7 +4,7 @@
   waitForPendingConnections,
 } from '@apricotrill/callers';
 import type { KeyMaterial, KeySource } from '@apricotrill/keys';
-import { listenOn } from '@apricotrill/lifecycle';
+import { guardHandler, listenOn } from '@apricotrill/lifecycle';
 import { ExecutionOutcome } from '@apricotrill/policy';
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
@@ -34,7 +34,7 @@
   headersTimeout: number;
   /** Key and certificate for HTTPS; plain HTTP when absent. */
   keys?: KeySource;
-  /** Called with errors of accepting connections. */
+  /** Called with errors of handlers and of accepting connections. */
   onFault: (error: unknown) => void;
 }
 
@@ -106,7 +106,10 @@
     app.use('/services', (request, response) =>
       this.handleRequest(request, response, (...args) => this.handlePlainRequest(...args)),
     );
-    server.on('request', (request, response) => app.handler(request as never, response));
+    server.on(
+      'request',
+      guardHandler((request, response) => app.handler(request as never, response), address.onFault),
+    );
   }
 
   /** @returns the port, which the operating system chooses when the configured one is 0 */
@@ -195,7 +198,8 @@
         this.rejectRequest(response, requestId, error);
         discardBody(request, this.context.clock);
       })
-      .finally(endArrival);
+      .finally(endArrival)
+      .catch(this.address.onFault);
   }
 
   private rejectRequest(response: ServerResponse, requestId: string, error: unknown): void {
