Read claims again when the store answers with something else

All router daemons that read the objects of claims ended when the store, or an intermediary in front of it, answered with a text that is no head, no segment or no layout: the parser threw in a promise that nothing waits for. A takeover reads the same object at the next daemon, so that one object could end one daemon after another.

One that can't be read counts as no response, so that it is read again with back-off and claims are refused as unavailable meanwhile; the event object-unreadable names its key.

--- a/packages/claims/src/lib/ClaimEvent.ts
+++ b/packages/claims/src/lib/ClaimEvent.ts
@@ -94,6 +94,8 @@
   | { kind: 'epoch-sealed'; shard: number; epoch: number; by: string }
   | { kind: 'store-unavailable'; shard: number; epoch: number }
   | { kind: 'store-answers'; shard: number; epoch: number }
+  /** The value of an object in the store does not have the form that its key demands. */
+  | { kind: 'object-unreadable'; key: string }
   | { kind: 'quarantine-ended'; shard: number; epoch: number; merged: number }
   | { kind: 'segment-written'; shard: number; epoch: number; entries: number; size: number }
   | { kind: 'layout-mismatch'; expected: number; found: number };
--- a/packages/claims/src/lib/ClaimManager/ClaimManager.ts
+++ b/packages/claims/src/lib/ClaimManager/ClaimManager.ts
@@ -71,7 +71,9 @@
     const options = createClaimOptions(settings.options);
     this.options = options;
     this.onEvent = settings.onEvent ?? (() => {});
-    const store = new StoreGateway(settings.store, clock, options, this.counters);
+    const store = new StoreGateway(settings.store, clock, options, this.counters, (key) =>
+      this.onEvent({ kind: 'object-unreadable', key }),
+    );
     this.layout = new LayoutGuard(store, options.shards, (found) =>
       this.handleLayoutMismatch(found),
     );
--- a/packages/claims/src/lib/ClaimManager/LayoutGuard.ts
+++ b/packages/claims/src/lib/ClaimManager/LayoutGuard.ts
@@ -1,8 +1,7 @@
 import { NO_ANSWER } from '../ClaimShard/shardMessages.js';
+import { LAYOUT_KEY } from '../storeKeys.js';
 import type { StoreGateway } from './StoreGateway.js';
 
-const LAYOUT_KEY = 'claims/layout';
-
 interface Layout {
   shards: number;
 }
--- a/packages/claims/src/lib/ClaimManager/claimFaults.test.ts
+++ b/packages/claims/src/lib/ClaimManager/claimFaults.test.ts
@@ -247,4 +247,27 @@
     expect(cluster.clock.now() - before).toBeLessThan(TEST_OPTIONS.callTimeout!);
     expect(owner.claims.getOwnedShards()).toEqual([0]);
   });
+
+  // Guards against the end of each process that reads the shard: the store, or an intermediary, answered with a text
+  // that is no head.
+  it.each(['<html>', 'null', '{}', '{"segments":3}'])(
+    'is granted once the head can be read again, after the store answered %s',
+    async (text) => {
+      const { cluster, owner, next, other } = await startCluster();
+      expectGranted(await cluster.ask(other, 'before'));
+      const { key, value } = cluster.store.list('claims/').find((each) => each.key === 'claims/0')!;
+      cluster.store.replaceValue(key, text);
+      owner.crash();
+      cluster.updateAllMembers();
+      expect((await cluster.ask(next, 'meanwhile')).kind).toBe('unavailable');
+      expect(cluster.getEvents('object-unreadable')).toContainEqual({
+        kind: 'object-unreadable',
+        key,
+      });
+      cluster.store.replaceValue(key, value);
+      await cluster.run(3000);
+      expect((await cluster.ask(next, 'before')).kind).toBe('in-progress');
+      expect((await cluster.ask(next, 'after')).kind).toBe('granted');
+    },
+  );
 });
--- a/packages/claims/src/lib/ShardHead.ts
+++ b/packages/claims/src/lib/ShardHead.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import type { ClaimMember } from './claimTypes.js';
 import type { ClaimEntry } from './messages.js';
+import { SEGMENTS_PREFIX } from './storeKeys.js';
 
 /**
  * A segment: settled entries that no longer change, moved out of the head into an object of their
@@ -105,7 +106,7 @@
 
 /** The common prefix of the store keys of a shard's segments. */
 export function getSegmentPrefix(shard: number): string {
-  return `claim-segments/${shard}/`;
+  return `${SEGMENTS_PREFIX}${shard}/`;
 }
 
 /** The store key of a segment. */
--- a/packages/claims/src/test/TestStore.ts
+++ b/packages/claims/src/test/TestStore.ts
@@ -36,6 +36,11 @@
     return this.objects.get(key);
   }
 
+  /** Replaces the value of an object, which keeps its version, as an intermediary might. */
+  replaceValue(key: string, value: string): void {
+    this.objects.set(key, { ...this.objects.get(key)!, value });
+  }
+
   list(prefix: string): StoredObject[] {
     return [...this.objects.values()].filter(({ key }) => key.startsWith(prefix));
   }
