Test that a router whose start fails for good ends, though ports are open

The test of this case in rollingRestart holds the port for daemons, which is waited for now, so that it fails by design ("end the process if the daemon cannot start": exit 1 is expected, the daemon waits). This one has an error that does not pass, a missing register, after ports are open: exit 1, and the file is named. The former test is left as it is, to be decided on in the review.

--- a/packages/e2e/src/lib/unavailablePorts.test.ts
+++ b/packages/e2e/src/lib/unavailablePorts.test.ts
@@ -52,8 +52,8 @@
     await rm(directory, { recursive: true });
   });
 
-  function start(): Subprocess {
-    const process = new Subprocess(Binary.Router, ['--settings', settingsFile]);
+  function start(...args: string[]): Subprocess {
+    const process = new Subprocess(Binary.Router, ['--settings', settingsFile, ...args]);
     processes.push(process);
     return process;
   }
@@ -125,4 +125,13 @@
     expect(await first.exited).toBe(0);
     await waitUntilReady();
   });
+
+  // Guards against a daemon that cannot start but does not exit, so that it is never ready and never restarted.
+  // The error comes after ports are open, which would keep the process alive.
+  it('ends for an error that does not pass, though ports are open', async () => {
+    const missing = join(directory, 'missing.jsonc');
+    const process = start('--register', missing, '--rules', missing);
+    expect(await process.exited).toBe(1);
+    expect(process.log.lines.join('\n')).toContain(missing);
+  });
 });
