--- a/packages/cli/src/lib/StoreCommand.ts
+++ b/packages/cli/src/lib/StoreCommand.ts
@@ -1,12 +1,16 @@
 import { ConfigurationStore } from '@apricotrill/configuration';
 import type { Milliseconds } from '@apricotrill/utils';
-import { Option } from 'clipanion';
+import { Option, UsageError } from 'clipanion';
 import { cascade, isAtLeast, isInteger, isNumber } from 'typanion';
 import { getRequiredOption } from './getRequiredOption.js';
 import { OperatorCommand } from './OperatorCommand.js';
 
 const DEFAULT_CALL_TIMEOUT_MS: Milliseconds = 2000;
 
+function isHttpUrl(text: string): boolean {
+  return URL.canParse(text) && ['http:', 'https:'].includes(new URL(text).protocol);
+}
+
 /** Validates an integer that is at least `min`. */
 export const isIntegerFrom = (min: number) => cascade(isNumber(), [isInteger(), isAtLeast(min)]);
 
@@ -23,7 +27,12 @@
   });
 
   protected getPlatform(): string {
-    return getRequiredOption(this.platform, '--platform', 'give the URL of the platform');
+    const hint = 'give the URL of the platform, such as http://127.0.0.1:8500';
+    const platform = getRequiredOption(this.platform, '--platform', hint);
+    if (!isHttpUrl(platform)) {
+      throw new UsageError(`--platform is not an HTTP URL: "${platform}"; ${hint}`);
+    }
+    return platform;
   }
 
   /** Opens the store, calls `use` with it, and closes it again. */
--- a/packages/cli/src/lib/commands/commands.test.ts
+++ b/packages/cli/src/lib/commands/commands.test.ts
@@ -69,6 +69,21 @@
     expect(JSON.parse(json.output).error.diagnostics).toMatchObject([{ line: 29, column: 15 }]);
   });
 
+  // Guards against the stack of an error instead of what is wrong with the command line.
+  it.each(['foo', 'http://', 'ftp://127.0.0.1:1'])(
+    'names a URL that is not one: %s',
+    async (url) => {
+      const { run } = createRunCli({
+        openStore: (text) => {
+          throw new Error(`${text} must not be opened`);
+        },
+      });
+      const { exitCode, output, errors } = await run('history', '--platform', url);
+      expect(exitCode).toBe(ExitCode.Usage);
+      expect(`${output}${errors}`).toContain(`--platform is not an HTTP URL: "${url}"`);
+    },
+  );
+
   it('shows the differences, and applies them to the base that diff prints', async () => {
     const { run } = createRunCli();
     expect((await run('diff', ...EXAMPLE_FILES)).exitCode).toBe(ExitCode.Different);
