Take a list that is none for no response of the platform

A response with status 200 whose JSON has no list, for example from an intermediary, reached the readers of watches, objects and instances as undefined or with entries of null. By reading, these end the process: the cluster uses the result of a watch in a promise that nothing waits for. The end itself was not reproduced.

The client of the platform checks that the field is a list of objects; anything else is a StoreUnavailableError, after which the readers retry.

--- a/packages/store/src/lib/HttpInstanceList/HttpInstanceList.ts
+++ b/packages/store/src/lib/HttpInstanceList/HttpInstanceList.ts
@@ -29,7 +29,7 @@
     if (response.status !== OK) {
       throw this.connection.createError(step, `unexpected status ${response.status}`);
     }
-    return this.connection.parse<{ instances: Instance[] }>(step, response).instances;
+    return this.connection.parseList<Instance>(step, response, 'instances');
   }
 
   /** Aborts every request in flight and closes the connections. */
--- a/packages/store/src/lib/HttpPlatformStore/HttpPlatformStore.ts
+++ b/packages/store/src/lib/HttpPlatformStore/HttpPlatformStore.ts
@@ -56,7 +56,7 @@
     const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
     const response = await this.connection.request({ step, method: 'GET', path });
     this.checkStatus(step, response, [OK]);
-    return this.connection.parse<{ objects: StoredObject[] }>(step, response).objects;
+    return this.connection.parseList<StoredObject>(step, response, 'objects');
   }
 
   /** @throws ValueTooLargeError when the value is larger than 1 MiB; nothing is sent in this case */
@@ -87,7 +87,7 @@
     try {
       const response = await this.connection.request({ step, method: 'GET', path, wait, signal });
       this.checkStatus(step, response, [OK]);
-      return this.connection.parse<{ changes: StoreChange[] }>(step, response).changes;
+      return this.connection.parseList<StoreChange>(step, response, 'changes');
     } finally {
       this.counters.waitingWatches -= 1;
     }
--- a/packages/store/src/lib/HttpPlatformStore/PlatformConnection.ts
+++ b/packages/store/src/lib/HttpPlatformStore/PlatformConnection.ts
@@ -67,13 +67,24 @@
     return response;
   }
 
-  /** Parses a JSON response. @throws StoreUnavailableError when it is truncated or not JSON */
-  parse<Content>(step: string, response: PlatformResponse): Content {
-    try {
-      return JSON.parse(response.text) as Content;
-    } catch (cause) {
-      throw this.createError(step, 'the response is not valid JSON', cause);
+  /**
+   * Parses a JSON response with a list of objects in one field.
+   *
+   * @throws StoreUnavailableError when it is truncated or something else, for example from an intermediary
+   */
+  parseList<Entry extends object>(
+    step: string,
+    response: PlatformResponse,
+    field: string,
+  ): Entry[] {
+    const list = (this.parse(step, response) as Record<string, unknown> | null)?.[field];
+    if (
+      !Array.isArray(list) ||
+      !list.every((entry) => typeof entry === 'object' && entry !== null)
+    ) {
+      throw this.createError(step, `the response has no list of ${field}`);
     }
+    return list as Entry[];
   }
 
   createError(step: string, message: string, cause?: unknown): StoreUnavailableError {
@@ -94,6 +105,14 @@
     await Promise.all([this.requestPool.dispose(), this.watchPool.dispose()]);
   }
 
+  private parse(step: string, response: PlatformResponse): unknown {
+    try {
+      return JSON.parse(response.text);
+    } catch (cause) {
+      throw this.createError(step, 'the response is not valid JSON', cause);
+    }
+  }
+
   private async requestWithTimeout(request: PlatformRequest): Promise<PlatformResponse> {
     const controller = new AbortController();
     const abort = () => controller.abort(this.createError(request.step, 'aborted by the caller'));
