Open ports within 20 ms of their release by a process that shuts down

While the holder of a port was about to release it, its successor still tried with the delays of a port that may be taken for long, so that connections between the two were refused for up to 250 ms. A holder now states whether it is about to release its ports, and the successor then tries every 20 ms.

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -5,4 +5,4 @@
 export type { LifecycleEvent } from './lib/LifecycleEvent.js';
 export { listenOn } from './lib/listenOn.js';
 export { PortOpener, portOptions } from './lib/PortOpener/PortOpener.js';
-export type { PortOpenerParts } from './lib/PortOpener/PortOpener.js';
+export type { PortHolder, PortOpenerParts } from './lib/PortOpener/PortOpener.js';
--- a/packages/lifecycle/src/lib/PortOpener/PortOpener.test.ts
+++ b/packages/lifecycle/src/lib/PortOpener/PortOpener.test.ts
@@ -31,13 +31,16 @@
 
   let opener: PortOpener;
 
+  let isReleasing: boolean;
+
   beforeEach(() => {
     clock = new ManualClock();
     lines = [];
+    isReleasing = false;
     opener = new PortOpener({
       clock,
       log: (line) => lines.push(line),
-      findHolder: async () => 'edge-1, pid 7',
+      findHolder: async () => ({ description: 'edge-1, pid 7', isReleasing }),
     });
   });
 
@@ -84,6 +87,21 @@
     expect(await opened).toBeUndefined();
   });
 
+  // Guards against connections that are refused between two processes at one place.
+  it('tries often while the holder is about to release the port', async () => {
+    isReleasing = true;
+    let attempts = 0;
+    opener
+      .open('callers', async () => {
+        attempts += 1;
+        throw new CodedError('EADDRINUSE');
+      })
+      .catch(() => undefined);
+    await advance(clock, 1_000);
+    expect(attempts).toBeGreaterThan(500 / portOptions.firstDelay);
+    opener.stop();
+  });
+
   // Guards against attempts that wait for the holder of a port, which may never respond.
   it('goes on while the holder does not respond', async () => {
     let attempts = 0;
--- a/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
+++ b/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
@@ -12,6 +12,18 @@
   logInterval: 5_000 satisfies Milliseconds,
 };
 
+/**
+ * The process that holds a port.
+ *
+ * @public
+ */
+export interface PortHolder {
+  /** For log lines. */
+  description: string;
+  /** Whether it is about to release the port, so that each further moment counts. */
+  isReleasing: boolean;
+}
+
 /**
  * Dependencies of {@link PortOpener}.
  *
@@ -24,7 +36,7 @@
    * Finds out which process holds a port, and may ask it to release it. Called before each line about a port
    * that is not available.
    */
-  findHolder?: (port: string) => Promise<string | undefined>;
+  findHolder?: (port: string) => Promise<PortHolder | undefined>;
 }
 
 /**
@@ -41,6 +53,9 @@
 export class PortOpener {
   private isStopped = false;
 
+  /** Whether the process that holds the ports is about to release them. */
+  private isReleasing = false;
+
   /** Ends the waits before the next attempts. */
   private readonly waits = new Map<Timer, () => void>();
 
@@ -78,7 +93,7 @@
       }
       // eslint-disable-next-line no-await-in-loop
       await this.wait(delay);
-      delay = Math.min(2 * delay, portOptions.maxDelay);
+      delay = this.isReleasing ? portOptions.firstDelay : Math.min(2 * delay, portOptions.maxDelay);
     }
     return undefined;
   }
@@ -96,8 +111,10 @@
   /** The holder is looked up beside the attempts, which must not wait for its answer. */
   private report(port: string, error: string, after: Milliseconds): void {
     const { log, findHolder } = this.parts;
-    const write = (holder: string | undefined) =>
-      log({ event: 'port-unavailable', port, error, holder, after });
+    const write = (holder: PortHolder | undefined) => {
+      this.isReleasing = holder?.isReleasing ?? false;
+      log({ event: 'port-unavailable', port, error, holder: holder?.description, after });
+    };
     if (findHolder === undefined) {
       write(undefined);
       return;
--- a/packages/relay/src/lib/handover/PortHandover/PortHandover.ts
+++ b/packages/relay/src/lib/handover/PortHandover/PortHandover.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import { DAEMON_HEADER, RELEASE_PATH } from '../handoverProtocol.js';
-import type { PortHolder } from '../handoverProtocol.js';
+import type { HolderStatement } from '../handoverProtocol.js';
 
 /** Dependencies of {@link PortHandover}. */
 export interface PortHandoverParts {
@@ -38,7 +38,7 @@
     }
     const { daemon, log, isStopping } = this.parts;
     const isReleasing = isStopping() && request.headers[DAEMON_HEADER] === daemon;
-    const holder: PortHolder = { daemon, pid: process.pid, isReleasing };
+    const holder: HolderStatement = { daemon, pid: process.pid, isReleasing };
     response.writeHead(OK, { 'content-type': 'application/json', connection: 'close' });
     response.end(JSON.stringify(holder));
     if (isReleasing && !this.isRequested) {
--- a/packages/relay/src/lib/handover/handoverProtocol.ts
+++ b/packages/relay/src/lib/handover/handoverProtocol.ts
@@ -17,5 +17,5 @@
   isReleasing: z.boolean(),
 });
 
-/** The process that holds the ports of a daemon. */
-export type PortHolder = z.infer<typeof holderSchema>;
+/** What the process that holds the ports of a daemon states. */
+export type HolderStatement = z.infer<typeof holderSchema>;
--- a/packages/relay/src/lib/handover/requestPorts.ts
+++ b/packages/relay/src/lib/handover/requestPorts.ts
@@ -1,3 +1,4 @@
+import type { PortHolder } from '@apricotrill/lifecycle';
 import type { Milliseconds } from '@apricotrill/utils';
 import { HttpClient, parseJson } from '../http/HttpClient.js';
 import { DAEMON_HEADER, RELEASE_PATH, holderSchema } from './handoverProtocol.js';
@@ -10,13 +11,16 @@
  *
  * @param daemon - ID of this daemon
  * @param address - IP address and port for daemons
- * @returns a description of that process; undefined if it is not a daemon, or does not respond
+ * @returns that process; undefined if it is not a daemon, or does not respond
  * @example
  * ```ts
- * await requestPorts('edge-1', '10.1.0.19:7201'); // 'edge-1, pid 4711, shutting down'
+ * await requestPorts('edge-1', '10.1.0.19:7201'); // { description: 'edge-1, pid 4711, shutting down', isReleasing: true }
  * ```
  */
-export async function requestPorts(daemon: string, address: string): Promise<string | undefined> {
+export async function requestPorts(
+  daemon: string,
+  address: string,
+): Promise<PortHolder | undefined> {
   const client = new HttpClient();
   const step = 'ask for ports';
   try {
@@ -29,7 +33,9 @@
       timeout: TIMEOUT,
     });
     const holder = holderSchema.parse(parseJson(text, step, address));
-    return `${holder.daemon}, pid ${holder.pid}, ${holder.isReleasing ? 'shutting down' : 'running'}`;
+    const { isReleasing, pid } = holder;
+    const state = isReleasing ? 'shutting down' : 'running';
+    return { description: `${holder.daemon}, pid ${pid}, ${state}`, isReleasing };
   } catch {
     // The port for daemons is free, or held by another program; the caller logs the port itself.
     return undefined;
