--- a/packages/mesh/src/lib/MeshServer/MeshServer.ts
+++ b/packages/mesh/src/lib/MeshServer/MeshServer.ts
@@ -1,10 +1,12 @@
-import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js';
+import { listenOn } from '@apricotrill/lifecycle';
+import type { ConnectionInjector, sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js';
 import { Server, status } from '@grpc/grpc-js';
+import { createServer } from 'node:net';
 import type { Envelope } from '../codec.js';
 import { decodeEnvelope, encodeResponse } from '../codec.js';
+import { getStatusDetails } from '../getStatusDetails.js';
 import { getServerCredentials } from '../KeyProvider/KeyProvider.js';
 import type { KeyProvider } from '../KeyProvider/KeyProvider.js';
-import { MeshError, MeshFailure } from '../MeshError.js';
 import type { MeshOptions } from '../meshOptions.js';
 import { meshService } from '../meshService.js';
 import type { TrafficCounters } from '../TrafficCounters/TrafficCounters.js';
@@ -33,6 +35,8 @@
   options: MeshOptions;
   traffic: TrafficCounters;
   provider?: KeyProvider;
+  /** Called with errors of sending a response and of accepting connections. */
+  onFault: (error: unknown) => void;
 }
 
 /**
@@ -45,6 +49,17 @@
 
   private readonly server: Server;
 
+  /**
+   * Accepts the connections and passes them to gRPC. A server of gRPC that failed to bind an address returns the
+   * same error to each later attempt, and does not handle errors of accepting connections.
+   */
+  private readonly listener = createServer({ noDelay: true }, (socket) =>
+    this.injector?.injectConnection(socket),
+  );
+
+  /** Created with the first attempt to listen: it needs the keys, which are loaded before. */
+  private injector: ConnectionInjector | undefined;
+
   constructor(private readonly settings: MeshServerSettings) {
     const { maxMessageBytes, maxConcurrentCalls } = settings.options;
     this.server = new Server({
@@ -55,36 +70,35 @@
     });
     this.server.addService(meshService, {
       call: (call: ServerUnaryCall<Buffer, Buffer>, callback: sendUnaryData<Buffer>) => {
-        this.handleCall(call.request, callback);
+        this.handleCall(call.request, callback).catch(settings.onFault);
       },
     });
+    this.listener.on('error', (error) => {
+      // Errors of an attempt to listen are returned to its caller.
+      if (this.listener.listening) {
+        settings.onFault(error);
+      }
+    });
   }
 
   handle(topic: string, handler: MeshHandler): void {
     this.handlers.set(topic, handler);
   }
 
+  /**
+   * Makes one attempt to listen; after a failure, another one can be made.
+   *
+   * @throws the error of the system
+   */
   listen(): Promise<number> {
-    const { host, port } = this.settings;
-    const address = host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(
-        address,
-        getServerCredentials(this.settings.provider),
-        (error, bound) => {
-          if (error === null) {
-            resolve(bound);
-            return;
-          }
-          const context = { step: 'mesh-listen', peer: address, cause: error };
-          reject(new MeshError(MeshFailure.Unreachable, error.message, context));
-        },
-      );
-    });
+    const { host, port, provider } = this.settings;
+    this.injector ??= this.server.createConnectionInjector(getServerCredentials(provider));
+    return listenOn(this.listener, host, port);
   }
 
   /** Closes the socket and all connections immediately. */
   dispose(): void {
+    this.listener.close();
     this.server.forceShutdown();
   }
 
@@ -97,7 +111,10 @@
     const { topic, from, body } = envelope;
     const handler = this.handlers.get(topic);
     if (handler === undefined) {
-      callback({ code: status.UNIMPLEMENTED, details: `no handler for topic ${topic}` });
+      callback({
+        code: status.UNIMPLEMENTED,
+        details: getStatusDetails(`no handler for topic ${topic}`),
+      });
       return;
     }
     this.settings.traffic.countIn(topic, bytes.length);
@@ -108,7 +125,7 @@
     } catch (error) {
       callback({
         code: status.UNKNOWN,
-        details: error instanceof Error ? error.message : String(error),
+        details: getStatusDetails(error instanceof Error ? error.message : String(error)),
       });
     }
   }
--- a/packages/router/src/lib/observe/AdminServer.ts
+++ b/packages/router/src/lib/observe/AdminServer.ts
@@ -1,6 +1,7 @@
+import { guardHandler, listenOn } from '@apricotrill/lifecycle';
+import type { Handler } from '@apricotrill/lifecycle';
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { Server, ServerResponse } from 'node:http';
 import polka from 'polka';
 import type { RouterMetrics } from './RouterMetrics.js';
 
@@ -16,6 +17,8 @@
   /** Returns the state of this daemon, for operators. */
   getStatus: () => unknown;
   metrics: RouterMetrics;
+  /** Called with errors of handlers and of accepting connections. */
+  onFault: (error: unknown) => void;
 }
 
 function writeJson(response: ServerResponse, status: number, value: unknown): void {
@@ -45,20 +48,26 @@
     app.get('/admin/status', (_request, response) => {
       writeJson(response, 200, source.getStatus());
     });
-    app.get('/metrics', (_request, response) => this.writeMetrics(response));
-    const handler = app.handler.bind(app) as unknown as (
-      request: IncomingMessage,
-      response: ServerResponse,
-    ) => void;
-    this.server.on('request', handler);
+    app.get(
+      '/metrics',
+      // The framework does not wait for the promise of a handler.
+      guardHandler((_request, response) => this.writeMetrics(response), source.onFault),
+    );
+    this.server.on(
+      'request',
+      guardHandler(app.handler.bind(app) as unknown as Handler, source.onFault),
+    );
+    this.server.on('error', (error) => {
+      // Errors of an attempt to listen are returned to its caller.
+      if (this.server.listening) {
+        source.onFault(error);
+      }
+    });
   }
 
   /** @returns the port, which the operating system chooses when the configured one is 0 */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve((this.server.address() as AddressInfo).port));
-    });
+    return listenOn(this.server, host, port);
   }
 
   dispose(): void {
