Verify compiled code before a daemon runs it

What callers saw: daemons that ended by SIGTRAP or SIGSEGV at the start, or ran the text of an earlier build, without a line in the log.

Cause: V8 compares only the length of the script and verifies no checksum. The build wrote the script in place, left the code of the build before, ran the new script with it to compile it, and kept it if that step failed. SIGHUP ended a process that still read its script.

Change: the compiled code has a header: checksums of the script and of the code, the versions of Node.js and V8, processor, platform, flags. Where it doesn't match, or V8 rejects the code, the loader compiles the script and logs `compiled-code-unused` with the reason. Files are written whole and renamed: loader, script, code. The code is written by a process without compiled code, and verified by another with the same flags. If a step fails there is no code, and no folder is left. The loader handles SIGHUP before it reads anything.

bundle.test: the loader exports the script no longer when it is required. The test now asks V8 through `load`, and starts the daemon as well.

Not run: x86-64.

--- a/packages/lifecycle/src/lib/LifecycleEvent.ts
+++ b/packages/lifecycle/src/lib/LifecycleEvent.ts
@@ -6,6 +6,7 @@
  * @public
  */
 export type LifecycleEvent =
+  | { event: 'compiled-code-unused'; reason: string }
   | {
       event: 'port-unavailable';
       port: string;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -7,6 +7,8 @@
  * @public
  */
 export const eventMeanings: Record<RelayEvent['event'], string> = {
+  'compiled-code-unused':
+    'the script was compiled anew at the start, which takes longer, since its compiled code is missing, damaged, or of another build, version of Node.js, processor or set of flags; includes the reason',
   start: 'the process has started',
   listening: 'the ports are open',
   'port-unavailable':
