Tell builds of the same version of Node.js apart in the header of compiled code

Two builds of one version of Node.js, for example a distribution's and the official one, state the same version and the same tag of V8, but their read-only heaps may differ, which compiled code refers to. The header now also states the size of the executable.

--- a/tools/loadCompiled.cjs
+++ b/tools/loadCompiled.cjs
@@ -14,7 +14,7 @@
  * script is compiled anew, and the log says why.
  */
 const { Buffer } = require('node:buffer');
-const { readFileSync, writeSync } = require('node:fs');
+const { readFileSync, statSync, writeSync } = require('node:fs');
 const path = require('node:path');
 const v8 = require('node:v8');
 const { Script } = require('node:vm');
@@ -28,11 +28,17 @@
 /** A checksum is sufficient, as it has to detect accidents, not attacks. Missing before Node.js 20.15. */
 const { crc32 } = zlib;
 
+/** Tells builds of the same version of Node.js apart; undefined if it can't be read. */
+function getExecutableSize() {
+  return statSync(process.execPath, { throwIfNoEntry: false })?.size;
+}
+
 /** What the compiled code depends on, and the code itself. */
 function describeCode(source, code) {
   return {
     script: crc32(source),
     node: process.version,
+    executable: getExecutableSize(),
     v8: v8.cachedDataVersionTag(),
     architecture: process.arch,
     platform: process.platform,
