Refuse requests before the heap of the engine is full

Callers saw all requests of a daemon cut off: V8 ended the process with SIGABRT ("Ineffective mark-compacts near heap limit") while the memory guard counted 17 of 169 MB as held. The guard knew the memory of the process only, not the limit of the heap, and nothing of heads: a field of a head takes some 130 bytes on the heap besides its characters.

The guard now also bounds the heap: what the last collection of the whole heap has left, and what was taken on since (24 KiB for each request, its head, and 128 bytes a field). New requests are refused unread with 503 and Retry-After, as for the memory of the process. The bound on the memory of the process is as before.

Failed try: 0.75 of the heap instead of 0.65.

The fuzz test of HeldBytes now checks two sums, as heads do not count toward the memory of the process.

--- a/packages/relay/src/lib/daemon/BodyIntake.ts
+++ b/packages/relay/src/lib/daemon/BodyIntake.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits } from '../config/RelayConfiguration.js';
 import type { Holding } from '../memory/HeldBytes/Holding.js';
 import { HeldKind } from '../memory/HeldKind.js';
+import { getHeadHeapBytes } from '../memory/getHeadHeapBytes.js';
 import type { MemoryGuard } from '../memory/MemoryGuard/MemoryGuard.js';
 
 /** A body as taken in: read with its memory reserved, or not read for lack of memory. */
@@ -41,7 +42,8 @@
   async read({ request, response, urgency, limits }: IncomingBody): Promise<BodyIntakeResult> {
     const { bodyBytes: maxBytes, idleTimeout: timeout } = limits;
     const bytes = getAnnouncedBytes(request, maxBytes);
-    const admission = this.memory.admit({ urgency, bytes });
+    const headBytes = getHeadHeapBytes(request);
+    const admission = this.memory.admit({ urgency, bytes, headBytes });
     const holding = admission instanceof Promise ? await admission : admission;
     if (holding === undefined) {
       return { kind: 'no-memory' };
--- a/packages/relay/src/lib/daemon/createMemoryGuard.ts
+++ b/packages/relay/src/lib/daemon/createMemoryGuard.ts
@@ -1,6 +1,9 @@
 import type { Clock } from '@apricotrill/utils';
+import { getHeapStatistics } from 'node:v8';
+import { getHeapLimit } from '../memory/getHeapLimit.js';
 import { getMemoryBudget } from '../memory/getMemoryBudget.js';
 import { MemoryGuard } from '../memory/MemoryGuard/MemoryGuard.js';
+import { watchHeap } from '../memory/watchHeap.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { RelayMetrics } from '../observe/RelayMetrics.js';
 
@@ -28,14 +31,22 @@
   const { clock, limit, log, metrics } = dependencies;
   const own = limit === undefined ? 0 : getOwnBytes(log);
   const budget = limit === undefined ? undefined : getMemoryBudget(limit, own);
+  const heapLimit = getHeapLimit(getHeapStatistics().heap_size_limit);
   if (limit !== undefined && budget !== undefined) {
-    log({ event: 'memory-bound', limit, own, budget });
+    log({ event: 'memory-bound', limit, own, budget, heap: heapLimit });
   }
-  const guard = new MemoryGuard({
+  const guard: MemoryGuard = new MemoryGuard({
     clock,
     budget,
-    onChanged: (isFull, held) => log({ event: isFull ? 'memory-full' : 'memory-available', held }),
+    heapLimit,
+    onChanged: (isFull, held) =>
+      log({
+        event: isFull ? 'memory-full' : 'memory-available',
+        held,
+        heap: guard.heapBytes,
+      }),
   });
+  watchHeap((usedBytes) => guard.recordCollection(usedBytes));
   metrics.addGauges('held_bytes', 'Bytes held for callers and replicas.', 'kind', () =>
     guard.held.getCounts(),
   );
@@ -44,5 +55,11 @@
     'Bytes that may be held; 0 if not bounded.',
     () => budget ?? 0,
   );
+  metrics.addGauge(
+    'heap_bytes',
+    'Bytes in use on the heap, without garbage.',
+    () => guard.heapBytes,
+  );
+  metrics.addGauge('heap_bytes_bound', 'Bytes that objects may take on the heap.', () => heapLimit);
   return guard;
 }
--- a/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
+++ b/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
@@ -8,6 +8,7 @@
 import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
 import { HeldBytes } from '../../memory/HeldBytes/HeldBytes.js';
 import type { Holding } from '../../memory/HeldBytes/Holding.js';
+import { getHeadHeapBytes } from '../../memory/getHeadHeapBytes.js';
 import type { MemoryGuard } from '../../memory/MemoryGuard/MemoryGuard.js';
 import type { ReplicaNotice, RelayProtocol } from '../../protocol/RelayProtocol.js';
 import type { UpstreamConnections } from '../../upstream/UpstreamConnections/UpstreamConnections.js';
@@ -98,11 +99,14 @@
   }
 
   /** The other daemon has taken the request on, so that it counts as urgent here. */
-  private reserve({ headers }: IncomingMessage): Holding | undefined {
+  private reserve(request: IncomingMessage): Holding | undefined {
     const maxBytes = this.parts.getMaxBodyBytes() ?? forwardingOptions.maxBodyBytes;
-    const bytes = Math.min(Number(headers['content-length'] ?? 0), maxBytes);
+    const bytes = Math.min(Number(request.headers['content-length'] ?? 0), maxBytes);
+    const headBytes = getHeadHeapBytes(request);
     const { memory } = this.parts;
-    return memory === undefined ? new HeldBytes().open() : memory.tryAdmit({ urgency: 1, bytes });
+    return memory === undefined
+      ? new HeldBytes().open()
+      : memory.tryAdmit({ urgency: 1, bytes, headBytes });
   }
 
   private getRefusal(target: ForwardedTarget | undefined): ForwardingResult | undefined {
--- a/packages/relay/src/lib/memory/HeldBytes/HeldBytes.fuzz.test.ts
+++ b/packages/relay/src/lib/memory/HeldBytes/HeldBytes.fuzz.test.ts
@@ -1,5 +1,5 @@
 import * as fc from 'fast-check';
-import { HeldKind } from '../HeldKind.js';
+import { HEAP_KINDS, HeldKind, PROCESS_KINDS } from '../HeldKind.js';
 import { HeldBytes } from './HeldBytes.js';
 
 const OWNERS = 5;
@@ -35,16 +35,25 @@
               expected.set(`${owner} ${kind}`, bytes);
             }
           }
-          const sum = [...expected.values()].reduce((total, each) => total + each, 0);
-          expect(held.total).toBe(sum);
+          const getSum = (kinds: ReadonlySet<HeldKind>) =>
+            [...expected]
+              .filter(([name]) => kinds.has(name.split(' ')[1] as HeldKind))
+              .reduce((total, [, each]) => total + each, 0);
+          expect(held.total).toBe(getSum(PROCESS_KINDS));
+          expect(held.heapTotal).toBe(getSum(HEAP_KINDS));
         });
         holdings.forEach((holding) => holding.release());
         expect([...held.getCounts()].map(([, bytes]) => bytes)).toEqual(KINDS.map(() => 0));
         expect(held.total).toBe(0);
+        expect(held.heapTotal).toBe(0);
       }),
     );
   });
 
+  it('counts each kind', () => {
+    expect(new Set([...PROCESS_KINDS, ...HEAP_KINDS])).toEqual(new Set(KINDS));
+  });
+
   it('calls back when less is held than before', () => {
     const held = new HeldBytes();
     const totals: number[] = [];
--- a/packages/relay/src/lib/memory/HeldBytes/HeldBytes.ts
+++ b/packages/relay/src/lib/memory/HeldBytes/HeldBytes.ts
@@ -1,4 +1,4 @@
-import { HeldKind } from '../HeldKind.js';
+import { HEAP_KINDS, HeldKind, PROCESS_KINDS } from '../HeldKind.js';
 import { Holding } from './Holding.js';
 
 /**
@@ -20,6 +20,8 @@
 
   private sum = 0;
 
+  private heapSum = 0;
+
   private readonly listeners: (() => void)[] = [];
 
   /** Starts counting for a new owner. */
@@ -27,11 +29,16 @@
     return new Holding((kind, difference) => this.add(kind, difference));
   }
 
-  /** Bytes held for all owners. */
+  /** Bytes held for all owners that count toward the memory of the process. */
   get total(): number {
     return this.sum;
   }
 
+  /** Bytes held for all owners on the heap of the engine. */
+  get heapTotal(): number {
+    return this.heapSum;
+  }
+
   /** Bytes by kind. */
   getCounts(): Iterable<readonly [HeldKind, number]> {
     return this.kinds;
@@ -44,7 +51,8 @@
 
   private add(kind: HeldKind, difference: number): void {
     this.kinds.set(kind, this.kinds.get(kind)! + difference);
-    this.sum += difference;
+    this.sum += PROCESS_KINDS.has(kind) ? difference : 0;
+    this.heapSum += HEAP_KINDS.has(kind) ? difference : 0;
     if (difference < 0) {
       this.listeners.forEach((listener) => listener());
     }
--- a/packages/relay/src/lib/memory/MemoryAdmission/MemoryAdmission.test.ts
+++ b/packages/relay/src/lib/memory/MemoryAdmission/MemoryAdmission.test.ts
@@ -15,11 +15,15 @@
   let admission: MemoryAdmission;
 
   beforeEach(() => {
-    admission = new MemoryAdmission({ budget: BUDGET });
+    admission = new MemoryAdmission({ budget: BUDGET, admittedShare, leastUrgentShare });
   });
 
   it('admits everything without a budget', () => {
-    const unbounded = new MemoryAdmission({ budget: undefined });
+    const unbounded = new MemoryAdmission({
+      budget: undefined,
+      admittedShare,
+      leastUrgentShare,
+    });
     expect(unbounded.decide({ urgency: LEAST_URGENT, bytes: 1e12 }, 1e12)).toBe(Room.Free);
     expect(unbounded.isExceeded(1e12)).toBe(false);
   });
--- a/packages/relay/src/lib/memory/MemoryAdmission/MemoryAdmission.ts
+++ b/packages/relay/src/lib/memory/MemoryAdmission/MemoryAdmission.ts
@@ -13,6 +13,10 @@
 export interface MemoryAdmissionOptions {
   /** Bytes that may be held for others; undefined if they are not bounded. */
   budget: number | undefined;
+  /** Part of the budget that new requests may fill. */
+  admittedShare: number;
+  /** Part of the room for new requests that the least urgent ones may fill. */
+  leastUrgentShare: number;
 }
 
 /** What is known of a request before its body is read. */
@@ -66,8 +70,7 @@
 
   /** Returns how many bytes may be held after a request of this urgency has begun. */
   private getRoom(urgency: number): number {
-    const { budget } = this.options;
-    const { admittedShare, leastUrgentShare } = memoryOptions;
+    const { admittedShare, budget, leastUrgentShare } = this.options;
     if (budget === undefined) {
       return Number.POSITIVE_INFINITY;
     }
--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.fuzz.test.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.fuzz.test.ts
@@ -27,11 +27,16 @@
     await fc.assert(
       fc.asyncProperty(steps, async (sequence) => {
         const clock = new ManualClock();
-        const guard = new MemoryGuard({ clock, budget: BUDGET, onChanged: () => undefined });
+        const guard = new MemoryGuard({
+          clock,
+          budget: BUDGET,
+          heapLimit: undefined,
+          onChanged: () => undefined,
+        });
         const open: Holding[] = [];
         let decided = 0;
         const arrive = async (urgency: number, bytes: number) => {
-          const holding = await guard.admit({ urgency, bytes });
+          const holding = await guard.admit({ urgency, bytes, headBytes: 0 });
           decided += 1;
           if (holding !== undefined) {
             open.push(holding);
--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
@@ -1,8 +1,16 @@
 import { ManualClock } from '@apricotrill/utils';
+import type { Holding } from '../HeldBytes/Holding.js';
 import { memoryOptions } from '../memoryOptions.js';
 import { MemoryGuard } from './MemoryGuard.js';
 
-const { admittedShare, leastUrgentShare, maxBodyWait, requestBytes } = memoryOptions;
+const {
+  admittedShare,
+  heapAdmittedShare,
+  leastUrgentShare,
+  maxBodyWait,
+  minBudgetBytes,
+  requestBytes,
+} = memoryOptions;
 
 const LEAST_URGENT = 0;
 
@@ -22,16 +30,17 @@
     guard = new MemoryGuard({
       clock,
       budget: ROOM / admittedShare / leastUrgentShare,
+      heapLimit: undefined,
       onChanged: (isFull) => changes.push(isFull),
     });
   });
 
   it('refuses requests at once while memory is full, and reports the change', () => {
-    const applicant = { urgency: LEAST_URGENT, bytes: 0 };
+    const applicant = { urgency: LEAST_URGENT, bytes: 0, headBytes: 0 };
     const holdings = Array.from({ length: 10 }, () => guard.tryAdmit(applicant));
     expect(holdings).not.toContain(undefined);
     expect(guard.admit(applicant)).toBeUndefined();
-    expect(guard.tryAdmit({ urgency: 1, bytes: 0 })).toBeDefined();
+    expect(guard.tryAdmit({ urgency: 1, bytes: 0, headBytes: 0 })).toBeDefined();
     expect(changes).toEqual([true]);
     holdings.slice(0, 5).forEach((holding) => holding!.release());
     expect(guard.tryAdmit(applicant)).toBeDefined();
@@ -39,11 +48,11 @@
   });
 
   it('reads a body once there is room for it, the most urgent one first', async () => {
-    const first = guard.tryAdmit({ urgency: LEAST_URGENT, bytes: 4 * requestBytes })!;
-    const other = guard.tryAdmit({ urgency: LEAST_URGENT, bytes: requestBytes })!;
+    const first = guard.tryAdmit({ urgency: LEAST_URGENT, bytes: 4 * requestBytes, headBytes: 0 })!;
+    const other = guard.tryAdmit({ urgency: LEAST_URGENT, bytes: requestBytes, headBytes: 0 })!;
     const admitted: string[] = [];
     const wait = async (name: string, urgency: number) => {
-      const holding = await guard.admit({ urgency, bytes: 8 * requestBytes });
+      const holding = await guard.admit({ urgency, bytes: 8 * requestBytes, headBytes: 0 });
       admitted.push(holding === undefined ? `${name} refused` : name);
     };
     const waits = [wait('late', LEAST_URGENT), wait('urgent', MORE_URGENT)];
@@ -58,19 +67,57 @@
   });
 
   it('holds nothing for a request that was refused after a wait', async () => {
-    const wait = guard.admit({ urgency: LEAST_URGENT, bytes: 2 * ROOM });
+    const wait = guard.admit({ urgency: LEAST_URGENT, bytes: 2 * ROOM, headBytes: 0 });
     clock.advance(maxBodyWait);
     expect(await wait).toBeUndefined();
     expect(guard.held.total).toBe(0);
   });
 
+  // Guards against heads that fill the heap of the engine, which ends the process, while its memory is not full.
+  it('refuses requests while the heap is full, and admits them again after a collection', () => {
+    const heapLimit = 1_000 * requestBytes;
+    const bounded = new MemoryGuard({
+      clock,
+      budget: undefined,
+      heapLimit,
+      onChanged: (isFull) => changes.push(isFull),
+    });
+    const applicant = { urgency: 1, bytes: 0, headBytes: 9 * requestBytes };
+    bounded.recordCollection(0);
+    const holdings: (Holding | undefined)[] = [];
+    while (holdings.at(-1) !== undefined || holdings.length === 0) {
+      holdings.push(bounded.tryAdmit(applicant));
+    }
+    expect(holdings).toHaveLength(heapAdmittedShare * 100 + 1);
+    expect(bounded.heapBytes).toBe(heapAdmittedShare * heapLimit);
+    expect(changes).toEqual([true]);
+    bounded.recordCollection(heapLimit / 2);
+    expect(bounded.tryAdmit(applicant)).toBeDefined();
+    expect(changes).toEqual([true, false]);
+  });
+
+  // Guards against a daemon that serves nobody since it needs most of the heap itself.
+  it('admits a few requests however much of the heap is in use', () => {
+    const bounded = new MemoryGuard({
+      clock,
+      budget: undefined,
+      heapLimit: minBudgetBytes,
+      onChanged: () => undefined,
+    });
+    bounded.recordCollection(minBudgetBytes);
+    const applicant = { urgency: LEAST_URGENT, bytes: 0, headBytes: minBudgetBytes / 2 };
+    expect(bounded.tryAdmit(applicant)).toBeDefined();
+    expect(bounded.tryAdmit(applicant)).toBeUndefined();
+  });
+
   it('admits everything without a budget', () => {
     const unbounded = new MemoryGuard({
       clock,
       budget: undefined,
+      heapLimit: undefined,
       onChanged: () => undefined,
     });
-    expect(unbounded.tryAdmit({ urgency: LEAST_URGENT, bytes: 1e12 })).toBeDefined();
-    expect(unbounded.tryAdmit({ urgency: LEAST_URGENT, bytes: 1e12 })).toBeDefined();
+    expect(unbounded.tryAdmit({ urgency: LEAST_URGENT, bytes: 1e12, headBytes: 0 })).toBeDefined();
+    expect(unbounded.tryAdmit({ urgency: LEAST_URGENT, bytes: 1e12, headBytes: 0 })).toBeDefined();
   });
 });
--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.ts
@@ -1,9 +1,9 @@
 import type { Clock, Timer } from '@apricotrill/utils';
+import { HeapEstimate } from '../HeapEstimate/HeapEstimate.js';
 import { HeldBytes } from '../HeldBytes/HeldBytes.js';
 import type { Holding } from '../HeldBytes/Holding.js';
 import { HeldKind } from '../HeldKind.js';
 import { MemoryAdmission, Room } from '../MemoryAdmission/MemoryAdmission.js';
-import type { MemoryApplicant } from '../MemoryAdmission/MemoryAdmission.js';
 import { memoryOptions } from '../memoryOptions.js';
 import { ResponseBuffers } from '../ResponseBuffers/ResponseBuffers.js';
 
@@ -12,10 +12,22 @@
   clock: Clock;
   /** Bytes that may be held for others; undefined if they are not bounded. */
   budget: number | undefined;
+  /** Bytes that objects may take on the heap of the engine; undefined if they are not bounded. */
+  heapLimit: number | undefined;
   /** Called when the first request is refused, and when none is refused any more. */
   onChanged: (isFull: boolean, held: number) => void;
 }
 
+/** What is known of a request before its body is read. */
+export interface MemoryApplicant {
+  /** From 0 to 1, which is the most urgent. */
+  urgency: number;
+  /** Bytes of its body. */
+  bytes: number;
+  /** Bytes that its head takes on the heap. */
+  headBytes: number;
+}
+
 /** A request whose body does not fit at the moment. */
 interface Waiting {
   applicant: MemoryApplicant;
@@ -33,12 +45,24 @@
 
   private readonly admission: MemoryAdmission;
 
+  private readonly heapAdmission: MemoryAdmission;
+
+  private readonly heapEstimate = new HeapEstimate();
+
   private readonly waiting: Waiting[] = [];
 
   private wasFull = false;
 
   constructor(private readonly parts: MemoryGuardParts) {
-    this.admission = new MemoryAdmission(parts);
+    const { budget, heapLimit } = parts;
+    const { admittedShare, heapAdmittedShare, heapLeastUrgentShare, leastUrgentShare } =
+      memoryOptions;
+    this.admission = new MemoryAdmission({ budget, admittedShare, leastUrgentShare });
+    this.heapAdmission = new MemoryAdmission({
+      budget: heapLimit,
+      admittedShare: heapAdmittedShare,
+      leastUrgentShare: heapLeastUrgentShare,
+    });
     this.buffers = new ResponseBuffers({
       held: this.held,
       isExceeded: () => this.admission.isExceeded(this.held.total),
@@ -51,13 +75,25 @@
     return this.parts.budget;
   }
 
+  /** Bytes in use on the heap, without garbage. */
+  get heapBytes(): number {
+    return this.heapEstimate.get(this.held.heapTotal);
+  }
+
+  /** To be called after each collection of the whole heap, with the bytes that are in use then. */
+  recordCollection(usedBytes: number): void {
+    this.heapEstimate.recordCollection(usedBytes, this.held.heapTotal);
+  }
+
   /**
    * Reserves the memory of a request.
    *
    * @returns undefined if there is none at the moment
    */
   tryAdmit(applicant: MemoryApplicant): Holding | undefined {
-    return this.decide(applicant) === Room.Free ? this.open(applicant.bytes) : undefined;
+    return this.decide(applicant) === Room.Free
+      ? this.open(applicant.headBytes, applicant.bytes)
+      : undefined;
   }
 
   /**
@@ -69,7 +105,7 @@
   admit(applicant: MemoryApplicant): Holding | undefined | Promise<Holding | undefined> {
     switch (this.decide(applicant)) {
       case Room.Free:
-        return this.open(applicant.bytes);
+        return this.open(applicant.headBytes, applicant.bytes);
       case Room.Short:
         return this.wait(applicant);
       default:
@@ -77,17 +113,30 @@
     }
   }
 
-  private decide({ urgency, bytes }: MemoryApplicant): Room {
+  private decide(applicant: MemoryApplicant): Room {
+    const { urgency, bytes } = applicant;
+    if (!this.hasHeap(applicant)) {
+      this.reportChange();
+      return Room.Full;
+    }
     const all = { urgency, bytes: bytes + memoryOptions.requestBytes };
-    const isPreceded = this.waiting.some(({ applicant }) => applicant.urgency >= urgency);
+    const isPreceded = this.waiting.some((other) => other.applicant.urgency >= urgency);
     const room = this.admission.decide(all, this.held.total);
     this.reportChange();
     return room === Room.Free && isPreceded && bytes > 0 ? Room.Short : room;
   }
 
-  private open(bodyBytes: number): Holding {
+  /** A few requests are taken on however much of the heap the daemon needs itself. */
+  private hasHeap({ urgency, headBytes }: MemoryApplicant): boolean {
+    const bytes = memoryOptions.requestBytes + headBytes;
+    const room = this.heapAdmission.decide({ urgency, bytes }, this.heapBytes);
+    return room === Room.Free || this.held.heapTotal + bytes <= memoryOptions.minBudgetBytes;
+  }
+
+  private open(headBytes: number, bodyBytes: number): Holding {
     const holding = this.held.open();
     holding.set(HeldKind.Request, memoryOptions.requestBytes);
+    holding.set(HeldKind.RequestHead, headBytes);
     holding.set(HeldKind.RequestBody, bodyBytes);
     return holding;
   }
@@ -97,7 +146,7 @@
     return new Promise((resolve) => {
       const entry: Waiting = {
         applicant,
-        holding: this.open(0),
+        holding: this.open(applicant.headBytes, 0),
         timer: this.parts.clock.setTimer(memoryOptions.maxBodyWait, () => {
           this.waiting.splice(this.waiting.indexOf(entry), 1);
           entry.holding.release();
@@ -125,7 +174,7 @@
   }
 
   private reportChange(): void {
-    const { isFull } = this.admission;
+    const isFull = this.admission.isFull || this.heapAdmission.isFull;
     if (isFull !== this.wasFull) {
       this.wasFull = isFull;
       this.parts.onChanged(isFull, this.held.total);
--- a/packages/relay/src/lib/memory/memoryOptions.ts
+++ b/packages/relay/src/lib/memory/memoryOptions.ts
@@ -19,6 +19,17 @@
   requestBytes: 24_576,
   /** What the sockets of a response hold beyond what is counted while its caller does not read, in bytes. */
   pausedResponseBytes: 98_304,
+  /** What a field of a head needs on the heap besides its characters, in bytes. */
+  headFieldBytes: 128,
+  /** What the engine counts toward its limit of the heap for new objects, and does not let old ones have. */
+  youngHeapBytes: 48 * MEBIBYTE,
+  /**
+   * Part of the heap that may be in use while requests are admitted. The engine ends the process if collections
+   * leave four fifths of it in use and take most of the time.
+   */
+  heapAdmittedShare: 0.65,
+  /** Part of it that may be in use while the least urgent requests are admitted, relative to that. */
+  heapLeastUrgentShare: 0.9,
   /** Part of the bound that new requests may fill; the rest is for the responses of those that run. */
   admittedShare: 0.75,
   /** Part of the room for new requests that the least urgent ones may fill. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -50,8 +50,8 @@
       previous: number | undefined;
       knownRevision: number | undefined;
     }
-  | { event: 'memory-bound'; limit: number; own: number; budget: number }
-  | { event: 'memory-full' | 'memory-available'; held: number }
+  | { event: 'memory-bound'; limit: number; own: number; budget: number; heap: number }
+  | { event: 'memory-full' | 'memory-available'; held: number; heap: number }
   | { event: 'reader'; dependency: string; reader: string; previous: string }
   | { event: 'reader-failed'; dependency: string; reader: string; error: string }
   | { event: 'reader-overtaken'; dependency: string; reader: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -68,9 +68,9 @@
   'overload-ended':
     'new connections are accepted again; includes the duration of the last iteration of the event loop',
   'memory-bound':
-    'the settings state the memory of the process; includes what it uses itself and how many bytes it may hold for callers and replicas',
+    'the settings state the memory of the process; includes what it uses itself, how many bytes it may hold for callers and replicas, and the limit of the heap',
   'memory-full':
-    'requests are refused unread, the least urgent ones first, because this daemon holds as much as its memory allows; includes the bytes held',
+    'requests are refused unread, the least urgent ones first, because this daemon holds as much as its memory, or the heap of the engine, allows; includes the bytes held and those in use on the heap',
   'memory-available': 'no requests are refused for lack of memory any more',
   'attempt-forwarded':
     'an attempt is sent through another daemon; includes why it could not be sent directly',
