State why a relay daemon ends, and wait for settings that are not whole

What was seen: a daemon whose settings file was missing, empty or half written ended with exit 2, and no end left a line in the log. Cause: any error of the settings was taken for final, and the end of the process was not logged (pino writes asynchronously, and process.exit loses what is not written). Both are one commit, since the wait and the last line share DaemonProcess.

The settings are read again (20 to 250 ms) until they are whole, at the start and at a reload; SIGHUP reads at once, SIGTERM and SIGINT end the wait with 0. Settings that are whole and wrong, a folder, or no file end with 2. Each end that the process can see writes `ended` synchronously, after the flush of the log (at most 0.5 s), on standard error if standard output can't be written (at most 0.2 s each).

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,4 +1,7 @@
 export { bindTo } from './lib/bindTo.js';
+export type { EndReason } from './lib/EndReason.js';
+export { ExitCode } from './lib/ExitCode.js';
+export { getExitCode } from './lib/getExitCode.js';
 export { guardHandler } from './lib/guardHandler.js';
 export type { Handler } from './lib/guardHandler.js';
 export { isTransient } from './lib/isTransient.js';
@@ -6,3 +9,9 @@
 export { listenOn } from './lib/listenOn.js';
 export { PortOpener, portOptions } from './lib/PortOpener/PortOpener.js';
 export type { PortOpenerParts } from './lib/PortOpener/PortOpener.js';
+export { ProcessEnd } from './lib/ProcessEnd/ProcessEnd.js';
+export type { ProcessEndParts } from './lib/ProcessEnd/ProcessEnd.js';
+export { SettingsWait, settingsOptions } from './lib/SettingsWait/SettingsWait.js';
+export type { SettingsWaitParts } from './lib/SettingsWait/SettingsWait.js';
+export { UnavailableSettingsError } from './lib/SettingsWait/UnavailableSettingsError.js';
+export { writeLastLine } from './lib/writeLastLine.js';
--- a/packages/lifecycle/src/lib/LifecycleEvent.ts
+++ b/packages/lifecycle/src/lib/LifecycleEvent.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@apricotrill/utils';
+import type { EndReason } from './EndReason.js';
 
 /**
  * The log events of the start and the end of a process.
@@ -15,4 +16,18 @@
       /** Time since the first attempt. */
       after: Milliseconds;
     }
-  | { event: 'port-opened'; port: string; after: Milliseconds };
+  | { event: 'port-opened'; port: string; after: Milliseconds }
+  | { event: 'settings-unavailable'; error: string; after: Milliseconds }
+  | { event: 'settings-read'; after: Milliseconds }
+  | ({
+      event: 'ended';
+      /** The exit code. */
+      code: number;
+      uptime: Milliseconds;
+      /** Resident memory, in bytes. */
+      rss: number;
+      /** Memory in use on the heap, in bytes. */
+      heap: number;
+      /** Open requests. */
+      open: number;
+    } & EndReason);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -51,6 +51,7 @@
   WatchResult,
 } from './lib/follow/StateFollower/ObjectSource.js';
 export { eventMeanings, getEventTable } from './lib/observe/eventMeanings.js';
+export { getErrorText } from './lib/observe/getErrorText.js';
 export { createRelayLog } from './lib/observe/createRelayLog.js';
 export type { RelayEvent, RelayLog } from './lib/observe/RelayEvent.js';
 export { RelayMetrics } from './lib/observe/RelayMetrics.js';
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -439,6 +439,11 @@
     return changed;
   }
 
+  /** Requests in flight. */
+  get openRequestCount(): number {
+    return this.core.openRequests;
+  }
+
   /** Where to call an API of a replica itself: at the replica, or through another daemon. */
   getReplicaEndpoint(replica: RelayReplica, path: string): ReplicaEndpoint {
     return this.replicaPaths.getEndpoint(replica, path);
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -1,3 +1,4 @@
+import { writeLastLine } from '@apricotrill/lifecycle';
 import type { Clock, Milliseconds } from '@apricotrill/utils';
 import pino from 'pino';
 import type { RelayEvent, RelayLog } from './RelayEvent.js';
@@ -31,11 +32,16 @@
 
 const FLUSH_INTERVAL: Milliseconds = 200;
 
+/** Bound on the wait for a reader of the output when the log is flushed. */
+const MAX_FLUSH_TIME: Milliseconds = 500;
+
 /** A log that can be flushed. */
 export interface RelayLogOutput {
   log: RelayLog;
-  /** Writes buffered lines to standard output, as far as it accepts them. */
-  flush(): void;
+  /** Writes buffered lines to standard output. Resolves when they are written, or after half a second. */
+  flush(): Promise<void>;
+  /** Writes a line before it returns, after those that were flushed: the last one of a process that exits. */
+  writeLast(event: RelayEvent): void;
 }
 
 /**
@@ -100,8 +106,23 @@
   // The loss of the reader must not stop the daemon, and there is no other place to log the error.
   output.on('error', () => undefined);
   const logger = pino({ base: undefined, formatters: { level: (level) => ({ level }) } }, output);
+  const flushOnce = () =>
+    new Promise<void>((resolve) => {
+      output.flush(() => resolve());
+    });
   return {
     log: createBoundedLog(clock, (event) => logger.info(event)),
-    flush: () => output.flush(),
+    flush: () =>
+      new Promise((resolve) => {
+        const timer = clock.setTimer(MAX_FLUSH_TIME, resolve);
+        const finish = () => {
+          timer.cancel();
+          resolve();
+        };
+        // A write in progress leaves the lines that came after it began to the second flush.
+        flushOnce().then(flushOnce).then(finish, finish);
+      }),
+    writeLast: (event) =>
+      writeLastLine(JSON.stringify({ level: 'info', time: Date.now(), ...event })),
   };
 }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -12,6 +12,10 @@
   'port-unavailable':
     'a port can not be opened yet, for example since another process holds it, and is tried again; includes the error, who holds the port if that is known, and the time since the first attempt',
   'port-opened': 'a port that was not available at first is open; includes how long that took',
+  'settings-unavailable':
+    'the settings file is missing, can not be read, or is not completely written, and is read again until it is whole; includes the error and the time since the first attempt',
+  'settings-read':
+    'settings that were not available at first have been read; includes how long that took',
   reload: 'the settings were reloaded; includes the names of those that changed',
   stopping: 'the daemon received a stop signal; includes the number of responses in flight',
   'port-closed':
@@ -21,6 +25,8 @@
   'ports-released':
     'a process that is shutting down has closed its ports for its successor, and completes its open requests',
   stopped: 'the process exits; includes the number of responses that were cut off',
+  ended:
+    'the last line of a process: the reason, the signal or error, the exit code, how long the process ran (ms), its memory (bytes) and its open requests',
   fault:
     'an unexpected error occurred in the daemon or in a dependency; includes the step that failed and, if it ended a request, the id of the request',
   'dependency-lost': 'the store, or the cache events of an engine, cannot be reached',
--- a/packages/relay/src/lib/observe/getErrorText.ts
+++ b/packages/relay/src/lib/observe/getErrorText.ts
@@ -5,6 +5,7 @@
  * ```ts
  * log({ event: 'fault', step: 'send', id, error: getErrorText(error) });
  * ```
+ * @public
  */
 export function getErrorText(error: unknown): string {
   return error instanceof Error ? (error.stack ?? String(error)) : String(error);
