Go on after an unexpected error, and end in order if they repeat

Callers saw all responses of a daemon cut off by one error that no handler caught, in a timer, a socket or a promise, without a line in the log. Such errors are now logged as faults with their stack, counted (process_faults_total) and flushed. The daemon goes on; after more than three within a minute it shuts down as on SIGTERM with exit code 70: after a random delay, not in its first minute, and only while other daemons are alive. Before the ports are open, it ends at once with 1. An error, or no end, of the shutdown itself ends with its line too.

No way to provoke an uncaught error from outside is known, so that the test runs DaemonProcess in a script that throws on its input.

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,6 +1,9 @@
 export { bindTo } from './lib/bindTo.js';
 export type { EndReason } from './lib/EndReason.js';
 export { ExitCode } from './lib/ExitCode.js';
+export { FaultHandler } from './lib/FaultHandler/FaultHandler.js';
+export type { FaultHandlerParts } from './lib/FaultHandler/FaultHandler.js';
+export { faultOptions } from './lib/FaultHandler/getFaultAction.js';
 export { getExitCode } from './lib/getExitCode.js';
 export { guardHandler } from './lib/guardHandler.js';
 export type { Handler } from './lib/guardHandler.js';
--- /dev/null
+++ b/packages/lifecycle/src/lib/FaultHandler/FaultHandler.ts
@@ -0,0 +1,101 @@
+import { exhaustiveSwitchError } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import { FaultAction, faultOptions, getFaultAction } from './getFaultAction.js';
+
+/**
+ * Dependencies of {@link FaultHandler}.
+ *
+ * @public
+ */
+export interface FaultHandlerParts {
+  clock: Clock;
+  random: Random;
+  isServing: () => boolean;
+  getUptime: () => Milliseconds;
+  /** Returns how many other processes can serve in place of this one. */
+  countPeers: () => number;
+  /** Logs and counts a fault. */
+  record: (error: unknown, origin: string) => void;
+  /** Completes open requests and ends the process. */
+  shutDown: (error: unknown) => void;
+  /** Ends the process at once. */
+  end: (error: unknown) => void;
+}
+
+/**
+ * Handles errors that no other handler has caught.
+ *
+ * @example
+ * ```ts
+ * const faults = new FaultHandler(parts);
+ * process.on('uncaughtException', (error, origin) => faults.handle(error, origin));
+ * ```
+ * @public
+ */
+export class FaultHandler {
+  /** Times of the faults within the window; no more than it takes to decide. */
+  private times: Milliseconds[] = [];
+
+  private isShutdownScheduled = false;
+
+  constructor(private readonly parts: FaultHandlerParts) {}
+
+  /**
+   * Handles an error; throws none.
+   *
+   * @param origin - where the error was noticed, for the log
+   */
+  handle(error: unknown, origin: string): void {
+    try {
+      this.parts.record(error, origin);
+    } catch {
+      // An error that can't be recorded counts nevertheless.
+    }
+    try {
+      this.react(error);
+    } catch {
+      this.parts.end(error);
+    }
+  }
+
+  private react(error: unknown): void {
+    const { clock, isServing, getUptime, countPeers, end } = this.parts;
+    const now = clock.now();
+    this.times = [...this.times, now]
+      .filter((time) => now - time < faultOptions.window)
+      .slice(-faultOptions.maxFaults - 1);
+    const action = getFaultAction({
+      isServing: isServing(),
+      uptime: getUptime(),
+      faultCount: this.times.length,
+      peerCount: countPeers(),
+    });
+    switch (action) {
+      case FaultAction.GoOn:
+        return;
+      case FaultAction.ShutDown:
+        this.scheduleShutdown(error);
+        return;
+      case FaultAction.End:
+        end(error);
+        return;
+      default:
+        throw exhaustiveSwitchError(action);
+    }
+  }
+
+  /** Others that meet the same fault may have shut down first. */
+  private scheduleShutdown(error: unknown): void {
+    if (this.isShutdownScheduled) {
+      return;
+    }
+    this.isShutdownScheduled = true;
+    const { clock, random, countPeers, shutDown } = this.parts;
+    clock.setTimer(random.next() * faultOptions.maxDelay, () => {
+      this.isShutdownScheduled = false;
+      if (countPeers() > 0) {
+        shutDown(error);
+      }
+    });
+  }
+}
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -444,6 +444,17 @@
     return this.core.openRequests;
   }
 
+  /** Other daemons that are alive. */
+  get livePeerCount(): number {
+    return this.peerLink.livePeerCount;
+  }
+
+  /** Logs and counts an error that no handler has caught. */
+  recordFault(step: string, error: unknown): void {
+    this.parts.metrics.processFaults.inc();
+    this.logFault(step, error);
+  }
+
   /** Where to call an API of a replica itself: at the replica, or through another daemon. */
   getReplicaEndpoint(replica: RelayReplica, path: string): ReplicaEndpoint {
     return this.replicaPaths.getEndpoint(replica, path);
--- a/packages/relay/src/lib/observe/RelayMetrics.ts
+++ b/packages/relay/src/lib/observe/RelayMetrics.ts
@@ -130,6 +130,12 @@
     registers: [this.registry],
   });
 
+  readonly processFaults = new Counter({
+    name: 'apricotrill_relay_process_faults_total',
+    help: 'Unexpected errors in this daemon that no handler has caught.',
+    registers: [this.registry],
+  });
+
   readonly connectionsRefused = new Counter({
     name: 'apricotrill_relay_caller_connections_refused_total',
     help: 'Connections of callers that were closed unread because this daemon is overloaded.',
