Go on with the updates to other daemons after an error

An error while a daemon sent its updates, or handled the loss of a peer, ended its process; now that the process goes on, the updates would have ended for good, since the next one was scheduled at the end of the one before: others would have taken the daemon for lost. Such an error is logged (step 'peers: refresh') and the next update follows.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -28,6 +28,17 @@
   }
 }
 
+/** Creates a map that fails the first time that its keys are read. */
+function createFailingMap(): Map<string | undefined, SharedAttempt[]> {
+  const map = new Map<string | undefined, SharedAttempt[]>();
+  return Object.assign(map, {
+    keys: () => {
+      Reflect.deleteProperty(map, 'keys');
+      throw new Error('provoked error');
+    },
+  });
+}
+
 const ATTEMPT: SharedAttempt = {
   key: 'r/1',
   replica: 'e-1',
@@ -116,6 +127,17 @@
     expect([...directory.entries.keys()]).toEqual(['left']);
   });
 
+  // Guards against a daemon that sends no more updates after an error in one of them.
+  it('goes on with its updates after an error', async () => {
+    const directory = new MemoryDirectory();
+    const other = await createLink('other', directory);
+    await other.until(() => directory.entries.has('other'));
+    const failing = await createLink('failing', directory, createFailingMap());
+    await failing.until(() => failing.events.some(({ event }) => event === 'fault'));
+    const received = other.positions.length;
+    await other.until(() => other.positions.length > received + 3);
+  });
+
   // Guards against daemons that do not know of each other for half a minute after a common start:
   // each read the list before any of them had written its entry.
   it('lets daemons that start together find each other', async () => {
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -250,20 +250,30 @@
     if (this.isDisposed) {
       return;
     }
+    // Errors must not end the refreshes: peers would take this daemon for lost.
+    try {
+      this.sendRefresh();
+      this.expirePeers();
+    } catch (error) {
+      this.logFault('refresh', error);
+    }
+    const { refreshInterval } = peerLinkOptions;
+    this.refreshTimer = this.settings.clock.setTimer(refreshInterval, () => this.refresh());
+  }
+
+  private expirePeers(): void {
     const { clock, onPeerLost, log } = this.settings;
-    this.remainingBreakAnnouncements = peerLinkOptions.maxImmediateBreaks;
-    this.sendRefresh();
     const maxSilence = this.rotationPeriod * MAX_MISSED_REFRESHES;
     this.table.expireSilent(clock.now(), maxSilence).forEach((peer) => {
       log({ event: 'peer-lost', peer });
       onPeerLost(peer);
       this.scheduleFleetChange();
     });
-    this.refreshTimer = clock.setTimer(peerLinkOptions.refreshInterval, () => this.refresh());
   }
 
   /** Sends the attempts in flight to the next peers in the rotation and to this daemon's placers. */
   private sendRefresh(): void {
+    this.remainingBreakAnnouncements = peerLinkOptions.maxImmediateBreaks;
     const attempts = this.settings.getSharedAttempts();
     const addressed = [...attempts.keys()].filter((id) => id !== undefined);
     const next = this.rotation.take(this.table.ids, peerLinkOptions.maxRecipients);
