--- a/packages/lifecycle/src/lib/ProcessEnd/ProcessEnd.ts
+++ b/packages/lifecycle/src/lib/ProcessEnd/ProcessEnd.ts
@@ -9,7 +9,7 @@
  * @public
  */
 export interface ProcessEndParts {
-  /** Resolves when the lines logged so far are written. Must resolve within a bounded time. */
+  /** Accepts no further lines, and resolves when those logged so far are written. Must resolve within a bounded time. */
   flush: () => Promise<void>;
   /** Writes the last line synchronously. */
   writeLast: (event: LifecycleEvent) => void;
--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -40,6 +40,8 @@
   log: RelayLog;
   /** Writes buffered lines to standard output. Resolves when they are written, or after half a second. */
   flush(): Promise<void>;
+  /** Like {@link RelayLogOutput.flush}, and drops what is logged from then on. */
+  close(): Promise<void>;
   /** Writes a line before it returns, after those that were flushed: the last one of a process that exits. */
   writeLast(event: RelayEvent): void;
 }
@@ -110,18 +112,29 @@
     new Promise<void>((resolve) => {
       output.flush(() => resolve());
     });
+  const flush = () =>
+    new Promise<void>((resolve) => {
+      const timer = clock.setTimer(MAX_FLUSH_TIME, resolve);
+      const finish = () => {
+        timer.cancel();
+        resolve();
+      };
+      // A write in progress leaves the lines that came after it began to the second flush.
+      flushOnce().then(flushOnce).then(finish, finish);
+    });
+  let isClosed = false;
+  const writeBounded = createBoundedLog(clock, (event) => logger.info(event));
   return {
-    log: createBoundedLog(clock, (event) => logger.info(event)),
-    flush: () =>
-      new Promise((resolve) => {
-        const timer = clock.setTimer(MAX_FLUSH_TIME, resolve);
-        const finish = () => {
-          timer.cancel();
-          resolve();
-        };
-        // A write in progress leaves the lines that came after it began to the second flush.
-        flushOnce().then(flushOnce).then(finish, finish);
-      }),
+    log: (event) => {
+      if (!isClosed) {
+        writeBounded(event);
+      }
+    },
+    flush,
+    close: () => {
+      isClosed = true;
+      return flush();
+    },
     writeLast: (event) =>
       writeLastLine(JSON.stringify({ level: 'info', time: Date.now(), ...event })),
   };
