--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -11,7 +11,7 @@
 export type { LifecycleEvent } from './lib/LifecycleEvent.js';
 export { listenOn } from './lib/listenOn.js';
 export { PortOpener, portOptions } from './lib/PortOpener/PortOpener.js';
-export type { PortOpenerParts } from './lib/PortOpener/PortOpener.js';
+export type { PortHolder, PortOpenerParts } from './lib/PortOpener/PortOpener.js';
 export { ProcessEnd } from './lib/ProcessEnd/ProcessEnd.js';
 export type { ProcessEndParts } from './lib/ProcessEnd/ProcessEnd.js';
 export { SettingsWait, settingsOptions } from './lib/SettingsWait/SettingsWait.js';
