End although the log can not be written

A process whose standard output had no room (a pipe that nobody reads, a full device) did not end after SIGTERM: it waited for its reader as it exited, until SIGKILL. Cause: the library of the log writes what is left in a handler of the exit, and repeats that for as long as it fails.

The output is now destroyed before the last line, which then goes to standard error; the log is flushed for at most 150 ms, which the reserve of the grace period covers.

--- a/packages/relay/src/lib/observe/createRelayLog.ts
+++ b/packages/relay/src/lib/observe/createRelayLog.ts
@@ -33,12 +33,12 @@
 const FLUSH_INTERVAL: Milliseconds = 200;
 
 /** Bound on the wait for a reader of the output when the log is flushed. */
-const MAX_FLUSH_TIME: Milliseconds = 500;
+const MAX_FLUSH_TIME: Milliseconds = 150;
 
 /** A log that can be flushed. */
 export interface RelayLogOutput {
   log: RelayLog;
-  /** Writes buffered lines to standard output. Resolves when they are written, or after half a second. */
+  /** Writes buffered lines to standard output. Resolves when they are written, or after a short time. */
   flush(): Promise<void>;
   /** Like {@link RelayLogOutput.flush}, and drops what is logged from then on. */
   close(): Promise<void>;
@@ -135,7 +135,10 @@
       isClosed = true;
       return flush();
     },
-    writeLast: (event) =>
-      writeLastLine(JSON.stringify({ level: 'info', time: Date.now(), ...event })),
+    writeLast: (event) => {
+      // As the process exits, the output tries to write what is left for as long as it takes, until it is destroyed.
+      output.destroy();
+      writeLastLine(JSON.stringify({ level: 'info', time: Date.now(), ...event }));
+    },
   };
 }
