Go on after an error while a port is still taken

A daemon that already served its callers ended with exit 1 at its first uncaught error while another of its ports was still taken, since it counted as serving only once all five were open. The daemon now counts as started once its settings are read; only errors before that end it at once.

--- a/packages/lifecycle/src/lib/FaultHandler/FaultHandler.ts
+++ b/packages/lifecycle/src/lib/FaultHandler/FaultHandler.ts
@@ -10,7 +10,7 @@
 export interface FaultHandlerParts {
   clock: Clock;
   random: Random;
-  isServing: () => boolean;
+  hasStarted: () => boolean;
   getUptime: () => Milliseconds;
   /** Returns how many other processes can serve in place of this one. */
   countPeers: () => number;
@@ -59,13 +59,13 @@
   }
 
   private react(error: unknown): void {
-    const { clock, isServing, getUptime, countPeers, end } = this.parts;
+    const { clock, hasStarted, getUptime, countPeers, end } = this.parts;
     const now = clock.now();
     this.times = [...this.times, now]
       .filter((time) => now - time < faultOptions.window)
       .slice(-faultOptions.maxFaults - 1);
     const action = getFaultAction({
-      isServing: isServing(),
+      hasStarted: hasStarted(),
       uptime: getUptime(),
       faultCount: this.times.length,
       peerCount: countPeers(),
--- a/packages/lifecycle/src/lib/FaultHandler/getFaultAction.ts
+++ b/packages/lifecycle/src/lib/FaultHandler/getFaultAction.ts
@@ -23,7 +23,7 @@
 /** What the decision about a fault depends on. */
 export interface FaultSituation {
   /** Whether the process has started. */
-  isServing: boolean;
+  hasStarted: boolean;
   uptime: Milliseconds;
   /** Faults within the window, with the latest one. */
   faultCount: number;
@@ -37,16 +37,16 @@
  *
  * @example
  * ```ts
- * getFaultAction({ isServing: true, uptime: 90_000, faultCount: 1, peerCount: 2 }); // FaultAction.GoOn
+ * getFaultAction({ hasStarted: true, uptime: 90_000, faultCount: 1, peerCount: 2 }); // FaultAction.GoOn
  * ```
  */
 export function getFaultAction({
-  isServing,
+  hasStarted,
   uptime,
   faultCount,
   peerCount,
 }: FaultSituation): FaultAction {
-  if (!isServing) {
+  if (!hasStarted) {
     return FaultAction.End;
   }
   const mayEnd = uptime >= faultOptions.minUptime && peerCount > 0;
