Remove a daemon's entry only if this process has written it

A second process of a daemon that waited for the ports of the first one and was stopped removed the entry of the first from the store, as both have the same ID: for up to 90 s no starting daemon found it.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -116,6 +116,9 @@
 
   private isRegistered = false;
 
+  /** Whether this daemon has ever written its entry to the directory. */
+  private hasEntry = false;
+
   private readonly rotation: Rotation;
 
   /** Peers that the last refresh sent attempts of their own; they must learn that these have ended. */
@@ -168,6 +171,10 @@
    */
   async deregister(): Promise<void> {
     const { directory, self } = this.settings;
+    if (!this.hasEntry) {
+      // The entry, if there is one, is that of a process which holds the ports.
+      return;
+    }
     await directory.remove(self.id).catch((error: unknown) => this.logFault('deregister', error));
   }
 
@@ -396,11 +403,13 @@
     }
   }
 
+  /** @returns whether the directory has the entry of this daemon */
   private async syncDirectory(): Promise<boolean> {
     const { clock, directory, self } = this.settings;
     // The entry is written before the list is read, so that of two daemons that start together at
     // least the one that reads later finds the other, and then sends it a message.
     if (!this.isRegistered) {
+      this.hasEntry = true;
       await directory.register(self);
     }
     const entries = await directory.list();
@@ -419,7 +428,8 @@
     if (this.table.hasLowestId) {
       await Promise.all(evicted.map((id) => directory.remove(id)));
     }
-    return true;
+    // An earlier process of this daemon may have removed the entry late.
+    return this.isRegistered;
   }
 
   private logFault(step: string, error: unknown): void {
