Ask the holder of a port every half second, and name no process that is this one

A successor that had asked just before the process in its place was told to stop asked again only with the next log line, after 5 s; meanwhile the ports for status and daemons stayed taken. It now asks every 0.5 s, and logs as before. A process that holds the port for daemons itself, while another program holds one of the others, was named as the holder; it is left out now.

--- a/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
+++ b/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
@@ -8,6 +8,8 @@
   firstDelay: 20 satisfies Milliseconds,
   /** Maximum delay between attempts: how long a port that is free again may stay unused. */
   maxDelay: 250 satisfies Milliseconds,
+  /** How often the holder of a port is looked up. */
+  askInterval: 500 satisfies Milliseconds,
   /** How often a port that is still not available is logged. */
   logInterval: 5_000 satisfies Milliseconds,
 };
@@ -33,8 +35,8 @@
   clock: Clock;
   log: (event: LifecycleEvent) => void;
   /**
-   * Finds out which process holds a port, and may ask it to release it. Called before each line about a port
-   * that is not available.
+   * Finds out which process holds a port, and may ask it to release it. Called again and again while the port is
+   * not available.
    */
   findHolder?: (port: string) => Promise<PortHolder | undefined>;
 }
@@ -72,6 +74,7 @@
   async open<T>(name: string, attempt: () => Promise<T>): Promise<T | undefined> {
     const { clock, log } = this.parts;
     const startedAt = clock.now();
+    let askedAt = Number.NEGATIVE_INFINITY;
     let loggedAt = Number.NEGATIVE_INFINITY;
     let delay: Milliseconds = portOptions.firstDelay;
     while (!this.isStopped) {
@@ -86,9 +89,17 @@
         if (!isTransient(error)) {
           throw error;
         }
-        if (clock.now() - loggedAt >= portOptions.logInterval) {
-          loggedAt = clock.now();
-          this.report(name, String(error), loggedAt - startedAt);
+        const now = clock.now();
+        if (now - askedAt >= portOptions.askInterval) {
+          const isLogged = now - loggedAt >= portOptions.logInterval;
+          askedAt = now;
+          loggedAt = isLogged ? now : loggedAt;
+          this.findHolder(name, (holder) => {
+            if (isLogged) {
+              const after = now - startedAt;
+              log({ event: 'port-unavailable', port: name, error: String(error), holder, after });
+            }
+          });
         }
       }
       // eslint-disable-next-line no-await-in-loop
@@ -109,17 +120,13 @@
   }
 
   /** The holder is looked up beside the attempts, which must not wait for its answer. */
-  private report(port: string, error: string, after: Milliseconds): void {
-    const { log, findHolder } = this.parts;
-    const write = (holder: PortHolder | undefined) => {
+  private findHolder(port: string, onFound: (holder: string | undefined) => void): void {
+    const found = this.parts.findHolder?.(port) ?? Promise.resolve(undefined);
+    const finish = (holder: PortHolder | undefined) => {
       this.isReleasing = holder?.isReleasing ?? false;
-      log({ event: 'port-unavailable', port, error, holder: holder?.description, after });
+      onFound(holder?.description);
     };
-    if (findHolder === undefined) {
-      write(undefined);
-      return;
-    }
-    findHolder(port).then(write, () => write(undefined));
+    found.then(finish, () => finish(undefined));
   }
 
   private wait(delay: Milliseconds): Promise<void> {
--- a/packages/relay/src/lib/handover/requestPorts.ts
+++ b/packages/relay/src/lib/handover/requestPorts.ts
@@ -34,6 +34,10 @@
     });
     const holder = holderSchema.parse(parseJson(text, step, address));
     const { isReleasing, pid } = holder;
+    if (pid === process.pid) {
+      // This process has opened the port for daemons itself; another program holds another port.
+      return undefined;
+    }
     const state = isReleasing ? 'shutting down' : 'running';
     return { description: `${holder.daemon}, pid ${pid}, ${state}`, isReleasing };
   } catch {
