Don't contend for the lease of the duties without a port for datagrams

What callers saw: requests that were missing from the usage reports. A daemon whose UDP port was held took the lease and reported only its own counts.

Cause: FleetDuties starts with a fleet of this daemon alone, in which its rank is 0. Since the ports are waited for, this state lasts as long as the port is held; before, such a daemon ended. PeerLink.release sets the same fleet, so a daemon that is shutting down could take the lease again after its successor had opened the port.

Change: the rank is infinite until the peer link has started, and again once its port is released. LeaseManager.updateRank applies the change at once, so that a start doesn't wait for the next read of the lease (1.5 s).

The requests of a daemon whose port stays held for longer than the retention of its counts (8 s) are still not reported.

--- a/packages/duties/src/lib/DutyManager/DutyManager.ts
+++ b/packages/duties/src/lib/DutyManager/DutyManager.ts
@@ -127,6 +127,11 @@
     };
   }
 
+  /** Applies a change of this daemon's rank at once. */
+  updateRank(): void {
+    this.lease.updateRank();
+  }
+
   /** Releases the lease, so that another daemon need not wait for it to expire. */
   async release(): Promise<void> {
     await this.lease.release();
--- a/packages/lease/src/lib/LeaseManager/LeaseManager.ts
+++ b/packages/lease/src/lib/LeaseManager/LeaseManager.ts
@@ -106,6 +106,11 @@
     return () => this.listeners.delete(listener);
   }
 
+  /** Applies a change of the rank at once, rather than when this daemon next considers the lease. */
+  updateRank(): void {
+    this.tick();
+  }
+
   /** Reports that a receiver has seen this fencing number. */
   reportFenced(highest: number): void {
     this.dispatch({ kind: 'fenced', highest });
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -353,6 +353,7 @@
     });
     if (isOpen === true) {
       this.peerLink.start();
+      this.duties?.setLinked(true);
     }
   }
 
@@ -417,6 +418,7 @@
     await waitAtMost(this.departure, this.parts.clock, shutdownOptions.departureTimeout);
     this.statusServer.stopListening();
     this.peerServer.stopListening();
+    this.duties?.setLinked(false);
     this.peerLink.release();
   }
 
--- a/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
+++ b/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
@@ -89,6 +89,9 @@
 
   private sendCount = 0;
 
+  /** Whether other daemons can send their counts to this one. */
+  private isLinked = false;
+
   constructor(private readonly settings: FleetDutiesSettings) {
     const { self, clock, settings: dutySettings } = settings;
     this.fleet = [self];
@@ -117,6 +120,15 @@
     this.candidates = getLeaseCandidates('duties', daemons, candidates);
   }
 
+  /**
+   * Sets whether this daemon receives the updates of others. While it doesn't, it is no candidate for
+   * the lease: it would report its own counts as those of the whole fleet.
+   */
+  setLinked(isLinked: boolean): void {
+    this.isLinked = isLinked;
+    this.manager.updateRank();
+  }
+
   /** Records the reading of another daemon's clock at the time it sent a message. */
   recordClockReading(daemon: string, reading: Milliseconds): void {
     this.fleetClock.record(daemon, reading, this.settings.clock.now());
@@ -181,7 +193,7 @@
 
   private get rank(): number {
     const rank = this.candidates.indexOf(this.settings.self.id);
-    return rank < 0 ? Number.POSITIVE_INFINITY : rank;
+    return rank < 0 || !this.isLinked ? Number.POSITIVE_INFINITY : rank;
   }
 
   private scheduleSend(): void {
