Go on reading the directory after an error in a callback

Callers saw: a daemon that finds no new daemons, and doesn't register again, until it is restarted. Cause: PeerLink.followDirectory called onDaemonCount outside of the catch; an exception there ended the loop, while the process goes on. Change: the error is logged as a fault with its stack, and the next read is scheduled. Test: 'goes on reading the directory after an error in a callback'. On the code before (npm run -s jest -- 'HealthChecks|SilenceWatch|HeapEstimate|PeerLink' -i) it waited for a second read until the time limit of 120 s; it passes now.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -1,5 +1,5 @@
 import { reservePorts } from '@apricotrill/standins';
-import { SystemClock, createRandom } from '@apricotrill/utils';
+import { ManualClock, SystemClock, createRandom } from '@apricotrill/utils';
 import { createSocket } from 'node:dgram';
 import type { StorePosition } from '../../follow/StateFollower/ObjectSource.js';
 import type { SharedAttempt } from '../../decide/messages.js';
@@ -8,6 +8,7 @@
 import type { PeerDirectory, PeerEntry } from '../PeerDirectory.js';
 import type { PeerUpdate } from '../PeerUpdate.js';
 import { PeerLink, peerLinkOptions } from './PeerLink.js';
+import type { PeerLinkSettings } from './PeerLink.js';
 
 /** A directory in memory. */
 class MemoryDirectory implements PeerDirectory {
@@ -57,6 +58,7 @@
     attempts: ReadonlyMap<string | undefined, SharedAttempt[]> = new Map(),
     periodicUpdates: PeerUpdate[] = [],
     capacity?: number,
+    overrides: Partial<PeerLinkSettings> = {},
   ) {
     const fleets: string[][] = [];
     const capacities: (number | undefined)[][] = [];
@@ -99,6 +101,7 @@
         daemonCounts.push(daemons);
         wake();
       },
+      ...overrides,
     });
     links.push(link);
     await link.listen();
@@ -138,6 +141,33 @@
     await other.until(() => other.positions.length > received + 3);
   });
 
+  // Guards against a daemon that reads the directory no more after an error in what it tells others.
+  it('goes on reading the directory after an error in a callback', async () => {
+    const clock = new ManualClock();
+    const counts: number[] = [];
+    let resolveSecond: () => void;
+    const second = new Promise<void>((resolve) => {
+      resolveSecond = resolve;
+    });
+    const onDaemonCount = (daemons: number) => {
+      counts.push(daemons);
+      if (counts.length === 1) {
+        throw new Error('provoked error');
+      }
+      resolveSecond();
+    };
+    const settings = { clock, onDaemonCount };
+    const directory = new MemoryDirectory();
+    const { events, until } = await createLink('d-1', directory, undefined, [], 1, settings);
+    await until(() => events.some(({ event }) => event === 'fault'));
+    expect(events).toContainEqual(
+      expect.objectContaining({ event: 'fault', error: expect.stringContaining('PeerLink') }),
+    );
+    clock.advance(2 * peerLinkOptions.directoryInterval);
+    await second;
+    expect(counts).toEqual([1, 1]);
+  });
+
   // Guards against daemons that do not know of each other for half a minute after a common start:
   // each read the list before any of them had written its entry.
   it('lets daemons that start together find each other', async () => {
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -384,7 +384,7 @@
         this.logFault('directory', error);
         return false;
       });
-      this.settings.onDaemonCount(this.table.ids.length + 1);
+      this.reportDaemonCount();
       const interval = isSynced
         ? peerLinkOptions.directoryInterval
         : peerLinkOptions.directoryRetryDelay;
@@ -396,6 +396,15 @@
     }
   }
 
+  private reportDaemonCount(): void {
+    // Errors must not end the reads of the directory: this daemon would find no others.
+    try {
+      this.settings.onDaemonCount(this.table.ids.length + 1);
+    } catch (error) {
+      this.logFault('report the number of daemons', error);
+    }
+  }
+
   private async syncDirectory(): Promise<boolean> {
     const { clock, directory, self } = this.settings;
     // The entry is written before the list is read, so that of two daemons that start together at
