Check a replica again after an error in its health check

Callers saw: a suspect replica that gets no requests any more from a daemon, although it is healthy. Cause: HealthChecks.check was a floating promise. On a rejection its timer stayed in the map, so that no check was started again. If the report of a healthy replica threw, no check followed either. Change: the error is logged as a fault with its stack, and the next check is scheduled, unless the checks of the replica were cancelled in the meantime.

--- a/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
+++ b/packages/relay/src/lib/daemon/HealthChecks/HealthChecks.ts
@@ -1,6 +1,8 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { RelayReplica, RelayService } from '../../config/RelayConfiguration.js';
 import type { PlacementMessage } from '../../decide/messages.js';
+import { getErrorText } from '../../observe/getErrorText.js';
+import type { RelayLog } from '../../observe/RelayEvent.js';
 
 /**
  * Checks the health of replicas.
@@ -28,6 +30,7 @@
 /** Dependencies of {@link HealthChecks}. */
 export interface HealthCheckParts {
   clock: Clock;
+  log: RelayLog;
   source: HealthSource;
   dispatch: (message: PlacementMessage) => void;
   /** Counts a health check against the replica's limit. @returns false if the limit forbids it now */
@@ -81,7 +84,12 @@
   }
 
   private schedule(replica: RelayReplica, delay: Milliseconds): void {
-    const timer = this.parts.clock.setTimer(delay, () => this.check(replica, delay, timer));
+    const timer = this.parts.clock.setTimer(delay, () => {
+      this.check(replica, delay, timer).catch((error: unknown) => {
+        this.logFault(error);
+        this.scheduleNext(replica, delay, timer);
+      });
+    });
     this.timers.set(replica.id, timer);
   }
 
@@ -93,14 +101,32 @@
     const path = this.services.get(replica.service)?.healthPath;
     const isHealthy =
       path !== undefined && (await this.parts.source.check(replica, path, healthOptions.timeout));
-    if (this.timers.get(replica.id) !== timer) {
-      return;
+    if (!isHealthy) {
+      this.scheduleNext(replica, delay, timer);
+    } else if (this.timers.get(replica.id) === timer) {
+      this.finish(replica);
     }
-    if (isHealthy) {
-      this.timers.delete(replica.id);
-      this.parts.dispatch({ kind: 'health', replica: replica.id, isHealthy });
-    } else {
+  }
+
+  /** Schedules the check after one that has not ended well, unless the checks were cancelled. */
+  private scheduleNext(replica: RelayReplica, delay: Milliseconds, timer: Timer): void {
+    if (this.timers.get(replica.id) === timer) {
       this.schedule(replica, Math.min(healthOptions.maxDelay, delay * 2));
     }
   }
+
+  /** Reports a healthy replica. After an error it may still be suspect, so that it is checked again. */
+  private finish(replica: RelayReplica): void {
+    this.timers.delete(replica.id);
+    try {
+      this.parts.dispatch({ kind: 'health', replica: replica.id, isHealthy: true });
+    } catch (error) {
+      this.logFault(error);
+      this.start(replica);
+    }
+  }
+
+  private logFault(error: unknown): void {
+    this.parts.log({ event: 'fault', step: 'check a replica', error: getErrorText(error) });
+  }
 }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -261,6 +261,7 @@
     this.replicaWatch = new ReplicaWatch({ ...parts, dispatch });
     this.healthChecks = new HealthChecks({
       clock,
+      log,
       source: parts.health,
       dispatch,
       tryAcquireCheck: (replica) => this.core.tryAcquireCheck(replica),
