Go on checking silent attempts after an error in a check

Callers saw: requests over paths that a partition has silenced fail only at their deadline. Cause: the timer of SilenceWatch was scheduled again only after a check without an exception, until another attempt was added, and the rejection of a probe was handled by nobody. Change: both errors are logged as faults with their stacks, and the checks go on.

--- a/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
+++ b/packages/relay/src/lib/paths/PathMonitor/PathMonitor.ts
@@ -50,6 +50,7 @@
   constructor(private readonly parts: PathMonitorParts) {
     this.silenceWatch = new SilenceWatch({
       clock: parts.clock,
+      log: parts.log,
       getSilence: () => this.silence,
       probe: (replica) => this.probe(replica),
     });
--- a/packages/relay/src/lib/paths/SilenceWatch/SilenceWatch.ts
+++ b/packages/relay/src/lib/paths/SilenceWatch/SilenceWatch.ts
@@ -1,6 +1,8 @@
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { RelayReplica } from '../../config/RelayConfiguration.js';
 import { ProbeResult } from '../../decide/messages.js';
+import { getErrorText } from '../../observe/getErrorText.js';
+import type { RelayLog } from '../../observe/RelayEvent.js';
 import { pathOptions } from '../pathOptions.js';
 
 /** An attempt in flight. */
@@ -13,6 +15,7 @@
 /** Dependencies of {@link SilenceWatch}. */
 export interface SilenceWatchParts {
   clock: Clock;
+  log: RelayLog;
   /** Time since any replica last sent something. */
   getSilence: () => Milliseconds;
   probe: (replica: RelayReplica) => Promise<ProbeResult>;
@@ -55,7 +58,12 @@
   private schedule(): void {
     this.timer ??= this.parts.clock.setTimer(pathOptions.silenceCheckInterval, () => {
       this.timer = undefined;
-      this.check();
+      // Errors must not end the checks: attempts would be silent until their deadlines.
+      try {
+        this.check();
+      } catch (error) {
+        this.logFault(error);
+      }
       if (this.attempts.size > 0) {
         this.schedule();
       }
@@ -76,9 +84,11 @@
     });
     if (silent.size >= SILENT_REPLICAS) {
       this.isProbing = true;
-      this.probe([...silent.values()].slice(0, SILENT_REPLICAS)).finally(() => {
-        this.isProbing = false;
-      });
+      this.probe([...silent.values()].slice(0, SILENT_REPLICAS))
+        .catch((error: unknown) => this.logFault(error))
+        .finally(() => {
+          this.isProbing = false;
+        });
     }
   }
 
@@ -91,4 +101,8 @@
     this.notBefore = this.parts.clock.now() + this.backoff;
     this.backoff = Math.min(this.backoff * 2, pathOptions.maxSilenceBackoff);
   }
+
+  private logFault(error: unknown): void {
+    this.parts.log({ event: 'fault', step: 'probe silent replicas', error: getErrorText(error) });
+  }
 }
