--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
@@ -96,6 +96,27 @@
     expect(changes).toEqual([true, false]);
   });
 
+  // Guards against a daemon that refuses requests for what others took that have ended.
+  it('admits as many requests after others have ended as a collection would have it admit', () => {
+    const requests = 900;
+    const usedBytes = 75_000 * requests;
+    const bounded = new MemoryGuard({
+      clock,
+      budget: undefined,
+      heapLimit: (usedBytes * 1.01) / heapAdmittedShare,
+      onChanged: (isFull) => changes.push(isFull),
+    });
+    const applicant = { urgency: 1, bytes: 0, headBytes: 0 };
+    const admitAll = () => Array.from({ length: requests }, () => bounded.tryAdmit(applicant));
+    bounded.recordCollection(0);
+    const holdings = admitAll();
+    bounded.recordCollection(usedBytes);
+    holdings.forEach((holding) => holding!.release());
+    expect(bounded.heapBytes).toBe(0);
+    expect(admitAll()).not.toContain(undefined);
+    expect(bounded.heapBytes).toBe(usedBytes);
+  });
+
   // Guards against a daemon that serves nobody since it needs most of the heap itself.
   it('admits a few requests however much of the heap is in use', () => {
     const bounded = new MemoryGuard({
