--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -391,7 +391,7 @@
         this.logFault('directory', error);
         return false;
       });
-      this.settings.onDaemonCount(this.table.ids.length + 1);
+      this.reportDaemonCount();
       const interval = isSynced
         ? peerLinkOptions.directoryInterval
         : peerLinkOptions.directoryRetryDelay;
@@ -403,6 +403,15 @@
     }
   }
 
+  private reportDaemonCount(): void {
+    // Errors must not end the reads of the directory: this daemon would find no others.
+    try {
+      this.settings.onDaemonCount(this.table.ids.length + 1);
+    } catch (error) {
+      this.logFault('report the number of daemons', error);
+    }
+  }
+
   /** @returns whether the directory has the entry of this daemon */
   private async syncDirectory(): Promise<boolean> {
     const { clock, directory, self } = this.settings;
