--- /dev/null
+++ b/packages/relay/src/lib/callers/RefusedConnections/RefusedConnections.ts
@@ -0,0 +1,58 @@
+import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import type { RelayLog } from '../../observe/RelayEvent.js';
+import type { RelayMetrics } from '../../observe/RelayMetrics.js';
+
+/** Limits on the log lines about refused connections. */
+export const refusedConnectionOptions = {
+  /** Time within which connections are combined in one line. */
+  interval: 1_000 satisfies Milliseconds,
+};
+
+/** Dependencies of {@link RefusedConnections}. */
+export interface RefusedConnectionsParts {
+  clock: Clock;
+  log: RelayLog;
+  metrics: Pick<RelayMetrics, 'connectionsRefused'>;
+}
+
+/**
+ * Counts the connections that are closed unread, and logs how many there were. Their callers see a connection
+ * that ends without a response, and no other line tells of them.
+ *
+ * @example
+ * ```ts
+ * const refused = new RefusedConnections({ clock, log, metrics });
+ * refused.record();
+ * refused.report(); // before the process ends
+ * ```
+ */
+export class RefusedConnections {
+  private count = 0;
+
+  private firstAt: Milliseconds = 0;
+
+  private timer: Timer | undefined;
+
+  constructor(private readonly parts: RefusedConnectionsParts) {}
+
+  record(): void {
+    const { clock, metrics } = this.parts;
+    metrics.connectionsRefused.inc();
+    this.count += 1;
+    if (this.timer === undefined) {
+      this.firstAt = clock.now();
+      this.timer = clock.setTimer(refusedConnectionOptions.interval, () => this.report());
+    }
+  }
+
+  /** Logs the connections that no line has told of yet. */
+  report(): void {
+    const { clock, log } = this.parts;
+    this.timer?.cancel();
+    this.timer = undefined;
+    if (this.count > 0) {
+      log({ event: 'connections-refused', count: this.count, span: clock.now() - this.firstAt });
+      this.count = 0;
+    }
+  }
+}
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -5,6 +5,7 @@
 import { CallerServer } from '../callers/CallerServer/CallerServer.js';
 import { OverloadGuard } from '../callers/OverloadGuard/OverloadGuard.js';
 import { waitForIteration } from '../callers/OverloadGuard/waitForIteration.js';
+import { RefusedConnections } from '../callers/RefusedConnections/RefusedConnections.js';
 import { createActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { ActiveConfiguration } from '../config/ActiveConfiguration.js';
 import type { RelayConfiguration, RelayReplica } from '../config/RelayConfiguration.js';
@@ -118,6 +119,8 @@
 
   private readonly overloadGuard: OverloadGuard;
 
+  private readonly refusedConnections: RefusedConnections;
+
   private readonly unreadable: UnreadableReporter;
 
   private readonly duties: FleetDuties | undefined;
@@ -239,6 +242,7 @@
         this.peerLink.send({ kind: 'overload', isOverloaded });
       },
     });
+    this.refusedConnections = new RefusedConnections({ clock, log, metrics });
     this.callerServer = new CallerServer({
       clock,
       shouldRefuse: () => this.shouldRefuseConnection(),
@@ -387,6 +391,7 @@
     }
     this.isRejecting = true;
     const connectionCounts = await this.callerServer.stopListening();
+    this.refusedConnections.report();
     log({ event: 'port-closed', after: clock.now() - startedAt, ...connectionCounts });
     this.departure = this.depart();
     this.portHandover.allow();
@@ -558,7 +563,7 @@
   private shouldRefuseConnection(): boolean {
     const isRefused = this.overloadGuard.shouldRefuse();
     if (isRefused) {
-      this.parts.metrics.connectionsRefused.inc();
+      this.refusedConnections.record();
     }
     return isRefused;
   }
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -127,6 +127,12 @@
   | { event: 'isolation-ended'; after: Milliseconds }
   | { event: 'peer-isolated'; peer: string; isIsolated: boolean }
   | { event: 'overloaded' | 'overload-ended'; iteration: Milliseconds }
+  | {
+      event: 'connections-refused';
+      count: number;
+      /** Time since the first of them. */
+      span: Milliseconds;
+    }
   | {
       event: 'attempt-forwarded';
       id: string;
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -75,6 +75,8 @@
     'the event loop has more work than it can do in time; new connections are closed unread while most other daemons are not overloaded; includes the duration of its last iteration',
   'overload-ended':
     'new connections are accepted again; includes the duration of the last iteration of the event loop',
+  'connections-refused':
+    'connections of callers were closed unread because this daemon is overloaded; includes how many, and the time since the first of them',
   'memory-bound':
     'the settings state the memory of the process; includes what it uses itself, how many bytes it may hold for callers and replicas, and the limit of the heap',
   'memory-full':
