--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -33,6 +33,13 @@
   | DutyEvent
   | LifecycleEvent
   | { event: 'duties-refused'; reason: string }
+  | {
+      event: 'settings-defaulted';
+      field: string;
+      reason: string;
+      /** What is used instead of the value that is stated. */
+      used: number | boolean | 'none';
+    }
   | { event: 'start'; daemon: string; availabilityZone: string; pid: number }
   | { event: 'listening'; callers: string; status: string }
   | { event: 'reload'; changed: string[] }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -18,6 +18,8 @@
     'the settings file is missing, can not be read, or is not completely written, and is read again until it is whole; includes the error and the time since the first attempt',
   'settings-read':
     'settings that were not available at first have been read; includes how long that took',
+  'settings-defaulted':
+    'a figure of the settings is missing, or can not be used as it is stated; includes the field, the reason, and what is used instead: a default or, after a reload, the value that was in force',
   reload: 'the settings were reloaded; includes the names of those that changed',
   stopping: 'the daemon received a stop signal; includes the number of responses in flight',
   'port-closed':
