Serve callers when another port can't be opened, and try again after any error of the system

Callers were not served by a daemon that could serve them: a port for readiness, metrics or other daemons that the system refused to open (EACCES, EPERM, EINVAL, EAFNOSUPPORT, ENETUNREACH, EHOSTUNREACH), or whose address isn't one, ended the start with exit 1, and so each start after it.

Cause: `isTransient` listed nine codes that can pass, and all other errors, of whichever port, ended the start.

Judged: what the system refuses depends on the system, which can change while the process runs (a security policy or a firewall that is loaded later, a route, an address family). To end instead gains nothing: the next start meets the same. What follows from the address alone (a host that isn't an address, a port out of range) can't pass: it ends the start at the port for callers, without which nothing can be served, with the error as before. At the other ports it is tried again every 5 s.

`port-unavailable` says which port and why, as before; `port_open` shows each port in the metrics. Readiness stays what it was: a daemon that serves callers is ready, also where it is cut off from other daemons, since an error that all of them meet would leave no daemon ready.

--- a/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
+++ b/packages/lifecycle/src/lib/PortOpener/PortOpener.ts
@@ -8,6 +8,8 @@
   firstDelay: 20 satisfies Milliseconds,
   /** Maximum delay between attempts: how long a port that is free again may stay unused. */
   maxDelay: 250 satisfies Milliseconds,
+  /** Delay after an error that is unlikely to pass. */
+  finalErrorDelay: 5_000 satisfies Milliseconds,
   /** How often the holder of a port is looked up. */
   askInterval: 500 satisfies Milliseconds,
   /** How often a port that is still not available is logged. */
@@ -58,11 +60,19 @@
   /** Whether the process that holds the ports is about to release them. */
   private isReleasing = false;
 
+  /** Whether each port is open. */
+  private readonly states = new Map<string, boolean>();
+
   /** Ends the waits before the next attempts. */
   private readonly waits = new Map<Timer, () => void>();
 
   constructor(private readonly parts: PortOpenerParts) {}
 
+  /** The names of the ports, and whether each is open. */
+  get ports(): ReadonlyMap<string, boolean> {
+    return this.states;
+  }
+
   /**
    * Opens a port, with as many attempts as it takes.
    *
@@ -71,24 +81,43 @@
    * @returns what the attempt returns; undefined if the opener was stopped before
    * @throws an error of an attempt that can't pass
    */
-  async open<T>(name: string, attempt: () => Promise<T>): Promise<T | undefined> {
+  open<T>(name: string, attempt: () => Promise<T>): Promise<T | undefined> {
+    return this.openPort(name, attempt, (error) => !isTransient(error));
+  }
+
+  /**
+   * Like {@link PortOpener.open}, for a port that the process can do without: tried again after any error, less often
+   * after one that is unlikely to pass.
+   */
+  openOptional<T>(name: string, attempt: () => Promise<T>): Promise<T | undefined> {
+    return this.openPort(name, attempt, () => false);
+  }
+
+  private async openPort<T>(
+    name: string,
+    attempt: () => Promise<T>,
+    mustThrow: (error: unknown) => boolean,
+  ): Promise<T | undefined> {
     const { clock, log } = this.parts;
     const startedAt = clock.now();
     let askedAt = Number.NEGATIVE_INFINITY;
     let loggedAt = Number.NEGATIVE_INFINITY;
     let delay: Milliseconds = portOptions.firstDelay;
+    this.states.set(name, false);
     while (!this.isStopped) {
       try {
         // eslint-disable-next-line no-await-in-loop
         const result = await attempt();
+        this.states.set(name, true);
         if (loggedAt >= startedAt) {
           log({ event: 'port-opened', port: name, after: clock.now() - startedAt });
         }
         return result;
       } catch (error) {
-        if (!isTransient(error)) {
+        if (mustThrow(error)) {
           throw error;
         }
+        delay = isTransient(error) ? delay : portOptions.finalErrorDelay;
         const now = clock.now();
         if (now - askedAt >= portOptions.askInterval) {
           const isLogged = now - loggedAt >= portOptions.logInterval;
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -307,7 +307,7 @@
    * Opens the ports and starts following the store, which does not wait for ports that are not available yet.
    *
    * @returns the port for callers; undefined if the daemon was stopped before it was open
-   * @throws an error of a port that can't pass
+   * @throws an error of the port for callers that can't pass
    */
   async start(): Promise<number | undefined> {
     const opened = this.openPorts();
@@ -315,17 +315,20 @@
     return opened;
   }
 
-  /** Opens all ports at the same time, so that one that is not available holds up no other. */
+  /**
+   * Opens all ports at the same time, so that one that is not available holds up no other. Callers can be served
+   * without the others, whatever the reason why they can't be opened.
+   */
   private async openPorts(): Promise<number | undefined> {
     const { status, metrics, peers } = this.parts.settings;
     const { portOpener, statusServer, peerServer } = this;
     const [port] = await Promise.all([
       this.openCallerPort(),
-      portOpener.open('status', () => statusServer.listen(status.host, status.port)),
+      portOpener.openOptional('status', () => statusServer.listen(status.host, status.port)),
       metrics === undefined
         ? undefined
-        : portOpener.open('metrics', () => statusServer.listen(metrics.host, metrics.port)),
-      portOpener.open('peers', () => peerServer.listen(peers.host, peers.port)),
+        : portOpener.openOptional('metrics', () => statusServer.listen(metrics.host, metrics.port)),
+      portOpener.openOptional('peers', () => peerServer.listen(peers.host, peers.port)),
       this.startPeerLink(),
     ]);
     return port;
@@ -348,7 +351,7 @@
   }
 
   private async startPeerLink(): Promise<void> {
-    const isOpen = await this.portOpener.open('datagrams', async () => {
+    const isOpen = await this.portOpener.openOptional('datagrams', async () => {
       await this.peerLink.listen();
       return true;
     });
@@ -514,6 +517,7 @@
       paths,
       peerLink,
       storeLink,
+      getPorts: () => this.portOpener.ports,
       isReady: () => this.isReady,
       getConfigurationVersion: () => this.version,
       getConfigurationAge: () =>
--- a/packages/relay/src/lib/daemon/addDaemonGauges.ts
+++ b/packages/relay/src/lib/daemon/addDaemonGauges.ts
@@ -14,6 +14,8 @@
   paths: PathMonitor;
   peerLink: PeerLink;
   storeLink: StoreLink;
+  /** Returns the names of the ports, and whether each is open. */
+  getPorts: () => ReadonlyMap<string, boolean>;
   isReady: () => boolean;
   getConfigurationVersion: () => number | undefined;
   /** Time since this daemon applied the active configuration. */
@@ -50,6 +52,9 @@
     () => getSeconds(paths.silence),
   );
   metrics.addGauge('peers', 'Peers that are alive.', () => peerLink.livePeerCount);
+  metrics.addGauges('port_open', '1 if the port is open.', 'port', () =>
+    [...sources.getPorts()].map(([port, isOpen]) => [port, Number(isOpen)]),
+  );
   metrics.addGauge('quarantined_requests', 'Quarantined requests.', () => core.quarantine.size);
   metrics.addGauge('ready', '1 if the daemon is ready for requests.', () =>
     Number(sources.isReady()),
