Copy the parts of bodies as they arrive instead of keeping each

What callers saw: a daemon ended by itself with SIGABRT ("JavaScript heap out of memory") and wrote no line to its log; all its connections were closed without a response. Three callers at the same time were enough, each with a body of 1 MB, within all limits, in chunks of one byte. Three such responses of replicas did the same.

Cause: the readers of bodies and of plain responses kept every part as a buffer of its own until the body was complete. The parser makes a part of each chunk. A part takes some hundred bytes on the heap besides its content, so that a body in chunks of one byte takes far more than its size. Memory admission counts the size alone, and the limit of the heap was reached while hardly anything counted as held.

The client of the store and of other daemons reads the same way.

--- a/packages/callers/src/lib/BodyReader/BodyReader.ts
+++ b/packages/callers/src/lib/BodyReader/BodyReader.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from '@apricotrill/utils';
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
 import type { IncomingMessage } from 'node:http';
 
@@ -23,9 +24,7 @@
 
 /** Collects one body, and removes its listeners when it is done. */
 class BodyReader {
-  private readonly chunks: Buffer[] = [];
-
-  private size = 0;
+  private readonly collector: ByteCollector;
 
   private timer: Timer | undefined;
 
@@ -33,7 +32,9 @@
     private readonly request: IncomingMessage,
     private readonly limits: BodyLimits,
     private readonly onResult: (result: BodyResult) => void,
-  ) {}
+  ) {
+    this.collector = new ByteCollector(Number(request.headers['content-length'] ?? 0));
+  }
 
   start(clock: Clock): void {
     const { request, limits } = this;
@@ -45,15 +46,15 @@
   }
 
   private readonly handleData = (chunk: Buffer) => {
-    this.size += chunk.length;
-    this.chunks.push(chunk);
-    if (this.size > this.limits.maxBytes) {
+    if (this.collector.length + chunk.length > this.limits.maxBytes) {
       this.complete({ kind: 'too-large' });
+      return;
     }
+    this.collector.append(chunk);
   };
 
   private readonly handleEnd = () => {
-    const body = hasBody(this.request) ? Buffer.concat(this.chunks) : undefined;
+    const body = hasBody(this.request) ? this.collector.take() : undefined;
     this.complete({ kind: 'whole', body });
   };
 
@@ -61,6 +62,7 @@
 
   private complete(result: BodyResult): void {
     this.timer?.cancel();
+    this.collector.discard();
     this.request.off('data', this.handleData);
     this.request.off('end', this.handleEnd);
     this.request.off('close', this.handleClose);
--- a/packages/relay/src/lib/http/HttpClient.ts
+++ b/packages/relay/src/lib/http/HttpClient.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@apricotrill/utils';
-import { StepError } from '@apricotrill/utils';
+import { ByteCollector, StepError } from '@apricotrill/utils';
 import type { IncomingHttpHeaders } from 'node:http';
 import { gunzipSync } from 'node:zlib';
 import { Agent } from 'undici';
@@ -49,12 +49,12 @@
   { headers, body }: Dispatcher.ResponseData,
   onProgress: () => void,
 ): Promise<string> {
-  const chunks: Buffer[] = [];
+  const collector = new ByteCollector();
   for await (const chunk of body) {
     onProgress();
-    chunks.push(chunk as Buffer);
+    collector.append(chunk as Buffer);
   }
-  const bytes = Buffer.concat(chunks);
+  const bytes = collector.take();
   const isCompressed = headers['content-encoding'] === 'gzip';
   const content = isCompressed ? gunzipSync(bytes, { maxOutputLength: MAX_TEXT_BYTES }) : bytes;
   return content.toString('utf8');
--- a/packages/relay/src/lib/request/ResponseReader.ts
+++ b/packages/relay/src/lib/request/ResponseReader.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from '@apricotrill/utils';
 import { AttemptEnd } from '../decide/messages.js';
 import { findHeader } from '../protocol/connectionHeaders.js';
 import type { ResponseFraming } from '../framing/getResponseFraming.js';
@@ -65,6 +66,14 @@
   abort: () => void;
 }
 
+/** Returns the announced size of a plain response; the largest one if more is announced, 0 if nothing is. */
+function getExpectedBytes({ rawHeaders }: ResponseHead): number {
+  const announced = Number(findHeader(rawHeaders, 'content-length') ?? 0);
+  return Number.isInteger(announced) && announced > 0
+    ? Math.min(announced, upstreamOptions.maxBufferedBytes)
+    : 0;
+}
+
 /**
  * Reads the response of a replica and determines how the attempt ended. A response that belongs to
  * another request, is not signed by the replica, or is truncated must never reach the caller as a
@@ -77,7 +86,8 @@
 
   private isFinished = false;
 
-  private readonly chunks: Buffer[] = [];
+  /** The body of a plain response. */
+  private collector = new ByteCollector();
 
   private bodyBytes = 0;
 
@@ -90,6 +100,7 @@
   onHead(head: ResponseHead): void {
     const { protocol, listener, requestId, isStream } = this.parts;
     this.head = head;
+    this.collector = new ByteCollector(getExpectedBytes(head));
     const fields = protocol.readResponse(head);
     listener.onFields(fields);
     const error = this.getResponseError(fields, requestId);
@@ -116,12 +127,12 @@
       this.handleStreamBytes(bytes);
       return;
     }
-    this.chunks.push(bytes);
     if (this.bodyBytes > upstreamOptions.maxBufferedBytes) {
       this.parts.abort();
       this.finish(AttemptEnd.Broken, 'response exceeds the buffer limit');
       return;
     }
+    this.collector.append(bytes);
     this.parts.listener.onBuffered?.(this.bodyBytes);
   }
 
@@ -247,7 +258,7 @@
       framing: head?.framing,
       bodyBytes: this.bodyBytes,
       incompleteBytes: this.splitter.incompleteBytes.length,
-      response: isPassedOn ? { head: head!, body: Buffer.concat(this.chunks) } : undefined,
+      response: isPassedOn ? { head: head!, body: this.collector.take() } : undefined,
     });
   }
 }
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,3 +1,4 @@
+export { ByteCollector } from './lib/ByteCollector/ByteCollector.js';
 export { assert } from './lib/assert.js';
 export type { Clock, Milliseconds, Timer } from './lib/Clock.js';
 export { ManualClock } from './lib/ManualClock.js';
