Go on following the store after an error of a listener

Callers saw (by reading, not on an installation): a daemon that serves by an old list of replicas or an old configuration until the next change, or until the revision of a restored store passes the one it knew. Cause: StateFollower called its listener in the middle of applying a response. An error there - left the change marked as known, although the listener had not handled it, - dropped the rest of the changes of the response, where a replica is kept after an outage, - left the era of a restored store marked as known before its list was applied, so that the list was ignored as an older one, - ended the loop for good, if it came from the report of a lost store, - counted as a lost store, without its stack. Change: each call of the listener is guarded. The error is logged as a fault with its stack, the response is applied whole, and objects that the listener could not handle are reported again with a delay that doubles. A configuration counts as applied once all its parts are, so that a repeated report applies the rest. Tests: 'after an error of its listener' in StateFollower.test.ts. The line that records the applied configuration has no test of its own.

--- a/packages/relay/src/lib/daemon/ObjectFollower.ts
+++ b/packages/relay/src/lib/daemon/ObjectFollower.ts
@@ -3,6 +3,7 @@
 import type { ObjectSource, StorePosition } from '../follow/StateFollower/ObjectSource.js';
 import { StateFollower } from '../follow/StateFollower/StateFollower.js';
 import type { StateListener } from '../follow/StateFollower/StateFollower.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 import type { ReaderSelector } from '../readers/ReaderSelector/ReaderSelector.js';
 import { readerOptions } from '../readers/readerOptions.js';
@@ -159,6 +160,8 @@
         }),
       onRetained: (replica, until) =>
         log({ event: 'replica-kept', replica, until, reason: 'the store was unavailable' }),
+      onFault: (error) =>
+        log({ event: 'fault', step: `follow ${dependency}`, error: getErrorText(error) }),
     };
   }
 }
--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -129,6 +129,9 @@
   /** When this daemon applied the active configuration. */
   private activeSince: Milliseconds | undefined;
 
+  /** Version of the last configuration of which all parts have been applied. */
+  private appliedVersion: number | undefined;
+
   private hasReplicas = false;
 
   private isStopping = false;
@@ -585,7 +588,7 @@
 
   /** Applies a version if it is newer than the active one; versions can arrive out of order. */
   private applyConfiguration(configuration: RelayConfiguration): void {
-    const previous = this.version;
+    const previous = this.appliedVersion;
     if (previous !== undefined && configuration.version <= previous) {
       return;
     }
@@ -599,6 +602,7 @@
     const timeouts = routes.filter(({ resumable }) => resumable).map(({ timeout }) => timeout);
     this.streams.setLongestTimeout(Math.max(0, ...timeouts));
     const age = this.storeLink.getAge(CONFIGURATION);
+    this.appliedVersion = version;
     this.parts.log({ event: 'configuration', version, previous, routes: routes.length, age });
   }
 
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.fuzz.test.ts
@@ -77,6 +77,9 @@
         onRead: () => undefined,
         onWatchAborted: () => undefined,
         onRetained: () => undefined,
+        onFault: (error) => {
+          throw error;
+        },
       },
     });
     this.follower.setDaemonCount(seed % 100);
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock, createRandom } from '@apricotrill/utils';
 import type { ObjectList, ObjectSource, WatchResult } from './ObjectSource.js';
 import { StateFollower, defaultStateFollowerOptions } from './StateFollower.js';
+import type { StateListener } from './StateFollower.js';
 
 type Response<Value> = Value | Error;
 
@@ -78,7 +79,7 @@
 
 describe('StateFollower', () => {
   /** By default there is no minimum interval, so that the next call follows a response at once. */
-  async function setUp(minWatchInterval = 0) {
+  async function setUp(minWatchInterval = 0, overrides: Partial<StateListener<string>> = {}) {
     const clock = new ManualClock();
     const source = new ScriptedSource();
     const seen: string[][] = [];
@@ -96,6 +97,8 @@
         onRead: () => undefined,
         onWatchAborted: () => undefined,
         onRetained: (name) => log.push(`retained ${name}`),
+        onFault: (error) => log.push(`fault ${String(error)}`),
+        ...overrides,
       },
     });
     follower.run().catch((error: unknown) => log.push(String(error)));
@@ -371,4 +374,73 @@
     expect(source.calls).toEqual(['list', 'watch 50', 'watch 50']);
     expect(source.waits.at(-1)).toBe(1);
   });
+
+  describe('after an error of its listener', () => {
+    const fault = 'fault Error: provoked error';
+
+    function fail(): never {
+      throw new Error('provoked error');
+    }
+
+    // Guards against a daemon that has a change, but goes on as before it until the next one.
+    it('reports the objects again', async () => {
+      const seen: string[][] = [];
+      let isFailing = true;
+      const onObjects = (items: ReadonlyMap<string, string>) =>
+        isFailing ? fail() : seen.push([...items.keys()]);
+      const { clock, source, log } = await setUp(0, { onObjects });
+      await source.respond(createList(5, 'a'));
+      await source.respond(createChanges(7, ['b', 'b']));
+      expect(source.calls).toEqual(['list', 'watch 5', 'watch 7']);
+      isFailing = false;
+      clock.advance(defaultStateFollowerOptions.maxReportDelay);
+      expect(seen).toEqual([['a', 'b']]);
+      clock.advance(defaultStateFollowerOptions.maxReportDelay);
+      expect(seen).toHaveLength(1);
+      expect(log).toEqual([fault, fault]);
+    });
+
+    it('does not report the objects again once it is disposed', async () => {
+      const { clock, source, log, follower } = await setUp(0, { onObjects: fail });
+      await source.respond(createList(5, 'a'));
+      follower.dispose();
+      clock.advance(defaultStateFollowerOptions.maxReportDelay);
+      expect(log).toEqual([fault]);
+    });
+
+    // Guards against a daemon that ignores a restored store until its revision has passed the known one.
+    it('reads a restored store', async () => {
+      const { source, seen, log } = await setUp(0, {
+        onEraChanged: ({ previous }) => (previous === undefined ? undefined : fail()),
+      });
+      await source.respond(createEraList(1, 9, 'a'));
+      await source.respond({ ...createChanges(9), era: 2 });
+      await source.respond(createEraList(2, 4, 'b'));
+      expect(seen.at(-1)).toContain('b');
+      expect(log).toContain(fault);
+    });
+
+    // Guards against changes that are dropped because an error ended the handling of their response.
+    it('applies the rest of the response', async () => {
+      const { clock, source, seen } = await setUp(0, { onRetained: fail });
+      await source.respond(createList(5, 'a', 'b'));
+      await source.respond(new Error('no response'));
+      clock.advance(defaultStateFollowerOptions.maxRetryDelay);
+      await ScriptedSource.settle();
+      await source.respond(createChanges(7, ['a', undefined], ['c', 'c']));
+      expect(seen.at(-1)).toContain('c');
+    });
+
+    // Guards against a daemon that follows the store no more.
+    it.each(['onLost', 'onReconnected', 'onRead'] as const)('goes on: %s', async (name) => {
+      const { clock, source, seen } = await setUp(0, { [name]: fail });
+      await source.respond(createList(5, 'a'));
+      await source.respond(new Error('no response'));
+      clock.advance(defaultStateFollowerOptions.maxRetryDelay);
+      await ScriptedSource.settle();
+      await source.respond(createChanges(7, ['b', 'b']));
+      expect(seen.at(-1)).toEqual(['a', 'b']);
+      expect(source.calls.at(-1)).toBe('watch 7');
+    });
+  });
 });
--- a/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
+++ b/packages/relay/src/lib/follow/StateFollower/StateFollower.ts
@@ -1,5 +1,5 @@
 import { StepError } from '@apricotrill/utils';
-import type { Clock, Milliseconds, Random } from '@apricotrill/utils';
+import type { Clock, Milliseconds, Random, Timer } from '@apricotrill/utils';
 import { DeletedObjects } from './DeletedObjects.js';
 import { isLater } from './ObjectSource.js';
 import type {
@@ -22,6 +22,11 @@
   /** Delay after the first failed call; it doubles with each further one, up to `maxRetryDelay`. */
   minRetryDelay: Milliseconds;
   maxRetryDelay: Milliseconds;
+  /**
+   * Upper limit of the delay after which the objects are reported again, if the listener could not
+   * handle them. It begins with `minRetryDelay` and doubles with each error.
+   */
+  maxReportDelay: Milliseconds;
   /**
    * How long objects that were deleted during an outage of the store are retained after it. The
    * owners of objects that still exist write them again within two seconds.
@@ -52,6 +57,7 @@
   minWatchInterval: 150,
   minRetryDelay: 100,
   maxRetryDelay: 500,
+  maxReportDelay: 5_000,
   reconnectGrace: 2_500,
   restoredObjectDelay: 5_000,
   deletionRetention: 120_000,
@@ -102,6 +108,8 @@
   onWatchAborted(silence: Milliseconds, known: StorePosition, announced: StorePosition): void;
   /** Called when a deleted object is retained because of an outage of the store. */
   onRetained(name: string, until: Milliseconds): void;
+  /** Called with an error of another callback, after which the follower goes on. */
+  onFault(error: unknown): void;
 }
 
 /** Settings of a state follower. */
@@ -118,6 +126,9 @@
  * if the store has dropped its history. The known objects are kept during an outage of the store.
  * Responses that are older than the known state are ignored. Revisions are compared within an era of
  * the store: the first response of a later era is followed by a list, whatever its revision.
+ *
+ * An error of the listener neither ends the follower nor the handling of a response. Objects that the
+ * listener could not handle are reported again after a while.
  */
 export class StateFollower<Item> {
   private readonly settings: StateFollowerSettings<Item>;
@@ -158,11 +169,17 @@
 
   private retryDelay: Milliseconds;
 
+  /** Reports the objects again after an error of the listener. */
+  private reportTimer: Timer | undefined;
+
+  private reportDelay: Milliseconds;
+
   constructor(settings: StateFollowerSettings<Item>) {
     this.settings = settings;
     this.options = { ...defaultStateFollowerOptions, ...settings.options };
     this.deletedObjects = new DeletedObjects(this.options.deletionRetention);
     this.retryDelay = this.options.minRetryDelay;
+    this.reportDelay = this.options.minRetryDelay;
     this.watchWait = this.options.minWatchWait;
   }
 
@@ -183,6 +200,7 @@
   dispose(): void {
     this.abortController.abort();
     this.activeWatch?.abort.abort();
+    this.reportTimer?.cancel();
   }
 
   /** Position of the last change, which this daemon announces to its peers. */
@@ -215,7 +233,7 @@
     const silence = this.settings.clock.now() - activeWatch.progressAt;
     if (silence >= minSilence) {
       this.isBehind = true;
-      this.settings.listener.onWatchAborted(silence, { era, revision }, position);
+      this.notify((listener) => listener.onWatchAborted(silence, { era, revision }, position));
       activeWatch.abort.abort();
     }
   }
@@ -310,7 +328,7 @@
     if (previous !== undefined) {
       this.graceUntil = this.settings.clock.now() + this.options.reconnectGrace;
     }
-    this.settings.listener.onEraChanged({ era, previous, knownRevision });
+    this.notify((listener) => listener.onEraChanged({ era, previous, knownRevision }));
   }
 
   private applyResult(result: Exclude<WatchResult<Item>, { kind: 'history-expired' }>): void {
@@ -398,7 +416,7 @@
     const released = this.deletedObjects.release();
     if (released.length > 0) {
       released.forEach(([name, item]) => this.items.set(name, item));
-      this.notifyListener();
+      this.reportObjects();
     }
   }
 
@@ -410,7 +428,7 @@
     }
     changes.forEach((change) => this.applyChange(change));
     if (isChanged) {
-      this.notifyListener();
+      this.reportObjects();
     }
   }
 
@@ -436,21 +454,42 @@
   }
 
   private retain(name: string, until: Milliseconds): void {
-    const { clock, listener } = this.settings;
+    const { clock } = this.settings;
     this.retained.set(name, until);
-    listener.onRetained(name, until);
+    this.notify((listener) => listener.onRetained(name, until));
     clock.setTimer(until - clock.now(), () => {
       if (this.retained.get(name) === until) {
         this.retained.delete(name);
         this.delete(name);
-        this.notifyListener();
+        this.reportObjects();
       }
     });
   }
 
-  private notifyListener(): void {
-    if (!this.abortController.signal.aborted) {
-      this.settings.listener.onObjects(this.items, this.revision ?? 0);
+  private reportObjects(): void {
+    this.reportTimer?.cancel();
+    if (this.abortController.signal.aborted) {
+      return;
+    }
+    if (this.notify((listener) => listener.onObjects(this.items, this.revision ?? 0))) {
+      this.reportDelay = this.options.minRetryDelay;
+      return;
+    }
+    const { clock, random } = this.settings;
+    const delay = this.reportDelay * (0.5 + random.next() / 2);
+    this.reportDelay = Math.min(this.options.maxReportDelay, this.reportDelay * 2);
+    this.reportTimer = clock.setTimer(delay, () => this.reportObjects());
+  }
+
+  /** @returns whether the listener handled the call without an error */
+  private notify(call: (listener: StateListener<Item>) => void): boolean {
+    const { listener } = this.settings;
+    try {
+      call(listener);
+      return true;
+    } catch (error) {
+      listener.onFault(error);
+      return false;
     }
   }
 
@@ -468,19 +507,20 @@
     if (this.disconnectedAt !== undefined) {
       const outage = this.settings.clock.now() - this.disconnectedAt;
       this.disconnectedAt = undefined;
-      this.settings.listener.onReconnected(outage);
+      this.notify((listener) => listener.onReconnected(outage));
     }
-    this.settings.listener.onRead();
+    this.notify((listener) => listener.onRead());
   }
 
   private async handleError(error: unknown): Promise<void> {
     if (this.abortController.signal.aborted) {
       return;
     }
-    const { clock, listener, random } = this.settings;
+    const { clock, random } = this.settings;
     if (this.disconnectedAt === undefined) {
       this.disconnectedAt = clock.now();
-      listener.onLost(error instanceof Error ? error : new Error(String(error)));
+      const reason = error instanceof Error ? error : new Error(String(error));
+      this.notify((listener) => listener.onLost(reason));
     }
     const delay = this.retryDelay * (0.5 + random.next() / 2);
     this.retryDelay = Math.min(this.options.maxRetryDelay, this.retryDelay * 2);
