Let an error in placing a request end this request alone

Callers saw (by reading, not on an installation): all requests of a replica group fail, or wait until their deadlines while replicas are idle, from the moment on at which one of them can't be placed because of an unexpected error. Cause, each shown on by a trial that caught the error as the daemon does: - An applicant about which the admission of a group failed stayed first in the queue, and no review was scheduled. Each review met the same error again: of four requests submitted in turn all four threw, with no decision after 10 s. - The list of waiting requests was emptied before they were placed one by one. An error at the first lost the others: two requests waited for 4.9 s before an idle replica, and were given up at their deadline. - An error after a query to a placer left the request without attempt and place in the queue until its deadline. Change: the error ends the request that is being decided or placed, which is refused as 'failed', and the others are decided in the same round. An error that belongs to no request is reported and the review scheduled all the same. The placement reports such errors by an effect, which the daemon logs as a fault with the stack and counts as a request fault. The harnesses of the tests throw errors that they have not provoked, as before.

--- a/packages/experiment/src/lib/relay/DaemonSimulation.ts
+++ b/packages/experiment/src/lib/relay/DaemonSimulation.ts
@@ -191,6 +191,8 @@
       case 'follow-caches':
         this.followedEngines = effect.engines;
         break;
+      case 'fault':
+        throw effect.error;
       default:
         effect satisfies never;
     }
--- a/packages/relay/src/lib/daemon/EffectPerformer.ts
+++ b/packages/relay/src/lib/daemon/EffectPerformer.ts
@@ -38,7 +38,7 @@
     try {
       this.tryPerform(effect);
     } catch (error) {
-      const task = 'id' in effect ? this.parts.intake.getTask(effect.id) : undefined;
+      const task = 'id' in effect ? this.parts.intake.getTask(effect.id ?? '') : undefined;
       const step = `perform ${effect.kind}`;
       if (task === undefined) {
         this.parts.log({ event: 'fault', step, error: getErrorText(error) });
@@ -217,6 +217,14 @@
         log({ event: 'replica-avoided', replica: id, service, span });
         break;
       }
+      case 'fault': {
+        const { id, step, error } = effect;
+        if (id !== undefined) {
+          metrics.requestFaults.inc();
+        }
+        log({ event: 'fault', id, step, error: getErrorText(error) });
+        break;
+      }
       default:
         effect satisfies never;
     }
--- a/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
+++ b/packages/relay/src/lib/decide/PlacementCore/PlacementCore.ts
@@ -200,6 +200,7 @@
       placing: this.placing,
       countInFlight: (daemon, service) => this.countInFlight(daemon, service),
       giveUp: (record, reason) => this.giveUp(record, getOutcome(record), reason),
+      fail: (record, error) => this.fail(record, error),
     });
     const { quarantine, placer, placing, waiting } = this;
     this.replacements = new AttemptReplacements({ clock, emit, registry, quarantine, placing });
@@ -451,10 +452,14 @@
 
   /** Continues a request after a placer did not respond or provided no usable replica. */
   private handleFailedQuery(record: RequestRecord): void {
-    if (record.replacement === undefined) {
-      this.waiting.placeOrWait(record);
-    } else {
-      this.replacements.place(record);
+    try {
+      if (record.replacement === undefined) {
+        this.waiting.placeOrWait(record);
+      } else {
+        this.replacements.place(record);
+      }
+    } catch (error) {
+      this.fail(record, error);
     }
   }
 
@@ -608,6 +613,12 @@
     this.giveUp(record, outcome, reason);
   }
 
+  /** Ends a request because of an unexpected error, which other requests don't share. */
+  private fail(record: RequestRecord, error: unknown): void {
+    this.emit({ kind: 'fault', id: record.request.id, step: 'place a request', error });
+    this.abort(record, CancelReason.RequestFailed, GiveUpReason.Failed);
+  }
+
   /** Removes a request that has ended without a decision of the core. */
   private drop(id: string, reason: CancelReason): void {
     const record = this.records.get(id);
--- a/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
+++ b/packages/relay/src/lib/decide/WaitingRequests/WaitingRequests.ts
@@ -21,6 +21,8 @@
   /** Number of attempts that a daemon has in flight at a service. */
   countInFlight: (daemon: string, service: string) => number;
   giveUp: (record: RequestRecord, reason: GiveUpReason) => void;
+  /** Ends a request that an unexpected error keeps from being placed. */
+  fail: (record: RequestRecord, error: unknown) => void;
 }
 
 /** Places requests, and keeps those for which no replica has room until one has. */
@@ -95,7 +97,7 @@
     if (service.isFragile || service.isAdmissionControlled) {
       this.retry(service);
     } else {
-      service.waiting.drain((record) => this.parts.placing.placeLocally(record));
+      this.drainEach(service, (record) => this.parts.placing.placeLocally(record));
     }
   }
 
@@ -103,6 +105,18 @@
     this.parts.registry.allServices.forEach((service) => this.drain(service));
   }
 
+  /** Calls `place` for each waiting request. An error ends its request alone. */
+  private drainEach(service: ServiceState, place: (record: RequestRecord) => boolean): void {
+    service.waiting.drain((record) => {
+      try {
+        return place(record);
+      } catch (error) {
+        this.parts.fail(record, error);
+        return true;
+      }
+    });
+  }
+
   private scheduleRetry(service: ServiceState, delay: Milliseconds): void {
     if (!this.retryTimers.has(service)) {
       const timer = this.parts.clock.setTimer(delay, () => this.retry(service));
@@ -168,7 +182,7 @@
     this.retryTimers.get(service)?.cancel();
     this.retryTimers.delete(service);
     this.rejectLate(service);
-    service.waiting.drain((record) => {
+    this.drainEach(service, (record) => {
       record.resetQueries();
       return this.parts.placing.place(record) !== PlacingResult.NoRoom;
     });
--- a/packages/relay/src/lib/decide/admission/AdmissionControl/AdmissionControl.ts
+++ b/packages/relay/src/lib/decide/admission/AdmissionControl/AdmissionControl.ts
@@ -15,6 +15,7 @@
   /** Name of the replica group. */
   group: string;
   onDecision: (decision: AdmissionDecision) => void;
+  onFault: (error: unknown) => void;
 }
 
 /** Creates the admission of one replica group. */
@@ -202,6 +203,7 @@
       service,
       group: name,
       onDecision: (decision) => this.handleDecision(decision),
+      onFault: (error) => this.parts.emit({ kind: 'fault', step: 'admit requests', error }),
     });
     const entry = { service, admission, isFirst: this.isFirstPlacer(name) };
     this.groups.set(name, entry);
--- a/packages/relay/src/lib/decide/admission/Applicant.ts
+++ b/packages/relay/src/lib/decide/admission/Applicant.ts
@@ -26,6 +26,8 @@
   Late = 'late',
   /** More urgent requests, or those of workspaces that use less than their share, take its place. */
   Displaced = 'displaced',
+  /** An unexpected error keeps it from being decided. */
+  Failed = 'failed',
 }
 
 /** What the placer decides about an applicant. Each applicant begins, is refused or withdraws once. */
--- a/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.fuzz.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.fuzz.test.ts
@@ -109,6 +109,9 @@
           options: placementOptions,
         }),
       onDecision: (decision) => this.check(decision),
+      onFault: (error) => {
+        throw error;
+      },
     });
   }
 
--- a/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.test.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.test.ts
@@ -73,6 +73,34 @@
     expect(group.replay.admission.size).toBe(0);
   });
 
+  // Guards against one request that keeps all others of its group from beginning until its deadline.
+  it('refuses a request that fails to be decided, and decides about the others', () => {
+    const group = new SmallGroup();
+    group.replay.failingApplicant = 'failing';
+    group.submit('failing');
+    group.submit('next');
+    expect(group.getKinds('failing')).toEqual(['refuse']);
+    expect(group.getKinds('next')).toEqual(['begin']);
+    const refusal = group.replay.decisions.find(({ kind }) => kind === 'refuse');
+    expect(refusal).toMatchObject({ reason: RefusalReason.Failed });
+    expect(group.replay.faults).toHaveLength(1);
+  });
+
+  // Guards against waiting requests about which nothing is decided any more.
+  it('reviews again after an error that belongs to no request', () => {
+    const group = new SmallGroup();
+    group.submitMany(4);
+    expect(group.getKinds('r-3')).toEqual(['wait']);
+    const { clock, faults } = group.replay;
+    group.replay.isFailing = true;
+    // All responses end, so that no other event brings a review.
+    clock.advance(5_000);
+    expect(faults).not.toEqual([]);
+    group.replay.isFailing = false;
+    clock.advance(1_000);
+    expect(group.getKinds('r-3')).toEqual(['wait', 'refuse']);
+  });
+
   it('returns what waits when it is dissolved, without a decision', () => {
     const group = new SmallGroup();
     group.submitMany(4);
--- a/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.ts
+++ b/packages/relay/src/lib/decide/admission/EngineAdmission/EngineAdmission.ts
@@ -30,6 +30,8 @@
   choose: (applicant: Applicant, candidates: readonly ReplicaState[]) => ChosenReplica | undefined;
   /** Has to count the attempt of a request that begins before it returns. */
   onDecision: (decision: AdmissionDecision) => void;
+  /** Called with an unexpected error, after which the other applicants are decided. */
+  onFault: (error: unknown) => void;
 }
 
 /**
@@ -41,7 +43,7 @@
  *
  * @example
  * ```ts
- * const admission = new EngineAdmission({ clock, options: admissionOptions, getEngines, getProfile, choose, onDecision });
+ * const admission = new EngineAdmission({ clock, options: admissionOptions, getEngines, getProfile, choose, onDecision, onFault });
  * admission.submit(applicant); // onDecision({ kind: 'wait', … })
  * admission.review(); // after a first byte: onDecision({ kind: 'begin', … })
  * ```
@@ -111,6 +113,9 @@
           this.createPass().run();
         }
       }
+    } catch (error) {
+      // The message that caused this review is not at fault, and those that wait are reviewed again.
+      this.parts.onFault(error);
     } finally {
       this.isReviewing = false;
     }
--- a/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
+++ b/packages/relay/src/lib/decide/admission/ReviewPass/ReviewPass.ts
@@ -2,6 +2,7 @@
 import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
 import type { AdmissionLoad } from '../AdmissionGroup.js';
 import { RefusalReason } from '../Applicant.js';
+import { createFailureDecision } from '../createFailureDecision.js';
 import type { EngineAdmissionParts } from '../EngineAdmission/EngineAdmission.js';
 import type { FairOrder } from '../FairOrder/FairOrder.js';
 import { getSoonest, getWait, GroupRooms } from '../GroupRooms/GroupRooms.js';
@@ -36,6 +37,10 @@
   firstTokenIn: Milliseconds | undefined;
 }
 
+/** When an applicant is expected to begin; no times if it may go to no engine. */
+type Prediction =
+  { isInTime: true; times: ExpectedTimes } | { isInTime: false; times: ExpectedTimes | undefined };
+
 /**
  * Decides about all waiting applicants at one moment: begins those for which there is room, in order, and
  * refuses those whose first token can't be in time.
@@ -58,23 +63,26 @@
     const { now, order, waiting } = this.inputs;
     let ordered = order.sort(waiting.values(), now);
     if (this.rooms.hasOpenEngine()) {
-      ordered.forEach((next) => this.beginInTime(next));
+      ordered.forEach((next) => this.decide(next, () => this.beginInTime(next)));
       ordered = order.sort(waiting.values(), now);
     }
-    const late = this.planInOrder(ordered, (each, { begin }) => this.announce(each, begin));
+    const late: LateApplicant[] = [];
+    ordered.forEach((each) => this.decide(each, () => late.push(...this.plan(each))));
     // A late response is better than none where it delays nobody.
     const isElseEmpty = waiting.size === late.length;
-    late.forEach((each) => {
-      if (!isElseEmpty || !this.beginLate(each.waiting)) {
-        this.refuse(each);
-      }
-    });
+    late.forEach((each) =>
+      this.decide(each.waiting, () => {
+        if (!isElseEmpty || !this.beginLate(each.waiting)) {
+          this.refuse(each);
+        }
+      }),
+    );
   }
 
   getLoad(): AdmissionLoad {
     const { now, order, waiting } = this.inputs;
     const rooms = this.rooms.getAll();
-    this.planInOrder(order.sort(waiting.values(), now), () => undefined);
+    order.sort(waiting.values(), now).forEach((each) => this.predict(each));
     const planned = this.forecast.predict(rooms, 0);
     const room = this.rooms.countRequests();
     return {
@@ -83,6 +91,20 @@
     };
   }
 
+  /** Decides about one applicant, which is refused if that fails by an unexpected error. */
+  private decide(next: WaitingApplicant, step: () => void): void {
+    const { now, onDecision, onFault, options, waiting } = this.inputs;
+    try {
+      step();
+    } catch (error) {
+      onFault(error);
+      const { applicant } = next;
+      if (waiting.delete(applicant.id)) {
+        onDecision(createFailureDecision(applicant, now, options));
+      }
+    }
+  }
+
   /** Begins an applicant if an engine has room for it and its first token is expected in time. */
   private beginInTime(next: WaitingApplicant): void {
     if (!this.isWaiting(next)) {
@@ -106,26 +128,28 @@
   }
 
   /**
-   * Plans the waiting applicants in order.
+   * Plans an applicant after those before it, and announces its wait.
    *
-   * @returns those whose first token can't be in time
+   * @returns the applicant if its first token can't be in time
    */
-  private planInOrder(
-    ordered: readonly WaitingApplicant[],
-    onPlanned: (waiting: WaitingApplicant, times: ExpectedTimes) => void,
-  ): LateApplicant[] {
-    const late: LateApplicant[] = [];
-    ordered.forEach((waiting) => {
-      const rooms = this.rooms.getFor(waiting);
-      const planned = this.forecast.predict(rooms, waiting.missingTokens);
-      if (planned !== undefined && this.isInTime(waiting, planned.times.firstToken)) {
-        WaitForecast.add(planned);
-        onPlanned(waiting, planned.times);
-      } else {
-        late.push({ waiting, firstTokenIn: planned?.times.firstToken });
-      }
-    });
-    return late;
+  private plan(waiting: WaitingApplicant): LateApplicant[] {
+    const { isInTime, times } = this.predict(waiting);
+    if (isInTime) {
+      this.announce(waiting, times.begin);
+      return [];
+    }
+    return [{ waiting, firstTokenIn: times?.firstToken }];
+  }
+
+  /** Predicts an applicant, which counts for those after it if its first token can be in time. */
+  private predict(waiting: WaitingApplicant): Prediction {
+    const rooms = this.rooms.getFor(waiting);
+    const planned = this.forecast.predict(rooms, waiting.missingTokens);
+    if (planned !== undefined && this.isInTime(waiting, planned.times.firstToken)) {
+      WaitForecast.add(planned);
+      return { isInTime: true, times: planned.times };
+    }
+    return { isInTime: false, times: planned?.times };
   }
 
   private announce(waiting: WaitingApplicant, expectedWait: Milliseconds): void {
--- a/packages/relay/src/lib/decide/admission/getAdmissionGroupFactory.ts
+++ b/packages/relay/src/lib/decide/admission/getAdmissionGroupFactory.ts
@@ -45,7 +45,7 @@
   options: PlacementOptions;
 }): AdmissionGroupFactory {
   return (settings) => {
-    const { service, onDecision } = settings;
+    const { service, onDecision, onFault } = settings;
     const getProfile = () => service.service?.engine;
     const getInService = () =>
       findGroup(settings)?.replicas.filter(({ isInService }) => isInService) ?? [];
@@ -72,6 +72,7 @@
         getSlots: (state) => state.getSlots(getProfile()),
         choose,
         onDecision,
+        onFault,
       });
     }
     return new EngineAdmission({
@@ -83,6 +84,7 @@
       getProfile,
       choose,
       onDecision,
+      onFault,
     });
   };
 }
--- a/packages/relay/src/lib/decide/fragility/SlotAdmission/SlotAdmission.test.ts
+++ b/packages/relay/src/lib/decide/fragility/SlotAdmission/SlotAdmission.test.ts
@@ -1,10 +1,12 @@
 import { ManualClock } from '@apricotrill/utils';
 import { createReplica } from '../../../../test/fixtures.js';
+import { RefusalReason } from '../../admission/Applicant.js';
 import type { AdmissionDecision, Applicant } from '../../admission/Applicant.js';
 import type { ChosenReplica } from '../../chooseReplica.js';
 import { EngineStatistics } from '../../PrefillEstimator/EngineStatistics.js';
 import { placementOptions } from '../../placementOptions.js';
 import { ReplicaState } from '../../ReplicaState/ReplicaState.js';
+import { fragilityOptions } from '../fragilityOptions.js';
 import { SlotAdmission } from './SlotAdmission.js';
 
 const SLOTS = 2;
@@ -16,8 +18,16 @@
 
   readonly decisions: AdmissionDecision[] = [];
 
+  readonly faults: unknown[] = [];
+
   free = SLOTS;
 
+  /** The applicant about which every choice fails by an unexpected error. */
+  failingApplicant: string | undefined;
+
+  /** Whether each look at the replicas fails by an unexpected error. */
+  isFailing = false;
+
   readonly state = new ReplicaState(
     createReplica('i-0', { slots: SLOTS }),
     placementOptions,
@@ -27,13 +37,24 @@
   readonly admission = new SlotAdmission({
     clock: this.clock,
     getCandidates: () => (this.free > 0 ? [this.state] : []),
-    getReplicas: () => [this.state],
+    getReplicas: () => {
+      if (this.isFailing) {
+        throw new Error('provoked error');
+      }
+      return [this.state];
+    },
     getSlots: () => SLOTS,
-    choose: (_applicant, [state]) => ({ state, choice: {} }) as unknown as ChosenReplica,
+    choose: ({ id }, [state]) => {
+      if (id === this.failingApplicant) {
+        throw new Error('provoked error');
+      }
+      return { state, choice: {} } as unknown as ChosenReplica;
+    },
     onDecision: (decision) => {
       this.decisions.push(decision);
       this.free -= decision.kind === 'begin' ? 1 : 0;
     },
+    onFault: (error) => this.faults.push(error),
   });
 
   submit(id: string, parts: Partial<Applicant> = {}, rank = 1): void {
@@ -72,6 +93,32 @@
     expect(world.get('begin')).toEqual(['a', 'b', 'c', 'd']);
   });
 
+  // Guards against one request that keeps all others from their slots until its deadline.
+  it('refuses a request that fails to be decided, and decides about the others', () => {
+    const world = new World();
+    world.failingApplicant = 'failing';
+    world.submit('failing');
+    world.submit('next');
+    expect(world.get('begin')).toEqual(['next']);
+    expect(world.decisions).toContainEqual(
+      expect.objectContaining({ kind: 'refuse', reason: RefusalReason.Failed }),
+    );
+    expect(world.faults).toHaveLength(1);
+  });
+
+  // Guards against waiting requests about which nothing is decided any more.
+  it('reviews again after an error that belongs to no request', () => {
+    const world = new World();
+    ['a', 'b', 'c'].forEach((id) => world.submit(id));
+    world.isFailing = true;
+    world.admission.review();
+    expect(world.faults).toHaveLength(1);
+    world.isFailing = false;
+    world.free += 1;
+    world.clock.advance(fragilityOptions.reviewInterval);
+    expect(world.get('begin')).toEqual(['a', 'b', 'c']);
+  });
+
   it('lets the most urgent begin first', () => {
     const world = new World();
     ['a', 'b', 'c'].forEach((id) => world.submit(id));
--- a/packages/relay/src/lib/decide/fragility/SlotAdmission/SlotAdmission.ts
+++ b/packages/relay/src/lib/decide/fragility/SlotAdmission/SlotAdmission.ts
@@ -3,6 +3,7 @@
 import { RefusalReason } from '../../admission/Applicant.js';
 import type { AdmissionDecision, Applicant } from '../../admission/Applicant.js';
 import { admissionOptions } from '../../admission/admissionOptions.js';
+import { createFailureDecision } from '../../admission/createFailureDecision.js';
 import { RetryAdvice } from '../../admission/RetryAdvice/RetryAdvice.js';
 import type { ChosenReplica } from '../../chooseReplica.js';
 import type { ReplicaState } from '../../ReplicaState/ReplicaState.js';
@@ -21,6 +22,8 @@
   choose: (applicant: Applicant, candidates: readonly ReplicaState[]) => ChosenReplica | undefined;
   /** Has to count the attempt of a request that begins before it returns. */
   onDecision: (decision: AdmissionDecision) => void;
+  /** Called with an unexpected error, after which the other applicants are decided. */
+  onFault: (error: unknown) => void;
 }
 
 /** An applicant that waits, and whether it was told so. */
@@ -45,7 +48,7 @@
  *
  * @example
  * ```ts
- * const admission = new SlotAdmission({ clock, getCandidates, getReplicas, getSlots, choose, onDecision });
+ * const admission = new SlotAdmission({ clock, getCandidates, getReplicas, getSlots, choose, onDecision, onFault });
  * admission.submit(applicant); // onDecision({ kind: 'wait', … })
  * admission.review(); // after an attempt has ended: onDecision({ kind: 'begin', … })
  * ```
@@ -97,6 +100,9 @@
         this.isReviewDue = false;
         this.runReview();
       }
+    } catch (error) {
+      // The message that caused this review is not at fault, and those that wait are reviewed again.
+      this.parts.onFault(error);
     } finally {
       this.isReviewing = false;
     }
@@ -131,20 +137,39 @@
   }
 
   private beginAll(): void {
-    const { choose, getCandidates, onDecision, clock } = this.parts;
     [...this.waiting].every((entry) => {
-      const { applicant } = entry;
-      const candidates = getCandidates(applicant);
-      const chosen = candidates.length === 0 ? undefined : choose(applicant, candidates);
-      if (chosen !== undefined && this.remove(entry)) {
-        this.retryAdvice.recordBegin(clock.now());
-        onDecision({ kind: 'begin', applicant, chosen });
+      try {
+        return this.begin(entry);
+      } catch (error) {
+        this.fail(entry, error);
+        return true;
       }
-      // Without exclusions, no room for this one means no room for those behind it.
-      return chosen !== undefined || applicant.excludedReplicas.size > 0;
     });
   }
 
+  /** @returns whether those behind it may have room */
+  private begin(entry: WaitingApplicant): boolean {
+    const { choose, getCandidates, onDecision, clock } = this.parts;
+    const { applicant } = entry;
+    const candidates = getCandidates(applicant);
+    const chosen = candidates.length === 0 ? undefined : choose(applicant, candidates);
+    if (chosen !== undefined && this.remove(entry)) {
+      this.retryAdvice.recordBegin(clock.now());
+      onDecision({ kind: 'begin', applicant, chosen });
+    }
+    // Without exclusions, no room for this one means no room for those behind it.
+    return chosen !== undefined || applicant.excludedReplicas.size > 0;
+  }
+
+  /** Refuses an applicant that an unexpected error keeps from being decided. */
+  private fail(entry: WaitingApplicant, error: unknown): void {
+    const { clock, onDecision, onFault } = this.parts;
+    onFault(error);
+    if (this.remove(entry)) {
+      onDecision(createFailureDecision(entry.applicant, clock.now(), admissionOptions));
+    }
+  }
+
   /** Refuses those that could not begin in time because of others before them, the last first. */
   private refuseExcess(): void {
     const now = this.parts.clock.now();
--- a/packages/relay/src/lib/decide/messages.ts
+++ b/packages/relay/src/lib/decide/messages.ts
@@ -117,6 +117,8 @@
   Quarantined = 'quarantined',
   /** The request has reached the crash threshold and awaits evaluation. */
   UnderReview = 'under-review',
+  /** An unexpected error kept it from being placed. */
+  Failed = 'failed',
 }
 
 /** Why an attempt goes on although its replica is silent or the path to it is lost. */
@@ -491,7 +493,9 @@
   | { kind: 'suspect'; replica: RelayReplica; reason: string }
   | { kind: 'mark-healthy'; replica: RelayReplica }
   /** Too many attempts of all daemons broke there: it gets no requests for `span`. */
-  | { kind: 'start-cooldown'; replica: RelayReplica; span: Milliseconds };
+  | { kind: 'start-cooldown'; replica: RelayReplica; span: Milliseconds }
+  /** An unexpected error, after which the placement goes on. */
+  | { kind: 'fault'; id?: string; step: string; error: unknown };
 
 /** Why an attempt is cancelled. */
 export enum CancelReason {
--- a/packages/relay/src/lib/request/getErrorStatus.ts
+++ b/packages/relay/src/lib/request/getErrorStatus.ts
@@ -11,6 +11,7 @@
     case GiveUpReason.Overload:
     case GiveUpReason.BackedOff:
     case GiveUpReason.UnderReview:
+    case GiveUpReason.Failed:
       return outcome === Outcome.NotRun ? 503 : 502;
     case GiveUpReason.MayHaveRun:
       return 502;
--- a/packages/relay/src/test/AdmissionReplay.ts
+++ b/packages/relay/src/test/AdmissionReplay.ts
@@ -66,6 +66,14 @@
 
   readonly admission: EngineAdmission;
 
+  readonly faults: unknown[] = [];
+
+  /** The applicant about which every choice fails by an unexpected error. */
+  failingApplicant: string | undefined;
+
+  /** Whether each look at the engines fails by an unexpected error. */
+  isFailing = false;
+
   /** States of the engines in service. */
   private states: readonly ReplicaState[];
 
@@ -86,10 +94,21 @@
       clock: this.clock,
       options: { ...admissionOptions, ...this.setup.options },
       getEngines: () => this.states,
-      getGroupEngines: () => this.states,
+      getGroupEngines: () => {
+        if (this.isFailing) {
+          throw new Error('provoked error');
+        }
+        return this.states;
+      },
       getProfile: () => this.service.engine,
-      choose: ({ criteria }, candidates) => this.choose(criteria, candidates),
+      choose: ({ id, criteria }, candidates) => {
+        if (id === this.failingApplicant) {
+          throw new Error('provoked error');
+        }
+        return this.choose(criteria, candidates);
+      },
       onDecision: (decision) => this.handleDecision(decision),
+      onFault: (error) => this.recordFault(error),
     });
   }
 
@@ -117,6 +136,14 @@
     return firstTokenAt !== undefined && firstTokenAt <= arrivedAt + (load.latencyTarget ?? 600);
   }
 
+  /** @throws an error that was not provoked */
+  private recordFault(error: unknown): void {
+    if (!this.isFailing && this.failingApplicant === undefined) {
+      throw error;
+    }
+    this.faults.push(error);
+  }
+
   private createEngines(): ReplayEngine[] {
     const statistics = new EngineStatistics();
     statistics.profile = this.service.engine;
--- a/packages/relay/src/test/CoreHarness.ts
+++ b/packages/relay/src/test/CoreHarness.ts
@@ -22,6 +22,9 @@
   /** IDs of the requests that were submitted. */
   readonly submitted: string[] = [];
 
+  /** ID of the request whose next attempt fails to be sent by an unexpected error. */
+  failingRequest: string | undefined;
+
   private isAlive = true;
 
   /** The result of probes. Inconclusive by default: failures count against their replica. */
@@ -50,6 +53,12 @@
 
   /** Responds to liveness checks, and reports attempts that are cancelled for silence as ended. */
   private handleEffect(effect: PlacementEffect): void {
+    if (effect.kind === 'send' && effect.id === this.failingRequest) {
+      throw new Error('provoked error');
+    }
+    if (effect.kind === 'fault' && this.failingRequest === undefined) {
+      throw effect.error;
+    }
     this.effects.push(effect);
     if (effect.kind === 'check-liveness') {
       const replica = effect.replica.id;
