Draw different delays in daemons that meet the same fault

Callers lose all daemons at once: daemons that meet an error which repeats shut down after a random delay of up to 10 s, which was the same for all of them, 10 s, so that all drained at the same time.

Cause: the source of random numbers was seeded with the process ID. The first number of seeds as small as process IDs is 1.0000 to four digits (tried for 0 to 8, 100 to 103 and 5000 to 5003). Process IDs are also the same in many containers.

Now the seed is a hash of host name, process ID and time of the start, as where the daemon is created.

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,4 +1,6 @@
 export { bindTo } from './lib/bindTo.js';
+export { createProcessRandom } from './lib/createProcessRandom.js';
+export type { ProcessIdentity } from './lib/createProcessRandom.js';
 export type { EndReason } from './lib/EndReason.js';
 export { ExitCode } from './lib/ExitCode.js';
 export { FaultHandler } from './lib/FaultHandler/FaultHandler.js';
