Bound how often, and how many at once, daemons end for faults that repeat

Callers see daemons drain in turn, again and again: an error that repeats every few seconds at all daemons, or that follows each start, shut each of them down as soon as it had run for a minute.

Cause: the only bounds were an uptime of a minute, a delay of up to 10 s, and another daemon alive. A daemon that drains or has just started counts as alive, so that this held back nobody in a fleet.

Now a daemon must have run for 12 hours, so that faults end it twice a day at most. A daemon has no memory of earlier starts: no disk, and its entries in the store go as it drains. The delay is up to 10 minutes, so that few of a fleet drain at a time, and only a daemon at which faults still repeat by then shuts down. Weighed: records of such ends in the store or with other daemons, for a pause that grows; they would be written by a process whose state can't be trusted, and add a way to fail. Until then the daemon serves on, counts and logs each fault.

Besides, an error while it decides (the number of other daemons can't be told) ended a serving daemon at once, without draining; now it goes on.

--- a/packages/lifecycle/src/lib/FaultHandler/FaultHandler.ts
+++ b/packages/lifecycle/src/lib/FaultHandler/FaultHandler.ts
@@ -54,22 +54,13 @@
     try {
       this.react(error);
     } catch {
-      this.parts.end(error);
+      // A process that can't decide whether to end goes on.
     }
   }
 
   private react(error: unknown): void {
-    const { clock, hasStarted, getUptime, countPeers, end } = this.parts;
-    const now = clock.now();
-    this.times = [...this.times, now]
-      .filter((time) => now - time < faultOptions.window)
-      .slice(-faultOptions.maxFaults - 1);
-    const action = getFaultAction({
-      hasStarted: hasStarted(),
-      uptime: getUptime(),
-      faultCount: this.times.length,
-      peerCount: countPeers(),
-    });
+    this.times.push(this.parts.clock.now());
+    const action = this.getAction();
     switch (action) {
       case FaultAction.GoOn:
         return;
@@ -77,23 +68,37 @@
         this.scheduleShutdown(error);
         return;
       case FaultAction.End:
-        end(error);
+        this.parts.end(error);
         return;
       default:
         throw exhaustiveSwitchError(action);
     }
   }
 
-  /** Others that meet the same fault may have shut down first. */
+  private getAction(): FaultAction {
+    const { clock, hasStarted, getUptime, countPeers } = this.parts;
+    const now = clock.now();
+    this.times = this.times
+      .filter((time) => now - time < faultOptions.window)
+      .slice(-faultOptions.maxFaults - 1);
+    return getFaultAction({
+      hasStarted: hasStarted(),
+      uptime: getUptime(),
+      faultCount: this.times.length,
+      peerCount: countPeers(),
+    });
+  }
+
+  /** By the end of the delay, others that meet the same fault may have shut down, or the faults may have stopped. */
   private scheduleShutdown(error: unknown): void {
     if (this.isShutdownScheduled) {
       return;
     }
     this.isShutdownScheduled = true;
-    const { clock, random, countPeers, shutDown } = this.parts;
+    const { clock, random, shutDown } = this.parts;
     clock.setTimer(random.next() * faultOptions.maxDelay, () => {
       this.isShutdownScheduled = false;
-      if (countPeers() > 0) {
+      if (this.getAction() === FaultAction.ShutDown) {
         shutDown(error);
       }
     });
--- a/packages/lifecycle/src/lib/FaultHandler/getFaultAction.ts
+++ b/packages/lifecycle/src/lib/FaultHandler/getFaultAction.ts
@@ -9,15 +9,25 @@
   End = 'end',
 }
 
+const MINUTE: Milliseconds = 60_000;
+
+const HOUR = 60 * MINUTE;
+
 /** When a process that meets unexpected errors ends. */
 export const faultOptions = {
   /** Faults within the window after which a process still goes on. */
   maxFaults: 3,
-  window: 60_000 satisfies Milliseconds,
-  /** A process that has run for less goes on: a fault that follows each start must not end it again and again. */
-  minUptime: 60_000 satisfies Milliseconds,
-  /** Processes that meet the same fault shut down after different delays of up to this long. */
-  maxDelay: 10_000 satisfies Milliseconds,
+  window: MINUTE,
+  /**
+   * A process that has run for less goes on: a fault that follows each start must not end it again and again. Without
+   * a memory of earlier starts, this alone bounds how often it ends: twice a day.
+   */
+  minUptime: 12 * HOUR,
+  /**
+   * Processes that meet the same fault shut down after different delays of up to this long, so that few of them drain
+   * at the same time. One at which faults no longer repeat by then goes on.
+   */
+  maxDelay: 10 * MINUTE,
 };
 
 /** What the decision about a fault depends on. */
