Send counts of usage again after an error

Callers saw (by reading): usage reports without the last requests of a daemon that is idle afterwards. Cause: the next send was scheduled at the end of the one before. After an error in it, only another request scheduled one, and the changed counts had been taken by then. Test: 'sends its counts after an error'.

--- a/packages/relay/src/lib/duties/FleetDuties/FleetDuties.test.ts
+++ b/packages/relay/src/lib/duties/FleetDuties/FleetDuties.test.ts
@@ -3,7 +3,8 @@
 import { advanceClock } from '@apricotrill/standins';
 import { ManualClock } from '@apricotrill/utils';
 import type { RelayEvent } from '../../observe/RelayEvent.js';
-import { FleetDuties } from './FleetDuties.js';
+import type { DutyUpdate } from '../DutyUpdate.js';
+import { FleetDuties, fleetDutyOptions } from './FleetDuties.js';
 
 const SELF = { id: 'd-1', address: '127.0.0.1:1', availabilityZone: 'zone-a' };
 
@@ -29,10 +30,14 @@
 describe('FleetDuties', () => {
   const clock = new ManualClock();
   let events: RelayEvent[];
+  let sent: DutyUpdate[];
+  let isFailing: boolean;
   let duties: FleetDuties;
 
   beforeEach(() => {
     events = [];
+    sent = [];
+    isFailing = false;
     duties = new FleetDuties({
       self: SELF,
       clock,
@@ -43,7 +48,12 @@
         orderReplicas: async () => CallResult.Accepted,
       },
       settings: { windowSpan: 1_000, usageDelay: 10_000, holderCooldown: 3_000 },
-      send: () => undefined,
+      send: (update) => {
+        if (isFailing) {
+          throw new Error('provoked error');
+        }
+        sent.push(update);
+      },
       getServices: () => [],
     });
   });
@@ -75,4 +85,23 @@
       .filter((name) => name.startsWith('lease-'));
     expect(leaseEvents).toEqual(['lease-gained', 'lease-lost']);
   });
+
+  // Guards against requests that are missing in the report of a daemon's last window before it is idle.
+  it('sends its counts after an error', async () => {
+    duties.setFleet([SELF, { ...SELF, id: 'd-2', address: '127.0.0.1:2' }]);
+    isFailing = true;
+    duties.recordRunStart('shop', clock.now());
+    await advanceClock(clock, fleetDutyOptions.sendInterval);
+    isFailing = false;
+    await advanceClock(clock, fleetDutyOptions.sendsPerFullSend * fleetDutyOptions.sendInterval);
+    expect(sent).toContainEqual(
+      expect.objectContaining({
+        kind: 'usage',
+        usage: expect.objectContaining({ counts: [['shop', 1]] }),
+      }),
+    );
+    expect(events).toContainEqual(
+      expect.objectContaining({ event: 'fault', step: 'send counts of usage' }),
+    );
+  });
 });
--- a/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
+++ b/packages/relay/src/lib/duties/FleetDuties/FleetDuties.ts
@@ -15,6 +15,7 @@
 import { getLeaseCandidates } from '@apricotrill/lease';
 import type { LeaseStore } from '@apricotrill/lease';
 import type { Clock, Milliseconds, Timer } from '@apricotrill/utils';
+import { getErrorText } from '../../observe/getErrorText.js';
 import type { RelayLog } from '../../observe/RelayEvent.js';
 import type { PeerEntry } from '../../peers/PeerDirectory.js';
 import { DemandCounter } from '../DemandCounter/DemandCounter.js';
@@ -201,7 +202,14 @@
     const interval = sendInterval * Math.max(1, this.fleet.length / maxFleetAtInterval);
     this.timer ??= this.settings.clock.setTimer(interval, () => {
       this.timer = undefined;
-      this.sendUpdates();
+      // Counts that were not sent are sent with all others later, if another send follows.
+      try {
+        this.sendUpdates();
+      } catch (error) {
+        const step = 'send counts of usage';
+        this.settings.log({ event: 'fault', step, error: getErrorText(error) });
+        this.scheduleSend();
+      }
     });
   }
 
