Keep a lease and its duties going after an error

Callers saw (by reading): windows of usage that nobody reports while a daemon holds the lease of the duties and renews it, or a lease that its daemon neither renews nor contends for. Cause: - The loops of the duties ended with an error outside of a step, and began again only with the next lease. - An error of one listener of a lease kept the others from learning of it, for as long as it was held. - An error in a tick, or in the handling of a response, left the lease without a timer. Change: a loop goes on after any error, with its back-off. Each listener is called by itself; errors are reported by onFault, and a tick follows in any case. Duties log them as duty-failed, placement reports them as an event. Not covered: a stored ledger that can't be read keeps usage from being reported until it is removed.

--- a/packages/duties/src/lib/DutyManager/DutyManager.ts
+++ b/packages/duties/src/lib/DutyManager/DutyManager.ts
@@ -95,6 +95,7 @@
       ...settings,
       name: LEASE_NAME,
       options: this.options.lease,
+      onFault: (error) => this.logFailure('lease', error),
     });
     const sharedSettings = { ...settings, lease: this.lease, options: this.options };
     this.usageDuty = new UsageDuty({
@@ -167,17 +168,17 @@
   }
 
   private startLoop(term: number, duty: Duty): void {
-    this.runLoop(term, duty).catch((error: unknown) => {
-      const { log } = this.settings;
-      log({ event: 'duty-failed', call: 'run', result: String(error), fencingNumber: 0 });
-    });
+    this.runLoop(term, duty).catch((error: unknown) => this.logFailure('run', error));
   }
 
   private async runLoop(term: number, duty: Duty): Promise<void> {
     const { retryDelay, maxRetryDelay } = this.options;
     let delay = retryDelay;
-    while (!this.isDisposed && term === this.term && this.lease.isHeld()) {
+    while (!this.isDisposed && term === this.term) {
       try {
+        if (!this.lease.isHeld()) {
+          return;
+        }
         // eslint-disable-next-line no-await-in-loop
         const wait = await duty.runStep();
         delay = retryDelay;
@@ -186,9 +187,7 @@
           await this.sleep(wait);
         }
       } catch (error) {
-        const fencingNumber = this.lastFencingNumber ?? 0;
-        const result = String(error);
-        this.settings.log({ event: 'duty-failed', call: 'call', result, fencingNumber });
+        this.logFailure('call', error);
         // eslint-disable-next-line no-await-in-loop
         await this.sleep(delay);
         delay = Math.min(maxRetryDelay, delay * 2);
@@ -196,6 +195,11 @@
     }
   }
 
+  private logFailure(call: string, error: unknown): void {
+    const fencingNumber = this.lastFencingNumber ?? 0;
+    this.settings.log({ event: 'duty-failed', call, result: String(error), fencingNumber });
+  }
+
   private sleep(duration: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       const timer = this.settings.clock.setTimer(duration, () => {
--- a/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
+++ b/packages/experiment/src/lib/capacity/probes/LeaseProbe.ts
@@ -49,7 +49,10 @@
     stores.push(store);
     const name = `lease-${Math.floor(index / candidates)}`;
     const getRank = () => index % candidates;
-    return new LeaseManager({ self: `daemon-${index}`, clock, store, name, getRank });
+    const onFault = (error: unknown) => {
+      throw error;
+    };
+    return new LeaseManager({ self: `daemon-${index}`, clock, store, name, getRank, onFault });
   });
   const sum = (field: 'reads' | 'writes') =>
     stores.reduce((total, store) => total + store.getCounters()[field], 0);
--- a/packages/lease/src/lib/LeaseManager/LeaseManager.ts
+++ b/packages/lease/src/lib/LeaseManager/LeaseManager.ts
@@ -36,6 +36,8 @@
    * diverge, this daemon requests a new grant before it acts.
    */
   getTimeOfDay?: () => Milliseconds;
+  /** Called with an unexpected error, also of a listener, after which the manager goes on. */
+  onFault: (error: unknown) => void;
 }
 
 /**
@@ -55,7 +57,7 @@
  *
  * @example
  * ```ts
- * const lease = new LeaseManager({ self: 'daemon-1', clock, store, name: 'placement-chat' });
+ * const lease = new LeaseManager({ self: 'daemon-1', clock, store, name: 'placement-chat', onFault });
  * lease.onChange((fencingNumber) => log('lease %o', fencingNumber));
  * ```
  * @public
@@ -159,10 +161,14 @@
   }
 
   private tick(): void {
-    this.dispatch({ kind: 'tick', rank: this.settings.getRank?.() ?? 0 });
+    this.attempt(() => this.handleMessage({ kind: 'tick', rank: this.settings.getRank?.() ?? 0 }));
   }
 
   private dispatch(message: LeaseMessage): void {
+    this.attempt(() => this.handleMessage(message));
+  }
+
+  private handleMessage(message: LeaseMessage): void {
     if (this.isDisposed) {
       return;
     }
@@ -174,6 +180,18 @@
     }
   }
 
+  /** Performs an action. After an error, another tick follows in any case: the lease is idle without one. */
+  private attempt(action: () => void): void {
+    try {
+      action();
+    } catch (error) {
+      this.settings.onFault(error);
+      if (this.wakeTimer === undefined && !this.isDisposed) {
+        this.wakeAt(this.settings.clock.now() + this.options.retryDelay);
+      }
+    }
+  }
+
   private run(effect: LeaseEffect): void {
     const { store } = this.settings;
     const key = `leases/${this.settings.name}`;
@@ -213,7 +231,10 @@
   private wakeAt(at: Milliseconds): void {
     this.wakeTimer?.cancel();
     const delay = at - this.settings.clock.now();
-    this.wakeTimer = this.settings.clock.setTimer(delay, () => this.tick());
+    this.wakeTimer = this.settings.clock.setTimer(delay, () => {
+      this.wakeTimer = undefined;
+      this.tick();
+    });
   }
 
   private notify(): void {
@@ -222,7 +243,7 @@
       return;
     }
     this.lastFencingNumber = fencingNumber;
-    this.listeners.forEach((listener) => listener(fencingNumber));
+    this.listeners.forEach((listener) => this.attempt(() => listener(fencingNumber)));
   }
 
   private resolveReleases(): void {
--- a/packages/lease/src/test/Contender.ts
+++ b/packages/lease/src/test/Contender.ts
@@ -101,6 +101,9 @@
       options: environment.options,
       getRank: () => index,
       getTimeOfDay: () => environment.clock.now() + this.wallClockShift,
+      onFault: (error) => {
+        throw error;
+      },
     });
   }
 
--- a/packages/placement/src/lib/PlacementEvent.ts
+++ b/packages/placement/src/lib/PlacementEvent.ts
@@ -49,6 +49,8 @@
 export type PlacementEvent =
   | (EventContext & { kind: 'lease-gained'; fencingNumber: number })
   | (EventContext & { kind: 'lease-lost' })
+  /** An unexpected error around the lease, after which placement goes on. */
+  | (EventContext & { kind: 'fault'; error: unknown })
   /**
    * An engine's first response after the lease was acquired or an observation failed; says whether
    * the engine checks fencing numbers.
--- a/packages/placement/src/lib/PlacementManager/PlacementManager.ts
+++ b/packages/placement/src/lib/PlacementManager/PlacementManager.ts
@@ -160,7 +160,7 @@
     const placement = new ServicePlacement({
       service,
       clock,
-      lease: this.createLease(`placement-${service}`),
+      lease: this.createLease(service),
       engines,
       getConfiguration,
       options: this.options,
@@ -171,13 +171,15 @@
     return { placement, loadBudget };
   }
 
-  private createLease(name: string): LeaseManager {
-    const { self, clock, store, getMembers } = this.settings;
+  private createLease(service: string): LeaseManager {
+    const { self, clock, store, getMembers, onEvent } = this.settings;
+    const name = `placement-${service}`;
     const options = this.options.lease;
     // A service that is removed and added again contends with its old lease while that is released.
     this.leaseCount += 1;
     const incarnation = `${this.incarnation}-${this.leaseCount}`;
     const getRank = () => getLeaseRank(name, self, getMembers?.() ?? [], options.maxCandidates);
-    return new LeaseManager({ self, clock, store, name, options, incarnation, getRank });
+    const onFault = (error: unknown) => onEvent({ kind: 'fault', at: clock.now(), service, error });
+    return new LeaseManager({ self, clock, store, name, options, incarnation, getRank, onFault });
   }
 }
--- a/packages/placement/src/test/Daemon.ts
+++ b/packages/placement/src/test/Daemon.ts
@@ -62,7 +62,12 @@
       getConfiguration: () => this.configuration,
       getMembers: () => ['daemon-1', 'daemon-2', 'daemon-3'],
       options: environment.options,
-      onEvent: (event) => environment.events.push({ ...event, daemon: this.id }),
+      onEvent: (event) => {
+        if (event.kind === 'fault') {
+          throw event.error;
+        }
+        environment.events.push({ ...event, daemon: this.id });
+      },
     });
   }
 
