Report the fleet again after an error in the callback

Callers saw (by reading): a daemon that places requests, reads the store and sends usage by an old list of daemons until another one comes or goes, and attempts of a lost daemon that count as running. Cause: PeerLink reported a change of the fleet once. An error in the callback left what came after it unchanged. An error in the removal of one of several lost daemons skipped the others, and the report of the fleet. Change: both are logged as faults with their stacks; the report is repeated after the usual delay, the other daemons are removed. Test: 'reports the fleet again after an error in the callback'. The removal has no test of its own.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -168,6 +168,35 @@
     expect(counts).toEqual([1, 1]);
   });
 
+  // Guards against a daemon that goes on with an old fleet until the next daemon comes or goes.
+  it('reports the fleet again after an error in the callback', async () => {
+    const directory = new MemoryDirectory();
+    const other = await createLink('other', directory);
+    await other.until(() => directory.entries.has('other'));
+    const fleets: string[][] = [];
+    let resolveSecond: () => void;
+    const second = new Promise<void>((resolve) => {
+      resolveSecond = resolve;
+    });
+    const onFleetChanged = (daemons: PeerEntry[]) => {
+      fleets.push(daemons.map(({ id }) => id));
+      if (fleets.length === 1) {
+        throw new Error('provoked error');
+      }
+      resolveSecond();
+    };
+    const settings = { onFleetChanged };
+    const { events } = await createLink('failing', directory, undefined, [], 1, settings);
+    await second;
+    expect(fleets).toEqual([
+      ['failing', 'other'],
+      ['failing', 'other'],
+    ]);
+    expect(events).toContainEqual(
+      expect.objectContaining({ event: 'fault', step: 'peers: report the fleet' }),
+    );
+  });
+
   // Guards against daemons that do not know of each other for half a minute after a common start:
   // each read the list before any of them had written its entry.
   it('lets daemons that start together find each other', async () => {
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -273,8 +273,13 @@
     const maxSilence = this.rotationPeriod * MAX_MISSED_REFRESHES;
     this.table.expireSilent(clock.now(), maxSilence).forEach((peer) => {
       log({ event: 'peer-lost', peer });
-      onPeerLost(peer);
       this.scheduleFleetChange();
+      // An error must not keep the attempts of the other lost peers counted.
+      try {
+        onPeerLost(peer);
+      } catch (error) {
+        this.logFault('remove a peer', error);
+      }
     });
   }
 
@@ -339,7 +344,12 @@
     const { clock, onFleetChanged, self } = this.settings;
     this.fleetChangeTimer ??= clock.setTimer(peerLinkOptions.fleetChangeDelay, () => {
       this.fleetChangeTimer = undefined;
-      onFleetChanged([self, ...this.table.liveEntries]);
+      try {
+        onFleetChanged([self, ...this.table.liveEntries]);
+      } catch (error) {
+        this.logFault('report the fleet', error);
+        this.scheduleFleetChange();
+      }
     });
   }
 
