List the cache of an engine after an error of the listener

Callers saw (by reading): requests that are sent to an engine without what they need in its cache, or not sent where it is, until the engine restarts; after an error in the report of a failed call, no more updates of that cache at all. Cause: the position in the event log was advanced before the listener handled the changes, so that they were missing after an error in it, which was logged as a failed call without its stack. An error in onFailed ended the loop. Change: errors of the listener are logged as faults, and the cache is listed then. Tests: 'after an error of its listener' in CacheFollower.test.ts; both failed on, and pass now.

--- a/packages/relay/src/lib/daemon/ReplicaWatch.ts
+++ b/packages/relay/src/lib/daemon/ReplicaWatch.ts
@@ -3,6 +3,7 @@
 import type { PlacementMessage } from '../decide/messages.js';
 import { CacheFollower } from '../follow/CacheFollower/CacheFollower.js';
 import type { CacheSource } from '../follow/CacheFollower/CacheFollower.js';
+import { getErrorText } from '../observe/getErrorText.js';
 import type { RelayLog } from '../observe/RelayEvent.js';
 
 /** Dependencies of {@link ReplicaWatch}. */
@@ -141,6 +142,8 @@
         onLost: () => dispatch({ kind: 'cache-lost', replica: id }),
         onFailed: ({ message }) =>
           log({ event: 'dependency-lost', dependency: `cache of ${id}`, error: message }),
+        onFault: (error) =>
+          log({ event: 'fault', step: `follow the cache of ${id}`, error: getErrorText(error) }),
       },
     });
     this.followers.set(id, follower);
--- a/packages/relay/src/lib/follow/CacheFollower/CacheFollower.test.ts
+++ b/packages/relay/src/lib/follow/CacheFollower/CacheFollower.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock, createRandom } from '@apricotrill/utils';
 import { createReplica } from '../../../test/fixtures.js';
 import { CacheFollower, cacheFollowerOptions } from './CacheFollower.js';
-import type { CacheUpdate, CacheSource } from './CacheFollower.js';
+import type { CacheListener, CacheUpdate, CacheSource } from './CacheFollower.js';
 
 const NO_CHANGES: CacheUpdate & { kind: 'changes' } = {
   kind: 'changes',
@@ -13,7 +13,7 @@
 
 describe('CacheFollower', () => {
   /** Runs a follower on a source with these responses, and returns a log of calls and callbacks. */
-  async function run(responses: (CacheUpdate | Error)[]) {
+  async function run(responses: (CacheUpdate | Error)[], overrides: Partial<CacheListener> = {}) {
     const clock = new ManualClock();
     const log: string[] = [];
     const pending = [...responses];
@@ -38,6 +38,8 @@
         onListed: (_parts, reason) => log.push(`listed: ${reason}`),
         onLost: () => log.push('lost'),
         onFailed: () => log.push('failed'),
+        onFault: () => log.push('fault'),
+        ...overrides,
       },
     });
     follower.run().catch((error: unknown) => log.push(String(error)));
@@ -98,4 +100,33 @@
     ]);
     expect(log.slice(0, 5)).toEqual(['read all', 'changes 1', 'read 5', 'lost', 'read all']);
   });
+
+  describe('after an error of its listener', () => {
+    const change = { kind: 'added', part: 'p', tokens: 5, model: 'm' } as const;
+
+    function fail(): never {
+      throw new Error('provoked error');
+    }
+
+    // Guards against changes of a cache that are missing for good.
+    it('lists the cache', async () => {
+      const responses = [NO_CHANGES, { ...NO_CHANGES, next: '6', changes: [change] }, NO_CHANGES];
+      const onChanges = (changes: unknown[]) => (changes.length > 0 ? fail() : undefined);
+      const log = await run(responses, { onChanges });
+      expect(log.slice(0, 5)).toEqual([
+        'read all',
+        'read 5',
+        'fault',
+        'list',
+        'listed: an update could not be handled',
+      ]);
+      expect(log).toContain('read 9');
+    });
+
+    // Guards against a cache that is followed no more.
+    it('goes on', async () => {
+      const log = await run([new Error('no response'), NO_CHANGES], { onFailed: fail });
+      expect(log).toEqual(['read all', 'fault', 'read all', 'changes 0']);
+    });
+  });
 });
--- a/packages/relay/src/lib/follow/CacheFollower/CacheFollower.ts
+++ b/packages/relay/src/lib/follow/CacheFollower/CacheFollower.ts
@@ -65,6 +65,8 @@
   onLost(): void;
   /** Called once when calls to the engine begin to fail, until one succeeds again. */
   onFailed(error: Error): void;
+  /** Called with an error of another callback, after which the cache is listed. */
+  onFault(error: unknown): void;
 }
 
 /** Settings of a cache follower. */
@@ -78,7 +80,7 @@
 
 /**
  * Follows the prompt cache of one engine. Events may be late or missing, and a restart empties the
- * cache; after a gap or a restart, the entire content is listed once.
+ * cache; after a gap or a restart, the entire content is listed once, as after an error of the listener.
  */
 export class CacheFollower {
   private readonly abortController = new AbortController();
@@ -89,6 +91,9 @@
 
   private isFailing = false;
 
+  /** Whether the listener could not handle an update, so that it has to be told everything. */
+  private isListenerBehind = false;
+
   constructor(private readonly settings: CacheFollowerSettings) {}
 
   async run(): Promise<void> {
@@ -112,8 +117,11 @@
   }
 
   private async poll(): Promise<boolean> {
-    const { source, replica, listener } = this.settings;
+    const { source, replica } = this.settings;
     const { signal } = this.abortController;
+    if (this.isListenerBehind) {
+      return this.list('an update could not be handled');
+    }
     const update = await source.readChanges(
       replica,
       this.next,
@@ -128,7 +136,7 @@
       return this.handleRestart();
     }
     if (this.epoch !== undefined && update.epoch !== this.epoch) {
-      listener.onLost();
+      this.notify((listener) => listener.onLost());
       return this.list('the engine restarted');
     }
     if (update.hasGap) {
@@ -139,7 +147,7 @@
     this.next = update.next;
     // The first response is reported even without changes: it shows that the cache is empty.
     if (isFirst || update.changes.length > 0) {
-      listener.onChanges(update.changes);
+      this.notify((listener) => listener.onChanges(update.changes));
     }
     return true;
   }
@@ -147,13 +155,18 @@
   private handleError(error: unknown): boolean {
     if (!this.isFailing && !this.abortController.signal.aborted) {
       this.isFailing = true;
-      this.settings.listener.onFailed(error instanceof Error ? error : new Error(String(error)));
+      const reason = error instanceof Error ? error : new Error(String(error));
+      try {
+        this.settings.listener.onFailed(reason);
+      } catch (fault) {
+        this.settings.listener.onFault(fault);
+      }
     }
     return false;
   }
 
   private async list(reason: string): Promise<boolean> {
-    const { source, replica, listener } = this.settings;
+    const { source, replica } = this.settings;
     const listed = await source.list(replica, this.abortController.signal);
     if (this.abortController.signal.aborted) {
       return false;
@@ -163,18 +176,29 @@
     }
     this.epoch = listed.epoch;
     this.next = listed.next;
-    listener.onListed(listed.parts, reason);
-    return true;
+    this.isListenerBehind = false;
+    this.notify((listener) => listener.onListed(listed.parts, reason));
+    return !this.isListenerBehind;
   }
 
   /** Resets the position, since neither the cache nor the event log has survived the restart. */
   private handleRestart(): boolean {
     this.epoch = undefined;
     this.next = undefined;
-    this.settings.listener.onLost();
+    this.notify((listener) => listener.onLost());
     return false;
   }
 
+  private notify(call: (listener: CacheListener) => void): void {
+    const { listener } = this.settings;
+    try {
+      call(listener);
+    } catch (error) {
+      this.isListenerBehind = true;
+      listener.onFault(error);
+    }
+  }
+
   private sleep(duration: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       if (duration <= 0) {
