Refuse requests by the resident memory of the process, and log that it is near its limit

Cause: admission follows counts alone. A paused stream takes more than is counted for it (the storage of its splitter, the parts in its sockets), and garbage of the buffers that it passed on counts as well.

Memory that was freed can stay with the process, so that requests that hold less than 8 MiB in all are always admitted: a daemon never refuses everyone for memory that it does not need. A limit that leaves less than the least bound is not watched, as before.

What it does not do: it doesn't take back what was admitted.

--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from '@apricotrill/utils';
 import type { Holding } from '../HeldBytes/Holding.js';
 import { memoryOptions } from '../memoryOptions.js';
+import { ProcessMemory } from '../ProcessMemory/ProcessMemory.js';
 import { MemoryGuard } from './MemoryGuard.js';
 
 const {
@@ -9,6 +10,10 @@
   leastUrgentShare,
   maxBodyWait,
   minBudgetBytes,
+  processAdmittedShare,
+  processLeastUrgentShare,
+  readInterval,
+  reopenShare,
   requestBytes,
 } = memoryOptions;
 
@@ -131,6 +136,57 @@
     expect(bounded.tryAdmit(applicant)).toBeUndefined();
   });
 
+  describe('with a limit of the process', () => {
+    const LIMIT = 1_000 * minBudgetBytes;
+    const SMALL = { urgency: LEAST_URGENT, bytes: 0, headBytes: 0 };
+    let rss: number;
+    let bounded: MemoryGuard;
+
+    beforeEach(() => {
+      rss = 0;
+      bounded = new MemoryGuard({
+        clock,
+        budget: LIMIT,
+        heapLimit: undefined,
+        process: new ProcessMemory({
+          clock,
+          limit: LIMIT,
+          readRss: () => rss,
+        }),
+        onChanged: (isFull) => changes.push(isFull),
+      });
+    });
+
+    function setRss(bytes: number): void {
+      rss = bytes;
+      clock.advance(readInterval);
+    }
+
+    // Guards against a process that is killed since it uses far more than is counted as held.
+    it('refuses requests once it uses most of it, the least urgent ones first', () => {
+      bounded.tryAdmit({ urgency: 1, bytes: minBudgetBytes, headBytes: 0 });
+      setRss(LIMIT * processAdmittedShare * processLeastUrgentShare + 1);
+      expect(bounded.admit(SMALL)).toBeUndefined();
+      expect(bounded.tryAdmit({ ...SMALL, urgency: 1 })).toBeDefined();
+      setRss(LIMIT * processAdmittedShare + 1);
+      expect(bounded.tryAdmit({ ...SMALL, urgency: 1 })).toBeUndefined();
+      setRss(LIMIT * processAdmittedShare * processLeastUrgentShare * reopenShare);
+      expect(bounded.tryAdmit(SMALL)).toBeDefined();
+      expect(bounded.tryAdmit({ ...SMALL, urgency: 1 })).toBeDefined();
+      expect(changes).toEqual([true, false]);
+    });
+
+    // Guards against a daemon that serves nobody since memory that was freed stays with the process.
+    it('admits a few requests however much it uses', () => {
+      setRss(LIMIT);
+      const holding = bounded.tryAdmit({ ...SMALL, bytes: minBudgetBytes - requestBytes });
+      expect(holding).toBeDefined();
+      expect(bounded.tryAdmit(SMALL)).toBeUndefined();
+      holding!.release();
+      expect(bounded.tryAdmit(SMALL)).toBeDefined();
+    });
+  });
+
   it('admits everything without a budget', () => {
     const unbounded = new MemoryGuard({
       clock,
--- a/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.ts
+++ b/packages/relay/src/lib/memory/MemoryGuard/MemoryGuard.ts
@@ -5,6 +5,7 @@
 import { HeldKind } from '../HeldKind.js';
 import { MemoryAdmission, Room } from '../MemoryAdmission/MemoryAdmission.js';
 import { memoryOptions } from '../memoryOptions.js';
+import type { ProcessMemory } from '../ProcessMemory/ProcessMemory.js';
 import { ResponseBuffers } from '../ResponseBuffers/ResponseBuffers.js';
 
 /** Dependencies of {@link MemoryGuard}. */
@@ -14,6 +15,8 @@
   budget: number | undefined;
   /** Bytes that objects may take on the heap of the engine; undefined if they are not bounded. */
   heapLimit: number | undefined;
+  /** Memory of the process itself; absent if it is not bounded. */
+  process?: ProcessMemory | undefined;
   /** Called when the first request is refused, and when none is refused any more. */
   onChanged: (isFull: boolean, held: number) => void;
 }
@@ -47,6 +50,8 @@
 
   private readonly heapAdmission: MemoryAdmission;
 
+  private readonly processAdmission: MemoryAdmission;
+
   private readonly heapEstimate = new HeapEstimate();
 
   private readonly waiting: Waiting[] = [];
@@ -54,15 +59,21 @@
   private wasFull = false;
 
   constructor(private readonly parts: MemoryGuardParts) {
-    const { budget, heapLimit } = parts;
+    const { budget, heapLimit, process } = parts;
     const { admittedShare, heapAdmittedShare, heapLeastUrgentShare, leastUrgentShare } =
       memoryOptions;
+    const { processAdmittedShare, processLeastUrgentShare } = memoryOptions;
     this.admission = new MemoryAdmission({ budget, admittedShare, leastUrgentShare });
     this.heapAdmission = new MemoryAdmission({
       budget: heapLimit,
       admittedShare: heapAdmittedShare,
       leastUrgentShare: heapLeastUrgentShare,
     });
+    this.processAdmission = new MemoryAdmission({
+      budget: process?.limit,
+      admittedShare: processAdmittedShare,
+      leastUrgentShare: processLeastUrgentShare,
+    });
     this.buffers = new ResponseBuffers({
       held: this.held,
       isExceeded: () => this.admission.isExceeded(this.held.total),
@@ -115,7 +126,7 @@
 
   private decide(applicant: MemoryApplicant): Room {
     const { urgency, bytes } = applicant;
-    if (!this.hasHeap(applicant)) {
+    if (!this.hasHeap(applicant) || !this.hasProcessMemory(applicant)) {
       this.reportChange();
       return Room.Full;
     }
@@ -133,6 +144,20 @@
     return room === Room.Free || this.held.heapTotal + bytes <= memoryOptions.minBudgetBytes;
   }
 
+  /**
+   * Memory that was freed may stay with the process, so that a few requests are taken on even if it uses most
+   * of its limit.
+   */
+  private hasProcessMemory({ urgency, bytes }: MemoryApplicant): boolean {
+    const { process } = this.parts;
+    if (process === undefined) {
+      return true;
+    }
+    const all = bytes + memoryOptions.requestBytes;
+    const room = this.processAdmission.decide({ urgency, bytes: 0 }, process.rss);
+    return room === Room.Free || this.held.total + all <= memoryOptions.minBudgetBytes;
+  }
+
   private open(headBytes: number, bodyBytes: number): Holding {
     const holding = this.held.open();
     holding.set(HeldKind.Request, memoryOptions.requestBytes);
@@ -174,7 +199,8 @@
   }
 
   private reportChange(): void {
-    const isFull = this.admission.isFull || this.heapAdmission.isFull;
+    const isFull =
+      this.admission.isFull || this.heapAdmission.isFull || this.processAdmission.isFull;
     if (isFull !== this.wasFull) {
       this.wasFull = isFull;
       this.parts.onChanged(isFull, this.held.total);
--- a/packages/relay/src/lib/memory/memoryOptions.ts
+++ b/packages/relay/src/lib/memory/memoryOptions.ts
@@ -30,6 +30,17 @@
   heapAdmittedShare: 0.65,
   /** Part of it that may be in use while the least urgent requests are admitted, relative to that. */
   heapLeastUrgentShare: 0.9,
+  /**
+   * Part of the limit of the process that may be in use while requests are admitted, whatever is counted. What
+   * has been admitted still grows.
+   */
+  processAdmittedShare: 0.8,
+  /** Part of that at which the least urgent requests are refused. */
+  processLeastUrgentShare: 0.9,
+  /** Part of the limit beyond which the log says that the process is near it. */
+  nearShare: 0.8,
+  /** How old the known memory of the process may be. */
+  readInterval: 200 satisfies Milliseconds,
   /** Part of the bound that new requests may fill; the rest is for the responses of those that run. */
   admittedShare: 0.75,
   /** Part of the room for new requests that the least urgent ones may fill. */
--- a/packages/relay/src/lib/observe/RelayEvent.ts
+++ b/packages/relay/src/lib/observe/RelayEvent.ts
@@ -51,7 +51,20 @@
       knownRevision: number | undefined;
     }
   | { event: 'memory-bound'; limit: number; own: number; budget: number; heap: number }
-  | { event: 'memory-full' | 'memory-available'; held: number; heap: number }
+  | {
+      event: 'memory-full' | 'memory-available';
+      held: number;
+      heap: number;
+      /** Resident memory; undefined if the memory of the process is not bounded. */
+      rss: number | undefined;
+    }
+  | {
+      event: 'memory-pressure' | 'memory-relieved';
+      rss: number;
+      limit: number;
+      held: number;
+      heap: number;
+    }
   | { event: 'reader'; dependency: string; reader: string; previous: string }
   | { event: 'reader-failed'; dependency: string; reader: string; error: string }
   | { event: 'reader-overtaken'; dependency: string; reader: string }
--- a/packages/relay/src/lib/observe/eventMeanings.ts
+++ b/packages/relay/src/lib/observe/eventMeanings.ts
@@ -78,8 +78,11 @@
   'memory-bound':
     'the settings state the memory of the process; includes what it uses itself, how many bytes it may hold for callers and replicas, and the limit of the heap',
   'memory-full':
-    'requests are refused unread, the least urgent ones first, because this daemon holds as much as its memory, or the heap of the engine, allows; includes the bytes held and those in use on the heap',
+    'requests are refused unread, the least urgent ones first, because this daemon holds as much as its memory, or the heap of the engine, allows, or uses most of its limit; includes the bytes held, those in use on the heap, and the resident memory',
   'memory-available': 'no requests are refused for lack of memory any more',
+  'memory-pressure':
+    'the process uses most of the memory beyond which it is killed; includes its resident memory, the limit, the bytes held and those in use on the heap',
+  'memory-relieved': 'the process no longer uses most of the memory beyond which it is killed',
   'attempt-forwarded':
     'an attempt is sent through another daemon; includes why it could not be sent directly',
   'forwarder-refused': 'another daemon did not send an attempt; includes the reason',
