Write what arrives at once to a response as one part

What callers saw: a daemon ended by itself with SIGABRT ("JavaScript heap out of memory") and wrote no last line. 240 callers who did not read their streams were enough, where replicas send events of three bytes in chunks of their own. With events of 36 bytes, as models send tokens, 240 such streams brought a process with a limit of 200 MB to 207 MB.

Each event became a write of its own, which takes several entries in the queue of the response and of its socket, while only the bytes count as held.

Change: JoinedWrites joins what is added in one turn and writes it in a microtask, or before the response ends or is broken off; the same for attempts that are forwarded.

--- a/packages/relay/src/lib/forwarding/ForwardingServer/ForwardedExchange.ts
+++ b/packages/relay/src/lib/forwarding/ForwardingServer/ForwardedExchange.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Holding } from '../../memory/HeldBytes/Holding.js';
 import { HeldKind } from '../../memory/HeldKind.js';
+import { JoinedWrites } from '../../http/JoinedWrites/JoinedWrites.js';
 import { getErrorText } from '../../observe/getErrorText.js';
 import { memoryOptions } from '../../memory/memoryOptions.js';
 import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
@@ -34,6 +35,8 @@
 
   private hasEnded = false;
 
+  private readonly writes: JoinedWrites;
+
   /** @param onHead - called with the head of the replica's response */
   constructor(
     private readonly response: ServerResponse,
@@ -44,6 +47,7 @@
       onEnd: (result: ForwardingResult, detail: string | undefined) => void;
     },
   ) {
+    this.writes = new JoinedWrites(response);
     response.once('close', () => this.handleClosed());
   }
 
@@ -57,11 +61,11 @@
   }
 
   onBody(bytes: Buffer): void {
-    if (!this.response.write(bytes)) {
+    if (!this.writes.add(bytes)) {
       const { holding } = this.parts;
       this.exchange?.pause();
       const { pausedResponseBytes } = memoryOptions;
-      holding.set(HeldKind.Stream, this.response.writableLength + pausedResponseBytes);
+      holding.set(HeldKind.Stream, this.writes.queuedBytes + pausedResponseBytes);
       this.response.once('drain', () => {
         holding.set(HeldKind.Stream, 0);
         this.exchange?.resume();
@@ -70,6 +74,7 @@
   }
 
   onEnd(): void {
+    this.writes.flush();
     this.response.end();
     this.finish(ForwardingResult.Response, undefined);
   }
@@ -77,6 +82,7 @@
   onError(error: Error, isSent: boolean): void {
     const result = ForwardedExchange.getResult(error, isSent);
     if (this.response.headersSent) {
+      this.writes.flush();
       abortResponse(this.response);
     } else {
       writeForwardingResult(this.response, result);
--- a/packages/relay/src/lib/request/CallerResponse.ts
+++ b/packages/relay/src/lib/request/CallerResponse.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http';
 import { callerOptions } from '../callers/callerOptions.js';
 import { ResponseFraming } from '../framing/getResponseFraming.js';
+import { JoinedWrites } from '../http/JoinedWrites/JoinedWrites.js';
 import { getEndToEndHeaders } from '../protocol/connectionHeaders.js';
 import type { ResponseHead } from '../upstream/UpstreamExchange/UpstreamExchange.js';
 
@@ -27,10 +28,14 @@
   /** Whether only the end of the connection ends the response. */
   private endsWithConnection = false;
 
+  private readonly writes: JoinedWrites;
+
   constructor(
     private readonly response: ServerResponse,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.writes = new JoinedWrites(response);
+  }
 
   get isStarted(): boolean {
     return this.response.headersSent;
@@ -66,12 +71,12 @@
 
   /** @returns whether the caller keeps up; if not, {@link CallerResponse.onceDrained} follows */
   write(bytes: Buffer): boolean {
-    return this.response.write(bytes);
+    return this.writes.add(bytes);
   }
 
   /** Bytes that the caller has not received. */
   get queuedBytes(): number {
-    return this.response.writableLength;
+    return this.writes.queuedBytes;
   }
 
   onceDrained(callback: () => void): void {
@@ -80,6 +85,7 @@
 
   /** @param framing - of the response of the last replica */
   endStream(framing: ResponseFraming | undefined): ResponseEnd {
+    this.writes.flush();
     const isProven = framing !== ResponseFraming.Connection;
     if (!isProven && !this.endsWithConnection) {
       this.breakOff();
@@ -91,6 +97,7 @@
 
   /** Breaks off the response, so that it does not appear to be complete. */
   breakOff(): void {
+    this.writes.flush();
     if (!this.endsWithConnection) {
       abortResponse(this.response);
       return;
