Bound the texts of the store and of other daemons by the heap

What callers saw: a daemon ended by itself with SIGABRT ("JavaScript heap out of memory") some seconds after its start, and after each further one, while the store, or another daemon, responded with one large JSON text: 16 MB of empty lists, or 16 kB that expand to as much.

Cause: the client read texts of up to 16 MiB, and 64 MiB once expanded, which were chosen without regard to the heap of 120 MB. A text takes up to sixteen times its size on the heap while it is parsed.

Change: both limits follow from the heap: a text may take two thirds of it, which makes 5 MiB with the flags of the deploy file, five times the largest object or page of a list. A larger one fails its call, like a store that is away.

Test: largeResponses.test.ts. With the client of before both cases end by SIGABRT (two of two); with this change both pass.

--- a/packages/relay/src/lib/http/HttpClient.ts
+++ b/packages/relay/src/lib/http/HttpClient.ts
@@ -1,10 +1,13 @@
 import type { Milliseconds } from '@apricotrill/utils';
 import { ByteCollector, StepError } from '@apricotrill/utils';
 import type { IncomingHttpHeaders } from 'node:http';
+import { getHeapStatistics } from 'node:v8';
 import { gunzipSync } from 'node:zlib';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { getHeapLimit } from '../memory/getHeapLimit.js';
 import { connectInTime } from '../upstream/connectInTime.js';
+import { getMaxTextBytes } from './getMaxTextBytes.js';
 import { Watchdog } from './Watchdog.js';
 
 /** A complete response. */
@@ -39,11 +42,8 @@
 /** Shorter than the idle timeout of every server that is called. */
 const IDLE_TIMEOUT: Milliseconds = 3_000;
 
-/** Far more than any response of the store or of a daemon. */
-const MAX_RESPONSE_BYTES = 16_777_216;
-
-/** Maximum size of a response after decompression. */
-const MAX_TEXT_BYTES = 67_108_864;
+/** Maximum size of a response, also after decompression. */
+const MAX_TEXT_BYTES = getMaxTextBytes(getHeapLimit(getHeapStatistics().heap_size_limit));
 
 async function readBody(
   { headers, body }: Dispatcher.ResponseData,
@@ -69,7 +69,7 @@
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 1,
-    maxResponseSize: MAX_RESPONSE_BYTES,
+    maxResponseSize: MAX_TEXT_BYTES,
     keepAliveTimeout: IDLE_TIMEOUT,
     connect: connectInTime(CONNECT_TIMEOUT),
   });
