Let no older configuration replace one that is applied in part

What callers could see, by reading: since an interrupted configuration counts as not applied, a late older version replaced it, which could bring a revoked key back.

Cause: only the version whose parts are all applied was compared.

Change: a version is compared with the one that is active as well. No test of its own: no step of it fails in any that we have.

--- a/packages/relay/src/lib/daemon/RelayDaemon.ts
+++ b/packages/relay/src/lib/daemon/RelayDaemon.ts
@@ -598,7 +598,10 @@
   /** Applies a version if it is newer than the active one; versions can arrive out of order. */
   private applyConfiguration(configuration: RelayConfiguration): void {
     const previous = this.appliedVersion;
-    if (previous !== undefined && configuration.version <= previous) {
+    const isApplied = previous !== undefined && configuration.version <= previous;
+    // A version of which only some parts could be applied must not give way to an older one.
+    const isOlder = this.version !== undefined && configuration.version < this.version;
+    if (isApplied || isOlder) {
       return;
     }
     this.active = createActiveConfiguration(configuration, this.parts.protocol.rankLevels);
