Let the router wait for its settings, go on after errors, and state why it ends

Callers saw: a router that ends at its start, and at each restart, since its settings are written a moment later; one that ends with all its requests by one error that no handler catches; and ends that leave no reason. Cause: RunCommand read the settings once, took a missing or incomplete file for final, and handled no uncaught errors. Change: RouterProcess does what DaemonProcess does for the relay, with the parts of the lifecycle package: settings that are missing or no valid JSON with comments are waited for; uncaught errors are logged, counted (apricotrill_process_faults_total), and end the process in order only if they repeat and others are alive; the last line of standard output is 'ended' with the reason. Settings that are wrong still end the process with exit code 2. The order of signals is as before: the second one ends it at once. Tests: processLifecycle.test.ts (8). Not done: the wiring of FaultHandler and ProcessEnd is still written twice, here and for the relay.

--- a/packages/e2e/src/test/LocalDaemon.ts
+++ b/packages/e2e/src/test/LocalDaemon.ts
@@ -30,6 +30,7 @@
     claims,
     announceReplicaLeaving: () => undefined,
     getMembers: () => [],
+    countPeers: () => 0,
     getGeneration: () => 1,
     announceLeaving: () => Promise.resolve(),
     handOver: () => Promise.resolve(),
--- a/packages/e2e/src/test/Subprocess.ts
+++ b/packages/e2e/src/test/Subprocess.ts
@@ -24,9 +24,17 @@
 
   readonly log = new LineLog();
 
-  constructor(binary: Binary, args: string[]) {
+  /** The lines on standard output. */
+  readonly output = new LineLog();
+
+  /** @param preload - source of a module that runs in the process before its binary */
+  constructor(binary: Binary, args: string[], preload?: string) {
     const env = { ...process.env, DEBUG: 'apricotrill:*', NODE_OPTIONS: '' };
-    this.child = spawn(process.execPath, [`${PACKAGES}${binary}`, ...args], {
+    const preloaded =
+      preload === undefined
+        ? []
+        : ['--import', `data:text/javascript,${encodeURIComponent(preload)}`];
+    this.child = spawn(process.execPath, [...preloaded, `${PACKAGES}${binary}`, ...args], {
       env,
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -34,6 +42,7 @@
       this.child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
     });
     createInterface({ input: this.child.stderr! }).on('line', (line) => this.log.add(line));
+    createInterface({ input: this.child.stdout! }).on('line', (line) => this.output.add(line));
   }
 
   /**
@@ -41,11 +50,8 @@
    * output.
    */
   async getListening(): Promise<Record<string, number>> {
-    const lines = createInterface({ input: this.child.stdout! });
     const line = await Promise.race([
-      new Promise<string>((resolve) => {
-        lines.once('line', resolve);
-      }),
+      this.output.waitFor((text) => text.includes('"listening"')),
       this.exited.then((code) => {
         throw new Error(`process ended with ${code}:\n${this.log.lines.slice(-20).join('\n')}`);
       }),
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -9,6 +9,7 @@
 export type { Diagnostic } from './lib/Diagnostic.js';
 export { parseConfiguration, parseRegister, parseRules } from './lib/parseConfiguration.js';
 export type { ConfigurationText } from './lib/parseConfiguration.js';
+export { isJsonc } from './lib/jsonc/isJsonc.js';
 export { parseSettings } from './lib/parseSettings.js';
 export { EngineRole, ServiceKind } from './lib/Register.js';
 export type {
--- a/packages/router/src/lib/RunCommand.ts
+++ b/packages/router/src/lib/RunCommand.ts
@@ -1,14 +1,9 @@
-import { parseSettings } from '@apricotrill/model';
 import type { Settings } from '@apricotrill/model';
 import { Command, Option, UsageError } from 'clipanion';
-import { readFile } from 'node:fs/promises';
 import { createRouterDaemon } from './createRouterDaemon.js';
 import type { RouterDaemon } from './daemon/RouterDaemon.js';
 import { SharedFiles } from './daemon/SharedFiles.js';
-
-const EXIT_INVALID_SETTINGS = 2;
-const EXIT_FAILED = 1;
-const EXIT_FORCED = 130;
+import { RouterProcess } from './RouterProcess.js';
 
 /** Never resolves: the command runs until its process exits. */
 const pendingForever = new Promise<number>(() => {});
@@ -37,6 +32,8 @@
     details: `
       Serves requests until SIGTERM or SIGINT. Then the readiness check fails, every request in
       flight is completed, and the process exits; a second signal makes it exit immediately.
+      Settings that are missing or incomplete at the start are waited for. The last line of standard
+      output states why the process ends.
 
       Decisions are logged to standard error, one line of JSON each, by step: DEBUG=apricotrill:*
     `,
@@ -59,32 +56,15 @@
   rules = Option.String('--rules', { description: 'run standalone with this rules file' });
 
   override async execute(): Promise<number> {
-    const settings = await this.readSettings();
-    if (settings === undefined) {
-      return EXIT_INVALID_SETTINGS;
-    }
-    const daemon = this.createDaemon(settings);
-    this.stopOnSignals(daemon);
-    const ports = await daemon.start().catch((error: unknown) => this.fail(error));
-    if (ports !== undefined) {
-      this.context.stdout.write(
-        `${JSON.stringify({ listening: { host: settings.host, ...ports } })}\n`,
-      );
-    }
+    await new RouterProcess({
+      settingsFile: this.settings,
+      createDaemon: (settings) => this.createDaemon(settings),
+      output: this.context.stdout,
+      errorOutput: this.context.stderr,
+    }).run();
     return pendingForever;
   }
 
-  private async readSettings(): Promise<Settings | undefined> {
-    const result = parseSettings(await readFile(this.settings, 'utf8'), this.settings);
-    if (result.ok) {
-      return result.value;
-    }
-    result.error.forEach(({ file, line, column, reason, expected }) => {
-      this.context.stderr.write(`${file}:${line}:${column}: ${reason}; ${expected}\n`);
-    });
-    return undefined;
-  }
-
   private createDaemon(settings: Settings): RouterDaemon {
     const { register, rules } = this;
     if (register === undefined || rules === undefined) {
@@ -95,31 +75,4 @@
     const sharedState = new SharedFiles(settings.id, register, rules);
     return createRouterDaemon(settings, { sharedState });
   }
-
-  /** Exits, since a daemon that failed to start would keep some ports open without serving requests. */
-  private fail(error: unknown): never {
-    this.context.stderr.write(`${String(error)}\n`);
-    process.exit(EXIT_FAILED);
-  }
-
-  /**
-   * Stops the daemon on SIGTERM or SIGINT and then exits explicitly. Otherwise a connection whose peer
-   * is frozen would stay half closed and keep the process running, and so delay a restart, until the
-   * peer resumes.
-   */
-  private stopOnSignals(daemon: RouterDaemon): void {
-    let signalCount = 0;
-    const onSignal = () => {
-      signalCount += 1;
-      if (signalCount > 1) {
-        process.exit(EXIT_FORCED);
-      }
-      daemon.stop().then(
-        () => process.exit(0),
-        (error: unknown) => this.fail(error),
-      );
-    };
-    process.on('SIGTERM', onSignal);
-    process.on('SIGINT', onSignal);
-  }
 }
--- a/packages/router/src/lib/daemon/RouterDaemon.ts
+++ b/packages/router/src/lib/daemon/RouterDaemon.ts
@@ -170,6 +170,22 @@
     return shared.start(listener, { port, adminPort }, this.portOpener);
   }
 
+  /** Number of requests that have not ended. */
+  get openRequestCount(): number {
+    return this.scheduling.getRequestCount();
+  }
+
+  /** Number of other daemons that can serve in place of this one. */
+  get livePeerCount(): number {
+    return this.dependencies.shared.countPeers();
+  }
+
+  /** Logs and counts an error that no handler has caught. */
+  recordFault(step: string, error: unknown): void {
+    this.metrics.processFaults.inc();
+    this.logFault(step, error);
+  }
+
   private logFault(step: string, error: unknown): void {
     this.dependencies.log('daemon', { event: 'fault', step, error: getErrorText(error) });
   }
--- a/packages/router/src/lib/daemon/SharedFiles.ts
+++ b/packages/router/src/lib/daemon/SharedFiles.ts
@@ -54,6 +54,11 @@
     return { self: this.daemon, generation: this.getGeneration(), members: [] };
   }
 
+  // eslint-disable-next-line class-methods-use-this
+  countPeers(): number {
+    return 0;
+  }
+
   // eslint-disable-next-line class-methods-use-this
   getGeneration(): number {
     return 1;
--- a/packages/router/src/lib/daemon/SharedState.ts
+++ b/packages/router/src/lib/daemon/SharedState.ts
@@ -42,6 +42,8 @@
   announceReplicaLeaving(replica: string): void;
   /** Returns the members, with the generation each has in force. */
   getMembers(): unknown;
+  /** Returns the number of other daemons that can serve requests. */
+  countPeers(): number;
   /** Returns the generation in force at this daemon; 0 before the first. */
   getGeneration(): number;
   /** Announces that this daemon is shutting down, so that it gets no new duties. */
--- a/packages/router/src/lib/observe/RouterMetrics.ts
+++ b/packages/router/src/lib/observe/RouterMetrics.ts
@@ -25,6 +25,12 @@
     registers: [this.registry],
   });
 
+  readonly processFaults = new Counter({
+    name: 'apricotrill_process_faults_total',
+    help: 'Unexpected errors in this daemon that no handler has caught.',
+    registers: [this.registry],
+  });
+
   private readonly onTarget = new Counter({
     name: 'apricotrill_on_target_total',
     help: 'Whole answers whose first token came within the target of the class.',
--- a/packages/router/src/lib/shared/SharedPlatform.ts
+++ b/packages/router/src/lib/shared/SharedPlatform.ts
@@ -152,6 +152,12 @@
     };
   }
 
+  countPeers(): number {
+    const { id: self } = this.dependencies.settings;
+    const members = this.session?.cluster.getMembers() ?? [];
+    return members.filter(({ id, isEligible }) => id !== self && isEligible).length;
+  }
+
   getGeneration(): number {
     return this.session?.firstConfiguration.generation ?? 0;
   }
