Draw different delays in routers that meet the same fault

Callers could see routers that shut down at the same moment for an error that all of them meet: process IDs as seeds draw the same first number, as the relay daemon showed before.

Change: the router's source of random numbers is createProcessRandom, whose own test covers it; the suites of packages/router pass.

--- a/packages/router/src/lib/RouterProcess.ts
+++ b/packages/router/src/lib/RouterProcess.ts
@@ -1,8 +1,15 @@
-import { FaultHandler, ProcessEnd, SettingsWait, writeLastLine } from '@apricotrill/lifecycle';
+import {
+  FaultHandler,
+  ProcessEnd,
+  SettingsWait,
+  createProcessRandom,
+  writeLastLine,
+} from '@apricotrill/lifecycle';
 import type { EndReason } from '@apricotrill/lifecycle';
 import type { Settings } from '@apricotrill/model';
-import { SystemClock, createRandom } from '@apricotrill/utils';
+import { SystemClock } from '@apricotrill/utils';
 import type { Milliseconds } from '@apricotrill/utils';
+import { hostname } from 'node:os';
 import type { Writable } from 'node:stream';
 import { createDecisionLog } from './observe/DecisionLog.js';
 import { getErrorText } from './observe/getErrorText.js';
@@ -51,7 +58,11 @@
 
   private readonly faults = new FaultHandler({
     clock: this.clock,
-    random: createRandom(process.pid),
+    random: createProcessRandom({
+      host: hostname(),
+      pid: process.pid,
+      startedAt: this.clock.now(),
+    }),
     hasStarted: () => this.daemon !== undefined || this.signalCount > 0,
     getUptime: getProcessUptime,
     countPeers: () => this.daemon?.livePeerCount ?? 0,
