Log errors in the handling of a datagram instead of leaving the socket's handler

What was seen, by the review: an error in what a daemon does with a message of another one (a clock reading, a store position) left the handler of the socket as an uncaught exception, and so counted against the whole process, four of which in a minute can end it.

Change: the handler of the socket is guarded as a whole; the error is logged as a fault with its step.

Test: 'logs an error in the handling of a datagram, and goes on'.

--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.test.ts
@@ -168,6 +168,24 @@
     expect(counts).toEqual([1, 1]);
   });
 
+  // Guards against an error that leaves the handler of the socket and counts against the whole process.
+  it('logs an error in the handling of a datagram, and goes on', async () => {
+    const directory = new MemoryDirectory();
+    const other = await createLink('other', directory);
+    await other.until(() => directory.entries.has('other'));
+    let calls = 0;
+    const onStorePositions = () => {
+      calls += 1;
+      throw new Error('provoked error');
+    };
+    const settings = { onStorePositions };
+    const { events, until } = await createLink('failing', directory, undefined, [], 1, settings);
+    await until(() => calls > 1);
+    expect(events).toContainEqual(
+      expect.objectContaining({ event: 'fault', step: 'peers: handle a message' }),
+    );
+  });
+
   // Guards against a daemon that goes on with an old fleet until the next daemon comes or goes.
   it('reports the fleet again after an error in the callback', async () => {
     const directory = new MemoryDirectory();
--- a/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
+++ b/packages/relay/src/lib/peers/PeerLink/PeerLink.ts
@@ -135,7 +135,13 @@
       send: (updates, recipient) => this.sendUpdates(this.table.getAddresses(recipient), updates),
     });
     this.socket = createSocket('udp4');
-    this.socket.on('message', (bytes) => this.handleMessage(bytes));
+    this.socket.on('message', (bytes) => {
+      try {
+        this.handleMessage(bytes);
+      } catch (error) {
+        this.logFault('handle a message', error);
+      }
+    });
   }
 
   /**
