Count forwarded bodies of no stated size like those of callers

What was seen, by the review and by reading: a body in chunks at the internal port counted as nothing while it was read, so that 256 of them could fill the memory of the process. Daemons state the size of what they forward; other programs need not.

Change: one function for both, which counts the largest body where none is stated.

--- a/packages/relay/src/lib/daemon/BodyIntake.ts
+++ b/packages/relay/src/lib/daemon/BodyIntake.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits } from '../config/RelayConfiguration.js';
 import type { Holding } from '../memory/HeldBytes/Holding.js';
 import { HeldKind } from '../memory/HeldKind.js';
+import { getAnnouncedBytes } from '../memory/getAnnouncedBytes.js';
 import { getHeadHeapBytes } from '../memory/getHeadHeapBytes.js';
 import type { MemoryGuard } from '../memory/MemoryGuard/MemoryGuard.js';
 
@@ -23,14 +24,6 @@
   limits: CallerLimits;
 }
 
-/** Returns the announced size of a body; the largest one if none is announced. */
-function getAnnouncedBytes({ headers }: IncomingMessage, maxBytes: number): number {
-  if (headers['transfer-encoding'] !== undefined) {
-    return maxBytes;
-  }
-  return Math.min(Number(headers['content-length'] ?? 0), maxBytes);
-}
-
 /** Reads the bodies of requests, each only once there is memory for it. */
 export class BodyIntake {
   constructor(
--- a/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
+++ b/packages/relay/src/lib/forwarding/ForwardingServer/ForwardingServer.ts
@@ -8,6 +8,7 @@
 import { getEndToEndHeaders } from '../../protocol/connectionHeaders.js';
 import { HeldBytes } from '../../memory/HeldBytes/HeldBytes.js';
 import type { Holding } from '../../memory/HeldBytes/Holding.js';
+import { getAnnouncedBytes } from '../../memory/getAnnouncedBytes.js';
 import { getHeadHeapBytes } from '../../memory/getHeadHeapBytes.js';
 import type { MemoryGuard } from '../../memory/MemoryGuard/MemoryGuard.js';
 import type { ReplicaNotice, RelayProtocol } from '../../protocol/RelayProtocol.js';
@@ -101,7 +102,7 @@
   /** The other daemon has taken the request on, so that it counts as urgent here. */
   private reserve(request: IncomingMessage): Holding | undefined {
     const maxBytes = this.parts.getMaxBodyBytes() ?? forwardingOptions.maxBodyBytes;
-    const bytes = Math.min(Number(request.headers['content-length'] ?? 0), maxBytes);
+    const bytes = getAnnouncedBytes(request, maxBytes);
     const headBytes = getHeadHeapBytes(request);
     const { memory } = this.parts;
     return memory === undefined
